--- /dev/null
+++ b/agent/src/lib.rs
@@ -0,0 +1,136 @@
+//! The agent daemon: threads and sockets around [`hemlock_lib::agent::Agent`].
+
+mod board;
+mod links;
+mod mind;
+mod routes;
+
+use std::io;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender};
+use hemlock_lib::agent::{Agent, AgentConfig, Input};
+use hemlock_lib::chart::Charts;
+use hemlock_lib::gossip::GossipConfig;
+use hemlock_lib::ids::Incarnation;
+use hemlock_lib::members::Member;
+use hemlock_lib::probe::ProbeConfig;
+use hemlock_lib::seal::KeyRing;
+use hemlock_lib::settings::Settings;
+use hemlock_wire::server::{self, Server};
+use hemlock_wire::{clock, notify};
+
+use crate::board::Board;
+use crate::mind::Event;
+
+/// Events that wait for the state machine at most.
+const RING: usize = 4_096;
+/// Largest datagram in bytes.
+const DATAGRAM: usize = 64 << 10;
+
+const PROBE: ProbeConfig = ProbeConfig {
+    every: Duration::from_millis(300),
+    bound: Duration::from_millis(2_000),
+};
+const GOSSIP: GossipConfig = GossipConfig {
+    every: Duration::from_millis(300),
+    fanout: 3,
+    beats: 16,
+    bound: Duration::from_millis(2_500),
+};
+
+/// A running agent.
+#[derive(Debug)]
+pub struct AgentHandle {
+    events: Sender<Event>,
+    server: Server,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl AgentHandle {
+    /// Announces that this entry VM is leaving.
+    pub fn leave(&self) {
+        let _ = self.events.send(Event::Input(Input::Leave));
+    }
+
+    /// Stops the agent.
+    pub fn stop(self) {
+        let _ = self.events.send(Event::Stop);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        self.server.stop(false);
+    }
+}
+
+/// Starts an agent and returns once its addresses are bound.
+pub fn spawn(settings: &Settings, charts: &Charts, keys: KeyRing) -> io::Result<AgentHandle> {
+    let listener = server::bind(&settings.agent.listen)?;
+    let socket = Arc::new(UdpSocket::bind(&settings.agent.gossip)?);
+    socket.set_read_timeout(Some(Duration::from_millis(200)))?;
+    let (events, ring) = crossbeam_channel::bounded(RING);
+    let board = Arc::new(Board::default());
+    let agent = Agent::new(config(settings, keys), charts);
+    let (calls, call_ring) = async_channel::bounded(RING);
+    let threads = vec![
+        links::spawn_calls(settings.platform.clone(), call_ring, events.clone())?,
+        links::spawn_datagrams(Arc::clone(&socket), events.clone())?,
+        spawn_mind(agent, ring, calls, socket, Arc::clone(&board))?,
+    ];
+    let state = routes::State {
+        events: events.clone(),
+        board,
+    };
+    let server = server::spawn("agent-http", listener, 1, state, routes::configure)?;
+    log::info!(
+        "event=agent_started entry={} listen={}",
+        settings.entry,
+        server.address()
+    );
+    Ok(AgentHandle {
+        events,
+        server,
+        threads,
+    })
+}
+
+fn spawn_mind(
+    agent: Agent,
+    ring: Receiver<Event>,
+    calls: async_channel::Sender<links::Call>,
+    socket: Arc<UdpSocket>,
+    board: Arc<Board>,
+) -> io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("agent-mind".to_owned())
+        .spawn(move || mind::Mind::new(agent, calls, socket, board).run(&ring))
+}
+
+fn config(settings: &Settings, keys: KeyRing) -> AgentConfig {
+    let run = Incarnation(clock::now().as_millis());
+    let member = Member {
+        entry: settings.entry.clone(),
+        domain: settings.domain.clone(),
+        gateway: settings.gateway.advertise.clone(),
+        agent: settings.agent.advertise.clone(),
+        gossip: settings.agent.gossip.clone(),
+        incarnation: run,
+        leaving: false,
+    };
+    AgentConfig {
+        member,
+        domains: settings.domains.clone(),
+        partitions: settings.agent.partitions,
+        probe: PROBE,
+        gossip: GOSSIP,
+        keys,
+        seed: run.0 ^ hemlock_lib::rendezvous::score(settings.entry.as_str().as_bytes(), b"seed"),
+    }
+}
+
+async fn wait_change(changed: async_channel::Receiver<()>, wait: Duration) {
+    notify::wait(changed, wait).await;
+}
--- /dev/null
+++ b/agent/src/links.rs
@@ -0,0 +1,126 @@
+//! Threads that talk to the platform, to endpoints and to other agents.
+
+use std::io;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use hemlock_lib::agent::Input;
+use hemlock_lib::appender::AppendEnd;
+use hemlock_lib::codec;
+use hemlock_lib::engine::EngineState;
+use hemlock_lib::platform::{AppendCall, AppendReply, ReadCall, ReadReply, VmListing, VmRole};
+use hemlock_lib::settings::Platform;
+use hemlock_wire::caller::{self, CallError};
+
+use crate::DATAGRAM;
+use crate::mind::Event;
+
+const READ_TIMEOUT: Duration = Duration::from_secs(4);
+const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// A call to the platform or an endpoint.
+#[derive(Debug)]
+pub(crate) enum Call {
+    Read(ReadCall),
+    Append(AppendCall),
+    List,
+    Probe(VmListing),
+}
+
+/// Starts the thread that makes the calls and feeds their ends back as events.
+pub(crate) fn spawn_calls(
+    platform: Platform,
+    calls: async_channel::Receiver<Call>,
+    events: Sender<Event>,
+) -> io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("agent-calls".to_owned())
+        .spawn(move || {
+            let system = ntex::rt::System::new("agent-calls", ntex::rt::DefaultRuntime);
+            system.block_on(async move {
+                while let Ok(call) = calls.recv().await {
+                    let (platform, events) = (platform.clone(), events.clone());
+                    ntex::rt::spawn(async move {
+                        let input = make(&platform, call).await;
+                        let _ = events.send(Event::Input(input));
+                    });
+                }
+            });
+        })
+}
+
+/// Starts the thread that receives datagrams.
+pub(crate) fn spawn_datagrams(
+    socket: Arc<UdpSocket>,
+    events: Sender<Event>,
+) -> io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("agent-datagrams".to_owned())
+        .spawn(move || {
+            let mut buffer = vec![0; DATAGRAM];
+            loop {
+                let event = match socket.recv(&mut buffer) {
+                    Ok(length) => Event::Input(Input::Datagram(buffer[..length].to_vec())),
+                    Err(_) => Event::Idle,
+                };
+                if events.send(event).is_err() {
+                    return;
+                }
+            }
+        })
+}
+
+async fn make(platform: &Platform, call: Call) -> Input {
+    match call {
+        Call::Read(call) => Input::Read(read(platform, &call).await),
+        Call::Append(call) => Input::Appended(append(platform, &call).await),
+        Call::List => Input::Listed(list(platform).await),
+        Call::Probe(listing) => probe(listing).await,
+    }
+}
+
+async fn read(platform: &Platform, call: &ReadCall) -> Option<ReadReply> {
+    let url = format!("{}/read", platform.log);
+    let body = caller::post(&url, codec::encode(call), READ_TIMEOUT)
+        .await
+        .ok()?;
+    codec::decode(&body).ok()
+}
+
+async fn append(platform: &Platform, call: &AppendCall) -> AppendEnd {
+    let url = format!("{}/append", platform.log);
+    match caller::post(&url, codec::encode(call), APPEND_TIMEOUT).await {
+        Ok(body) if codec::decode::<AppendReply>(&body).is_ok() => AppendEnd::Taken,
+        Err(CallError::Connect | CallError::Status(503)) => AppendEnd::Refused,
+        _ => AppendEnd::Lost,
+    }
+}
+
+async fn list(platform: &Platform) -> Option<Vec<VmListing>> {
+    let body = caller::get(&platform.vms, LIST_TIMEOUT).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+async fn probe(listing: VmListing) -> Input {
+    let url = format!("{}/v1/state", listing.address);
+    let reply = caller::get(&url, PROBE_TIMEOUT).await.ok();
+    let (answered, state) = match (&listing.role, reply) {
+        (_, None) => (false, None),
+        (VmRole::Service(_), Some(_)) => (true, None),
+        (VmRole::Engine, Some(body)) => {
+            let state: Option<EngineState> = serde_json::from_slice(&body).ok();
+            let state = state.filter(|s| s.vm == listing.vm);
+            (state.is_some(), state)
+        }
+    };
+    Input::Probed {
+        vm: listing.vm,
+        answered,
+        state,
+    }
+}
--- /dev/null
+++ b/agent/src/routes.rs
@@ -0,0 +1,99 @@
+//! The agent's HTTP interface for daemons and operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use hemlock_lib::agent::Input;
+use hemlock_lib::codec;
+use hemlock_lib::peers::{Settled, Submit};
+use ntex::util::Bytes;
+use ntex::web::{self, HttpResponse, ServiceConfig, types};
+use serde::Deserialize;
+
+use crate::board::Board;
+use crate::mind::Event;
+
+/// Longest wait for a view or a settled record, in milliseconds.
+const WAIT_MS: u64 = 10_000;
+
+/// What the routes share.
+#[derive(Debug, Clone)]
+pub(crate) struct State {
+    pub(crate) events: Sender<Event>,
+    pub(crate) board: Arc<Board>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ViewQuery {
+    #[serde(default)]
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct SubmitQuery {
+    wait_ms: u64,
+}
+
+/// Adds the routes.
+pub(crate) fn configure(config: &mut ServiceConfig) {
+    config
+        .route("/v1/view", web::get().to(view))
+        .route("/v1/submit", web::post().to(submit))
+        .route("/v1/spare", web::post().to(spare))
+        .route("/v1/leave", web::post().to(leave))
+        .route("/healthz", web::get().to(health));
+}
+
+async fn view(state: types::State<State>, query: types::Query<ViewQuery>) -> HttpResponse {
+    let wait = Duration::from_millis(query.wait_ms.min(WAIT_MS));
+    let bytes = state.board.after(query.after, wait).await;
+    if bytes.is_empty() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    HttpResponse::Ok().body(Bytes::copy_from_slice(&bytes))
+}
+
+async fn submit(
+    state: types::State<State>,
+    query: types::Query<SubmitQuery>,
+    body: Bytes,
+) -> HttpResponse {
+    let Ok(submit) = codec::decode::<Submit>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let (reply, settled) = async_channel::bounded(1);
+    let wait = Duration::from_millis(query.wait_ms.min(WAIT_MS));
+    if state
+        .events
+        .try_send(Event::Submit {
+            submit,
+            wait,
+            reply,
+        })
+        .is_err()
+    {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let settled = settled.recv().await.unwrap_or(Settled::Unknown);
+    HttpResponse::Ok().body(codec::encode(&settled))
+}
+
+async fn spare(state: types::State<State>, body: Bytes) -> HttpResponse {
+    let Ok(spare) = codec::decode::<f64>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let _ = state.events.try_send(Event::Input(Input::Spare(spare)));
+    HttpResponse::NoContent().finish()
+}
+
+async fn leave(state: types::State<State>) -> HttpResponse {
+    let _ = state.events.try_send(Event::Input(Input::Leave));
+    HttpResponse::NoContent().finish()
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/cli/src/exit.rs
@@ -0,0 +1,53 @@
+//! Exit codes of the `hemlock` command.
+
+use std::process::ExitCode;
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Exit {
+    /// It did what was asked.
+    Done = 0,
+    /// It failed in a way that no other code names.
+    Failed = 1,
+    /// The command line, settings or table is wrong.
+    Usage = 2,
+    /// The system refused.
+    Refused = 3,
+    /// Somebody else changed a row first.
+    Conflict = 4,
+    /// Whether the change was accepted can't be told.
+    Unknown = 5,
+    /// The change was accepted but is not confirmed in force everywhere.
+    NotInForce = 6,
+    /// The agent or the log did not answer.
+    Unreachable = 7,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Failure {
+    pub(crate) exit: Exit,
+    pub(crate) cause: String,
+}
+
+impl Failure {
+    pub(crate) fn new(exit: Exit, cause: impl Into<String>) -> Self {
+        Self {
+            exit,
+            cause: cause.into(),
+        }
+    }
+}
+
+impl From<std::io::Error> for Failure {
+    fn from(error: std::io::Error) -> Self {
+        Self::new(Exit::Failed, format!("can't write the output: {error}"))
+    }
+}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,7 @@
+//! `hemlock`: the operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hemlock_cli::main()
+}
--- /dev/null
+++ b/demo/src/run.rs
@@ -0,0 +1,157 @@
+//! One deployment from its start to its report.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use hemlock_agent::AgentHandle;
+use hemlock_gateway::GatewayHandle;
+use hemlock_lib::chart::Charts;
+use hemlock_lib::peers::{Settled, Submit};
+use hemlock_lib::settings::Settings;
+use hemlock_planner::PlannerHandle;
+use hemlock_testutils::engine::EnginePace;
+use hemlock_testutils::platform::Platform;
+use hemlock_testutils::scenario::{self, Deployment};
+use hemlock_wire::agent;
+
+use crate::report::Report;
+use crate::{faults, load, monitor};
+
+/// Entry VMs of a deployment.
+const ENTRIES: usize = 6;
+/// Time that the deployment has to come up.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// Time under load.
+const LOAD: Duration = Duration::from_secs(24);
+const SUBMIT_WAIT: Duration = Duration::from_secs(5);
+
+/// The daemons of one entry VM.
+#[derive(Debug)]
+pub(crate) struct EntryVm {
+    pub(crate) settings: Settings,
+    agent: AgentHandle,
+    planner: PlannerHandle,
+    gateway: GatewayHandle,
+}
+
+impl EntryVm {
+    fn spawn(settings: Settings, charts: &Charts) -> io::Result<Self> {
+        let agent = hemlock_agent::spawn(&settings, charts, scenario::test_keys())?;
+        let planner = hemlock_planner::spawn(&settings, charts.clone())?;
+        let gateway = hemlock_gateway::spawn(&settings, charts)?;
+        Ok(Self {
+            settings,
+            agent,
+            planner,
+            gateway,
+        })
+    }
+
+    /// Leaves as planned: out of the advice, then open requests end, then gone.
+    pub(crate) fn leave(self, limit: Duration) {
+        self.agent.leave();
+        self.planner.stop();
+        self.gateway.drain(limit);
+        self.agent.stop();
+    }
+}
+
+/// Runs a deployment under load and faults.
+pub(crate) fn run(deployment: Deployment, port: u16, hold: bool) -> io::Result<Report> {
+    let charts = Charts::built_in().map_err(|e| io::Error::other(e.to_string()))?;
+    let platform = Platform::spawn("127.0.0.1:0", &deployment.vms(), EnginePace::default())?;
+    let (log, vms) = (platform.log_url(), platform.vms_url());
+    let settings = |i| deployment.parsed_settings(i, port, &log, &vms);
+    let mut entries = Vec::new();
+    for i in 0..ENTRIES {
+        entries.push(EntryVm::spawn(settings(i), &charts)?);
+    }
+    progress(deployment, "entry VMs started");
+    let agents: Vec<String> = entries
+        .iter()
+        .map(|e| e.settings.agent.advertise.clone())
+        .collect();
+    let edits = deployment.edits();
+    let settled = submit(
+        &agents[0],
+        Submit::Config {
+            author: "demo".to_owned(),
+            edits,
+        },
+    );
+    if !matches!(settled, Settled::Accepted { .. }) {
+        return Err(io::Error::other(format!(
+            "the table was not accepted: {settled:?}"
+        )));
+    }
+    progress(deployment, "table accepted");
+    let monitor = monitor::Monitor::spawn(agents[0].clone(), deployment.group())?;
+    wait_serving(deployment, &monitor);
+    monitor.reset();
+    let load = load::Load::spawn(deployment, format!("http://127.0.0.1:{port}"))?;
+    let started = Instant::now();
+    let notes = faults::inject(deployment, &platform, &mut entries, &agents);
+    std::thread::sleep(LOAD.saturating_sub(started.elapsed()));
+    let load = load.finish();
+    let monitor = monitor.finish();
+    progress(deployment, "load ended");
+    let report = Report::new(deployment, &load, &monitor, &platform, notes);
+    if hold {
+        for entry in entries {
+            std::mem::forget(entry);
+        }
+        std::mem::forget(platform);
+        return Ok(report);
+    }
+    for entry in entries {
+        entry.gateway.stop();
+        entry.planner.stop();
+        entry.agent.stop();
+    }
+    platform.stop();
+    Ok(report)
+}
+
+/// Keeps the process running and prints how to reach it.
+pub(crate) fn hold(reports: &[Report]) {
+    for (report, port) in reports.iter().zip(crate::PORTS) {
+        println!(
+            "{}: gateway http://127.0.0.1:{port}",
+            report.deployment.name()
+        );
+        println!("  agent http://127.0.0.1:{}", port + 1);
+        println!(
+            "  account key {}",
+            report.deployment.account_key("account-01")
+        );
+    }
+    hemlock_wire::daemon::wait_for_stop();
+}
+
+/// Submits a record by way of an agent.
+pub(crate) fn submit(agent: &str, submit: Submit) -> Settled {
+    let agent = agent.to_owned();
+    let system = ntex::rt::System::new("demo-submit", ntex::rt::DefaultRuntime);
+    system.block_on(async move { agent::submit(&agent, &submit, SUBMIT_WAIT).await })
+}
+
+/// Prints one line of progress.
+pub(crate) fn progress(deployment: Deployment, what: &str) {
+    eprintln!("{:>12}: {what}", deployment.name());
+}
+
+fn wait_serving(deployment: Deployment, monitor: &monitor::Monitor) {
+    let end = Instant::now() + START_LIMIT;
+    while Instant::now() < end {
+        let (serving, wanted) = monitor.serving();
+        if wanted > 0 && serving >= wanted {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    let (serving, wanted) = monitor.serving();
+    progress(
+        deployment,
+        &format!("{serving} of {wanted} replicas serving"),
+    );
+}
--- /dev/null
+++ b/gateway/src/service.rs
@@ -0,0 +1,94 @@
+//! Calls to plain services, passed through.
+
+use std::time::Duration;
+
+use hemlock_lib::claims::Answer;
+use hemlock_lib::codes::Code;
+use hemlock_lib::gateway::FailReason;
+use hemlock_wire::caller::{self, CallError};
+use ntex::http::{Method, StatusCode};
+use ntex::time::Millis;
+use ntex::util::Bytes;
+use ntex::web::HttpResponse;
+use serde_bytes::ByteBuf;
+
+use crate::body;
+use crate::drive::Driven;
+use crate::mind::Decision;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest answer of a plain service in bytes.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// A call to pass through.
+#[derive(Debug)]
+pub(crate) struct Pass {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) kind: String,
+    pub(crate) body: Bytes,
+    pub(crate) once: bool,
+}
+
+/// Passes a call through and returns the answer.
+pub(crate) async fn answer(mut driven: Driven, pass: Pass) -> HttpResponse {
+    while let Some(decision) = driven.next().await {
+        match decision {
+            Decision::Refuse { code, after } => {
+                return body::refusal(code, Some(driven.request()), Some(after));
+            }
+            Decision::Replay(answer) => return respond(&answer, true),
+            Decision::Dispatch {
+                attempt, address, ..
+            } => match attempt_once(&address, &pass).await {
+                Ok(answer) => {
+                    driven.finished(attempt, pass.once.then(|| answer.clone()));
+                    return respond(&answer, false);
+                }
+                Err(reason) => driven.failed(attempt, reason),
+            },
+        }
+    }
+    body::refusal(Code::Stopping, Some(driven.request()), None)
+}
+
+async fn attempt_once(address: &str, pass: &Pass) -> Result<Answer, FailReason> {
+    let client = if pass.once {
+        caller::fresh().await
+    } else {
+        caller::client().await
+    };
+    let request = client.request(pass.method.clone(), format!("{address}/{}", pass.path));
+    let request = request
+        .content_type(&pass.kind)
+        .timeout(Millis(TIMEOUT.as_millis() as u32));
+    let reply = request.send_body(pass.body.clone()).await;
+    let reply = reply.map_err(|e| match CallError::from(e) {
+        CallError::Connect => FailReason::Connect,
+        _ => FailReason::Broken,
+    })?;
+    let status = reply.status().as_u16();
+    let kind = reply
+        .header("content-type")
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default();
+    let kind = kind.to_owned();
+    let wait = Millis(TIMEOUT.as_millis() as u32);
+    let bytes = reply.body().limit(ANSWER_LIMIT).timeout(wait).await;
+    let bytes = bytes.map_err(|_| FailReason::Broken)?;
+    Ok(Answer {
+        status,
+        kind,
+        body: ByteBuf::from(bytes.to_vec()),
+    })
+}
+
+fn respond(answer: &Answer, replayed: bool) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    response.header("x-result-code", Code::Ok.number().to_string());
+    response.header("x-replayed", if replayed { "yes" } else { "no" });
+    response
+        .content_type(&answer.kind)
+        .body(Bytes::copy_from_slice(&answer.body))
+}
--- /dev/null
+++ b/lib/src/codec.rs
@@ -0,0 +1,40 @@
+//! Encoding of records and messages: MessagePack with field names, so that a reader skips fields
+//! that a later version adds.
+
+use error_stack::{Report, ResultExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Says that bytes are not the message expected.
+#[derive(Debug)]
+pub struct DecodeError {
+    /// Type that was expected.
+    pub expected: &'static str,
+    /// Length of the input in bytes.
+    pub length: usize,
+}
+
+impl std::fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "can't decode {} bytes as {}", self.length, self.expected)
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// Encodes a value.
+///
+/// # Panics
+///
+/// Panics if the value can't be represented, which is a bug in its type.
+pub fn encode(value: &impl Serialize) -> Vec<u8> {
+    rmp_serde::to_vec_named(value).expect("messages are made of encodable fields")
+}
+
+/// Decodes a value.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Report<DecodeError>> {
+    rmp_serde::from_slice(bytes).change_context_lazy(|| DecodeError {
+        expected: std::any::type_name::<T>(),
+        length: bytes.len(),
+    })
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,37 @@
+//! Decisions of hemlocklb, free of I/O, clocks and threads.
+//!
+//! Each daemon is one state machine with a `step` function that takes the present time, an input and
+//! a list to which it appends outputs: [`agent::Agent`], [`planner::Planner`] and
+//! [`gateway::Gateway`]. What must be agreed is folded from the platform's log: [`table`],
+//! [`members`], [`fleet`] and [`claims`].
+
+pub mod advice;
+pub mod agent;
+pub mod appender;
+pub mod chart;
+pub mod claims;
+pub mod codec;
+pub mod codes;
+pub mod declaration;
+pub mod engine;
+pub mod fleet;
+pub mod gateway;
+pub mod gossip;
+pub mod hash;
+pub mod ids;
+pub mod lease;
+pub mod limits;
+pub mod members;
+pub mod peers;
+pub mod placement;
+pub mod planner;
+pub mod platform;
+pub mod probe;
+pub mod rendezvous;
+pub mod router;
+pub mod seal;
+pub mod settings;
+pub mod stream;
+pub mod table;
+pub mod time;
+pub mod view;
--- /dev/null
+++ b/lib/src/table.rs
@@ -0,0 +1,286 @@
+//! The operators' table: model groups, versions, client accounts and plain services.
+//!
+//! The table is a fold over the `config` stream. Each edit names the row version it was made from,
+//! so that of two racing edits the later one is refused by every reader alike.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{AccountId, GroupId, Nonce, Offset, ServiceId, VersionId};
+
+/// Names a row of the table.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum RowKey {
+    /// A model group.
+    Group(GroupId),
+    /// A model version.
+    Version(VersionId),
+    /// A client account.
+    Account(AccountId),
+    /// A plain service.
+    Service(ServiceId),
+}
+
+impl std::fmt::Display for RowKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Group(id) => write!(f, "group/{id}"),
+            Self::Version(id) => write!(f, "version/{id}"),
+            Self::Account(id) => write!(f, "account/{id}"),
+            Self::Service(id) => write!(f, "service/{id}"),
+        }
+    }
+}
+
+impl std::str::FromStr for RowKey {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (kind, name) = text
+            .split_once('/')
+            .filter(|(_, name)| !name.is_empty())
+            .ok_or_else(|| format!("`{text}` is no row: write KIND/NAME"))?;
+        match kind {
+            "group" => Ok(Self::Group(name.into())),
+            "version" => Ok(Self::Version(name.into())),
+            "account" => Ok(Self::Account(name.into())),
+            "service" => Ok(Self::Service(name.into())),
+            _ => Err(format!(
+                "`{kind}` is no kind of row: group, version, account or service"
+            )),
+        }
+    }
+}
+
+/// A model group: the replicas that serve one model.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupRow {
+    /// Replicas wanted.
+    pub replicas: u32,
+    /// Replicas that a planned change leaves serving.
+    #[serde(default)]
+    pub minimum: u32,
+    /// Weight of group downtime in placement.
+    #[serde(default = "one")]
+    pub downtime: f64,
+    /// Weight of stranded accelerators in placement.
+    #[serde(default = "one")]
+    pub stranded: f64,
+    /// Reserve VMs for each replica.
+    #[serde(default)]
+    pub reserve: u32,
+    /// Requests that one replica runs at a time.
+    #[serde(default = "slots")]
+    pub slots: u32,
+}
+
+/// A model version of a group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VersionRow {
+    /// The group.
+    pub group: GroupId,
+    /// Share of the group's work relative to its other versions.
+    pub weight: f64,
+    /// VMs that one replica spans.
+    pub span: u32,
+}
+
+/// A client account.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AccountRow {
+    /// SHA-256 of the account's key in lower-case hexadecimal.
+    pub key_hash: String,
+    /// Share of the work relative to other accounts.
+    #[serde(default = "one")]
+    pub weight: f64,
+    /// Requests a second.
+    pub requests: f64,
+    /// Tokens a second.
+    pub tokens: f64,
+    /// Open requests.
+    pub concurrency: u32,
+}
+
+/// A plain service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceRow {
+    /// Open requests that one VM of the service takes.
+    #[serde(default = "slots")]
+    pub slots: u32,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn slots() -> u32 {
+    16
+}
+
+/// The values of a row.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Row {
+    /// A model group.
+    Group(GroupRow),
+    /// A model version.
+    Version(VersionRow),
+    /// A client account.
+    Account(AccountRow),
+    /// A plain service.
+    Service(ServiceRow),
+}
+
+/// One row's change.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Edit {
+    /// The row.
+    pub key: RowKey,
+    /// Version of the row that the edit was made from; `None` for a row that did not exist.
+    pub base: Option<Offset>,
+    /// The new values; `None` deletes the row.
+    pub row: Option<Row>,
+}
+
+/// A record of the `config` stream: edits that are accepted or refused together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigRecord {
+    /// Tells this append apart.
+    pub nonce: Nonce,
+    /// Who made the change.
+    pub author: String,
+    /// When, in milliseconds since the Unix epoch, by the author's clock; for display only.
+    pub at_ms: u64,
+    /// The edits.
+    pub edits: Vec<Edit>,
+}
+
+/// A row with its origin.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Offset of the record that last changed the row.
+    pub version: Offset,
+    /// Who changed it.
+    pub author: String,
+    /// When, for display only.
+    pub at_ms: u64,
+    /// The values; `None` once deleted.
+    pub row: Option<Row>,
+}
+
+/// Says why a record was refused.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// A row moved on since the edit was made.
+    Conflict {
+        /// The row.
+        key: RowKey,
+        /// Its present entry.
+        entry: Option<Entry>,
+    },
+}
+
+/// The folded table.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// Offset of the next record to fold.
+    pub next: Offset,
+    /// Offset of the last record that changed the table, if any.
+    pub changed: Option<Offset>,
+    entries: BTreeMap<RowKey, Entry>,
+}
+
+impl Table {
+    /// Folds the record at `offset`, which every reader accepts or refuses alike.
+    pub fn fold(&mut self, offset: Offset, record: &ConfigRecord) -> Result<(), Refusal> {
+        self.next = Offset(offset.0 + 1);
+        for edit in &record.edits {
+            self.check_base(edit)?;
+        }
+        for edit in &record.edits {
+            let entry = Entry {
+                version: offset,
+                author: record.author.clone(),
+                at_ms: record.at_ms,
+                row: edit.row.clone(),
+            };
+            self.entries.insert(edit.key.clone(), entry);
+        }
+        self.changed = Some(offset);
+        Ok(())
+    }
+
+    /// Returns the entry of a row, also of one that was deleted.
+    pub fn entry(&self, key: &RowKey) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Lists the rows that exist.
+    pub fn rows(&self) -> impl Iterator<Item = (&RowKey, &Entry, &Row)> {
+        self.entries
+            .iter()
+            .filter_map(|(key, entry)| Some((key, entry, entry.row.as_ref()?)))
+    }
+
+    /// Lists the model groups.
+    pub fn groups(&self) -> impl Iterator<Item = (&GroupId, &GroupRow)> {
+        self.rows().filter_map(|(key, _, row)| match (key, row) {
+            (RowKey::Group(id), Row::Group(row)) => Some((id, row)),
+            _ => None,
+        })
+    }
+
+    /// Lists the model versions.
+    pub fn versions(&self) -> impl Iterator<Item = (&VersionId, &VersionRow)> {
+        self.rows().filter_map(|(key, _, row)| match (key, row) {
+            (RowKey::Version(id), Row::Version(row)) => Some((id, row)),
+            _ => None,
+        })
+    }
+
+    /// Lists the client accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = (&AccountId, &AccountRow)> {
+        self.rows().filter_map(|(key, _, row)| match (key, row) {
+            (RowKey::Account(id), Row::Account(row)) => Some((id, row)),
+            _ => None,
+        })
+    }
+
+    /// Returns a plain service.
+    pub fn service(&self, id: &ServiceId) -> Option<&ServiceRow> {
+        match self
+            .entries
+            .get(&RowKey::Service(id.clone()))?
+            .row
+            .as_ref()?
+        {
+            Row::Service(row) => Some(row),
+            _ => None,
+        }
+    }
+
+    /// Returns a model group.
+    pub fn group(&self, id: &GroupId) -> Option<&GroupRow> {
+        match self.entries.get(&RowKey::Group(id.clone()))?.row.as_ref()? {
+            Row::Group(row) => Some(row),
+            _ => None,
+        }
+    }
+
+    fn check_base(&self, edit: &Edit) -> Result<(), Refusal> {
+        let entry = self.entries.get(&edit.key);
+        if entry.map(|e| e.version) == edit.base {
+            return Ok(());
+        }
+        Err(Refusal::Conflict {
+            key: edit.key.clone(),
+            entry: entry.cloned(),
+        })
+    }
+}
--- /dev/null
+++ b/testutils/src/engine.rs
@@ -0,0 +1,418 @@
+//! Stand-in for the model engines of all VMs: continuous batching at a fixed pace.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use hemlock_lib::engine::{Action, Chunk, EngineCall, EngineState, Held, Load, Order, OrderReply};
+use hemlock_lib::ids::{Incarnation, VmId};
+use hemlock_wire::clock;
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse};
+
+use crate::pacer::Pacer;
+
+/// Pace of the engines.
+#[derive(Debug, Clone, Copy)]
+pub struct EnginePace {
+    /// Time to load the weights of one VM, once the weight store serves it.
+    pub load: Duration,
+    /// Loads that the weight store serves at a time.
+    pub store: usize,
+    /// Time to the first token of an idle replica.
+    pub first: Duration,
+    /// Time between two tokens.
+    pub gap: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub fenced: bool,
+}
+
+impl Default for EnginePace {
+    fn default() -> Self {
+        Self {
+            load: Duration::from_millis(600),
+            store: 20,
+            first: Duration::from_millis(40),
+            gap: Duration::from_millis(20),
+            fenced: true,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Loaded {
+    held: Held,
+    ready: Instant,
+    slots: u32,
+}
+
+#[derive(Debug)]
+struct Vm {
+    run: u64,
+    down: bool,
+    slow: u32,
+    held: Option<Loaded>,
+    last: (u64, u64),
+    running: u32,
+    tokens: u64,
+}
+
+#[derive(Debug)]
+struct Inner {
+    pace: EnginePace,
+    vms: BTreeMap<VmId, Vm>,
+    store: Vec<Instant>,
+    events: Vec<(Instant, VmId, EngineEvent)>,
+}
+
+/// Something that a check over the whole run looks at.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EngineEvent {
+    /// The engine took an order to load.
+    Loaded(Held),
+    /// The engine gave up what it held.
+    Unloaded,
+    /// The VM went down.
+    Down,
+    /// The VM came back.
+    Up,
+}
+
+/// The engines' state, shared by their HTTP handlers and the test.
+#[derive(Debug, Clone)]
+pub struct Engines {
+    inner: Arc<Mutex<Inner>>,
+    pacer: Pacer,
+}
+
+impl Engines {
+    /// Makes engines for the VMs named.
+    pub fn new(pace: EnginePace, vms: impl IntoIterator<Item = VmId>, pacer: Pacer) -> Self {
+        let vm = || Vm {
+            run: 1,
+            down: false,
+            slow: 1,
+            held: None,
+            last: (0, 0),
+            running: 0,
+            tokens: 0,
+        };
+        let inner = Inner {
+            pace,
+            vms: vms.into_iter().map(|id| (id, vm())).collect(),
+            store: vec![Instant::now(); pace.store.max(1)],
+            events: Vec::new(),
+        };
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+            pacer,
+        }
+    }
+
+    /// Takes a VM down; what it held and ran is lost.
+    pub fn kill(&self, vm: &VmId) {
+        let mut inner = self.lock();
+        if let Some(state) = inner.vms.get_mut(vm) {
+            state.down = true;
+            state.run += 1;
+            state.held = None;
+            state.running = 0;
+            state.tokens = 0;
+        }
+        inner
+            .events
+            .push((Instant::now(), vm.clone(), EngineEvent::Down));
+    }
+
+    /// Brings a VM back in a new run.
+    pub fn revive(&self, vm: &VmId) {
+        let mut inner = self.lock();
+        if let Some(state) = inner.vms.get_mut(vm) {
+            state.down = false;
+        }
+        inner
+            .events
+            .push((Instant::now(), vm.clone(), EngineEvent::Up));
+    }
+
+    /// Makes a VM `factor` times slower.
+    pub fn slow(&self, vm: &VmId, factor: u32) {
+        if let Some(state) = self.lock().vms.get_mut(vm) {
+            state.slow = factor.max(1);
+        }
+    }
+
+    /// Returns whether a VM is down.
+    pub fn is_down(&self, vm: &VmId) -> bool {
+        self.lock().vms.get(vm).is_none_or(|s| s.down)
+    }
+
+    /// Returns what happened, in order.
+    pub fn events(&self) -> Vec<(Instant, VmId, EngineEvent)> {
+        self.lock().events.clone()
+    }
+
+    /// Returns the VMs that hold a part of a replica.
+    pub fn holding(&self) -> BTreeMap<VmId, Held> {
+        let inner = self.lock();
+        let held = |(vm, s): (&VmId, &Vm)| Some((vm.clone(), s.held.as_ref()?.held.clone()));
+        inner.vms.iter().filter_map(held).collect()
+    }
+
+    pub(crate) fn serve_state(&self, vm: &VmId, request: &HttpRequest) -> HttpResponse {
+        if self.is_down(vm) {
+            return cut(request);
+        }
+        match self.state(vm) {
+            Some(state) => HttpResponse::Ok().json(&state),
+            None => HttpResponse::NotFound().finish(),
+        }
+    }
+
+    pub(crate) fn serve_order(
+        &self,
+        vm: &VmId,
+        request: &HttpRequest,
+        body: &Bytes,
+    ) -> HttpResponse {
+        if self.is_down(vm) {
+            return cut(request);
+        }
+        let Ok(order) = serde_json::from_slice::<Order>(body) else {
+            return HttpResponse::BadRequest().finish();
+        };
+        let taken = self.take_order(vm, &order);
+        match self.state(vm) {
+            Some(state) if taken => HttpResponse::Ok().json(&OrderReply::Taken(state)),
+            Some(state) => HttpResponse::Ok().json(&OrderReply::Refused(state)),
+            None => HttpResponse::NotFound().finish(),
+        }
+    }
+
+    pub(crate) async fn serve_generate(
+        &self,
+        vm: &VmId,
+        request: &HttpRequest,
+        body: &Bytes,
+    ) -> HttpResponse {
+        if self.is_down(vm) {
+            return cut(request);
+        }
+        let Ok(call) = serde_json::from_slice::<EngineCall>(body) else {
+            return HttpResponse::BadRequest().finish();
+        };
+        let Some(run) = self.admit(vm, &call) else {
+            return HttpResponse::ServiceUnavailable().finish();
+        };
+        let generation = Generation {
+            engines: self.clone(),
+            vm: vm.clone(),
+            run,
+            next: call.resume_from,
+            end: u64::from(call.max_tokens),
+            due: Instant::now() + self.first(vm),
+            call,
+        };
+        let chunks = futures_util::stream::unfold(Some(generation), |generation| async move {
+            let mut generation = generation?;
+            let bytes = generation.step().await;
+            let more = matches!(bytes, Ok((_, true)));
+            Some((bytes.map(|(b, _)| b), more.then_some(generation)))
+        });
+        HttpResponse::Ok()
+            .content_type("text/event-stream")
+            .streaming(Box::pin(chunks))
+    }
+
+    fn state(&self, vm: &VmId) -> Option<EngineState> {
+        let inner = self.lock();
+        let state = inner.vms.get(vm)?;
+        let now = Instant::now();
+        let held = state.held.as_ref().map(|l| Held {
+            ready: l.ready <= now,
+            ..l.held.clone()
+        });
+        let load = Load {
+            running: state.running,
+            queued: 0,
+            tokens: state.tokens,
+            age_ms: 0,
+        };
+        Some(EngineState {
+            vm: vm.clone(),
+            run: Incarnation(state.run),
+            held,
+            load,
+        })
+    }
+
+    fn take_order(&self, vm: &VmId, order: &Order) -> bool {
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let (pace, store_at) = (inner.pace, inner.next_store(now));
+        let Some(state) = inner.vms.get_mut(vm) else {
+            return false;
+        };
+        let late = order.deadline_ms < clock::now().as_millis();
+        let old = pace.fenced && (order.fence.0, order.seq) < state.last;
+        if late || old {
+            return false;
+        }
+        state.last = (order.fence.0, order.seq);
+        match &order.action {
+            Action::Unload => {
+                if state
+                    .held
+                    .as_ref()
+                    .is_some_and(|l| l.held.replica == order.replica)
+                {
+                    state.held = None;
+                    inner.events.push((now, vm.clone(), EngineEvent::Unloaded));
+                }
+            }
+            Action::Load {
+                version,
+                rank,
+                slots,
+                ..
+            } => {
+                let held = Held {
+                    replica: order.replica.clone(),
+                    fence: order.fence,
+                    version: version.clone(),
+                    rank: *rank,
+                    ready: false,
+                };
+                let loaded = state.held.as_ref().map(|l| (&l.held.version, l.held.rank));
+                let kept = loaded == Some((version, *rank));
+                let ready = if kept { now } else { store_at + pace.load };
+                state.held = Some(Loaded {
+                    held: held.clone(),
+                    ready,
+                    slots: *slots,
+                });
+                if !kept {
+                    inner.take_store(ready);
+                }
+                inner
+                    .events
+                    .push((now, vm.clone(), EngineEvent::Loaded(held)));
+            }
+        }
+        true
+    }
+
+    fn admit(&self, vm: &VmId, call: &EngineCall) -> Option<u64> {
+        let mut inner = self.lock();
+        let state = inner.vms.get_mut(vm)?;
+        let loaded = state.held.as_ref()?;
+        let serves = loaded.held.replica == call.replica && loaded.ready <= Instant::now();
+        if !serves || loaded.held.rank != 0 || state.running >= loaded.slots.saturating_mul(2) {
+            return None;
+        }
+        state.running += 1;
+        state.tokens += u64::from(call.max_tokens);
+        Some(state.run)
+    }
+
+    fn ended(&self, vm: &VmId, run: u64, tokens: u64) {
+        if let Some(state) = self.lock().vms.get_mut(vm).filter(|s| s.run == run) {
+            state.running = state.running.saturating_sub(1);
+            state.tokens = state.tokens.saturating_sub(tokens);
+        }
+    }
+
+    fn first(&self, vm: &VmId) -> Duration {
+        let inner = self.lock();
+        inner.pace.first * inner.vms.get(vm).map_or(1, |s| s.slow)
+    }
+
+    fn gap(&self, vm: &VmId) -> Duration {
+        let inner = self.lock();
+        inner.pace.gap * inner.vms.get(vm).map_or(1, |s| s.slow)
+    }
+
+    /// Returns whether the VM is still in the run in which it admitted a call.
+    fn runs(&self, vm: &VmId, run: u64) -> bool {
+        self.lock()
+            .vms
+            .get(vm)
+            .is_some_and(|s| !s.down && s.run == run)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn next_store(&self, now: Instant) -> Instant {
+        self.store.iter().min().copied().unwrap_or(now).max(now)
+    }
+
+    fn take_store(&mut self, until: Instant) {
+        if let Some(slot) = self.store.iter_mut().min() {
+            *slot = until;
+        }
+    }
+}
+
+struct Generation {
+    engines: Engines,
+    vm: VmId,
+    run: u64,
+    call: EngineCall,
+    next: u64,
+    end: u64,
+    due: Instant,
+}
+
+impl Generation {
+    async fn step(&mut self) -> std::io::Result<(Bytes, bool)> {
+        self.engines.pacer.until(self.due).await;
+        if !self.engines.runs(&self.vm, self.run) {
+            return Err(std::io::Error::other("the VM went down"));
+        }
+        self.due += self.engines.gap(&self.vm);
+        let done = self.next >= self.end;
+        let text = if done {
+            String::new()
+        } else {
+            token(&self.call.prompt, self.next)
+        };
+        let chunk = Chunk {
+            attempt: self.call.attempt.clone(),
+            seq: self.next,
+            text,
+            done,
+        };
+        self.next += 1;
+        let json = serde_json::to_string(&chunk).map_err(std::io::Error::other)?;
+        Ok((Bytes::from(format!("data: {json}\n\n")), !done))
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        self.engines.ended(&self.vm, self.run, self.end);
+    }
+}
+
+/// Returns the piece of the right answer to `prompt` at `index`.
+pub fn token(prompt: &str, index: u64) -> String {
+    let hash = hemlock_lib::rendezvous::score(prompt.as_bytes(), &index.to_le_bytes());
+    format!("{:04x} ", hash & 0xffff)
+}
+
+/// Returns the right answer to `prompt`.
+pub fn right_answer(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|i| token(prompt, i)).collect()
+}
+
+/// Closes the caller's connection without an answer.
+pub(crate) fn cut(request: &HttpRequest) -> HttpResponse {
+    if let Some(io) = request.io() {
+        io.close();
+    }
+    HttpResponse::InternalServerError().finish()
+}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for the platform, model engines and plain services, for tests and the demo.
+
+pub mod caller;
+pub mod engine;
+pub mod log;
+pub mod pacer;
+pub mod platform;
+pub mod scenario;
+pub mod service;
--- /dev/null
+++ b/testutils/src/scenario.rs
@@ -0,0 +1,203 @@
+//! The two deployments of today: their failure domains, VMs, tables and entry VMs.
+
+use std::path::Path;
+
+use hemlock_lib::hash;
+use hemlock_lib::ids::{Offset, VmId};
+use hemlock_lib::seal::{Key, KeyRing};
+use hemlock_lib::settings::Settings;
+use hemlock_lib::table::{AccountRow, Edit, GroupRow, Row, RowKey, ServiceRow, VersionRow};
+
+use crate::platform::VmSpec;
+
+/// A deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Deployment {
+    /// Tallow Creek Public Utilities.
+    TallowCreek,
+    /// Qairouan Converting Labs.
+    Qairouan,
+}
+
+/// Model workers of a deployment.
+pub const WORKERS: usize = 60;
+/// Application workers of a deployment.
+pub const APPLICATIONS: usize = 3;
+/// VMs that one replica spans.
+pub const SPAN: u32 = 4;
+
+impl Deployment {
+    /// Both deployments.
+    pub const ALL: [Self; 2] = [Self::TallowCreek, Self::Qairouan];
+
+    /// Returns the short name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::TallowCreek => "tallow-creek",
+            Self::Qairouan => "qairouan",
+        }
+    }
+
+    /// Returns the failure domains.
+    pub fn domains(self) -> [&'static str; 3] {
+        match self {
+            Self::TallowCreek => ["riverside", "pinehill", "cotton-row"],
+            Self::Qairouan => ["sfax-north", "sfax-port", "sfax-south"],
+        }
+    }
+
+    /// Returns the model group.
+    pub fn group(self) -> &'static str {
+        match self {
+            Self::TallowCreek => "listwriter",
+            Self::Qairouan => "floor-assistant",
+        }
+    }
+
+    /// Returns the plain service.
+    pub fn service(self) -> &'static str {
+        match self {
+            Self::TallowCreek => "portal-app",
+            Self::Qairouan => "plant-ledger",
+        }
+    }
+
+    /// Returns the VMs.
+    pub fn vms(self) -> Vec<VmSpec> {
+        let domains = self.domains();
+        let engine = |i: usize| {
+            let domain = domains[i % domains.len()];
+            let vm = VmId::new(format!("{domain}-{:02}", i / domains.len()));
+            VmSpec {
+                vm,
+                domain: domain.into(),
+                service: None,
+            }
+        };
+        let app = |i: usize| {
+            let vm = VmId::new(format!("{}-{i}", self.service()));
+            VmSpec {
+                vm,
+                domain: domains[i % 3].into(),
+                service: Some(self.service().into()),
+            }
+        };
+        (0..WORKERS)
+            .map(engine)
+            .chain((0..APPLICATIONS).map(app))
+            .collect()
+    }
+
+    /// Returns the key of a client account.
+    pub fn account_key(self, account: &str) -> String {
+        format!("{}-{account}-key", self.name())
+    }
+
+    /// Returns the client accounts, the large ones first.
+    pub fn accounts(self) -> Vec<String> {
+        (1..=10).map(|i| format!("account-{i:02}")).collect()
+    }
+
+    /// Returns the edits that make the first table.
+    pub fn edits(self) -> Vec<Edit> {
+        let (downtime, stranded) = match self {
+            Self::TallowCreek => (3.0, 1.0),
+            Self::Qairouan => (1.0, 3.0),
+        };
+        let group = GroupRow {
+            replicas: 15,
+            minimum: 9,
+            downtime,
+            stranded,
+            reserve: 0,
+            slots: 8,
+        };
+        let version = VersionRow {
+            group: self.group().into(),
+            weight: 1.0,
+            span: SPAN,
+        };
+        let version_id = format!("{}-v1", self.group());
+        let mut edits = vec![
+            edit(RowKey::Group(self.group().into()), Row::Group(group)),
+            edit(
+                RowKey::Version(version_id.as_str().into()),
+                Row::Version(version),
+            ),
+            edit(
+                RowKey::Service(self.service().into()),
+                Row::Service(ServiceRow { slots: 16 }),
+            ),
+        ];
+        for (i, account) in self.accounts().iter().enumerate() {
+            let large = i < 3;
+            let row = AccountRow {
+                key_hash: hash::sha256_hex(self.account_key(account).as_bytes()),
+                weight: if large { 4.0 } else { 1.0 },
+                requests: if large { 400.0 } else { 100.0 },
+                tokens: if large { 40_000.0 } else { 10_000.0 },
+                concurrency: if large { 400 } else { 100 },
+            };
+            edits.push(edit(
+                RowKey::Account(account.as_str().into()),
+                Row::Account(row),
+            ));
+        }
+        edits
+    }
+
+    /// Returns the settings of entry VM `index`, on ports that follow `port`.
+    pub fn settings(self, index: usize, port: u16, log: &str, vms: &str) -> String {
+        let domain = self.domains()[index % 3];
+        let domains = self.domains().join(", ");
+        let base = port + index as u16 * 3;
+        let (gateway, agent, gossip) = (base, base + 1, base + 2);
+        format!(
+            "entry: {}-entry-{index}\n\
+             domain: {domain}\n\
+             domains: [{domains}]\n\
+             platform:\n  log: {log}\n  vms: {vms}\n\
+             gateway:\n  listen: 127.0.0.1:{gateway}\n  advertise: http://127.0.0.1:{gateway}\n\
+             agent:\n  listen: 127.0.0.1:{agent}\n  advertise: http://127.0.0.1:{agent}\n  \
+             gossip: 127.0.0.1:{gossip}\n  keys: [{{id: 1, file: gossip.key}}]\n\
+             log:\n  level: warn\n",
+            self.name()
+        )
+    }
+
+    /// Returns the parsed settings of entry VM `index`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the settings are wrong, which is a bug of this module.
+    pub fn parsed_settings(self, index: usize, port: u16, log: &str, vms: &str) -> Settings {
+        let text = self.settings(index, port, log, vms);
+        Settings::parse(Path::new("scenario.yaml"), &text).expect("the scenario's settings parse")
+    }
+}
+
+/// Returns the keys that the entry VMs of tests share.
+pub fn test_keys() -> KeyRing {
+    KeyRing::new(vec![Key {
+        id: 1,
+        secret: b"test secret".to_vec(),
+    }])
+}
+
+/// Returns an edit that makes a row.
+pub fn edit(key: RowKey, row: Row) -> Edit {
+    Edit {
+        key,
+        base: None,
+        row: Some(row),
+    }
+}
+
+/// Returns an edit of a row that was read at `base`.
+pub fn edit_from(key: RowKey, base: Offset, row: Row) -> Edit {
+    Edit {
+        key,
+        base: Some(base),
+        row: Some(row),
+    }
+}
--- /dev/null
+++ b/wire/src/caller.rs
@@ -0,0 +1,108 @@
+//! HTTP calls to the platform, to endpoints and to other daemons.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use ntex::client::error::ClientError;
+use ntex::client::{Client, Connector};
+use ntex::http::Method;
+use ntex::time::Millis;
+use ntex::util::Bytes;
+
+/// Largest reply body in bytes.
+const REPLY_LIMIT: usize = 16 << 20;
+
+thread_local! {
+    static CLIENT: RefCell<Option<Client>> = const { RefCell::new(None) };
+}
+
+/// Says how a call failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection was made, so nothing was sent.
+    Connect,
+    /// The connection broke or the reply did not come in time.
+    Lost,
+    /// The peer replied with this HTTP status.
+    Status(u16),
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Connect => f.write_str("can't connect"),
+            Self::Lost => f.write_str("the connection broke or the reply is late"),
+            Self::Status(status) => write!(f, "the peer replied with status {status}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+impl From<ClientError> for CallError {
+    fn from(error: ClientError) -> Self {
+        match error {
+            ClientError::Connect(_) | ClientError::Url(_) => Self::Connect,
+            _ => Self::Lost,
+        }
+    }
+}
+
+/// Returns the client of this thread, whose connections are pooled.
+pub async fn client() -> Client {
+    let known = CLIENT.with_borrow(Option::clone);
+    match known {
+        Some(client) => client,
+        None => {
+            let client = build(Connector::default().limit(0)).await;
+            CLIENT.set(Some(client.clone()));
+            client
+        }
+    }
+}
+
+/// Returns a new client, whose first call goes over a fresh connection.
+pub async fn fresh() -> Client {
+    build(Connector::default()).await
+}
+
+/// Sends a body by POST and returns the reply's body.
+pub async fn post(url: &str, body: Vec<u8>, wait: Duration) -> Result<Bytes, CallError> {
+    call(Method::POST, url, body, wait).await
+}
+
+/// Returns the body at `url`.
+pub async fn get(url: &str, wait: Duration) -> Result<Bytes, CallError> {
+    call(Method::GET, url, Vec::new(), wait).await
+}
+
+async fn call(
+    method: Method,
+    url: &str,
+    body: Vec<u8>,
+    wait: Duration,
+) -> Result<Bytes, CallError> {
+    let wait = Millis(wait.as_millis() as u32);
+    let request = client().await.request(method, url).timeout(wait);
+    let reply = request.send_body(body).await?;
+    let bytes = reply
+        .body()
+        .limit(REPLY_LIMIT)
+        .timeout(wait)
+        .await
+        .map_err(|_| CallError::Lost)?;
+    match reply.status().as_u16() {
+        200..=299 => Ok(bytes),
+        status => Err(CallError::Status(status)),
+    }
+}
+
+async fn build(connector: Connector) -> Client {
+    let builder = Client::builder()
+        .connector::<ntex::client::Connect>(connector)
+        .disable_redirects();
+    builder
+        .build(ntex::SharedCfg::default())
+        .await
+        .expect("a client without TLS can be built")
+}
--- /dev/null
+++ b/wire/src/daemon.rs
@@ -0,0 +1,125 @@
+//! What the daemons' `main` functions share: the command line, settings and signals.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command};
+use hemlock_lib::chart::{ChartError, Charts};
+use hemlock_lib::seal::{Key, KeyRing};
+use hemlock_lib::settings::{Settings, SettingsError};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::logger;
+
+/// Exit code of a process whose settings, charts or addresses can't be used.
+pub const EXIT_BAD_INPUT: u8 = 2;
+
+/// What a daemon has read before it starts.
+#[derive(Debug)]
+pub struct Started {
+    /// The settings.
+    pub settings: Settings,
+    /// The state charts.
+    pub charts: Charts,
+    /// The keys that authenticate gossip.
+    pub keys: KeyRing,
+}
+
+/// Runs a daemon: reads its command line and settings, then calls `body`.
+pub fn run(
+    name: &'static str,
+    about: &'static str,
+    body: impl FnOnce(Started) -> Result<(), String>,
+) -> ExitCode {
+    let matches = command(name, about).get_matches();
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .cloned()
+        .unwrap_or_default();
+    let started = match load(path) {
+        Ok(started) => started,
+        Err(cause) => return refuse(cause),
+    };
+    if matches.get_flag("check") {
+        println!("settings ok");
+        return ExitCode::SUCCESS;
+    }
+    let _logger = logger::start(&started.settings.log.level);
+    match body(started) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => refuse(cause),
+    }
+}
+
+fn command(name: &'static str, about: &'static str) -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .value_parser(clap::value_parser!(PathBuf))
+        .required(true)
+        .help("Settings of this entry VM");
+    let check = Arg::new("check")
+        .long("check-settings")
+        .action(ArgAction::SetTrue)
+        .help("Check the settings and exit");
+    Command::new(name)
+        .about(about)
+        .version(env!("CARGO_PKG_VERSION"))
+        .args([settings, check])
+}
+
+/// Reads the settings, the charts and the keys that they name.
+pub fn load(path: PathBuf) -> Result<Started, String> {
+    let settings = Settings::open(&path).map_err(|e| settings_line(e.current_context()))?;
+    let charts = match &settings.charts {
+        None => Charts::built_in(),
+        Some(dir) => Charts::open(dir),
+    };
+    let charts = charts.map_err(|e| chart_line(e.current_context()))?;
+    let keys = keys(&path, &settings)?;
+    Ok(Started {
+        settings,
+        charts,
+        keys,
+    })
+}
+
+/// Prints `cause` in one line and returns the exit code for bad input.
+pub fn refuse(cause: impl AsRef<str>) -> ExitCode {
+    eprintln!("error: {}", cause.as_ref().replace('\n', " "));
+    ExitCode::from(EXIT_BAD_INPUT)
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub fn wait_for_stop() {
+    if let Ok(mut signals) = Signals::new([SIGTERM, SIGINT]) {
+        signals.forever().next();
+    }
+}
+
+fn keys(path: &std::path::Path, settings: &Settings) -> Result<KeyRing, String> {
+    let base = path.parent().unwrap_or(std::path::Path::new("."));
+    let read = |key: &hemlock_lib::settings::KeySettings| {
+        let file = base.join(&key.file);
+        std::fs::read(&file)
+            .map(|secret| Key { id: key.id, secret })
+            .map_err(|e| format!("{}: can't read key {}: {e}", file.display(), key.id))
+    };
+    Ok(KeyRing::new(
+        settings
+            .agent
+            .keys
+            .iter()
+            .map(read)
+            .collect::<Result<_, _>>()?,
+    ))
+}
+
+fn settings_line(error: &SettingsError) -> String {
+    error.to_string()
+}
+
+fn chart_line(error: &ChartError) -> String {
+    error.to_string()
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! Sockets, HTTP, logs and metrics of the daemons; decisions live in `hemlock-lib`.
+
+pub mod agent;
+pub mod caller;
+pub mod clock;
+pub mod daemon;
+pub mod follower;
+pub mod logger;
+pub mod notify;
+pub mod server;
