--- /dev/null
+++ b/bench/src/experiments/mod.rs
@@ -0,0 +1,26 @@
+//! The experiments, one file each.
+
+mod fold;
+
+use crate::figure::{Figure, Options};
+
+/// An experiment.
+#[derive(Debug, Clone, Copy)]
+pub struct Experiment {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub about: &'static str,
+    /// Whether its figures depend on wall time, which keeps it out of `.ci/run`.
+    pub timed: bool,
+    /// Runs it.
+    pub run: fn(&Options) -> Vec<Figure>,
+}
+
+/// All experiments.
+pub const ALL: &[Experiment] = &[fold::EXPERIMENT];
+
+/// Returns the experiment with this name.
+pub fn find(name: &str) -> Option<&'static Experiment> {
+    ALL.iter().find(|e| e.name == name)
+}
--- a/cli/src/session.rs
+++ b/cli/src/session.rs
@@ -4,7 +4,7 @@
 
 use hemlock_lib::peers::{Settled, Submit};
 use hemlock_lib::view::View;
-use hemlock_wire::agent;
+use hemlock_wire::{agent, caller};
 
 use crate::exit::{Exit, Failure};
 
@@ -27,7 +27,7 @@
     /// Returns the agent's present view.
     pub(crate) fn view(&self) -> Result<View, Failure> {
         let url = self.agent.clone();
-        let view = block_on(async move { agent::view(&url, VIEW_WAIT).await });
+        let view = caller::block_on("hemlock", async move || agent::view(&url, VIEW_WAIT).await);
         view.map_err(|e| {
             let waited = VIEW_WAIT.as_secs();
             let cause = format!(
@@ -41,10 +41,8 @@
     /// Submits a record and waits until it is settled.
     pub(crate) fn submit(&self, submit: Submit) -> Settled {
         let url = self.agent.clone();
-        block_on(async move { agent::submit(&url, &submit, SUBMIT_WAIT).await })
+        caller::block_on("hemlock", async move || {
+            agent::submit(&url, &submit, SUBMIT_WAIT).await
+        })
     }
 }
-
-fn block_on<R: 'static>(future: impl Future<Output = R> + 'static) -> R {
-    ntex::rt::System::new("hemlock", ntex::rt::DefaultRuntime).block_on(future)
-}
--- a/demo/src/load.rs
+++ b/demo/src/load.rs
@@ -70,10 +70,10 @@
 
     fn time(&mut self, report: &CallReport) {
         if let Some(first) = report.first {
-            self.first.saturating_record(first.as_micros() as u64);
+            let _ = self.first.record(first.as_micros() as u64);
         }
         for gap in &report.gaps {
-            self.gaps.saturating_record(gap.as_micros() as u64);
+            let _ = self.gaps.record(gap.as_micros() as u64);
         }
     }
 }
--- a/demo/src/run.rs
+++ b/demo/src/run.rs
@@ -12,7 +12,7 @@
 use hemlock_testutils::engine::EnginePace;
 use hemlock_testutils::platform::Platform;
 use hemlock_testutils::scenario::{self, Deployment};
-use hemlock_wire::agent;
+use hemlock_wire::{agent, caller};
 
 use crate::report::Report;
 use crate::{faults, load, monitor};
@@ -131,8 +131,9 @@
 /// Submits a record by way of an agent.
 pub(crate) fn submit(agent: &str, submit: Submit) -> Settled {
     let agent = agent.to_owned();
-    let system = ntex::rt::System::new("demo-submit", ntex::rt::DefaultRuntime);
-    system.block_on(async move { agent::submit(&agent, &submit, SUBMIT_WAIT).await })
+    caller::block_on("demo-submit", async move || {
+        agent::submit(&agent, &submit, SUBMIT_WAIT).await
+    })
 }
 
 /// Prints one line of progress.
--- a/lib/src/rendezvous.rs
+++ b/lib/src/rendezvous.rs
@@ -14,7 +14,7 @@
     count: usize,
 ) -> Vec<&'a T> {
     let mut scored: Vec<(u64, &T)> = nodes.map(|n| (score(key, n.as_ref()), n)).collect();
-    scored.sort_unstable_by(|a, b| b.0.cmp(&a.0));
+    scored.sort_unstable_by_key(|s| std::cmp::Reverse(s.0));
     scored.truncate(count);
     scored.into_iter().map(|(_, n)| n).collect()
 }
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,5 @@
+//! Runs the tests of this crate in one program.
+
+mod test_chart;
+mod test_fleet;
+mod test_settings;
--- a/wire/src/caller.rs
+++ b/wire/src/caller.rs
@@ -106,3 +106,29 @@
         .await
         .expect("a client without TLS can be built")
 }
+
+/// Runs `future` on a thread and runtime of its own, and waits for it.
+///
+/// Pooled connections and timers belong to the runtime of one thread, so that a second runtime on a
+/// thread would find those of the first one dead.
+///
+/// # Panics
+///
+/// Panics if the thread can't be started or `future` panics.
+pub fn block_on<R: Send + 'static>(
+    name: &str,
+    future: impl AsyncFnOnce() -> R + Send + 'static,
+) -> R {
+    let thread_name = name.to_owned();
+    let body = move || {
+        let system = ntex::rt::System::new(&thread_name, ntex::rt::DefaultRuntime);
+        system.block_on(async move { future().await })
+    };
+    let thread = std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(body);
+    thread
+        .expect("a thread can be started")
+        .join()
+        .expect("the future does not panic")
+}
