--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod invariants;
 pub mod log;
 pub mod pacer;
 pub mod platform;
