--- a/testutils/src/invariants.rs
+++ b/testutils/src/invariants.rs
@@ -147,10 +147,8 @@
     for stamped in trace {
         match &stamped.event {
             Event::Assigned(vm, replica) => {
-                if owners
-                    .insert(vm, replica)
-                    .is_some_and(|owner| owner != replica)
-                {
+                let owner = owners.insert(vm, replica);
+                if owner.is_some_and(|owner| owner != replica) {
                     return breach("a VM belongs to two replicas", stamped);
                 }
             }
@@ -211,10 +209,8 @@
             Event::Leaving(vm) => drop(leaving.insert(vm, stamped.at)),
             Event::Up(vm) => drop(leaving.remove(vm)),
             Event::Dispatched(_, vm, _) => {
-                if leaving
-                    .get(vm)
-                    .is_some_and(|at| stamped.at.since(*at) > bound)
-                {
+                let since = leaving.get(vm);
+                if since.is_some_and(|at| stamped.at.since(*at) > bound) {
                     return breach("a leaving endpoint received new work", stamped);
                 }
             }
