planner: formations, replacement in place, graceful ends, changes named by their basis

Cause: a replica that lost a VM was unloaded and formed afresh; a planned end cut off requests in flight; a VM not yet probed counted as having confirmed its unload; a plan made from an old view could assign a surplus replica; VMs that came back with a part of an ended replica were never told to unload it; a lost reply to a renewal made the holder drop its lease; a challenger counted its own pause as silence; `planner.fenced` was not passed on.

Change: every change of replicas names the last change that its planner had read, and the fold refuses it if another was accepted since. Load orders carry a formation, which engines report back; a replica serves only with VMs of one formation that is no older than the agreed one. `Replace` puts another VM in a rank while survivors keep weights; `Drain` ends a replica in order. Reserve VMs are swapped in while the log is out. Replicas are apportioned over shards by the VMs that these have, and each shard is packed exactly.

--- a/bench/src/experiments/fold.rs
+++ b/bench/src/experiments/fold.rs
@@ -50,6 +50,12 @@
         let vms = (0..SPAN).map(|i| VmId::new(format!("domain-{:05}", replica * SPAN + i)));
         fold(FleetChange::Assign {
             fence: Fence(1),
+            base: Offset(if replica == 0 {
+                0
+            } else {
+                u64::from(replica) + 1
+            }),
+            form: 1,
             group: "listwriter".into(),
             version: "listwriter-v1".into(),
             span: SPAN,
--- a/lib/src/engine.rs
+++ b/lib/src/engine.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::Form;
 use crate::ids::{Fence, Incarnation, OrderId, ReplicaId, VersionId, VmId};
 
 /// What an engine is told to do.
@@ -32,6 +33,9 @@
     pub replica: ReplicaId,
     /// Fencing number of the lease under which the order is given.
     pub fence: Fence,
+    /// The formation that the VM is to join.
+    #[serde(default)]
+    pub form: Form,
     /// Tells orders under one fencing number apart; a later order has a larger number.
     pub seq: u64,
     /// Time after which the engine drops the order, in milliseconds since the Unix epoch.
@@ -47,6 +51,9 @@
     pub replica: ReplicaId,
     /// Fencing number of the order that it follows.
     pub fence: Fence,
+    /// Formation of the order that it follows.
+    #[serde(default)]
+    pub form: Form,
     /// The version.
     pub version: VersionId,
     /// Rank within the replica.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -29,6 +29,10 @@
     Assign {
         /// Fencing number of the lease.
         fence: Fence,
+        /// The fold's `planned` that the planner had read.
+        base: Offset,
+        /// Number of the first formation under this fencing number.
+        form: u64,
         /// Group served.
         group: GroupId,
         /// Version served.
@@ -40,24 +44,67 @@
         /// Reserve VMs.
         reserve: Vec<VmId>,
     },
+    /// Puts another VM in a rank of a replica; the VM that had the rank stays taken until a
+    /// `FreeVm` record names it.
+    Replace {
+        /// Fencing number of the lease.
+        fence: Fence,
+        /// The fold's `planned` that the planner had read.
+        base: Offset,
+        /// The formation in which the VM has the rank.
+        form: Form,
+        /// The replica.
+        replica: ReplicaSeq,
+        /// The rank.
+        rank: u32,
+        /// A reserve VM of the replica, or a free VM.
+        vm: VmId,
+    },
+    /// Ends a replica in order: it gets no new work, and what runs on it may finish.
+    Drain {
+        /// Fencing number of the lease.
+        fence: Fence,
+        /// The fold's `planned` that the planner had read.
+        base: Offset,
+        /// The replica.
+        replica: ReplicaSeq,
+    },
     /// Ends a replica and frees its VMs, but for those that did not confirm their unload.
     Free {
         /// Fencing number of the lease.
         fence: Fence,
+        /// The fold's `planned` that the planner had read.
+        base: Offset,
         /// The replica.
         replica: ReplicaSeq,
         /// VMs that stay taken until a `FreeVm` record names them.
         held: Vec<VmId>,
     },
-    /// Frees a VM that an ended replica left taken.
+    /// Frees a VM that a replica left taken.
     FreeVm {
         /// Fencing number of the lease.
         fence: Fence,
+        /// The fold's `planned` that the planner had read.
+        base: Offset,
         /// The VM.
         vm: VmId,
     },
 }
 
+/// Names the set of VMs that work together as one replica at a time.
+///
+/// Every load order carries it and engines report it back. A replica serves only with VMs that all
+/// report the same formation, so that a late order can't mix old ranks with new ones.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Form {
+    /// Fencing number of the lease under which it was formed.
+    pub fence: Fence,
+    /// Grows with each formation under one fencing number.
+    pub seq: u64,
+}
+
 /// A record of a `fleet/<shard>` stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetRecord {
@@ -87,6 +134,9 @@
 pub struct Assignment {
     /// Fencing number under which it was assigned.
     pub fence: Fence,
+    /// Oldest formation that may serve.
+    #[serde(default)]
+    pub form: Form,
     /// Group served.
     pub group: GroupId,
     /// Version served.
@@ -95,6 +145,9 @@
     pub vms: Vec<VmId>,
     /// Reserve VMs.
     pub reserve: Vec<VmId>,
+    /// Whether the replica is being ended and gets no new work.
+    #[serde(default)]
+    pub draining: bool,
 }
 
 /// Says why a record of a shard was ignored.
@@ -104,6 +157,8 @@
     Superseded,
     /// The fencing number isn't that of the lease.
     Fenced,
+    /// Another change was accepted since the planner read the shard.
+    Outdated,
     /// A VM belongs to a replica already, or is named twice.
     VmTaken,
     /// The VMs don't number what the version spans.
@@ -121,6 +176,10 @@
     pub lease: Option<Lease>,
     /// The replicas.
     pub replicas: BTreeMap<ReplicaSeq, Assignment>,
+    /// Offset after the last accepted change of replicas; each change names it, so that of two
+    /// changes made from the same state only one is accepted.
+    #[serde(default)]
+    pub planned: Offset,
     owners: BTreeMap<VmId, ReplicaSeq>,
 }
 
@@ -128,22 +187,68 @@
     /// Folds the record at `offset`, which every reader accepts or ignores alike.
     pub fn fold(&mut self, offset: Offset, record: &FleetRecord) -> Result<(), FleetRefusal> {
         self.next = Offset(offset.0 + 1);
-        match &record.change {
-            FleetChange::Lease {
-                holder,
-                run,
-                supersedes,
-                length_ms,
-            } => self.fold_lease(offset, holder, *run, *supersedes, *length_ms),
+        if let FleetChange::Lease {
+            holder,
+            run,
+            supersedes,
+            length_ms,
+        } = &record.change
+        {
+            return self.fold_lease(offset, holder, *run, *supersedes, *length_ms);
+        }
+        let (fence, base) = basis(&record.change);
+        self.check_fence(fence)?;
+        if base != self.planned {
+            return Err(FleetRefusal::Outdated);
+        }
+        self.fold_change(offset, &record.change)?;
+        self.planned = self.next;
+        Ok(())
+    }
+
+    /// Returns the replica that a VM belongs to.
+    pub fn owner(&self, vm: &VmId) -> Option<ReplicaSeq> {
+        self.owners.get(vm).copied()
+    }
+
+    /// Lists the VMs that replicas left taken: they belong to one but have no part in it.
+    pub fn held_vms(&self) -> impl Iterator<Item = (&VmId, ReplicaSeq)> {
+        let left = |(vm, r): &(&VmId, &ReplicaSeq)| !self.has_part(vm, **r);
+        self.owners.iter().filter(left).map(|(vm, r)| (vm, *r))
+    }
+
+    /// Lists every VM that belongs to a replica.
+    pub fn owned(&self) -> impl Iterator<Item = (&VmId, ReplicaSeq)> {
+        self.owners.iter().map(|(vm, r)| (vm, *r))
+    }
+
+    /// Returns whether a VM has a rank in a replica or is one of its reserve.
+    pub fn has_part(&self, vm: &VmId, replica: ReplicaSeq) -> bool {
+        self.replicas
+            .get(&replica)
+            .is_some_and(|a| a.vms.contains(vm) || a.reserve.contains(vm))
+    }
+
+    /// Returns whether `holder` in its run `run` holds the lease as far as the log says.
+    pub fn held_by(&self, holder: &EntryId, run: Incarnation) -> Option<&Lease> {
+        self.lease
+            .as_ref()
+            .filter(|l| l.holder == *holder && l.run == run)
+    }
+
+    fn fold_change(&mut self, offset: Offset, change: &FleetChange) -> Result<(), FleetRefusal> {
+        match change {
+            FleetChange::Lease { .. } => Ok(()),
             FleetChange::Assign {
                 fence,
+                form,
                 group,
                 version,
                 span,
                 vms,
                 reserve,
+                ..
             } => {
-                self.check_fence(*fence)?;
                 self.check_vms(*span, vms, reserve)?;
                 let seq = ReplicaSeq(offset.0 + 1);
                 for vm in vms.iter().chain(reserve) {
@@ -151,35 +256,46 @@
                 }
                 let assignment = Assignment {
                     fence: *fence,
+                    form: Form {
+                        fence: *fence,
+                        seq: *form,
+                    },
                     group: group.clone(),
                     version: version.clone(),
                     vms: vms.clone(),
                     reserve: reserve.clone(),
+                    draining: false,
                 };
                 self.replicas.insert(seq, assignment);
                 Ok(())
             }
-            FleetChange::Free {
+            FleetChange::Replace {
                 fence,
+                form,
                 replica,
-                held,
-            } => {
-                self.check_fence(*fence)?;
-                self.replicas
+                rank,
+                vm,
+                ..
+            } => self.fold_replace(*fence, *form, *replica, *rank, vm),
+            FleetChange::Drain { replica, .. } => {
+                let assignment = self.replica_mut(*replica)?;
+                assignment.draining = true;
+                Ok(())
+            }
+            FleetChange::Free { replica, held, .. } => {
+                let ended = self
+                    .replicas
                     .remove(replica)
                     .ok_or(FleetRefusal::UnknownReplica)?;
+                let freed = |vm: &VmId| ended.vms.contains(vm) || ended.reserve.contains(vm);
                 self.owners
-                    .retain(|vm, owner| owner != replica || held.contains(vm));
+                    .retain(|vm, r| r != replica || held.contains(vm) || !freed(vm));
                 Ok(())
             }
-            FleetChange::FreeVm { fence, vm } => {
-                self.check_fence(*fence)?;
-                if self
-                    .owners
-                    .get(vm)
-                    .is_none_or(|r| self.replicas.contains_key(r))
-                {
-                    return Err(FleetRefusal::UnknownReplica);
+            FleetChange::FreeVm { vm, .. } => {
+                let owner = self.owner(vm).ok_or(FleetRefusal::UnknownReplica)?;
+                if self.has_part(vm, owner) {
+                    return Err(FleetRefusal::VmTaken);
                 }
                 self.owners.remove(vm);
                 Ok(())
@@ -187,25 +303,39 @@
         }
     }
 
-    /// Returns the replica that a VM belongs to.
-    pub fn owner(&self, vm: &VmId) -> Option<ReplicaSeq> {
-        self.owners.get(vm).copied()
-    }
-
-    /// Lists the VMs that ended replicas left taken.
-    pub fn held_vms(&self) -> impl Iterator<Item = (&VmId, ReplicaSeq)> {
-        let ended = |r: &ReplicaSeq| !self.replicas.contains_key(r);
-        self.owners
-            .iter()
-            .filter(move |(_, r)| ended(r))
-            .map(|(vm, r)| (vm, *r))
+    fn fold_replace(
+        &mut self,
+        fence: Fence,
+        form: Form,
+        replica: ReplicaSeq,
+        rank: u32,
+        vm: &VmId,
+    ) -> Result<(), FleetRefusal> {
+        let owner = self.owner(vm);
+        let assignment = self.replica_mut(replica)?;
+        let spare = owner.is_none() || assignment.reserve.contains(vm);
+        if !spare {
+            return Err(FleetRefusal::VmTaken);
+        }
+        if form.fence > fence || form < assignment.form {
+            return Err(FleetRefusal::Outdated);
+        }
+        let place = assignment
+            .vms
+            .get_mut(rank as usize)
+            .ok_or(FleetRefusal::WrongSpan)?;
+        *place = vm.clone();
+        assignment.reserve.retain(|r| r != vm);
+        assignment.form = form;
+        assignment.draining = false;
+        self.owners.insert(vm.clone(), replica);
+        Ok(())
     }
 
-    /// Returns whether `holder` in its run `run` holds the lease as far as the log says.
-    pub fn held_by(&self, holder: &EntryId, run: Incarnation) -> Option<&Lease> {
-        self.lease
-            .as_ref()
-            .filter(|l| l.holder == *holder && l.run == run)
+    fn replica_mut(&mut self, replica: ReplicaSeq) -> Result<&mut Assignment, FleetRefusal> {
+        self.replicas
+            .get_mut(&replica)
+            .ok_or(FleetRefusal::UnknownReplica)
     }
 
     fn fold_lease(
@@ -257,3 +387,14 @@
         }
     }
 }
+
+fn basis(change: &FleetChange) -> (Fence, Offset) {
+    match change {
+        FleetChange::Lease { .. } => (Fence(0), Offset(0)),
+        FleetChange::Assign { fence, base, .. }
+        | FleetChange::Replace { fence, base, .. }
+        | FleetChange::Drain { fence, base, .. }
+        | FleetChange::Free { fence, base, .. }
+        | FleetChange::FreeVm { fence, base, .. } => (*fence, *base),
+    }
+}
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -493,8 +493,11 @@
             Target::Model(group) => {
                 let slots = view.table.group(group).map_or(1, |g| g.slots);
                 view.replicas()
-                    .filter(|(id, a)| a.group == *group && view.is_serving(id, a))
-                    .filter_map(|(_, a)| self.candidate(view, a.vms.first()?, slots))
+                    .filter(|(_, a)| a.group == *group && !a.draining)
+                    .filter_map(|(id, a)| {
+                        let ranks = view.ranks(&id, a)?;
+                        self.candidate(view, ranks.first()?, slots)
+                    })
                     .collect()
             }
             Target::Service(service) => {
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -9,6 +9,12 @@
 use crate::ids::Offset;
 use crate::time::Time;
 
+/// Longest time between two looks at the lease that counts as silence; a planner that was paused
+/// for longer has not listened meanwhile.
+const LISTEN_LIMIT: Duration = Duration::from_secs(1);
+/// Parts of a lease's length after which a failed append is tried again.
+const RETRY_PARTS: u32 = 10;
+
 /// Length of leases and the drift of clocks.
 #[derive(Debug, Clone, Copy)]
 pub struct LeaseConfig {
@@ -18,6 +24,9 @@
     pub drift: Duration,
     /// Further silence that a planner waits for when another is preferred for the shard.
     pub courtesy: Duration,
+    /// Further silence that every challenger waits for: the longest time for which an engine that
+    /// ignores fencing numbers may still take an order of the old holder.
+    pub grace: Duration,
 }
 
 /// What a planner should do about a lease.
@@ -29,6 +38,17 @@
     Append(Option<Offset>),
 }
 
+/// How the append of a claim or renewal ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseEnd {
+    /// Read back as valid at this offset.
+    Won(Offset),
+    /// Read back as superseded.
+    Superseded,
+    /// Not appended, or nobody knows.
+    Failed,
+}
+
 /// One lease as its planner sees it.
 #[derive(Debug)]
 pub struct LeaseWatch {
@@ -36,10 +56,12 @@
     chart: Chart,
     state: State,
     seen: Option<Offset>,
+    won: Option<Offset>,
     silent: Duration,
     checked: Time,
     sent: Option<Time>,
     until: Time,
+    retry: Time,
 }
 
 impl LeaseWatch {
@@ -51,10 +73,12 @@
             chart,
             state,
             seen: None,
+            won: None,
             silent: Duration::ZERO,
             checked: Time::ZERO,
             sent: None,
             until: Time::ZERO,
+            retry: Time::ZERO,
         }
     }
 
@@ -64,29 +88,37 @@
     }
 
     /// Looks at the folded lease; `last` is its last record, `mine` whether this planner holds it.
-    pub fn observe(&mut self, now: Time, last: Option<Offset>, mine: bool, log_up: bool) {
-        let gap = now.since(self.checked);
+    ///
+    /// Returns whether the fold has come as far as the lease that this planner won last; an older
+    /// one says nothing about who holds it now.
+    pub fn observe(&mut self, now: Time, last: Option<Offset>, mine: bool, log_up: bool) -> bool {
+        let gap = now.since(self.checked).min(LISTEN_LIMIT);
         self.checked = now;
+        if now >= self.until {
+            self.advance("lapse");
+        }
+        if last < self.won {
+            return false;
+        }
         if self.seen != last {
             self.seen = last;
             self.silent = Duration::ZERO;
         } else if log_up {
             self.silent += gap;
         }
-        if !mine {
+        if !mine && !self.in_state("claiming") {
             self.advance("lost");
-        } else if now >= self.until {
-            self.advance("lapse");
         }
+        true
     }
 
     /// Decides whether to claim or renew.
     pub fn decide(&mut self, now: Time, mine: bool, preferred: bool) -> LeaseStep {
-        if self.sent.is_some() {
+        if self.sent.is_some() || now < self.retry {
             return LeaseStep::Wait;
         }
         let due = if mine {
-            self.until.since(now) < self.config.length * 2 / 3
+            !self.in_state("held") || self.until.since(now) < self.config.length * 2 / 3
         } else {
             let extra = if preferred {
                 Duration::ZERO
@@ -103,21 +135,26 @@
         LeaseStep::Append(self.seen)
     }
 
-    /// Takes the settled end of the append; `won` says that the record was read back as valid.
-    pub fn settled(&mut self, won: bool) {
+    /// Takes the settled end of the append.
+    pub fn settled(&mut self, now: Time, end: LeaseEnd) {
         let Some(sent) = self.sent.take() else { return };
-        if won {
-            self.until = sent + (self.config.length - self.config.drift);
-            self.advance("won");
-            self.advance("renewed");
-        } else {
-            self.advance("lost");
+        match end {
+            LeaseEnd::Won(offset) => {
+                self.until = sent + self.config.length.saturating_sub(self.config.drift);
+                self.won = Some(offset);
+                self.advance("won");
+            }
+            LeaseEnd::Superseded => self.advance("lost"),
+            LeaseEnd::Failed => {
+                self.retry = now + self.config.length / RETRY_PARTS;
+                self.advance("failed");
+            }
         }
     }
 
     fn patience(&self) -> Duration {
         match self.seen {
-            Some(_) => self.config.length + self.config.drift,
+            Some(_) => self.config.length + self.config.drift + self.config.grace,
             None => Duration::ZERO,
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod members;
 pub mod peers;
 pub mod placement;
+pub mod plan;
 pub mod planner;
 pub mod platform;
 pub mod probe;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 
 use crate::ids::{DomainId, GroupId, VersionId, VmId};
+use crate::platform::VmRole;
 use crate::table::Table;
+use crate::view::{Health, View};
 
 /// Replicas of one version that a shard should hold.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Wanted {
     /// The group.
     pub group: GroupId,
@@ -18,12 +20,19 @@
     pub reserve: u32,
     /// Replicas wanted.
     pub count: u32,
+    /// What one serving replica is worth by the group's weights of downtime and stranding.
+    pub value: f64,
 }
 
-/// Splits `total` into parts as equal as can be; earlier parts get the remainder.
-pub fn apportion(total: u32, parts: usize, index: usize) -> u32 {
-    let parts = parts.max(1) as u32;
-    total / parts + u32::from((index as u32) < total % parts)
+/// Replicas of one version that a failure domain may be packed with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    /// VMs that one replica spans.
+    pub span: u32,
+    /// Replicas wanted at most.
+    pub count: u32,
+    /// What one replica is worth.
+    pub value: f64,
 }
 
 /// Splits `total` over versions by their weights, by largest remainder; ties go to the first.
@@ -41,39 +50,107 @@
             .total_cmp(&exact[*a].fract())
             .then(a.cmp(b))
     });
-    let missing = total - counts.iter().sum::<u32>();
+    let missing = total.saturating_sub(counts.iter().sum::<u32>());
     for i in order.into_iter().take(missing as usize) {
         counts[i] += 1;
     }
     counts
 }
 
-/// Returns what the shard `shard` should hold, the same for every reader of the table.
-pub fn wanted(table: &Table, shards: &[DomainId], shard: &DomainId) -> Vec<Wanted> {
-    let Some(index) = shards.iter().position(|s| s == shard) else {
-        return Vec::new();
-    };
+/// Returns the engine VMs of each shard that replicas can be formed of.
+pub fn capacities(view: &View) -> BTreeMap<DomainId, u32> {
+    let mut out: BTreeMap<DomainId, u32> = view.fleets.keys().map(|d| (d.clone(), 0)).collect();
+    for status in view.vms.values() {
+        let usable = matches!(
+            status.health,
+            Health::Live | Health::Suspect | Health::Unknown
+        );
+        if usable && status.listing.role == VmRole::Engine {
+            out.entry(status.listing.domain.clone())
+                .and_modify(|n| *n += 1);
+        }
+    }
+    out
+}
+
+/// Returns the replicas of every version that the table asks for, over all shards.
+pub fn totals(table: &Table) -> Vec<Wanted> {
     let mut out = Vec::new();
     for (group, row) in table.groups() {
-        let here = apportion(row.replicas, shards.len(), index);
         let versions: Vec<_> = table
             .versions()
             .filter(|(_, v)| v.group == *group)
             .collect();
         let weights: Vec<f64> = versions.iter().map(|(_, v)| v.weight).collect();
-        for ((version, v), count) in versions.iter().zip(by_weight(here, &weights)) {
+        for ((version, v), count) in versions.iter().zip(by_weight(row.replicas, &weights)) {
             out.push(Wanted {
                 group: group.clone(),
                 version: (*version).clone(),
                 span: v.span,
                 reserve: row.reserve,
                 count,
+                value: row.downtime + row.stranded * f64::from(v.span),
             });
         }
     }
     out
 }
 
+/// Splits the wanted replicas over shards by the VMs that they have; returns the part of `shard`.
+///
+/// Wide replicas go first, and each goes to the shard with most VMs left, so that every shard that
+/// sees the same VMs computes the same split and a dark shard's part goes to the others.
+pub fn wanted(
+    table: &Table,
+    capacities: &BTreeMap<DomainId, u32>,
+    shard: &DomainId,
+) -> Vec<Wanted> {
+    let mut left: Vec<(&DomainId, u32)> = capacities.iter().map(|(d, n)| (d, *n)).collect();
+    let mut out = totals(table);
+    let mut order: Vec<usize> = (0..out.len()).collect();
+    order.sort_by(|a, b| {
+        let (a, b) = (&out[*a], &out[*b]);
+        b.span.cmp(&a.span).then(b.value.total_cmp(&a.value))
+    });
+    for i in order {
+        let (span, count) = (out[i].span, out[i].count);
+        out[i].count = 0;
+        for _ in 0..count {
+            let widest = left.iter_mut().rev().max_by_key(|(_, n)| *n);
+            let Some((domain, n)) = widest.filter(|(_, n)| span > 0 && *n >= span) else {
+                break;
+            };
+            *n -= span;
+            out[i].count += u32::from(*domain == shard);
+        }
+    }
+    out
+}
+
+/// Returns how many replicas of each need a failure domain with `vms` free VMs should form, so that
+/// the sum of their values is largest.
+pub fn pack(vms: u32, needs: &[Need]) -> Vec<u32> {
+    let mut best = vec![(0.0, vec![0; needs.len()]); vms as usize + 1];
+    for (i, need) in needs.iter().enumerate() {
+        let span = need.span as usize;
+        if span == 0 {
+            continue;
+        }
+        for _ in 0..need.count.min(vms / need.span) {
+            for size in (span..best.len()).rev() {
+                let (value, counts) = &best[size - span];
+                let value = value + need.value;
+                if value > best[size].0 {
+                    let mut counts = counts.clone();
+                    counts[i] += 1;
+                    best[size] = (value, counts);
+                }
+            }
+        }
+    }
+    best.pop().map(|(_, counts)| counts).unwrap_or_default()
+}
+
 /// Picks the VMs of one replica out of the free ones, or `None` if they are too few.
 pub fn form(free: &[VmId], span: u32, reserve: u32) -> Option<(Vec<VmId>, Vec<VmId>)> {
     let span = span as usize;
@@ -88,12 +165,3 @@
         .collect();
     Some((vms, spare))
 }
-
-/// Counts the replicas of each version among `assigned`.
-pub fn count<'a>(assigned: impl Iterator<Item = &'a VersionId>) -> BTreeMap<&'a VersionId, u32> {
-    let mut out = BTreeMap::new();
-    for version in assigned {
-        *out.entry(version).or_insert(0) += 1;
-    }
-    out
-}
--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -1,21 +1,29 @@
 //! The planner's state machine: leases of shards, assignments and orders to engines.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::appender::Ticket;
 use crate::chart::Charts;
-use crate::engine::{Action, Held, Order, OrderReply};
+use crate::engine::{Action, Order, OrderReply};
 use crate::fleet::{Assignment, Fleet, FleetChange};
-use crate::ids::{DomainId, EntryId, Fence, Incarnation, OrderId, ReplicaId, ReplicaSeq, VmId};
-use crate::lease::{LeaseConfig, LeaseStep, LeaseWatch};
+use crate::ids::{DomainId, EntryId, Fence, Incarnation, Offset, OrderId, ReplicaSeq, VmId};
+use crate::lease::{LeaseConfig, LeaseEnd, LeaseStep, LeaseWatch};
 use crate::peers::{Settled, Submit};
 use crate::placement;
-use crate::platform::VmRole;
+use crate::plan::{Rules, Scene, Swap, Wish};
 use crate::rendezvous;
 use crate::time::Time;
-use crate::view::{Health, View, VmStatus};
+use crate::view::View;
+
+/// Bits of an order's sequence number that count within one run; the run's number is above them,
+/// so that the numbers of a restarted planner go on where the last run ended.
+const SEQ_BITS: u32 = 20;
+/// Time after which a change that was not accepted is planned again.
+const CHANGE_RETRY: Duration = Duration::from_millis(300);
+/// Time that gateways have to read that a replica takes no new work.
+const DRAIN_NOTICE: Duration = Duration::from_secs(2);
 
 /// What a planner is told when it starts.
 #[derive(Debug, Clone)]
@@ -30,6 +38,12 @@
     pub order_deadline: Duration,
     /// Time after which an order that shows no effect is sent again.
     pub order_retry: Duration,
+    /// Whether engines refuse an order with an old fencing number.
+    pub fenced: bool,
+    /// Longest time that a draining replica's requests may take.
+    pub drain_limit: Duration,
+    /// How shards are planned.
+    pub rules: Rules,
 }
 
 /// What happens to a planner.
@@ -61,12 +75,51 @@
     },
 }
 
+/// The last order to a VM.
+#[derive(Debug)]
+struct Ordered {
+    at: Time,
+    wish: Wish,
+}
+
 #[derive(Debug)]
 struct Shard {
     watch: LeaseWatch,
     lease_ticket: Option<Ticket>,
     plan_ticket: Option<Ticket>,
-    ordered: BTreeMap<VmId, Time>,
+    wait: Offset,
+    retry: Time,
+    ordered: BTreeMap<VmId, Ordered>,
+    draining: BTreeMap<ReplicaSeq, Time>,
+    swaps: BTreeMap<ReplicaSeq, Swap>,
+}
+
+impl Shard {
+    fn new(watch: LeaseWatch) -> Self {
+        Self {
+            watch,
+            lease_ticket: None,
+            plan_ticket: None,
+            wait: Offset(0),
+            retry: Time::ZERO,
+            ordered: BTreeMap::new(),
+            draining: BTreeMap::new(),
+            swaps: BTreeMap::new(),
+        }
+    }
+
+    /// Notes since when replicas drain, and forgets replicas that ended.
+    fn update(&mut self, now: Time, fleet: &Fleet) {
+        let drains = |r: &ReplicaSeq| fleet.replicas.get(r).is_some_and(|a| a.draining);
+        self.draining.retain(|r, _| drains(r));
+        for (seq, _) in fleet.replicas.iter().filter(|(_, a)| a.draining) {
+            self.draining.entry(*seq).or_insert(now);
+        }
+        self.swaps.retain(|seq, swap| {
+            let agreed = fleet.replicas.get(seq);
+            agreed.is_some_and(|a| a.form <= swap.form && a.vms != swap.vms)
+        });
+    }
 }
 
 /// The planner of one entry VM.
@@ -82,12 +135,13 @@
 impl Planner {
     /// Makes a planner that has seen no view yet.
     pub fn new(config: PlannerConfig, charts: Charts) -> Self {
+        let next = config.run.0 << SEQ_BITS;
         Self {
             config,
             charts,
             view: None,
             shards: BTreeMap::new(),
-            next: 0,
+            next,
         }
     }
 
@@ -96,7 +150,7 @@
         match input {
             Input::Tick => {}
             Input::View(view) => self.view = Some(view),
-            Input::Settled(ticket, settled) => self.take_settled(ticket, &settled),
+            Input::Settled(ticket, settled) => self.take_settled(now, ticket, &settled),
             Input::Ordered(..) => return,
         }
         let Some(view) = self.view.clone() else {
@@ -115,15 +169,23 @@
             .map(|(d, _)| d)
     }
 
-    fn take_settled(&mut self, ticket: Ticket, settled: &Settled) {
-        let won = matches!(settled, Settled::Accepted { .. });
+    fn take_settled(&mut self, now: Time, ticket: Ticket, settled: &Settled) {
         for shard in self.shards.values_mut() {
             if shard.lease_ticket == Some(ticket) {
                 shard.lease_ticket = None;
-                shard.watch.settled(won);
+                let end = match settled {
+                    Settled::Accepted { offset } => LeaseEnd::Won(*offset),
+                    Settled::FleetRefused(_) => LeaseEnd::Superseded,
+                    _ => LeaseEnd::Failed,
+                };
+                shard.watch.settled(now, end);
             }
             if shard.plan_ticket == Some(ticket) {
                 shard.plan_ticket = None;
+                match settled {
+                    Settled::Accepted { offset } => shard.wait = Offset(offset.0 + 1),
+                    _ => shard.retry = now + CHANGE_RETRY,
+                }
             }
         }
     }
@@ -140,14 +202,13 @@
         let last = fleet.lease.as_ref().map(|l| l.last);
         let preferred = self.is_preferred(view, id);
         let (lease_config, chart) = (self.config.lease, &self.charts.lease);
-        let shard = self.shards.entry(id.clone()).or_insert_with(|| Shard {
-            watch: LeaseWatch::new(lease_config, chart.clone()),
-            lease_ticket: None,
-            plan_ticket: None,
-            ordered: BTreeMap::new(),
-        });
-        shard.watch.observe(now, last, lease.is_some(), view.log_up);
-        if let LeaseStep::Append(supersedes) = shard.watch.decide(now, lease.is_some(), preferred) {
+        let new_shard = || Shard::new(LeaseWatch::new(lease_config, chart.clone()));
+        let shard = self.shards.entry(id.clone()).or_insert_with(new_shard);
+        let mine = lease.is_some();
+        if !shard.watch.observe(now, last, mine, view.log_up) {
+            return;
+        }
+        if let LeaseStep::Append(supersedes) = shard.watch.decide(now, mine, preferred) {
             let change = FleetChange::Lease {
                 holder: self.config.entry.clone(),
                 run: self.config.run,
@@ -158,12 +219,19 @@
             self.shard(id).lease_ticket = Some(ticket);
         }
         let Some(lease) = lease else { return };
-        if !self.shard(id).watch.is_held(now) {
-            return;
+        let held = self.shard(id).watch.is_held(now);
+        self.shard(id).update(now, fleet);
+        if self.config.fenced && !view.log_up {
+            self.swap(now, view, id, fleet, lease.fence);
+        }
+        if held {
+            self.place(now, view, id, fleet, lease.fence, out);
+        } else if self.config.fenced && !view.log_up {
+            self.restore(now, view, id, fleet, lease.fence, out);
         }
-        self.place(now, view, id, fleet, lease.fence, out);
     }
 
+    /// Plans the shard under a lease that is held.
     fn place(
         &mut self,
         now: Time,
@@ -173,145 +241,139 @@
         fence: Fence,
         out: &mut Vec<Output>,
     ) {
-        let mut change = None;
-        for (seq, assignment) in &fleet.replicas {
-            let replica = ReplicaId {
-                shard: id.clone(),
-                seq: *seq,
-            };
-            if self.is_ending(view, id, fleet, *seq, assignment) {
-                let end = self.end_replica(now, view, &replica, assignment, fence, out);
-                change = change.or(end);
-            } else {
-                self.load_replica(now, view, &replica, assignment, fence, out);
-            }
+        if fleet.next < self.shard(id).wait {
+            return;
         }
-        let change = change
-            .or_else(|| free_held(view, id, fleet, fence))
-            .or_else(|| assign(view, id, fleet, fence));
-        let Some(change) = change else { return };
-        if self.shard(id).plan_ticket.is_none() {
+        self.next += 1;
+        let plan = self.with_scene(now, view, id, fleet, fence, |s| s.plan());
+        for wish in plan.wishes {
+            self.order(now, view, id, fence, wish, out);
+        }
+        let shard = self.shard(id);
+        let Some(change) = plan.change else { return };
+        if shard.plan_ticket.is_none() && now >= shard.retry {
             let ticket = self.submit(id, change, out);
             self.shard(id).plan_ticket = Some(ticket);
         }
     }
 
-    fn is_ending(
-        &self,
+    /// Gives the orders that a lapsed lease allows while the log is out: loads within replicas as
+    /// agreed. Engines refuse them once a later holder has given any.
+    fn restore(
+        &mut self,
+        now: Time,
         view: &View,
         id: &DomainId,
         fleet: &Fleet,
-        seq: ReplicaSeq,
-        assignment: &Assignment,
-    ) -> bool {
-        let usable = |vm: &VmId| view.vms.get(vm).is_some_and(is_usable);
-        if !assignment.vms.iter().all(usable) {
-            return true;
+        fence: Fence,
+        out: &mut Vec<Output>,
+    ) {
+        self.next += 1;
+        for wish in self.with_scene(now, view, id, fleet, fence, |s| s.loads()) {
+            self.order(now, view, id, fence, wish, out);
         }
-        let shards: Vec<DomainId> = view.fleets.keys().cloned().collect();
-        let wanted = placement::wanted(&view.table, &shards, id);
-        let Some(want) = wanted.iter().find(|w| w.version == assignment.version) else {
-            return true;
-        };
-        let earlier = fleet
-            .replicas
-            .range(..seq)
-            .filter(|(_, a)| a.version == assignment.version)
-            .count();
-        want.span as usize != assignment.vms.len() || earlier >= want.count as usize
     }
 
-    fn end_replica(
+    /// Makes broken replicas whole from their own reserve, which needs no agreement.
+    fn swap(&mut self, now: Time, view: &View, id: &DomainId, fleet: &Fleet, fence: Fence) {
+        self.next += 1;
+        let replicas = fleet.replicas.iter().filter(|(_, a)| !a.draining);
+        let swaps = self.with_scene(now, view, id, fleet, fence, |scene| {
+            let swap = |(seq, a): (&ReplicaSeq, &Assignment)| Some((*seq, scene.swap(*seq, a)?));
+            replicas.filter_map(swap).collect::<Vec<_>>()
+        });
+        self.shard(id).swaps.extend(swaps);
+    }
+
+    fn with_scene<T>(
         &mut self,
         now: Time,
         view: &View,
-        replica: &ReplicaId,
-        assignment: &Assignment,
+        id: &DomainId,
+        fleet: &Fleet,
         fence: Fence,
-        out: &mut Vec<Output>,
-    ) -> Option<FleetChange> {
-        let mut held = Vec::new();
-        let mut waiting = false;
-        for vm in assignment.vms.iter().chain(&assignment.reserve) {
-            let Some(status) = view.vms.get(vm) else {
-                continue;
-            };
-            if status.health == Health::Lost {
-                held.push(vm.clone());
-            } else if status.held.as_ref().is_some_and(|h| h.replica == *replica) {
-                waiting = true;
-                self.order(now, status, replica, fence, Action::Unload, out);
-            }
-        }
-        (!waiting).then_some(FleetChange::Free {
+        run: impl FnOnce(&Scene<'_>) -> T,
+    ) -> T {
+        let drained = self.drained(now, view, id, fleet);
+        let busy = self.busy(now, id);
+        let scene = Scene {
+            view,
+            shard: id,
+            fleet,
             fence,
-            replica: replica.seq,
-            held,
-        })
+            seq: self.next,
+            rules: self.config.rules,
+            drained: &drained,
+            busy: &busy,
+            swaps: &self.shards[id].swaps,
+            wanted: &placement::wanted(&view.table, &placement::capacities(view), id),
+            totals: &placement::totals(&view.table),
+        };
+        run(&scene)
     }
 
-    fn load_replica(
-        &mut self,
+    fn drained(
+        &self,
         now: Time,
         view: &View,
-        replica: &ReplicaId,
-        assignment: &Assignment,
-        fence: Fence,
-        out: &mut Vec<Output>,
-    ) {
-        let slots = view.table.group(&assignment.group).map_or(1, |g| g.slots);
-        for (rank, vm) in assignment.vms.iter().enumerate() {
-            let Some(status) = view.vms.get(vm) else {
-                continue;
-            };
-            let rank = rank as u32;
-            if status
-                .held
-                .as_ref()
-                .is_some_and(|h| is_rank(h, replica, assignment, rank))
-            {
-                continue;
-            }
-            let action = Action::Load {
-                version: assignment.version.clone(),
-                rank,
-                vms: assignment.vms.clone(),
-                slots,
-            };
-            self.order(now, status, replica, fence, action, out);
-        }
+        id: &DomainId,
+        fleet: &Fleet,
+    ) -> BTreeSet<ReplicaSeq> {
+        let idle = |a: &Assignment| {
+            let first = a.vms.first().and_then(|vm| view.vms.get(vm));
+            first.is_none_or(|s| s.load.running == 0 && s.load.queued == 0)
+        };
+        let is_drained = |(seq, since): &(&ReplicaSeq, &Time)| {
+            let passed = now.since(**since);
+            let quiet = fleet.replicas.get(seq).is_none_or(idle);
+            passed >= DRAIN_NOTICE && quiet || passed >= self.config.drain_limit
+        };
+        let draining = self.shards[id].draining.iter();
+        draining.filter(is_drained).map(|(seq, _)| *seq).collect()
+    }
+
+    /// Returns the VMs that may still take an order to load that was sent to them.
+    fn busy(&self, now: Time, id: &DomainId) -> BTreeSet<VmId> {
+        let limit = self.config.order_deadline + self.config.lease.drift;
+        let may_take = |(_, o): &(&VmId, &Ordered)| {
+            o.wish.action != Action::Unload && now.since(o.at) <= limit
+        };
+        let ordered = self.shards[id].ordered.iter();
+        ordered.filter(may_take).map(|(vm, _)| vm.clone()).collect()
     }
 
     fn order(
         &mut self,
         now: Time,
-        status: &VmStatus,
-        replica: &ReplicaId,
+        view: &View,
+        id: &DomainId,
         fence: Fence,
-        action: Action,
+        wish: Wish,
         out: &mut Vec<Output>,
     ) {
-        let vm = &status.listing.vm;
+        let Some(status) = view.vms.get(&wish.vm) else {
+            return;
+        };
         let retry = self.config.order_retry;
-        let ordered = &mut self.shard(&replica.shard).ordered;
-        if ordered.get(vm).is_some_and(|at| now.since(*at) < retry) {
+        let same = |w: &Wish| w.replica == wish.replica && same_action(w, &wish);
+        let last = self.shards[id].ordered.get(&wish.vm);
+        if last.is_some_and(|o| same(&o.wish) && now.since(o.at) < retry) {
             return;
         }
-        ordered.insert(vm.clone(), now);
         self.next += 1;
         let order = Order {
             order: OrderId(self.next),
-            replica: replica.clone(),
+            replica: wish.replica.clone(),
             fence,
+            form: wish.form,
             seq: self.next,
             deadline_ms: (now + self.config.order_deadline).as_millis(),
-            action,
+            action: wish.action.clone(),
         };
-        out.push(Output::Order {
-            vm: vm.clone(),
-            address: status.listing.address.clone(),
-            order,
-        });
+        let (vm, address) = (wish.vm.clone(), status.listing.address.clone());
+        let ordered = Ordered { at: now, wish };
+        self.shard(id).ordered.insert(vm.clone(), ordered);
+        out.push(Output::Order { vm, address, order });
     }
 
     fn submit(&mut self, id: &DomainId, change: FleetChange, out: &mut Vec<Output>) -> Ticket {
@@ -342,64 +404,7 @@
     }
 }
 
-fn is_usable(status: &VmStatus) -> bool {
-    !matches!(
-        status.health,
-        Health::Lost | Health::Leaving | Health::Probation
-    )
-}
-
-fn is_rank(held: &Held, replica: &ReplicaId, assignment: &Assignment, rank: u32) -> bool {
-    held.replica == *replica
-        && held.fence >= assignment.fence
-        && held.version == assignment.version
-        && held.rank == rank
-}
-
-fn free_held(view: &View, id: &DomainId, fleet: &Fleet, fence: Fence) -> Option<FleetChange> {
-    let confirmed = |vm: &VmId, seq: ReplicaSeq| match view.vms.get(vm) {
-        None => true,
-        Some(status) if status.health == Health::Lost => false,
-        Some(status) => {
-            let old = ReplicaId {
-                shard: id.clone(),
-                seq,
-            };
-            status.held.as_ref().is_none_or(|h| h.replica != old)
-        }
-    };
-    let (vm, _) = fleet.held_vms().find(|(vm, seq)| confirmed(vm, *seq))?;
-    Some(FleetChange::FreeVm {
-        fence,
-        vm: vm.clone(),
-    })
-}
-
-fn assign(view: &View, id: &DomainId, fleet: &Fleet, fence: Fence) -> Option<FleetChange> {
-    let shards: Vec<DomainId> = view.fleets.keys().cloned().collect();
-    let have = placement::count(fleet.replicas.values().map(|a| &a.version));
-    let free: Vec<VmId> = view
-        .vms
-        .values()
-        .filter(|s| s.listing.domain == *id && s.listing.role == VmRole::Engine)
-        .filter(|s| s.health == Health::Live && s.held.is_none())
-        .map(|s| s.listing.vm.clone())
-        .filter(|vm| fleet.owner(vm).is_none())
-        .collect();
-    let wanted = placement::wanted(&view.table, &shards, id);
-    wanted.into_iter().find_map(|w| {
-        if have.get(&w.version).copied().unwrap_or(0) >= w.count {
-            return None;
-        }
-        let (vms, reserve) = placement::form(&free, w.span, w.reserve)?;
-        let (group, version, span) = (w.group, w.version, w.span);
-        Some(FleetChange::Assign {
-            fence,
-            group,
-            version,
-            span,
-            vms,
-            reserve,
-        })
-    })
+/// Returns whether two orders to one VM ask for the same; unloads carry no formation of their own.
+fn same_action(a: &Wish, b: &Wish) -> bool {
+    a.action == b.action && (a.action == Action::Unload || a.form == b.form)
 }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -124,6 +124,9 @@
     pub order_ms: u64,
     /// Whether engines refuse an order with an old fencing number.
     pub fenced: bool,
+    /// VMs of one failure domain that load weights at a time, unless one replica needs more; what
+    /// the weight store serves at a time, divided by the failure domains.
+    pub loads: u32,
 }
 
 impl Default for PlannerSettings {
@@ -133,6 +136,7 @@
             drift_ms: 300,
             order_ms: 2_000,
             fenced: true,
+            loads: 8,
         }
     }
 }
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -96,23 +96,46 @@
 
     /// Returns whether a replica may serve: each VM answers and confirms its rank and version.
     pub fn is_serving(&self, replica: &ReplicaId, assignment: &Assignment) -> bool {
-        let confirmed = |(rank, vm): (usize, &VmId)| {
-            self.vms
-                .get(vm)
-                .is_some_and(|status| confirms(status, replica, assignment, rank))
-        };
-        assignment.vms.iter().enumerate().all(confirmed)
+        self.ranks(replica, assignment).is_some()
+    }
+
+    /// Returns whether a replica may be given new work.
+    pub fn takes_work(&self, replica: &ReplicaId, assignment: &Assignment) -> bool {
+        !assignment.draining && self.is_serving(replica, assignment)
     }
-}
 
-fn confirms(status: &VmStatus, replica: &ReplicaId, assignment: &Assignment, rank: usize) -> bool {
-    let answers = matches!(status.health, Health::Live | Health::Leaving);
-    let held = status.held.as_ref().is_some_and(|held| {
-        held.ready
-            && held.replica == *replica
-            && held.fence >= assignment.fence
-            && held.version == assignment.version
-            && held.rank as usize == rank
-    });
-    answers && held
+    /// Returns the VM of each rank of a serving replica, or `None` if it may not serve.
+    ///
+    /// All ranks must report the newest formation that any VM of the replica reports. A reserve VM
+    /// may have a rank, since a planner swaps it in without the log while the log is out.
+    pub fn ranks<'a>(
+        &self,
+        replica: &ReplicaId,
+        assignment: &'a Assignment,
+    ) -> Option<Vec<&'a VmId>> {
+        let own = assignment.vms.iter().chain(&assignment.reserve);
+        let holders: Vec<(&VmId, &VmStatus, &Held)> = own
+            .filter_map(|vm| {
+                let status = self.vms.get(vm)?;
+                let held = status.held.as_ref().filter(|h| h.replica == *replica)?;
+                Some((vm, status, held))
+            })
+            .collect();
+        let newest = holders.iter().map(|(_, _, held)| held.form).max()?;
+        if newest < assignment.form {
+            return None;
+        }
+        let has_rank = |rank: usize, status: &VmStatus, held: &Held| {
+            matches!(status.health, Health::Live | Health::Leaving)
+                && held.ready
+                && held.form == newest
+                && held.version == assignment.version
+                && held.rank as usize == rank
+        };
+        let ranked = |rank| {
+            let found = holders.iter().find(|(_, s, h)| has_rank(rank, s, h));
+            found.map(|(vm, _, _)| *vm)
+        };
+        (0..assignment.vms.len()).map(ranked).collect()
+    }
 }
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -26,6 +26,8 @@
 fn assign(fence: u64, vms: &[&str]) -> FleetChange {
     FleetChange::Assign {
         fence: Fence(fence),
+        base: Offset(0),
+        form: 1,
         group: "listwriter".into(),
         version: "v1".into(),
         span: 2,
@@ -63,6 +65,29 @@
     let mut fleet = Fleet::default();
     fold(&mut fleet, lease("a", None)).expect("the first claim");
     fold(&mut fleet, assign(1, &["x", "y"])).expect("free VMs");
+    let base = fleet.planned;
+    let assign = |fence, vms: &[&str]| match assign(fence, vms) {
+        FleetChange::Assign {
+            fence,
+            form,
+            group,
+            version,
+            span,
+            vms,
+            reserve,
+            ..
+        } => FleetChange::Assign {
+            fence,
+            base,
+            form,
+            group,
+            version,
+            span,
+            vms,
+            reserve,
+        },
+        other => other,
+    };
     let cases: [(&[&str], FleetRefusal); 3] = [
         (&["y", "z"], FleetRefusal::VmTaken),
         (&["z", "z"], FleetRefusal::VmTaken),
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -9,6 +9,7 @@
 use hemlock_lib::engine::OrderReply;
 use hemlock_lib::ids::Incarnation;
 use hemlock_lib::lease::LeaseConfig;
+use hemlock_lib::plan::{Reform, Rules};
 use hemlock_lib::planner::{Input, Output, Planner, PlannerConfig};
 use hemlock_lib::settings::Settings;
 use hemlock_wire::{agent, caller, clock, follower};
@@ -19,6 +20,7 @@
 const ORDER_WAIT: Duration = Duration::from_secs(1);
 const ORDER_RETRY: Duration = Duration::from_millis(800);
 const COURTESY: Duration = Duration::from_millis(1_000);
+const DRAIN_LIMIT: Duration = Duration::from_secs(600);
 
 #[derive(Debug)]
 enum Event {
@@ -74,9 +76,21 @@
             length: settings.lease(),
             drift: Duration::from_millis(settings.planner.drift_ms),
             courtesy: COURTESY,
+            grace: if settings.planner.fenced {
+                Duration::ZERO
+            } else {
+                Duration::from_millis(settings.planner.order_ms + settings.planner.drift_ms)
+            },
         },
         order_deadline: Duration::from_millis(settings.planner.order_ms),
         order_retry: ORDER_RETRY,
+        fenced: settings.planner.fenced,
+        drain_limit: DRAIN_LIMIT,
+        rules: Rules {
+            reform: Reform::Keep,
+            loads: settings.planner.loads,
+            lend: true,
+        },
     }
 }
 
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -279,13 +279,15 @@
                 let held = Held {
                     replica: order.replica.clone(),
                     fence: order.fence,
+                    form: order.form,
                     version: version.clone(),
                     rank: *rank,
                     ready: false,
                 };
-                let loaded = state.held.as_ref().map(|l| (&l.held.version, l.held.rank));
-                let kept = loaded == Some((version, *rank));
-                let ready = if kept { now } else { store_at + pace.load };
+                let same = |l: &&Loaded| l.held.version == *version && l.held.rank == *rank;
+                let loaded = state.held.as_ref().filter(same).map(|l| l.ready);
+                let kept = loaded.is_some();
+                let ready = loaded.unwrap_or(store_at + pace.load);
                 state.held = Some(Loaded {
                     held: held.clone(),
                     ready,
