--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -152,12 +152,16 @@
         out
     }
 
+    /// Lists all orders. A VM that holds a part of its replica, but of no formation in force, was
+    /// swapped in by an earlier holder that lost the lease, and is to give it up.
     fn wishes(&self) -> Vec<Wish> {
         let mut out = self.loads();
         for (seq, assignment) in &self.fleet.replicas {
-            if self.is_over(*seq, assignment) {
-                out.extend(members(assignment).filter_map(|vm| self.unload(vm, *seq)));
-            }
+            let over = self.is_over(*seq, assignment);
+            let (_, vms) = self.formation(*seq, assignment);
+            let unused = |vm: &&VmId| over || !assignment.draining && !vms.contains(vm);
+            let unloads = members(assignment).filter(unused);
+            out.extend(unloads.filter_map(|vm| self.unload(vm, *seq)));
         }
         out.extend(self.strays());
         out
@@ -500,12 +504,20 @@
     }
 
     fn part(&self, vm: &VmId) -> Part {
-        match self.view.vms.get(vm).map(|s| s.health) {
-            None if !self.is_list_trusted() => Part::Unsure,
-            None | Some(Health::Lost | Health::Probation) => Part::Gone,
-            Some(Health::Live) => Part::Good,
-            Some(Health::Suspect | Health::Unknown) => Part::Unsure,
-            Some(Health::Leaving) => Part::Leaving,
+        let Some(status) = self.view.vms.get(vm) else {
+            return if self.is_list_trusted() {
+                Part::Gone
+            } else {
+                Part::Unsure
+            };
+        };
+        let ready = status.held.as_ref().is_some_and(|h| h.ready);
+        match status.health {
+            Health::Live => Part::Good,
+            Health::Probation if ready => Part::Good,
+            Health::Probation | Health::Lost => Part::Gone,
+            Health::Suspect | Health::Unknown => Part::Unsure,
+            Health::Leaving => Part::Leaving,
         }
     }
 
--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -117,7 +117,8 @@
         }
         self.swaps.retain(|seq, swap| {
             let agreed = fleet.replicas.get(seq);
-            agreed.is_some_and(|a| a.form <= swap.form && a.vms != swap.vms)
+            let own = swap.vms.iter().all(|vm| fleet.has_part(vm, *seq));
+            own && agreed.is_some_and(|a| a.form <= swap.form && a.vms != swap.vms)
         });
     }
 }
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -126,8 +126,10 @@
             return None;
         }
         let has_rank = |rank: usize, status: &VmStatus, held: &Held| {
-            matches!(status.health, Health::Live | Health::Leaving)
-                && held.ready
+            matches!(
+                status.health,
+                Health::Live | Health::Leaving | Health::Probation
+            ) && held.ready
                 && held.form == newest
                 && held.version == assignment.version
                 && held.rank as usize == rank
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,4 +2,6 @@
 
 mod test_chart;
 mod test_fleet;
+mod test_planner;
 mod test_settings;
+mod world;
--- /dev/null
+++ b/lib/tests/world.rs
@@ -0,0 +1,497 @@
+//! Planners against a small in-memory log and fake engines, in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::appender::Ticket;
+use hemlock_lib::chart::Charts;
+use hemlock_lib::engine::{Action, EngineState, Held, Load, Order};
+use hemlock_lib::fleet::{Fleet, FleetRecord};
+use hemlock_lib::ids::{DomainId, Incarnation, Nonce, Offset, ReplicaId, VmId};
+use hemlock_lib::lease::LeaseConfig;
+use hemlock_lib::peers::{Settled, Submit, VmReport};
+use hemlock_lib::plan::{Reform, Rules};
+use hemlock_lib::planner::{Input, Output, Planner, PlannerConfig};
+use hemlock_lib::platform::{VmListing, VmRole};
+use hemlock_lib::probe::{ProbeConfig, Prober};
+use hemlock_lib::table::{ConfigRecord, Edit, GroupRow, Row, RowKey, Table, VersionRow};
+use hemlock_lib::time::Time;
+use hemlock_lib::view::View;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Silence after which a VM is lost.
+pub const BOUND: Duration = Duration::from_millis(1_000);
+const LOAD_MS: u64 = 300;
+const SUBMIT_MS: u64 = 600;
+
+/// One fake engine.
+#[derive(Debug, Default)]
+pub struct Engine {
+    run: u64,
+    pub down: bool,
+    pub held: Option<(Held, u64)>,
+    last: (u64, u64),
+    /// Last time at which it was up and ready for each replica.
+    ready: BTreeMap<ReplicaId, u64>,
+}
+
+/// One entry VM: its planner, and what its agent would know.
+#[derive(Debug)]
+pub struct Node {
+    planner: Planner,
+    prober: Prober,
+    pub fleet: Fleet,
+    read: usize,
+    pub cut: bool,
+    paused: u64,
+    backlog: VecDeque<Input>,
+    waiting: BTreeMap<u64, (Ticket, u64)>,
+    skew: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Append(usize, FleetRecord),
+    Order(VmId, Order),
+}
+
+/// The whole.
+#[derive(Debug)]
+pub struct World {
+    pub now: u64,
+    pub rng: SmallRng,
+    pub faults: bool,
+    pub log_up: bool,
+    fenced: bool,
+    shard: DomainId,
+    pub table: Table,
+    pub log: Vec<FleetRecord>,
+    pub truth: Fleet,
+    pub engines: BTreeMap<VmId, Engine>,
+    pub unlisted: BTreeSet<VmId>,
+    pub nodes: Vec<Node>,
+    events: Vec<(u64, Event)>,
+    nonce: u64,
+    fences: BTreeMap<VmId, u64>,
+}
+
+pub fn rules() -> Rules {
+    Rules {
+        reform: Reform::Keep,
+        loads: 4,
+        lend: true,
+    }
+}
+
+pub fn set_rows(table: &mut Table, rows: Vec<(RowKey, Row)>) {
+    let offset = table.next;
+    let edit = |(key, row): (RowKey, Row)| Edit {
+        base: table.entry(&key).map(|e| e.version),
+        key,
+        row: Some(row),
+    };
+    let record = ConfigRecord {
+        nonce: Nonce(offset.0),
+        author: "test".to_owned(),
+        at_ms: 0,
+        edits: rows.into_iter().map(edit).collect(),
+    };
+    table.fold(offset, &record).expect("the rows are current");
+}
+
+pub fn version(name: &str, weight: f64, span: u32) -> (RowKey, Row) {
+    let row = VersionRow {
+        group: "listwriter".into(),
+        weight,
+        span,
+    };
+    (RowKey::Version(name.into()), Row::Version(row))
+}
+
+pub fn group(replicas: u32, minimum: u32, reserve: u32) -> (RowKey, Row) {
+    let row = GroupRow {
+        replicas,
+        minimum,
+        downtime: 1.0,
+        stranded: 1.0,
+        reserve,
+        slots: 4,
+    };
+    (RowKey::Group("listwriter".into()), Row::Group(row))
+}
+
+impl World {
+    pub fn new(seed: u64, fenced: bool, vms: u32, replicas: u32, reserve: u32) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut table = Table::default();
+        set_rows(
+            &mut table,
+            vec![group(replicas, 1, reserve), version("v1", 1.0, 2)],
+        );
+        let charts = Charts::built_in().expect("the built-in charts are sound");
+        let node = |i: usize| node(i, fenced, &charts, rng.random_range(0..100));
+        let nodes = (0..3).map(node).collect();
+        let engine = |i| (VmId::new(format!("vm-{i}")), Engine::default());
+        Self {
+            now: 1_000,
+            rng,
+            faults: false,
+            log_up: true,
+            fenced,
+            shard: "riverside".into(),
+            table,
+            log: Vec::new(),
+            truth: Fleet::default(),
+            engines: (0..vms).map(engine).collect(),
+            unlisted: BTreeSet::new(),
+            nodes,
+            events: Vec::new(),
+            nonce: 0,
+            fences: BTreeMap::new(),
+        }
+    }
+
+    /// Lets `ms` milliseconds pass; each node probes, reads the log and plans once.
+    pub fn step(&mut self, ms: u64) {
+        self.now += ms;
+        self.note_ready();
+        self.deliver();
+        self.note_ready();
+        for i in 0..self.nodes.len() {
+            self.run_node(i);
+        }
+    }
+
+    pub fn pause(&mut self, i: usize, ms: u64) {
+        self.nodes[i].paused = self.now + ms;
+    }
+
+    pub fn kill(&mut self, vm: &VmId) {
+        let engine = self.engines.get_mut(vm).expect("a known VM");
+        engine.down = true;
+        engine.held = None;
+        engine.run += 1;
+        engine.last = (0, 0);
+        self.fences.remove(vm);
+    }
+
+    pub fn heal(&mut self) {
+        self.faults = false;
+        self.log_up = true;
+        self.unlisted.clear();
+        for node in &mut self.nodes {
+            node.cut = false;
+            node.paused = 0;
+        }
+        for engine in self.engines.values_mut() {
+            engine.down = false;
+        }
+    }
+
+    /// Returns the view of a node, as its agent would serve it.
+    pub fn view(&self, i: usize) -> View {
+        let node = &self.nodes[i];
+        View {
+            version: self.now,
+            table: self.table.clone(),
+            entries: Vec::new(),
+            vms: node.prober.statuses(Time::from_millis(self.now)),
+            fleets: BTreeMap::from([(self.shard.clone(), node.fleet.clone())]),
+            log_up: self.log_up && !node.cut,
+            peers_up: true,
+        }
+    }
+
+    /// Checks what must always hold.
+    pub fn check(&self) -> Result<(), String> {
+        let mut seen = BTreeSet::new();
+        for assignment in self.truth.replicas.values() {
+            for vm in assignment.vms.iter().chain(&assignment.reserve) {
+                if !seen.insert(vm) {
+                    return Err(format!("{vm} is assigned twice"));
+                }
+            }
+        }
+        for i in 0..self.nodes.len() {
+            if self.nodes[i].paused <= self.now {
+                self.check_serving(i)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns how many replicas a node holds for serving.
+    pub fn serving(&self, i: usize) -> usize {
+        let view = self.view(i);
+        let serving = view.replicas().filter(|(id, a)| view.takes_work(id, a));
+        serving.count()
+    }
+
+    fn check_serving(&self, i: usize) -> Result<(), String> {
+        let view = self.view(i);
+        let bound = BOUND.as_millis() as u64 + 1;
+        for (id, assignment) in view.replicas() {
+            for vm in view.ranks(&id, assignment).unwrap_or_default() {
+                let ready = self.engines[vm].ready.get(&id);
+                if ready.is_none_or(|at| self.now - at > bound) {
+                    return Err(format!("{id} serves for node {i} without {vm}"));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn note_ready(&mut self) {
+        for engine in self.engines.values_mut() {
+            if let Some((held, at)) = &engine.held
+                && *at <= self.now
+                && !engine.down
+            {
+                engine.ready.insert(held.replica.clone(), self.now);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (mut due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.events)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.events = rest;
+        due.sort_by_key(|(at, _)| *at);
+        for (at, event) in due {
+            match event {
+                Event::Append(node, record) if !self.log_up || self.nodes[node].cut => {
+                    drop(record);
+                }
+                Event::Append(_, record) => {
+                    let _ = self.truth.fold(Offset(self.log.len() as u64), &record);
+                    self.log.push(record);
+                }
+                Event::Order(vm, order) => self.take_order(at, &vm, &order),
+            }
+        }
+    }
+
+    fn take_order(&mut self, at: u64, vm: &VmId, order: &Order) {
+        let fenced = self.fenced;
+        let engine = self.engines.get_mut(vm).expect("a known VM");
+        let old = fenced && (order.fence.0, order.seq) < engine.last;
+        if engine.down || old || order.deadline_ms < at {
+            return;
+        }
+        engine.last = engine.last.max((order.fence.0, order.seq));
+        let newest = self.fences.entry(vm.clone()).or_default();
+        assert!(
+            order.fence.0 >= *newest,
+            "an old holder's order reached {vm} after a new holder's"
+        );
+        *newest = order.fence.0;
+        let holds = engine.held.as_ref().map(|(h, _)| h.replica.clone());
+        match &order.action {
+            Action::Unload if holds.as_ref() == Some(&order.replica) => engine.held = None,
+            Action::Unload => {}
+            Action::Load { version, rank, .. } => {
+                let other = holds.filter(|h| *h != order.replica);
+                let part = other.is_some_and(|h| self.truth.has_part(vm, h.seq));
+                assert!(!part, "{vm} changed replica without an unload");
+                let same = |h: &Held| h.version == *version && h.rank == *rank;
+                let kept = engine
+                    .held
+                    .take()
+                    .filter(|(h, _)| same(h))
+                    .map(|(_, at)| at);
+                let held = Held {
+                    replica: order.replica.clone(),
+                    fence: order.fence,
+                    form: order.form,
+                    version: version.clone(),
+                    rank: *rank,
+                    ready: false,
+                };
+                engine.held = Some((held, kept.unwrap_or(self.now + LOAD_MS)));
+            }
+        }
+    }
+
+    fn run_node(&mut self, i: usize) {
+        let now = Time::from_millis(self.now);
+        self.probe(i);
+        self.read(i);
+        if self.nodes[i].paused > self.now {
+            // A paused planner gets its views late, all at once.
+            let view = Input::View(Arc::new(self.view(i)));
+            self.nodes[i].backlog.push_back(view);
+            return;
+        }
+        let mut inputs: Vec<Input> = self.nodes[i].backlog.drain(..).collect();
+        inputs.push(Input::View(Arc::new(self.view(i))));
+        inputs.push(Input::Tick);
+        let mut out = Vec::new();
+        let own = now + Duration::from_millis(self.nodes[i].skew);
+        for input in inputs {
+            self.nodes[i].planner.step(own, input, &mut out);
+        }
+        for output in out {
+            self.send(i, output);
+        }
+    }
+
+    fn probe(&mut self, i: usize) {
+        let now = Time::from_millis(self.now);
+        let list: Vec<VmListing> = self
+            .engines
+            .keys()
+            .filter(|vm| !self.unlisted.contains(*vm))
+            .map(|vm| VmListing {
+                vm: vm.clone(),
+                address: String::new(),
+                domain: self.shard.clone(),
+                role: VmRole::Engine,
+                leaving: false,
+            })
+            .collect();
+        let node = &mut self.nodes[i];
+        node.prober.listed(now, &list);
+        for listing in node.prober.due(now, |_| true) {
+            let engine = &self.engines[&listing.vm];
+            let lost = self.faults && self.rng.random_bool(0.02);
+            let state = (!engine.down && !lost).then(|| state(&listing.vm, engine, self.now));
+            let report = VmReport {
+                vm: listing.vm,
+                answered: state.is_some(),
+                state,
+                age_ms: 0,
+            };
+            node.prober.probed(now, &report);
+        }
+        node.prober.expire(now);
+    }
+
+    fn read(&mut self, i: usize) {
+        let up = self.log_up;
+        let node = &mut self.nodes[i];
+        let lag = self.faults && self.rng.random_bool(0.2);
+        if up && !node.cut && !lag {
+            for record in &self.log[node.read..] {
+                let offset = Offset(node.read as u64);
+                node.read += 1;
+                let folded = node.fleet.fold(offset, record);
+                let settled =
+                    folded.map_or_else(Settled::FleetRefused, |()| Settled::Accepted { offset });
+                if let Some((ticket, _)) = node.waiting.remove(&record.nonce.0) {
+                    node.backlog.push_back(Input::Settled(ticket, settled));
+                }
+            }
+        }
+        let late: Vec<u64> = node
+            .waiting
+            .iter()
+            .filter(|(_, (_, end))| *end <= self.now)
+            .map(|(nonce, _)| *nonce)
+            .collect();
+        for nonce in late {
+            if let Some((ticket, _)) = node.waiting.remove(&nonce) {
+                let unknown = Input::Settled(ticket, Settled::Unknown);
+                node.backlog.push_back(unknown);
+            }
+        }
+    }
+
+    fn send(&mut self, i: usize, output: Output) {
+        let copies = if self.faults && self.rng.random_bool(0.1) {
+            2
+        } else {
+            1
+        };
+        match output {
+            Output::Submit(ticket, Submit::Fleet { change, .. }) => {
+                self.nonce += 1;
+                let nonce = Nonce(self.nonce);
+                let end = self.now + SUBMIT_MS;
+                self.nodes[i].waiting.insert(nonce.0, (ticket, end));
+                for _ in 0..copies {
+                    let record = FleetRecord {
+                        nonce,
+                        change: change.clone(),
+                    };
+                    self.post(Event::Append(i, record));
+                }
+            }
+            Output::Order { vm, order, .. } => {
+                for _ in 0..copies {
+                    self.post(Event::Order(vm.clone(), order.clone()));
+                }
+            }
+            Output::Submit(..) => {}
+        }
+    }
+
+    fn post(&mut self, event: Event) {
+        let delay = if !self.faults {
+            10
+        } else if self.rng.random_bool(0.1) {
+            self.rng.random_range(0..4_000)
+        } else {
+            self.rng.random_range(0..150)
+        };
+        let lost = self.faults && self.rng.random_bool(0.1);
+        if !lost {
+            self.events.push((self.now + delay, event));
+        }
+    }
+}
+
+fn state(vm: &VmId, engine: &Engine, now: u64) -> EngineState {
+    let held = engine.held.as_ref().map(|(held, at)| Held {
+        ready: *at <= now,
+        ..held.clone()
+    });
+    EngineState {
+        vm: vm.clone(),
+        run: Incarnation(engine.run),
+        held,
+        load: Load::default(),
+    }
+}
+
+fn node(i: usize, fenced: bool, charts: &Charts, skew: u64) -> Node {
+    let order_deadline = Duration::from_millis(800);
+    let drift = Duration::from_millis(200);
+    let config = PlannerConfig {
+        entry: format!("entry-{i}").as_str().into(),
+        run: Incarnation(1),
+        lease: LeaseConfig {
+            length: Duration::from_millis(1_500),
+            drift,
+            courtesy: Duration::ZERO,
+            grace: if fenced {
+                Duration::ZERO
+            } else {
+                order_deadline + drift
+            },
+        },
+        order_deadline,
+        order_retry: Duration::from_millis(400),
+        fenced,
+        drain_limit: Duration::from_secs(10),
+        rules: rules(),
+    };
+    let probe = ProbeConfig {
+        every: Duration::from_millis(100),
+        bound: BOUND,
+    };
+    Node {
+        planner: Planner::new(config, charts.clone()),
+        prober: Prober::new(probe, charts.vm.clone()),
+        fleet: Fleet::default(),
+        read: 0,
+        cut: false,
+        paused: 0,
+        backlog: VecDeque::new(),
+        waiting: BTreeMap::new(),
+        skew,
+    }
+}
