--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -18,6 +18,7 @@
 use hemlock_lib::ids::Incarnation;
 use hemlock_lib::members::Member;
 use hemlock_lib::probe::ProbeConfig;
+use hemlock_lib::restate::RestateConfig;
 use hemlock_lib::seal::KeyRing;
 use hemlock_lib::settings::Settings;
 use hemlock_wire::server::{self, Server};
@@ -36,11 +37,19 @@
     bound: Duration::from_millis(2_000),
 };
 const GOSSIP: GossipConfig = GossipConfig {
-    every: Duration::from_millis(300),
+    every: Duration::from_millis(500),
+    ack: Duration::from_millis(200),
+    suspicion: Duration::from_millis(1_500),
+    relays: 3,
+    beats: 8,
     fanout: 3,
-    beats: 16,
-    bound: Duration::from_millis(2_500),
+    reports: Duration::from_millis(300),
+    payload: 1_150,
 };
+/// Silence after which an entry VM that never announced its leave is removed.
+const SILENCE: Duration = Duration::from_secs(120);
+/// Age from which a claimed key is dropped: the time a key is good for, twice, and clock error.
+const CLAIM_LIFE: Duration = Duration::from_secs(3 * 3_600);
 
 /// A running agent.
 #[derive(Debug)]
@@ -126,6 +135,9 @@
         partitions: settings.agent.partitions,
         probe: PROBE,
         gossip: GOSSIP,
+        restate: RestateConfig::new(Duration::from_secs(settings.agent.retention_s), CLAIM_LIFE),
+        silence: SILENCE,
+        peers: settings.agent.peers.clone(),
         keys,
         seed: run.0 ^ hemlock_lib::rendezvous::score(settings.entry.as_str().as_bytes(), b"seed"),
     }
--- a/agent/src/links.rs
+++ b/agent/src/links.rs
@@ -8,11 +8,12 @@
 
 use crossbeam_channel::Sender;
 use hemlock_lib::agent::Input;
-use hemlock_lib::appender::AppendEnd;
+use hemlock_lib::appender::{AppendEnd, FlightId};
 use hemlock_lib::codec;
 use hemlock_lib::engine::EngineState;
 use hemlock_lib::platform::{AppendCall, AppendReply, ReadCall, ReadReply, VmListing, VmRole};
 use hemlock_lib::settings::Platform;
+use hemlock_wire::agent;
 use hemlock_wire::caller::{self, CallError};
 
 use crate::DATAGRAM;
@@ -21,13 +22,15 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(4);
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// A call to the platform or an endpoint.
 #[derive(Debug)]
 pub(crate) enum Call {
     Read(ReadCall),
-    Append(AppendCall),
+    Append(FlightId, AppendCall),
+    Fetch(String),
     List,
     Probe(VmListing),
 }
@@ -78,7 +81,8 @@
 async fn make(platform: &Platform, call: Call) -> Input {
     match call {
         Call::Read(call) => Input::Read(read(platform, &call).await),
-        Call::Append(call) => Input::Appended(append(platform, &call).await),
+        Call::Append(id, call) => Input::Appended(id, append(platform, &call).await),
+        Call::Fetch(agent) => Input::Fetched(agent::states(&agent, FETCH_TIMEOUT).await.ok()),
         Call::List => Input::Listed(list(platform).await),
         Call::Probe(listing) => probe(listing).await,
     }
--- a/agent/src/mind.rs
+++ b/agent/src/mind.rs
@@ -8,6 +8,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use hemlock_lib::agent::{Agent, Input, Output};
 use hemlock_lib::appender::Ticket;
+use hemlock_lib::folds::StreamState;
 use hemlock_lib::peers::{Settled, Submit};
 use hemlock_wire::clock;
 
@@ -27,6 +28,8 @@
         wait: Duration,
         reply: async_channel::Sender<Settled>,
     },
+    /// An agent that starts asks for the states.
+    States(async_channel::Sender<Vec<StreamState>>),
     /// Nothing; it tells the sender whether the state machine still runs.
     Idle,
     /// Stop.
@@ -67,6 +70,10 @@
     pub(crate) fn run(mut self, ring: &Receiver<Event>) {
         let mut tick = Instant::now();
         loop {
+            if Instant::now() >= tick {
+                tick = Instant::now() + TICK;
+                self.step(Input::Tick);
+            }
             match ring.recv_deadline(tick) {
                 Ok(Event::Input(input)) => self.step(input),
                 Ok(Event::Submit {
@@ -74,12 +81,12 @@
                     wait,
                     reply,
                 }) => self.submit(submit, wait, reply),
+                Ok(Event::States(reply)) => {
+                    let _ = reply.try_send(self.agent.folds().export());
+                }
                 Ok(Event::Idle) => {}
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Err(RecvTimeoutError::Timeout) => {
-                    tick = Instant::now() + TICK;
-                    self.step(Input::Tick);
-                }
+                Err(RecvTimeoutError::Timeout) => {}
             }
         }
     }
@@ -108,7 +115,8 @@
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Read(call) => self.call(Call::Read(call)),
-            Output::Append(call) => self.call(Call::Append(call)),
+            Output::Append(id, call) => self.call(Call::Append(id, call)),
+            Output::Fetch(agent) => self.call(Call::Fetch(agent)),
             Output::List => self.call(Call::List),
             Output::Probe(listing) => self.call(Call::Probe(listing)),
             Output::Send { to, bytes } => {
--- a/agent/src/routes.rs
+++ b/agent/src/routes.rs
@@ -42,6 +42,7 @@
     config
         .route("/v1/view", web::get().to(view))
         .route("/v1/submit", web::post().to(submit))
+        .route("/v1/states", web::get().to(states))
         .route("/v1/spare", web::post().to(spare))
         .route("/v1/leave", web::post().to(leave))
         .route("/healthz", web::get().to(health));
@@ -81,6 +82,17 @@
     HttpResponse::Ok().body(codec::encode(&settled))
 }
 
+async fn states(state: types::State<State>) -> HttpResponse {
+    let (reply, states) = async_channel::bounded(1);
+    if state.events.try_send(Event::States(reply)).is_err() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match states.recv().await {
+        Ok(states) => HttpResponse::Ok().body(codec::encode(&states)),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 async fn spare(state: types::State<State>, body: Bytes) -> HttpResponse {
     let Ok(spare) = codec::decode::<f64>(&body) else {
         return HttpResponse::BadRequest().finish();
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -1,42 +1,52 @@
 //! The agent's state machine: folds of the log, liveness, probes, submissions and the view.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{RngCore, SeedableRng};
 
-use crate::appender::{AppendEnd, Appender, Ticket};
+use crate::appender::{AppendEnd, Appender, FlightId, Submission, Ticket};
 use crate::chart::Charts;
+use crate::check;
 use crate::claims::{self, ClaimRecord, Claims};
 use crate::codec;
 use crate::engine::EngineState;
-use crate::fleet::{Fleet, FleetRecord};
-use crate::gossip::{Gossip, GossipConfig};
-use crate::ids::{DomainId, EntryId, Nonce, Offset, StreamId, VmId};
-use crate::members::{Member, MemberChange, MemberRecord, Members};
+use crate::fleet::FleetRecord;
+use crate::folds::{Folded, Folds, StreamState};
+use crate::gossip::{Gossip, GossipConfig, Mail};
+use crate::ids::{DomainId, EntryId, Nonce, StreamId, VmId};
+use crate::members::{Member, MemberChange, MemberRecord};
 use crate::peers::{GossipMessage, Settled, Submit, VmReport};
-use crate::platform::{AppendCall, ReadCall, ReadReply, StreamPart, VmListing};
+use crate::platform::{AppendCall, ReadCall, ReadReply, VmListing, VmRole};
 use crate::probe::{ProbeConfig, Prober};
 use crate::rendezvous;
+use crate::restate::{RestateConfig, Restater};
 use crate::seal::KeyRing;
-use crate::table::{ConfigRecord, Table};
+use crate::snapshot::{Restate, RestateRecord};
+use crate::table::{ConfigRecord, Edit, Refusal};
 use crate::time::Time;
 use crate::view::{EntryStatus, View};
 
-/// Name of the stream of table edits.
-pub const CONFIG_STREAM: &str = "config";
-/// Name of the stream of entry VMs.
-pub const MEMBERS_STREAM: &str = "members";
+pub use crate::folds::{CONFIG_STREAM, MEMBERS_STREAM, claims_stream, fleet_stream};
 
 const READ_WAIT_MS: u64 = 1_000;
 const READ_LIMIT: u32 = 1_024;
 const READ_RETRY: Duration = Duration::from_millis(300);
 const LIST_EVERY: Duration = Duration::from_millis(1_000);
-const PUBLISH_EVERY: Duration = Duration::from_millis(100);
-const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two views when only loads or ages changed.
+const PUBLISH_EVERY: Duration = Duration::from_millis(250);
+/// Time between two views whatever changed.
+const PUBLISH_GAP: Duration = Duration::from_millis(20);
+const JOIN_EVERY: Duration = Duration::from_secs(5);
+const FETCH_EVERY: Duration = Duration::from_secs(1);
+/// Time between two removals of silent entry VMs by one agent.
+const REMOVE_EVERY: Duration = Duration::from_secs(10);
 const PROBERS_PER_VM: usize = 2;
+/// Names records whose end nobody awaits.
+const NOBODY: Ticket = Ticket(u64::MAX);
 
 /// What an agent is told when it starts.
 #[derive(Debug, Clone)]
@@ -51,6 +61,12 @@
     pub probe: ProbeConfig,
     /// Gossip.
     pub gossip: GossipConfig,
+    /// Restating.
+    pub restate: RestateConfig,
+    /// Silence after which an entry VM that never announced its leave is removed.
+    pub silence: Duration,
+    /// Agents to start from while the log is out.
+    pub peers: Vec<String>,
     /// Keys that authenticate gossip.
     pub keys: KeyRing,
     /// Seed of the random choices.
@@ -65,7 +81,9 @@
     /// A read of the log ended; `None` says that it failed.
     Read(Option<ReadReply>),
     /// An append ended.
-    Appended(AppendEnd),
+    Appended(FlightId, AppendEnd),
+    /// A peer's agent handed over its states; `None` says that it failed.
+    Fetched(Option<Vec<StreamState>>),
     /// The platform's list came; `None` says that it failed.
     Listed(Option<Vec<VmListing>>),
     /// A probe ended.
@@ -100,7 +118,9 @@
     /// Read the log.
     Read(ReadCall),
     /// Append to the log.
-    Append(AppendCall),
+    Append(FlightId, AppendCall),
+    /// Fetch the states of the agent at this base URL.
+    Fetch(String),
     /// Read the platform's list of VMs.
     List,
     /// Probe a VM.
@@ -123,24 +143,29 @@
 pub struct Agent {
     config: AgentConfig,
     rng: SmallRng,
-    table: Table,
-    members: Members,
-    fleets: BTreeMap<DomainId, Fleet>,
-    claims: Vec<Claims>,
+    folds: Folds,
     appender: Appender,
+    restater: Restater,
     gossip: Gossip,
     prober: Prober,
     spare: f64,
     reading: bool,
     next_read: Time,
     log_up: bool,
-    joined: bool,
+    next_join: Time,
+    left: bool,
+    fetching: bool,
+    next_fetch: Time,
+    next_remove: Time,
     listing: bool,
     next_list: Time,
-    last_round: Time,
+    next_report: Time,
+    last_report: Time,
     version: u64,
     dirty: bool,
     next_publish: Time,
+    published: Time,
+    refused: u64,
 }
 
 impl Agent {
@@ -149,28 +174,29 @@
         let me = config.member.entry.clone();
         Self {
             rng: SmallRng::seed_from_u64(config.seed),
-            table: Table::default(),
-            members: Members::default(),
-            fleets: config
-                .domains
-                .iter()
-                .map(|d| (d.clone(), Fleet::default()))
-                .collect(),
-            claims: (0..config.partitions).map(|_| Claims::default()).collect(),
+            folds: Folds::new(&config.domains, config.partitions),
             appender: Appender::default(),
-            gossip: Gossip::new(config.gossip, me, config.member.incarnation),
+            restater: Restater::new(config.restate),
+            gossip: Gossip::new(config.gossip, me),
             prober: Prober::new(config.probe, charts.vm.clone()),
             spare: 1.0,
             reading: false,
             next_read: Time::ZERO,
             log_up: false,
-            joined: false,
+            next_join: Time::ZERO,
+            left: false,
+            fetching: false,
+            next_fetch: Time::ZERO,
+            next_remove: Time::ZERO,
             listing: false,
             next_list: Time::ZERO,
-            last_round: Time::ZERO,
+            next_report: Time::ZERO,
+            last_report: Time::ZERO,
             version: 0,
             dirty: true,
             next_publish: Time::ZERO,
+            published: Time::ZERO,
+            refused: 0,
             config,
         }
     }
@@ -180,7 +206,8 @@
         match input {
             Input::Tick => self.tick(now, out),
             Input::Read(reply) => self.take_read(now, reply, out),
-            Input::Appended(end) => settle(out, self.appender.ended(end)),
+            Input::Appended(id, end) => settle(out, self.appender.ended(id, end)),
+            Input::Fetched(states) => self.take_states(now, states),
             Input::Listed(list) => self.take_list(now, list),
             Input::Probed {
                 vm,
@@ -196,24 +223,37 @@
                 let changed = self.prober_probed(now, &report);
                 self.mark(changed);
             }
-            Input::Datagram(bytes) => self.take_datagram(now, &bytes),
+            Input::Datagram(bytes) => self.take_datagram(now, &bytes, out),
             Input::Submit {
                 ticket,
                 submit,
                 deadline,
             } => {
-                self.submit(now, ticket, submit, deadline);
+                let refused = self.submit(now, ticket, submit, deadline);
+                out.extend(refused.map(|end| Output::Settle(ticket, end)));
             }
             Input::Spare(spare) => self.spare = spare,
             Input::Leave => self.leave(now),
         }
-        out.extend(self.appender.flush().map(Output::Append));
+        let held = self.restater.holds(now, &self.folds);
+        let append = self.appender.flush(now, held);
+        out.extend(append.map(|(id, call)| Output::Append(id, call)));
         self.publish(now, out);
     }
 
     /// Returns the folded claims of a partition.
     pub fn claims(&self, partition: u32) -> Option<&Claims> {
-        self.claims.get(partition as usize)
+        self.folds.claims.get(partition as usize)
+    }
+
+    /// Returns the number of datagrams refused as malformed or not authentic.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
+    /// Returns the folded streams.
+    pub fn folds(&self) -> &Folds {
+        &self.folds
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -230,23 +270,17 @@
         self.mark(expired);
         self.probe(now, out);
         self.gossip(now, out);
+        self.report(now, out);
+        self.join(now);
+        self.restate(now);
+        self.remove_silent(now);
+        self.fetch(now, out);
     }
 
     fn read(&mut self, out: &mut Vec<Output>) {
         self.reading = true;
-        let mut wants = vec![
-            (StreamId::new(CONFIG_STREAM), self.table.next),
-            (StreamId::new(MEMBERS_STREAM), self.members.next),
-        ];
-        wants.extend(self.fleets.iter().map(|(d, f)| (fleet_stream(d), f.next)));
-        wants.extend(
-            self.claims
-                .iter()
-                .enumerate()
-                .map(|(p, c)| (claims_stream(p), c.next)),
-        );
         out.push(Output::Read(ReadCall {
-            wants,
+            wants: self.folds.wants(),
             wait_ms: READ_WAIT_MS,
             limit: READ_LIMIT,
         }));
@@ -255,84 +289,56 @@
     fn take_read(&mut self, now: Time, reply: Option<ReadReply>, out: &mut Vec<Output>) {
         self.reading = false;
         let up = reply.is_some();
-        self.dirty |= self.log_up != up;
+        let changed = self.log_up != up;
         self.log_up = up;
+        self.mark(changed);
         let Some(reply) = reply else {
             self.next_read = now + READ_RETRY;
             return;
         };
         for part in &reply.parts {
-            self.fold(part, out);
+            let folded = self.folds.take(now, part);
+            self.mark(!part.records.is_empty());
+            for end in folded {
+                self.take_folded(now, &part.stream, end, out);
+            }
         }
-        if !self.joined {
-            self.joined = true;
-            self.announce(now, MemberChange::Join(self.config.member.clone()));
+        self.gossip.follow(now, &self.folds.members);
+        if changed {
+            self.restater.resume(now);
         }
         self.read(out);
     }
 
-    fn fold(&mut self, part: &StreamPart, out: &mut Vec<Output>) {
-        for (offset, bytes) in &part.records {
-            let settled = self.fold_record(&part.stream, *offset, bytes);
-            self.dirty = true;
-            let Some((nonce, settled)) = settled else {
-                continue;
-            };
-            let ticket = self.appender.read_back(nonce);
-            out.extend(ticket.map(|t| Output::Settle(t, settled)));
-        }
-    }
-
-    fn fold_record(
-        &mut self,
-        stream: &StreamId,
-        offset: Offset,
-        bytes: &[u8],
-    ) -> Option<(Nonce, Settled)> {
-        let accepted = Settled::Accepted { offset };
-        match stream.as_str().split_once('/') {
-            None if stream.as_str() == CONFIG_STREAM => {
-                let record: ConfigRecord = codec::decode(bytes).ok()?;
-                let folded = self.table.fold(offset, &record);
-                Some((
-                    record.nonce,
-                    folded.map_or_else(Settled::ConfigRefused, |()| accepted),
-                ))
-            }
-            None => {
-                let record: MemberRecord = codec::decode(bytes).ok()?;
-                self.members.fold(offset, &record);
-                Some((record.nonce, accepted))
+    fn take_folded(&mut self, now: Time, stream: &StreamId, folded: Folded, out: &mut Vec<Output>) {
+        let (nonce, settled) = match folded {
+            Folded::Settled(nonce, settled) => (nonce, settled),
+            Folded::Marked(nonce, snapshot) => {
+                if self.restater.marked(nonce) {
+                    self.append_restate(now, stream.clone(), Restate::Snapshot(snapshot));
+                }
+                let offset = self.folds.table.next;
+                (nonce, Settled::Accepted { offset })
             }
-            Some(("fleet", shard)) => {
-                let record: FleetRecord = codec::decode(bytes).ok()?;
-                let folded = self.fleets.get_mut(shard)?.fold(offset, &record);
-                Some((
-                    record.nonce,
-                    folded.map_or_else(Settled::FleetRefused, |()| accepted),
-                ))
-            }
-            Some((_, partition)) => {
-                let claims = self.claims.get_mut(partition.parse::<usize>().ok()?)?;
-                let record: ClaimRecord = codec::decode(bytes).ok()?;
-                let folded = claims.fold(offset, &record);
-                let settled = match (folded, claims.get(&record.key)) {
-                    (Err(_), Some(held)) => Settled::ClaimTaken {
-                        owner: held.owner.clone(),
-                        answer: held.answer.clone(),
-                    },
-                    (Err(_), None) => Settled::NotAppended,
-                    (Ok(()), _) => accepted,
-                };
-                Some((record.nonce, settled))
-            }
-        }
+        };
+        let ticket = self.appender.read_back(nonce).filter(|t| *t != NOBODY);
+        out.extend(ticket.map(|t| Output::Settle(t, settled)));
     }
 
-    fn submit(&mut self, now: Time, ticket: Ticket, submit: Submit, deadline: Time) {
+    /// Queues a record, or returns why it is refused at once.
+    fn submit(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        submit: Submit,
+        deadline: Time,
+    ) -> Option<Settled> {
         let nonce = Nonce(self.rng.next_u64());
         let (stream, record) = match submit {
             Submit::Config { author, edits } => {
+                if let Some(refused) = self.refuse_edits(now, &edits) {
+                    return Some(refused);
+                }
                 let record = ConfigRecord {
                     nonce,
                     author,
@@ -356,25 +362,152 @@
                 (claims_stream(partition), codec::encode(&record))
             }
         };
-        self.appender
-            .submit(ticket, nonce, stream, record, deadline);
+        if self.folds.is_gap(&stream) {
+            return Some(Settled::Gap);
+        }
+        self.appender.submit(Submission {
+            ticket,
+            nonce,
+            stream,
+            record,
+            deadline,
+        });
+        None
+    }
+
+    /// Refuses edits that lost a race already, or that are at fault.
+    fn refuse_edits(&self, now: Time, edits: &[Edit]) -> Option<Settled> {
+        if !self.folds.is_synced() {
+            return None;
+        }
+        let table = &self.folds.table;
+        for edit in edits {
+            let entry = table.entry(&edit.key);
+            if entry.is_some_and(|e| Some(e.version) > edit.base) {
+                return Some(Settled::ConfigRefused(Refusal::Conflict {
+                    key: edit.key.clone(),
+                    entry: entry.cloned(),
+                }));
+            }
+        }
+        let mut vms: BTreeMap<DomainId, usize> = BTreeMap::new();
+        for status in self.prober.statuses(now).into_values() {
+            if status.listing.role == VmRole::Engine {
+                *vms.entry(status.listing.domain).or_insert(0) += 1;
+            }
+        }
+        let faults = check::check(table, edits, &vms);
+        (!faults.is_empty()).then_some(Settled::ConfigInvalid(faults))
     }
 
     fn announce(&mut self, now: Time, change: MemberChange) {
         let nonce = Nonce(self.rng.next_u64());
-        let record = codec::encode(&MemberRecord { nonce, change });
-        let stream = StreamId::new(MEMBERS_STREAM);
-        let nobody = Ticket(u64::MAX);
-        self.appender
-            .submit(nobody, nonce, stream, record, now + JOIN_TIMEOUT);
+        self.appender.submit(Submission {
+            ticket: NOBODY,
+            nonce,
+            stream: StreamId::new(MEMBERS_STREAM),
+            record: codec::encode(&MemberRecord { nonce, change }),
+            deadline: now + JOIN_EVERY,
+        });
+    }
+
+    /// Announces this run until the log has it, also after another agent removed it as silent.
+    fn join(&mut self, now: Time) {
+        let wanted = &self.config.member;
+        let known = self.folds.members.get(&wanted.entry);
+        let joined = known.is_some_and(|m| m.incarnation >= wanted.incarnation);
+        if joined || self.left || !self.folds.is_synced() || !self.log_up || now < self.next_join {
+            return;
+        }
+        self.next_join = now + JOIN_EVERY;
+        self.announce(now, MemberChange::Join(self.config.member.clone()));
     }
 
     fn leave(&mut self, now: Time) {
+        self.left = true;
         let member = &self.config.member;
         let change = MemberChange::Leave(member.entry.clone(), member.incarnation);
         self.announce(now, change);
     }
 
+    /// Marks the streams that this agent is to restate.
+    fn restate(&mut self, now: Time) {
+        if !self.log_up {
+            return;
+        }
+        let live = live_names(&self.config.member.entry, &self.gossip);
+        let due = self.restater.due(now, &self.folds, &live, live[0]);
+        let horizon_ms = self.restater.horizon_ms(now);
+        for stream in due {
+            let nonce = self.append_restate(now, stream, Restate::Mark { horizon_ms });
+            self.restater.mark(now, nonce);
+        }
+    }
+
+    fn append_restate(&mut self, now: Time, stream: StreamId, restate: Restate) -> Nonce {
+        let nonce = Nonce(self.rng.next_u64());
+        let submission = Submission {
+            ticket: NOBODY,
+            nonce,
+            stream,
+            record: codec::encode(&RestateRecord { nonce, restate }),
+            deadline: now + self.config.restate.stagger,
+        };
+        self.appender.submit_urgent(submission);
+        nonce
+    }
+
+    /// Removes one entry VM that vanished without a leave, if this agent is the one to do so.
+    fn remove_silent(&mut self, now: Time) {
+        if now < self.next_remove || !self.log_up || !self.gossip.sees_majority() {
+            return;
+        }
+        let live = live_names(&self.config.member.entry, &self.gossip);
+        let mine = |e: &EntryId| {
+            let key = e.as_str().as_bytes();
+            rendezvous::owners(key, live.iter().copied(), 1).contains(&live[0])
+        };
+        let silent = self.gossip.silent(now, self.config.silence);
+        let Some(entry) = silent.map(|p| &p.entry).find(|e| mine(e)) else {
+            return;
+        };
+        let Some(run) = self.folds.members.get(entry).map(|m| m.incarnation) else {
+            return;
+        };
+        let change = MemberChange::Remove(entry.clone(), run);
+        self.next_remove = now + REMOVE_EVERY;
+        self.announce(now, change);
+    }
+
+    /// Fetches states from a peer while the log can't give them.
+    fn fetch(&mut self, now: Time, out: &mut Vec<Output>) {
+        let gap = self.folds.gaps().next().is_some();
+        let wanted = gap || (!self.log_up && !self.folds.is_synced());
+        if !wanted || self.fetching || now < self.next_fetch {
+            return;
+        }
+        let own = &self.config.member.agent;
+        let mut urls: BTreeSet<&String> = self.config.peers.iter().collect();
+        urls.extend(self.folds.members.iter().map(|m| &m.agent));
+        urls.remove(own);
+        let urls: Vec<&String> = urls.into_iter().collect();
+        let Some(url) = urls.choose(&mut self.rng) else {
+            return;
+        };
+        self.fetching = true;
+        self.next_fetch = now + FETCH_EVERY;
+        out.push(Output::Fetch((*url).clone()));
+    }
+
+    fn take_states(&mut self, now: Time, states: Option<Vec<StreamState>>) {
+        self.fetching = false;
+        if let Some(states) = states {
+            self.folds.import(&states);
+            self.gossip.follow(now, &self.folds.members);
+            self.mark(true);
+        }
+    }
+
     fn take_list(&mut self, now: Time, list: Option<Vec<VmListing>>) {
         self.listing = false;
         if let Some(list) = list {
@@ -389,58 +522,64 @@
     }
 
     fn probe(&mut self, now: Time, out: &mut Vec<Output>) {
-        let live: Vec<&str> = self
-            .members
-            .iter()
-            .map(|m| &m.entry)
-            .filter(|e| self.gossip.live(now, e).is_some())
-            .map(EntryId::as_str)
-            .collect();
-        let me = self.config.member.entry.as_str();
+        let live = live_names(&self.config.member.entry, &self.gossip);
         let mine = |vm: &VmId| {
             let key = vm.as_str().as_bytes();
             let owners = rendezvous::owners(key, live.iter().copied(), PROBERS_PER_VM);
-            owners.contains(&me)
+            owners.contains(&live[0])
         };
         out.extend(self.prober.due(now, mine).into_iter().map(Output::Probe));
     }
 
     fn gossip(&mut self, now: Time, out: &mut Vec<Output>) {
-        if !self.gossip.round(now, self.spare, self.table.next.0) {
+        self.gossip.set_beat(self.spare, self.folds.table.next.0);
+        let mut mails = Vec::new();
+        self.gossip.tick(now, &mut self.rng, &mut mails);
+        self.post(mails, out);
+    }
+
+    /// Sends what was probed since the last time, split over datagrams of bounded size.
+    fn report(&mut self, now: Time, out: &mut Vec<Output>) {
+        if now < self.next_report {
             return;
         }
-        let members: Vec<EntryId> = self.members.iter().map(|m| m.entry.clone()).collect();
-        let since = self.last_round - self.config.gossip.every;
-        self.last_round = now;
-        let message = GossipMessage {
-            from: self.config.member.entry.clone(),
-            beats: self.gossip.beats(&mut self.rng),
-            reports: self.prober.reports(now, since),
-        };
-        let bytes = self.config.keys.seal(&message);
-        for target in self.gossip.targets(&members, &mut self.rng) {
-            if let Some(member) = self.members.get(&target) {
-                out.push(Output::Send {
-                    to: member.gossip.clone(),
-                    bytes: bytes.clone(),
-                });
+        let reports = self.prober.reports(now, self.last_report);
+        self.last_report = now;
+        self.next_report = now + self.config.gossip.reports;
+        for part in split(reports, self.config.gossip.payload) {
+            let bytes = self.config.keys.seal(&GossipMessage::Reports(part));
+            for to in self.gossip.report_targets(&mut self.rng) {
+                let bytes = bytes.clone();
+                out.push(Output::Send { to, bytes });
             }
         }
     }
 
-    fn take_datagram(&mut self, now: Time, bytes: &[u8]) {
-        let Some(message) = self.config.keys.open(bytes) else {
-            return;
-        };
-        for beat in message.beats {
-            self.gossip.take(now, beat);
+    fn post(&self, mails: Vec<Mail>, out: &mut Vec<Output>) {
+        for mail in mails {
+            let bytes = self.config.keys.seal(&GossipMessage::Packet(mail.packet));
+            out.push(Output::Send { to: mail.to, bytes });
         }
-        let mut changed = false;
-        for report in &message.reports {
-            changed |= self.prober.reported(now, report);
+    }
+
+    fn take_datagram(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Output>) {
+        match self.config.keys.open(bytes) {
+            None => self.refused += 1,
+            Some(GossipMessage::Packet(packet)) => {
+                let mut mails = Vec::new();
+                self.gossip.take(now, &packet, &mut self.rng, &mut mails);
+                self.post(mails, out);
+                self.dirty = true;
+            }
+            Some(GossipMessage::Reports(reports)) => {
+                let mut changed = false;
+                for report in &reports {
+                    changed |= self.prober.reported(now, report);
+                }
+                self.mark(changed);
+                self.dirty = true;
+            }
         }
-        self.mark(changed);
-        self.dirty = true;
     }
 
     fn mark(&mut self, urgent: bool) {
@@ -451,9 +590,11 @@
     }
 
     fn publish(&mut self, now: Time, out: &mut Vec<Output>) {
-        if !self.dirty || now < self.next_publish {
+        let early = now < self.next_publish || now < self.published + PUBLISH_GAP;
+        if !self.dirty || early && self.version > 0 || !self.folds.is_synced() {
             return;
         }
+        self.published = now;
         self.dirty = false;
         self.next_publish = now + PUBLISH_EVERY;
         self.version += 1;
@@ -463,47 +604,64 @@
     fn view(&self, now: Time) -> View {
         View {
             version: self.version,
-            table: self.table.clone(),
+            table: self.folds.table.clone(),
             entries: self
+                .folds
                 .members
                 .iter()
-                .map(|m| self.entry_status(now, m))
+                .map(|m| self.entry_status(m))
                 .collect(),
             vms: self.prober.statuses(now),
-            fleets: self.fleets.clone(),
+            fleets: self.folds.fleets.clone(),
             log_up: self.log_up,
             peers_up: self.gossip.peers_up(now),
+            gaps: self.folds.gaps().cloned().collect(),
+            alarms: self.folds.alarms,
         }
     }
 
-    fn entry_status(&self, now: Time, member: &Member) -> EntryStatus {
-        let beat = self
-            .gossip
-            .live(now, &member.entry)
-            .filter(|b| b.run == member.incarnation);
+    fn entry_status(&self, member: &Member) -> EntryStatus {
+        let own = member.incarnation == self.config.member.incarnation
+            && member.entry == self.config.member.entry;
+        let peer = self.gossip.live(&self.folds.members, &member.entry);
+        let spare = peer.map_or(0.0, |p| f64::from(p.beat.spare) / 100.0);
         EntryStatus {
             member: member.clone(),
-            live: beat.is_some(),
-            spare: beat.map_or(0.0, |b| b.spare),
-            config: beat.map_or(0, |b| b.config),
+            live: own || peer.is_some(),
+            spare: if own { self.spare } else { spare },
+            config: match own {
+                true => self.folds.table.next.0,
+                false => peer.map_or(0, |p| p.beat.config),
+            },
         }
     }
 }
 
-/// Returns the name of a shard's stream.
-pub fn fleet_stream(shard: &DomainId) -> StreamId {
-    StreamId::new(format!("fleet/{shard}"))
+/// Lists the entry VMs that are held alive, this one first.
+fn live_names<'a>(me: &'a EntryId, gossip: &'a Gossip) -> Vec<&'a str> {
+    let peers = gossip.live_peers().map(|p| p.entry.as_str());
+    std::iter::once(me.as_str()).chain(peers).collect()
 }
 
-/// Returns the name of a claims partition's stream.
-pub fn claims_stream(partition: usize) -> StreamId {
-    StreamId::new(format!("claims/{partition}"))
+/// Splits reports into runs whose encodings stay within `payload` bytes, but for single large ones.
+fn split(reports: Vec<VmReport>, payload: usize) -> Vec<Vec<VmReport>> {
+    let mut out: Vec<Vec<VmReport>> = Vec::new();
+    let mut room = 0;
+    for report in reports {
+        let bytes = codec::encode(&report).len();
+        if bytes > room {
+            out.push(Vec::new());
+            room = payload;
+        }
+        room = room.saturating_sub(bytes);
+        if let Some(last) = out.last_mut() {
+            last.push(report);
+        }
+    }
+    out
 }
 
 fn settle(out: &mut Vec<Output>, settled: Vec<(Ticket, Settled)>) {
-    out.extend(
-        settled
-            .into_iter()
-            .map(|(ticket, end)| Output::Settle(ticket, end)),
-    );
+    let awaited = settled.into_iter().filter(|(t, _)| *t != NOBODY);
+    out.extend(awaited.map(|(ticket, end)| Output::Settle(ticket, end)));
 }
--- a/lib/src/appender.rs
+++ b/lib/src/appender.rs
@@ -2,9 +2,11 @@
 //!
 //! One append is in flight at a time; what is submitted meanwhile goes with the next one. A record
 //! whose reply is lost is never appended again: its nonce is awaited among the records read, and if
-//! it doesn't appear before its deadline the outcome is unknown.
+//! it doesn't appear before its deadline the outcome is unknown. An append without any end is given
+//! up as lost, so that it never blocks those behind it for ever.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use serde_bytes::ByteBuf;
 
@@ -15,11 +17,19 @@
 
 /// Records that one append carries at most.
 const BATCH_RECORDS: usize = 256;
+/// Bytes of records after which an append takes no more.
+const BATCH_BYTES: usize = 256 << 10;
+/// Time after which an append without an end is held lost.
+const FLIGHT_BOUND: Duration = Duration::from_secs(3);
 
 /// Names a submission within one process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
+/// Names an append within one process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FlightId(pub u64);
+
 /// Says how an append ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AppendEnd {
@@ -31,78 +41,94 @@
     Lost,
 }
 
+/// A record to append.
 #[derive(Debug)]
-struct Submission {
-    ticket: Ticket,
-    nonce: Nonce,
-    stream: StreamId,
-    record: Vec<u8>,
-    deadline: Time,
+pub struct Submission {
+    /// Names it to the submitter.
+    pub ticket: Ticket,
+    /// Tells its record apart.
+    pub nonce: Nonce,
+    /// The stream.
+    pub stream: StreamId,
+    /// The encoded record.
+    pub record: Vec<u8>,
+    /// When the submitter stops waiting.
+    pub deadline: Time,
+}
+
+#[derive(Debug)]
+struct Flight {
+    id: FlightId,
+    sent: Time,
+    records: Vec<(Ticket, Nonce)>,
 }
 
 /// Records on their way to the log.
 #[derive(Debug, Default)]
 pub struct Appender {
+    urgent: VecDeque<Submission>,
     queue: VecDeque<Submission>,
-    flight: Vec<Submission>,
+    flight: Option<Flight>,
+    last: FlightId,
     waiting: BTreeMap<Nonce, (Ticket, Time)>,
 }
 
 impl Appender {
     /// Queues a record.
-    pub fn submit(
-        &mut self,
-        ticket: Ticket,
-        nonce: Nonce,
-        stream: StreamId,
-        record: Vec<u8>,
-        deadline: Time,
-    ) {
-        self.queue.push_back(Submission {
-            ticket,
-            nonce,
-            stream,
-            record,
-            deadline,
-        });
+    pub fn submit(&mut self, submission: Submission) {
+        self.queue.push_back(submission);
+    }
+
+    /// Queues a record that restates a stream, which goes before all others.
+    pub fn submit_urgent(&mut self, submission: Submission) {
+        self.urgent.push_back(submission);
     }
 
     /// Returns the next append, unless one is in flight or nothing is queued.
-    pub fn flush(&mut self) -> Option<AppendCall> {
-        if !self.flight.is_empty() {
+    ///
+    /// While `held`, only records that restate a stream go.
+    pub fn flush(&mut self, now: Time, held: bool) -> Option<(FlightId, AppendCall)> {
+        if self.flight.is_some() {
             return None;
         }
-        let stream = self.queue.front()?.stream.clone();
-        let mut rest = VecDeque::new();
-        while let Some(s) = self.queue.pop_front() {
-            if s.stream == stream && self.flight.len() < BATCH_RECORDS {
-                self.flight.push(s);
-            } else {
-                rest.push_back(s);
-            }
-        }
-        self.queue = rest;
-        for s in &self.flight {
+        let queue = match (self.urgent.is_empty(), held) {
+            (false, _) => &mut self.urgent,
+            (true, false) => &mut self.queue,
+            (true, true) => return None,
+        };
+        let batch = take_batch(queue)?;
+        self.last.0 += 1;
+        let stream = batch[0].stream.clone();
+        let mut flight = Flight {
+            id: self.last,
+            sent: now,
+            records: Vec::with_capacity(batch.len()),
+        };
+        let mut records = Vec::with_capacity(batch.len());
+        for s in batch {
             self.waiting.insert(s.nonce, (s.ticket, s.deadline));
+            flight.records.push((s.ticket, s.nonce));
+            records.push(ByteBuf::from(s.record));
         }
-        let records = self
-            .flight
-            .iter()
-            .map(|s| ByteBuf::from(s.record.clone()))
-            .collect();
-        Some(AppendCall { stream, records })
+        self.flight = Some(flight);
+        Some((self.last, AppendCall { stream, records }))
     }
 
-    /// Takes the end of the append in flight; returns the submissions that it settles.
-    pub fn ended(&mut self, end: AppendEnd) -> Vec<(Ticket, Settled)> {
-        let flight = std::mem::take(&mut self.flight);
+    /// Takes the end of an append; returns the submissions that it settles.
+    ///
+    /// The end of an append that was given up already is ignored.
+    pub fn ended(&mut self, id: FlightId, end: AppendEnd) -> Vec<(Ticket, Settled)> {
+        let Some(flight) = self.flight.take_if(|f| f.id == id) else {
+            return Vec::new();
+        };
         match end {
             AppendEnd::Taken | AppendEnd::Lost => Vec::new(),
             AppendEnd::Refused => {
                 let known = flight
-                    .iter()
-                    .filter(|s| self.waiting.remove(&s.nonce).is_some());
-                known.map(|s| (s.ticket, Settled::NotAppended)).collect()
+                    .records
+                    .into_iter()
+                    .filter(|(_, nonce)| self.waiting.remove(nonce).is_some());
+                known.map(|(t, _)| (t, Settled::NotAppended)).collect()
             }
         }
     }
@@ -112,16 +138,19 @@
         self.waiting.remove(&nonce).map(|(ticket, _)| ticket)
     }
 
-    /// Returns the submissions whose deadline has passed.
+    /// Gives up an append without an end, and returns the submissions whose deadline has passed.
     pub fn expire(&mut self, now: Time) -> Vec<(Ticket, Settled)> {
+        self.flight.take_if(|f| now.since(f.sent) >= FLIGHT_BOUND);
         let mut out = Vec::new();
-        self.queue.retain(|s| {
-            let due = s.deadline <= now;
-            if due {
-                out.push((s.ticket, Settled::NotAppended));
-            }
-            !due
-        });
+        for queue in [&mut self.urgent, &mut self.queue] {
+            queue.retain(|s| {
+                let due = s.deadline <= now;
+                if due {
+                    out.push((s.ticket, Settled::NotAppended));
+                }
+                !due
+            });
+        }
         self.waiting.retain(|_, (ticket, deadline)| {
             let due = *deadline <= now;
             if due {
@@ -132,3 +161,21 @@
         out
     }
 }
+
+/// Takes the records of the first one's stream, in order, up to the size of one append.
+fn take_batch(queue: &mut VecDeque<Submission>) -> Option<Vec<Submission>> {
+    let stream = queue.front()?.stream.clone();
+    let (mut batch, mut rest) = (Vec::new(), VecDeque::new());
+    let mut bytes = 0;
+    for s in queue.drain(..) {
+        let fits = batch.len() < BATCH_RECORDS && bytes < BATCH_BYTES;
+        if s.stream == stream && fits {
+            bytes += s.record.len();
+            batch.push(s);
+        } else {
+            rest.push_back(s);
+        }
+    }
+    *queue = rest;
+    Some(batch)
+}
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -63,22 +63,33 @@
     pub answer: Option<Answer>,
 }
 
-/// Says that a record was ignored, since another claim stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ClaimTaken;
+/// Says why a record was ignored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimRefusal {
+    /// Another claim stands, or there is none to release or finish.
+    Taken,
+    /// The key lies before the horizon, so whether it was claimed is no longer known.
+    Expired,
+}
 
 /// The folded claims of one partition.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claims {
     /// Offset of the next record to fold.
     pub next: Offset,
+    /// Keys made before this time, in milliseconds since the Unix epoch, can't be claimed.
+    #[serde(default)]
+    pub horizon_ms: u64,
     claims: BTreeMap<Uuid, Claim>,
 }
 
 impl Claims {
     /// Folds the record at `offset`, which every reader accepts or ignores alike.
-    pub fn fold(&mut self, offset: Offset, record: &ClaimRecord) -> Result<(), ClaimTaken> {
+    pub fn fold(&mut self, offset: Offset, record: &ClaimRecord) -> Result<(), ClaimRefusal> {
         self.next = Offset(offset.0 + 1);
+        if made_ms(&record.key) < self.horizon_ms {
+            return Err(ClaimRefusal::Expired);
+        }
         let held = self.claims.get_mut(&record.key);
         match (&record.change, held) {
             (ClaimChange::Claim, None) => {
@@ -98,7 +109,18 @@
                 c.answer.get_or_insert_with(|| answer.clone());
                 Ok(())
             }
-            _ => Err(ClaimTaken),
+            _ => Err(ClaimRefusal::Taken),
+        }
+    }
+
+    /// Drops the claims on keys made before `horizon_ms`.
+    ///
+    /// Such keys can't be claimed any more, so that dropping a claim too early refuses work but
+    /// never runs it twice.
+    pub fn drop_before(&mut self, horizon_ms: u64) {
+        if horizon_ms > self.horizon_ms {
+            self.horizon_ms = horizon_ms;
+            self.claims.retain(|key, _| made_ms(key) >= horizon_ms);
         }
     }
 
@@ -122,3 +144,9 @@
 pub fn partition(key: &Uuid, partitions: u32) -> u32 {
     (xxhash_rust::xxh3::xxh3_64(key.as_bytes()) % u64::from(partitions.max(1))) as u32
 }
+
+/// Returns when a key was made, in milliseconds since the Unix epoch.
+fn made_ms(key: &Uuid) -> u64 {
+    let made = key.get_timestamp().map(|stamp| stamp.to_unix());
+    made.map_or(0, |(s, ns)| s * 1_000 + u64::from(ns / 1_000_000))
+}
--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -38,3 +38,12 @@
         length: bytes.len(),
     })
 }
+
+/// Encodes a message without field names, for datagrams whose form is numbered.
+///
+/// # Panics
+///
+/// Panics if the value can't be represented, which is a bug in its type.
+pub fn encode_compact(value: &impl Serialize) -> Vec<u8> {
+    rmp_serde::to_vec(value).expect("messages are made of encodable fields")
+}
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -367,7 +367,7 @@
                 answer: None,
                 owner,
             } if self.is_live(&owner) => Code::InProgress,
-            Settled::ClaimTaken { .. } => Code::MayHaveRun,
+            Settled::ClaimTaken { .. } | Settled::ClaimExpired => Code::MayHaveRun,
             Settled::Unknown => Code::ClaimUnknown,
             _ => Code::ClaimUnavailable,
         };
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -1,33 +1,89 @@
-//! Liveness of entry VMs, spread by gossip at a constant cost to each.
+//! Liveness of entry VMs at a cost that doesn't grow with their number.
+//!
+//! Each round an entry VM pings one other, in a shuffled order. Without an ack it asks a few others
+//! to ping in its place, and failing that spreads a suspicion. The suspect refutes it with a higher
+//! incarnation, or is held dead once the suspicion has stood for its time. Changes of status travel
+//! on the pings and acks, each a number of times that grows with the logarithm of the members.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 
-use crate::ids::{EntryId, Incarnation};
-use crate::peers::Beat;
+use crate::ids::EntryId;
+use crate::members::Members;
+use crate::peers::{Beat, Packet, PacketKind, Status, Update};
 use crate::time::Time;
 
+/// Rounds after which one entry VM that is held dead is pinged too, so that a partition heals.
+const DEAD_ROUNDS: u32 = 4;
+/// Beats in the ack to an entry VM that has heard of few others.
+const FULL_BEATS: usize = 56;
+/// Transmissions of an update for each doubling of the members.
+const TRANSMIT_FACTOR: u32 = 3;
+/// Updates in one packet.
+const UPDATES: usize = 6;
+/// Age of a packet, against the newest of its sender, from which it is held replayed.
+const REPLAY_WINDOW_MS: u64 = 2_000;
+
 /// How liveness is spread.
 #[derive(Debug, Clone, Copy)]
 pub struct GossipConfig {
     /// Time between two rounds.
     pub every: Duration,
-    /// Entry VMs that one round reaches.
-    pub fanout: usize,
-    /// Entry VMs that one datagram tells of.
+    /// Time without an ack after which others are asked to ping.
+    pub ack: Duration,
+    /// Time a suspicion stands among ten members before its target is held dead.
+    pub suspicion: Duration,
+    /// Others that are asked to ping.
+    pub relays: usize,
+    /// Beats in one packet.
     pub beats: usize,
-    /// Time without a new beat after which an entry VM is held dead.
-    pub bound: Duration,
+    /// Entry VMs that a datagram of probe reports goes to.
+    pub fanout: usize,
+    /// Time between two datagrams of probe reports.
+    pub reports: Duration,
+    /// Bytes of probe reports in one datagram.
+    pub payload: usize,
 }
 
+/// A packet on its way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Mail {
+    /// UDP address.
+    pub to: String,
+    /// The packet.
+    pub packet: Packet,
+}
+
+/// An entry VM as gossip knows it.
 #[derive(Debug)]
-struct Heard {
-    beat: Beat,
-    at: Time,
+pub struct Peer {
+    /// Its name.
+    pub entry: EntryId,
+    /// Its last beat.
+    pub beat: Beat,
+    address: String,
+    status: Status,
+    incarnation: u32,
+    since: Time,
+    stamp: u64,
+}
+
+#[derive(Debug)]
+struct Probing {
+    target: u64,
+    seq: u32,
+    sent: Time,
+    relayed: bool,
+}
+
+#[derive(Debug)]
+struct News {
+    update: Update,
+    sent: u32,
 }
 
 /// What one entry VM knows of the others' liveness.
@@ -35,99 +91,426 @@
 pub struct Gossip {
     config: GossipConfig,
     me: EntryId,
-    heard: BTreeMap<EntryId, Heard>,
+    number: Option<u64>,
+    incarnation: u32,
+    beat: Beat,
+    peers: BTreeMap<u64, Peer>,
+    order: Vec<u64>,
+    probing: Option<Probing>,
+    relays: BTreeMap<u32, (u64, u32)>,
+    news: Vec<News>,
+    seq: u32,
+    rounds: u32,
+    stamp: u64,
     next: Time,
+    last: Time,
+    heard: Option<Time>,
+    /// Packets refused as replayed.
+    pub replays: u64,
 }
 
 impl Gossip {
-    /// Makes the gossip state of the entry VM `me` in its run `run`.
-    pub fn new(config: GossipConfig, me: EntryId, run: Incarnation) -> Self {
-        let beat = Beat {
-            entry: me.clone(),
-            run,
-            count: 0,
-            spare: 1.0,
-            config: 0,
-        };
-        let heard = BTreeMap::from([(
-            me.clone(),
-            Heard {
-                beat,
-                at: Time::ZERO,
-            },
-        )]);
+    /// Makes the gossip state of the entry VM `me`.
+    pub fn new(config: GossipConfig, me: EntryId) -> Self {
         Self {
             config,
             me,
-            heard,
+            number: None,
+            incarnation: 0,
+            beat: Beat::default(),
+            peers: BTreeMap::new(),
+            order: Vec::new(),
+            probing: None,
+            relays: BTreeMap::new(),
+            news: Vec::new(),
+            seq: 0,
+            rounds: 0,
+            stamp: 0,
             next: Time::ZERO,
+            last: Time::ZERO,
+            heard: None,
+            replays: 0,
         }
     }
 
-    /// Returns whether a round is due, and starts it by a new beat of its own.
-    pub fn round(&mut self, now: Time, spare: f64, config: u64) -> bool {
-        if now < self.next {
-            return false;
+    /// Follows the members that the log announces.
+    pub fn follow(&mut self, now: Time, members: &Members) {
+        self.number = members.number(&self.me);
+        self.beat.member = self.number.unwrap_or_default();
+        let current = |n: &u64, p: &Peer| members.number(&p.entry) == Some(*n);
+        self.peers.retain(|number, peer| current(number, peer));
+        for member in members.iter().filter(|m| m.entry != self.me) {
+            let Some(number) = members.number(&member.entry) else {
+                continue;
+            };
+            self.peers.entry(number).or_insert_with(|| Peer {
+                entry: member.entry.clone(),
+                beat: Beat::default(),
+                address: member.gossip.clone(),
+                status: Status::Unknown,
+                incarnation: 0,
+                since: now,
+                stamp: 0,
+            });
+        }
+        let known = &self.peers;
+        self.order.retain(|n| known.contains_key(n));
+    }
+
+    /// Sets what its own beats say.
+    pub fn set_beat(&mut self, spare: f64, config: u64) {
+        self.beat.spare = (spare.clamp(0.0, 1.0) * 100.0) as u8;
+        self.beat.config = config;
+    }
+
+    /// Lets time pass: starts rounds, asks relays, and ends suspicions.
+    pub fn tick(&mut self, now: Time, rng: &mut SmallRng, out: &mut Vec<Mail>) {
+        let paused = now.since(self.last) > self.config.every;
+        self.last = now;
+        if self.number.is_none() {
+            return;
+        }
+        if paused {
+            self.recover(now);
+        }
+        self.ask_relays(now, rng, out);
+        self.end_suspicions(now);
+        if now >= self.next {
+            self.next = now + self.config.every;
+            self.start_round(now, rng, out);
+        }
+    }
+
+    /// Takes a packet whose authenticity was checked.
+    pub fn take(&mut self, now: Time, packet: &Packet, rng: &mut SmallRng, out: &mut Vec<Mail>) {
+        let Some(peer) = self.peers.get_mut(&packet.from) else {
+            return;
+        };
+        if packet.stamp + REPLAY_WINDOW_MS < peer.stamp {
+            self.replays += 1;
+            return;
         }
-        self.next = now + self.config.every;
-        if let Some(own) = self.heard.get_mut(&self.me) {
-            own.beat.count += 1;
-            own.beat.spare = spare;
-            own.beat.config = config;
-            own.at = now;
+        peer.stamp = peer.stamp.max(packet.stamp);
+        self.heard = Some(now);
+        self.discover(now, packet.from);
+        for update in &packet.updates {
+            self.take_update(now, *update);
         }
-        true
+        for beat in &packet.beats {
+            self.take_beat(now, *beat);
+        }
+        match packet.kind {
+            PacketKind::Ping => self.ack(now, packet, rng, out),
+            PacketKind::Ack => self.acked(now, packet, rng, out),
+            PacketKind::Relay => self.relay(now, packet, rng, out),
+        }
+    }
+
+    /// Returns an entry VM that is held alive, other than this one.
+    pub fn live(&self, members: &Members, entry: &EntryId) -> Option<&Peer> {
+        let peer = self.peers.get(&members.number(entry)?)?;
+        peer.status.is_live().then_some(peer)
+    }
+
+    /// Lists the entry VMs that are held alive, other than this one.
+    pub fn live_peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|p| p.status.is_live())
+    }
+
+    /// Lists the entry VMs that have not been alive for `silence`.
+    pub fn silent(&self, now: Time, silence: Duration) -> impl Iterator<Item = &Peer> {
+        let silent = move |p: &&Peer| !p.status.is_live() && now.since(p.since) >= silence;
+        self.peers.values().filter(silent)
+    }
+
+    /// Returns whether more than half of the members, this one with them, are held alive.
+    pub fn sees_majority(&self) -> bool {
+        2 * (self.live_peers().count() + 1) > self.peers.len() + 1
     }
 
-    /// Picks the entry VMs that this round reaches.
-    pub fn targets(&self, members: &[EntryId], rng: &mut SmallRng) -> Vec<EntryId> {
-        let others: Vec<&EntryId> = members.iter().filter(|m| **m != self.me).collect();
-        others
+    /// Returns whether a packet of any other entry VM came lately.
+    pub fn peers_up(&self, now: Time) -> bool {
+        let bound = self.config.every * 2 + self.config.suspicion;
+        self.heard.is_some_and(|at| now.since(at) <= bound)
+    }
+
+    /// Picks the addresses that a datagram of probe reports goes to.
+    pub fn report_targets(&self, rng: &mut SmallRng) -> Vec<String> {
+        self.live_peers()
             .choose_multiple(rng, self.config.fanout)
-            .map(|m| (*m).clone())
+            .into_iter()
+            .map(|p| p.address.clone())
             .collect()
     }
 
-    /// Picks the beats that one datagram carries: its own and a random choice of the others'.
-    pub fn beats(&self, rng: &mut impl Rng) -> Vec<Beat> {
-        let others: Vec<&Heard> = self
-            .heard
-            .values()
-            .filter(|h| h.beat.entry != self.me)
+    /// Drops what its own pause would make it believe of the others.
+    fn recover(&mut self, now: Time) {
+        self.probing = None;
+        let suspects = self.peers.values_mut();
+        for peer in suspects.filter(|p| p.status == Status::Suspect) {
+            peer.since = now;
+        }
+    }
+
+    fn start_round(&mut self, now: Time, rng: &mut SmallRng, out: &mut Vec<Mail>) {
+        self.beat.count += 1;
+        self.rounds = self.rounds.wrapping_add(1);
+        if let Some(missed) = self.probing.take() {
+            self.suspect(now, missed.target);
+        }
+        self.relays.clear();
+        if self.rounds.is_multiple_of(DEAD_ROUNDS) {
+            let dead = self.peers.iter().filter(|(_, p)| !p.status.is_live());
+            if let Some(number) = dead.map(|(n, _)| *n).choose(rng) {
+                let seq = self.next_seq();
+                self.send(now, number, PacketKind::Ping, (seq, 0), rng, out);
+            }
+        }
+        let Some(target) = self.next_target(rng) else {
+            return;
+        };
+        let seq = self.next_seq();
+        self.probing = Some(Probing {
+            target,
+            seq,
+            sent: now,
+            relayed: false,
+        });
+        self.send(now, target, PacketKind::Ping, (seq, 0), rng, out);
+    }
+
+    fn next_target(&mut self, rng: &mut SmallRng) -> Option<u64> {
+        loop {
+            if self.order.is_empty() {
+                self.order = self.peers.keys().copied().collect();
+                self.order.shuffle(rng);
+                self.order.retain(|n| self.peers[n].status != Status::Dead);
+            }
+            let number = self.order.pop()?;
+            if self.peers[&number].status != Status::Dead {
+                return Some(number);
+            }
+        }
+    }
+
+    fn ask_relays(&mut self, now: Time, rng: &mut SmallRng, out: &mut Vec<Mail>) {
+        let ack = self.config.ack;
+        let Some(probing) = &mut self.probing else {
+            return;
+        };
+        if probing.relayed || now.since(probing.sent) < ack {
+            return;
+        }
+        probing.relayed = true;
+        let (target, seq) = (probing.target, probing.seq);
+        let others = self.peers.iter();
+        let relays = others
+            .filter(|(n, p)| **n != target && p.status == Status::Alive)
+            .map(|(n, _)| *n)
+            .choose_multiple(rng, self.config.relays);
+        for relay in relays {
+            self.send(now, relay, PacketKind::Relay, (seq, target), rng, out);
+        }
+    }
+
+    fn end_suspicions(&mut self, now: Time) {
+        let time = self.suspicion_time();
+        let ended = |p: &Peer| p.status == Status::Suspect && now.since(p.since) >= time;
+        let ended: Vec<(u64, u32)> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| ended(p))
+            .map(|(n, p)| (*n, p.incarnation))
             .collect();
-        let picked = others.choose_multiple(rng, self.config.beats.saturating_sub(1));
-        let own = self.heard.get(&self.me);
-        own.into_iter()
-            .chain(picked.copied())
-            .map(|h| h.beat.clone())
-            .collect()
+        for (member, incarnation) in ended {
+            self.take_update(
+                now,
+                Update {
+                    member,
+                    status: Status::Dead,
+                    incarnation,
+                },
+            );
+        }
+    }
+
+    fn suspicion_time(&self) -> Duration {
+        let members = (self.peers.len() + 1) as f64;
+        self.config.suspicion.mul_f64(members.log10().max(1.0))
+    }
+
+    fn suspect(&mut self, now: Time, member: u64) {
+        let Some(peer) = self.peers.get(&member) else {
+            return;
+        };
+        if peer.status != Status::Alive {
+            return;
+        }
+        let update = Update {
+            member,
+            status: Status::Suspect,
+            incarnation: peer.incarnation,
+        };
+        self.take_update(now, update);
+    }
+
+    /// Holds an entry VM alive that was never heard of before.
+    fn discover(&mut self, now: Time, member: u64) {
+        if self.peers.get(&member).map(|p| p.status) == Some(Status::Unknown) {
+            let update = Update {
+                member,
+                status: Status::Alive,
+                incarnation: 0,
+            };
+            self.take_update(now, update);
+        }
     }
 
-    /// Takes a beat; only one newer than the last counts as a sign of life.
-    pub fn take(&mut self, now: Time, beat: Beat) {
-        if beat.entry == self.me {
+    fn take_update(&mut self, now: Time, update: Update) {
+        if Some(update.member) == self.number {
+            self.refute(update);
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&update.member) else {
+            return;
+        };
+        let old = (peer.incarnation, peer.status);
+        if update.status == Status::Unknown || (update.incarnation, update.status) <= old {
             return;
         }
-        let known = self
-            .heard
-            .get(&beat.entry)
-            .map(|h| (h.beat.run, h.beat.count));
-        if known.is_none_or(|k| k < (beat.run, beat.count)) {
-            self.heard
-                .insert(beat.entry.clone(), Heard { beat, at: now });
+        peer.incarnation = update.incarnation;
+        if peer.status != update.status {
+            peer.status = update.status;
+            peer.since = now;
         }
+        self.spread(update);
     }
 
-    /// Returns the last beat of an entry VM that is held alive.
-    pub fn live(&self, now: Time, entry: &EntryId) -> Option<&Beat> {
-        let heard = self.heard.get(entry)?;
-        (now.since(heard.at) <= self.config.bound).then_some(&heard.beat)
+    fn refute(&mut self, update: Update) {
+        if update.status == Status::Alive || update.incarnation < self.incarnation {
+            return;
+        }
+        self.incarnation = update.incarnation + 1;
+        self.spread(Update {
+            member: update.member,
+            status: Status::Alive,
+            incarnation: self.incarnation,
+        });
     }
 
-    /// Returns whether any other entry VM is held alive.
-    pub fn peers_up(&self, now: Time) -> bool {
-        self.heard
-            .keys()
-            .any(|e| *e != self.me && self.live(now, e).is_some())
+    fn spread(&mut self, update: Update) {
+        self.news.retain(|n| n.update.member != update.member);
+        self.news.push(News { update, sent: 0 });
+    }
+
+    fn take_beat(&mut self, now: Time, beat: Beat) {
+        let Some(peer) = self.peers.get_mut(&beat.member) else {
+            return;
+        };
+        if beat.count > peer.beat.count {
+            peer.beat = beat;
+            self.discover(now, beat.member);
+        }
+    }
+
+    fn ack(&mut self, now: Time, packet: &Packet, rng: &mut SmallRng, out: &mut Vec<Mail>) {
+        self.send(now, packet.from, PacketKind::Ack, (packet.seq, 0), rng, out);
+        if let Some(mail) = out.last_mut().filter(|_| packet.asks) {
+            mail.packet.beats = self.pick_beats(FULL_BEATS, rng);
+        }
+    }
+
+    fn acked(&mut self, now: Time, packet: &Packet, rng: &mut SmallRng, out: &mut Vec<Mail>) {
+        self.probing.take_if(|p| p.seq == packet.seq);
+        if let Some((asker, seq)) = self.relays.remove(&packet.seq) {
+            self.send(now, asker, PacketKind::Ack, (seq, 0), rng, out);
+        }
+    }
+
+    fn relay(&mut self, now: Time, packet: &Packet, rng: &mut SmallRng, out: &mut Vec<Mail>) {
+        if !self.peers.contains_key(&packet.target) {
+            return;
+        }
+        let seq = self.next_seq();
+        self.relays.insert(seq, (packet.from, packet.seq));
+        self.send(now, packet.target, PacketKind::Ping, (seq, 0), rng, out);
+    }
+
+    fn next_seq(&mut self) -> u32 {
+        self.seq = self.seq.wrapping_add(1);
+        self.seq
     }
+
+    fn send(
+        &mut self,
+        now: Time,
+        to: u64,
+        kind: PacketKind,
+        (seq, target): (u32, u64),
+        rng: &mut SmallRng,
+        out: &mut Vec<Mail>,
+    ) {
+        let (Some(from), Some(peer)) = (self.number, self.peers.get(&to)) else {
+            return;
+        };
+        let (address, accused) = (peer.address.clone(), accusation(to, peer));
+        self.stamp = self.stamp.max(now.as_millis());
+        let mut updates: Vec<Update> = accused.into_iter().collect();
+        updates.extend(self.pick_news());
+        let packet = Packet {
+            from,
+            stamp: self.stamp,
+            kind,
+            seq,
+            target,
+            asks: self.asks(),
+            updates,
+            beats: self.pick_beats(self.config.beats, rng),
+        };
+        out.push(Mail {
+            to: address,
+            packet,
+        });
+    }
+
+    /// Returns whether it has heard of so few others that it asks for many beats.
+    fn asks(&self) -> bool {
+        2 * self.live_peers().count() < self.peers.len() && self.rounds < 64
+    }
+
+    /// Takes the updates that were sent least often, and forgets those that were sent enough.
+    fn pick_news(&mut self) -> Vec<Update> {
+        let members = self.peers.len() as u32 + 1;
+        let enough = TRANSMIT_FACTOR * (u32::BITS - members.leading_zeros());
+        self.news.sort_by_key(|n| n.sent);
+        let mut out = Vec::new();
+        for news in self.news.iter_mut().take(UPDATES) {
+            news.sent += 1;
+            out.push(news.update);
+        }
+        self.news.retain(|n| n.sent < enough);
+        out
+    }
+
+    /// Picks its own beat and a random choice of those of the live others.
+    fn pick_beats(&self, count: usize, rng: &mut impl Rng) -> Vec<Beat> {
+        let known = self.live_peers().filter(|p| p.beat.count > 0);
+        let mut beats = vec![self.beat];
+        beats.extend(
+            known
+                .map(|p| p.beat)
+                .choose_multiple(rng, count.saturating_sub(1)),
+        );
+        beats
+    }
+}
+
+/// Returns what `peer` has to refute.
+fn accusation(member: u64, peer: &Peer) -> Option<Update> {
+    let accused = matches!(peer.status, Status::Suspect | Status::Dead);
+    accused.then_some(Update {
+        member,
+        status: peer.status,
+        incarnation: peer.incarnation,
+    })
 }
--- a/lib/src/members.rs
+++ b/lib/src/members.rs
@@ -51,6 +51,8 @@
     /// Offset of the next record to fold.
     pub next: Offset,
     members: BTreeMap<EntryId, Member>,
+    #[serde(default)]
+    numbers: BTreeMap<EntryId, u64>,
 }
 
 impl Members {
@@ -58,7 +60,7 @@
     pub fn fold(&mut self, offset: Offset, record: &MemberRecord) {
         self.next = Offset(offset.0 + 1);
         match &record.change {
-            MemberChange::Join(member) => self.join(member),
+            MemberChange::Join(member) => self.join(offset, member),
             MemberChange::Leave(entry, run) => {
                 if let Some(member) = self.current(entry, *run) {
                     member.leaving = true;
@@ -67,6 +69,7 @@
             MemberChange::Remove(entry, run) => {
                 if self.current(entry, *run).is_some() {
                     self.members.remove(entry);
+                    self.numbers.remove(entry);
                 }
             }
         }
@@ -82,10 +85,17 @@
         self.members.get(entry)
     }
 
-    fn join(&mut self, member: &Member) {
+    /// Returns the number that stands for a member in datagrams: one more than the offset of the
+    /// record by which its present run joined.
+    pub fn number(&self, entry: &EntryId) -> Option<u64> {
+        self.numbers.get(entry).copied()
+    }
+
+    fn join(&mut self, offset: Offset, member: &Member) {
         let known = self.members.get(&member.entry);
         if known.is_none_or(|k| k.incarnation < member.incarnation) {
             self.members.insert(member.entry.clone(), member.clone());
+            self.numbers.insert(member.entry.clone(), offset.0 + 1);
         }
     }
 
--- a/lib/src/seal.rs
+++ b/lib/src/seal.rs
@@ -10,6 +10,13 @@
 use crate::codec;
 use crate::peers::{GossipMessage, Sealed};
 
+/// Bytes of the tag that a datagram carries.
+const TAG_BYTES: usize = 16;
+/// Number of the encoding of packets.
+const PACKET_FORM: u8 = 1;
+/// Number of the encoding of probe reports.
+const REPORTS_FORM: u8 = 2;
+
 /// A shared key with its number.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Key {
@@ -47,11 +54,15 @@
     /// Encodes and seals a message.
     pub fn seal(&self, message: &GossipMessage) -> Vec<u8> {
         let key = &self.keys[0];
-        let body = codec::encode(message);
-        let tag = mac(key, &body).finalize().into_bytes().to_vec();
-        codec::encode(&Sealed {
+        let (form, body) = match message {
+            GossipMessage::Packet(packet) => (PACKET_FORM, codec::encode_compact(packet)),
+            GossipMessage::Reports(reports) => (REPORTS_FORM, codec::encode(reports)),
+        };
+        let tag = mac(key, form, &body).finalize().into_bytes();
+        codec::encode_compact(&Sealed {
             key: key.id,
-            tag: ByteBuf::from(tag),
+            form,
+            tag: ByteBuf::from(&tag[..TAG_BYTES]),
             body: ByteBuf::from(body),
         })
     }
@@ -59,14 +70,24 @@
     /// Opens a datagram, or returns `None` if it is malformed or its tag is wrong.
     pub fn open(&self, bytes: &[u8]) -> Option<GossipMessage> {
         let sealed: Sealed = codec::decode(bytes).ok()?;
+        if sealed.tag.len() != TAG_BYTES {
+            return None;
+        }
         let key = self.keys.iter().find(|k| k.id == sealed.key)?;
-        mac(key, &sealed.body).verify_slice(&sealed.tag).ok()?;
-        codec::decode(&sealed.body).ok()
+        mac(key, sealed.form, &sealed.body)
+            .verify_truncated_left(&sealed.tag)
+            .ok()?;
+        match sealed.form {
+            PACKET_FORM => codec::decode(&sealed.body).ok().map(GossipMessage::Packet),
+            REPORTS_FORM => codec::decode(&sealed.body).ok().map(GossipMessage::Reports),
+            _ => None,
+        }
     }
 }
 
-fn mac(key: &Key, body: &[u8]) -> Hmac<Sha256> {
+fn mac(key: &Key, form: u8, body: &[u8]) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(&key.secret).expect("HMAC takes keys of any size");
+    mac.update(&[form]);
     mac.update(body);
     mac
 }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -100,6 +100,12 @@
     /// Partitions of the claims streams.
     #[serde(default = "partitions")]
     pub partitions: u32,
+    /// Time that the log keeps records, in seconds.
+    #[serde(default = "retention_s")]
+    pub retention_s: u64,
+    /// Base URLs of agents to start from while the log is out.
+    #[serde(default)]
+    pub peers: Vec<String>,
 }
 
 /// A shared key.
@@ -177,6 +183,10 @@
     1 << 20
 }
 
+fn retention_s() -> u64 {
+    24 * 3_600
+}
+
 fn partitions() -> u32 {
     4
 }
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -6,7 +6,8 @@
 
 use crate::engine::{Held, Load};
 use crate::fleet::{Assignment, Fleet};
-use crate::ids::{DomainId, Incarnation, ReplicaId, VmId};
+use crate::folds::Alarms;
+use crate::ids::{DomainId, Incarnation, ReplicaId, StreamId, VmId};
 use crate::members::Member;
 use crate::platform::VmListing;
 use crate::table::Table;
@@ -76,6 +77,12 @@
     pub log_up: bool,
     /// Whether a peer was heard lately.
     pub peers_up: bool,
+    /// Streams whose records expired unread, on which nothing may be decided.
+    #[serde(default)]
+    pub gaps: Vec<StreamId>,
+    /// Faults of the log that the agent met.
+    #[serde(default)]
+    pub alarms: Alarms,
 }
 
 impl View {
--- a/wire/src/agent.rs
+++ b/wire/src/agent.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hemlock_lib::codec;
+use hemlock_lib::folds::StreamState;
 use hemlock_lib::peers::{Settled, Submit};
 use hemlock_lib::view::View;
 
@@ -27,6 +28,12 @@
     codec::decode(&body).map_err(|_| CallError::Lost)
 }
 
+/// Returns the folded states of all streams that the agent at `agent` holds.
+pub async fn states(agent: &str, wait: Duration) -> Result<Vec<StreamState>, CallError> {
+    let body = caller::get(&format!("{agent}/v1/states"), wait).await?;
+    codec::decode(&body).map_err(|_| CallError::Lost)
+}
+
 /// Tells the agent at `agent` the spare share of its gateway's capacity.
 pub async fn spare(agent: &str, spare: f64, wait: Duration) -> Result<(), CallError> {
     caller::post(&format!("{agent}/v1/spare"), codec::encode(&spare), wait)
