--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,7 +1,12 @@
 //! Runs the tests of this crate in one program.
 
+mod test_agent;
+mod test_appender;
 mod test_chart;
+mod test_check;
 mod test_fleet;
+mod test_folds;
+mod test_gossip;
 mod test_model;
 mod test_planner;
 mod test_settings;
--- /dev/null
+++ b/lib/tests/test_appender.rs
@@ -0,0 +1,90 @@
+//! The appender: every submission is told its end, once and truly.
+
+use std::time::Duration;
+
+use hemlock_lib::appender::{AppendEnd, Appender, Submission, Ticket};
+use hemlock_lib::ids::{Nonce, StreamId};
+use hemlock_lib::peers::Settled;
+use hemlock_lib::time::Time;
+
+fn submission(n: u64, stream: &str, deadline_ms: u64) -> Submission {
+    Submission {
+        ticket: Ticket(n),
+        nonce: Nonce(n),
+        stream: StreamId::new(stream),
+        record: vec![0; 10],
+        deadline: Time::from_millis(deadline_ms),
+    }
+}
+
+#[test]
+fn ends_of_an_append() {
+    let cases = [
+        (Some(AppendEnd::Taken), false, Some(Settled::Unknown)),
+        (Some(AppendEnd::Lost), false, Some(Settled::Unknown)),
+        (Some(AppendEnd::Refused), false, Some(Settled::NotAppended)),
+        (None, false, Some(Settled::Unknown)),
+        (Some(AppendEnd::Lost), true, None),
+        (None, true, None),
+    ];
+    for (end, read_back, settled) in cases {
+        let mut appender = Appender::default();
+        appender.submit(submission(1, "config", 5_000));
+        let (id, _) = appender.flush(Time::ZERO, false).expect("an append");
+        let mut out = Vec::new();
+        if let Some(end) = end {
+            out.extend(appender.ended(id, end));
+        }
+        let ticket = read_back.then(|| appender.read_back(Nonce(1))).flatten();
+        assert_eq!(ticket.is_some(), read_back);
+        out.extend(appender.expire(Time::from_millis(5_000)));
+        let told: Vec<Settled> = out.into_iter().map(|(_, s)| s).collect();
+        assert_eq!(told, Vec::from_iter(settled), "{end:?}");
+    }
+}
+
+#[test]
+fn append_without_end_blocks_nobody_and_its_late_end_is_ignored() {
+    let mut appender = Appender::default();
+    appender.submit(submission(1, "config", 60_000));
+    let (first, _) = appender.flush(Time::ZERO, false).expect("an append");
+    appender.submit(submission(2, "config", 60_000));
+    let later = Time::ZERO + Duration::from_secs(3);
+    assert!(appender.flush(later, false).is_none(), "one is in flight");
+    assert!(appender.expire(later).is_empty());
+    let (second, _) = appender.flush(later, false).expect("the next append");
+    assert!(appender.ended(first, AppendEnd::Refused).is_empty());
+    assert!(
+        appender.flush(later, false).is_none(),
+        "the second is in flight"
+    );
+    let told = appender.ended(second, AppendEnd::Refused);
+    assert_eq!(told, [(Ticket(2), Settled::NotAppended)]);
+}
+
+#[test]
+fn queued_records_are_grouped_and_expire_unappended() {
+    let mut appender = Appender::default();
+    for n in 0..600 {
+        appender.submit(submission(n, if n % 2 == 0 { "a" } else { "b" }, 1_000));
+    }
+    let mut sizes = Vec::new();
+    for _ in 0..3 {
+        let (id, call) = appender.flush(Time::ZERO, false).expect("an append");
+        sizes.push((call.stream.to_string(), call.records.len()));
+        appender.ended(id, AppendEnd::Taken);
+    }
+    let expected = [("b", 256), ("a", 44), ("a", 256)].map(|(s, n)| (s.to_owned(), n));
+    sizes.sort();
+    let mut expected = Vec::from(expected);
+    expected.sort();
+    assert_eq!(sizes, expected);
+    appender.submit(submission(601, "urgent", 1_000));
+    assert!(appender.flush(Time::ZERO, true).is_none(), "held back");
+    appender.submit_urgent(submission(602, "urgent", 1_000));
+    let (_, call) = appender.flush(Time::ZERO, true).expect("restating goes on");
+    assert_eq!(call.stream.as_str(), "urgent");
+    let told = appender.expire(Time::from_millis(1_000));
+    let unappended = told.iter().filter(|(_, s)| *s == Settled::NotAppended);
+    assert_eq!((told.len(), unappended.count()), (602, 45));
+}
--- /dev/null
+++ b/lib/tests/test_folds.rs
@@ -0,0 +1,347 @@
+//! Folds: equal on every reader at every place, over restating, trims, races and malformed records.
+
+use hemlock_lib::claims::{ClaimChange, ClaimRecord, Owner};
+use hemlock_lib::codec;
+use hemlock_lib::folds::{CONFIG_STREAM, Folded, Folds, claims_stream};
+use hemlock_lib::ids::{Incarnation, Nonce, Offset, StreamId};
+use hemlock_lib::peers::Settled;
+use hemlock_lib::platform::StreamPart;
+use hemlock_lib::snapshot::{Restate, RestateRecord, Snapshot, digest};
+use hemlock_lib::table::{ConfigRecord, Edit, GroupRow, Row, RowKey};
+use hemlock_lib::time::Time;
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_bytes::ByteBuf;
+use uuid::{NoContext, Timestamp, Uuid};
+
+const SCHEDULES: u64 = 10_000;
+const STEPS: usize = 60;
+const READERS: usize = 3;
+
+/// A log of one stream that keeps records from `kept` on.
+#[derive(Default)]
+struct Log {
+    records: Vec<Vec<u8>>,
+    kept: u64,
+}
+
+impl Log {
+    fn part(&self, from: Offset, limit: usize) -> StreamPart {
+        let first = from.0.max(self.kept);
+        let records = self.records.iter().enumerate().skip(first as usize);
+        StreamPart {
+            stream: StreamId::new(CONFIG_STREAM),
+            kept: Offset(self.kept),
+            end: Offset(self.records.len() as u64),
+            records: records
+                .take(limit)
+                .map(|(o, r)| (Offset(o as u64), ByteBuf::from(r.clone())))
+                .collect(),
+        }
+    }
+}
+
+fn row(replicas: u32) -> Row {
+    Row::Group(GroupRow {
+        replicas,
+        minimum: 0,
+        downtime: 1.0,
+        stranded: 1.0,
+        reserve: 0,
+        slots: 8,
+    })
+}
+
+fn edit_record(folds: &Folds, rng: &mut SmallRng) -> Vec<u8> {
+    let key = RowKey::Group(["a", "b", "c"][rng.random_range(0..3)].into());
+    let base = folds.table.entry(&key).map(|e| e.version);
+    let keep = rng.random_bool(0.9);
+    let edit = Edit {
+        key,
+        base,
+        row: keep.then(|| row(rng.random_range(1..9))),
+    };
+    codec::encode(&ConfigRecord {
+        nonce: Nonce(rng.random()),
+        author: "operator".to_owned(),
+        at_ms: 0,
+        edits: vec![edit],
+    })
+}
+
+fn restate(restate: Restate, rng: &mut SmallRng) -> Vec<u8> {
+    let nonce = Nonce(rng.random());
+    codec::encode(&RestateRecord { nonce, restate })
+}
+
+fn new_folds() -> Folds {
+    Folds::new(&[], 0)
+}
+
+/// One schedule of races, late and repeated snapshots, trims, restarts and malformed records.
+struct Schedule {
+    rng: SmallRng,
+    log: Log,
+    readers: Vec<Folds>,
+    reference: Folds,
+    digests: Vec<u64>,
+    late: Vec<Snapshot>,
+    marks: Vec<u64>,
+    covered: u64,
+    overtrimmed: bool,
+}
+
+impl Schedule {
+    fn new(seed: u64) -> Self {
+        let reference = new_folds();
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            log: Log::default(),
+            readers: (0..READERS).map(|_| new_folds()).collect(),
+            digests: vec![state_digest(&reference)],
+            reference,
+            late: Vec::new(),
+            marks: Vec::new(),
+            covered: 0,
+            overtrimmed: false,
+        }
+    }
+
+    fn append(&mut self, record: Vec<u8>) {
+        self.log.records.push(record);
+        let offset = Offset(self.log.records.len() as u64 - 1);
+        let mut part = self.log.part(offset, 1);
+        part.kept = Offset(0);
+        for folded in self.reference.take(Time::ZERO, &part) {
+            if let Folded::Marked(_, snapshot) = folded {
+                self.marks.push(snapshot.at.0);
+                self.late.push(snapshot);
+            }
+        }
+        self.digests.push(state_digest(&self.reference));
+    }
+
+    fn step(&mut self) {
+        let reader = self.rng.random_range(0..READERS);
+        match self.rng.random_range(0..100) {
+            0..30 => {
+                let record = edit_record(&self.readers[reader], &mut self.rng);
+                self.append(record);
+            }
+            30..36 => {
+                let mark = restate(Restate::Mark { horizon_ms: 0 }, &mut self.rng);
+                self.append(mark);
+            }
+            36..46 => self.append_late(),
+            46..49 => {
+                let noise: Vec<u8> = (0..self.rng.random_range(0..40))
+                    .map(|_| self.rng.random())
+                    .collect();
+                self.append(noise);
+            }
+            49..55 => self.trim(),
+            55..58 => self.readers[reader] = new_folds(),
+            58..60 => {
+                let states = self.readers[(reader + 1) % READERS].export();
+                self.readers[reader].import(&states);
+            }
+            _ => self.read(reader),
+        }
+    }
+
+    /// Appends a snapshot that its writer made at any earlier time, perhaps once more.
+    fn append_late(&mut self) {
+        if self.late.is_empty() {
+            return;
+        }
+        let i = self.rng.random_range(0..self.late.len());
+        let snapshot = match self.rng.random_bool(0.3) {
+            true => self.late[i].clone(),
+            false => self.late.swap_remove(i),
+        };
+        if snapshot.at.0 >= self.log.kept {
+            self.covered = self.covered.max(snapshot.at.0);
+        }
+        let record = restate(Restate::Snapshot(snapshot), &mut self.rng);
+        self.append(record);
+    }
+
+    /// Drops records that a snapshot covers; seldom also some that none covers.
+    fn trim(&mut self) {
+        let end = self.log.records.len() as u64;
+        if self.rng.random_bool(0.05) {
+            self.log.kept = self.rng.random_range(self.log.kept..=end);
+            self.overtrimmed |= self.log.kept > self.covered;
+        } else if !self.overtrimmed {
+            self.log.kept = self
+                .rng
+                .random_range(self.log.kept..=self.covered.max(self.log.kept));
+        }
+    }
+
+    fn read(&mut self, reader: usize) {
+        let limit = self.rng.random_range(1..12);
+        let folds = &mut self.readers[reader];
+        let stream = StreamId::new(CONFIG_STREAM);
+        let next = folds.wants()[0].1;
+        let part = self.log.part(next, limit);
+        folds.take(Time::ZERO, &part);
+        let next = folds.wants()[0].1;
+        if folds.is_gap(&stream) {
+            return;
+        }
+        let own = state_digest(folds);
+        assert_eq!(own, self.digests[next.0 as usize], "state at offset {next}");
+        assert_eq!(folds.alarms.divergences, 0, "no snapshot differs");
+    }
+
+    fn finish(&mut self) {
+        for reader in 0..READERS {
+            for _ in 0..self.log.records.len() + 2 {
+                self.read(reader);
+            }
+            let folds = &self.readers[reader];
+            let gap = folds.gaps().next().is_some();
+            assert!(!gap || self.overtrimmed, "a gap though all was covered");
+            assert!(gap || folds.table == self.reference.table);
+        }
+    }
+}
+
+fn state_digest(folds: &Folds) -> u64 {
+    let state = folds.encode(&StreamId::new(CONFIG_STREAM));
+    digest(&state.expect("the stream is known"))
+}
+
+#[test]
+fn readers_agree_at_every_offset() {
+    let mut gaps = 0;
+    for seed in 0..SCHEDULES {
+        let mut schedule = Schedule::new(seed);
+        for _ in 0..STEPS {
+            schedule.step();
+        }
+        schedule.finish();
+        gaps += u64::from(schedule.readers.iter().any(|r| r.alarms.gaps > 0));
+    }
+    assert!(gaps > 0, "some schedule trims what no snapshot covers");
+}
+
+#[test]
+fn gap_without_snapshot_is_an_alarm_and_ends_with_one() {
+    let mut schedule = Schedule::new(1);
+    for _ in 0..4 {
+        let record = edit_record(&schedule.reference, &mut schedule.rng);
+        schedule.append(record);
+    }
+    schedule.log.kept = 2;
+    let stream = StreamId::new(CONFIG_STREAM);
+    let mut fresh = new_folds();
+    fresh.take(Time::ZERO, &schedule.log.part(Offset(0), 99));
+    assert!(fresh.is_gap(&stream) && !fresh.is_synced() && !fresh.is_sound(&stream));
+    assert_eq!(fresh.alarms.gaps, 1);
+    let mark = restate(Restate::Mark { horizon_ms: 0 }, &mut schedule.rng);
+    schedule.append(mark);
+    let between = edit_record(&schedule.reference, &mut schedule.rng);
+    schedule.append(between);
+    schedule.append_late();
+    let next = fresh.wants()[0].1;
+    fresh.take(Time::ZERO, &schedule.log.part(next, 99));
+    assert!(fresh.is_sound(&stream));
+    assert_eq!(fresh.table, schedule.reference.table);
+}
+
+#[test]
+fn differing_snapshot_is_an_alarm() {
+    let mut schedule = Schedule::new(2);
+    let mark = restate(Restate::Mark { horizon_ms: 0 }, &mut schedule.rng);
+    schedule.append(mark);
+    let mut other = new_folds().table;
+    other.changed = Some(Offset(7));
+    let snapshot = Snapshot::new(Offset(1), codec::encode(&other));
+    let record = restate(Restate::Snapshot(snapshot), &mut schedule.rng);
+    schedule.append(record);
+    assert_eq!(schedule.reference.alarms.divergences, 1);
+    let mut torn = Snapshot::new(Offset(1), vec![1, 2, 3]);
+    torn.digest ^= 1;
+    let record = restate(Restate::Snapshot(torn), &mut schedule.rng);
+    schedule.append(record);
+    assert_eq!(schedule.reference.alarms.unsound, 1);
+}
+
+#[test]
+fn expired_keys_are_dropped_and_never_claimed_anew() {
+    let mut folds = Folds::new(&[], 1);
+    let stream = claims_stream(0);
+    let key = |ms: u64| Uuid::new_v7(Timestamp::from_unix(NoContext, ms / 1_000, 0));
+    let claim = |key, change| {
+        let owner = Owner {
+            entry: "entry-0".into(),
+            run: Incarnation(1),
+        };
+        codec::encode(&ClaimRecord {
+            nonce: Nonce(1),
+            key,
+            owner,
+            change,
+        })
+    };
+    let mark = |horizon_ms| {
+        let nonce = Nonce(2);
+        let restate = Restate::Mark { horizon_ms };
+        codec::encode(&RestateRecord { nonce, restate })
+    };
+    let (old, young) = (key(10_000), key(20_000));
+    let records = [
+        (claim(old, ClaimChange::Claim), None),
+        (claim(young, ClaimChange::Claim), None),
+        (mark(15_000), None),
+        (mark(5_000), None),
+        (claim(old, ClaimChange::Claim), Some(Settled::ClaimExpired)),
+        (
+            claim(old, ClaimChange::Release),
+            Some(Settled::ClaimExpired),
+        ),
+        (claim(young, ClaimChange::Release), None),
+    ];
+    for (offset, (record, refused)) in records.into_iter().enumerate() {
+        let offset = Offset(offset as u64);
+        let part = StreamPart {
+            stream: stream.clone(),
+            kept: Offset(0),
+            end: Offset(offset.0 + 1),
+            records: vec![(offset, ByteBuf::from(record))],
+        };
+        let folded = folds.take(Time::ZERO, &part);
+        let Some(refused) = refused else { continue };
+        assert_eq!(
+            folded,
+            [Folded::Settled(Nonce(1), refused)],
+            "offset {offset}"
+        );
+    }
+    assert!(folds.claims[0].is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+
+    #[test]
+    fn any_bytes_are_skipped_alike(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let streams = ["config", "members", "fleet/x", "claims/0"];
+        let mut folds = Folds::new(&["x".into()], 1);
+        for stream in streams {
+            let part = StreamPart {
+                stream: StreamId::new(stream),
+                kept: Offset(0),
+                end: Offset(1),
+                records: vec![(Offset(0), ByteBuf::from(bytes.clone()))],
+            };
+            folds.take(Time::ZERO, &part);
+        }
+        prop_assert!(folds.wants().iter().all(|(_, next)| *next == Offset(1)));
+        let _ = codec::decode::<hemlock_lib::peers::Submit>(&bytes);
+        let _ = codec::decode::<hemlock_lib::view::View>(&bytes);
+    }
+}
--- /dev/null
+++ b/lib/tests/test_gossip.rs
@@ -0,0 +1,158 @@
+//! Gossip datagrams: only whole, authentic and fresh ones count.
+
+use std::time::Duration;
+
+use hemlock_lib::gossip::{Gossip, GossipConfig};
+use hemlock_lib::ids::{EntryId, Incarnation, Nonce, Offset};
+use hemlock_lib::members::{Member, MemberChange, MemberRecord, Members};
+use hemlock_lib::peers::{GossipMessage, Packet, PacketKind, Status, Update};
+use hemlock_lib::seal::{Key, KeyRing};
+use hemlock_lib::time::Time;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const CONFIG: GossipConfig = GossipConfig {
+    every: Duration::from_millis(500),
+    ack: Duration::from_millis(200),
+    suspicion: Duration::from_millis(1_500),
+    relays: 3,
+    beats: 8,
+    fanout: 3,
+    reports: Duration::from_millis(300),
+    payload: 1_150,
+};
+
+fn ring(ids: &[u32]) -> KeyRing {
+    let key = |id: &u32| Key {
+        id: *id,
+        secret: vec![*id as u8; 32],
+    };
+    KeyRing::new(ids.iter().map(key).collect())
+}
+
+fn packet(stamp: u64, updates: Vec<Update>) -> Packet {
+    Packet {
+        from: 2,
+        stamp,
+        kind: PacketKind::Ping,
+        seq: 1,
+        target: 0,
+        asks: false,
+        updates,
+        beats: Vec::new(),
+    }
+}
+
+fn members(count: u64) -> Members {
+    let mut members = Members::default();
+    for i in 0..count {
+        let member = Member {
+            entry: format!("entry-{i}").as_str().into(),
+            domain: "riverside".into(),
+            gateway: String::new(),
+            agent: String::new(),
+            gossip: i.to_string(),
+            incarnation: Incarnation(1),
+            leaving: false,
+        };
+        let change = MemberChange::Join(member);
+        let record = MemberRecord {
+            nonce: Nonce(i),
+            change,
+        };
+        members.fold(Offset(i), &record);
+    }
+    members
+}
+
+#[test]
+fn datagrams_that_are_not_authentic_are_refused() {
+    let message = GossipMessage::Packet(packet(1, Vec::new()));
+    let sealed = ring(&[1]).seal(&message);
+    assert_eq!(ring(&[2, 1]).open(&sealed), Some(message.clone()));
+    assert_eq!(ring(&[2]).open(&sealed), None, "unknown key");
+    let mut stolen = ring(&[2]).seal(&message);
+    stolen[1] = 1;
+    assert_eq!(ring(&[1]).open(&stolen), None, "tag of another key");
+    for i in 0..sealed.len() {
+        assert_eq!(ring(&[1]).open(&sealed[..i]), None, "cut at {i}");
+        let mut flipped = sealed.clone();
+        flipped[i] ^= 1;
+        assert_ne!(ring(&[1]).open(&flipped), Some(message.clone()), "byte {i}");
+    }
+    assert_eq!(ring(&[1]).open(&vec![0x95; 70_000]), None, "oversized");
+}
+
+#[test]
+fn replayed_packets_are_refused() {
+    let (mut rng, mut out) = (SmallRng::seed_from_u64(1), Vec::new());
+    let mut gossip = Gossip::new(CONFIG, "entry-0".into());
+    gossip.follow(Time::ZERO, &members(3));
+    let dead = Update {
+        member: 3,
+        status: Status::Dead,
+        incarnation: 9,
+    };
+    let alive = |incarnation| Update {
+        member: 3,
+        status: Status::Alive,
+        incarnation,
+    };
+    let entry = EntryId::new("entry-2");
+    gossip.take(
+        Time::ZERO,
+        &packet(10_000, vec![alive(1)]),
+        &mut rng,
+        &mut out,
+    );
+    assert!(gossip.live(&members(3), &entry).is_some());
+    gossip.take(Time::ZERO, &packet(7_999, vec![dead]), &mut rng, &mut out);
+    assert!(gossip.live(&members(3), &entry).is_some(), "too old");
+    assert_eq!(gossip.replays, 1);
+    gossip.take(Time::ZERO, &packet(9_000, vec![dead]), &mut rng, &mut out);
+    assert!(gossip.live(&members(3), &entry).is_none(), "only late");
+    gossip.take(
+        Time::ZERO,
+        &packet(9_000, vec![alive(9)]),
+        &mut rng,
+        &mut out,
+    );
+    assert!(gossip.live(&members(3), &entry).is_none(), "no refutation");
+    gossip.take(
+        Time::ZERO,
+        &packet(9_000, vec![alive(10)]),
+        &mut rng,
+        &mut out,
+    );
+    assert!(gossip.live(&members(3), &entry).is_some(), "refuted");
+}
+
+#[test]
+fn accused_member_refutes_in_its_ack() {
+    let (mut rng, mut out) = (SmallRng::seed_from_u64(1), Vec::new());
+    let mut gossip = Gossip::new(CONFIG, "entry-0".into());
+    gossip.follow(Time::ZERO, &members(3));
+    let accusation = Update {
+        member: 1,
+        status: Status::Suspect,
+        incarnation: 4,
+    };
+    gossip.take(Time::ZERO, &packet(1, vec![accusation]), &mut rng, &mut out);
+    let refutation = Update {
+        member: 1,
+        status: Status::Alive,
+        incarnation: 5,
+    };
+    assert_eq!(out[0].packet.kind, PacketKind::Ack);
+    assert!(out[0].packet.updates.contains(&refutation), "{out:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+
+    #[test]
+    fn any_datagram_is_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        prop_assert_eq!(ring(&[1]).open(&bytes), None);
+    }
+}
