--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -43,7 +43,7 @@
     relays: 3,
     beats: 8,
     fanout: 6,
-    reports: Duration::from_millis(300),
+    reports: Duration::from_millis(600),
     payload: 1_150,
 };
 /// Silence after which an entry VM that never announced its leave is removed.
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -44,6 +44,8 @@
 const FETCH_EVERY: Duration = Duration::from_secs(1);
 /// Time between two removals of silent entry VMs by one agent.
 const REMOVE_EVERY: Duration = Duration::from_secs(10);
+/// Age up to which an own probe is reported.
+const REPORT_AGE: Duration = Duration::from_secs(2);
 const PROBERS_PER_VM: usize = 2;
 /// Names records whose end nobody awaits.
 const NOBODY: Ticket = Ticket(u64::MAX);
@@ -160,7 +162,7 @@
     listing: bool,
     next_list: Time,
     next_report: Time,
-    last_report: Time,
+    probed: BTreeSet<VmId>,
     version: u64,
     dirty: bool,
     next_publish: Time,
@@ -191,7 +193,7 @@
             listing: false,
             next_list: Time::ZERO,
             next_report: Time::ZERO,
-            last_report: Time::ZERO,
+            probed: BTreeSet::new(),
             version: 0,
             dirty: true,
             next_publish: Time::ZERO,
@@ -220,8 +222,12 @@
                     state,
                     age_ms: 0,
                 };
+                self.probed.insert(report.vm.clone());
                 let changed = self.prober_probed(now, &report);
                 self.mark(changed);
+                if changed {
+                    self.next_report = now;
+                }
             }
             Input::Datagram(bytes) => self.take_datagram(now, &bytes, out),
             Input::Submit {
@@ -538,13 +544,14 @@
         self.post(mails, out);
     }
 
-    /// Sends what was probed since the last time, split over datagrams of bounded size.
+    /// Sends what this agent probed since the last time, split over datagrams of bounded size.
     fn report(&mut self, now: Time, out: &mut Vec<Output>) {
         if now < self.next_report {
             return;
         }
-        let reports = self.prober.reports(now, self.last_report);
-        self.last_report = now;
+        let probed = std::mem::take(&mut self.probed);
+        let mut reports = self.prober.reports(now, now - REPORT_AGE);
+        reports.retain(|r| probed.contains(&r.vm));
         self.next_report = now + self.config.gossip.reports;
         for part in split(reports, self.config.gossip.payload) {
             let bytes = self.config.keys.seal(&GossipMessage::Reports(part));
--- a/lib/tests/test_agent.rs
+++ b/lib/tests/test_agent.rs
@@ -18,7 +18,7 @@
 use hemlock_lib::seal::{Key, KeyRing};
 use hemlock_lib::table::{ConfigRecord, Edit, GroupRow, Refusal, Row, RowKey};
 use hemlock_lib::time::Time;
-use hemlock_lib::view::View;
+use hemlock_lib::view::{Health, View};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_bytes::ByteBuf;
@@ -68,6 +68,7 @@
     tickets: u64,
     appends: u64,
     datagram: usize,
+    vms: usize,
 }
 
 fn key(id: u32) -> Key {
@@ -108,6 +109,7 @@
             tickets: 0,
             appends: 0,
             datagram: 0,
+            vms: 3,
         };
         for i in 0..agents {
             world.start(i);
@@ -143,7 +145,7 @@
                 relays: 3,
                 beats: 8,
                 fanout: 6,
-                reports: Duration::from_millis(300),
+                reports: Duration::from_millis(600),
                 payload: 1_150,
             },
             restate: RestateConfig::new(self.retention, Duration::from_secs(3_600)),
@@ -240,7 +242,7 @@
                 let agent = peer.and_then(|n| n.agent.as_ref());
                 Input::Fetched(agent.map(|a| a.folds().export()))
             }
-            Output::List => Input::Listed(Some(listings())),
+            Output::List => Input::Listed(Some(listings(self.vms))),
             Output::Probe(listing) => Input::Probed {
                 vm: listing.vm,
                 answered: true,
@@ -414,7 +416,7 @@
     }
 }
 
-fn listings() -> Vec<VmListing> {
+fn listings(count: usize) -> Vec<VmListing> {
     let listing = |i| VmListing {
         vm: format!("portal-app-{i}").as_str().into(),
         address: format!("http://10.0.0.{i}"),
@@ -422,7 +424,7 @@
         role: VmRole::Service("portal-app".into()),
         leaving: false,
     };
-    (0..3).map(listing).collect()
+    (0..count).map(listing).collect()
 }
 
 fn group(replicas: u32) -> Row {
@@ -660,8 +662,24 @@
 }
 
 #[test]
-fn datagrams_are_small_and_few() {
-    let mut world = started(8);
+fn report_datagrams_are_bounded() {
+    let mut world = World::new(9, AGENTS, day());
+    world.vms = 500;
+    world.run(Duration::from_secs(5));
+    assert!(
+        world.datagram > 1_000 && world.datagram <= 1_200,
+        "{}",
+        world.datagram
+    );
+    let view = world.nodes[0].view.as_ref().expect("a view");
+    assert!(view.vms.values().all(|v| v.health == Health::Live));
+}
+
+#[test]
+fn liveness_datagrams_are_small_and_few() {
+    let mut world = World::new(8, AGENTS, day());
+    world.vms = 0;
+    world.run_until(Duration::from_secs(15), World::all_live);
     world.nodes.iter_mut().for_each(|n| n.sent = 0);
     let (start, span) = (world.appends, 60);
     world.run(Duration::from_secs(span));
--- a/lib/tests/test_gossip.rs
+++ b/lib/tests/test_gossip.rs
@@ -19,7 +19,7 @@
     relays: 3,
     beats: 8,
     fanout: 6,
-    reports: Duration::from_millis(300),
+    reports: Duration::from_millis(600),
     payload: 1_150,
 };
 
