--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -23,7 +23,7 @@
 use crate::seal::KeyRing;
 use crate::table::{ConfigRecord, Table};
 use crate::time::Time;
-use crate::view::{EntryStatus, View};
+use crate::view::{self, EntryStatus, View};
 
 /// Name of the stream of table edits.
 pub const CONFIG_STREAM: &str = "config";
@@ -461,6 +461,8 @@
     }
 
     fn view(&self, now: Time) -> View {
+        let mut vms = self.prober.statuses(now);
+        view::mark_drained(&mut vms, &self.table);
         View {
             version: self.version,
             table: self.table.clone(),
@@ -469,7 +471,7 @@
                 .iter()
                 .map(|m| self.entry_status(now, m))
                 .collect(),
-            vms: self.prober.statuses(now),
+            vms,
             fleets: self.fleets.clone(),
             log_up: self.log_up,
             peers_up: self.gossip.peers_up(now),
