docs, wire: metrics, logs, examples and operators' pages

Daemons sent no metrics, served no readiness, could not change their log level and flooded the log with repeated failures. Adds a closed enum of metrics sent by cadence, group downtime and stranded accelerators from each view, /readyz on each daemon, SIGHUP for the level, and a limit of 20 lines an event in 10 s.

--- a/agent/src/mind.rs
+++ b/agent/src/mind.rs
@@ -10,8 +10,10 @@
 use hemlock_lib::appender::Ticket;
 use hemlock_lib::peers::{Settled, Submit};
 use hemlock_wire::clock;
+use hemlock_wire::metrics::Metrics;
 
 use crate::board::Board;
+use crate::gauges::Gauges;
 use crate::links::Call;
 
 const TICK: Duration = Duration::from_millis(20);
@@ -40,6 +42,7 @@
     calls: async_channel::Sender<Call>,
     socket: Arc<UdpSocket>,
     board: Arc<Board>,
+    gauges: Gauges,
     replies: BTreeMap<Ticket, async_channel::Sender<Settled>>,
     next: u64,
     out: Vec<Output>,
@@ -51,12 +54,14 @@
         calls: async_channel::Sender<Call>,
         socket: Arc<UdpSocket>,
         board: Arc<Board>,
+        metrics: Metrics,
     ) -> Self {
         Self {
             agent,
             calls,
             socket,
             board,
+            gauges: Gauges::new(metrics),
             replies: BTreeMap::new(),
             next: 0,
             out: Vec::new(),
@@ -106,6 +111,7 @@
     }
 
     fn carry_out(&mut self, output: Output) {
+        self.gauges.count(&output);
         match output {
             Output::Read(call) => self.call(Call::Read(call)),
             Output::Append(call) => self.call(Call::Append(call)),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,5 +4,7 @@
 mod test_fleet;
 mod test_model;
 mod test_planner;
+mod test_repeats;
 mod test_settings;
+mod test_shortage;
 mod world;
