gateway: index endpoints, share limits by slices, queue by account

Endpoints are now indexed with each view and compared by the report plus own changes since it; limits are leased from a home gateway; queues serve accounts by weight and refuse early what would be late; versions get work by weight.

--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -1,7 +1,9 @@
 //! Bodies that callers send and receive, in the form that OpenAI-style clients use.
 
 use hemlock_lib::codes::Code;
+use hemlock_lib::gateway::Hint;
 use hemlock_lib::ids::RequestId;
+use hemlock_lib::rendezvous;
 use ntex::http::StatusCode;
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
@@ -12,6 +14,8 @@
 const DEFAULT_TOKENS: u32 = 128;
 /// Characters that count as one token of a prompt.
 const CHARS_PER_TOKEN: u64 = 4;
+/// Characters of a prompt that are taken as the part it shares with others.
+const PREFIX_CHARS: usize = 256;
 
 /// A call for a chat completion; fields that this system doesn't use are ignored.
 #[derive(Debug, Deserialize)]
@@ -52,6 +56,22 @@
             .max(1)
     }
 
+    /// Returns what helps to place and order the call.
+    pub(crate) fn hint(&self, priority: i32) -> Hint {
+        let prompt = self.prompt();
+        let prefix: String = prompt.chars().take(PREFIX_CHARS).collect();
+        let whole = prefix.len() < prompt.len();
+        Hint {
+            priority,
+            prompt: prompt.len() as u64 / CHARS_PER_TOKEN,
+            prefix: if whole {
+                rendezvous::score(prefix.as_bytes(), b"prefix")
+            } else {
+                0
+            },
+        }
+    }
+
     /// Returns the expected work in tokens.
     pub(crate) fn tokens(&self) -> u64 {
         let prompt: u64 = self.messages.iter().map(|m| m.content.len() as u64).sum();
--- a/gateway/src/drive.rs
+++ b/gateway/src/drive.rs
@@ -45,6 +45,12 @@
         decision
     }
 
+    /// Tells how many pieces an attempt has given; this may be lost when the ring is full.
+    pub(crate) fn progress(&self, attempt: AttemptId, pieces: u64) {
+        let input = Input::Progress(self.request.clone(), attempt, pieces);
+        let _ = self.events.try_send(Event::Input(input));
+    }
+
     /// Tells that an attempt failed.
     pub(crate) fn failed(&self, attempt: AttemptId, reason: FailReason) {
         self.tell(Input::Failed(self.request.clone(), attempt, reason));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod model;
 mod routes;
 mod service;
+mod slices;
 
 use std::io;
 use std::thread::JoinHandle;
@@ -71,7 +72,7 @@
     let listener = server::bind(&settings.gateway.listen)?;
     let (events, ring) = crossbeam_channel::bounded(RING);
     let (calls, call_ring) = async_channel::bounded(RING);
-    let gateway = Gateway::new(config(settings), charts);
+    let gateway = Gateway::new(config(settings), charts).with_slices();
     let views = events.clone();
     let on_view = move |view: Option<_>| {
         let input = view.map_or(Input::ViewLost, Input::View);
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -13,13 +13,18 @@
 use hemlock_lib::gateway::{Arrival, Gateway, Input, Output};
 use hemlock_lib::ids::{AttemptId, DomainId, ReplicaId, RequestId};
 use hemlock_lib::peers::Submit;
+use hemlock_lib::slices::{ASK_EVERY, SliceAsk, SliceReply};
 use hemlock_lib::view::View;
 use hemlock_wire::{agent, clock};
 use uuid::Uuid;
 
+use crate::slices;
+
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two reports of spare capacity to the agent.
 const SPARE_TICKS: u32 = 50;
+/// Ticks between two asks for slices of account limits.
+const SLICE_TICKS: u32 = (ASK_EVERY.as_millis() / TICK.as_millis()) as u32;
 const CLAIM_WAIT: Duration = Duration::from_secs(3);
 const SPARE_WAIT: Duration = Duration::from_secs(1);
 
@@ -51,6 +56,10 @@
         near: Option<DomainId>,
         reply: async_channel::Sender<Option<Advice>>,
     },
+    /// Another gateway asks for slices of account limits.
+    Slices(SliceAsk, async_channel::Sender<Option<SliceReply>>),
+    /// A home replied to an ask for slices.
+    SliceReply(SliceReply),
     /// How many requests are open.
     CountOpen(Sender<usize>),
     /// Stop.
@@ -67,6 +76,7 @@
         owner: Owner,
     },
     Spare(f64),
+    Slices(String, SliceAsk),
 }
 
 /// The state machine with its outlets.
@@ -109,6 +119,11 @@
                     let advice = view.map(|v: &View| advice::advise(v, &caller, near.as_ref()));
                     let _ = reply.try_send(advice);
                 }
+                Ok(Event::Slices(ask, reply)) => {
+                    let answer = self.gateway.answer_slices(clock::now(), &ask);
+                    let _ = reply.try_send(answer);
+                }
+                Ok(Event::SliceReply(reply)) => self.gateway.take_slices(&reply),
                 Ok(Event::CountOpen(reply)) => drop(reply.send(self.gateway.open())),
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {
@@ -122,6 +137,9 @@
     fn tick(&mut self) {
         self.step(Input::Tick);
         self.ticks += 1;
+        if self.ticks.is_multiple_of(SLICE_TICKS) {
+            slices::ask(&mut self.gateway, clock::now(), &self.calls);
+        }
         if self.ticks.is_multiple_of(SPARE_TICKS) {
             let _ = self.calls.try_send(Call::Spare(self.gateway.spare()));
         }
@@ -223,6 +241,7 @@
                 let _ = events.send(Event::Input(Input::Claimed(request, settled)));
             }
         }
+        Call::Slices(address, ask) => slices::send(&address, &ask, events).await,
         Call::Spare(spare) => drop(agent::spare(agent, spare, SPARE_WAIT).await),
     }
 }
--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -20,6 +20,8 @@
 const STALL: Duration = Duration::from_secs(3);
 /// Time that a slow caller may hold a full buffer.
 const SLOW_CALLER: Duration = Duration::from_secs(10);
+/// Pieces between two reports of an attempt's progress.
+const PROGRESS_PIECES: u64 = 32;
 
 /// A part of the answer on its way to the caller.
 #[derive(Debug)]
@@ -79,7 +81,14 @@
             }
             none => none.insert(Answering::new(&name)),
         };
-        match attempt_once(&name, &address, replica, &question, progress, &parts).await {
+        let from = progress.delivered();
+        let told = |delivered: u64| {
+            let pieces = delivered - from;
+            if pieces % PROGRESS_PIECES == 1 {
+                driven.progress(attempt, pieces);
+            }
+        };
+        match attempt_once(&name, &address, replica, &question, progress, &parts, told).await {
             End::Done => {
                 driven.finished(attempt, None);
                 let _ = parts.send(Part::Done).await;
@@ -107,6 +116,7 @@
     question: &Question,
     progress: &mut Answering,
     parts: &async_channel::Sender<Part>,
+    told: impl Fn(u64),
 ) -> End {
     let call = EngineCall {
         attempt: name.to_owned(),
@@ -139,10 +149,13 @@
         }
         while let Some(chunk) = next_chunk(&mut buffer) {
             match progress.take(chunk) {
-                Piece::Deliver(text) => match deliver(parts, text).await {
-                    Ok(()) => {}
-                    Err(end) => return end,
-                },
+                Piece::Deliver(text) => {
+                    told(progress.delivered());
+                    match deliver(parts, text).await {
+                        Ok(()) => {}
+                        Err(end) => return end,
+                    }
+                }
                 Piece::Done => return End::Done,
                 Piece::Drop(DropReason::Gap) => return End::Failed(FailReason::Broken),
                 Piece::Drop(reason) => log::debug!("event=drop attempt={name} reason={reason:?}"),
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -4,7 +4,7 @@
 
 use crossbeam_channel::Sender;
 use hemlock_lib::codes::Code;
-use hemlock_lib::gateway::{Arrival, Target};
+use hemlock_lib::gateway::{Arrival, Hint, Target};
 use hemlock_lib::hash;
 use hemlock_lib::ids::RequestId;
 use hemlock_wire::clock;
@@ -19,6 +19,7 @@
 use crate::mind::Event;
 use crate::model::{self, PIECES, Part, Question};
 use crate::service::{self, Pass};
+use crate::slices;
 
 /// Time that a request has when its caller names no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
@@ -45,6 +46,7 @@
         .route("/v1/entry", web::get().to(entry))
         .route("/v1/chat/completions", web::post().to(chat))
         .route("/v1/services/{service}/{path}*", web::to(pass))
+        .route(slices::PATH, web::post().to(slices::answer))
         .route("/healthz", web::get().to(health));
 }
 
@@ -78,7 +80,10 @@
     };
     let target = Target::Model(call.model.as_str().into());
     let arrival = match arrival(&request, target, call.tokens(), None) {
-        Ok(arrival) => arrival,
+        Ok(arrival) => Arrival {
+            hint: call.hint(number(&request, "x-priority").ok().flatten().unwrap_or(0)),
+            ..arrival
+        },
         Err(code) => return body::refusal(code, None, None),
     };
     let Some(driven) = Driven::start(&state.events, arrival) else {
@@ -233,6 +238,7 @@
         tokens,
         deadline: clock::now() + deadline.unwrap_or(DEFAULT_DEADLINE),
         once,
+        hint: Hint::default(),
     })
 }
 
--- /dev/null
+++ b/lib/src/accounts.rs
@@ -0,0 +1,68 @@
+//! Client accounts by the hash of their key.
+
+use std::collections::BTreeMap;
+
+use subtle::ConstantTimeEq;
+
+use crate::ids::AccountId;
+use crate::table::{AccountRow, Table};
+
+/// Bytes of a key's hash that find its entry; the others are compared in constant time.
+const PREFIX_BYTES: usize = 4;
+
+/// An account with its row.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Account {
+    /// Its name.
+    pub id: AccountId,
+    /// Its row.
+    pub row: AccountRow,
+}
+
+/// Index of the accounts of a table.
+#[derive(Debug, Default)]
+pub struct Accounts {
+    by_prefix: BTreeMap<Vec<u8>, Vec<AccountId>>,
+    by_name: BTreeMap<AccountId, Account>,
+}
+
+impl Accounts {
+    /// Indexes the accounts of a table.
+    pub fn index(table: &Table) -> Self {
+        let mut accounts = Self::default();
+        for (id, row) in table.accounts() {
+            let account = Account {
+                id: id.clone(),
+                row: row.clone(),
+            };
+            let prefix = prefix(&row.key_hash).to_vec();
+            let listed = accounts.by_prefix.entry(prefix).or_default();
+            listed.push(id.clone());
+            accounts.by_name.insert(id.clone(), account);
+        }
+        accounts
+    }
+
+    /// Returns the account whose key has this hash.
+    pub fn find(&self, key_hash: &str) -> Option<&Account> {
+        let listed = self.by_prefix.get(prefix(key_hash))?;
+        let same = |a: &&Account| bool::from(a.row.key_hash.as_bytes().ct_eq(key_hash.as_bytes()));
+        let mut listed = listed.iter().filter_map(|id| self.by_name.get(id));
+        listed.find(same)
+    }
+
+    /// Lists the accounts.
+    pub fn iter(&self) -> impl Iterator<Item = &Account> {
+        self.by_name.values()
+    }
+
+    /// Returns the account with this name.
+    pub fn get(&self, id: &AccountId) -> Option<&Account> {
+        self.by_name.get(id)
+    }
+}
+
+fn prefix(key_hash: &str) -> &[u8] {
+    let bytes = key_hash.as_bytes();
+    &bytes[..bytes.len().min(PREFIX_BYTES)]
+}
--- /dev/null
+++ b/lib/src/fair_queue.rs
@@ -0,0 +1,161 @@
+//! Bounded queue of one target that serves client accounts by weight, in tokens of work.
+//!
+//! Start-time fair queueing: an account's virtual time grows by work over weight, and the account
+//! furthest behind is next. Within an account the larger priority goes first, then the older.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::endpoints::Work;
+use crate::ids::{AccountId, RequestId};
+use crate::time::Time;
+
+type Place = (Reverse<i32>, i64);
+
+/// A request in the queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Queued {
+    /// The request.
+    pub request: RequestId,
+    /// Its account.
+    pub account: AccountId,
+    /// The account's weight.
+    pub weight: f64,
+    /// Larger goes first within the account.
+    pub priority: i32,
+    /// Its work.
+    pub work: Work,
+    /// When its answer is of no more use.
+    pub deadline: Time,
+    /// When it must be sent at the latest to be answered by its deadline.
+    pub latest: Time,
+}
+
+#[derive(Debug, Default)]
+struct Flow {
+    weight: f64,
+    time: f64,
+    work: u64,
+    queued: BTreeMap<Place, Queued>,
+}
+
+/// The queue of one target.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    flows: BTreeMap<AccountId, Flow>,
+    idle: BTreeMap<AccountId, f64>,
+    places: BTreeMap<RequestId, (AccountId, Place)>,
+    latest: BTreeSet<(Time, RequestId)>,
+    time: f64,
+    work: u64,
+    next: i64,
+}
+
+impl FairQueue {
+    /// Returns the number of requests.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Returns the work that waits, in tokens.
+    pub fn work(&self) -> u64 {
+        self.work
+    }
+
+    /// Adds a request behind those of its account and priority.
+    pub fn push(&mut self, queued: Queued) {
+        self.next += 1;
+        let place = (Reverse(queued.priority), self.next);
+        self.insert(place, queued);
+    }
+
+    /// Adds a request before all of its account, since it has waited already.
+    pub fn push_front(&mut self, queued: Queued) {
+        self.next += 1;
+        let place = (Reverse(i32::MAX), -self.next);
+        self.insert(place, queued);
+    }
+
+    /// Returns the request that is next.
+    pub fn head(&self) -> Option<&Queued> {
+        let flow = self.flows.values().min_by(|a, b| a.time.total_cmp(&b.time));
+        flow?.queued.values().next()
+    }
+
+    /// Takes out the request that is next and counts its work for its account.
+    pub fn pop(&mut self) -> Option<Queued> {
+        let head = self.head()?.clone();
+        if let Some(flow) = self.flows.get_mut(&head.account) {
+            self.time = flow.time;
+            flow.time += head.work.tokens as f64 / head.weight.max(f64::MIN_POSITIVE);
+        }
+        self.remove(&head.request)
+    }
+
+    /// Takes out a request, wherever it stands.
+    pub fn remove(&mut self, request: &RequestId) -> Option<Queued> {
+        let (account, place) = self.places.remove(request)?;
+        let flow = self.flows.get_mut(&account)?;
+        let queued = flow.queued.remove(&place)?;
+        flow.work -= queued.work.tokens;
+        self.work -= queued.work.tokens;
+        self.latest.remove(&(queued.latest, queued.request.clone()));
+        if flow.queued.is_empty() {
+            self.idle.insert(account.clone(), flow.time);
+            self.flows.remove(&account);
+            let now = self.time;
+            self.idle.retain(|_, time| *time > now);
+        }
+        Some(queued)
+    }
+
+    /// Takes out the request that costs the least fairness: the last one of the account that has
+    /// the most work waiting for its weight.
+    pub fn shed(&mut self) -> Option<Queued> {
+        let excess = |f: &Flow| f.work as f64 / f.weight.max(f64::MIN_POSITIVE);
+        let flow = self
+            .flows
+            .values()
+            .max_by(|a, b| excess(a).total_cmp(&excess(b)))?;
+        let request = flow.queued.values().next_back()?.request.clone();
+        self.remove(&request)
+    }
+
+    /// Returns the next request that had to be sent before `time`.
+    pub fn due(&self, time: Time) -> Option<&RequestId> {
+        let first = self.latest.first()?;
+        (first.0 < time).then_some(&first.1)
+    }
+
+    /// Returns the work in tokens that is served before a new request of this account ends its wait.
+    pub fn ahead(&self, account: &AccountId, weight: f64) -> u64 {
+        let own = self.flows.get(account).map_or(0, |f| f.work);
+        let weights: f64 = self.flows.values().map(|f| f.weight).sum();
+        let others = match self.flows.contains_key(account) {
+            true => weights - weight,
+            false => weights,
+        };
+        let fair = own as f64 * (1.0 + others / weight.max(f64::MIN_POSITIVE));
+        (fair as u64).min(self.work)
+    }
+
+    fn insert(&mut self, place: Place, queued: Queued) {
+        let account = queued.account.clone();
+        let started = self.idle.remove(&account).unwrap_or(0.0).max(self.time);
+        let flow = self.flows.entry(account.clone()).or_insert_with(|| Flow {
+            time: started,
+            ..Flow::default()
+        });
+        flow.weight = queued.weight;
+        flow.work += queued.work.tokens;
+        self.work += queued.work.tokens;
+        self.places.insert(queued.request.clone(), (account, place));
+        self.latest.insert((queued.latest, queued.request.clone()));
+        flow.queued.insert(place, queued);
+    }
+}
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -1,23 +1,27 @@
 //! The gateway's state machine: admission, queueing, routing, retries and at-most-once claims.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use uuid::Uuid;
 
+use crate::accounts::{Account, Accounts};
 use crate::chart::{Chart, Charts, State};
 use crate::claims::{Answer, ClaimChange, Owner};
 use crate::codes::Code;
-use crate::ids::{AccountId, AttemptId, DomainId, GroupId, ReplicaId, RequestId, ServiceId, VmId};
-use crate::limits::Usage;
+use crate::dispatch::{Dispatcher, Sent};
+use crate::endpoints::Work;
+use crate::fair_queue::Queued;
+use crate::ids::{
+    AccountId, AttemptId, DomainId, EntryId, GroupId, Offset, ReplicaId, RequestId, ServiceId, VmId,
+};
+use crate::limits::{Refused, Usage};
 use crate::peers::Settled;
-use crate::platform::VmRole;
-use crate::router::{self, Candidate, Dispatched};
+use crate::router::Policy;
+use crate::slices::{Amount, Electorate, SliceAsk, SliceHome, SliceReply, SliceUser};
 use crate::time::Time;
-use crate::view::{Health, View};
+use crate::view::{EntryStatus, View};
 
 /// Attempts of one request at most.
 const ATTEMPTS: u32 = 4;
@@ -28,6 +32,9 @@
 /// Wait before a caller tries again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest time that a request stays open after the gateway that admitted it fell silent.
+const LONGEST_OPEN: Duration = Duration::from_secs(30);
+
 /// What a gateway is told when it starts.
 #[derive(Debug, Clone)]
 pub struct GatewayConfig {
@@ -46,7 +53,7 @@
 }
 
 /// What a request is for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Target {
     /// A model group.
     Model(GroupId),
@@ -69,6 +76,34 @@
     pub deadline: Time,
     /// Idempotency key of work that must run at most once.
     pub once: Option<Uuid>,
+    /// What helps to place and order it.
+    pub hint: Hint,
+}
+
+/// What a caller or its prompt says that helps to place and order a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Hint {
+    /// Larger goes first among the requests of the account.
+    pub priority: i32,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Hash of the prompt's prefix; zero if unknown.
+    pub prefix: u64,
+}
+
+impl Arrival {
+    fn work(&self) -> Work {
+        Work {
+            tokens: self.tokens,
+            prompt: self.hint.prompt,
+            prefix: self.hint.prefix,
+        }
+    }
+}
+
+fn refused(code: Code) -> Refused {
+    let after = RETRY_AFTER;
+    Refused { code, after }
 }
 
 /// Says why an attempt failed.
@@ -114,6 +149,8 @@
     Arrive(Arrival),
     /// The claim of a request was settled.
     Claimed(RequestId, Settled),
+    /// An attempt has given this many pieces of its answer.
+    Progress(RequestId, AttemptId, u64),
     /// An attempt failed.
     Failed(RequestId, AttemptId, FailReason),
     /// An attempt gave the whole answer; it is kept if the work was claimed.
@@ -161,6 +198,7 @@
 struct Request {
     arrival: Arrival,
     account: AccountId,
+    weight: f64,
     state: State,
     attempt: Option<(AttemptId, VmId)>,
     attempts: u32,
@@ -172,15 +210,17 @@
 pub struct Gateway {
     config: GatewayConfig,
     chart: Chart,
-    rng: SmallRng,
+    now: Time,
     view: Option<Arc<View>>,
     in_touch: Time,
     requests: BTreeMap<RequestId, Request>,
-    queue: VecDeque<RequestId>,
+    dispatcher: Dispatcher,
+    accounts: Accounts,
+    indexed: Option<Offset>,
     usage: BTreeMap<AccountId, Usage>,
-    dispatched: Dispatched,
+    electorate: Electorate,
+    slices: Option<(SliceUser, SliceHome)>,
     retries: f64,
-    next: u64,
     stopping: bool,
 }
 
@@ -188,16 +228,18 @@
     /// Makes a gateway that has seen no view yet.
     pub fn new(config: GatewayConfig, charts: &Charts) -> Self {
         Self {
-            rng: SmallRng::seed_from_u64(config.seed),
+            now: Time::ZERO,
+            dispatcher: Dispatcher::new(config.domain.clone(), config.queue, config.seed),
             chart: charts.request.clone(),
             view: None,
             in_touch: Time::ZERO,
             requests: BTreeMap::new(),
-            queue: VecDeque::new(),
+            accounts: Accounts::default(),
+            indexed: None,
             usage: BTreeMap::new(),
-            dispatched: Dispatched::default(),
+            electorate: Electorate::default(),
+            slices: None,
             retries: RETRY_RESERVE,
-            next: 0,
             stopping: false,
             config,
         }
@@ -205,11 +247,13 @@
 
     /// Takes one input at the time `now` and appends what is to be done to `out`.
     pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.now = now;
         match input {
             Input::Tick | Input::ViewLost => {}
             Input::View(view) => self.take_view(now, view),
             Input::Arrive(arrival) => self.arrive(now, arrival, out),
             Input::Claimed(request, settled) => self.claimed(&request, settled, out),
+            Input::Progress(_, attempt, chunks) => self.dispatcher.progress(now, attempt, chunks),
             Input::Failed(request, attempt, reason) => {
                 self.failed(now, &request, attempt, reason, out);
             }
@@ -232,7 +276,7 @@
         if self.stopping {
             return 0.0;
         }
-        1.0 - self.queue.len() as f64 / self.config.queue.max(1) as f64
+        1.0 - self.dispatcher.waiting() as f64 / self.config.queue.max(1) as f64
     }
 
     /// Returns the name under which it claims work.
@@ -245,24 +289,112 @@
         self.view.as_ref()
     }
 
+    /// Compares endpoints by another policy than the default one.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.dispatcher.use_policy(policy);
+        self
+    }
+
+    /// Shares account limits with the other gateways by leased slices; without this, each gateway
+    /// takes an even part.
+    #[must_use]
+    pub fn with_slices(mut self) -> Self {
+        let Owner { entry, run } = self.config.owner.clone();
+        let user = SliceUser::new(entry.clone(), run);
+        self.slices = Some((user, SliceHome::new(entry, run, LONGEST_OPEN)));
+        self
+    }
+
+    /// Returns the number of endpoints that all choices looked at.
+    pub fn examined(&self) -> u64 {
+        self.dispatcher.examined()
+    }
+
+    /// Returns the asks for slices to send now, with the base URL of the gateway that each is for.
+    pub fn slice_asks(&mut self, now: Time) -> Vec<(String, SliceAsk)> {
+        let (Some((user, _)), Some(view)) = (&mut self.slices, &self.view) else {
+            return Vec::new();
+        };
+        for account in self.accounts.iter() {
+            let new = || Usage::new(now, Amount::default());
+            self.usage.entry(account.id.clone()).or_insert_with(new);
+        }
+        let demands = self.usage.iter_mut().map(|(id, u)| u.demand(now, id));
+        let asks = user.asks(now, &self.electorate, demands);
+        let address = |home: &EntryId| {
+            let found = view.entries.iter().find(|e| e.member.entry == *home)?;
+            Some(found.member.gateway.clone())
+        };
+        asks.into_iter()
+            .filter_map(|(home, ask)| Some((address(&home)?, ask)))
+            .collect()
+    }
+
+    /// Answers another gateway's ask for slices; `None` if limits are not shared by slices.
+    pub fn answer_slices(&mut self, now: Time, ask: &SliceAsk) -> Option<SliceReply> {
+        let (_, home) = self.slices.as_mut()?;
+        let accounts = &self.accounts;
+        let limit = |id: &AccountId| accounts.get(id).map(|a| Amount::of(&a.row));
+        Some(home.answer(now, ask, limit))
+    }
+
+    /// Takes the reply to an ask for slices.
+    pub fn take_slices(&mut self, reply: &SliceReply) {
+        if let Some((user, _)) = &mut self.slices {
+            user.take(reply);
+        }
+    }
+
     fn take_view(&mut self, now: Time, view: Arc<View>) {
         if view.log_up || view.peers_up {
             self.in_touch = now;
         }
+        self.dispatcher.refresh(now, &view);
+        if self.indexed != Some(view.table.next) {
+            self.accounts = Accounts::index(&view.table);
+            self.indexed = Some(view.table.next);
+        }
+        self.take_electorate(&view);
         self.view = Some(view);
     }
 
+    fn take_electorate(&mut self, view: &View) {
+        let mut entries: Vec<&EntryStatus> = view.entries.iter().collect();
+        entries.sort_by(|a, b| a.member.entry.cmp(&b.member.entry));
+        let name = |e: &&EntryStatus| e.member.entry.clone();
+        let usable = |e: &&&EntryStatus| e.live && !e.member.leaving;
+        self.electorate = Electorate {
+            all: entries.iter().map(name).collect(),
+            live: entries.iter().filter(usable).map(name).collect(),
+        };
+        if let Some((_, home)) = &mut self.slices {
+            home.refresh(&self.electorate);
+        }
+    }
+
+    /// Returns what this gateway may use of an account's limits now.
+    fn amount(&self, now: Time, account: &Account) -> Amount {
+        let limit = Amount::of(&account.row);
+        let members = self.electorate.all.len();
+        match &self.slices {
+            _ if members <= 1 => limit,
+            Some((user, _)) => user.amount(now, &account.id, limit, members),
+            None => limit.even_part(self.electorate.live.len()),
+        }
+    }
+
     fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Output>) {
         match self.admit(now, &arrival) {
-            Err(code) => {
+            Err(Refused { code, after }) => {
                 let request = arrival.request;
                 out.push(Output::Refuse {
                     request,
                     code,
-                    after: RETRY_AFTER,
+                    after,
                 });
             }
-            Ok(account) => {
+            Ok((account, weight)) => {
                 self.retries = (self.retries + RETRY_SHARE).min(RETRY_RESERVE);
                 let id = arrival.request.clone();
                 let state = self.chart.start();
@@ -270,6 +402,7 @@
                 let request = Request {
                     arrival,
                     account,
+                    weight,
                     state,
                     attempt: None,
                     attempts: 0,
@@ -277,7 +410,7 @@
                 };
                 self.requests.insert(id.clone(), request);
                 match once {
-                    None => self.queue.push_back(id),
+                    None => self.enqueue(&id, out),
                     Some(key) => {
                         self.advance(&id, "claim");
                         out.push(Output::Claim(id, key, ClaimChange::Claim));
@@ -287,42 +420,77 @@
         }
     }
 
-    fn admit(&mut self, now: Time, arrival: &Arrival) -> Result<AccountId, Code> {
+    fn admit(&mut self, now: Time, arrival: &Arrival) -> Result<(AccountId, f64), Refused> {
         if self.stopping {
-            return Err(Code::Stopping);
+            return Err(refused(Code::Stopping));
         }
         let Some(view) = self.view.clone() else {
-            return Err(Code::Isolated);
+            return Err(refused(Code::Isolated));
         };
         if now.since(self.in_touch) > self.config.isolation {
-            return Err(Code::Isolated);
-        }
-        let account = view
-            .table
-            .accounts()
-            .find(|(_, row)| row.key_hash == arrival.key_hash);
-        let Some((id, row)) = account else {
-            return Err(Code::UnknownAccount);
+            return Err(refused(Code::Isolated));
+        }
+        let Some(account) = self.accounts.find(&arrival.key_hash).cloned() else {
+            return Err(refused(Code::UnknownAccount));
         };
         let known = match &arrival.target {
             Target::Model(group) => view.table.group(group).is_some(),
             Target::Service(service) => view.table.service(service).is_some(),
         };
         if !known {
-            return Err(Code::UnknownModel);
+            return Err(refused(Code::UnknownModel));
+        }
+        self.check_key(now, arrival).map_err(refused)?;
+        let (id, weight) = (account.id.clone(), account.row.weight);
+        let late = self.dispatcher.too_late(
+            now,
+            &arrival.target,
+            &id,
+            weight,
+            arrival.work(),
+            arrival.deadline,
+        );
+        if let Some(after) = late {
+            let code = Code::DeadlineUnmet;
+            return Err(Refused { code, after });
+        }
+        let amount = self.amount(now, &account);
+        let new = || Usage::new(now, amount);
+        let usage = self.usage.entry(id.clone()).or_insert_with(new);
+        usage.admit(now, amount, arrival.tokens)?;
+        Ok((id, weight))
+    }
+
+    fn enqueue(&mut self, id: &RequestId, out: &mut Vec<Output>) {
+        let Some((target, queued)) = self.queued(id) else {
+            return;
+        };
+        let shed = self.dispatcher.enter(&target, queued);
+        if let Some(shed) = shed {
+            let after = self.dispatcher.full_for(&target);
+            self.refuse_after(&shed, Code::Overload, after, out);
         }
-        self.check_key(now, arrival)?;
-        if self.queue.len() >= self.config.queue {
-            return Err(Code::Overload);
+    }
+
+    fn enqueue_front(&mut self, id: &RequestId) {
+        if let Some((target, queued)) = self.queued(id) {
+            self.dispatcher.enter_front(&target, queued);
         }
-        let gateways = view.entries.iter().filter(|e| e.live).count().max(1);
-        let share = 1.0 / gateways as f64;
-        let usage = self
-            .usage
-            .entry(id.clone())
-            .or_insert_with(|| Usage::new(now, row, share));
-        usage.admit(now, row, share, arrival.tokens as f64)?;
-        Ok(id.clone())
+    }
+
+    fn queued(&self, id: &RequestId) -> Option<(Target, Queued)> {
+        let request = self.requests.get(id)?;
+        let arrival = &request.arrival;
+        let queued = Queued {
+            request: id.clone(),
+            account: request.account.clone(),
+            weight: request.weight,
+            priority: arrival.hint.priority,
+            work: arrival.work(),
+            deadline: arrival.deadline,
+            latest: arrival.deadline,
+        };
+        Some((arrival.target.clone(), queued))
     }
 
     fn check_key(&self, now: Time, arrival: &Arrival) -> Result<(), Code> {
@@ -351,7 +519,7 @@
                 if let Some(request) = self.requests.get_mut(id) {
                     request.claimed = true;
                 }
-                self.queue.push_back(id.clone());
+                self.enqueue(id, out);
                 return;
             }
             Settled::ClaimTaken {
@@ -382,7 +550,7 @@
         reason: FailReason,
         out: &mut Vec<Output>,
     ) {
-        if !self.end_attempt(id, attempt) {
+        if !self.end_attempt(id, attempt, false) {
             return;
         }
         let Some(request) = self.requests.get(id) else {
@@ -401,7 +569,7 @@
         self.retries -= 1.0;
         out.push(Output::Retry(id.clone(), reason));
         self.advance(id, "failed");
-        self.queue.push_front(id.clone());
+        self.enqueue_front(id);
     }
 
     fn finished(
@@ -411,7 +579,7 @@
         answer: Option<Answer>,
         out: &mut Vec<Output>,
     ) {
-        if !self.end_attempt(id, attempt) {
+        if !self.end_attempt(id, attempt, true) {
             return;
         }
         self.advance(id, "finish");
@@ -427,12 +595,13 @@
         let Some(request) = self.requests.get(id) else {
             return;
         };
+        let target = request.arrival.target.clone();
         let running = request.attempt.clone();
         if let Some((attempt, _)) = &running {
-            self.end_attempt(id, *attempt);
+            self.end_attempt(id, *attempt, false);
         }
         self.advance(id, "cancel");
-        self.queue.retain(|q| q != id);
+        self.dispatcher.leave(&target, id);
         let Some(request) = self.forget(id) else {
             return;
         };
@@ -443,85 +612,42 @@
     }
 
     fn drain_queue(&mut self, now: Time, out: &mut Vec<Output>) {
-        let Some(view) = self.view.clone() else {
-            return;
-        };
-        let mut kept = VecDeque::new();
-        while let Some(id) = self.queue.pop_front() {
-            let Some(request) = self.requests.get(&id) else {
-                continue;
+        for id in self.dispatcher.overdue(now) {
+            let request = self.requests.get(&id);
+            let served = request.is_some_and(|r| self.dispatcher.serves(&r.arrival.target));
+            let code = if served {
+                Code::DeadlineUnmet
+            } else {
+                Code::NoReplica
             };
-            if now >= request.arrival.deadline {
-                self.refuse(&id, Code::DeadlineUnmet, out);
-                continue;
-            }
-            let target = request.arrival.target.clone();
-            let candidates = self.candidates(&view, &target);
-            let chosen = router::choose(&candidates, &self.dispatched, &mut self.rng);
-            match chosen {
-                Some(candidate) => self.dispatch(&view, &id, candidate, out),
-                None => kept.push_back(id),
-            }
+            self.refuse(&id, code, out);
+        }
+        for sent in self.dispatcher.drain(now) {
+            self.dispatch(sent, out);
         }
-        self.queue = kept;
     }
 
-    fn dispatch(&mut self, view: &View, id: &RequestId, to: &Candidate, out: &mut Vec<Output>) {
-        self.next += 1;
-        let attempt = AttemptId(self.next);
-        self.advance(id, "dispatch");
-        let Some(request) = self.requests.get_mut(id) else {
+    fn dispatch(&mut self, sent: Sent, out: &mut Vec<Output>) {
+        self.advance(&sent.request, "dispatch");
+        let Some(request) = self.requests.get_mut(&sent.request) else {
             return;
         };
         request.attempts += 1;
-        request.attempt = Some((attempt, to.vm.clone()));
-        self.dispatched.start(&to.vm, request.arrival.tokens);
-        let Some(status) = view.vms.get(&to.vm) else {
-            return;
-        };
+        request.attempt = Some((sent.attempt, sent.vm.clone()));
         out.push(Output::Dispatch {
-            request: id.clone(),
-            attempt,
-            vm: to.vm.clone(),
-            address: status.listing.address.clone(),
-            replica: status.held.as_ref().map(|h| h.replica.clone()),
+            request: sent.request,
+            attempt: sent.attempt,
+            vm: sent.vm,
+            address: sent.address,
+            replica: sent.replica,
         });
     }
 
-    fn candidates(&self, view: &View, target: &Target) -> Vec<Candidate> {
-        match target {
-            Target::Model(group) => {
-                let slots = view.table.group(group).map_or(1, |g| g.slots);
-                view.replicas()
-                    .filter(|(_, a)| a.group == *group && !a.draining)
-                    .filter_map(|(id, a)| {
-                        let ranks = view.ranks(&id, a)?;
-                        self.candidate(view, ranks.first()?, slots)
-                    })
-                    .collect()
-            }
-            Target::Service(service) => {
-                let slots = view.table.service(service).map_or(1, |s| s.slots);
-                let role = VmRole::Service(service.clone());
-                let vms = view.vms.values().filter(|s| s.listing.role == role);
-                vms.filter_map(|s| self.candidate(view, &s.listing.vm, slots))
-                    .collect()
-            }
-        }
-    }
-
-    fn candidate(&self, view: &View, vm: &VmId, slots: u32) -> Option<Candidate> {
-        let status = view.vms.get(vm).filter(|s| s.health == Health::Live)?;
-        Some(Candidate {
-            vm: vm.clone(),
-            reported: status.load.tokens,
-            age_ms: status.load.age_ms + status.silent_ms,
-            slots,
-            near: status.listing.domain == self.config.domain,
-        })
+    fn refuse(&mut self, id: &RequestId, code: Code, out: &mut Vec<Output>) {
+        self.refuse_after(id, code, RETRY_AFTER, out);
     }
 
-    fn refuse(&mut self, id: &RequestId, code: Code, out: &mut Vec<Output>) {
+    fn refuse_after(&mut self, id: &RequestId, code: Code, after: Duration, out: &mut Vec<Output>) {
         self.advance(id, "refuse");
         let Some(request) = self.forget(id) else {
             return;
@@ -533,17 +659,17 @@
         out.push(Output::Refuse {
             request: id.clone(),
             code,
-            after: RETRY_AFTER,
+            after,
         });
     }
 
-    fn end_attempt(&mut self, id: &RequestId, attempt: AttemptId) -> bool {
+    fn end_attempt(&mut self, id: &RequestId, attempt: AttemptId, whole: bool) -> bool {
         let Some(request) = self.requests.get_mut(id) else {
             return false;
         };
         match request.attempt.take() {
-            Some((current, vm)) if current == attempt => {
-                self.dispatched.end(&vm, request.arrival.tokens);
+            Some((current, _)) if current == attempt => {
+                self.dispatcher.end(self.now, attempt, whole);
                 true
             }
             other => {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,8 @@
 //! [`gateway::Gateway`]. What must be agreed is folded from the platform's log: [`table`],
 //! [`members`], [`fleet`] and [`claims`].
 
+pub mod accounts;
+pub mod admission;
 pub mod advice;
 pub mod agent;
 pub mod appender;
@@ -13,7 +15,11 @@
 pub mod codec;
 pub mod codes;
 pub mod declaration;
+pub mod dispatch;
+pub mod endpoint_pace;
+pub mod endpoints;
 pub mod engine;
+pub mod fair_queue;
 pub mod fleet;
 pub mod gateway;
 pub mod gossip;
@@ -32,7 +38,9 @@
 pub mod router;
 pub mod seal;
 pub mod settings;
+pub mod slices;
 pub mod stream;
 pub mod table;
 pub mod time;
+pub mod version_share;
 pub mod view;
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -1,13 +1,33 @@
 //! Limits of one client account as one gateway enforces them.
 
+use std::time::Duration;
+
 use crate::codes::Code;
-use crate::table::AccountRow;
+use crate::ids::AccountId;
+use crate::slices::{Amount, Demand};
 use crate::time::Time;
 
 /// Seconds of its rate that an account may use at once.
 const BURST_S: f64 = 1.0;
+/// Share of the last observed demand that a calmer one leaves.
+const DEMAND_KEPT: f64 = 0.7;
+/// Wait before a request that broke the limit on open requests, which have no known end.
+const OPEN_AFTER: Duration = Duration::from_millis(500);
+/// Longest wait that a refused caller is told.
+const AFTER_MAX: Duration = Duration::from_secs(30);
+
+/// A refusal with the wait before the next try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// Why.
+    pub code: Code,
+    /// Wait before the next try.
+    pub after: Duration,
+}
 
 /// A rate limit that refills with time.
+///
+/// A piece of work larger than the burst needs a full bucket and leaves a debt.
 #[derive(Debug, Clone)]
 pub struct Bucket {
     level: f64,
@@ -23,16 +43,26 @@
         }
     }
 
-    /// Takes `amount` if the bucket has it.
-    pub fn take(&mut self, now: Time, rate: f64, amount: f64) -> bool {
+    /// Refills for the time passed at `rate`, and returns the wait until `amount` may be taken.
+    pub fn wait(&mut self, now: Time, rate: f64, amount: f64) -> Duration {
         let gained = now.since(self.filled).as_secs_f64() * rate;
         self.level = (self.level + gained).min(rate * BURST_S);
         self.filled = now;
-        let enough = self.level >= amount.min(rate * BURST_S);
-        if enough {
-            self.level -= amount;
+        if rate <= 0.0 {
+            return AFTER_MAX;
         }
-        enough
+        let missing = amount.min(rate * BURST_S) - self.level;
+        Duration::from_secs_f64((missing / rate).clamp(0.0, AFTER_MAX.as_secs_f64()))
+    }
+
+    /// Takes `amount`.
+    pub fn take(&mut self, amount: f64) {
+        self.level -= amount;
+    }
+
+    /// Returns what was taken beyond what was there.
+    pub fn debt(&self) -> f64 {
+        (-self.level).max(0.0)
     }
 }
 
@@ -41,38 +71,43 @@
 pub struct Usage {
     requests: Bucket,
     tokens: Bucket,
-    open: u32,
+    open: u64,
+    offered: Amount,
+    demand: Amount,
+    asked: Time,
 }
 
 impl Usage {
     /// Makes the usage of an account that has sent nothing yet.
-    pub fn new(now: Time, row: &AccountRow, share: f64) -> Self {
-        let requests = Bucket::full(now, row.requests * share);
-        let tokens = Bucket::full(now, row.tokens * share);
+    pub fn new(now: Time, amount: Amount) -> Self {
         Self {
-            requests,
-            tokens,
+            requests: Bucket::full(now, rate(amount.requests)),
+            tokens: Bucket::full(now, amount.tokens as f64),
             open: 0,
+            offered: Amount::default(),
+            demand: Amount::default(),
+            asked: now,
         }
     }
 
-    /// Admits a request of `tokens` tokens or names the limit that it breaks.
-    pub fn admit(
-        &mut self,
-        now: Time,
-        row: &AccountRow,
-        share: f64,
-        tokens: f64,
-    ) -> Result<(), Code> {
-        if f64::from(self.open) + 1.0 > (f64::from(row.concurrency) * share).max(1.0) {
-            return Err(Code::ConcurrencyLimit);
+    /// Admits a request of `tokens` tokens under the limits `amount`, or says why not and until when.
+    pub fn admit(&mut self, now: Time, amount: Amount, tokens: u64) -> Result<(), Refused> {
+        self.offered.requests += 1_000;
+        self.offered.tokens += tokens;
+        self.offered.open += 1;
+        if self.open + 1 > amount.open {
+            return refuse(Code::ConcurrencyLimit, OPEN_AFTER);
         }
-        if !self.requests.take(now, row.requests * share, 1.0) {
-            return Err(Code::RequestLimit);
+        let wait = self.requests.wait(now, rate(amount.requests), 1.0);
+        if !wait.is_zero() {
+            return refuse(Code::RequestLimit, wait);
         }
-        if !self.tokens.take(now, row.tokens * share, tokens) {
-            return Err(Code::TokenLimit);
+        let wait = self.tokens.wait(now, amount.tokens as f64, tokens as f64);
+        if !wait.is_zero() {
+            return refuse(Code::TokenLimit, wait);
         }
+        self.requests.take(1.0);
+        self.tokens.take(tokens as f64);
         self.open += 1;
         Ok(())
     }
@@ -81,4 +116,42 @@
     pub fn ended(&mut self) {
         self.open = self.open.saturating_sub(1);
     }
+
+    /// Returns the requests that are open.
+    pub fn open(&self) -> u64 {
+        self.open
+    }
+
+    /// Returns the demand since the last call: it grows at once and falls with time.
+    pub fn demand(&mut self, now: Time, account: &AccountId) -> Demand {
+        let seconds = now.since(self.asked).as_secs_f64().max(0.001);
+        self.asked = now;
+        let offered = std::mem::take(&mut self.offered);
+        let kept = |old: u64| (old as f64 * DEMAND_KEPT) as u64;
+        let debt = self.tokens.debt() as u64;
+        let seen = Amount {
+            requests: (offered.requests as f64 / seconds) as u64,
+            tokens: (offered.tokens as f64 / seconds) as u64 + debt,
+            open: self.open + offered.open,
+        };
+        let calmer = Amount {
+            requests: kept(self.demand.requests),
+            tokens: kept(self.demand.tokens),
+            open: kept(self.demand.open),
+        };
+        self.demand = seen.most(calmer);
+        Demand {
+            account: account.clone(),
+            wants: self.demand,
+            open: self.open,
+        }
+    }
+}
+
+fn rate(thousandths: u64) -> f64 {
+    thousandths as f64 / 1_000.0
+}
+
+fn refuse(code: Code, after: Duration) -> Result<(), Refused> {
+    Err(Refused { code, after })
 }
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -1,73 +1,207 @@
 //! Choice of the endpoint for one attempt: least expected completion among a few candidates.
 
-use std::collections::BTreeMap;
-
 use rand::Rng;
-use rand::seq::IndexedRandom;
 
-use crate::ids::VmId;
+use crate::endpoints::{Endpoint, Endpoints, Pool, TargetPace, Work};
+use crate::time::Time;
 
 /// Candidates that one choice compares.
-const CANDIDATES: usize = 3;
+const CANDIDATES: usize = 8;
+/// Endpoints that are looked at in turn when no candidate has room.
+const SCANNED: usize = 64;
+/// Requests past its slots that an endpoint is given, so that none idles between two reports.
+const HEADROOM: u32 = 1;
+/// Cost of one request beside others in a batch, as a share of a request's time in its slot.
+const BATCH_SHARE: f64 = 0.05;
+/// Cost of leaving the failure domain in seconds.
+const FAR_S: f64 = 0.003;
+
+/// How endpoints are compared.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// Least expected completion among a few candidates.
+    #[default]
+    Completion,
+    /// Any endpoint.
+    Random,
+    /// Each endpoint in turn.
+    RoundRobin,
+    /// The shortest queue of all, by the last reports alone.
+    ShortestStale,
+    /// The shorter queue of two, by the last reports alone.
+    TwoChoices,
+    /// Least admission cost of the first policy iteration over all endpoints.
+    ///
+    /// Hyytiä, Righter and Aalto, "State-dependent and Energy-aware Control of Server Farm", ECQT
+    /// 2014: value function of an M/G/1 queue with backlog `u`, `λu²/(2(1-ρ))`.
+    FirstIteration,
+}
+
+impl Policy {
+    /// Lists all policies with their names.
+    pub const ALL: [(&'static str, Self); 6] = [
+        ("completion", Self::Completion),
+        ("random", Self::Random),
+        ("round-robin", Self::RoundRobin),
+        ("shortest-stale", Self::ShortestStale),
+        ("two-choices", Self::TwoChoices),
+        ("first-iteration", Self::FirstIteration),
+    ];
+}
 
-/// An endpoint that may take an attempt.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Candidate {
-    /// The VM that takes the call.
-    pub vm: VmId,
-    /// Reported work in tokens.
-    pub reported: u64,
-    /// Age of the report in milliseconds.
-    pub age_ms: u64,
-    /// Requests that it runs at a time.
-    pub slots: u32,
-    /// Whether it shares the gateway's failure domain.
-    pub near: bool,
+/// What one choice needs to know.
+#[derive(Debug, Clone, Copy)]
+pub struct Question<'a> {
+    /// The endpoints.
+    pub endpoints: &'a Endpoints,
+    /// Those that may be chosen.
+    pub pool: &'a Pool,
+    /// Pace of the target.
+    pub pace: TargetPace,
+    /// The work.
+    pub work: Work,
+    /// Gateways that share the endpoints.
+    pub gateways: usize,
+    /// How endpoints are compared.
+    pub policy: Policy,
 }
 
-/// Work that a gateway has sent to endpoints and not seen end.
-#[derive(Debug, Default)]
-pub struct Dispatched {
-    open: BTreeMap<VmId, (u32, u64)>,
+/// What a choice came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Choice {
+    /// Place of the endpoint; `None` if no candidate has room.
+    pub place: Option<usize>,
+    /// Endpoints that were looked at.
+    pub examined: usize,
 }
 
-impl Dispatched {
-    /// Counts an attempt.
-    pub fn start(&mut self, vm: &VmId, tokens: u64) {
-        let open = self.open.entry(vm.clone()).or_default();
-        open.0 += 1;
-        open.1 += tokens;
+impl Question<'_> {
+    /// Chooses an endpoint; `turn` counts the choices made.
+    pub fn choose(&self, now: Time, turn: usize, rng: &mut impl Rng) -> Choice {
+        let all = &self.pool.all;
+        if all.is_empty() {
+            return Choice {
+                place: None,
+                examined: 0,
+            };
+        }
+        match self.policy {
+            Policy::Completion => self.by_completion(now, rng),
+            Policy::Random => self.first_open(rng.random_range(0..all.len())),
+            Policy::RoundRobin => self.first_open(turn % all.len()),
+            Policy::ShortestStale => self.least(all.iter().copied(), |e| f64::from(e.reported())),
+            Policy::TwoChoices => {
+                let picked = [(); 2].map(|()| all[rng.random_range(0..all.len())]);
+                self.least(picked.into_iter(), |e| f64::from(e.reported()))
+            }
+            Policy::FirstIteration => {
+                let (rho, hold) = (self.load(), self.pace.hold());
+                self.least(all.iter().copied(), |e| admission_cost(e, rho, hold))
+            }
+        }
+    }
+
+    fn by_completion(&self, now: Time, rng: &mut impl Rng) -> Choice {
+        let cost = |e: &Endpoint| self.completion(now, e);
+        let (all, near) = (&self.pool.all, &self.pool.near);
+        let owner = self.pool.owner(self.work.prefix);
+        let owner = owner.filter(|_| self.work.prefix != 0);
+        if all.len() <= CANDIDATES {
+            return self.least(all.iter().copied(), cost);
+        }
+        let near_count = near.len().min(CANDIDATES / 2);
+        let mut picked = [0; CANDIDATES];
+        for (i, place) in picked.iter_mut().enumerate() {
+            let from = if i < near_count { near } else { all };
+            *place = from[rng.random_range(0..from.len())];
+        }
+        let choice = self.least(picked.into_iter().chain(owner), cost);
+        if choice.place.is_some() {
+            return choice;
+        }
+        let start = rng.random_range(0..all.len());
+        let scan = (0..all.len().min(SCANNED)).map(|i| all[(start + i) % all.len()]);
+        let scanned = self.least(scan, cost);
+        Choice {
+            examined: choice.examined + scanned.examined,
+            ..scanned
+        }
     }
 
-    /// Takes an attempt's end.
-    pub fn end(&mut self, vm: &VmId, tokens: u64) {
-        if let Some(open) = self.open.get_mut(vm) {
-            open.0 = open.0.saturating_sub(1);
-            open.1 = open.1.saturating_sub(tokens);
+    fn least(
+        &self,
+        places: impl Iterator<Item = usize>,
+        cost: impl Fn(&Endpoint) -> f64,
+    ) -> Choice {
+        let mut best: Option<(f64, usize)> = None;
+        let mut examined = 0;
+        for place in places {
+            examined += 1;
+            let Some(endpoint) = self.endpoints.at(place).filter(|e| self.has_room(e)) else {
+                continue;
+            };
+            let cost = cost(endpoint);
+            if best.is_none_or(|b| cost < b.0) {
+                best = Some((cost, place));
+            }
+        }
+        Choice {
+            place: best.map(|b| b.1),
+            examined,
         }
     }
 
-    /// Returns the open requests at a VM.
-    pub fn requests(&self, vm: &VmId) -> u32 {
-        self.open.get(vm).map_or(0, |o| o.0)
+    fn first_open(&self, start: usize) -> Choice {
+        let all = &self.pool.all;
+        let turns = (0..all.len()).map(|i| all[(start + i) % all.len()]);
+        let open = |p: &usize| self.endpoints.at(*p).is_some_and(|e| self.has_room(e));
+        let mut examined = 0;
+        let place = turns.inspect(|_| examined += 1).find(open);
+        Choice { place, examined }
+    }
+
+    /// Returns whether an endpoint takes another request: it has a slot that nobody is expected to
+    /// use, or this gateway runs less than its even share there.
+    fn has_room(&self, endpoint: &Endpoint) -> bool {
+        let slots = endpoint.spec.slots;
+        let expected = match self.policy {
+            Policy::Completion => endpoint.requests(),
+            _ => endpoint.open,
+        };
+        let share = slots / (self.gateways.max(1) as u32);
+        expected < slots + HEADROOM || endpoint.open < share.min(slots)
+    }
+
+    fn completion(&self, now: Time, endpoint: &Endpoint) -> f64 {
+        let requests = endpoint.requests();
+        let slots = endpoint.spec.slots.max(1);
+        let hold = self.pace.hold();
+        let over = (requests + 1).saturating_sub(slots);
+        let wait = f64::from(over) * hold / f64::from(slots);
+        let prompt = match endpoint.has_prefix(self.work.prefix) {
+            true => 0,
+            false => self.work.prompt,
+        };
+        let prefill = (endpoint.prefill + prompt) as f64 * self.pace.prefill();
+        let batch = f64::from(requests) / f64::from(slots) * BATCH_SHARE * hold;
+        let far = if endpoint.spec.near { 0.0 } else { FAR_S };
+        (wait + prefill + batch + hold) * endpoint.slowness(now) + far
     }
 
-    /// Returns the open work at a VM in tokens.
-    pub fn tokens(&self, vm: &VmId) -> u64 {
-        self.open.get(vm).map_or(0, |o| o.1)
+    fn load(&self) -> f64 {
+        let places = self.pool.all.iter().filter_map(|p| self.endpoints.at(*p));
+        let (requests, slots) = places.fold((0, 0), |sum, e| {
+            (sum.0 + e.requests(), sum.1 + e.spec.slots.max(1))
+        });
+        (f64::from(requests) / f64::from(slots.max(1))).min(0.99)
     }
 }
 
-/// Picks the candidate with the least expected work, or `None` if all are full.
-pub fn choose<'a>(
-    candidates: &'a [Candidate],
-    dispatched: &Dispatched,
-    rng: &mut impl Rng,
-) -> Option<&'a Candidate> {
-    let has_room = |c: &&Candidate| dispatched.requests(&c.vm) < c.slots;
-    let open: Vec<&Candidate> = candidates.iter().filter(has_room).collect();
-    let picked = open.choose_multiple(rng, CANDIDATES);
-    picked
-        .copied()
-        .min_by_key(|c| (c.reported.max(dispatched.tokens(&c.vm)), !c.near))
+fn admission_cost(endpoint: &Endpoint, rho: f64, hold: f64) -> f64 {
+    let work = hold / f64::from(endpoint.spec.slots.max(1));
+    let backlog = f64::from(endpoint.requests()) * work;
+    let after = backlog + work;
+    let rate = rho / work;
+    let value = |u: f64| rate * u * u / (2.0 * (1.0 - rho));
+    after + value(after) - value(backlog)
 }
