--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,5 +2,6 @@
 //! within one run where they take wall time.
 
 pub mod bounds;
+pub mod endpoint_set;
 pub mod experiments;
 pub mod figure;
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -111,7 +111,7 @@
         work: Work,
         deadline: Time,
     ) -> Option<Duration> {
-        let service = self.endpoints.pace(target).service(work.tokens);
+        let service = self.endpoints.pace(target).service(work);
         let service = service.unwrap_or_default();
         let lane = self.lanes.get(target);
         let wait = lane.and_then(|l| l.pace.wait(l.queue.ahead(account, weight)));
@@ -188,7 +188,7 @@
     }
 
     fn latest(&self, target: &Target, queued: &Queued) -> Time {
-        let service = self.endpoints.pace(target).service(queued.work.tokens);
+        let service = self.endpoints.pace(target).service(queued.work);
         queued.deadline - service.unwrap_or_default()
     }
 
--- a/lib/src/endpoints.rs
+++ b/lib/src/endpoints.rs
@@ -19,6 +19,12 @@
 const FIRST_HOLD_S: f64 = 2.0;
 /// Prefill pace that is assumed before one was observed, in seconds a token.
 const FIRST_PREFILL_S: f64 = 0.000_1;
+/// Age at which a report says little about the requests of other gateways, in seconds.
+const REPORT_LIFE_S: f64 = 0.1;
+/// Weight of one view in the usual load of an endpoint.
+const BIAS_WEIGHT: f64 = 0.005;
+/// Mean deviations that are added to the mean time of a piece of work.
+const SPREADS: f64 = 2.0;
 /// Points of each endpoint on the ring of prompt prefixes.
 const RING_POINTS: u64 = 8;
 /// Prefixes that an endpoint's cache is taken to hold.
@@ -26,6 +32,10 @@
 /// Own starts and ends that are remembered for an endpoint whose reports don't come.
 const CHANGES: usize = 1_024;
 
+fn load_requests(load: &Load) -> u32 {
+    load.running + load.queued
+}
+
 /// An endpoint as the view describes it.
 #[derive(Debug, Clone)]
 pub struct EndpointSpec {
@@ -56,6 +66,10 @@
     pub open: u32,
     /// Prompt tokens of own attempts that have no first token yet.
     pub prefill: u64,
+    /// Requests of other gateways in the last report.
+    others: f64,
+    /// How far these usually lie above the mean of the pool.
+    bias: f64,
     slowness: Slowness,
     changes: VecDeque<(Time, i32)>,
     prefixes: VecDeque<u64>,
@@ -65,6 +79,8 @@
 impl Endpoint {
     fn new(spec: EndpointSpec) -> Self {
         Self {
+            others: f64::from(load_requests(&spec.load)),
+            bias: 0.0,
             spec,
             open: 0,
             prefill: 0,
@@ -75,19 +91,31 @@
         }
     }
 
-    /// Returns the requests expected at the endpoint: the report and own changes since it was made.
-    pub fn requests(&self) -> u32 {
-        let load = self.spec.load;
-        let reported = i64::from(load.running) + i64::from(load.queued);
-        let since = self.spec.reported;
-        let recent = self.changes.iter().rev().take_while(|c| c.0 > since);
-        let own: i64 = recent.map(|c| i64::from(c.1)).sum();
-        (reported + own).max(i64::from(self.open)) as u32
+    /// Returns the requests expected at the endpoint: its own open ones, which are known, and those
+    /// of others, which drift from the report towards their usual number as the report ages.
+    pub fn requests(&self, now: Time, mean: f64) -> f64 {
+        let age = now.since(self.spec.reported).as_secs_f64();
+        let trust = (-age / REPORT_LIFE_S).exp();
+        let usual = mean + self.bias;
+        f64::from(self.open) + (usual + trust * (self.others - usual)).max(0.0)
+    }
+
+    /// Returns the standard deviation of the requests expected, from the starts and ends at other
+    /// gateways since the report.
+    pub fn uncertainty(&self, now: Time, mean: f64, hold: f64) -> f64 {
+        let age = now.since(self.spec.reported).as_secs_f64();
+        let turned = 1.0 - (-age / hold.max(1e-3)).exp();
+        (2.0 * mean * turned).sqrt()
+    }
+
+    /// Returns the requests of other gateways in the last report.
+    pub fn others(&self) -> f64 {
+        self.others
     }
 
     /// Returns the requests in the last report alone.
     pub fn reported(&self) -> u32 {
-        self.spec.load.running + self.spec.load.queued
+        load_requests(&self.spec.load)
     }
 
     /// Returns how many times slower than its pool the endpoint is expected to be.
@@ -122,6 +150,10 @@
         while self.changes.front().is_some_and(|c| c.0 <= reported) {
             self.changes.pop_front();
         }
+        let since: i64 = self.changes.iter().map(|c| i64::from(c.1)).sum();
+        let own = (i64::from(self.open) - since).max(0);
+        let all = i64::from(load_requests(&self.spec.load));
+        self.others = (all - own).max(0) as f64;
         self.listed = true;
     }
 
@@ -144,6 +176,8 @@
     pub all: Vec<usize>,
     /// Places of those in the gateway's failure domain.
     pub near: Vec<usize>,
+    /// Mean number of requests of other gateways at an endpoint, by the last reports.
+    pub mean: f64,
     ring: Vec<(u64, usize)>,
 }
 
@@ -174,6 +208,7 @@
     gap: Average,
     prefill: Average,
     token: Average,
+    spread: Average,
 }
 
 impl TargetPace {
@@ -187,9 +222,12 @@
         self.prefill.get().unwrap_or(FIRST_PREFILL_S)
     }
 
-    /// Returns the time expected for `tokens` tokens of work, or `None` before the first answer.
-    pub fn service(&self, tokens: u64) -> Option<Duration> {
-        let seconds = self.token.get()? * tokens as f64;
+    /// Returns the time within which most work of this size is done, or `None` before the first
+    /// answer.
+    pub fn service(&self, work: Work) -> Option<Duration> {
+        let spread = self.spread.get().unwrap_or(0.0);
+        let token = self.token.get()? + SPREADS * spread;
+        let seconds = token * work.answer() as f64 + self.prefill() * work.prompt as f64;
         Some(Duration::from_secs_f64(seconds))
     }
 }
@@ -208,8 +246,7 @@
     pub place: usize,
     /// What it is for.
     pub target: Target,
-    /// Its work in tokens.
-    pub tokens: u64,
+    answer: u64,
     prompt: u64,
     started: Time,
     first: Option<Time>,
@@ -246,6 +283,15 @@
         for pools in self.pools.values_mut() {
             for pool in pools.versions.values_mut() {
                 pool.ring.sort_unstable();
+                let places = pool.all.iter().filter_map(|p| self.slots[*p].as_ref());
+                let others: f64 = places.map(Endpoint::others).sum();
+                pool.mean = others / pool.all.len() as f64;
+                for place in &pool.all {
+                    if let Some(endpoint) = self.slots[*place].as_mut() {
+                        let above = endpoint.others - pool.mean - endpoint.bias;
+                        endpoint.bias += BIAS_WEIGHT * above;
+                    }
+                }
             }
         }
         self.drop_unlisted();
@@ -287,7 +333,7 @@
         let attempted = Attempted {
             place,
             target: target.clone(),
-            tokens: work.tokens,
+            answer: work.answer(),
             prompt,
             started: now,
             first: None,
@@ -342,7 +388,10 @@
             let taken = now.since(attempted.started).as_secs_f64();
             let usual = pace.hold.get().unwrap_or(taken);
             pace.hold.observe(taken.min(usual * 2.0));
-            pace.token.observe(taken / attempted.tokens.max(1) as f64);
+            let token = taken / attempted.answer as f64;
+            let usual = pace.token.get().unwrap_or(token);
+            pace.spread.observe((token - usual).abs());
+            pace.token.observe(token);
         }
         self.drop_idle(attempted.place);
     }
@@ -372,6 +421,13 @@
     pub prefix: u64,
 }
 
+impl Work {
+    /// Returns the tokens of the answer, at least one.
+    pub fn answer(self) -> u64 {
+        self.tokens.saturating_sub(self.prompt).max(1)
+    }
+}
+
 fn place(
     slots: &mut Vec<Option<Endpoint>>,
     places: &mut BTreeMap<VmId, usize>,
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -6,13 +6,17 @@
 use crate::time::Time;
 
 /// Candidates that one choice compares.
-const CANDIDATES: usize = 8;
+const CANDIDATES: usize = 16;
 /// Endpoints that are looked at in turn when no candidate has room.
 const SCANNED: usize = 64;
 /// Requests past its slots that an endpoint is given, so that none idles between two reports.
-const HEADROOM: u32 = 1;
+const HEADROOM: f64 = 0.25;
 /// Cost of one request beside others in a batch, as a share of a request's time in its slot.
 const BATCH_SHARE: f64 = 0.05;
+/// Scale of the logistic curve that stands for the normal one, in standard deviations.
+const EXCESS_SCALE: f64 = 0.6;
+/// Least deviation of the requests at an endpoint.
+const EXCESS_MIN: f64 = 0.5;
 /// Cost of leaving the failure domain in seconds.
 const FAR_S: f64 = 0.003;
 
@@ -87,16 +91,20 @@
         }
         match self.policy {
             Policy::Completion => self.by_completion(now, rng),
-            Policy::Random => self.first_open(rng.random_range(0..all.len())),
-            Policy::RoundRobin => self.first_open(turn % all.len()),
-            Policy::ShortestStale => self.least(all.iter().copied(), |e| f64::from(e.reported())),
+            Policy::Random => self.first_open(now, rng.random_range(0..all.len())),
+            Policy::RoundRobin => self.first_open(now, turn % all.len()),
+            Policy::ShortestStale => {
+                self.least(now, all.iter().copied(), |e| f64::from(e.reported()))
+            }
             Policy::TwoChoices => {
                 let picked = [(); 2].map(|()| all[rng.random_range(0..all.len())]);
-                self.least(picked.into_iter(), |e| f64::from(e.reported()))
+                self.least(now, picked.into_iter(), |e| f64::from(e.reported()))
             }
             Policy::FirstIteration => {
-                let (rho, hold) = (self.load(), self.pace.hold());
-                self.least(all.iter().copied(), |e| admission_cost(e, rho, hold))
+                let (rho, hold) = (self.load(now), self.pace.hold());
+                self.least(now, all.iter().copied(), |e| {
+                    admission_cost(e.requests(now, self.pool.mean), e.spec.slots, rho, hold)
+                })
             }
         }
     }
@@ -107,7 +115,7 @@
         let owner = self.pool.owner(self.work.prefix);
         let owner = owner.filter(|_| self.work.prefix != 0);
         if all.len() <= CANDIDATES {
-            return self.least(all.iter().copied(), cost);
+            return self.least(now, all.iter().copied(), cost);
         }
         let near_count = near.len().min(CANDIDATES / 2);
         let mut picked = [0; CANDIDATES];
@@ -115,13 +123,13 @@
             let from = if i < near_count { near } else { all };
             *place = from[rng.random_range(0..from.len())];
         }
-        let choice = self.least(picked.into_iter().chain(owner), cost);
+        let choice = self.least(now, picked.into_iter().chain(owner), cost);
         if choice.place.is_some() {
             return choice;
         }
         let start = rng.random_range(0..all.len());
         let scan = (0..all.len().min(SCANNED)).map(|i| all[(start + i) % all.len()]);
-        let scanned = self.least(scan, cost);
+        let scanned = self.least(now, scan, cost);
         Choice {
             examined: choice.examined + scanned.examined,
             ..scanned
@@ -130,6 +138,7 @@
 
     fn least(
         &self,
+        now: Time,
         places: impl Iterator<Item = usize>,
         cost: impl Fn(&Endpoint) -> f64,
     ) -> Choice {
@@ -137,7 +146,7 @@
         let mut examined = 0;
         for place in places {
             examined += 1;
-            let Some(endpoint) = self.endpoints.at(place).filter(|e| self.has_room(e)) else {
+            let Some(endpoint) = self.endpoints.at(place).filter(|e| self.has_room(now, e)) else {
                 continue;
             };
             let cost = cost(endpoint);
@@ -151,10 +160,10 @@
         }
     }
 
-    fn first_open(&self, start: usize) -> Choice {
+    fn first_open(&self, now: Time, start: usize) -> Choice {
         let all = &self.pool.all;
         let turns = (0..all.len()).map(|i| all[(start + i) % all.len()]);
-        let open = |p: &usize| self.endpoints.at(*p).is_some_and(|e| self.has_room(e));
+        let open = |p: &usize| self.endpoints.at(*p).is_some_and(|e| self.has_room(now, e));
         let mut examined = 0;
         let place = turns.inspect(|_| examined += 1).find(open);
         Choice { place, examined }
@@ -162,44 +171,51 @@
 
     /// Returns whether an endpoint takes another request: it has a slot that nobody is expected to
     /// use, or this gateway runs less than its even share there.
-    fn has_room(&self, endpoint: &Endpoint) -> bool {
+    fn has_room(&self, now: Time, endpoint: &Endpoint) -> bool {
         let slots = endpoint.spec.slots;
         let expected = match self.policy {
-            Policy::Completion => endpoint.requests(),
-            _ => endpoint.open,
+            Policy::Completion => endpoint.requests(now, self.pool.mean),
+            _ => f64::from(endpoint.open),
         };
         let share = slots / (self.gateways.max(1) as u32);
-        expected < slots + HEADROOM || endpoint.open < share.min(slots)
+        expected < f64::from(slots) + HEADROOM || endpoint.open < share.min(slots)
     }
 
     fn completion(&self, now: Time, endpoint: &Endpoint) -> f64 {
-        let requests = endpoint.requests();
-        let slots = endpoint.spec.slots.max(1);
+        let requests = endpoint.requests(now, self.pool.mean);
+        let slots = f64::from(endpoint.spec.slots.max(1));
         let hold = self.pace.hold();
-        let over = (requests + 1).saturating_sub(slots);
-        let wait = f64::from(over) * hold / f64::from(slots);
+        let doubt = endpoint.uncertainty(now, self.pool.mean, hold);
+        let wait = expected_excess(requests + 1.0 - slots, doubt) * hold / slots;
         let prompt = match endpoint.has_prefix(self.work.prefix) {
             true => 0,
             false => self.work.prompt,
         };
         let prefill = (endpoint.prefill + prompt) as f64 * self.pace.prefill();
-        let batch = f64::from(requests) / f64::from(slots) * BATCH_SHARE * hold;
+        let batch = requests / slots * BATCH_SHARE * hold;
         let far = if endpoint.spec.near { 0.0 } else { FAR_S };
         (wait + prefill + batch + hold) * endpoint.slowness(now) + far
     }
 
-    fn load(&self) -> f64 {
+    fn load(&self, now: Time) -> f64 {
         let places = self.pool.all.iter().filter_map(|p| self.endpoints.at(*p));
-        let (requests, slots) = places.fold((0, 0), |sum, e| {
-            (sum.0 + e.requests(), sum.1 + e.spec.slots.max(1))
+        let (requests, slots) = places.fold((0.0, 0), |sum, e| {
+            let requests = e.requests(now, self.pool.mean);
+            (sum.0 + requests, sum.1 + e.spec.slots.max(1))
         });
-        (f64::from(requests) / f64::from(slots.max(1))).min(0.99)
+        (requests / f64::from(slots.max(1))).clamp(0.01, 0.99)
     }
 }
 
-fn admission_cost(endpoint: &Endpoint, rho: f64, hold: f64) -> f64 {
-    let work = hold / f64::from(endpoint.spec.slots.max(1));
-    let backlog = f64::from(endpoint.requests()) * work;
+/// Returns about the mean of the positive part of a normal variable.
+fn expected_excess(mean: f64, deviation: f64) -> f64 {
+    let scale = EXCESS_SCALE * deviation.max(EXCESS_MIN);
+    scale * (mean / scale).exp().ln_1p()
+}
+
+fn admission_cost(requests: f64, slots: u32, rho: f64, hold: f64) -> f64 {
+    let work = hold / f64::from(slots.max(1));
+    let backlog = requests * work;
     let after = backlog + work;
     let rate = rho / work;
     let value = |u: f64| rate * u * u / (2.0 * (1.0 - rho));
