--- a/lib/src/slices.rs
+++ b/lib/src/slices.rs
@@ -11,7 +11,7 @@
 //! and a home from after it has heard. Clocks that differ in rate by up to [`DRIFT_PERCENT`] are
 //! allowed for.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -162,6 +162,8 @@
 pub struct SliceReply {
     /// The home's entry VM.
     pub from: EntryId,
+    /// Run of the gateway that asked.
+    pub to: Incarnation,
     /// Number of the ask.
     pub seq: u64,
     /// To be sent with the next ask.
@@ -290,6 +292,7 @@
         };
         let mut reply = SliceReply {
             from: self.entry.clone(),
+            to: ask.run,
             seq: ask.seq,
             token,
             grants: Vec::new(),
@@ -352,13 +355,14 @@
             return None;
         }
         let holder = self.holders.entry(ask.from.clone()).or_default();
-        if holder.run != ask.run {
+        if holder.run < ask.run {
             *holder = Holder {
                 run: ask.run,
                 ..Holder::default()
             };
         }
-        if holder.given.iter().any(|g| g.seq >= ask.seq) {
+        let old = holder.run > ask.run;
+        if old || holder.given.iter().any(|g| g.seq >= ask.seq) {
             return None;
         }
         let length = with_drift(SLICE);
@@ -471,9 +475,10 @@
 pub struct SliceUser {
     entry: EntryId,
     run: Incarnation,
+    started: Option<Time>,
     seq: u64,
     tokens: BTreeMap<EntryId, Token>,
-    sent: BTreeMap<EntryId, Sent>,
+    sent: VecDeque<Sent>,
     slices: BTreeMap<AccountId, Slice>,
 }
 
@@ -483,20 +488,27 @@
         Self {
             entry,
             run,
+            started: None,
             seq: 0,
             tokens: BTreeMap::new(),
-            sent: BTreeMap::new(),
+            sent: VecDeque::new(),
             slices: BTreeMap::new(),
         }
     }
 
     /// Returns the asks to send now, with the home that each is for.
+    ///
+    /// There are none until an ask of this gateway's former run can support no home any more.
     pub fn asks(
         &mut self,
         now: Time,
         electorate: &Electorate,
         demands: impl Iterator<Item = Demand>,
     ) -> Vec<(EntryId, SliceAsk)> {
+        let started = *self.started.get_or_insert(now);
+        if now < started + with_drift(SUPPORT) {
+            return Vec::new();
+        }
         let mut asks: BTreeMap<EntryId, Vec<AccountAsk>> = BTreeMap::new();
         for demand in demands {
             let Some(home) = electorate.home(&demand.account) else {
@@ -528,9 +540,10 @@
             .collect()
     }
 
-    /// Takes a reply; only the one to the newest ask of its home counts.
+    /// Takes a reply; one that is older than the reply in use, or comes too late, counts for nothing.
     pub fn take(&mut self, reply: &SliceReply) {
-        let Some(sent) = self.sent.get(&reply.from).filter(|s| s.seq == reply.seq) else {
+        let asked = |s: &&Sent| s.seq == reply.seq && reply.to == self.run;
+        let Some(sent) = self.sent.iter().find(asked) else {
             return;
         };
         self.tokens.insert(reply.from.clone(), reply.token);
@@ -561,11 +574,11 @@
         accounts: Vec<AccountAsk>,
     ) -> SliceAsk {
         self.seq += 1;
-        let sent = Sent {
+        self.sent.retain(|s| now < s.at + SLICE);
+        self.sent.push_back(Sent {
             seq: self.seq,
             at: now,
-        };
-        self.sent.insert(home.clone(), sent);
+        });
         SliceAsk {
             from: self.entry.clone(),
             to: home.clone(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,4 +5,5 @@
 mod test_model;
 mod test_planner;
 mod test_settings;
+mod test_slices;
 mod world;
--- /dev/null
+++ b/lib/tests/test_slices.rs
@@ -0,0 +1,342 @@
+//! Slices of account limits under lost, late and repeated messages, pauses, partitions and restarts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hemlock_lib::ids::{AccountId, EntryId, Incarnation};
+use hemlock_lib::slices::{Amount, Demand, Electorate, SliceAsk, SliceHome, SliceReply, SliceUser};
+use hemlock_lib::time::Time;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const GATEWAYS: usize = 6;
+const ACCOUNTS: [&str; 2] = ["large", "small"];
+const STEP: Duration = Duration::from_millis(200);
+const LONGEST: Duration = Duration::from_secs(2);
+const SCHEDULES: u64 = 10_000;
+const STEPS: u64 = 100;
+
+fn limit(account: &AccountId) -> Option<Amount> {
+    let (requests, tokens, open) = match account.as_str() {
+        "large" => (500_000, 100_000, 200),
+        _ => (7_000, 900, 11),
+    };
+    Some(Amount {
+        requests,
+        tokens,
+        open,
+    })
+}
+
+#[derive(Debug)]
+enum Message {
+    Ask(SliceAsk),
+    Reply(EntryId, SliceReply),
+}
+
+struct Gateway {
+    user: SliceUser,
+    home: SliceHome,
+    /// Ends of the open requests, by account.
+    open: BTreeMap<AccountId, Vec<Time>>,
+    paused: u64,
+    /// Parts per thousand that this gateway's clock is fast.
+    drift: u64,
+    ahead: Duration,
+}
+
+impl Gateway {
+    fn new(index: usize, run: u64, drift: u64, ahead: Duration) -> Self {
+        let entry = entry(index);
+        Self {
+            user: SliceUser::new(entry.clone(), Incarnation(run)),
+            home: SliceHome::new(entry, Incarnation(run), LONGEST + STEP),
+            open: BTreeMap::new(),
+            paused: 0,
+            drift,
+            ahead,
+        }
+    }
+
+    fn clock(&self, now: Time) -> Time {
+        Time(now.0 + now.0 * self.drift / 1_000) + self.ahead
+    }
+}
+
+fn entry(index: usize) -> EntryId {
+    EntryId::new(format!("entry-{index}"))
+}
+
+fn index(entry: &EntryId) -> usize {
+    let number = entry.as_str().strip_prefix("entry-");
+    number.and_then(|n| n.parse().ok()).expect("a known entry")
+}
+
+struct World {
+    rng: SmallRng,
+    gateways: Vec<Gateway>,
+    messages: Vec<(Time, Message)>,
+    sides: [bool; GATEWAYS],
+    dead: [bool; GATEWAYS],
+    /// Whom each gateway holds live.
+    live: Vec<[bool; GATEWAYS]>,
+    busy: usize,
+    faults: bool,
+    runs: u64,
+}
+
+impl World {
+    fn new(seed: u64, faults: bool) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let gateways = (0..GATEWAYS).map(|i| {
+            let drift = if faults { rng.random_range(0..50) } else { 0 };
+            let ahead = Duration::from_millis(rng.random_range(0..100_000));
+            Gateway::new(i, 1, drift, ahead)
+        });
+        Self {
+            gateways: gateways.collect(),
+            rng,
+            messages: Vec::new(),
+            sides: [false; GATEWAYS],
+            dead: [false; GATEWAYS],
+            live: vec![[true; GATEWAYS]; GATEWAYS],
+            busy: 0,
+            faults,
+            runs: 1,
+        }
+    }
+
+    fn step(&mut self, now: Time) {
+        if self.faults {
+            self.break_things(now);
+        }
+        self.deliver(now);
+        for g in 0..GATEWAYS {
+            self.run(now, g);
+        }
+        self.check(now);
+    }
+
+    fn break_things(&mut self, now: Time) {
+        let g = self.rng.random_range(0..GATEWAYS);
+        match self.rng.random_range(0..60) {
+            0 => self.gateways[g].paused = self.rng.random_range(1..30),
+            1 => self.sides = [(); GATEWAYS].map(|()| self.rng.random_bool(0.4)),
+            2 | 3 => self.sides = [false; GATEWAYS],
+            4 => self.dead[g] = true,
+            5 => {
+                self.runs += 1;
+                let old = &self.gateways[g];
+                // The requests of the old run ended with it.
+                self.gateways[g] = Gateway::new(g, self.runs, old.drift, old.ahead);
+                self.dead[g] = false;
+            }
+            6 => self.busy = g,
+            _ => {}
+        }
+        // Each gateway notices at its own time who is live, and may be wrong about it.
+        let watcher = self.rng.random_range(0..GATEWAYS);
+        let seen = self.rng.random_range(0..GATEWAYS);
+        let reachable = !self.dead[seen] && self.sides[watcher] == self.sides[seen];
+        self.live[watcher][seen] = reachable || self.rng.random_bool(0.05);
+        let _ = now;
+    }
+
+    fn electorate(&self, g: usize) -> Electorate {
+        let live = (0..GATEWAYS).filter(|i| *i == g || self.live[g][*i]);
+        Electorate {
+            all: (0..GATEWAYS).map(entry).collect(),
+            live: live.map(entry).collect(),
+        }
+    }
+
+    fn deliver(&mut self, now: Time) {
+        let (due, later) = std::mem::take(&mut self.messages)
+            .into_iter()
+            .partition::<Vec<_>, _>(|m| m.0 <= now);
+        self.messages = later;
+        for (at, message) in due {
+            let to = match &message {
+                Message::Ask(ask) => index(&ask.to),
+                Message::Reply(to, _) => index(to),
+            };
+            if self.dead[to] {
+                continue;
+            }
+            if self.gateways[to].paused > 0 {
+                self.messages.push((at + STEP, message));
+                continue;
+            }
+            self.receive(now, to, message);
+        }
+    }
+
+    fn receive(&mut self, now: Time, to: usize, message: Message) {
+        let electorate = self.electorate(to);
+        let gateway = &mut self.gateways[to];
+        let clock = gateway.clock(now);
+        match message {
+            Message::Ask(ask) => {
+                gateway.home.refresh(&electorate);
+                let reply = gateway.home.answer(clock, &ask, limit);
+                self.send(now, to, index(&ask.from), Message::Reply(ask.from, reply));
+            }
+            Message::Reply(_, reply) => gateway.user.take(&reply),
+        }
+    }
+
+    fn send(&mut self, now: Time, from: usize, to: usize, message: Message) {
+        if self.faults && from != to {
+            if self.sides[from] != self.sides[to] || self.rng.random_bool(0.05) {
+                return;
+            }
+            let mut late = || match self.rng.random_range(0..20) {
+                0 => STEP * self.rng.random_range(1..40),
+                _ => Duration::ZERO,
+            };
+            let at = now + late();
+            let again = now + late();
+            if let Message::Ask(ask) = &message
+                && self.rng.random_bool(0.05)
+            {
+                self.messages.push((again, Message::Ask(ask.clone())));
+            }
+            return self.messages.push((at, message));
+        }
+        self.receive_or_queue(now, message);
+    }
+
+    fn receive_or_queue(&mut self, now: Time, message: Message) {
+        self.messages.push((now, message));
+    }
+
+    fn run(&mut self, now: Time, g: usize) {
+        let electorate = self.electorate(g);
+        let (busy, faults) = (self.busy == g, self.faults);
+        let gateway = &mut self.gateways[g];
+        for ends in gateway.open.values_mut() {
+            ends.retain(|end| *end > now);
+        }
+        if self.dead[g] {
+            gateway.open.clear();
+            return;
+        }
+        if gateway.paused > 0 {
+            gateway.paused -= 1;
+            return;
+        }
+        let clock = gateway.clock(now);
+        let mut demands = Vec::new();
+        for account in ACCOUNTS.map(AccountId::from) {
+            let whole = limit(&account).expect("a known account");
+            let amount = gateway.user.amount(clock, &account, whole, GATEWAYS);
+            let open = gateway.open.entry(account.clone()).or_default();
+            let wanted = if busy { whole.open * 2 } else { 1 };
+            while (open.len() as u64) < amount.open.min(wanted) {
+                let least = if faults {
+                    1
+                } else {
+                    LONGEST.as_millis() as u64
+                };
+                let span = self.rng.random_range(least..=LONGEST.as_millis() as u64);
+                open.push(now + Duration::from_millis(span));
+            }
+            let wants = if busy {
+                whole.plus(whole)
+            } else {
+                Amount {
+                    open: 1,
+                    ..Amount::default()
+                }
+            };
+            demands.push(Demand {
+                account,
+                wants,
+                open: open.len() as u64,
+            });
+        }
+        for (home, ask) in gateway.user.asks(clock, &electorate, demands.into_iter()) {
+            self.send(now, g, index(&home), Message::Ask(ask));
+        }
+    }
+
+    /// Sums what all gateways may use, also the paused and those cut off.
+    fn sum(&self, now: Time, account: &AccountId) -> Amount {
+        let whole = limit(account).expect("a known account");
+        let gateways = self.gateways.iter().enumerate();
+        gateways
+            .filter(|(g, _)| !self.dead[*g])
+            .fold(Amount::default(), |sum, (_, g)| {
+                let mut amount = g.user.amount(g.clock(now), account, whole, GATEWAYS);
+                amount.open = g.open.get(account).map_or(0, Vec::len) as u64;
+                sum.plus(amount)
+            })
+    }
+
+    fn check(&self, now: Time) {
+        for account in ACCOUNTS.map(AccountId::from) {
+            let whole = limit(&account).expect("a known account");
+            let sum = self.sum(now, &account);
+            assert_eq!(
+                sum.least(whole),
+                sum,
+                "{account} at {now:?}: {sum:?} > {whole:?}"
+            );
+        }
+    }
+}
+
+/// Runs a schedule and returns the part of the large limit that all could use, on average.
+fn run_schedule(seed: u64) -> f64 {
+    let mut world = World::new(seed, true);
+    let account = AccountId::from(ACCOUNTS[0]);
+    let whole = limit(&account).expect("a known account");
+    let mut usable = 0;
+    for step in 0..STEPS {
+        let now = Time::ZERO + STEP * step as u32;
+        world.step(now);
+        usable += world.sum(now, &account).tokens;
+    }
+    usable as f64 / (whole.tokens * STEPS) as f64
+}
+
+/// Whatever happens to messages, gateways and clocks, all slices together stay within the limits;
+/// and yet much of the limits can be used.
+#[test]
+fn limits_are_never_exceeded_in_total() {
+    let run = |part: u64| -> f64 { (part..SCHEDULES).step_by(4).map(run_schedule).sum() };
+    let usable: f64 = std::thread::scope(|scope| {
+        let parts: Vec<_> = (0..4).map(|p| scope.spawn(move || run(p))).collect();
+        let sums = parts.into_iter().map(|p| p.join());
+        sums.map(|s| s.expect("each schedule keeps the limits"))
+            .sum()
+    });
+    let mean = usable / SCHEDULES as f64;
+    assert!(mean > 0.25, "only {mean} of the limit could be used");
+}
+
+/// A gateway to which all demand moves may soon use nearly the whole limit.
+#[test]
+fn limits_follow_the_demand() {
+    let mut world = World::new(1, false);
+    let mut now = Time::ZERO;
+    for round in 0..12 {
+        world.busy = round % GATEWAYS;
+        for _ in 0..40 {
+            now = now + STEP;
+            world.step(now);
+        }
+        let gateway = &world.gateways[world.busy];
+        for account in ACCOUNTS.map(AccountId::from) {
+            let whole = limit(&account).expect("a known account");
+            let amount = gateway
+                .user
+                .amount(gateway.clock(now), &account, whole, GATEWAYS);
+            let share = |part: u64, whole: u64| part as f64 / whole as f64;
+            assert!(share(amount.requests, whole.requests) >= 0.95, "{amount:?}");
+            assert!(share(amount.tokens, whole.tokens) >= 0.95, "{amount:?}");
+            let others = GATEWAYS as u64 - 1;
+            assert!(amount.open + others >= whole.open * 95 / 100, "{amount:?}");
+        }
+    }
+}
