bench: shares of work after a change of weights, cost of a decision

They now add the time to the first token and the part of the answer that is usually given, times the gap.

--- /dev/null
+++ b/bench/src/experiments/decision_cost.rs
@@ -0,0 +1,158 @@
+//! Cost of one decision of a gateway as the number of endpoints grows.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlock_lib::chart::Charts;
+use hemlock_lib::claims::Owner;
+use hemlock_lib::gateway::{Arrival, Gateway, GatewayConfig, Hint, Input, Output, Target};
+use hemlock_lib::ids::{Incarnation, RequestId};
+use hemlock_lib::time::Time;
+
+use super::Experiment;
+use crate::endpoint_set::{DOMAINS, GROUP, Setup};
+use crate::figure::{Figure, Options};
+
+/// Endpoints.
+const SIZES: [usize; 4] = [60, 600, 1_800, 4_500];
+/// Requests that are decided.
+const REQUESTS: u64 = 5_000;
+/// Requests that are open at a time.
+const OPEN: u64 = 200;
+/// Runs of which the fastest counts.
+const TRIES: u32 = 5;
+
+/// The experiment that takes wall time.
+pub(super) const TIMED: Experiment = Experiment {
+    name: "decision_cost",
+    about: "Time of one decision, and of one view, by number of endpoints",
+    timed: true,
+    run: run_timed,
+};
+
+/// The experiment that counts.
+pub(super) const COUNTED: Experiment = Experiment {
+    name: "decision_count",
+    about: "Endpoints that one decision looks at, by number of endpoints",
+    timed: false,
+    run: run_counted,
+};
+
+fn run_timed(options: &Options) -> Vec<Figure> {
+    let mut figures = Vec::new();
+    let mut times = Vec::new();
+    for size in SIZES {
+        let tries = (0..TRIES).map(|t| decide(size, options.seed + u64::from(t)));
+        let best = tries.min_by_key(|d| d.taken).unwrap_or_default();
+        let each = best.taken.as_secs_f64() / REQUESTS as f64;
+        figures.push(Figure::new(
+            format!("decision_cost.request.{size}"),
+            each * 1e6,
+            "us",
+        ));
+        let view = best.view.as_secs_f64() * 1e3;
+        figures.push(Figure::new(
+            format!("decision_cost.view.{size}"),
+            view,
+            "ms",
+        ));
+        times.push(each);
+    }
+    let growth = times[times.len() - 1] / times[0];
+    figures.push(Figure::new("decision_cost.growth", growth, "times"));
+    figures
+}
+
+fn run_counted(options: &Options) -> Vec<Figure> {
+    let count = |size: usize| {
+        let decided = decide(size, options.seed);
+        decided.examined as f64 / REQUESTS as f64
+    };
+    let counts: Vec<f64> = SIZES.iter().map(|s| count(*s)).collect();
+    let figure = |(size, count): (&usize, &f64)| {
+        Figure::new(format!("decision_count.{size}"), *count, "endpoints")
+    };
+    let mut figures: Vec<Figure> = SIZES.iter().zip(&counts).map(figure).collect();
+    let growth = counts[counts.len() - 1] / counts[0];
+    figures.push(Figure::new("decision_count.growth", growth, "times"));
+    figures
+}
+
+#[derive(Debug, Default)]
+struct Decided {
+    taken: Duration,
+    view: Duration,
+    examined: u64,
+}
+
+/// Lets one gateway decide, with a constant number of requests open.
+fn decide(size: usize, seed: u64) -> Decided {
+    let setup = Setup {
+        versions: vec![(size, 1.0)],
+        slots: 16,
+        gateways: 1,
+        accounts: vec![Setup::account("a", 1.0)],
+    };
+    let charts = Charts::built_in().expect("the built-in charts are checked by a test");
+    let mut gateway = Gateway::new(config(seed), &charts);
+    let mut out = Vec::new();
+    let view = Arc::new(setup.view());
+    gateway.step(Time::ZERO, Input::View(view.clone()), &mut out);
+    let start = Instant::now();
+    gateway.step(Time::ZERO, Input::View(view), &mut out);
+    let refreshed = start.elapsed();
+    let mut open = std::collections::VecDeque::new();
+    let start = Instant::now();
+    for id in 0..REQUESTS {
+        let now = Time::from_millis(id);
+        gateway.step(now, Input::Arrive(arrival(id, now)), &mut out);
+        for output in out.drain(..) {
+            if let Output::Dispatch {
+                request, attempt, ..
+            } = output
+            {
+                open.push_back((request, attempt));
+            }
+        }
+        if open.len() as u64 > OPEN
+            && let Some((request, attempt)) = open.pop_front()
+        {
+            gateway.step(now, Input::Finished(request, attempt, None), &mut out);
+        }
+    }
+    Decided {
+        taken: start.elapsed(),
+        view: refreshed,
+        examined: gateway.examined(),
+    }
+}
+
+fn arrival(id: u64, now: Time) -> Arrival {
+    Arrival {
+        request: RequestId::new(id.to_string()),
+        key_hash: "a".to_owned(),
+        target: Target::Model(GROUP.into()),
+        tokens: 500,
+        deadline: now + Duration::from_secs(60),
+        once: None,
+        hint: Hint {
+            priority: 0,
+            prompt: 300,
+            prefix: id % 50,
+        },
+    }
+}
+
+fn config(seed: u64) -> GatewayConfig {
+    GatewayConfig {
+        owner: Owner {
+            entry: "entry-0".into(),
+            run: Incarnation(1),
+        },
+        domain: DOMAINS[0].into(),
+        queue: 1_000,
+        key_life: Duration::from_secs(600),
+        isolation: Duration::from_secs(5_000),
+        seed,
+    }
+}
--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -1,7 +1,9 @@
 //! The experiments, one file each.
 
+mod decision_cost;
 mod fold;
 mod routing;
+mod shares;
 
 use crate::figure::{Figure, Options};
 
@@ -19,7 +21,13 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[fold::EXPERIMENT, routing::EXPERIMENT];
+pub const ALL: &[Experiment] = &[
+    decision_cost::TIMED,
+    decision_cost::COUNTED,
+    fold::EXPERIMENT,
+    routing::EXPERIMENT,
+    shares::EXPERIMENT,
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::accounts::Accounts;
 use crate::admission::{self, QueuePace};
 use crate::endpoints::{self, Endpoint, Endpoints, Pool, TargetPools, Work};
 use crate::fair_queue::{FairQueue, Queued};
@@ -86,6 +87,14 @@
         self.gateways = view.entries.iter().filter(|e| e.live).count().max(1);
     }
 
+    /// Takes new weights of accounts.
+    pub fn reweigh(&mut self, accounts: &Accounts) {
+        for lane in self.lanes.values_mut() {
+            let weight = |id: &AccountId| accounts.get(id).map(|a| a.row.weight);
+            lane.queue.reweigh(weight);
+        }
+    }
+
     /// Returns the number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.lanes.values().map(|l| l.queue.len()).sum()
--- a/lib/src/endpoints.rs
+++ b/lib/src/endpoints.rs
@@ -23,7 +23,9 @@
 const REPORT_LIFE_S: f64 = 0.1;
 /// Weight of one view in the usual load of an endpoint.
 const BIAS_WEIGHT: f64 = 0.005;
-/// Mean deviations that are added to the mean time of a piece of work.
+/// Largest part of an expected answer that one observation may claim.
+const FILL_CAP: f64 = 2.0;
+/// Mean deviations that are added to the mean length of an answer.
 const SPREADS: f64 = 2.0;
 /// Points of each endpoint on the ring of prompt prefixes.
 const RING_POINTS: u64 = 8;
@@ -207,7 +209,7 @@
     first: Average,
     gap: Average,
     prefill: Average,
-    token: Average,
+    fill: Average,
     spread: Average,
 }
 
@@ -222,12 +224,24 @@
         self.prefill.get().unwrap_or(FIRST_PREFILL_S)
     }
 
+    /// Takes the part of the expected answer that an attempt gave.
+    fn observe_fill(&mut self, now: Time, attempted: &Attempted) {
+        let (Some(first), Some(gap)) = (attempted.first, self.gap.get()) else {
+            return;
+        };
+        let decode = now.since(first).as_secs_f64();
+        let fill = (decode / (gap * attempted.answer as f64).max(1e-9)).min(FILL_CAP);
+        let usual = self.fill.get().unwrap_or(fill);
+        self.spread.observe((fill - usual).abs());
+        self.fill.observe(fill);
+    }
+
     /// Returns the time within which most work of this size is done, or `None` before the first
     /// answer.
     pub fn service(&self, work: Work) -> Option<Duration> {
-        let spread = self.spread.get().unwrap_or(0.0);
-        let token = self.token.get()? + SPREADS * spread;
-        let seconds = token * work.answer() as f64 + self.prefill() * work.prompt as f64;
+        let fill = self.fill.get()? + SPREADS * self.spread.get().unwrap_or(0.0);
+        let whole = work.answer() as f64 * self.gap.get()?;
+        let seconds = self.first.get()? + fill * whole;
         Some(Duration::from_secs_f64(seconds))
     }
 }
@@ -384,14 +398,11 @@
             endpoint.prefill = endpoint.prefill.saturating_sub(attempted.prompt);
         }
         if whole {
-            let pace = self.paces.entry(attempted.target).or_default();
+            let pace = self.paces.entry(attempted.target.clone()).or_default();
             let taken = now.since(attempted.started).as_secs_f64();
             let usual = pace.hold.get().unwrap_or(taken);
             pace.hold.observe(taken.min(usual * 2.0));
-            let token = taken / attempted.answer as f64;
-            let usual = pace.token.get().unwrap_or(token);
-            pace.spread.observe((token - usual).abs());
-            pace.token.observe(token);
+            pace.observe_fill(now, &attempted);
         }
         self.drop_idle(attempted.place);
     }
--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -81,6 +81,13 @@
         self.insert(place, queued);
     }
 
+    /// Takes new weights of accounts; those without one keep theirs.
+    pub fn reweigh(&mut self, weight: impl Fn(&AccountId) -> Option<f64>) {
+        for (account, flow) in &mut self.flows {
+            flow.weight = weight(account).unwrap_or(flow.weight);
+        }
+    }
+
     /// Returns the request that is next.
     pub fn head(&self) -> Option<&Queued> {
         let flow = self.flows.values().min_by(|a, b| a.time.total_cmp(&b.time));
@@ -92,7 +99,7 @@
         let head = self.head()?.clone();
         if let Some(flow) = self.flows.get_mut(&head.account) {
             self.time = flow.time;
-            flow.time += head.work.tokens as f64 / head.weight.max(f64::MIN_POSITIVE);
+            flow.time += head.work.tokens as f64 / flow.weight.max(f64::MIN_POSITIVE);
         }
         self.remove(&head.request)
     }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -354,6 +354,7 @@
         if self.indexed != Some(view.table.next) {
             self.accounts = Accounts::index(&view.table);
             self.indexed = Some(view.table.next);
+            self.dispatcher.reweigh(&self.accounts);
         }
         self.take_electorate(&view);
         self.view = Some(view);
