--- a/bench/src/endpoint_set.rs
+++ b/bench/src/endpoint_set.rs
@@ -84,6 +84,7 @@
             let held = Held {
                 replica: replica.clone(),
                 fence: assignment.fence,
+                form: assignment.form,
                 version: assignment.version.clone(),
                 rank: 0,
                 ready: true,
@@ -177,6 +178,7 @@
 
 fn assign((fleet, offset): &mut (Fleet, u64), version: String, vm: VmId) {
     let new = *offset == 0;
+    let base = Offset(if new { 0 } else { *offset });
     let mut fold = |change| {
         let record = FleetRecord {
             nonce: Nonce(*offset),
@@ -196,6 +198,8 @@
     }
     fold(FleetChange::Assign {
         fence: Fence(1),
+        base,
+        form: 1,
         group: GROUP.into(),
         version: version.as_str().into(),
         span: 1,
--- a/lib/src/endpoints.rs
+++ b/lib/src/endpoints.rs
@@ -492,7 +492,8 @@
 }
 
 fn spec(now: Time, status: &VmStatus, slots: u32, domain: &DomainId) -> Option<EndpointSpec> {
-    if status.health != Health::Live || status.listing.leaving {
+    let answers = matches!(status.health, Health::Live | Health::Probation);
+    if !answers || status.listing.leaving {
         return None;
     }
     let age = Duration::from_millis(status.load.age_ms + status.silent_ms);
