--- a/lib/src/advice.rs
+++ b/lib/src/advice.rs
@@ -14,6 +14,9 @@
 /// Entry VMs that one answer names at most.
 const ADDRESSES: usize = 3;
 
+/// Spare capacity below which entry VMs are no longer told apart.
+const SPARE_MIN: f64 = 0.01;
+
 /// Addresses for a caller.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Advice {
@@ -23,23 +26,38 @@
     pub keep_for: u64,
 }
 
-/// Advises a caller: live entry VMs that aren't leaving, near ones first, spread by caller.
+/// Advises a caller: live entry VMs that aren't leaving, near ones first, spread over the callers by
+/// spare capacity.
+///
+/// Weighted rendezvous: of two entry VMs, each comes first for a part of the callers that is in
+/// proportion to its spare capacity, and a caller keeps its order while nothing changes.
 pub fn advise(view: &View, caller: &str, near: Option<&DomainId>) -> Advice {
     let open = |e: &&EntryStatus| e.live && !e.member.leaving;
-    let mut entries: Vec<&EntryStatus> = view.entries.iter().filter(open).collect();
-    entries.sort_by_key(|e| {
-        let far = near.is_some_and(|n| e.member.domain != *n);
-        let full = e.spare <= 0.0;
-        let score = rendezvous::score(caller.as_bytes(), e.member.entry.as_str().as_bytes());
-        (full, far, std::cmp::Reverse(score))
-    });
-    let addresses = entries
+    let mut ranked: Vec<(bool, bool, f64, &EntryStatus)> = view
+        .entries
+        .iter()
+        .filter(open)
+        .map(|e| {
+            let far = near.is_some_and(|n| e.member.domain != *n);
+            (e.spare <= 0.0, far, weighted_score(caller, e), e)
+        })
+        .collect();
+    ranked.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+    let addresses = ranked
         .iter()
         .take(ADDRESSES)
-        .map(|e| e.member.gateway.clone())
+        .map(|r| r.3.member.gateway.clone())
         .collect();
     Advice {
         addresses,
         keep_for: KEEP_FOR.as_secs(),
     }
 }
+
+/// Returns an exponential variable of the caller and entry VM whose rate is the spare capacity.
+fn weighted_score(caller: &str, entry: &EntryStatus) -> f64 {
+    let name = entry.member.entry.as_str().as_bytes();
+    let score = rendezvous::score(caller.as_bytes(), name);
+    let uniform = (score as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -uniform.ln() / entry.spare.max(SPARE_MIN)
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_chart;
 mod test_fleet;
+mod test_gateway_policy;
 mod test_model;
 mod test_planner;
 mod test_settings;
--- /dev/null
+++ b/lib/tests/test_gateway_policy.rs
@@ -0,0 +1,191 @@
+//! Queueing, early refusal, choice of endpoints and address advice.
+
+use std::collections::BTreeMap;
+
+use hemlock_lib::advice;
+use hemlock_lib::endpoints::Work;
+use hemlock_lib::fair_queue::{FairQueue, Queued};
+use hemlock_lib::ids::{AccountId, EntryId, Incarnation, RequestId};
+use hemlock_lib::members::Member;
+use hemlock_lib::slices::{Amount, Demand, Electorate, SliceUser};
+use hemlock_lib::time::Time;
+use hemlock_lib::version_share::VersionShare;
+use hemlock_lib::view::{EntryStatus, View};
+
+fn queued(request: &str, account: &str, weight: f64, priority: i32, tokens: u64) -> Queued {
+    Queued {
+        request: RequestId::from(request),
+        account: account.into(),
+        weight,
+        priority,
+        work: Work {
+            tokens,
+            ..Work::default()
+        },
+        deadline: Time::from_millis(tokens),
+        latest: Time::from_millis(tokens),
+    }
+}
+
+/// Accounts get work by weight, in tokens, whatever the size of their requests.
+#[test]
+fn accounts_share_work_by_weight() {
+    let mut queue = FairQueue::default();
+    for i in 0..2_000 {
+        queue.push(queued(&format!("a{i}"), "a", 1.0, 0, 300));
+        queue.push(queued(&format!("b{i}"), "b", 3.0, 0, 50));
+    }
+    let mut work: BTreeMap<AccountId, u64> = BTreeMap::new();
+    for _ in 0..1_500 {
+        let next = queue.pop().expect("both have work waiting");
+        *work.entry(next.account).or_default() += next.work.tokens;
+    }
+    let share = work["b"] as f64 / work["a"] as f64;
+    assert!((share / 3.0 - 1.0).abs() < 0.02, "{share}");
+}
+
+/// An account that was idle gets no more than its share when it comes back.
+#[test]
+fn an_idle_account_saves_nothing_up() {
+    let mut queue = FairQueue::default();
+    queue.push(queued("b", "b", 1.0, 0, 10));
+    queue.pop();
+    for i in 0..100 {
+        queue.push(queued(&format!("a{i}"), "a", 1.0, 0, 10));
+    }
+    for _ in 0..50 {
+        queue.pop();
+    }
+    for i in 0..50 {
+        queue.push(queued(&format!("c{i}"), "b", 1.0, 0, 10));
+    }
+    let next: Vec<Queued> = (0..20).filter_map(|_| queue.pop()).collect();
+    let back = next.iter().filter(|q| q.account.as_str() == "b").count();
+    assert!((9..=11).contains(&back), "{back} of 20");
+}
+
+/// Within an account the larger priority goes first; a full queue sheds from the greediest account.
+#[test]
+fn priority_and_shedding_stay_within_an_account() {
+    let mut queue = FairQueue::default();
+    queue.push(queued("low", "a", 1.0, 0, 10));
+    queue.push(queued("high", "a", 1.0, 5, 10));
+    queue.push(queued("other", "b", 4.0, 9, 20));
+    assert_eq!(queue.shed().map(|q| q.request), Some("low".into()));
+    let order: Vec<RequestId> = std::iter::from_fn(|| queue.pop())
+        .map(|q| q.request)
+        .collect();
+    assert_eq!(order.len(), 2);
+    assert!(order.contains(&"high".into()) && order.contains(&"other".into()));
+}
+
+/// What can't be answered in time any more is found in the order of its time.
+#[test]
+fn overdue_requests_are_found() {
+    let mut queue = FairQueue::default();
+    queue.push(queued("late", "a", 1.0, 0, 10));
+    queue.push(queued("later", "b", 1.0, 0, 20));
+    assert_eq!(queue.due(Time::from_millis(10)), None);
+    assert_eq!(queue.due(Time::from_millis(11)), Some(&"late".into()));
+    queue.remove(&"late".into());
+    assert_eq!(queue.due(Time::from_millis(11)), None);
+    assert_eq!((queue.len(), queue.work()), (1, 20));
+}
+
+/// Versions get work by weight, and one that was away does not catch up all at once.
+#[test]
+fn versions_share_work_by_weight() {
+    let (one, two) = ("v1".into(), "v2".into());
+    let mut share = VersionShare::default();
+    let mut work = [0_u64; 2];
+    for i in 0..4_000_u64 {
+        let order = share.order([(&one, 3.0), (&two, 1.0)].into_iter());
+        let first = order[0].clone();
+        let tokens = 50 + i % 7 * 100;
+        work[usize::from(first == two)] += tokens;
+        share.sent(&first, if first == one { 3.0 } else { 1.0 }, tokens);
+    }
+    let ratio = work[0] as f64 / work[1] as f64;
+    assert!((ratio / 3.0 - 1.0).abs() < 0.02, "{ratio}");
+    let weights = [(&one, 0.0), (&two, 1.0)];
+    assert_eq!(share.order(weights.into_iter()), vec![&two]);
+}
+
+/// A gateway that turns to another home asks nobody until its asks of the old one have lapsed.
+#[test]
+fn a_gateway_supports_one_home_at_a_time() {
+    let names: Vec<EntryId> = (0..4).map(|i| EntryId::new(format!("entry-{i}"))).collect();
+    let account = AccountId::from("a");
+    let mut electorate = Electorate {
+        all: names.clone(),
+        live: names,
+    };
+    let mut user = SliceUser::new("entry-0".into(), Incarnation(1));
+    let mut asked = |ms: u64, electorate: &Electorate| {
+        let demand = Demand {
+            account: account.clone(),
+            wants: Amount::default(),
+            open: 0,
+        };
+        let asks = user.asks(Time::from_millis(ms), electorate, std::iter::once(demand));
+        asks.first().map(|(home, _)| home.clone())
+    };
+    let first = electorate.home(&"a".into()).cloned();
+    assert_eq!(asked(1_000, &electorate), None);
+    assert_eq!(asked(3_000, &electorate), first);
+    electorate.live.retain(|e| Some(e) != first.as_ref());
+    let second = electorate.home(&"a".into()).cloned();
+    assert_eq!(asked(3_200, &electorate), None);
+    assert_eq!(asked(4_640, &electorate), None);
+    assert_eq!(asked(4_660, &electorate), second);
+}
+
+fn view(spares: &[f64]) -> View {
+    let entry = |(i, spare): (usize, &f64)| EntryStatus {
+        member: Member {
+            entry: EntryId::new(format!("entry-{i}")),
+            domain: ["riverside", "pinehill"][i % 2].into(),
+            gateway: format!("http://entry-{i}"),
+            agent: String::new(),
+            gossip: String::new(),
+            incarnation: Incarnation(1),
+            leaving: *spare < 0.0,
+        },
+        live: true,
+        spare: spare.max(0.0),
+        config: 0,
+    };
+    View {
+        entries: spares.iter().enumerate().map(entry).collect(),
+        ..View::default()
+    }
+}
+
+/// Callers are spread by spare capacity; near ones come first, leaving and full ones last or never.
+#[test]
+fn advice_spreads_callers_by_spare_capacity() {
+    let view = view(&[1.0, 1.0, 0.5, 1.0, 0.0, 1.0, -1.0]);
+    let mut first: BTreeMap<String, u32> = BTreeMap::new();
+    for caller in 0..5_000 {
+        let advice = advice::advise(&view, &format!("caller-{caller}"), None);
+        assert!(!advice.addresses.contains(&"http://entry-6".to_owned()));
+        *first.entry(advice.addresses[0].clone()).or_default() += 1;
+    }
+    let part = |entry: &str| f64::from(first.get(entry).copied().unwrap_or(0)) / 5_000.0;
+    for entry in [
+        "http://entry-0",
+        "http://entry-1",
+        "http://entry-3",
+        "http://entry-5",
+    ] {
+        assert!((part(entry) / (1.0 / 4.5) - 1.0).abs() < 0.15, "{first:?}");
+    }
+    assert!(
+        (part("http://entry-2") / (0.5 / 4.5) - 1.0).abs() < 0.2,
+        "{first:?}"
+    );
+    assert_eq!(part("http://entry-4"), 0.0);
+    let near = advice::advise(&view, "caller", Some(&"pinehill".into()));
+    let odd = ["http://entry-1", "http://entry-3", "http://entry-5"];
+    assert!(odd.contains(&near.addresses[0].as_str()), "{near:?}");
+}
