--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 use hemlock_lib::claims::Owner;
 use hemlock_lib::gateway::{Gateway, GatewayConfig, Input};
 use hemlock_lib::ids::Incarnation;
+use hemlock_lib::seal::KeyRing;
 use hemlock_lib::settings::Settings;
 use hemlock_wire::server::{self, Server};
 use hemlock_wire::{clock, follower};
@@ -67,28 +68,48 @@
     }
 }
 
-/// Starts a gateway and returns once its address is bound.
+/// Starts a gateway that takes an even part of the account limits, and returns once its address is
+/// bound.
 pub fn spawn(settings: &Settings, charts: &Charts) -> io::Result<GatewayHandle> {
+    start(settings, charts, None)
+}
+
+/// Starts a gateway that shares the account limits with the others by slices, and returns once its
+/// address is bound.
+pub fn spawn_sharing(
+    settings: &Settings,
+    charts: &Charts,
+    keys: KeyRing,
+) -> io::Result<GatewayHandle> {
+    start(settings, charts, Some(keys))
+}
+
+fn start(settings: &Settings, charts: &Charts, keys: Option<KeyRing>) -> io::Result<GatewayHandle> {
     let listener = server::bind(&settings.gateway.listen)?;
     let (events, ring) = crossbeam_channel::bounded(RING);
     let (calls, call_ring) = async_channel::bounded(RING);
-    let gateway = Gateway::new(config(settings), charts).with_slices();
+    let gateway = Gateway::new(config(settings), charts);
     let views = events.clone();
     let on_view = move |view: Option<_>| {
         let input = view.map_or(Input::ViewLost, Input::View);
         views.send(Event::Input(input)).is_ok()
     };
     let agent = settings.agent.advertise.clone();
+    let mind_keys = keys.clone();
     let threads = vec![
         follower::spawn("gateway-view", agent.clone(), on_view)?,
         mind::spawn_calls(agent, call_ring, events.clone())?,
         std::thread::Builder::new()
             .name("gateway-mind".to_owned())
-            .spawn(move || mind::Mind::new(gateway, calls).run(&ring))?,
+            .spawn(move || {
+                let mind = mind::Mind::new(gateway, calls).with_keys(mind_keys);
+                mind.run(&ring);
+            })?,
     ];
     let state = routes::State {
         events: events.clone(),
         limit: settings.gateway.body_limit,
+        keys,
     };
     let workers = settings.gateway.workers;
     let server = server::spawn("gateway-http", listener, workers, state, routes::configure)?;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -13,8 +13,11 @@
         "hemlock-gateway",
         "Takes requests and routes them to endpoints",
         |started| {
-            let gateway = hemlock_gateway::spawn(&started.settings, &started.charts)
-                .map_err(|e| format!("can't listen on {}: {e}", started.settings.gateway.listen))?;
+            let gateway =
+                hemlock_gateway::spawn_sharing(&started.settings, &started.charts, started.keys)
+                    .map_err(|e| {
+                        format!("can't listen on {}: {e}", started.settings.gateway.listen)
+                    })?;
             daemon::wait_for_stop();
             gateway.drain(DRAIN);
             Ok(())
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -13,6 +13,7 @@
 use hemlock_lib::gateway::{Arrival, Gateway, Input, Output};
 use hemlock_lib::ids::{AttemptId, DomainId, ReplicaId, RequestId};
 use hemlock_lib::peers::Submit;
+use hemlock_lib::seal::KeyRing;
 use hemlock_lib::slices::{ASK_EVERY, SliceAsk, SliceReply};
 use hemlock_lib::view::View;
 use hemlock_wire::{agent, clock};
@@ -76,7 +77,7 @@
         owner: Owner,
     },
     Spare(f64),
-    Slices(String, SliceAsk),
+    Slices(String, SliceAsk, KeyRing),
 }
 
 /// The state machine with its outlets.
@@ -84,6 +85,7 @@
 pub(crate) struct Mind {
     gateway: Gateway,
     calls: async_channel::Sender<Call>,
+    keys: Option<KeyRing>,
     waiting: BTreeMap<RequestId, async_channel::Sender<Decision>>,
     out: Vec<Output>,
     ticks: u32,
@@ -94,12 +96,22 @@
         Self {
             gateway,
             calls,
+            keys: None,
             waiting: BTreeMap::new(),
             out: Vec::new(),
             ticks: 0,
         }
     }
 
+    /// Shares account limits with other gateways, if there are keys to seal the messages.
+    pub(crate) fn with_keys(mut self, keys: Option<KeyRing>) -> Self {
+        if keys.is_some() {
+            self.gateway = self.gateway.with_slices();
+        }
+        self.keys = keys;
+        self
+    }
+
     /// Runs until told to stop.
     pub(crate) fn run(mut self, ring: &Receiver<Event>) {
         let mut tick = Instant::now();
@@ -137,8 +149,10 @@
     fn tick(&mut self) {
         self.step(Input::Tick);
         self.ticks += 1;
-        if self.ticks.is_multiple_of(SLICE_TICKS) {
-            slices::ask(&mut self.gateway, clock::now(), &self.calls);
+        if let Some(keys) = &self.keys
+            && self.ticks.is_multiple_of(SLICE_TICKS)
+        {
+            slices::ask(&mut self.gateway, clock::now(), keys, &self.calls);
         }
         if self.ticks.is_multiple_of(SPARE_TICKS) {
             let _ = self.calls.try_send(Call::Spare(self.gateway.spare()));
@@ -241,7 +255,7 @@
                 let _ = events.send(Event::Input(Input::Claimed(request, settled)));
             }
         }
-        Call::Slices(address, ask) => slices::send(&address, &ask, events).await,
+        Call::Slices(address, ask, keys) => slices::send(&address, &ask, &keys, events).await,
         Call::Spare(spare) => drop(agent::spare(agent, spare, SPARE_WAIT).await),
     }
 }
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -7,6 +7,7 @@
 use hemlock_lib::gateway::{Arrival, Hint, Target};
 use hemlock_lib::hash;
 use hemlock_lib::ids::RequestId;
+use hemlock_lib::seal::KeyRing;
 use hemlock_wire::clock;
 use ntex::http::Method;
 use ntex::util::Bytes;
@@ -31,6 +32,7 @@
 pub(crate) struct State {
     pub(crate) events: Sender<Event>,
     pub(crate) limit: usize,
+    pub(crate) keys: Option<KeyRing>,
 }
 
 #[derive(Debug, Deserialize)]
--- a/gateway/src/slices.rs
+++ b/gateway/src/slices.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
-use hemlock_lib::codec;
 use hemlock_lib::gateway::Gateway;
+use hemlock_lib::seal::KeyRing;
 use hemlock_lib::slices::SliceAsk;
 use hemlock_lib::time::Time;
 use hemlock_wire::caller;
@@ -21,39 +21,47 @@
 
 /// Answers another gateway's ask.
 pub(crate) async fn answer(state: types::State<State>, payload: Bytes) -> HttpResponse {
-    let Ok(ask) = codec::decode::<SliceAsk>(&payload) else {
-        return HttpResponse::BadRequest().finish();
+    let Some(keys) = &state.keys else {
+        return HttpResponse::NotFound().finish();
+    };
+    let Some(ask) = keys.open::<SliceAsk>(&payload) else {
+        return HttpResponse::Forbidden().finish();
     };
     let (reply, answer) = async_channel::bounded(1);
     if state.events.try_send(Event::Slices(ask, reply)).is_err() {
         return HttpResponse::ServiceUnavailable().finish();
     }
     match answer.recv().await {
-        Ok(Some(reply)) => HttpResponse::Ok().body(codec::encode(&reply)),
+        Ok(Some(reply)) => HttpResponse::Ok().body(keys.seal(&reply)),
         _ => HttpResponse::ServiceUnavailable().finish(),
     }
 }
 
 /// Sends the asks that are due; one for this gateway itself is answered on the spot.
-pub(crate) fn ask(gateway: &mut Gateway, now: Time, calls: &async_channel::Sender<Call>) {
+pub(crate) fn ask(
+    gateway: &mut Gateway,
+    now: Time,
+    keys: &KeyRing,
+    calls: &async_channel::Sender<Call>,
+) {
     for (address, ask) in gateway.slice_asks(now) {
         if ask.from == ask.to {
             if let Some(reply) = gateway.answer_slices(now, &ask) {
                 gateway.take_slices(&reply);
             }
         } else {
-            let _ = calls.try_send(Call::Slices(address, ask));
+            let _ = calls.try_send(Call::Slices(address, ask, keys.clone()));
         }
     }
 }
 
 /// Sends one ask and passes the reply on.
-pub(crate) async fn send(address: &str, ask: &SliceAsk, events: &Sender<Event>) {
+pub(crate) async fn send(address: &str, ask: &SliceAsk, keys: &KeyRing, events: &Sender<Event>) {
     let url = format!("{address}{PATH}");
-    let Ok(body) = caller::post(&url, codec::encode(ask), WAIT).await else {
+    let Ok(body) = caller::post(&url, keys.seal(ask), WAIT).await else {
         return;
     };
-    if let Ok(reply) = codec::decode(&body) {
+    if let Some(reply) = keys.open(&body) {
         let _ = events.try_send(Event::SliceReply(reply));
     }
 }
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -429,7 +429,7 @@
     }
 
     fn take_datagram(&mut self, now: Time, bytes: &[u8]) {
-        let Some(message) = self.config.keys.open(bytes) else {
+        let Some(message) = self.config.keys.open::<GossipMessage>(bytes) else {
             return;
         };
         for beat in message.beats {
--- a/lib/src/seal.rs
+++ b/lib/src/seal.rs
@@ -1,14 +1,16 @@
-//! Authentication of gossip datagrams with keys from the settings.
+//! Authentication of messages between entry VMs with keys from the settings.
 //!
 //! The first key seals; every key of the ring opens. A key is rotated without a gap by adding the new
 //! one behind the old on every entry VM, then moving it to the front, then dropping the old one.
 
 use hmac::{Hmac, Mac};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
 use sha2::Sha256;
 
 use crate::codec;
-use crate::peers::{GossipMessage, Sealed};
+use crate::peers::Sealed;
 
 /// A shared key with its number.
 #[derive(Clone, PartialEq, Eq)]
@@ -45,7 +47,7 @@
     }
 
     /// Encodes and seals a message.
-    pub fn seal(&self, message: &GossipMessage) -> Vec<u8> {
+    pub fn seal(&self, message: &impl Serialize) -> Vec<u8> {
         let key = &self.keys[0];
         let body = codec::encode(message);
         let tag = mac(key, &body).finalize().into_bytes().to_vec();
@@ -57,7 +59,7 @@
     }
 
     /// Opens a datagram, or returns `None` if it is malformed or its tag is wrong.
-    pub fn open(&self, bytes: &[u8]) -> Option<GossipMessage> {
+    pub fn open<T: DeserializeOwned>(&self, bytes: &[u8]) -> Option<T> {
         let sealed: Sealed = codec::decode(bytes).ok()?;
         let key = self.keys.iter().find(|k| k.id == sealed.key)?;
         mac(key, &sealed.body).verify_slice(&sealed.tag).ok()?;
