--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 mod decision_cost;
 mod fold;
+mod limits;
 mod routing;
 mod shares;
 
@@ -25,6 +26,7 @@
     decision_cost::TIMED,
     decision_cost::COUNTED,
     fold::EXPERIMENT,
+    limits::EXPERIMENT,
     routing::EXPERIMENT,
     shares::EXPERIMENT,
 ];
--- a/lib/src/slices.rs
+++ b/lib/src/slices.rs
@@ -30,7 +30,7 @@
 /// Difference in the rate of two clocks that is allowed for, in percent.
 pub const DRIFT_PERCENT: u32 = 10;
 /// Share of the limits that homes leave to the safe shares, in percent.
-const SAFE_PERCENT: u64 = 4;
+const SAFE_PERCENT: u64 = 3;
 /// Growth of the number of entry VMs that an old safe share allows for.
 const SAFE_GROWTH: u64 = 2;
 /// Demand above the observed one that a gateway asks for, in percent.
