--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -1,6 +1,10 @@
 //! The experiments, one file each.
 
+mod decision_cost;
 mod fold;
+mod limits;
+mod routing;
+mod shares;
 
 use crate::figure::{Figure, Options};
 
@@ -18,7 +22,14 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[fold::EXPERIMENT];
+pub const ALL: &[Experiment] = &[
+    decision_cost::TIMED,
+    decision_cost::COUNTED,
+    fold::EXPERIMENT,
+    limits::EXPERIMENT,
+    routing::EXPERIMENT,
+    shares::EXPERIMENT,
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod model;
 mod routes;
 mod service;
+mod slices;
 
 use std::io;
 use std::thread::JoinHandle;
@@ -17,6 +18,7 @@
 use hemlock_lib::claims::Owner;
 use hemlock_lib::gateway::{Gateway, GatewayConfig, Input};
 use hemlock_lib::ids::Incarnation;
+use hemlock_lib::seal::KeyRing;
 use hemlock_lib::settings::Settings;
 use hemlock_wire::metrics::Metrics;
 use hemlock_wire::server::{self, Server};
@@ -68,8 +70,23 @@
     }
 }
 
-/// Starts a gateway and returns once its address is bound.
+/// Starts a gateway that takes an even part of the account limits, and returns once its address is
+/// bound.
 pub fn spawn(settings: &Settings, charts: &Charts) -> io::Result<GatewayHandle> {
+    start(settings, charts, None)
+}
+
+/// Starts a gateway that shares the account limits with the others by slices, and returns once its
+/// address is bound.
+pub fn spawn_sharing(
+    settings: &Settings,
+    charts: &Charts,
+    keys: KeyRing,
+) -> io::Result<GatewayHandle> {
+    start(settings, charts, Some(keys))
+}
+
+fn start(settings: &Settings, charts: &Charts, keys: Option<KeyRing>) -> io::Result<GatewayHandle> {
     let listener = server::bind(&settings.gateway.listen)?;
     let (events, ring) = crossbeam_channel::bounded(RING);
     let (calls, call_ring) = async_channel::bounded(RING);
@@ -81,16 +98,21 @@
         views.send(Event::Input(input)).is_ok()
     };
     let agent = settings.agent.advertise.clone();
+    let mind_keys = keys.clone();
     let threads = vec![
         follower::spawn("gateway-view", agent.clone(), on_view)?,
         mind::spawn_calls(agent, call_ring, events.clone())?,
         std::thread::Builder::new()
             .name("gateway-mind".to_owned())
-            .spawn(move || mind::Mind::new(gateway, calls, metrics).run(&ring))?,
+            .spawn(move || {
+                let mind = mind::Mind::new(gateway, calls, metrics).with_keys(mind_keys);
+                mind.run(&ring);
+            })?,
     ];
     let state = routes::State {
         events: events.clone(),
         limit: settings.gateway.body_limit,
+        keys,
     };
     let workers = settings.gateway.workers;
     let server = server::spawn("gateway-http", listener, workers, state, routes::configure)?;
