--- /dev/null
+++ b/bench/src/experiments/placement.rs
@@ -0,0 +1,235 @@
+//! Group downtime and stranded accelerators of each way of placing, for each fault.
+
+use std::time::Duration;
+
+use hemlock_lib::plan::{Reform, Rules};
+use hemlock_lib::table::{GroupRow, Row, RowKey, VersionRow};
+
+use super::Experiment;
+use crate::figure::{Figure, Options};
+use crate::shards::{self, Setup, Shards, Sums};
+
+/// Time after a fault until the VMs are back.
+const REPAIR: Duration = Duration::from_secs(240);
+/// Time after the repair within which all must serve again.
+const HORIZON: Duration = Duration::from_secs(3_600);
+/// Length of the log outage, which starts with the fault.
+const OUTAGE: Duration = Duration::from_secs(90);
+const START_LIMIT: Duration = Duration::from_secs(1_800);
+const STORE: u32 = shards::STORE as u32;
+/// Policies that run unless others are named; the rest was measured and rejected.
+const USUAL: [&str; 3] = ["afresh", "keep", "spares"];
+
+/// The experiment.
+pub(super) const EXPERIMENT: Experiment = Experiment {
+    name: "placement",
+    about: "Group downtime and stranded accelerators by way of placing, at the sizes of today",
+    timed: false,
+    run,
+};
+
+/// The experiment at the target's size.
+pub(super) const TARGET: Experiment = Experiment {
+    name: "placement-target",
+    about: "The same in one failure domain of the target: 214 VMs, span 16",
+    timed: true,
+    run: run_target,
+};
+
+/// A way of placing.
+#[derive(Debug, Clone, Copy)]
+struct Policy {
+    name: &'static str,
+    rules: Rules,
+    /// Replicas given up so that their VMs are spares.
+    given: u32,
+    reserve: u32,
+}
+
+const fn policy(name: &'static str, reform: Reform, lend: bool, loads: u32) -> Policy {
+    Policy {
+        name,
+        rules: Rules {
+            reform,
+            loads,
+            lend,
+        },
+        given: 0,
+        reserve: 0,
+    }
+}
+
+const POLICIES: [Policy; 6] = [
+    policy("afresh", Reform::Afresh, false, u32::MAX),
+    policy("at-once", Reform::Keep, true, u32::MAX),
+    policy("wait", Reform::Keep, false, STORE),
+    policy("keep", Reform::Keep, true, STORE),
+    Policy {
+        given: 1,
+        ..policy("spares", Reform::Keep, true, STORE)
+    },
+    Policy {
+        given: 1,
+        reserve: 1,
+        ..policy("reserve", Reform::Keep, true, STORE)
+    },
+];
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    Vm,
+    Rack,
+    Domain,
+    Version,
+}
+
+const FAULTS: [(&str, Fault); 4] = [
+    ("vm", Fault::Vm),
+    ("rack", Fault::Rack),
+    ("domain", Fault::Domain),
+    ("version", Fault::Version),
+];
+
+/// Sizes of a deployment.
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    domains: usize,
+    vms: usize,
+    span: u32,
+    /// Distance between the VMs of one rack.
+    stride: usize,
+    tick: Duration,
+}
+
+const TODAY: Size = Size {
+    domains: 3,
+    vms: 20,
+    span: 4,
+    stride: 4,
+    tick: Duration::from_millis(500),
+};
+const LATER: Size = Size {
+    domains: 1,
+    vms: 214,
+    span: 16,
+    stride: 54,
+    tick: Duration::from_millis(500),
+};
+
+impl Size {
+    fn replicas(self, policy: &Policy) -> u32 {
+        (self.vms as u32 / self.span - policy.given) * self.domains as u32
+    }
+}
+
+fn run(options: &Options) -> Vec<Figure> {
+    figures("placement", TODAY, options)
+}
+
+fn run_target(options: &Options) -> Vec<Figure> {
+    figures("placement-target", LATER, options)
+}
+
+fn figures(name: &str, size: Size, options: &Options) -> Vec<Figure> {
+    let mut out = Vec::new();
+    let wants = |p: &&Policy| match options.policies.is_empty() {
+        true => USUAL.contains(&p.name),
+        false => options.wants(p.name),
+    };
+    for policy in POLICIES.iter().filter(wants) {
+        let (first, all) = start(size, policy);
+        let figure = |what: &str, value, unit| {
+            Figure::new(format!("{name}.{}.{what}", policy.name), value, unit)
+        };
+        out.push(figure("start.first", first, "s"));
+        out.push(figure("start.all", all, "s"));
+        for (fault_name, fault) in FAULTS {
+            if fault == Fault::Domain && size.domains == 1 {
+                continue;
+            }
+            for (log, outage) in [("", false), ("-log-out", true)] {
+                let sums = disturb(size, policy, fault, outage);
+                let part = format!("{fault_name}{log}");
+                out.push(figure(
+                    &format!("{part}.downtime"),
+                    sums.downtime,
+                    "replica s",
+                ));
+                out.push(figure(&format!("{part}.stranded"), sums.stranded, "VM s"));
+            }
+        }
+    }
+    out
+}
+
+fn version(name: &str, weight: f64, span: u32) -> (RowKey, Row) {
+    let row = VersionRow {
+        group: "listwriter".into(),
+        weight,
+        span,
+    };
+    (RowKey::Version(name.into()), Row::Version(row))
+}
+
+fn shards(size: Size, policy: &Policy) -> Shards {
+    let replicas = size.replicas(policy);
+    let group = GroupRow {
+        replicas,
+        minimum: replicas * 3 / 5,
+        downtime: 1.0,
+        stranded: 1.0,
+        reserve: policy.reserve,
+        slots: 8,
+    };
+    let setup = Setup {
+        domains: size.domains,
+        vms: size.vms,
+        rules: policy.rules,
+        tick: size.tick,
+    };
+    let rows = vec![
+        (RowKey::Group("listwriter".into()), Row::Group(group)),
+        version("v1", 1.0, size.span),
+    ];
+    Shards::new(setup, rows)
+}
+
+/// Returns the seconds until the first replica and until all replicas serve.
+fn start(size: Size, policy: &Policy) -> (f64, f64) {
+    let mut shards = shards(size, policy);
+    let wanted = size.replicas(policy) as usize;
+    let first = shards.run(START_LIMIT, |s| s.serving() > 0);
+    let rest = shards.run(START_LIMIT, |s| s.serving() >= wanted);
+    let seconds = |t: Option<Duration>| t.map_or(f64::INFINITY, |t| t.as_secs_f64());
+    (seconds(first), seconds(first) + seconds(rest))
+}
+
+fn disturb(size: Size, policy: &Policy, fault: Fault, outage: bool) -> Sums {
+    let mut shards = shards(size, policy);
+    let wanted = size.replicas(policy) as usize;
+    shards.run(START_LIMIT, |s| s.serving() >= wanted);
+    shards.run(Duration::from_secs(10), |_| false);
+    shards.sums = Sums::default();
+    shards.set_log(!outage);
+    let hit = |down: bool, shards: &mut Shards| match fault {
+        Fault::Vm => shards.set_down(0, 1..2, down),
+        Fault::Rack => shards.set_down(0, (0..size.vms).step_by(size.stride).take(4), down),
+        Fault::Domain => shards.set_down(0, 0..size.vms, down),
+        Fault::Version => {}
+    };
+    hit(true, &mut shards);
+    if fault == Fault::Version {
+        let rows = vec![version("v1", 0.0, size.span), version("v2", 1.0, size.span)];
+        shards.set_rows(rows);
+    }
+    shards.run(OUTAGE, |_| false);
+    shards.set_log(true);
+    shards.run(REPAIR - OUTAGE, |_| false);
+    hit(false, &mut shards);
+    let done = |s: &Shards| match fault {
+        Fault::Version => s.serving_version("v2") >= wanted,
+        _ => s.serving() >= wanted,
+    };
+    shards.run(HORIZON, done);
+    shards.sums
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod bounds;
 pub mod experiments;
 pub mod figure;
+pub mod shards;
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -27,7 +27,7 @@
 pub struct Rules {
     /// How broken replicas are made whole.
     pub reform: Reform,
-    /// VMs that load at a time, unless a single replica needs more.
+    /// VMs of all shards that load at a time, unless a single replica needs more.
     pub loads: u32,
     /// Whether a broken replica that has no replacement gives its VMs to another.
     pub lend: bool,
@@ -85,6 +85,8 @@
     pub busy: &'a BTreeSet<VmId>,
     /// Formations made without the log.
     pub swaps: &'a BTreeMap<ReplicaSeq, Swap>,
+    /// Whether VMs that the platform's list doesn't name are gone.
+    pub trusted: bool,
     /// What the shard should hold.
     pub wanted: &'a [Wanted],
     /// What all shards should hold together.
@@ -101,14 +103,10 @@
 }
 
 impl<'a> Scene<'a> {
-    /// Makes the plan; an empty one while the platform's list shows nothing of the shard.
+    /// Makes the plan; it changes nothing while the platform's list is doubtful.
     pub fn plan(&self) -> Plan {
-        let here = |s: &VmStatus| s.listing.domain == *self.shard;
-        if !self.view.vms.values().any(here) {
-            return Plan::default();
-        }
         Plan {
-            change: self.change(),
+            change: self.trusted.then(|| self.change()).flatten(),
             wishes: self.wishes(),
         }
     }
@@ -235,8 +233,8 @@
         let mut held = Vec::new();
         for vm in members(assignment) {
             match self.view.vms.get(vm) {
-                None if self.is_list_trusted() => {}
-                None => held.push(vm.clone()),
+                None if self.busy.contains(vm) => return None,
+                None => {}
                 Some(status) if status.health == Health::Lost => held.push(vm.clone()),
                 Some(status) if !self.has_given_up(status, seq) => return None,
                 Some(_) => {}
@@ -252,7 +250,7 @@
 
     fn free_vm(&self) -> Option<FleetChange> {
         let confirmed = |vm: &VmId, seq| match self.view.vms.get(vm) {
-            None => self.is_list_trusted(),
+            None => !self.busy.contains(vm),
             Some(status) => status.health != Health::Lost && self.has_given_up(status, seq),
         };
         let mut held = self.fleet.held_vms();
@@ -318,7 +316,8 @@
             .collect();
         surplus.sort_by_key(|(seq, a)| (self.serves(**seq, a), std::cmp::Reverse(**seq)));
         let (seq, assignment) = surplus.first()?;
-        if !self.serves(**seq, assignment) {
+        let at_once = self.rules.reform == Reform::Afresh;
+        if at_once || !self.serves(**seq, assignment) {
             return Some(self.end(**seq));
         }
         let group = &assignment.group;
@@ -505,10 +504,9 @@
 
     fn part(&self, vm: &VmId) -> Part {
         let Some(status) = self.view.vms.get(vm) else {
-            return if self.is_list_trusted() {
-                Part::Gone
-            } else {
-                Part::Unsure
+            return match self.trusted {
+                true => Part::Gone,
+                false => Part::Unsure,
             };
         };
         let ready = status.held.as_ref().is_some_and(|h| h.ready);
@@ -521,17 +519,6 @@
         }
     }
 
-    /// Returns whether the list may be believed about VMs that it doesn't name: one that leaves out
-    /// more than half of the VMs in use is taken as faulty.
-    fn is_list_trusted(&self) -> bool {
-        let owned = self.fleet.owned().count();
-        let unlisted = self
-            .fleet
-            .owned()
-            .filter(|(vm, _)| !self.view.vms.contains_key(*vm));
-        unlisted.count() * 2 <= owned
-    }
-
     fn is_over(&self, seq: ReplicaSeq, assignment: &Assignment) -> bool {
         assignment.draining && (self.drained.contains(&seq) || !self.serves(seq, assignment))
     }
@@ -579,11 +566,10 @@
         held.is_some_and(|h| h.ready && h.version == *version && h.rank == *rank)
     }
 
+    /// Counts the VMs of all shards that load, since they share the weight store.
     fn loading(&self) -> u32 {
-        let loads = |s: &&VmStatus| {
-            let here = s.listing.domain == *self.shard && s.health == Health::Live;
-            here && s.held.as_ref().is_some_and(|h| !h.ready)
-        };
+        let loads =
+            |s: &&VmStatus| s.health == Health::Live && s.held.as_ref().is_some_and(|h| !h.ready);
         self.view.vms.values().filter(loads).count() as u32
     }
 
--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -22,6 +22,8 @@
 const SEQ_BITS: u32 = 20;
 /// Time after which a change that was not accepted is planned again.
 const CHANGE_RETRY: Duration = Duration::from_millis(300);
+/// Time for which a list that leaves out most VMs in use is taken as faulty.
+const LIST_DOUBT: Duration = Duration::from_secs(600);
 /// Time that gateways have to read that a replica takes no new work.
 const DRAIN_NOTICE: Duration = Duration::from_secs(2);
 
@@ -80,6 +82,9 @@
 struct Ordered {
     at: Time,
     wish: Wish,
+    /// When the VM was last told to load; an engine that ignores the order of messages may take
+    /// that order after a later one to unload.
+    load: Option<Time>,
 }
 
 #[derive(Debug)]
@@ -92,6 +97,7 @@
     ordered: BTreeMap<VmId, Ordered>,
     draining: BTreeMap<ReplicaSeq, Time>,
     swaps: BTreeMap<ReplicaSeq, Swap>,
+    doubted: Option<Time>,
 }
 
 impl Shard {
@@ -105,11 +111,25 @@
             ordered: BTreeMap::new(),
             draining: BTreeMap::new(),
             swaps: BTreeMap::new(),
+            doubted: None,
         }
     }
 
-    /// Notes since when replicas drain, and forgets replicas that ended.
-    fn update(&mut self, now: Time, fleet: &Fleet) {
+    /// Returns whether the platform's list may be believed about VMs that it doesn't name: one that
+    /// leaves out more than half of the VMs in use is taken as faulty for a while.
+    fn trusts_list(&self, now: Time) -> bool {
+        self.doubted
+            .is_none_or(|since| now.since(since) >= LIST_DOUBT)
+    }
+
+    /// Notes since when replicas drain and the list is doubtful, and forgets replicas that ended.
+    fn update(&mut self, now: Time, view: &View, fleet: &Fleet) {
+        let unlisted = |(vm, _): &(&VmId, ReplicaSeq)| !view.vms.contains_key(*vm);
+        let doubtful = fleet.owned().filter(unlisted).count() * 2 > fleet.owned().count();
+        self.doubted = match self.doubted {
+            since if doubtful => since.or(Some(now)),
+            _ => None,
+        };
         let drains = |r: &ReplicaSeq| fleet.replicas.get(r).is_some_and(|a| a.draining);
         self.draining.retain(|r, _| drains(r));
         for (seq, _) in fleet.replicas.iter().filter(|(_, a)| a.draining) {
@@ -221,7 +241,7 @@
         }
         let Some(lease) = lease else { return };
         let held = self.shard(id).watch.is_held(now);
-        self.shard(id).update(now, fleet);
+        self.shard(id).update(now, view, fleet);
         if self.config.fenced && !view.log_up {
             self.swap(now, view, id, fleet, lease.fence);
         }
@@ -307,6 +327,7 @@
             drained: &drained,
             busy: &busy,
             swaps: &self.shards[id].swaps,
+            trusted: self.shards[id].trusts_list(now),
             wanted: &placement::wanted(&view.table, &placement::capacities(view), id),
             totals: &placement::totals(&view.table),
         };
@@ -336,9 +357,7 @@
     /// Returns the VMs that may still take an order to load that was sent to them.
     fn busy(&self, now: Time, id: &DomainId) -> BTreeSet<VmId> {
         let limit = self.config.order_deadline + self.config.lease.drift;
-        let may_take = |(_, o): &(&VmId, &Ordered)| {
-            o.wish.action != Action::Unload && now.since(o.at) <= limit
-        };
+        let may_take = |(_, o): &(&VmId, &Ordered)| o.load.is_some_and(|at| now.since(at) <= limit);
         let ordered = self.shards[id].ordered.iter();
         ordered.filter(may_take).map(|(vm, _)| vm.clone()).collect()
     }
@@ -358,6 +377,10 @@
         let retry = self.config.order_retry;
         let same = |w: &Wish| w.replica == wish.replica && same_action(w, &wish);
         let last = self.shards[id].ordered.get(&wish.vm);
+        let load = match wish.action {
+            Action::Load { .. } => Some(now),
+            Action::Unload => last.and_then(|o| o.load),
+        };
         if last.is_some_and(|o| same(&o.wish) && now.since(o.at) < retry) {
             return;
         }
@@ -372,7 +395,11 @@
             action: wish.action.clone(),
         };
         let (vm, address) = (wish.vm.clone(), status.listing.address.clone());
-        let ordered = Ordered { at: now, wish };
+        let ordered = Ordered {
+            at: now,
+            wish,
+            load,
+        };
         self.shard(id).ordered.insert(vm.clone(), ordered);
         out.push(Output::Order { vm, address, order });
     }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -124,8 +124,8 @@
     pub order_ms: u64,
     /// Whether engines refuse an order with an old fencing number.
     pub fenced: bool,
-    /// VMs of one failure domain that load weights at a time, unless one replica needs more; what
-    /// the weight store serves at a time, divided by the failure domains.
+    /// VMs that load weights at a time, unless one replica needs more: as many as the weight store
+    /// serves at full speed.
     pub loads: u32,
 }
 
@@ -136,7 +136,7 @@
             drift_ms: 300,
             order_ms: 2_000,
             fenced: true,
-            loads: 8,
+            loads: 20,
         }
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod test_chart;
 mod test_fleet;
 mod test_model;
+mod test_plan;
 mod test_planner;
 mod test_settings;
 mod world;
--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -30,6 +30,7 @@
         }
         18 => world.unlisted.extend(vms),
         19..22 => world.unlisted.clear(),
+        23 => world.restart(node),
         22 => {
             let (old, new) = if world.rng.random_bool(0.5) {
                 (1.0, 0.0)
--- a/lib/tests/world.rs
+++ b/lib/tests/world.rs
@@ -7,7 +7,7 @@
 use hemlock_lib::appender::Ticket;
 use hemlock_lib::chart::Charts;
 use hemlock_lib::engine::{Action, EngineState, Held, Load, Order};
-use hemlock_lib::fleet::{Fleet, FleetRecord};
+use hemlock_lib::fleet::{Fleet, FleetRecord, Form};
 use hemlock_lib::ids::{DomainId, Incarnation, Nonce, Offset, ReplicaId, VmId};
 use hemlock_lib::lease::LeaseConfig;
 use hemlock_lib::peers::{Settled, Submit, VmReport};
@@ -33,8 +33,8 @@
     pub down: bool,
     pub held: Option<(Held, u64)>,
     last: (u64, u64),
-    /// Last time at which it was up and ready for each replica.
-    ready: BTreeMap<ReplicaId, u64>,
+    /// Last time at which it was up and ready for each rank of a formation.
+    ready: BTreeMap<(ReplicaId, Form, u32), u64>,
 }
 
 /// One entry VM: its planner, and what its agent would know.
@@ -49,6 +49,7 @@
     backlog: VecDeque<Input>,
     waiting: BTreeMap<u64, (Ticket, u64)>,
     skew: u64,
+    run: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -131,7 +132,7 @@
             vec![group(replicas, 1, reserve), version("v1", 1.0, 2)],
         );
         let charts = Charts::built_in().expect("the built-in charts are sound");
-        let node = |i: usize| node(i, fenced, &charts, rng.random_range(0..100));
+        let node = |i: usize| node(i, 1, fenced, &charts, rng.random_range(0..100));
         let nodes = (0..3).map(node).collect();
         let engine = |i| (VmId::new(format!("vm-{i}")), Engine::default());
         Self {
@@ -168,6 +169,13 @@
         self.nodes[i].paused = self.now + ms;
     }
 
+    /// Restarts the daemons of an entry VM, which keep nothing.
+    pub fn restart(&mut self, i: usize) {
+        let charts = Charts::built_in().expect("the built-in charts are sound");
+        let old = &self.nodes[i];
+        self.nodes[i] = node(i, old.run + 1, self.fenced, &charts, old.skew);
+    }
+
     pub fn kill(&mut self, vm: &VmId) {
         let engine = self.engines.get_mut(vm).expect("a known VM");
         engine.down = true;
@@ -233,8 +241,12 @@
         let view = self.view(i);
         let bound = BOUND.as_millis() as u64 + 1;
         for (id, assignment) in view.replicas() {
-            for vm in view.ranks(&id, assignment).unwrap_or_default() {
-                let ready = self.engines[vm].ready.get(&id);
+            let ranks = view.ranks(&id, assignment).unwrap_or_default();
+            let form = ranks.first().and_then(|vm| view.vms[*vm].held.as_ref());
+            let form = form.map(|h| h.form).unwrap_or_default();
+            for (rank, vm) in ranks.into_iter().enumerate() {
+                let key = (id.clone(), form, rank as u32);
+                let ready = self.engines[vm].ready.get(&key);
                 if ready.is_none_or(|at| self.now - at > bound) {
                     return Err(format!("{id} serves for node {i} without {vm}"));
                 }
@@ -249,7 +261,8 @@
                 && *at <= self.now
                 && !engine.down
             {
-                engine.ready.insert(held.replica.clone(), self.now);
+                let key = (held.replica.clone(), held.form, held.rank);
+                engine.ready.insert(key, self.now);
             }
         }
     }
@@ -297,6 +310,11 @@
                 let other = holds.filter(|h| *h != order.replica);
                 let part = other.is_some_and(|h| self.truth.has_part(vm, h.seq));
                 assert!(!part, "{vm} changed replica without an unload");
+                let owned = self.truth.owner(vm) == Some(order.replica.seq);
+                assert!(
+                    fenced || owned,
+                    "{vm} was given to a replica after it left it"
+                );
                 let same = |h: &Held| h.version == *version && h.rank == *rank;
                 let kept = engine
                     .held
@@ -457,12 +475,12 @@
     }
 }
 
-fn node(i: usize, fenced: bool, charts: &Charts, skew: u64) -> Node {
+fn node(i: usize, run: u64, fenced: bool, charts: &Charts, skew: u64) -> Node {
     let order_deadline = Duration::from_millis(800);
     let drift = Duration::from_millis(200);
     let config = PlannerConfig {
         entry: format!("entry-{i}").as_str().into(),
-        run: Incarnation(1),
+        run: Incarnation(run),
         lease: LeaseConfig {
             length: Duration::from_millis(1_500),
             drift,
@@ -493,5 +511,6 @@
         backlog: VecDeque::new(),
         waiting: BTreeMap::new(),
         skew,
+        run,
     }
 }
