--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,5 +5,6 @@
 mod test_model;
 mod test_plan;
 mod test_planner;
+mod test_probe;
 mod test_settings;
 mod world;
