--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 mod fold;
 mod placement;
+mod planner;
 
 use crate::figure::{Figure, Options};
 
@@ -19,7 +20,12 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[fold::EXPERIMENT, placement::EXPERIMENT, placement::TARGET];
+pub const ALL: &[Experiment] = &[
+    fold::EXPERIMENT,
+    placement::EXPERIMENT,
+    placement::TARGET,
+    planner::EXPERIMENT,
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- /dev/null
+++ b/bench/src/experiments/planner.rs
@@ -0,0 +1,80 @@
+//! Cost of planning by number of VMs: time of a step, and lease renewals that the log takes.
+
+use std::time::{Duration, Instant};
+
+use hemlock_lib::plan::{Reform, Rules};
+use hemlock_lib::table::{GroupRow, Row, RowKey, VersionRow};
+
+use super::Experiment;
+use crate::figure::{Figure, Options};
+use crate::shards::{Setup, Shards};
+
+/// Failure domains, VMs of each and VMs that a replica spans.
+const SIZES: [(usize, usize, u32); 4] = [(3, 20, 4), (6, 80, 16), (9, 134, 16), (21, 214, 16)];
+const START_LIMIT: Duration = Duration::from_secs(300);
+const QUIET: Duration = Duration::from_secs(30);
+const TICK: Duration = Duration::from_millis(500);
+const TIMED_STEPS: u32 = 40;
+
+/// The experiment.
+pub(super) const EXPERIMENT: Experiment = Experiment {
+    name: "planner",
+    about: "Time of a planner's step with every shard held, and lease renewals, by size",
+    timed: true,
+    run,
+};
+
+fn run(_: &Options) -> Vec<Figure> {
+    SIZES.into_iter().flat_map(size).collect()
+}
+
+fn size((domains, vms, span): (usize, usize, u32)) -> Vec<Figure> {
+    let replicas = (vms as u32 / span) * domains as u32;
+    let setup = Setup {
+        domains,
+        vms,
+        rules: Rules {
+            reform: Reform::Keep,
+            loads: u32::MAX,
+            lend: true,
+        },
+        store: domains * vms,
+        tick: TICK,
+    };
+    let group = GroupRow {
+        replicas,
+        minimum: 0,
+        downtime: 1.0,
+        stranded: 1.0,
+        reserve: 0,
+        slots: 8,
+    };
+    let version = VersionRow {
+        group: "listwriter".into(),
+        weight: 1.0,
+        span,
+    };
+    let rows = vec![
+        (RowKey::Group("listwriter".into()), Row::Group(group)),
+        (RowKey::Version("v1".into()), Row::Version(version)),
+    ];
+    let mut shards = Shards::new(setup, rows);
+    shards.run(START_LIMIT, |s| s.serving() >= replicas as usize);
+    let before = shards.appends;
+    shards.run(QUIET, |_| false);
+    let renewals = (shards.appends - before) as f64 / QUIET.as_secs_f64();
+    shards.planning = Duration::ZERO;
+    let started = Instant::now();
+    shards.run(TICK * TIMED_STEPS, |_| false);
+    let all = started.elapsed().as_secs_f64() * 1e6 / f64::from(TIMED_STEPS);
+    let step = shards.planning.as_secs_f64() * 1e6 / f64::from(TIMED_STEPS);
+    let count = domains * vms;
+    let figure =
+        |what: &str, value, unit| Figure::new(format!("planner.{what}.{count}"), value, unit);
+    vec![
+        figure("step", step, "us"),
+        figure("step-per-shard", step / domains as f64, "us"),
+        figure("harness-step", all, "us"),
+        figure("renewals", renewals, "1/s"),
+    ]
+}
--- a/bench/src/shards.rs
+++ b/bench/src/shards.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hemlock_lib::chart::Charts;
 use hemlock_lib::engine::{Action, EngineState, Held, Load, Order};
@@ -21,7 +21,7 @@
 
 /// Time that one VM takes to load weights when the store is idle.
 pub const LOAD: Duration = Duration::from_secs(60);
-/// VMs that the weight store serves at full speed at a time; more share its rate.
+/// VMs that the weight store of today serves at full speed at a time.
 pub const STORE: usize = 8;
 
 /// What a run is made of.
@@ -33,6 +33,8 @@
     pub vms: usize,
     /// How shards are planned.
     pub rules: Rules,
+    /// VMs that the weight store serves at full speed at a time; more share its rate.
+    pub store: usize,
     /// Virtual time of one step.
     pub tick: Duration,
 }
@@ -71,6 +73,8 @@
     serving: BTreeMap<VersionId, usize>,
     /// Records that the log took.
     pub appends: u64,
+    /// Wall time spent in the planner.
+    pub planning: Duration,
     /// Sums so far.
     pub sums: Sums,
 }
@@ -107,6 +111,7 @@
             log_up: true,
             serving: BTreeMap::new(),
             appends: 0,
+            planning: Duration::ZERO,
             sums: Sums::default(),
             setup,
         };
@@ -197,9 +202,11 @@
         let mut out = Vec::new();
         let mut inputs = std::mem::take(&mut self.inputs);
         inputs.push_back(Input::View(view));
+        let started = Instant::now();
         for input in inputs {
             self.planner.step(self.now, input, &mut out);
         }
+        self.planning += started.elapsed();
         for output in out {
             self.take(output);
         }
@@ -226,7 +233,7 @@
     fn load(&mut self) {
         let loading = |e: &&mut Engine| e.held.as_ref().is_some_and(|h| !h.ready);
         let count = self.engines.values_mut().filter(loading).count();
-        let rate = (STORE as f64 / count.max(1) as f64).min(1.0);
+        let rate = (self.setup.store as f64 / count.max(1) as f64).min(1.0);
         for engine in self.engines.values_mut().filter(loading) {
             engine.left -= self.setup.tick.as_secs_f64() * rate;
             let done = engine.left <= 0.0;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_chart;
 mod test_fleet;
+mod test_lease;
 mod test_model;
 mod test_plan;
 mod test_planner;
