--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -3,6 +3,8 @@
 mod decision_cost;
 mod fold;
 mod limits;
+mod placement;
+mod planner;
 mod routing;
 mod shares;
 
@@ -27,6 +29,9 @@
     decision_cost::COUNTED,
     fold::EXPERIMENT,
     limits::EXPERIMENT,
+    placement::EXPERIMENT,
+    placement::TARGET,
+    planner::EXPERIMENT,
     routing::EXPERIMENT,
     shares::EXPERIMENT,
 ];
