--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments, one file each.
 
 mod fold;
+mod gossip;
 
 use crate::figure::{Figure, Options};
 
@@ -18,7 +19,7 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[fold::EXPERIMENT];
+pub const ALL: &[Experiment] = &[fold::EXPERIMENT, gossip::EXPERIMENT];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
