--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 mod fold;
 mod gossip;
+mod state;
 
 use crate::figure::{Figure, Options};
 
@@ -19,7 +20,7 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[fold::EXPERIMENT, gossip::EXPERIMENT];
+pub const ALL: &[Experiment] = &[fold::EXPERIMENT, gossip::EXPERIMENT, state::EXPERIMENT];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod codec;
 pub mod codes;
 pub mod declaration;
+pub mod delta;
 pub mod engine;
 pub mod fleet;
 pub mod folds;
