--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 mod fold;
 mod gossip;
 mod state;
+mod state_time;
 
 use crate::figure::{Figure, Options};
 
@@ -20,7 +21,12 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[fold::EXPERIMENT, gossip::EXPERIMENT, state::EXPERIMENT];
+pub const ALL: &[Experiment] = &[
+    fold::EXPERIMENT,
+    gossip::EXPERIMENT,
+    state::EXPERIMENT,
+    state_time::EXPERIMENT,
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
