--- a/agent/src/routes.rs
+++ b/agent/src/routes.rs
@@ -6,7 +6,7 @@
 use crossbeam_channel::Sender;
 use hemlock_lib::agent::Input;
 use hemlock_lib::codec;
-use hemlock_lib::peers::{Settled, Submit};
+use hemlock_lib::peers::{Settled, Submit, Suspicion};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse, ServiceConfig, types};
 use serde::Deserialize;
@@ -43,6 +43,7 @@
         .route("/v1/view", web::get().to(view))
         .route("/v1/submit", web::post().to(submit))
         .route("/v1/spare", web::post().to(spare))
+        .route("/v1/suspicions", web::post().to(suspicions))
         .route("/v1/leave", web::post().to(leave))
         .route("/healthz", web::get().to(health));
 }
@@ -89,6 +90,16 @@
     HttpResponse::NoContent().finish()
 }
 
+async fn suspicions(state: types::State<State>, body: Bytes) -> HttpResponse {
+    let Ok(suspicions) = codec::decode::<Vec<Suspicion>>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let _ = state
+        .events
+        .try_send(Event::Input(Input::Suspect(suspicions)));
+    HttpResponse::NoContent().finish()
+}
+
 async fn leave(state: types::State<State>) -> HttpResponse {
     let _ = state.events.try_send(Event::Input(Input::Leave));
     HttpResponse::NoContent().finish()
--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -1,11 +1,13 @@
 //! Bodies that callers send and receive, in the form that OpenAI-style clients use.
 
-use hemlock_lib::codes::Code;
+use std::time::Duration;
+
+use hemlock_lib::codes::{Code, Ran};
 use hemlock_lib::ids::RequestId;
 use ntex::http::StatusCode;
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 /// Pieces generated when the caller names no limit.
@@ -59,6 +61,13 @@
     }
 }
 
+/// An answer kept for callers that send their request again.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct KeptText {
+    pub(crate) text: String,
+    pub(crate) tokens: u64,
+}
+
 /// Returns one event of a streamed answer.
 pub(crate) fn chunk(request: &RequestId, model: &str, text: Option<&str>) -> Bytes {
     let (delta, finish) = match text {
@@ -91,31 +100,60 @@
     }))
 }
 
+/// Returns one event that ends a streamed answer which can't be completed.
+pub(crate) fn error_event(refusal: &Refusal, request: &RequestId) -> Bytes {
+    let body = error_body(refusal, Some(request));
+    Bytes::from(format!("event: error\ndata: {body}\n\n"))
+}
+
+/// A final answer that says why there is no other.
+#[derive(Debug, Clone)]
+pub(crate) struct Refusal {
+    pub(crate) code: Code,
+    pub(crate) ran: Ran,
+    pub(crate) after: Option<Duration>,
+    /// Base URLs of other entry VMs, when this one should not be asked again.
+    pub(crate) elsewhere: Vec<String>,
+}
+
+impl From<Code> for Refusal {
+    fn from(code: Code) -> Self {
+        Self {
+            code,
+            ran: code.ran(),
+            after: None,
+            elsewhere: Vec::new(),
+        }
+    }
+}
+
 /// Returns the body of a refusal.
-pub(crate) fn error_body(code: Code, request: Option<&RequestId>) -> serde_json::Value {
-    json!({"error": {
+fn error_body(refusal: &Refusal, request: Option<&RequestId>) -> serde_json::Value {
+    let code = refusal.code;
+    let mut error = json!({
         "code": code.number(),
         "type": code.name(),
         "message": code.text(),
-        "ran": code.ran().as_str(),
+        "ran": refusal.ran.as_str(),
         "retry": code.retry(),
         "request": request.map(RequestId::as_str),
-    }})
+    });
+    if !refusal.elsewhere.is_empty() {
+        error["addresses"] = json!(refusal.elsewhere);
+    }
+    json!({"error": error})
 }
 
 /// Returns a refusal with its numbered code, whether the request ran and when to try again.
-pub(crate) fn refusal(
-    code: Code,
-    request: Option<&RequestId>,
-    after: Option<std::time::Duration>,
-) -> HttpResponse {
+pub(crate) fn refusal(refusal: &Refusal, request: Option<&RequestId>) -> HttpResponse {
+    let code = refusal.code;
     let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
     response.header("x-result-code", code.number().to_string());
-    response.header("x-ran", code.ran().as_str());
-    if let Some(after) = after.filter(|_| code.retry()) {
+    response.header("x-ran", refusal.ran.as_str());
+    if let Some(after) = refusal.after.filter(|_| code.retry()) {
         response.header("retry-after", after.as_millis().div_ceil(1_000).to_string());
         response.header("retry-after-ms", after.as_millis().to_string());
     }
-    response.json(&error_body(code, request))
+    response.json(&error_body(refusal, request))
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -17,9 +17,11 @@
 use hemlock_lib::gateway::{Gateway, GatewayConfig, Input};
 use hemlock_lib::ids::Incarnation;
 use hemlock_lib::settings::Settings;
+use hemlock_lib::stopping::{Phase, Stopping};
 use hemlock_wire::server::{self, Server};
-use hemlock_wire::{clock, follower};
+use hemlock_wire::{agent, caller, clock, follower};
 
+use crate::drive::Unread;
 use crate::mind::Event;
 
 /// Events that wait for the state machine at most.
@@ -29,12 +31,20 @@
 /// Time without log and peers after which new work is refused.
 const ISOLATION: Duration = Duration::from_secs(5);
 /// Time between two looks at the open requests of a stopping gateway.
-const STOP_CHECK: Duration = Duration::from_millis(100);
+const STOP_CHECK: Duration = Duration::from_millis(50);
+/// Time between two log lines of a stopping gateway.
+const STOP_REPORT: Duration = Duration::from_secs(5);
+/// Time in which the last bytes of the last answer leave.
+const FLUSH: Duration = Duration::from_millis(200);
+/// Time that the agent has to announce that this entry VM is leaving.
+const LEAVE_WAIT: Duration = Duration::from_secs(2);
 
 /// A running gateway.
 #[derive(Debug)]
 pub struct GatewayHandle {
     events: Sender<Event>,
+    agent: String,
+    unread: Unread,
     server: Server,
     threads: Vec<JoinHandle<()>>,
 }
@@ -42,11 +52,53 @@
 impl GatewayHandle {
     /// Refuses new work, waits up to `limit` until no request is open, and stops.
     pub fn drain(self, limit: Duration) {
-        let _ = self.events.send(Event::Input(Input::Stop));
-        let end = std::time::Instant::now() + limit;
-        while self.open() > 0 && std::time::Instant::now() < end {
+        self.run_down(Stopping::new(clock::now(), Duration::ZERO, limit));
+    }
+
+    /// Leaves the address advice, serves on for `keep_for`, and then drains.
+    ///
+    /// Callers that keep this address learn another one meanwhile, so that none is refused.
+    pub fn retire(self, keep_for: Duration, limit: Duration) {
+        let _ = self.events.send(Event::Input(Input::Leave));
+        let agent = self.agent.clone();
+        let left = caller::block_on("gateway-leave", async move || {
+            agent::leave(&agent, LEAVE_WAIT).await
+        });
+        if let Err(e) = left {
+            log::warn!("event=leave_failed cause=\"{e}\"");
+        }
+        self.run_down(Stopping::new(clock::now(), keep_for, limit));
+    }
+
+    fn run_down(self, stopping: Stopping) {
+        let mut last = Phase::Leaving;
+        let mut reported = None;
+        loop {
+            let now = clock::now();
+            let open = self.open();
+            let phase = stopping.phase(now, open);
+            if phase != Phase::Leaving && last == Phase::Leaving {
+                let _ = self.events.send(Event::Input(Input::Stop));
+                log::info!("event=stopping phase={} open={open}", phase.name());
+                last = Phase::Draining;
+                continue;
+            }
+            let due = reported.is_none_or(|at| now.since(at) >= STOP_REPORT);
+            if due || phase != last {
+                reported = Some(now);
+                let left = stopping.deadline().since(now).as_secs();
+                log::info!(
+                    "event=stopping phase={} open={open} left_s={left}",
+                    phase.name()
+                );
+            }
+            last = phase;
+            if phase == Phase::Gone {
+                break;
+            }
             std::thread::sleep(STOP_CHECK);
         }
+        std::thread::sleep(FLUSH);
         self.stop();
     }
 
@@ -62,7 +114,7 @@
     fn open(&self) -> usize {
         let (reply, open) = crossbeam_channel::bounded(1);
         let _ = self.events.send(Event::CountOpen(reply));
-        open.recv().unwrap_or(0)
+        open.recv().unwrap_or(0) + self.unread.count()
     }
 }
 
@@ -78,16 +130,19 @@
         views.send(Event::Input(input)).is_ok()
     };
     let agent = settings.agent.advertise.clone();
+    let keep_for = Duration::from_secs(settings.gateway.keep_for_s);
     let threads = vec![
         follower::spawn("gateway-view", agent.clone(), on_view)?,
-        mind::spawn_calls(agent, call_ring, events.clone())?,
+        mind::spawn_calls(agent.clone(), call_ring, events.clone())?,
         std::thread::Builder::new()
             .name("gateway-mind".to_owned())
-            .spawn(move || mind::Mind::new(gateway, calls).run(&ring))?,
+            .spawn(move || mind::Mind::new(gateway, calls, keep_for).run(&ring))?,
     ];
+    let unread = Unread::default();
     let state = routes::State {
         events: events.clone(),
         limit: settings.gateway.body_limit,
+        unread: unread.clone(),
     };
     let workers = settings.gateway.workers;
     let server = server::spawn("gateway-http", listener, workers, state, routes::configure)?;
@@ -98,6 +153,8 @@
     );
     Ok(GatewayHandle {
         events,
+        agent,
+        unread,
         server,
         threads,
     })
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -5,9 +5,6 @@
 
 use hemlock_wire::daemon;
 
-/// Time that open requests have to end after SIGTERM.
-const DRAIN: Duration = Duration::from_secs(90);
-
 fn main() -> ExitCode {
     daemon::run(
         "hemlock-gateway",
@@ -16,7 +13,9 @@
             let gateway = hemlock_gateway::spawn(&started.settings, &started.charts)
                 .map_err(|e| format!("can't listen on {}: {e}", started.settings.gateway.listen))?;
             daemon::wait_for_stop();
-            gateway.drain(DRAIN);
+            let settings = &started.settings.gateway;
+            let keep_for = Duration::from_secs(settings.keep_for_s);
+            gateway.retire(keep_for, Duration::from_secs(settings.drain_s));
             Ok(())
         },
     )
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -8,15 +8,18 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use hemlock_lib::advice::{self, Advice};
-use hemlock_lib::claims::{Answer, ClaimChange, Owner};
-use hemlock_lib::codes::Code;
+use hemlock_lib::claims::{Answer, Binding, ClaimId};
+use hemlock_lib::codes::{Code, Ran};
 use hemlock_lib::gateway::{Arrival, Gateway, Input, Output};
-use hemlock_lib::ids::{AttemptId, DomainId, ReplicaId, RequestId};
-use hemlock_lib::peers::Submit;
+use hemlock_lib::ids::{AccountId, AttemptId, DomainId, ReplicaId, RequestId};
+use hemlock_lib::once::Change;
+use hemlock_lib::peers::{Settled, Submit, Suspicion};
 use hemlock_lib::view::View;
 use hemlock_wire::{agent, clock};
 use uuid::Uuid;
 
+use crate::body::Refusal;
+
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two reports of spare capacity to the agent.
 const SPARE_TICKS: u32 = 50;
@@ -33,7 +36,7 @@
         replica: Option<ReplicaId>,
     },
     /// Refuse.
-    Refuse { code: Code, after: Duration },
+    Refuse(Refusal),
     /// Give the answer that was kept.
     Replay(Answer),
 }
@@ -51,7 +54,13 @@
         near: Option<DomainId>,
         reply: async_channel::Sender<Option<Advice>>,
     },
-    /// How many requests are open.
+    /// A caller asks for the state of a key.
+    KeyStatus {
+        key: Uuid,
+        key_hash: String,
+        reply: async_channel::Sender<KeyStatus>,
+    },
+    /// How many requests and unsettled claims are open.
     CountOpen(Sender<usize>),
     /// Stop.
     Stop,
@@ -60,15 +69,22 @@
 /// A call to the agent.
 #[derive(Debug)]
 pub(crate) enum Call {
-    Claim {
-        request: RequestId,
-        key: Uuid,
-        change: ClaimChange,
-        owner: Owner,
-    },
+    Claim(RequestId, Submit),
+    Settle(ClaimId, Submit),
+    Suspect(Suspicion),
+    KeyStatus(Uuid, async_channel::Sender<Settled>),
     Spare(f64),
 }
 
+/// What a gateway knows of a key before it asks the agent.
+#[derive(Debug)]
+pub(crate) struct KeyStatus {
+    /// The account that asks, if its key is known.
+    pub(crate) account: Option<AccountId>,
+    /// What the agent says.
+    pub(crate) settled: async_channel::Receiver<Settled>,
+}
+
 /// The state machine with its outlets.
 #[derive(Debug)]
 pub(crate) struct Mind {
@@ -77,16 +93,22 @@
     waiting: BTreeMap<RequestId, async_channel::Sender<Decision>>,
     out: Vec<Output>,
     ticks: u32,
+    keep_for: Duration,
 }
 
 impl Mind {
-    pub(crate) fn new(gateway: Gateway, calls: async_channel::Sender<Call>) -> Self {
+    pub(crate) fn new(
+        gateway: Gateway,
+        calls: async_channel::Sender<Call>,
+        keep_for: Duration,
+    ) -> Self {
         Self {
             gateway,
             calls,
             waiting: BTreeMap::new(),
             out: Vec::new(),
             ticks: 0,
+            keep_for,
         }
     }
 
@@ -105,11 +127,16 @@
                     near,
                     reply,
                 }) => {
-                    let view = self.gateway.view().map(Arc::as_ref);
-                    let advice = view.map(|v: &View| advice::advise(v, &caller, near.as_ref()));
-                    let _ = reply.try_send(advice);
+                    let _ = reply.try_send(self.advise(&caller, near.as_ref()));
+                }
+                Ok(Event::KeyStatus {
+                    key,
+                    key_hash,
+                    reply,
+                }) => self.key_status(key, &key_hash, &reply),
+                Ok(Event::CountOpen(reply)) => {
+                    let _ = reply.send(self.gateway.open() + self.gateway.unsettled());
                 }
-                Ok(Event::CountOpen(reply)) => drop(reply.send(self.gateway.open())),
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {
                     tick = Instant::now() + TICK;
@@ -119,6 +146,41 @@
         }
     }
 
+    fn advise(&self, caller: &str, near: Option<&DomainId>) -> Option<Advice> {
+        let view = self.gateway.view().map(Arc::as_ref);
+        let mut advice = view.map(|v: &View| advice::advise(v, caller, near))?;
+        advice.keep_for = self.keep_for.as_secs();
+        Some(advice)
+    }
+
+    /// Returns the other entry VMs, best first, when `code` says not to ask this one again.
+    fn elsewhere(&self, code: Code, request: &RequestId) -> Vec<String> {
+        if !matches!(code, Code::Isolated | Code::Stopping) {
+            return Vec::new();
+        }
+        let own = self.gateway.view().and_then(|v| {
+            let me = &self.gateway.owner().entry;
+            let entry = v.entries.iter().find(|e| e.member.entry == *me)?;
+            Some(entry.member.gateway.clone())
+        });
+        let advice = self.advise(request.as_str(), None);
+        let addresses = advice.map(|a| a.addresses).unwrap_or_default();
+        let other = |a: &String| Some(a) != own.as_ref();
+        addresses.into_iter().filter(other).collect()
+    }
+
+    fn key_status(&self, key: Uuid, key_hash: &str, reply: &async_channel::Sender<KeyStatus>) {
+        let accounts = self.gateway.view().map(|v| v.table.accounts());
+        let account = accounts
+            .into_iter()
+            .flatten()
+            .find(|(_, row)| row.key_hash == key_hash)
+            .map(|(id, _)| id.clone());
+        let (sender, settled) = async_channel::bounded(1);
+        let _ = self.calls.try_send(Call::KeyStatus(key, sender));
+        let _ = reply.try_send(KeyStatus { account, settled });
+    }
+
     fn tick(&mut self) {
         self.step(Input::Tick);
         self.ticks += 1;
@@ -161,20 +223,34 @@
             Output::Refuse {
                 request,
                 code,
+                ran,
                 after,
             } => {
-                log::info!("event=refuse request={request} code={}", code.number());
-                self.last(&request, Decision::Refuse { code, after });
+                log::info!(
+                    "event=refuse request={request} code={} ran={}",
+                    code.number(),
+                    ran.as_str()
+                );
+                self.refuse(&request, code, ran, after);
             }
             Output::Replay(request, answer) => self.last(&request, Decision::Replay(answer)),
-            Output::Claim(request, key, change) => {
-                let owner = self.gateway.owner().clone();
-                let _ = self.calls.send_blocking(Call::Claim {
-                    request,
-                    key,
-                    change,
-                    owner,
-                });
+            Output::Claim(request, change, binding) => {
+                let submit = self.submit(change, Some(binding));
+                let _ = self.calls.send_blocking(Call::Claim(request, submit));
+            }
+            Output::Settle(change) => {
+                let claim = change.claim;
+                let submit = self.submit(change, None);
+                let _ = self.calls.send_blocking(Call::Settle(claim, submit));
+            }
+            Output::Suspect(suspicion) => {
+                log::warn!(
+                    "event=suspect print={:016x} vm={} alone={}",
+                    suspicion.print,
+                    suspicion.vm,
+                    suspicion.alone
+                );
+                let _ = self.calls.send_blocking(Call::Suspect(suspicion));
             }
             Output::Retry(request, reason) => {
                 log::info!("event=retry request={request} reason={}", reason.name());
@@ -182,6 +258,26 @@
         }
     }
 
+    fn submit(&self, change: Change, binding: Option<Binding>) -> Submit {
+        Submit::Claim {
+            key: change.key,
+            owner: self.gateway.owner().clone(),
+            claim: change.claim,
+            binding,
+            change: change.change,
+        }
+    }
+
+    fn refuse(&mut self, request: &RequestId, code: Code, ran: Ran, after: Duration) {
+        let refusal = Refusal {
+            code,
+            ran,
+            after: Some(after),
+            elsewhere: self.elsewhere(code, request),
+        };
+        self.last(request, Decision::Refuse(refusal));
+    }
+
     fn last(&mut self, request: &RequestId, decision: Decision) {
         if let Some(task) = self.waiting.remove(request) {
             let _ = task.try_send(decision);
@@ -210,18 +306,20 @@
 
 async fn make(agent: &str, call: Call, events: &Sender<Event>) {
     match call {
-        Call::Claim {
-            request,
-            key,
-            change,
-            owner,
-        } => {
-            let claiming = change == ClaimChange::Claim;
-            let submit = Submit::Claim { key, owner, change };
+        Call::Claim(request, submit) => {
             let settled = agent::submit(agent, &submit, CLAIM_WAIT).await;
-            if claiming {
-                let _ = events.send(Event::Input(Input::Claimed(request, settled)));
-            }
+            let _ = events.send(Event::Input(Input::Claimed(request, settled)));
+        }
+        Call::Settle(claim, submit) => {
+            let settled = agent::submit(agent, &submit, CLAIM_WAIT).await;
+            let _ = events.send(Event::Input(Input::Settled(claim, settled)));
+        }
+        Call::Suspect(suspicion) => {
+            let _ = agent::suspect(agent, &[suspicion], SPARE_WAIT).await;
+        }
+        Call::KeyStatus(key, reply) => {
+            let submit = Submit::ClaimStatus { key };
+            let _ = reply.try_send(agent::submit(agent, &submit, CLAIM_WAIT).await);
         }
         Call::Spare(spare) => drop(agent::spare(agent, spare, SPARE_WAIT).await),
     }
--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use hemlock_lib::codes::Code;
+use async_channel::{Sender, TrySendError};
+use hemlock_lib::claims::Answer;
+use hemlock_lib::codes::{Code, Ran};
 use hemlock_lib::engine::{Chunk, EngineCall};
 use hemlock_lib::gateway::FailReason;
 use hemlock_lib::ids::{AttemptId, ReplicaId};
@@ -10,7 +12,9 @@
 use hemlock_wire::caller::{self, CallError};
 use ntex::time::Millis;
 use ntex::util::BytesMut;
+use serde_bytes::ByteBuf;
 
+use crate::body::{KeptText, Refusal};
 use crate::drive::Driven;
 use crate::mind::Decision;
 
@@ -20,16 +24,20 @@
 const STALL: Duration = Duration::from_secs(3);
 /// Time that a slow caller may hold a full buffer.
 const SLOW_CALLER: Duration = Duration::from_secs(10);
+/// Largest event of an engine in bytes.
+const EVENT_LIMIT: usize = 256 << 10;
+/// Pieces beyond the number asked for after which an engine is held to be at fault.
+const EXTRA_PIECES: u64 = 1;
 
 /// A part of the answer on its way to the caller.
 #[derive(Debug)]
 pub(crate) enum Part {
-    /// Text.
-    Text(String),
+    /// Text of that many pieces.
+    Text(String, u64),
     /// The end of the whole answer.
     Done,
     /// The end of an answer that can't be completed.
-    Refused(Code, Duration),
+    Refused(Refusal),
 }
 
 /// What the engine is asked, whichever attempt it is.
@@ -38,8 +46,11 @@
     pub(crate) prompt: String,
     pub(crate) max_tokens: u32,
     pub(crate) priority: i32,
+    /// Whether it must run at most once; it runs on when the caller leaves.
+    pub(crate) once: bool,
 }
 
+/// How an attempt ended.
 enum End {
     Done,
     Failed(FailReason),
@@ -48,124 +59,219 @@
 }
 
 /// Answers a question, sending the parts to `parts`; ends early when the caller has left.
-pub(crate) async fn answer(
-    mut driven: Driven,
+pub(crate) async fn answer(driven: Driven, question: Question, parts: Sender<Part>) {
+    let once = question.once;
+    let mut run = Run {
+        driven,
+        question,
+        parts: parts.clone(),
+        answering: Answering::new(String::new()),
+        kept: KeptText::default(),
+    };
+    if once {
+        return run.answer().await;
+    }
+    let answered = std::pin::pin!(run.answer());
+    let left = std::pin::pin!(parts.closed());
+    futures_util::future::select(answered, left).await;
+}
+
+/// One question under way.
+struct Run {
+    driven: Driven,
     question: Question,
-    parts: async_channel::Sender<Part>,
-) {
-    let mut answering: Option<Answering> = None;
-    while let Some(decision) = driven.next().await {
-        let (attempt, address, replica) = match decision {
-            Decision::Dispatch {
-                attempt,
-                address,
-                replica: Some(replica),
-            } => (attempt, address, replica),
-            Decision::Dispatch { attempt, .. } => {
-                driven.failed(attempt, FailReason::Connect);
-                continue;
-            }
-            Decision::Refuse { code, after } => {
-                let _ = parts.send(Part::Refused(code, after)).await;
-                return;
+    parts: Sender<Part>,
+    answering: Answering,
+    kept: KeptText,
+}
+
+impl Run {
+    async fn answer(&mut self) {
+        loop {
+            match self.driven.next().await {
+                Decision::Dispatch {
+                    attempt,
+                    address,
+                    replica,
+                } => {
+                    if self.attempt(attempt, &address, replica).await {
+                        return;
+                    }
+                }
+                Decision::Refuse(refusal) => return self.refuse(refusal).await,
+                Decision::Replay(answer) => return self.replay(&answer).await,
             }
-            Decision::Replay(_) => return,
+        }
+    }
+
+    /// Makes an attempt and returns whether the caller has the final answer.
+    async fn attempt(
+        &mut self,
+        attempt: AttemptId,
+        address: &str,
+        replica: Option<ReplicaId>,
+    ) -> bool {
+        let Some(replica) = replica else {
+            self.driven.failed(attempt, FailReason::Connect);
+            return false;
         };
-        let name = format!("{}/{attempt}", driven.request());
-        let progress = match &mut answering {
-            Some(progress) => {
-                progress.resume(&name);
-                progress
-            }
-            none => none.insert(Answering::new(&name)),
+        let name = format!("{}/{attempt}", self.driven.request());
+        self.answering.resume(&name);
+        let mut chunks = Chunks {
+            question: &self.question,
+            answering: &mut self.answering,
+            kept: &mut self.kept,
+            parts: &self.parts,
         };
-        match attempt_once(&name, &address, replica, &question, progress, &parts).await {
-            End::Done => {
-                driven.finished(attempt, None);
-                let _ = parts.send(Part::Done).await;
-                return;
+        let reading = chunks.read(&name, address, replica);
+        match self.driven.during(reading).await {
+            Err(Decision::Refuse(refusal)) => {
+                self.refuse(refusal).await;
+                true
+            }
+            Err(_) => true,
+            Ok(End::Done) => {
+                let answer = self.question.once.then(|| keep(&self.kept));
+                self.driven.finished(attempt, answer);
+                let _ = self.parts.send(Part::Done).await;
+                true
+            }
+            Ok(End::Failed(reason)) => {
+                self.driven.failed(attempt, reason);
+                false
             }
-            End::Failed(reason) => driven.failed(attempt, reason),
-            End::CallerSlow => return end_slow(driven, attempt, &parts),
-            End::CallerLeft => return,
+            Ok(End::CallerSlow) => {
+                log::info!("event=slow_caller request={}", self.driven.request());
+                let refusal = Refusal {
+                    ran: Ran::Unknown,
+                    ..Refusal::from(Code::SlowCaller)
+                };
+                let _ = self.parts.try_send(Part::Refused(refusal));
+                true
+            }
+            Ok(End::CallerLeft) => true,
         }
     }
+
+    async fn refuse(&self, refusal: Refusal) {
+        let _ = self.parts.send(Part::Refused(refusal)).await;
+    }
+
+    async fn replay(&self, answer: &Answer) {
+        let Ok(kept) = serde_json::from_slice::<KeptText>(&answer.body) else {
+            return self.refuse(Refusal::from(Code::MayHaveRun)).await;
+        };
+        let _ = self.parts.send(Part::Text(kept.text, kept.tokens)).await;
+        let _ = self.parts.send(Part::Done).await;
+    }
 }
 
-fn end_slow(driven: Driven, attempt: AttemptId, parts: &async_channel::Sender<Part>) {
-    log::info!(
-        "event=slow_caller request={} attempt={attempt}",
-        driven.request()
-    );
-    let _ = parts.try_send(Part::Refused(Code::SlowCaller, Duration::ZERO));
+fn keep(kept: &KeptText) -> Answer {
+    Answer {
+        status: 200,
+        kind: "application/json".to_owned(),
+        body: ByteBuf::from(serde_json::to_vec(kept).unwrap_or_default()),
+    }
 }
 
-async fn attempt_once(
-    name: &str,
-    address: &str,
-    replica: ReplicaId,
-    question: &Question,
-    progress: &mut Answering,
-    parts: &async_channel::Sender<Part>,
-) -> End {
-    let call = EngineCall {
-        attempt: name.to_owned(),
-        replica,
-        prompt: question.prompt.clone(),
-        max_tokens: question.max_tokens,
-        resume_from: progress.delivered(),
-        priority: question.priority,
-    };
-    let client = caller::client().await;
-    let request = client.post(format!("{address}/v1/generate"));
-    let reply = request
-        .timeout(Millis(STALL.as_millis() as u32))
-        .send_json(&call)
-        .await;
-    let reply = match reply.map_err(CallError::from) {
-        Ok(reply) if reply.status().is_success() => reply,
-        Ok(_) => return End::Failed(FailReason::Refused),
-        Err(CallError::Connect) => return End::Failed(FailReason::Connect),
-        Err(_) => return End::Failed(FailReason::Broken),
-    };
-    let mut payload = reply.take_payload();
-    let mut buffer = BytesMut::new();
-    loop {
+/// The chunks of one attempt.
+struct Chunks<'a> {
+    question: &'a Question,
+    answering: &'a mut Answering,
+    kept: &'a mut KeptText,
+    parts: &'a Sender<Part>,
+}
+
+impl Chunks<'_> {
+    async fn read(&mut self, name: &str, address: &str, replica: ReplicaId) -> End {
+        let call = EngineCall {
+            attempt: name.to_owned(),
+            replica,
+            prompt: self.question.prompt.clone(),
+            max_tokens: self.question.max_tokens,
+            resume_from: self.answering.delivered(),
+            priority: self.question.priority,
+        };
+        let client = if self.question.once {
+            caller::fresh().await
+        } else {
+            caller::client().await
+        };
+        let request = client.post(format!("{address}/v1/generate"));
         let wait = Millis(STALL.as_millis() as u32);
-        match ntex::time::timeout(wait, payload.recv()).await {
-            Err(_) => return End::Failed(FailReason::Stalled),
-            Ok(None | Some(Err(_))) => return End::Failed(FailReason::Broken),
-            Ok(Some(Ok(bytes))) => buffer.extend_from_slice(&bytes),
+        let reply = request.timeout(wait).send_json(&call).await;
+        let reply = match reply.map_err(CallError::from) {
+            Ok(reply) if reply.status().is_success() => reply,
+            Ok(reply) => return End::Failed(refused(reply.status().as_u16())),
+            Err(CallError::Connect) => return End::Failed(FailReason::Connect),
+            Err(_) => return End::Failed(FailReason::Broken),
+        };
+        let mut payload = reply.take_payload();
+        let mut buffer = BytesMut::new();
+        loop {
+            match ntex::time::timeout(wait, payload.recv()).await {
+                Err(_) => return End::Failed(FailReason::Stalled),
+                Ok(None | Some(Err(_))) => return End::Failed(FailReason::Broken),
+                Ok(Some(Ok(bytes))) => buffer.extend_from_slice(&bytes),
+            }
+            while let Some(chunk) = next_chunk(&mut buffer) {
+                if let Some(end) = self.take(name, chunk).await {
+                    return end;
+                }
+            }
+            if buffer.len() > EVENT_LIMIT {
+                return End::Failed(FailReason::Malformed);
+            }
         }
-        while let Some(chunk) = next_chunk(&mut buffer) {
-            match progress.take(chunk) {
-                Piece::Deliver(text) => match deliver(parts, text).await {
-                    Ok(()) => {}
-                    Err(end) => return end,
-                },
-                Piece::Done => return End::Done,
-                Piece::Drop(DropReason::Gap) => return End::Failed(FailReason::Broken),
-                Piece::Drop(reason) => log::debug!("event=drop attempt={name} reason={reason:?}"),
+    }
+
+    /// Takes a chunk; returns the attempt's end if it is one.
+    async fn take(&mut self, name: &str, chunk: Chunk) -> Option<End> {
+        let limit = u64::from(self.question.max_tokens) + EXTRA_PIECES;
+        match self.answering.take(chunk) {
+            Piece::Deliver(_) if self.answering.delivered() > limit => {
+                Some(End::Failed(FailReason::Malformed))
+            }
+            Piece::Deliver(text) => self.deliver(text).await.err(),
+            Piece::Done => Some(End::Done),
+            Piece::Drop(DropReason::Gap) => Some(End::Failed(FailReason::Malformed)),
+            Piece::Drop(reason) => {
+                log::info!("event=drop attempt={name} reason={}", reason.name());
+                None
             }
         }
     }
-}
 
-async fn deliver(parts: &async_channel::Sender<Part>, text: String) -> Result<(), End> {
-    match parts.try_send(Part::Text(text)) {
-        Ok(()) => Ok(()),
-        Err(async_channel::TrySendError::Closed(_)) => Err(End::CallerLeft),
-        Err(async_channel::TrySendError::Full(part)) => {
-            let wait = Millis(SLOW_CALLER.as_millis() as u32);
-            match ntex::time::timeout(wait, parts.send(part)).await {
-                Err(_) => Err(End::CallerSlow),
-                Ok(Err(_)) => Err(End::CallerLeft),
-                Ok(Ok(())) => Ok(()),
+    async fn deliver(&mut self, text: String) -> Result<(), End> {
+        if self.question.once {
+            self.kept.text.push_str(&text);
+            self.kept.tokens += 1;
+        }
+        match self.parts.try_send(Part::Text(text, 1)) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Closed(_)) if self.question.once => Ok(()),
+            Err(TrySendError::Closed(_)) => Err(End::CallerLeft),
+            Err(TrySendError::Full(part)) => {
+                let wait = Millis(SLOW_CALLER.as_millis() as u32);
+                match ntex::time::timeout(wait, self.parts.send(part)).await {
+                    Ok(Ok(())) => Ok(()),
+                    Ok(Err(_)) if self.question.once => Ok(()),
+                    Ok(Err(_)) => Err(End::CallerLeft),
+                    Err(_) => Err(End::CallerSlow),
+                }
             }
         }
     }
 }
 
+/// Engines say by these statuses that they did not run a call; any other leaves it open.
+fn refused(status: u16) -> FailReason {
+    match status {
+        400 | 404 | 409 | 413 | 422 | 429 | 503 => FailReason::Refused,
+        _ => FailReason::Failed,
+    }
+}
+
 fn next_chunk(buffer: &mut BytesMut) -> Option<Chunk> {
     loop {
         let end = buffer.windows(2).position(|w| w == b"\n\n")?;
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -3,25 +3,33 @@
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
-use hemlock_lib::codes::Code;
+use hemlock_lib::codes::{Code, Ran};
 use hemlock_lib::gateway::{Arrival, Target};
 use hemlock_lib::hash;
-use hemlock_lib::ids::RequestId;
+use hemlock_lib::ids::{AccountId, RequestId};
+use hemlock_lib::peers::Settled;
 use hemlock_wire::clock;
 use ntex::http::Method;
-use ntex::util::Bytes;
+use ntex::time::Millis;
+use ntex::util::{Bytes, BytesMut};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig, types};
 use serde::Deserialize;
 use uuid::Uuid;
 
-use crate::body::{self, ChatCall};
-use crate::drive::Driven;
+use crate::body::{self, ChatCall, Refusal};
+use crate::drive::{Driven, Reading, Unread};
 use crate::mind::Event;
 use crate::model::{self, PIECES, Part, Question};
 use crate::service::{self, Pass};
 
 /// Time that a request has when its caller names no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+/// Time in which a body must come.
+const BODY_WAIT: Duration = Duration::from_secs(10);
+/// Wait before a caller tries again that was refused at once.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Characters of a fingerprint.
+const FINGERPRINT: usize = 32;
 /// Work of a call to a plain service, in tokens.
 const SERVICE_TOKENS: u64 = 1;
 
@@ -30,6 +38,7 @@
 pub(crate) struct State {
     pub(crate) events: Sender<Event>,
     pub(crate) limit: usize,
+    pub(crate) unread: Unread,
 }
 
 #[derive(Debug, Deserialize)]
@@ -42,17 +51,30 @@
 /// Adds the routes.
 pub(crate) fn configure(config: &mut ServiceConfig) {
     config
-        .route("/v1/entry", web::get().to(entry))
-        .route("/v1/chat/completions", web::post().to(chat))
+        .route("/v1/entry", web::to(entry))
+        .route("/v1/chat/completions", web::to(chat))
         .route("/v1/services/{service}/{path}*", web::to(pass))
-        .route("/healthz", web::get().to(health));
+        .route("/v1/keys/{key}", web::to(key_status))
+        .route("/healthz", web::get().to(health))
+        .route("/{path}*", web::to(unknown));
 }
 
 async fn health() -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
 }
 
-async fn entry(state: types::State<State>, query: types::Query<AdviceQuery>) -> HttpResponse {
+async fn unknown() -> HttpResponse {
+    refuse(Code::UnknownPath)
+}
+
+async fn entry(
+    state: types::State<State>,
+    request: HttpRequest,
+    query: types::Query<AdviceQuery>,
+) -> HttpResponse {
+    if request.method() != Method::GET {
+        return refuse(Code::WrongMethod);
+    }
     let (reply, advice) = async_channel::bounded(1);
     let near = query.near.as_deref().map(Into::into);
     let event = Event::Advise {
@@ -61,39 +83,109 @@
         reply,
     };
     if state.events.try_send(event).is_err() {
-        return body::refusal(Code::Overload, None, None);
+        return refuse(Code::Overload);
     }
     match advice.recv().await {
         Ok(Some(advice)) => HttpResponse::Ok().json(&advice),
-        _ => body::refusal(Code::Isolated, None, None),
+        _ => refuse(Code::Isolated),
+    }
+}
+
+/// Tells the owner of a key what became of the work under it.
+async fn key_status(
+    state: types::State<State>,
+    request: HttpRequest,
+    key: types::Path<String>,
+) -> HttpResponse {
+    if request.method() != Method::GET {
+        return refuse(Code::WrongMethod);
+    }
+    let Ok(key) = Uuid::parse_str(&key) else {
+        return refuse(Code::KeyMalformed);
+    };
+    let (reply, status) = async_channel::bounded(1);
+    let event = Event::KeyStatus {
+        key,
+        key_hash: key_hash(&request),
+        reply,
+    };
+    if state.events.try_send(event).is_err() {
+        return refuse(Code::Overload);
     }
+    let Ok(status) = status.recv().await else {
+        return refuse(Code::Stopping);
+    };
+    let Some(account) = status.account else {
+        return refuse(Code::UnknownAccount);
+    };
+    let settled = status.settled.recv().await.unwrap_or(Settled::Unknown);
+    status_of(key, &account, settled)
 }
 
-async fn chat(state: types::State<State>, request: HttpRequest, payload: Bytes) -> HttpResponse {
-    if payload.len() > state.limit {
-        return body::refusal(Code::BodyTooLarge, None, None);
+fn status_of(key: Uuid, account: &AccountId, settled: Settled) -> HttpResponse {
+    let (state, ran) = match settled {
+        Settled::ClaimTaken {
+            binding: Some(b), ..
+        } if b.account != *account => return refuse(Code::KeyReused),
+        Settled::ClaimTaken {
+            answer: Some(_), ..
+        } => ("answered", Ran::Yes),
+        Settled::ClaimTaken {
+            closed: Some(true), ..
+        } => ("answered", Ran::Yes),
+        Settled::ClaimTaken {
+            closed: Some(false),
+            ..
+        } => ("may_have_run", Ran::Unknown),
+        Settled::ClaimTaken { .. } => ("claimed", Ran::Unknown),
+        Settled::ClaimFree => ("free", Ran::No),
+        _ => return refuse(Code::ClaimUnavailable),
+    };
+    let body = serde_json::json!({"key": key, "state": state, "ran": ran.as_str()});
+    HttpResponse::Ok().json(&body)
+}
+
+async fn chat(
+    state: types::State<State>,
+    request: HttpRequest,
+    payload: types::Payload,
+) -> HttpResponse {
+    if request.method() != Method::POST {
+        return refuse(Code::WrongMethod);
     }
+    let reading = state.unread.start();
+    let payload = match read_body(payload, state.limit).await {
+        Ok(payload) => payload,
+        Err(code) => return refuse(code),
+    };
     let Ok(call) = serde_json::from_slice::<ChatCall>(&payload) else {
-        return body::refusal(Code::BadBody, None, None);
+        return refuse(Code::BadBody);
+    };
+    let once = match idempotency_key(&request) {
+        Ok(once) => once,
+        Err(code) => return refuse(code),
     };
     let target = Target::Model(call.model.as_str().into());
-    let arrival = match arrival(&request, target, call.tokens(), None) {
+    let print = fingerprint(&request, &payload);
+    let arrival = match arrival(&request, target, call.tokens(), once, print) {
         Ok(arrival) => arrival,
-        Err(code) => return body::refusal(code, None, None),
+        Err(code) => return refuse(code),
     };
-    let Some(driven) = Driven::start(&state.events, arrival) else {
-        return body::refusal(Code::Overload, None, Some(Duration::from_secs(1)));
+    let driven = match Driven::start(&state.events, arrival) {
+        Ok(driven) => driven,
+        Err(code) => return refuse(code),
     };
     let id = driven.request().clone();
     let question = Question {
         prompt: call.prompt(),
         max_tokens: call.max_tokens(),
         priority: number(&request, "x-priority").ok().flatten().unwrap_or(0),
+        once: once.is_some(),
     };
     let (sender, parts) = async_channel::bounded(PIECES);
     ntex::rt::spawn(model::answer(driven, question, sender));
     if call.stream {
-        streamed(id, call.model, parts).await
+        streamed(id, call.model, parts, reading).await
     } else {
         whole(id, call, parts).await
     }
@@ -108,29 +200,30 @@
     let mut tokens = 0;
     while let Ok(part) = parts.recv().await {
         match part {
-            Part::Text(piece) => {
+            Part::Text(piece, count) => {
                 text.push_str(&piece);
-                tokens += 1;
+                tokens += count;
             }
             Part::Done => return body::whole(&id, &call.model, &text, tokens),
-            Part::Refused(code, after) => return body::refusal(code, Some(&id), Some(after)),
+            Part::Refused(refusal) => return body::refusal(&refusal, Some(&id)),
         }
     }
-    body::refusal(Code::Broken, Some(&id), None)
+    body::refusal(&broken(), Some(&id))
 }
 
 async fn streamed(
     id: RequestId,
     model: String,
     parts: async_channel::Receiver<Part>,
+    reading: Reading,
 ) -> HttpResponse {
     let first = match parts.recv().await {
-        Ok(Part::Refused(code, after)) => return body::refusal(code, Some(&id), Some(after)),
+        Ok(Part::Refused(refusal)) => return body::refusal(&refusal, Some(&id)),
         Ok(part) => part,
-        Err(_) => return body::refusal(Code::Broken, Some(&id), None),
+        Err(_) => return body::refusal(&broken(), Some(&id)),
     };
-    let start = (Some(first), parts, false);
-    let events = futures_util::stream::unfold(start, move |(first, parts, ended)| {
+    let start = (Some(first), parts, false, reading);
+    let events = futures_util::stream::unfold(start, move |(first, parts, ended, reading)| {
         let (id, model) = (id.clone(), model.clone());
         async move {
             if ended {
@@ -141,7 +234,10 @@
                 None => parts.recv().await.ok(),
             };
             let (bytes, ended) = event(&id, &model, part);
-            Some((Ok::<_, std::io::Error>(bytes), (None, parts, ended)))
+            Some((
+                Ok::<_, std::io::Error>(bytes),
+                (None, parts, ended, reading),
+            ))
         }
     });
     let mut response = HttpResponse::Ok();
@@ -153,45 +249,86 @@
 
 fn event(id: &RequestId, model: &str, part: Option<Part>) -> (Bytes, bool) {
     match part {
-        Some(Part::Text(text)) => (body::chunk(id, model, Some(&text)), false),
+        Some(Part::Text(text, _)) => (body::chunk(id, model, Some(&text)), false),
         Some(Part::Done) => {
             let mut bytes = body::chunk(id, model, None).to_vec();
             bytes.extend_from_slice(&body::end());
             (Bytes::from(bytes), true)
         }
-        Some(Part::Refused(code, _)) => (error_event(id, code), true),
-        None => (error_event(id, Code::Broken), true),
+        Some(Part::Refused(refusal)) => (body::error_event(&refusal, id), true),
+        None => (body::error_event(&broken(), id), true),
     }
 }
 
-fn error_event(id: &RequestId, code: Code) -> Bytes {
-    Bytes::from(format!(
-        "event: error\ndata: {}\n\n",
-        body::error_body(code, Some(id))
-    ))
+fn broken() -> Refusal {
+    Refusal::from(Code::Broken)
+}
+
+fn refuse(code: Code) -> HttpResponse {
+    let refusal = Refusal {
+        after: Some(RETRY_AFTER),
+        ..Refusal::from(code)
+    };
+    body::refusal(&refusal, None)
+}
+
+/// Reads a body of at most `limit` bytes.
+async fn read_body(mut payload: types::Payload, limit: usize) -> Result<Bytes, Code> {
+    let wait = Millis(BODY_WAIT.as_millis() as u32);
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(bytes) = payload.recv().await {
+            let bytes = bytes.map_err(|_| Code::BodyTimeout)?;
+            if body.len() + bytes.len() > limit {
+                return Err(Code::BodyTooLarge);
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(body.freeze())
+    };
+    let read = ntex::time::timeout(wait, read).await;
+    read.unwrap_or(Err(Code::BodyTimeout))
+}
+
+/// Returns the fingerprint by which a request that is sent again is known.
+fn fingerprint(request: &HttpRequest, body: &[u8]) -> String {
+    let head = format!("{} {}\n", request.method(), request.path());
+    let mut hash = hash::sha256_hex(&[head.as_bytes(), body].concat());
+    hash.truncate(FINGERPRINT);
+    hash
 }
 
 async fn pass(
     state: types::State<State>,
     request: HttpRequest,
     path: types::Path<(String, String)>,
-    payload: Bytes,
+    payload: types::Payload,
 ) -> HttpResponse {
-    if payload.len() > state.limit {
-        return body::refusal(Code::BodyTooLarge, None, None);
-    }
+    let _reading = state.unread.start();
+    let payload = match read_body(payload, state.limit).await {
+        Ok(payload) => payload,
+        Err(code) => return refuse(code),
+    };
     let (service, path) = path.into_inner();
     let once = match idempotency(&request) {
         Ok(once) => once,
-        Err(code) => return body::refusal(code, None, None),
+        Err(code) => return refuse(code),
     };
     let target = Target::Service(service.as_str().into());
-    let arrival = match arrival(&request, target, SERVICE_TOKENS, once) {
+    let print = fingerprint(&request, &payload);
+    let arrival = match arrival(&request, target, SERVICE_TOKENS, once, print) {
         Ok(arrival) => arrival,
-        Err(code) => return body::refusal(code, None, None),
+        Err(code) => return refuse(code),
+    };
+    let driven = match Driven::start(&state.events, arrival) {
+        Ok(driven) => driven,
+        Err(code) => return refuse(code),
     };
-    let Some(driven) = Driven::start(&state.events, arrival) else {
-        return body::refusal(Code::Overload, None, Some(Duration::from_secs(1)));
+    let query = request.query_string();
+    let path = if query.is_empty() {
+        path
+    } else {
+        format!("{path}?{query}")
     };
     let pass = Pass {
         method: request.method().clone(),
@@ -205,11 +342,18 @@
     service::answer(driven, pass).await
 }
 
-fn idempotency(request: &HttpRequest) -> Result<Option<Uuid>, Code> {
-    let key = match text(request, "idempotency-key") {
-        Some(key) => Some(Uuid::parse_str(key).map_err(|_| Code::KeyMalformed)?),
-        None => None,
+fn idempotency_key(request: &HttpRequest) -> Result<Option<Uuid>, Code> {
+    let key = match request.headers().get("idempotency-key") {
+        Some(key) => key.to_str().map_err(|_| Code::KeyMalformed)?,
+        None => return Ok(None),
     };
+    let key = Uuid::parse_str(key).map_err(|_| Code::KeyMalformed)?;
+    Ok(Some(key))
+}
+
+/// Returns the key of a call to a plain service, which needs one unless it is idempotent.
+fn idempotency(request: &HttpRequest) -> Result<Option<Uuid>, Code> {
+    let key = idempotency_key(request)?;
     let safe = matches!(*request.method(), Method::GET | Method::HEAD);
     let declared = text(request, "x-idempotent") == Some("yes");
     if key.is_none() && !safe && !declared {
@@ -218,21 +362,27 @@
     Ok(key)
 }
 
+fn key_hash(request: &HttpRequest) -> String {
+    let key = text(request, "authorization").and_then(|v| v.strip_prefix("Bearer "));
+    hash::sha256_hex(key.unwrap_or_default().as_bytes())
+}
+
 fn arrival(
     request: &HttpRequest,
     target: Target,
     tokens: u64,
     once: Option<Uuid>,
+    body: String,
 ) -> Result<Arrival, Code> {
-    let key = text(request, "authorization").and_then(|v| v.strip_prefix("Bearer "));
     let deadline = number::<u64>(request, "x-deadline-ms")?.map(Duration::from_millis);
     Ok(Arrival {
         request: RequestId::new(Uuid::now_v7().to_string()),
-        key_hash: hash::sha256_hex(key.unwrap_or_default().as_bytes()),
+        key_hash: key_hash(request),
         target,
         tokens,
         deadline: clock::now() + deadline.unwrap_or(DEFAULT_DEADLINE),
         once,
+        body,
     })
 }
 
--- a/gateway/src/service.rs
+++ b/gateway/src/service.rs
@@ -12,7 +12,7 @@
 use ntex::web::HttpResponse;
 use serde_bytes::ByteBuf;
 
-use crate::body;
+use crate::body::{self, Refusal};
 use crate::drive::Driven;
 use crate::mind::Decision;
 
@@ -30,26 +30,62 @@
     pub(crate) once: bool,
 }
 
+/// The final answer to a call.
+#[derive(Debug)]
+pub(crate) enum Final {
+    Answer { answer: Answer, replayed: bool },
+    Refusal(Refusal),
+}
+
 /// Passes a call through and returns the answer.
-pub(crate) async fn answer(mut driven: Driven, pass: Pass) -> HttpResponse {
-    while let Some(decision) = driven.next().await {
-        match decision {
-            Decision::Refuse { code, after } => {
-                return body::refusal(code, Some(driven.request()), Some(after));
+///
+/// A call that must run at most once runs on when its caller leaves, so that its answer is kept.
+pub(crate) async fn answer(driven: Driven, pass: Pass) -> HttpResponse {
+    let request = driven.request().clone();
+    let last = if pass.once {
+        let (sender, last) = async_channel::bounded(1);
+        ntex::rt::spawn(async move {
+            let last = run(driven, pass).await;
+            let _ = sender.try_send(last);
+        });
+        let last = last.recv().await;
+        last.unwrap_or_else(|_| Final::Refusal(Refusal::from(Code::Broken)))
+    } else {
+        run(driven, pass).await
+    };
+    match last {
+        Final::Answer { answer, replayed } => respond(&answer, replayed),
+        Final::Refusal(refusal) => body::refusal(&refusal, Some(&request)),
+    }
+}
+
+async fn run(mut driven: Driven, pass: Pass) -> Final {
+    loop {
+        let (attempt, address) = match driven.next().await {
+            Decision::Refuse(refusal) => return Final::Refusal(refusal),
+            Decision::Replay(answer) => {
+                return Final::Answer {
+                    answer,
+                    replayed: true,
+                };
             }
-            Decision::Replay(answer) => return respond(&answer, true),
             Decision::Dispatch {
                 attempt, address, ..
-            } => match attempt_once(&address, &pass).await {
-                Ok(answer) => {
-                    driven.finished(attempt, pass.once.then(|| answer.clone()));
-                    return respond(&answer, false);
-                }
-                Err(reason) => driven.failed(attempt, reason),
-            },
+            } => (attempt, address),
+        };
+        match driven.during(attempt_once(&address, &pass)).await {
+            Ok(Ok(answer)) => {
+                driven.finished(attempt, pass.once.then(|| answer.clone()));
+                return Final::Answer {
+                    answer,
+                    replayed: false,
+                };
+            }
+            Ok(Err(reason)) => driven.failed(attempt, reason),
+            Err(Decision::Refuse(refusal)) => return Final::Refusal(refusal),
+            Err(_) => return Final::Refusal(Refusal::from(Code::Broken)),
         }
     }
-    body::refusal(Code::Stopping, Some(driven.request()), None)
 }
 
 async fn attempt_once(address: &str, pass: &Pass) -> Result<Answer, FailReason> {
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -16,11 +16,12 @@
 use crate::gossip::{Gossip, GossipConfig};
 use crate::ids::{DomainId, EntryId, Nonce, Offset, StreamId, VmId};
 use crate::members::{Member, MemberChange, MemberRecord, Members};
-use crate::peers::{GossipMessage, Settled, Submit, VmReport};
+use crate::peers::{GossipMessage, Settled, Submit, Suspicion, VmReport};
 use crate::platform::{AppendCall, ReadCall, ReadReply, StreamPart, VmListing};
 use crate::probe::{ProbeConfig, Prober};
 use crate::rendezvous;
 use crate::seal::KeyRing;
+use crate::suspicion::Rumours;
 use crate::table::{ConfigRecord, Table};
 use crate::time::Time;
 use crate::view::{EntryStatus, View};
@@ -90,6 +91,8 @@
     },
     /// The gateway of this entry VM reports its spare share of capacity.
     Spare(f64),
+    /// The gateway of this entry VM puts requests under suspicion.
+    Suspect(Vec<Suspicion>),
     /// The operator or a signal asks this entry VM to leave.
     Leave,
 }
@@ -131,6 +134,7 @@
     gossip: Gossip,
     prober: Prober,
     spare: f64,
+    rumours: Rumours,
     reading: bool,
     next_read: Time,
     log_up: bool,
@@ -161,6 +165,7 @@
             gossip: Gossip::new(config.gossip, me, config.member.incarnation),
             prober: Prober::new(config.probe, charts.vm.clone()),
             spare: 1.0,
+            rumours: Rumours::default(),
             reading: false,
             next_read: Time::ZERO,
             log_up: false,
@@ -202,9 +207,13 @@
                 submit,
                 deadline,
             } => {
-                self.submit(now, ticket, submit, deadline);
+                self.submit(now, ticket, submit, deadline, out);
             }
             Input::Spare(spare) => self.spare = spare,
+            Input::Suspect(suspicions) => {
+                let changed = self.rumours.take(now, &suspicions);
+                self.mark(changed);
+            }
             Input::Leave => self.leave(now),
         }
         out.extend(self.appender.flush().map(Output::Append));
@@ -317,10 +326,7 @@
                 let record: ClaimRecord = codec::decode(bytes).ok()?;
                 let folded = claims.fold(offset, &record);
                 let settled = match (folded, claims.get(&record.key)) {
-                    (Err(_), Some(held)) => Settled::ClaimTaken {
-                        owner: held.owner.clone(),
-                        answer: held.answer.clone(),
-                    },
+                    (Err(_), Some(held)) => taken(held),
                     (Err(_), None) => Settled::NotAppended,
                     (Ok(()), _) => accepted,
                 };
@@ -329,7 +335,14 @@
         }
     }
 
-    fn submit(&mut self, now: Time, ticket: Ticket, submit: Submit, deadline: Time) {
+    fn submit(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        submit: Submit,
+        deadline: Time,
+        out: &mut Vec<Output>,
+    ) {
         let nonce = Nonce(self.rng.next_u64());
         let (stream, record) = match submit {
             Submit::Config { author, edits } => {
@@ -345,21 +358,43 @@
                 fleet_stream(&shard),
                 codec::encode(&FleetRecord { nonce, change }),
             ),
-            Submit::Claim { key, owner, change } => {
+            Submit::Claim {
+                key,
+                owner,
+                claim,
+                binding,
+                change,
+            } => {
                 let partition = claims::partition(&key, self.config.partitions) as usize;
                 let record = ClaimRecord {
                     nonce,
                     key,
                     owner,
+                    claim,
+                    binding,
                     change,
                 };
                 (claims_stream(partition), codec::encode(&record))
             }
+            Submit::ClaimStatus { key } => {
+                out.push(Output::Settle(ticket, self.claim_status(&key)));
+                return;
+            }
         };
         self.appender
             .submit(ticket, nonce, stream, record, deadline);
     }
 
+    fn claim_status(&self, key: &uuid::Uuid) -> Settled {
+        let partition = claims::partition(key, self.config.partitions) as usize;
+        let held = self.claims.get(partition).and_then(|c| c.get(key));
+        match held {
+            Some(held) => taken(held),
+            None if self.log_up => Settled::ClaimFree,
+            None => Settled::Unknown,
+        }
+    }
+
     fn announce(&mut self, now: Time, change: MemberChange) {
         let nonce = Nonce(self.rng.next_u64());
         let record = codec::encode(&MemberRecord { nonce, change });
@@ -416,6 +451,7 @@
             from: self.config.member.entry.clone(),
             beats: self.gossip.beats(&mut self.rng),
             reports: self.prober.reports(now, since),
+            suspicions: self.rumours.newest(now),
         };
         let bytes = self.config.keys.seal(&message);
         for target in self.gossip.targets(&members, &mut self.rng) {
@@ -435,7 +471,7 @@
         for beat in message.beats {
             self.gossip.take(now, beat);
         }
-        let mut changed = false;
+        let mut changed = self.rumours.take(now, &message.suspicions);
         for report in &message.reports {
             changed |= self.prober.reported(now, report);
         }
@@ -473,6 +509,7 @@
             fleets: self.fleets.clone(),
             log_up: self.log_up,
             peers_up: self.gossip.peers_up(now),
+            suspicions: self.rumours.newest(now),
         }
     }
 
@@ -500,6 +537,16 @@
     StreamId::new(format!("claims/{partition}"))
 }
 
+fn taken(held: &claims::Claim) -> Settled {
+    Settled::ClaimTaken {
+        owner: held.owner.clone(),
+        claim: held.claim,
+        binding: held.binding.clone(),
+        answer: held.answer.clone(),
+        closed: held.closed,
+    }
+}
+
 fn settle(out: &mut Vec<Output>, settled: Vec<(Ticket, Settled)>) {
     out.extend(
         settled
--- /dev/null
+++ b/lib/src/attempts.rs
@@ -0,0 +1,341 @@
+//! Requests from their claim to their final answer: attempts, retries, claims and refusals.
+
+use std::time::Duration;
+
+use uuid::Uuid;
+
+use crate::claims::{Answer, Binding, ClaimChange, ClaimId};
+use crate::codes::{Code, Ran};
+use crate::gateway::{Attempt, FailReason, Gateway, Output, RETRY_AFTER, Request, Target};
+use crate::ids::{AccountId, AttemptId, RequestId};
+use crate::once::{self, Change, Held};
+use crate::peers::{Settled, Suspicion};
+use crate::retry::Next;
+use crate::router::Candidate;
+use crate::suspicion::Suspects;
+use crate::time::Time;
+
+/// Wait before a caller tries a request again that is under suspicion.
+const SUSPECT_AFTER: Duration = Duration::from_secs(5);
+
+impl Gateway {
+    /// Ends the requests whose deadline has passed, and submits again what the log may not hold.
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        while let Some((deadline, id)) = self.deadlines.first().cloned() {
+            if deadline > now {
+                break;
+            }
+            self.time_out(now, &id, out);
+            self.deadlines.remove(&(deadline, id));
+        }
+        out.extend(self.unsettled.due(now).into_iter().map(Output::Settle));
+    }
+
+    /// Returns the wait that callers are told with a refusal.
+    pub(crate) fn wait_after(&self, code: Code) -> Duration {
+        match code {
+            Code::Suspect => SUSPECT_AFTER,
+            _ => RETRY_AFTER,
+        }
+    }
+
+    /// Refuses a key under which a request of this gateway is open.
+    pub(crate) fn check_open(
+        &self,
+        key: &Uuid,
+        account: &AccountId,
+        body: &str,
+    ) -> Result<(), Code> {
+        let open = self.keys.get(key).and_then(|id| self.requests.get(id));
+        match open {
+            None => Ok(()),
+            Some(r) if r.account == *account && r.arrival.body == body => Err(Code::InProgress),
+            Some(_) => Err(Code::KeyReused),
+        }
+    }
+
+    /// Claims the key of a request.
+    pub(crate) fn claim(&mut self, id: &RequestId, key: Uuid, out: &mut Vec<Output>) {
+        self.next += 1;
+        let claim = ClaimId(self.next);
+        self.advance(id, "claim");
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.claim = Some(claim);
+        self.keys.insert(key, id.clone());
+        let change = Change {
+            claim,
+            key,
+            change: ClaimChange::Claim,
+        };
+        out.push(Output::Claim(id.clone(), change, binding(request)));
+    }
+
+    /// Takes the end of a claim.
+    ///
+    /// The request may have got its final answer meanwhile; its claim is released then already.
+    pub(crate) fn claimed(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        settled: Settled,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let stands = matches!(settled, Settled::Accepted { .. } | Settled::Unknown);
+        let released = match &settled {
+            Settled::ClaimTaken { owner, claim, .. } => {
+                *owner == self.config.owner && self.unsettled.is_released(*claim)
+            }
+            _ => false,
+        };
+        let bound = binding(request);
+        let outcome = once::outcome(settled, &bound, |owner| self.is_live(owner));
+        if !stands && let Some(request) = self.requests.get_mut(id) {
+            request.claim = None;
+        }
+        match outcome {
+            None => {
+                self.advance(id, "claimed");
+                self.queue.push_back(id.clone());
+            }
+            Some(Held::Refuse(_)) if released => {
+                self.refuse(now, id, Code::ClaimUnavailable, out);
+            }
+            Some(Held::Refuse(code)) => self.refuse(now, id, code, out),
+            Some(Held::Replay(answer)) => {
+                self.advance(id, "refuse");
+                self.forget(id);
+                out.push(Output::Replay(id.clone(), answer));
+            }
+        }
+    }
+
+    /// Takes the failure of an attempt.
+    pub(crate) fn failed(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        attempt: AttemptId,
+        reason: FailReason,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(ended) = self.end_attempt(id, attempt) else {
+            return;
+        };
+        if reason == FailReason::Broken {
+            self.suspect(now, id, &ended, out);
+        }
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        if !reason.not_run() {
+            request.ran = Ran::Unknown;
+        }
+        if now >= request.arrival.deadline {
+            return self.time_out(now, id, out);
+        }
+        if ended.alone && reason == FailReason::Broken {
+            return self.refuse(now, id, Code::Suspect, out);
+        }
+        let once = request.arrival.once.is_some();
+        match self.retries.decide(reason, once, request.attempts) {
+            Next::MayHaveRun => self.refuse(now, id, Code::MayHaveRun, out),
+            Next::GiveUp if request.ran == Ran::No => {
+                self.refuse(now, id, Code::EndpointRefused, out);
+            }
+            Next::GiveUp => self.refuse(now, id, Code::RetryBudget, out),
+            Next::Retry => {
+                out.push(Output::Retry(id.clone(), reason));
+                self.advance(id, "failed");
+                self.queue.push_front(id.clone());
+            }
+        }
+    }
+
+    /// Takes the whole answer of an attempt.
+    pub(crate) fn finished(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        attempt: AttemptId,
+        answer: Option<Answer>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.end_attempt(id, attempt).is_none() {
+            return;
+        }
+        self.advance(id, "finish");
+        let Some(request) = self.forget(id) else {
+            return;
+        };
+        self.suspects.passed(now, request.print);
+        let kept = answer.filter(|a| a.body.len() <= once::KEEP_LIMIT);
+        let change = kept.map_or(ClaimChange::Close { ran: true }, ClaimChange::Finish);
+        self.settle(now, &request, change, out);
+    }
+
+    /// Takes the departure of a caller.
+    pub(crate) fn left(&mut self, now: Time, id: &RequestId, out: &mut Vec<Output>) {
+        self.cancel_attempt(id);
+        self.advance(id, "cancel");
+        self.queue.retain(|q| q != id);
+        if let Some(request) = self.forget(id) {
+            self.give_up_claim(now, &request, out);
+        }
+    }
+
+    /// Gives a request its final refusal.
+    pub(crate) fn refuse(&mut self, now: Time, id: &RequestId, code: Code, out: &mut Vec<Output>) {
+        self.cancel_attempt(id);
+        self.advance(id, "refuse");
+        self.queue.retain(|q| q != id);
+        let Some(request) = self.forget(id) else {
+            return;
+        };
+        self.give_up_claim(now, &request, out);
+        let of_key = matches!(
+            code,
+            Code::InProgress | Code::MayHaveRun | Code::AnswerNotKept
+        );
+        out.push(Output::Refuse {
+            request: id.clone(),
+            code,
+            ran: if of_key { code.ran() } else { request.ran },
+            after: self.wait_after(code),
+        });
+    }
+
+    /// Returns the candidate on which a suspect may run alone now, if there is one.
+    pub(crate) fn trial_candidate<'a>(
+        &self,
+        now: Time,
+        from: Time,
+        candidates: &'a [Candidate],
+    ) -> Option<&'a Candidate> {
+        if now < from || self.trial.is_some() {
+            return None;
+        }
+        let vm = Suspects::trial_vm(&self.config.owner.entry, candidates)?;
+        let idle =
+            |c: &&Candidate| c.vm == *vm && c.reported == 0 && self.dispatched.requests(&c.vm) == 0;
+        candidates.iter().find(idle)
+    }
+
+    /// Leaves out the VM of the last attempt, unless it is the only one.
+    pub(crate) fn avoid_last(&self, id: &RequestId, candidates: &mut Vec<Candidate>) {
+        let Some(last) = self.requests.get(id).and_then(|r| r.last.as_ref()) else {
+            return;
+        };
+        if candidates.iter().any(|c| c.vm != *last) {
+            candidates.retain(|c| c.vm != *last);
+        }
+    }
+
+    fn time_out(&mut self, now: Time, id: &RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let started = request.attempt.is_some() || request.ran != Ran::No;
+        let code = if started {
+            Code::TimedOut
+        } else {
+            Code::DeadlineUnmet
+        };
+        self.refuse(now, id, code, out);
+    }
+
+    fn suspect(&mut self, now: Time, id: &RequestId, ended: &Attempt, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if matches!(request.arrival.target, Target::Service(_)) {
+            return;
+        }
+        let suspicion = Suspicion {
+            print: request.print,
+            origin: self.config.owner.entry.clone(),
+            vm: ended.vm.clone(),
+            run: ended.run,
+            alone: ended.alone,
+            age_ms: 0,
+        };
+        self.suspects.broke(now, suspicion.clone());
+        out.push(Output::Suspect(suspicion));
+    }
+
+    /// Releases the claim of a request that surely did not run, or ends it for good.
+    fn give_up_claim(&mut self, now: Time, request: &Request, out: &mut Vec<Output>) {
+        let change = match request.ran {
+            Ran::No => ClaimChange::Release,
+            Ran::Yes => ClaimChange::Close { ran: true },
+            Ran::Unknown => ClaimChange::Close { ran: false },
+        };
+        self.settle(now, request, change, out);
+    }
+
+    fn settle(&mut self, now: Time, request: &Request, change: ClaimChange, out: &mut Vec<Output>) {
+        let (Some(key), Some(claim)) = (request.arrival.once, request.claim) else {
+            return;
+        };
+        let change = Change { claim, key, change };
+        self.unsettled.add(now, change.clone());
+        out.push(Output::Settle(change));
+    }
+
+    /// Ends the attempt in flight, which may have run.
+    fn cancel_attempt(&mut self, id: &RequestId) {
+        let running = self.requests.get(id).and_then(|r| r.attempt.as_ref());
+        let Some(attempt) = running.map(|a| a.id) else {
+            return;
+        };
+        self.end_attempt(id, attempt);
+        if let Some(request) = self.requests.get_mut(id) {
+            request.ran = Ran::Unknown;
+        }
+    }
+
+    fn end_attempt(&mut self, id: &RequestId, attempt: AttemptId) -> Option<Attempt> {
+        let request = self.requests.get_mut(id)?;
+        let ended = request.attempt.take_if(|a| a.id == attempt)?;
+        self.dispatched.end(&ended.vm, request.arrival.tokens);
+        if ended.alone {
+            self.trial = None;
+        }
+        Some(ended)
+    }
+
+    fn forget(&mut self, id: &RequestId) -> Option<Request> {
+        let request = self.requests.remove(id)?;
+        self.deadlines
+            .remove(&(request.arrival.deadline, id.clone()));
+        if let Some(key) = request.arrival.once {
+            self.keys.remove(&key);
+        }
+        if let Some(usage) = self.usage.get_mut(&request.account) {
+            usage.ended();
+        }
+        Some(request)
+    }
+
+    pub(crate) fn advance(&mut self, id: &RequestId, event: &str) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let next = self
+            .chart
+            .event(event)
+            .and_then(|e| self.chart.next(request.state, e));
+        request.state = next.unwrap_or(request.state);
+    }
+}
+
+fn binding(request: &Request) -> Binding {
+    Binding {
+        account: request.account.clone(),
+        body: request.arrival.body.clone(),
+    }
+}
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -1,15 +1,15 @@
 //! At-most-once claims on non-idempotent work, folded from the `claims/<p>` streams.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use uuid::Uuid;
 
-use crate::ids::{EntryId, Incarnation, Nonce, Offset};
+use crate::ids::{AccountId, EntryId, Incarnation, Nonce, Offset};
 
 /// A gateway in one of its runs.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Owner {
     /// Its entry VM.
     pub entry: EntryId,
@@ -28,6 +28,25 @@
     pub body: ByteBuf,
 }
 
+/// Ties an idempotency key to the request that used it first.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Binding {
+    /// The client account; no other one is told of the claim or its answer.
+    pub account: AccountId,
+    /// Fingerprint of the target and the body.
+    pub body: String,
+}
+
+/// Number of a claim within the run of its gateway.
+///
+/// A release names the claim that it gives up, so that a late release of an earlier claim can't
+/// free the key while a later claim of the same gateway runs.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ClaimId(pub u64);
+
 /// What a record of a `claims/<p>` stream says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimChange {
@@ -37,6 +56,11 @@
     Release,
     /// Keeps the answer.
     Finish(Answer),
+    /// Ends the claim without an answer to keep; the key is never free again.
+    Close {
+        /// Whether the work surely ran; otherwise it may have run.
+        ran: bool,
+    },
 }
 
 /// A record of a `claims/<p>` stream.
@@ -48,6 +72,12 @@
     pub key: Uuid,
     /// The gateway that asks.
     pub owner: Owner,
+    /// The claim that it makes or changes.
+    #[serde(default)]
+    pub claim: ClaimId,
+    /// What a new claim ties the key to.
+    #[serde(default)]
+    pub binding: Option<Binding>,
     /// What changes.
     pub change: ClaimChange,
 }
@@ -59,8 +89,35 @@
     pub owner: Owner,
     /// Offset of the claim.
     pub offset: Offset,
+    /// Number of the claim.
+    #[serde(default)]
+    pub claim: ClaimId,
+    /// What the key is tied to.
+    #[serde(default)]
+    pub binding: Option<Binding>,
     /// The answer, once there is one.
     pub answer: Option<Answer>,
+    /// Whether the work ran, once the claim ended without an answer.
+    #[serde(default)]
+    pub closed: Option<bool>,
+}
+
+impl Claim {
+    /// Returns whether its work has ended, so that it can't be released.
+    fn ended(&self) -> bool {
+        self.answer.is_some() || self.closed.is_some()
+    }
+}
+
+fn claim(offset: Offset, record: &ClaimRecord) -> Claim {
+    Claim {
+        owner: record.owner.clone(),
+        offset,
+        claim: record.claim,
+        binding: record.binding.clone(),
+        answer: None,
+        closed: None,
+    }
 }
 
 /// Says that a record was ignored, since another claim stands.
@@ -73,31 +130,41 @@
     /// Offset of the next record to fold.
     pub next: Offset,
     claims: BTreeMap<Uuid, Claim>,
+    /// Claims released before their own record came.
+    #[serde(default)]
+    void: BTreeSet<(Uuid, Owner, ClaimId)>,
 }
 
 impl Claims {
     /// Folds the record at `offset`, which every reader accepts or ignores alike.
     pub fn fold(&mut self, offset: Offset, record: &ClaimRecord) -> Result<(), ClaimTaken> {
         self.next = Offset(offset.0 + 1);
+        let id = (record.key, record.owner.clone(), record.claim);
         let held = self.claims.get_mut(&record.key);
+        let own = |c: &Claim| c.owner == record.owner && c.claim == record.claim;
         match (&record.change, held) {
+            (ClaimChange::Claim, None) if self.void.remove(&id) => Err(ClaimTaken),
             (ClaimChange::Claim, None) => {
-                let claim = Claim {
-                    owner: record.owner.clone(),
-                    offset,
-                    answer: None,
-                };
-                self.claims.insert(record.key, claim);
+                self.claims.insert(record.key, claim(offset, record));
                 Ok(())
             }
-            (ClaimChange::Release, Some(c)) if c.owner == record.owner && c.answer.is_none() => {
+            (ClaimChange::Release, Some(c)) if own(c) && !c.ended() => {
                 self.claims.remove(&record.key);
                 Ok(())
             }
-            (ClaimChange::Finish(answer), Some(c)) if c.owner == record.owner => {
+            (ClaimChange::Release, Some(c)) if own(c) => Err(ClaimTaken),
+            (ClaimChange::Release, _) => {
+                self.void.insert(id);
+                Ok(())
+            }
+            (ClaimChange::Finish(answer), Some(c)) if own(c) => {
                 c.answer.get_or_insert_with(|| answer.clone());
                 Ok(())
             }
+            (ClaimChange::Close { ran }, Some(c)) if own(c) => {
+                c.closed = Some(*ran || c.closed == Some(true));
+                Ok(())
+            }
             _ => Err(ClaimTaken),
         }
     }
--- a/lib/src/codes.rs
+++ b/lib/src/codes.rs
@@ -72,6 +72,8 @@
     1002 BodyTooLarge 413 No false "The body is larger than the limit.";
     1003 UnknownPath 404 No false "No such path.";
     1004 BadHeader 400 No false "A header has a malformed value.";
+    1005 BodyTimeout 408 No true "The body did not come in time or was cut off.";
+    1006 WrongMethod 405 No false "The path does not take this method.";
     1101 UnknownAccount 401 No false "The key belongs to no client account.";
     1102 UnknownModel 404 No false "No model group or service has this name.";
     1201 RequestLimit 429 No true "The client account is over its limit on requests.";
@@ -95,6 +97,8 @@
     1505 InProgress 409 Unknown true "Work under this idempotency key is in progress.";
     1506 MayHaveRun 409 Unknown false "The work may have run and will not be run again.";
     1507 ClaimUnknown 503 No true "Whether the claim was recorded can't be told yet; nothing was run.";
+    1508 KeyReused 422 No false "The idempotency key was used before by another request.";
+    1509 AnswerNotKept 409 Yes false "The work ran, but its answer is too large to be kept.";
     2001 RowConflict 409 No false "A row changed since it was read.";
     2002 RowInvalid 422 No false "A row breaks a rule of the table.";
     2003 LogUnavailable 503 No true "The log did not answer.";
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway's state machine: admission, queueing, routing, retries and at-most-once claims.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,24 +9,24 @@
 use uuid::Uuid;
 
 use crate::chart::{Chart, Charts, State};
-use crate::claims::{Answer, ClaimChange, Owner};
-use crate::codes::Code;
-use crate::ids::{AccountId, AttemptId, DomainId, GroupId, ReplicaId, RequestId, ServiceId, VmId};
+use crate::claims::{Answer, Binding, ClaimId, Owner};
+use crate::codes::{Code, Ran};
+use crate::ids::{
+    AccountId, AttemptId, DomainId, GroupId, Incarnation, ReplicaId, RequestId, ServiceId, VmId,
+};
 use crate::limits::Usage;
-use crate::peers::Settled;
+use crate::once::{self, Change, Unsettled};
+use crate::peers::{Settled, Suspicion};
 use crate::platform::VmRole;
+use crate::rendezvous;
+use crate::retry::Budget;
 use crate::router::{self, Candidate, Dispatched};
+use crate::suspicion::{Suspects, Verdict};
 use crate::time::Time;
 use crate::view::{Health, View};
 
-/// Attempts of one request at most.
-const ATTEMPTS: u32 = 4;
-/// Share of first tries that retries may add.
-const RETRY_SHARE: f64 = 0.1;
-/// Retries that an idle gateway has in hand.
-const RETRY_RESERVE: f64 = 10.0;
 /// Wait before a caller tries again.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// What a gateway is told when it starts.
 #[derive(Debug, Clone)]
@@ -69,6 +69,8 @@
     pub deadline: Time,
     /// Idempotency key of work that must run at most once.
     pub once: Option<Uuid>,
+    /// Fingerprint of the target and the body.
+    pub body: String,
 }
 
 /// Says why an attempt failed.
@@ -82,6 +84,10 @@
     Broken,
     /// No chunk came in time.
     Stalled,
+    /// The endpoint replied that it failed.
+    Failed,
+    /// The endpoint's output breaks the protocol.
+    Malformed,
 }
 
 impl FailReason {
@@ -97,6 +103,8 @@
             Self::Refused => "refused",
             Self::Broken => "broken",
             Self::Stalled => "stalled",
+            Self::Failed => "failed",
+            Self::Malformed => "malformed",
         }
     }
 }
@@ -114,13 +122,17 @@
     Arrive(Arrival),
     /// The claim of a request was settled.
     Claimed(RequestId, Settled),
+    /// A release, an answer or a closure was settled.
+    Settled(ClaimId, Settled),
     /// An attempt failed.
     Failed(RequestId, AttemptId, FailReason),
     /// An attempt gave the whole answer; it is kept if the work was claimed.
     Finished(RequestId, AttemptId, Option<Answer>),
     /// The caller left.
     Left(RequestId),
-    /// The operator or a signal asks this gateway to stop.
+    /// The operator or a signal asks this gateway to leave the address advice; it serves on.
+    Leave,
+    /// The gateway refuses new requests from now on.
     Stop,
 }
 
@@ -146,42 +158,73 @@
         request: RequestId,
         /// Why.
         code: Code,
+        /// Whether it ran, by what became of its attempts.
+        ran: Ran,
         /// Wait before the next try.
         after: Duration,
     },
     /// Give the answer that was kept for this idempotency key.
     Replay(RequestId, Answer),
-    /// Ask the agent to append a change of a claim; the reply matters for `Claim` alone.
-    Claim(RequestId, Uuid, ClaimChange),
+    /// Ask the agent to append a claim, whose end is awaited as [`Input::Claimed`].
+    Claim(RequestId, Change, Binding),
+    /// Ask the agent to append a change of a claim, whose end is awaited as [`Input::Settled`].
+    Settle(Change),
+    /// Tell the agent of requests under suspicion of crashing endpoints.
+    Suspect(Suspicion),
     /// Count a retry.
     Retry(RequestId, FailReason),
 }
 
+/// An attempt under way.
+#[derive(Debug, Clone)]
+pub(crate) struct Attempt {
+    pub(crate) id: AttemptId,
+    pub(crate) vm: VmId,
+    pub(crate) run: Incarnation,
+    /// Whether it runs alone, under suspicion.
+    pub(crate) alone: bool,
+}
+
+/// A request without its final answer.
 #[derive(Debug)]
-struct Request {
-    arrival: Arrival,
-    account: AccountId,
-    state: State,
-    attempt: Option<(AttemptId, VmId)>,
-    attempts: u32,
-    claimed: bool,
+pub(crate) struct Request {
+    pub(crate) arrival: Arrival,
+    pub(crate) account: AccountId,
+    pub(crate) print: u64,
+    pub(crate) state: State,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) attempts: u32,
+    /// The VM of the last attempt.
+    pub(crate) last: Option<VmId>,
+    /// The claim that this request made, unless it is known not to stand.
+    pub(crate) claim: Option<ClaimId>,
+    /// Whether an ended attempt ran.
+    pub(crate) ran: Ran,
 }
 
 /// The gateway of one entry VM.
 #[derive(Debug)]
 pub struct Gateway {
-    config: GatewayConfig,
-    chart: Chart,
-    rng: SmallRng,
-    view: Option<Arc<View>>,
-    in_touch: Time,
-    requests: BTreeMap<RequestId, Request>,
-    queue: VecDeque<RequestId>,
-    usage: BTreeMap<AccountId, Usage>,
-    dispatched: Dispatched,
-    retries: f64,
-    next: u64,
-    stopping: bool,
+    pub(crate) config: GatewayConfig,
+    pub(crate) chart: Chart,
+    pub(crate) rng: SmallRng,
+    pub(crate) view: Option<Arc<View>>,
+    pub(crate) in_touch: Time,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    pub(crate) queue: VecDeque<RequestId>,
+    pub(crate) usage: BTreeMap<AccountId, Usage>,
+    pub(crate) dispatched: Dispatched,
+    pub(crate) retries: Budget,
+    pub(crate) unsettled: Unsettled,
+    pub(crate) suspects: Suspects,
+    /// Open requests by idempotency key.
+    pub(crate) keys: BTreeMap<Uuid, RequestId>,
+    pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
+    /// Request that runs alone, if one does.
+    pub(crate) trial: Option<RequestId>,
+    pub(crate) leaving: bool,
+    pub(crate) next: u64,
+    pub(crate) stopping: bool,
 }
 
 impl Gateway {
@@ -196,7 +239,13 @@
             queue: VecDeque::new(),
             usage: BTreeMap::new(),
             dispatched: Dispatched::default(),
-            retries: RETRY_RESERVE,
+            retries: Budget::default(),
+            unsettled: Unsettled::default(),
+            suspects: Suspects::default(),
+            keys: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            trial: None,
+            leaving: false,
             next: 0,
             stopping: false,
             config,
@@ -206,17 +255,20 @@
     /// Takes one input at the time `now` and appends what is to be done to `out`.
     pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::Tick | Input::ViewLost => {}
+            Input::Tick => self.tick(now, out),
+            Input::ViewLost => {}
             Input::View(view) => self.take_view(now, view),
             Input::Arrive(arrival) => self.arrive(now, arrival, out),
-            Input::Claimed(request, settled) => self.claimed(&request, settled, out),
+            Input::Claimed(request, settled) => self.claimed(now, &request, settled, out),
+            Input::Settled(claim, settled) => self.unsettled.settled(now, claim, &settled),
             Input::Failed(request, attempt, reason) => {
                 self.failed(now, &request, attempt, reason, out);
             }
             Input::Finished(request, attempt, answer) => {
-                self.finished(&request, attempt, answer, out);
+                self.finished(now, &request, attempt, answer, out);
             }
-            Input::Left(request) => self.left(&request, out),
+            Input::Left(request) => self.left(now, &request, out),
+            Input::Leave => self.leaving = true,
             Input::Stop => self.stopping = true,
         }
         self.drain_queue(now, out);
@@ -227,9 +279,14 @@
         self.requests.len()
     }
 
+    /// Returns the number of changes of claims that the log is not known to hold yet.
+    pub fn unsettled(&self) -> usize {
+        self.unsettled.len()
+    }
+
     /// Returns the spare share of the queue, from 0 to 1; zero while stopping.
     pub fn spare(&self) -> f64 {
-        if self.stopping {
+        if self.stopping || self.leaving {
             return 0.0;
         }
         1.0 - self.queue.len() as f64 / self.config.queue.max(1) as f64
@@ -249,6 +306,7 @@
         if view.log_up || view.peers_up {
             self.in_touch = now;
         }
+        self.suspects.take(now, &view);
         self.view = Some(view);
     }
 
@@ -256,34 +314,38 @@
         match self.admit(now, &arrival) {
             Err(code) => {
                 let request = arrival.request;
+                let after = self.wait_after(code);
                 out.push(Output::Refuse {
                     request,
                     code,
-                    after: RETRY_AFTER,
+                    ran: code.ran(),
+                    after,
                 });
             }
-            Ok(account) => {
-                self.retries = (self.retries + RETRY_SHARE).min(RETRY_RESERVE);
-                let id = arrival.request.clone();
-                let state = self.chart.start();
-                let once = arrival.once;
-                let request = Request {
-                    arrival,
-                    account,
-                    state,
-                    attempt: None,
-                    attempts: 0,
-                    claimed: false,
-                };
-                self.requests.insert(id.clone(), request);
-                match once {
-                    None => self.queue.push_back(id),
-                    Some(key) => {
-                        self.advance(&id, "claim");
-                        out.push(Output::Claim(id, key, ClaimChange::Claim));
-                    }
-                }
-            }
+            Ok(account) => self.open_request(arrival, account, out),
+        }
+    }
+
+    fn open_request(&mut self, arrival: Arrival, account: AccountId, out: &mut Vec<Output>) {
+        self.retries.first_try();
+        let id = arrival.request.clone();
+        let once = arrival.once;
+        self.deadlines.insert((arrival.deadline, id.clone()));
+        let request = Request {
+            print: print(&account, &arrival.body),
+            arrival,
+            account,
+            state: self.chart.start(),
+            attempt: None,
+            attempts: 0,
+            last: None,
+            claim: None,
+            ran: Ran::No,
+        };
+        self.requests.insert(id.clone(), request);
+        match once {
+            None => self.queue.push_back(id),
+            Some(key) => self.claim(&id, key, out),
         }
     }
 
@@ -311,7 +373,17 @@
         if !known {
             return Err(Code::UnknownModel);
         }
-        self.check_key(now, arrival)?;
+        if let Some(key) = &arrival.once {
+            once::check_key(now, key, self.config.key_life)?;
+            self.check_open(key, id, &arrival.body)?;
+        }
+        let print = print(id, &arrival.body);
+        let verdict = self
+            .suspects
+            .verdict(now, &view, &self.config.owner.entry, print);
+        if matches!(verdict, Verdict::Convicted(_) | Verdict::Elsewhere) {
+            return Err(Code::Suspect);
+        }
         if self.queue.len() >= self.config.queue {
             return Err(Code::Overload);
         }
@@ -325,123 +397,6 @@
         Ok(id.clone())
     }
 
-    fn check_key(&self, now: Time, arrival: &Arrival) -> Result<(), Code> {
-        let Some(key) = arrival.once else {
-            return Ok(());
-        };
-        let Some(stamp) = key.get_timestamp().filter(|_| key.get_version_num() == 7) else {
-            return Err(Code::KeyMalformed);
-        };
-        let (s, ns) = stamp.to_unix();
-        let made = Time(s * 1_000_000 + u64::from(ns / 1_000));
-        let life = self.config.key_life;
-        if now.since(made) > life || made.since(now) > life {
-            return Err(Code::KeyExpired);
-        }
-        Ok(())
-    }
-
-    fn claimed(&mut self, id: &RequestId, settled: Settled, out: &mut Vec<Output>) {
-        if !self.requests.contains_key(id) {
-            return;
-        }
-        let code = match settled {
-            Settled::Accepted { .. } => {
-                self.advance(id, "claimed");
-                if let Some(request) = self.requests.get_mut(id) {
-                    request.claimed = true;
-                }
-                self.queue.push_back(id.clone());
-                return;
-            }
-            Settled::ClaimTaken {
-                answer: Some(answer),
-                ..
-            } => {
-                self.advance(id, "refuse");
-                self.forget(id);
-                out.push(Output::Replay(id.clone(), answer));
-                return;
-            }
-            Settled::ClaimTaken {
-                answer: None,
-                owner,
-            } if self.is_live(&owner) => Code::InProgress,
-            Settled::ClaimTaken { .. } => Code::MayHaveRun,
-            Settled::Unknown => Code::ClaimUnknown,
-            _ => Code::ClaimUnavailable,
-        };
-        self.refuse(id, code, out);
-    }
-
-    fn failed(
-        &mut self,
-        now: Time,
-        id: &RequestId,
-        attempt: AttemptId,
-        reason: FailReason,
-        out: &mut Vec<Output>,
-    ) {
-        if !self.end_attempt(id, attempt) {
-            return;
-        }
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let once = request.arrival.once.is_some();
-        if once && !reason.not_run() {
-            return self.refuse(id, Code::MayHaveRun, out);
-        }
-        if now >= request.arrival.deadline {
-            return self.refuse(id, Code::TimedOut, out);
-        }
-        if request.attempts >= ATTEMPTS || self.retries < 1.0 {
-            return self.refuse(id, Code::RetryBudget, out);
-        }
-        self.retries -= 1.0;
-        out.push(Output::Retry(id.clone(), reason));
-        self.advance(id, "failed");
-        self.queue.push_front(id.clone());
-    }
-
-    fn finished(
-        &mut self,
-        id: &RequestId,
-        attempt: AttemptId,
-        answer: Option<Answer>,
-        out: &mut Vec<Output>,
-    ) {
-        if !self.end_attempt(id, attempt) {
-            return;
-        }
-        self.advance(id, "finish");
-        let Some(request) = self.forget(id) else {
-            return;
-        };
-        if let (Some(key), Some(answer)) = (request.arrival.once, answer) {
-            out.push(Output::Claim(id.clone(), key, ClaimChange::Finish(answer)));
-        }
-    }
-
-    fn left(&mut self, id: &RequestId, out: &mut Vec<Output>) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let running = request.attempt.clone();
-        if let Some((attempt, _)) = &running {
-            self.end_attempt(id, *attempt);
-        }
-        self.advance(id, "cancel");
-        self.queue.retain(|q| q != id);
-        let Some(request) = self.forget(id) else {
-            return;
-        };
-        if request.claimed && running.is_none() {
-            let key = request.arrival.once;
-            out.extend(key.map(|k| Output::Claim(id.clone(), k, ClaimChange::Release)));
-        }
-    }
-
     fn drain_queue(&mut self, now: Time, out: &mut Vec<Output>) {
         let Some(view) = self.view.clone() else {
             return;
@@ -451,22 +406,44 @@
             let Some(request) = self.requests.get(&id) else {
                 continue;
             };
-            if now >= request.arrival.deadline {
-                self.refuse(&id, Code::DeadlineUnmet, out);
-                continue;
+            let (target, print) = (request.arrival.target.clone(), request.print);
+            let mut candidates = self.candidates(&view, &target);
+            let me = &self.config.owner.entry;
+            match self.suspects.verdict(now, &view, me, print) {
+                Verdict::Convicted(_) | Verdict::Elsewhere => {
+                    self.refuse(now, &id, Code::Suspect, out);
+                    continue;
+                }
+                Verdict::Suspect(from) => {
+                    match self.trial_candidate(now, from, &candidates) {
+                        Some(candidate) => self.dispatch(&view, &id, candidate, true, out),
+                        None => kept.push_back(id),
+                    }
+                    continue;
+                }
+                Verdict::Clear => self.suspects.spare(now, &mut candidates),
             }
-            let target = request.arrival.target.clone();
-            let candidates = self.candidates(&view, &target);
+            self.avoid_last(&id, &mut candidates);
             let chosen = router::choose(&candidates, &self.dispatched, &mut self.rng);
             match chosen {
-                Some(candidate) => self.dispatch(&view, &id, candidate, out),
+                Some(candidate) => self.dispatch(&view, &id, candidate, false, out),
                 None => kept.push_back(id),
             }
         }
         self.queue = kept;
     }
 
-    fn dispatch(&mut self, view: &View, id: &RequestId, to: &Candidate, out: &mut Vec<Output>) {
+    fn dispatch(
+        &mut self,
+        view: &View,
+        id: &RequestId,
+        to: &Candidate,
+        alone: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(status) = view.vms.get(&to.vm) else {
+            return;
+        };
         self.next += 1;
         let attempt = AttemptId(self.next);
         self.advance(id, "dispatch");
@@ -474,11 +451,17 @@
             return;
         };
         request.attempts += 1;
-        request.attempt = Some((attempt, to.vm.clone()));
+        request.last = Some(to.vm.clone());
+        request.attempt = Some(Attempt {
+            id: attempt,
+            vm: to.vm.clone(),
+            run: status.run,
+            alone,
+        });
         self.dispatched.start(&to.vm, request.arrival.tokens);
-        let Some(status) = view.vms.get(&to.vm) else {
-            return;
-        };
+        if alone {
+            self.trial = Some(id.clone());
+        }
         out.push(Output::Dispatch {
             request: id.clone(),
             attempt,
@@ -521,61 +504,15 @@
         })
     }
 
-    fn refuse(&mut self, id: &RequestId, code: Code, out: &mut Vec<Output>) {
-        self.advance(id, "refuse");
-        let Some(request) = self.forget(id) else {
-            return;
-        };
-        if request.claimed && code != Code::MayHaveRun {
-            let key = request.arrival.once;
-            out.extend(key.map(|k| Output::Claim(id.clone(), k, ClaimChange::Release)));
-        }
-        out.push(Output::Refuse {
-            request: id.clone(),
-            code,
-            after: RETRY_AFTER,
-        });
-    }
-
-    fn end_attempt(&mut self, id: &RequestId, attempt: AttemptId) -> bool {
-        let Some(request) = self.requests.get_mut(id) else {
-            return false;
-        };
-        match request.attempt.take() {
-            Some((current, vm)) if current == attempt => {
-                self.dispatched.end(&vm, request.arrival.tokens);
-                true
-            }
-            other => {
-                request.attempt = other;
-                false
-            }
-        }
-    }
-
-    fn forget(&mut self, id: &RequestId) -> Option<Request> {
-        let request = self.requests.remove(id)?;
-        if let Some(usage) = self.usage.get_mut(&request.account) {
-            usage.ended();
-        }
-        Some(request)
-    }
-
-    fn advance(&mut self, id: &RequestId, event: &str) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let next = self
-            .chart
-            .event(event)
-            .and_then(|e| self.chart.next(request.state, e));
-        request.state = next.unwrap_or(request.state);
-    }
-
-    fn is_live(&self, owner: &Owner) -> bool {
+    pub(crate) fn is_live(&self, owner: &Owner) -> bool {
         let Some(view) = &self.view else { return false };
         view.entries
             .iter()
             .any(|e| e.live && e.member.entry == owner.entry && e.member.incarnation == owner.run)
     }
 }
+
+/// Returns the fingerprint under which a request comes under suspicion.
+pub(crate) fn print(account: &AccountId, body: &str) -> u64 {
+    rendezvous::score(account.as_str().as_bytes(), body.as_bytes())
+}
--- /dev/null
+++ b/lib/src/once.rs
@@ -0,0 +1,166 @@
+//! At-most-once work of one gateway: what the state of a key means for a caller, and the changes of
+//! claims that must reach the log.
+//!
+//! A claim that a gateway has released is never dispatched, whether or not the release is known to
+//! have reached the log; a release holds also for a claim whose own record comes after it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use uuid::Uuid;
+
+use crate::claims::{Answer, Binding, ClaimChange, ClaimId, Owner};
+use crate::codes::Code;
+use crate::peers::Settled;
+use crate::time::Time;
+
+/// Largest answer that is kept, in bytes.
+pub const KEEP_LIMIT: usize = 64 << 10;
+/// How far the time of a key may lie ahead.
+const AHEAD: Duration = Duration::from_secs(60);
+/// Wait before a change is sent again whose end is not known.
+const RETRY_EVERY: Duration = Duration::from_secs(1);
+/// Time after which a change without any reply is sent again.
+const REPLY_WAIT: Duration = Duration::from_secs(5);
+/// Time after which a change is given up; the key then says that the work may have run.
+const RETRY_LIMIT: Duration = Duration::from_secs(600);
+/// Changes that wait for the log at most.
+const HELD: usize = 4_096;
+
+/// Checks that a key is a UUIDv7 whose time lies within `life`.
+pub fn check_key(now: Time, key: &Uuid, life: Duration) -> Result<(), Code> {
+    let stamp = key.get_timestamp().filter(|_| key.get_version_num() == 7);
+    let Some(stamp) = stamp else {
+        return Err(Code::KeyMalformed);
+    };
+    let (s, ns) = stamp.to_unix();
+    let made = Time(s * 1_000_000 + u64::from(ns / 1_000));
+    if now.since(made) > life || made.since(now) > AHEAD.min(life) {
+        return Err(Code::KeyExpired);
+    }
+    Ok(())
+}
+
+/// What a caller is told about a key that another claim holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Held {
+    /// The kept answer.
+    Replay(Answer),
+    /// A refusal.
+    Refuse(Code),
+}
+
+/// Returns what a settled claim means for the request `binding`, or `None` if the claim is its own.
+pub fn outcome(
+    settled: Settled,
+    binding: &Binding,
+    is_live: impl Fn(&Owner) -> bool,
+) -> Option<Held> {
+    match settled {
+        Settled::Accepted { .. } => None,
+        Settled::ClaimTaken {
+            binding: Some(held),
+            ..
+        } if held != *binding => Some(Held::Refuse(Code::KeyReused)),
+        Settled::ClaimTaken {
+            answer: Some(answer),
+            ..
+        } => Some(Held::Replay(answer)),
+        Settled::ClaimTaken {
+            closed: Some(true), ..
+        } => Some(Held::Refuse(Code::AnswerNotKept)),
+        Settled::ClaimTaken {
+            owner,
+            closed: None,
+            ..
+        } if is_live(&owner) => Some(Held::Refuse(Code::InProgress)),
+        Settled::ClaimTaken { .. } => Some(Held::Refuse(Code::MayHaveRun)),
+        Settled::Unknown => Some(Held::Refuse(Code::ClaimUnknown)),
+        _ => Some(Held::Refuse(Code::ClaimUnavailable)),
+    }
+}
+
+/// A change of a claim to submit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The claim.
+    pub claim: ClaimId,
+    /// The idempotency key.
+    pub key: Uuid,
+    /// What changes.
+    pub change: ClaimChange,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    change: Change,
+    due: Time,
+    until: Time,
+}
+
+/// Releases, answers and closures until the log is known to hold them.
+#[derive(Debug, Default)]
+pub struct Unsettled {
+    waiting: BTreeMap<ClaimId, Waiting>,
+    dropped: u64,
+}
+
+impl Unsettled {
+    /// Adds a change, which is to be submitted now.
+    pub fn add(&mut self, now: Time, change: Change) {
+        if self.waiting.len() >= HELD {
+            self.waiting.pop_first();
+            self.dropped += 1;
+        }
+        let waiting = Waiting {
+            change: change.clone(),
+            due: now + REPLY_WAIT,
+            until: now + RETRY_LIMIT,
+        };
+        self.waiting.insert(change.claim, waiting);
+    }
+
+    /// Takes the end of a submitted change.
+    pub fn settled(&mut self, now: Time, claim: ClaimId, settled: &Settled) {
+        let open = matches!(settled, Settled::NotAppended | Settled::Unknown);
+        if !open {
+            self.waiting.remove(&claim);
+        } else if let Some(waiting) = self.waiting.get_mut(&claim) {
+            waiting.due = now + RETRY_EVERY;
+        }
+    }
+
+    /// Returns the changes to submit again, and gives up those that are too old.
+    pub fn due(&mut self, now: Time) -> Vec<Change> {
+        let before = self.waiting.len();
+        self.waiting.retain(|_, w| now < w.until);
+        self.dropped += (before - self.waiting.len()) as u64;
+        let mut out = Vec::new();
+        for waiting in self.waiting.values_mut().filter(|w| w.due <= now) {
+            waiting.due = now + REPLY_WAIT;
+            out.push(waiting.change.clone());
+        }
+        out
+    }
+
+    /// Returns whether a release of this claim waits for the log.
+    pub fn is_released(&self, claim: ClaimId) -> bool {
+        let waiting = self.waiting.get(&claim);
+        waiting.is_some_and(|w| w.change.change == ClaimChange::Release)
+    }
+
+    /// Returns the number of changes that wait for the log.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether no change waits for the log.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns the number of changes given up.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -4,7 +4,7 @@
 use serde_bytes::ByteBuf;
 use uuid::Uuid;
 
-use crate::claims::{Answer, Owner};
+use crate::claims::{Answer, Binding, ClaimId, Owner};
 use crate::engine::EngineState;
 use crate::fleet::{FleetChange, FleetRefusal};
 use crate::ids::{DomainId, EntryId, Incarnation, Offset, VmId};
@@ -33,9 +33,20 @@
         key: Uuid,
         /// The gateway that asks.
         owner: Owner,
+        /// The claim that is made or changed.
+        #[serde(default)]
+        claim: ClaimId,
+        /// What a new claim ties the key to.
+        #[serde(default)]
+        binding: Option<Binding>,
         /// What to do.
         change: crate::claims::ClaimChange,
     },
+    /// Asks for the claim on a key as folded so far; nothing is appended.
+    ClaimStatus {
+        /// The idempotency key.
+        key: Uuid,
+    },
 }
 
 /// How a submitted record was settled.
@@ -54,9 +65,20 @@
     ClaimTaken {
         /// The gateway that holds it.
         owner: Owner,
+        /// Number of the claim.
+        #[serde(default)]
+        claim: ClaimId,
+        /// What the key is tied to.
+        #[serde(default)]
+        binding: Option<Binding>,
         /// The answer, once there is one.
         answer: Option<Answer>,
+        /// Whether the work ran, once the claim ended without an answer.
+        #[serde(default)]
+        closed: Option<bool>,
     },
+    /// No claim on the key is known.
+    ClaimFree,
     /// The log refused the record or could not be reached; it was not appended.
     NotAppended,
     /// Whether the record was appended can't be told.
@@ -91,6 +113,23 @@
     pub config: u64,
 }
 
+/// A request that was running at an endpoint when this broke off.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// Fingerprint of the client account, the target and the body.
+    pub print: u64,
+    /// The entry VM whose gateway saw it.
+    pub origin: EntryId,
+    /// The endpoint VM.
+    pub vm: VmId,
+    /// Run of the endpoint VM.
+    pub run: Incarnation,
+    /// Whether it was the only request there.
+    pub alone: bool,
+    /// Age in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A gossip datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GossipMessage {
@@ -100,6 +139,9 @@
     pub beats: Vec<Beat>,
     /// Probed VMs.
     pub reports: Vec<VmReport>,
+    /// Requests under suspicion, the newest ones.
+    #[serde(default)]
+    pub suspicions: Vec<Suspicion>,
 }
 
 /// A datagram with its authentication tag.
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -83,6 +83,12 @@
     /// Largest body in bytes.
     #[serde(default = "body_limit")]
     pub body_limit: usize,
+    /// Time in seconds for which callers keep an address, and a leaving gateway serves on.
+    #[serde(default = "keep_for_s")]
+    pub keep_for_s: u64,
+    /// Time in seconds that open requests have to end once a leaving gateway takes no new ones.
+    #[serde(default = "drain_s")]
+    pub drain_s: u64,
 }
 
 /// Settings of the agent.
@@ -177,6 +183,14 @@
     1 << 20
 }
 
+fn keep_for_s() -> u64 {
+    30
+}
+
+fn drain_s() -> u64 {
+    90
+}
+
 fn partitions() -> u32 {
     4
 }
--- /dev/null
+++ b/lib/src/suspicion.rs
@@ -0,0 +1,204 @@
+//! Requests under suspicion of crashing the endpoints that run them.
+//!
+//! Each request that runs at an endpoint when this breaks off comes under suspicion. A suspect runs
+//! next alone, on a replica that the other requests avoid: an innocent one gets through, and one
+//! that crashes a second endpoint is refused everywhere for a while.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{EntryId, Incarnation, VmId};
+use crate::peers::Suspicion;
+use crate::rendezvous;
+use crate::router::Candidate;
+use crate::time::Time;
+use crate::view::{Health, View};
+
+/// Suspicions that one datagram carries at most.
+const NEWEST: usize = 24;
+/// Suspicions that one entry VM holds at most.
+const HELD: usize = 1_024;
+/// Time that a suspicion lasts, and with it a refusal.
+pub const SUSPECT_LIFE: Duration = Duration::from_secs(300);
+/// Time after a crash in which its suspects don't run, so that the suspicion reaches every gateway.
+pub const TRIAL_DELAY: Duration = Duration::from_millis(600);
+/// Crashes in one failure domain that lie closer together count as one.
+const COMMON_CAUSE: Duration = Duration::from_secs(1);
+/// Time after a crash for which ordinary requests avoid the replica where suspects run.
+const TRIAL_WINDOW: Duration = Duration::from_secs(15);
+
+type Key = (u64, VmId, Incarnation);
+
+/// The suspicions that one agent has heard, spread by gossip.
+#[derive(Debug, Default)]
+pub struct Rumours {
+    heard: BTreeMap<Key, (Suspicion, Time)>,
+}
+
+impl Rumours {
+    /// Takes suspicions and returns whether one of them is news.
+    pub fn take(&mut self, now: Time, suspicions: &[Suspicion]) -> bool {
+        self.heard
+            .retain(|_, (_, at)| now.since(*at) < SUSPECT_LIFE);
+        let mut news = false;
+        for s in suspicions {
+            let at = now - Duration::from_millis(s.age_ms);
+            if now.since(at) >= SUSPECT_LIFE {
+                continue;
+            }
+            let key = (s.print, s.vm.clone(), s.run);
+            let known = self.heard.get(&key);
+            let fresh = known.is_none_or(|(k, _)| s.alone && !k.alone);
+            if fresh && (known.is_some() || self.heard.len() < HELD) {
+                self.heard.insert(key, (s.clone(), at));
+                news = true;
+            }
+        }
+        news
+    }
+
+    /// Returns the newest suspicions with their present age.
+    pub fn newest(&self, now: Time) -> Vec<Suspicion> {
+        let mut all: Vec<&(Suspicion, Time)> = self.heard.values().collect();
+        all.sort_by_key(|(s, at)| (std::cmp::Reverse(*at), s.print));
+        let aged = |(s, at): &(Suspicion, Time)| Suspicion {
+            age_ms: now.since(*at).as_millis() as u64,
+            ..s.clone()
+        };
+        all.into_iter().take(NEWEST).map(aged).collect()
+    }
+}
+
+/// What a gateway makes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing speaks against it.
+    Clear,
+    /// It was running when an endpoint broke off; it runs alone, and not before this time.
+    Suspect(Time),
+    /// Another gateway is about to run it alone.
+    Elsewhere,
+    /// It crashed endpoints; it is refused until this time.
+    Convicted(Time),
+}
+
+#[derive(Debug)]
+struct Crash {
+    seen: Suspicion,
+    at: Time,
+}
+
+/// The suspicions that one gateway knows.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    crashes: BTreeMap<Key, Crash>,
+    /// Prints that ran to their end alone, and when.
+    cleared: BTreeMap<u64, Time>,
+}
+
+impl Suspects {
+    /// Records that a request was running at `vm` when this broke off.
+    pub fn broke(&mut self, now: Time, seen: Suspicion) {
+        self.expire(now);
+        if self.crashes.len() < HELD {
+            let key = (seen.print, seen.vm.clone(), seen.run);
+            self.crashes.insert(key, Crash { seen, at: now });
+        }
+    }
+
+    /// Records that a request ran to its end.
+    pub fn passed(&mut self, now: Time, print: u64) {
+        if self.crashes.values().any(|c| c.seen.print == print) {
+            self.cleared.insert(print, now);
+        }
+    }
+
+    /// Takes the suspicions that the agent has heard.
+    pub fn take(&mut self, now: Time, view: &View) {
+        self.expire(now);
+        for s in &view.suspicions {
+            let key = (s.print, s.vm.clone(), s.run);
+            let at = now - Duration::from_millis(s.age_ms);
+            let known = self.crashes.get(&key);
+            if known.is_none_or(|k| s.alone && !k.seen.alone) && self.crashes.len() < HELD {
+                let seen = s.clone();
+                self.crashes.insert(key, Crash { seen, at });
+            }
+        }
+    }
+
+    /// Judges a request of the gateway on the entry VM `me`.
+    pub fn verdict(&self, now: Time, view: &View, me: &EntryId, print: u64) -> Verdict {
+        let since = self.cleared.get(&print).copied().unwrap_or(Time::ZERO);
+        let mine = |c: &&Crash| c.seen.print == print && c.at >= since && is_down(view, now, c);
+        let crashes: Vec<&Crash> = self.crashes.values().filter(mine).collect();
+        let Some(last) = crashes.iter().map(|c| c.at).max() else {
+            return Verdict::Clear;
+        };
+        if crashes.iter().any(|c| c.seen.alone) || are_separate(view, &crashes) {
+            return Verdict::Convicted(last + SUSPECT_LIFE);
+        }
+        let origin = crashes.iter().map(|c| &c.seen.origin).min();
+        if origin != Some(me) && now.since(last) < TRIAL_WINDOW {
+            return Verdict::Elsewhere;
+        }
+        Verdict::Suspect(last + TRIAL_DELAY)
+    }
+
+    /// Returns the VM on which the suspects of `origin` run: the same in each gateway.
+    pub fn trial_vm<'a>(origin: &EntryId, candidates: &'a [Candidate]) -> Option<&'a VmId> {
+        let score = |c: &&Candidate| {
+            rendezvous::score(origin.as_str().as_bytes(), c.vm.as_str().as_bytes())
+        };
+        candidates.iter().max_by_key(score).map(|c| &c.vm)
+    }
+
+    /// Removes the candidates on which suspects run, while one candidate at least is left.
+    pub fn spare(&self, now: Time, candidates: &mut Vec<Candidate>) {
+        let open = |c: &&Crash| now.since(c.at) < TRIAL_WINDOW && !self.is_cleared(c);
+        let origins: std::collections::BTreeSet<&EntryId> = self
+            .crashes
+            .values()
+            .filter(open)
+            .map(|c| &c.seen.origin)
+            .collect();
+        let tried: Vec<VmId> = origins
+            .into_iter()
+            .filter_map(|o| Self::trial_vm(o, candidates).cloned())
+            .collect();
+        if candidates.iter().any(|c| !tried.contains(&c.vm)) {
+            candidates.retain(|c| !tried.contains(&c.vm));
+        }
+    }
+
+    fn is_cleared(&self, crash: &Crash) -> bool {
+        let cleared = self.cleared.get(&crash.seen.print);
+        cleared.is_some_and(|at| *at >= crash.at)
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.crashes.retain(|_, c| now.since(c.at) < SUSPECT_LIFE);
+        self.cleared.retain(|_, at| now.since(*at) < SUSPECT_LIFE);
+    }
+}
+
+/// Returns whether the endpoint really went down, or may have: its probers have not been heard yet.
+fn is_down(view: &View, now: Time, crash: &Crash) -> bool {
+    let Some(status) = view.vms.get(&crash.seen.vm) else {
+        return true;
+    };
+    let heard = now - Duration::from_millis(status.silent_ms);
+    let same = status.run == crash.seen.run && status.health == Health::Live;
+    !(same && heard > crash.at + TRIAL_DELAY / 2)
+}
+
+/// Returns whether two crashes have no common cause, such as the loss of a failure domain.
+fn are_separate(view: &View, crashes: &[&Crash]) -> bool {
+    let domain = |c: &Crash| view.vms.get(&c.seen.vm).map(|s| s.listing.domain.clone());
+    crashes.iter().enumerate().any(|(i, a)| {
+        crashes[i + 1..].iter().any(|b| {
+            let apart = a.at.since(b.at).max(b.at.since(a.at)) >= COMMON_CAUSE;
+            apart || domain(a) != domain(b)
+        })
+    })
+}
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -8,6 +8,7 @@
 use crate::fleet::{Assignment, Fleet};
 use crate::ids::{DomainId, Incarnation, ReplicaId, VmId};
 use crate::members::Member;
+use crate::peers::Suspicion;
 use crate::platform::VmListing;
 use crate::table::Table;
 
@@ -76,6 +77,9 @@
     pub log_up: bool,
     /// Whether a peer was heard lately.
     pub peers_up: bool,
+    /// Requests under suspicion of crashing endpoints.
+    #[serde(default)]
+    pub suspicions: Vec<Suspicion>,
 }
 
 impl View {
--- a/wire/src/agent.rs
+++ b/wire/src/agent.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hemlock_lib::codec;
-use hemlock_lib::peers::{Settled, Submit};
+use hemlock_lib::peers::{Settled, Submit, Suspicion};
 use hemlock_lib::view::View;
 
 use crate::caller::{self, CallError};
@@ -34,6 +34,18 @@
         .map(drop)
 }
 
+/// Tells the agent at `agent` of requests under suspicion of crashing endpoints.
+pub async fn suspect(
+    agent: &str,
+    suspicions: &[Suspicion],
+    wait: Duration,
+) -> Result<(), CallError> {
+    let body = codec::encode(&suspicions);
+    caller::post(&format!("{agent}/v1/suspicions"), body, wait)
+        .await
+        .map(drop)
+}
+
 /// Asks the agent at `agent` to announce that its entry VM is leaving.
 pub async fn leave(agent: &str, wait: Duration) -> Result<(), CallError> {
     caller::post(&format!("{agent}/v1/leave"), Vec::new(), wait)
--- a/wire/src/caller.rs
+++ b/wire/src/caller.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use ntex::client::error::ClientError;
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, Connector};
 use ntex::http::Method;
 use ntex::time::Millis;
@@ -40,8 +40,13 @@
 impl std::error::Error for CallError {}
 
 impl From<ClientError> for CallError {
+    /// Tells whether anything was sent.
+    ///
+    /// The library reports a connection that the peer closed after the request was sent as
+    /// disconnected without a cause; a connection that was never made has one.
     fn from(error: ClientError) -> Self {
         match error {
+            ClientError::Connect(ConnectError::Disconnected(None)) => Self::Lost,
             ClientError::Connect(_) | ClientError::Url(_) => Self::Connect,
             _ => Self::Lost,
         }
