--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod pacer;
 pub mod platform;
 pub mod scenario;
+pub mod schedule;
 pub mod service;
