testutils: seeded fault schedules for non-idempotent work

Several gateways fold claims from one log that loses, refuses and delays appends, while endpoints break, gateways pause and die, and callers send again elsewhere. 10,000 schedules: no duplicate run, no wrong answer, no untrue 'ran: no', one final answer each.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,5 +4,6 @@
 mod test_fleet;
 mod test_model;
 mod test_planner;
+mod test_once;
 mod test_settings;
 mod world;
--- /dev/null
+++ b/lib/tests/test_once.rs
@@ -0,0 +1,143 @@
+//! Non-idempotent work under seeded fault schedules, and the fold of its claims.
+
+use hemlock_lib::chart::Charts;
+use hemlock_lib::claims::{Answer, ClaimChange, ClaimId, ClaimRecord, Claims, Owner};
+use hemlock_lib::codes::Code;
+use hemlock_lib::ids::{Incarnation, Nonce};
+use hemlock_testutils::schedule::{self, Outcome};
+use serde_bytes::ByteBuf;
+use uuid::Uuid;
+
+/// Schedules run by the tests.
+const SCHEDULES: u64 = 10_000;
+const THREADS: u64 = 4;
+
+fn run_all() -> Outcome {
+    let charts = Charts::built_in().expect("the charts are sound");
+    let mut total = Outcome::default();
+    std::thread::scope(|scope| {
+        let charts = &charts;
+        let part = |t: u64| {
+            let mut sum = Outcome::default();
+            for seed in (t..SCHEDULES).step_by(THREADS as usize) {
+                let outcome = schedule::run(seed, charts);
+                let faults = [
+                    outcome.duplicates,
+                    outcome.wrong,
+                    outcome.untrue,
+                    outcome.repeated,
+                    outcome.hung,
+                ];
+                assert_eq!(faults, [0; 5], "seed {seed}: {outcome:?}");
+                sum.add(&outcome);
+            }
+            sum
+        };
+        let threads: Vec<_> = (0..THREADS).map(|t| scope.spawn(move || part(t))).collect();
+        for thread in threads {
+            total.add(&thread.join().expect("no schedule fails"));
+        }
+    });
+    total
+}
+
+/// No duplicate run, no wrong answer, no untrue `ran: no`, and one final answer to each request.
+#[test]
+fn ten_thousand_fault_schedules_keep_the_promises() {
+    let total = run_all();
+    let seen = |code: Code| total.refused.get(&code).copied().unwrap_or(0);
+    let codes = [
+        Code::InProgress,
+        Code::MayHaveRun,
+        Code::ClaimUnknown,
+        Code::ClaimUnavailable,
+        Code::KeyReused,
+        Code::DeadlineUnmet,
+        Code::TimedOut,
+    ];
+    for code in codes {
+        assert!(seen(code) > 0, "no schedule met {code:?}: {total:?}");
+    }
+    assert!(total.replayed > 0 && total.answered > total.sends / 10);
+    println!("{total:?}");
+}
+
+fn owner(entry: &str) -> Owner {
+    Owner {
+        entry: entry.into(),
+        run: Incarnation(1),
+    }
+}
+
+fn answer() -> Answer {
+    Answer {
+        status: 200,
+        kind: "text/plain".to_owned(),
+        body: ByteBuf::from("done"),
+    }
+}
+
+/// Folds changes of one key, and lists which were valid.
+fn fold(changes: &[(&str, u64, ClaimChange)]) -> (Claims, Vec<bool>) {
+    let mut claims = Claims::default();
+    let valid = changes.iter().map(|(entry, claim, change)| {
+        let record = ClaimRecord {
+            nonce: Nonce(0),
+            key: Uuid::nil(),
+            owner: owner(entry),
+            claim: ClaimId(*claim),
+            binding: None,
+            change: change.clone(),
+        };
+        claims.fold(claims.next, &record).is_ok()
+    });
+    let valid = valid.collect();
+    (claims, valid)
+}
+
+/// Which records change a key, whatever their order.
+#[test]
+fn only_its_owner_changes_a_claim() {
+    use ClaimChange::{Claim, Close, Finish, Release};
+    let finish = || Finish(answer());
+    let close = Close { ran: false };
+    let cases: Vec<(Vec<(&str, u64, ClaimChange)>, Vec<bool>)> = vec![
+        // The first claim wins.
+        (vec![("a", 1, Claim), ("b", 1, Claim)], vec![true, false]),
+        // A released key is free again.
+        (
+            vec![("a", 1, Claim), ("a", 1, Release), ("b", 1, Claim)],
+            vec![true, true, true],
+        ),
+        // Another gateway's release changes nothing of the claim.
+        (
+            vec![("a", 1, Claim), ("b", 1, Release), ("b", 2, Claim)],
+            vec![true, true, false],
+        ),
+        // A late release of an earlier claim does not free the later one.
+        (
+            vec![("a", 2, Claim), ("a", 1, Release), ("b", 1, Claim)],
+            vec![true, true, false],
+        ),
+        // A claim whose release came first does not stand.
+        (
+            vec![("a", 1, Release), ("a", 1, Claim), ("b", 1, Claim)],
+            vec![true, false, true],
+        ),
+        // A finished or closed claim can't be released.
+        (
+            vec![("a", 1, Claim), ("a", 1, finish()), ("a", 1, Release)],
+            vec![true, true, false],
+        ),
+        (
+            vec![("a", 1, Claim), ("a", 1, close.clone()), ("a", 1, Release)],
+            vec![true, true, false],
+        ),
+        // Only the claim's own answer is kept.
+        (vec![("a", 1, Claim), ("a", 2, finish())], vec![true, false]),
+        (vec![("a", 1, Claim), ("b", 1, close)], vec![true, false]),
+    ];
+    for (changes, valid) in cases {
+        assert_eq!(fold(&changes).1, valid, "{changes:?}");
+    }
+}
--- a/testutils/src/schedule.rs
+++ b/testutils/src/schedule.rs
@@ -39,9 +39,9 @@
 const START: Time = Time(1_700_000_000_000_000);
 /// Time within which the jobs start.
 const LOAD_MS: u64 = 8_000;
-const END: Duration = Duration::from_secs(60);
+const END: Duration = Duration::from_secs(40);
 const TICK: Duration = Duration::from_millis(100);
-const VIEWS: Duration = Duration::from_millis(200);
+const VIEWS: Duration = Duration::from_millis(500);
 /// Time that an agent waits until a record is settled.
 const SUBMIT_MS: u64 = 3_000;
 const DEADLINE_MS: u64 = 6_000;
@@ -568,13 +568,17 @@
         if self.entries[g].run != attempt.run {
             return;
         }
+        if self.entries[g].paused {
+            // The reply waits in the socket.
+            return self.at(TICK, Event::End(a));
+        }
         let request = self.sent[sent].request.clone();
         match attempt.fate {
             Fate::Fail(reason) => self.step(g, Input::Failed(request, id, reason)),
             Fate::Answer => {
                 let answer = self.right_answer(sent);
                 // The task of the request hands the answer on unless it was told of a refusal.
-                if self.sent[sent].finals == 0 && !self.entries[g].paused {
+                if self.sent[sent].finals == 0 {
                     self.result.answered += 1;
                     self.answered(&request, &answer);
                 }
@@ -632,7 +636,9 @@
 
     fn die(&mut self, g: usize) {
         let entry = &mut self.entries[g];
-        entry.gateway = None;
+        if entry.gateway.take().is_none() {
+            return;
+        }
         entry.held.clear();
         let run = entry.run;
         entry.run += 1;
