--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -26,8 +26,6 @@
 const SLOW_CALLER: Duration = Duration::from_secs(10);
 /// Largest event of an engine in bytes.
 const EVENT_LIMIT: usize = 256 << 10;
-/// Pieces beyond the number asked for after which an engine is held to be at fault.
-const EXTRA_PIECES: u64 = 1;
 
 /// A part of the answer on its way to the caller.
 #[derive(Debug)]
@@ -227,11 +225,11 @@
 
     /// Takes a chunk; returns the attempt's end if it is one.
     async fn take(&mut self, name: &str, chunk: Chunk) -> Option<End> {
-        let limit = u64::from(self.question.max_tokens) + EXTRA_PIECES;
+        let beyond = !chunk.done && chunk.seq >= u64::from(self.question.max_tokens);
+        if beyond && chunk.attempt == name {
+            return Some(End::Failed(FailReason::Malformed));
+        }
         match self.answering.take(chunk) {
-            Piece::Deliver(_) if self.answering.delivered() > limit => {
-                Some(End::Failed(FailReason::Malformed))
-            }
             Piece::Deliver(text) => self.deliver(text).await.err(),
             Piece::Done => Some(End::Done),
             Piece::Drop(DropReason::Gap) => Some(End::Failed(FailReason::Malformed)),
--- a/lib/src/attempts.rs
+++ b/lib/src/attempts.rs
@@ -12,7 +12,7 @@
 use crate::peers::{Settled, Suspicion};
 use crate::retry::Next;
 use crate::router::Candidate;
-use crate::suspicion::Suspects;
+use crate::suspicion::{Suspects, TRIAL_TIME};
 use crate::time::Time;
 
 /// Wait before a caller tries a request again that is under suspicion.
@@ -123,9 +123,12 @@
         reason: FailReason,
         out: &mut Vec<Output>,
     ) {
-        let Some(ended) = self.end_attempt(id, attempt) else {
+        let since = self.trials.get(id).map(|(_, since)| *since);
+        let Some(mut ended) = self.end_attempt(id, attempt) else {
             return;
         };
+        let young = since.is_some_and(|since| now.since(since) < TRIAL_TIME);
+        ended.alone &= young || self.dispatched.requests(&ended.vm) == 0;
         if reason == FailReason::Broken {
             self.suspect(now, id, &ended, out);
         }
@@ -216,13 +219,23 @@
         from: Time,
         candidates: &'a [Candidate],
     ) -> Option<&'a Candidate> {
-        if now < from || self.trial.is_some() {
+        if now < from {
             return None;
         }
-        let vm = Suspects::trial_vm(&self.config.owner.entry, candidates)?;
-        let idle =
-            |c: &&Candidate| c.vm == *vm && c.reported == 0 && self.dispatched.requests(&c.vm) == 0;
-        candidates.iter().find(idle)
+        let vms = Suspects::trial_vms(&self.config.owner.entry, candidates);
+        candidates
+            .iter()
+            .find(|c| vms.contains(&&c.vm) && self.is_spared(now, c))
+    }
+
+    /// Returns whether a VM runs nothing but suspects that have run for a while.
+    fn is_spared(&self, now: Time, candidate: &Candidate) -> bool {
+        let here = self.trials.values().filter(|(vm, _)| *vm == candidate.vm);
+        let (trials, young) = here.fold((0, false), |(n, young), (_, since)| {
+            (n + 1, young || now.since(*since) < TRIAL_TIME)
+        });
+        let idle = trials > 0 || candidate.reported == 0;
+        idle && !young && self.dispatched.requests(&candidate.vm) == trials
     }
 
     /// Leaves out the VM of the last attempt, unless it is the only one.
@@ -302,9 +315,7 @@
         let request = self.requests.get_mut(id)?;
         let ended = request.attempt.take_if(|a| a.id == attempt)?;
         self.dispatched.end(&ended.vm, request.arrival.tokens);
-        if ended.alone {
-            self.trial = None;
-        }
+        self.trials.remove(id);
         Some(ended)
     }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -220,8 +220,8 @@
     /// Open requests by idempotency key.
     pub(crate) keys: BTreeMap<Uuid, RequestId>,
     pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
-    /// Request that runs alone, if one does.
-    pub(crate) trial: Option<RequestId>,
+    /// Suspects that run alone: where, and since when.
+    pub(crate) trials: BTreeMap<RequestId, (VmId, Time)>,
     pub(crate) leaving: bool,
     pub(crate) next: u64,
     pub(crate) stopping: bool,
@@ -244,7 +244,7 @@
             suspects: Suspects::default(),
             keys: BTreeMap::new(),
             deadlines: BTreeSet::new(),
-            trial: None,
+            trials: BTreeMap::new(),
             leaving: false,
             next: 0,
             stopping: false,
@@ -416,7 +416,7 @@
                 }
                 Verdict::Suspect(from) => {
                     match self.trial_candidate(now, from, &candidates) {
-                        Some(candidate) => self.dispatch(&view, &id, candidate, true, out),
+                        Some(candidate) => self.dispatch(now, &view, &id, candidate, true, out),
                         None => kept.push_back(id),
                     }
                     continue;
@@ -426,7 +426,7 @@
             self.avoid_last(&id, &mut candidates);
             let chosen = router::choose(&candidates, &self.dispatched, &mut self.rng);
             match chosen {
-                Some(candidate) => self.dispatch(&view, &id, candidate, false, out),
+                Some(candidate) => self.dispatch(now, &view, &id, candidate, false, out),
                 None => kept.push_back(id),
             }
         }
@@ -435,6 +435,7 @@
 
     fn dispatch(
         &mut self,
+        now: Time,
         view: &View,
         id: &RequestId,
         to: &Candidate,
@@ -460,7 +461,7 @@
         });
         self.dispatched.start(&to.vm, request.arrival.tokens);
         if alone {
-            self.trial = Some(id.clone());
+            self.trials.insert(id.clone(), (to.vm.clone(), now));
         }
         out.push(Output::Dispatch {
             request: id.clone(),
@@ -504,11 +505,19 @@
         })
     }
 
+    /// Returns whether the gateway that holds a claim may still answer it.
+    ///
+    /// Gossip tells whether an entry VM lives, not in which run its gateway is; only an earlier run
+    /// of this gateway itself is known to be gone.
     pub(crate) fn is_live(&self, owner: &Owner) -> bool {
+        let me = &self.config.owner;
+        if owner.entry == me.entry {
+            return owner.run == me.run;
+        }
         let Some(view) = &self.view else { return false };
         view.entries
             .iter()
-            .any(|e| e.live && e.member.entry == owner.entry && e.member.incarnation == owner.run)
+            .any(|e| e.live && e.member.entry == owner.entry)
     }
 }
 
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -4,7 +4,8 @@
 //! next alone, on a replica that the other requests avoid: an innocent one gets through, and one
 //! that crashes a second endpoint is refused everywhere for a while.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::ids::{EntryId, Incarnation, VmId};
@@ -24,6 +25,10 @@
 pub const TRIAL_DELAY: Duration = Duration::from_millis(600);
 /// Crashes in one failure domain that lie closer together count as one.
 const COMMON_CAUSE: Duration = Duration::from_secs(1);
+/// Time that a suspect has a replica to itself before the next suspect joins it.
+pub const TRIAL_TIME: Duration = Duration::from_secs(1);
+/// Replicas on which the suspects of one gateway run.
+const TRIAL_VMS: usize = 2;
 /// Time after a crash for which ordinary requests avoid the replica where suspects run.
 const TRIAL_WINDOW: Duration = Duration::from_secs(15);
 
@@ -60,7 +65,7 @@
     /// Returns the newest suspicions with their present age.
     pub fn newest(&self, now: Time) -> Vec<Suspicion> {
         let mut all: Vec<&(Suspicion, Time)> = self.heard.values().collect();
-        all.sort_by_key(|(s, at)| (std::cmp::Reverse(*at), s.print));
+        all.sort_by_key(|(s, at)| (Reverse(*at), s.print));
         let aged = |(s, at): &(Suspicion, Time)| Suspicion {
             age_ms: now.since(*at).as_millis() as u64,
             ..s.clone()
@@ -145,26 +150,24 @@
         Verdict::Suspect(last + TRIAL_DELAY)
     }
 
-    /// Returns the VM on which the suspects of `origin` run: the same in each gateway.
-    pub fn trial_vm<'a>(origin: &EntryId, candidates: &'a [Candidate]) -> Option<&'a VmId> {
-        let score = |c: &&Candidate| {
-            rendezvous::score(origin.as_str().as_bytes(), c.vm.as_str().as_bytes())
-        };
-        candidates.iter().max_by_key(score).map(|c| &c.vm)
+    /// Returns the VMs on which the suspects of `origin` run: the same in each gateway.
+    pub fn trial_vms<'a>(origin: &EntryId, candidates: &'a [Candidate]) -> Vec<&'a VmId> {
+        let key = origin.as_str().as_bytes();
+        let mut vms: Vec<&VmId> = candidates.iter().map(|c| &c.vm).collect();
+        vms.sort_by_key(|vm| Reverse(rendezvous::score(key, vm.as_str().as_bytes())));
+        vms.truncate(TRIAL_VMS.min(candidates.len().div_ceil(2)));
+        vms
     }
 
     /// Removes the candidates on which suspects run, while one candidate at least is left.
     pub fn spare(&self, now: Time, candidates: &mut Vec<Candidate>) {
         let open = |c: &&Crash| now.since(c.at) < TRIAL_WINDOW && !self.is_cleared(c);
-        let origins: std::collections::BTreeSet<&EntryId> = self
-            .crashes
-            .values()
-            .filter(open)
-            .map(|c| &c.seen.origin)
-            .collect();
-        let tried: Vec<VmId> = origins
+        let crashes = self.crashes.values().filter(open);
+        let origins: BTreeSet<&EntryId> = crashes.map(|c| &c.seen.origin).collect();
+        let tried: BTreeSet<VmId> = origins
             .into_iter()
-            .filter_map(|o| Self::trial_vm(o, candidates).cloned())
+            .flat_map(|o| Self::trial_vms(o, candidates))
+            .cloned()
             .collect();
         if candidates.iter().any(|c| !tried.contains(&c.vm)) {
             candidates.retain(|c| !tried.contains(&c.vm));
--- a/lib/tests/test_once.rs
+++ b/lib/tests/test_once.rs
@@ -77,6 +77,8 @@
     }
 }
 
+type Changes = Vec<(&'static str, u64, ClaimChange)>;
+
 /// Folds changes of one key, and lists which were valid.
 fn fold(changes: &[(&str, u64, ClaimChange)]) -> (Claims, Vec<bool>) {
     let mut claims = Claims::default();
@@ -101,7 +103,7 @@
     use ClaimChange::{Claim, Close, Finish, Release};
     let finish = || Finish(answer());
     let close = Close { ran: false };
-    let cases: Vec<(Vec<(&str, u64, ClaimChange)>, Vec<bool>)> = vec![
+    let cases: Vec<(Changes, Vec<bool>)> = vec![
         // The first claim wins.
         (vec![("a", 1, Claim), ("b", 1, Claim)], vec![true, false]),
         // A released key is free again.
