lib: seeded load with lost, failing and crashed endpoints

A crashing request costs two endpoints whatever gateways its caller uses, and no innocent one is refused for it; the loss of up to four endpoints of a domain convicts nobody; retries stay under a tenth of first tries while half of the attempts fail. A request lost its four attempts on one endpoint that was gone but not yet known to be: such endpoints are avoided for a second.

--- a/lib/src/attempts.rs
+++ b/lib/src/attempts.rs
@@ -7,7 +7,7 @@
 use crate::claims::{Answer, Binding, ClaimChange, ClaimId};
 use crate::codes::{Code, Ran};
 use crate::gateway::{Attempt, FailReason, Gateway, Output, RETRY_AFTER, Request, Target};
-use crate::ids::{AccountId, AttemptId, RequestId};
+use crate::ids::{AccountId, AttemptId, RequestId, VmId};
 use crate::once::{self, Change, Held};
 use crate::peers::{Settled, Suspicion};
 use crate::retry::Next;
@@ -15,6 +15,8 @@
 use crate::suspicion::{Suspects, TRIAL_TIME};
 use crate::time::Time;
 
+/// Time for which a VM is avoided that broke off or was not reached; its probers tell more by then.
+const AVOID: Duration = Duration::from_secs(1);
 /// Wait before a caller tries a request again that is under suspicion.
 const SUSPECT_AFTER: Duration = Duration::from_secs(5);
 
@@ -29,6 +31,7 @@
             self.deadlines.remove(&(deadline, id));
         }
         out.extend(self.unsettled.due(now).into_iter().map(Output::Settle));
+        self.avoided.retain(|_, until| now < *until);
     }
 
     /// Returns the wait that callers are told with a refusal.
@@ -129,6 +132,9 @@
         };
         let young = since.is_some_and(|since| now.since(since) < TRIAL_TIME);
         ended.alone &= young || self.dispatched.requests(&ended.vm) == 0;
+        if matches!(reason, FailReason::Connect | FailReason::Broken) {
+            self.avoided.insert(ended.vm.clone(), now + AVOID);
+        }
         if reason == FailReason::Broken {
             self.suspect(now, id, &ended, out);
         }
@@ -223,9 +229,9 @@
             return None;
         }
         let vms = Suspects::trial_vms(&self.config.owner.entry, candidates);
-        candidates
-            .iter()
-            .find(|c| vms.contains(&&c.vm) && self.is_spared(now, c))
+        candidates.iter().find(|c| {
+            vms.contains(&&c.vm) && !self.is_avoided(now, &c.vm) && self.is_spared(now, c)
+        })
     }
 
     /// Returns whether a VM runs nothing but suspects that have run for a while.
@@ -238,16 +244,19 @@
         idle && !young && self.dispatched.requests(&candidate.vm) == trials
     }
 
-    /// Leaves out the VM of the last attempt, unless it is the only one.
-    pub(crate) fn avoid_last(&self, id: &RequestId, candidates: &mut Vec<Candidate>) {
-        let Some(last) = self.requests.get(id).and_then(|r| r.last.as_ref()) else {
-            return;
-        };
-        if candidates.iter().any(|c| c.vm != *last) {
-            candidates.retain(|c| c.vm != *last);
+    /// Leaves out the VM of the last attempt and VMs that failed lately, unless no other is left.
+    pub(crate) fn avoid(&self, now: Time, id: &RequestId, candidates: &mut Vec<Candidate>) {
+        let last = self.requests.get(id).and_then(|r| r.last.as_ref());
+        let good = |c: &Candidate| Some(&c.vm) != last && !self.is_avoided(now, &c.vm);
+        if candidates.iter().any(good) {
+            candidates.retain(good);
         }
     }
 
+    fn is_avoided(&self, now: Time, vm: &VmId) -> bool {
+        self.avoided.get(vm).is_some_and(|until| now < *until)
+    }
+
     fn time_out(&mut self, now: Time, id: &RequestId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get(id) else {
             return;
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -222,6 +222,8 @@
     pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
     /// Suspects that run alone: where, and since when.
     pub(crate) trials: BTreeMap<RequestId, (VmId, Time)>,
+    /// VMs that broke off or were not reached, and until when they are avoided.
+    pub(crate) avoided: BTreeMap<VmId, Time>,
     pub(crate) leaving: bool,
     pub(crate) next: u64,
     pub(crate) stopping: bool,
@@ -245,6 +247,7 @@
             keys: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             trials: BTreeMap::new(),
+            avoided: BTreeMap::new(),
             leaving: false,
             next: 0,
             stopping: false,
@@ -423,7 +426,7 @@
                 }
                 Verdict::Clear => self.suspects.spare(now, &mut candidates),
             }
-            self.avoid_last(&id, &mut candidates);
+            self.avoid(now, &id, &mut candidates);
             let chosen = router::choose(&candidates, &self.dispatched, &mut self.rng);
             match chosen {
                 Some(candidate) => self.dispatch(now, &view, &id, candidate, false, out),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,3 +7,4 @@
 mod test_once;
 mod test_settings;
 mod world;
+mod test_suspicion;
--- /dev/null
+++ b/lib/tests/test_suspicion.rs
@@ -0,0 +1,81 @@
+//! Requests that crash endpoints, lost endpoints and brown-outs, under load.
+
+use std::time::Duration;
+
+use hemlock_lib::chart::Charts;
+use hemlock_lib::codes::Code;
+use hemlock_testutils::outage::{self, Config, Outcome};
+
+const SEEDS: u64 = 12;
+
+fn config() -> Config {
+    Config {
+        gateways: 6,
+        replicas: 12,
+        rate: 50.0,
+        length: Duration::from_secs(40),
+        failing: 0.0,
+        culprit: false,
+        losses: 0,
+    }
+}
+
+fn run(config: &Config) -> Vec<Outcome> {
+    let charts = Charts::built_in().expect("the charts are sound");
+    (0..SEEDS)
+        .map(|seed| outage::run(seed, config, &charts))
+        .collect()
+}
+
+/// A crashing request costs two endpoints at most, however often and wherever it is sent, and no
+/// innocent one is refused for it.
+#[test]
+fn a_crashing_request_costs_two_endpoints() {
+    let config = Config {
+        culprit: true,
+        ..config()
+    };
+    for (seed, outcome) in run(&config).iter().enumerate() {
+        assert!(outcome.sends >= 3, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.crashes, 2, "seed {seed}: {outcome:?}");
+        assert_eq!(
+            outcome.refusals(Code::Suspect),
+            0,
+            "seed {seed}: {outcome:?}"
+        );
+        assert_eq!(
+            outcome.answered, outcome.requests,
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+/// When a failure domain goes dark, no request is taken for the cause.
+#[test]
+fn lost_endpoints_convict_nobody() {
+    for losses in [1, 2, 4] {
+        let config = Config { losses, ..config() };
+        for (seed, outcome) in run(&config).iter().enumerate() {
+            assert_eq!(
+                outcome.answered, outcome.requests,
+                "seed {seed}: {outcome:?}"
+            );
+            assert_eq!(outcome.hung, 0, "seed {seed}");
+        }
+    }
+}
+
+/// Retries stay under a tenth of the first tries while half of all attempts fail.
+#[test]
+fn retries_stay_within_their_budget_in_a_brown_out() {
+    let config = Config {
+        failing: 0.5,
+        ..config()
+    };
+    for (seed, outcome) in run(&config).iter().enumerate() {
+        assert!(outcome.retry_share() < 0.1, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.hung, 0, "seed {seed}: {outcome:?}");
+        let given_up = outcome.refusals(Code::RetryBudget);
+        assert!(given_up > 0, "seed {seed}: the budget was never spent");
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod invariants;
 pub mod log;
+pub mod outage;
 pub mod pacer;
 pub mod platform;
 pub mod scenario;
--- /dev/null
+++ b/testutils/src/outage.rs
@@ -0,0 +1,586 @@
+//! Seeded load on model replicas in virtual time, through several gateways, while replicas brown
+//! out, are lost, or are crashed by one request that its caller sends again and again.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::chart::Charts;
+use hemlock_lib::claims::Owner;
+use hemlock_lib::codes::Code;
+use hemlock_lib::engine::{Held, Load};
+use hemlock_lib::fleet::{Fleet, FleetChange, FleetRecord};
+use hemlock_lib::gateway::{Arrival, FailReason, Gateway, GatewayConfig, Input, Output, Target};
+use hemlock_lib::hash;
+use hemlock_lib::ids::{
+    AttemptId, DomainId, Fence, Incarnation, Nonce, Offset, ReplicaId, ReplicaSeq, RequestId, VmId,
+};
+use hemlock_lib::members::Member;
+use hemlock_lib::peers::Suspicion;
+use hemlock_lib::platform::{VmListing, VmRole};
+use hemlock_lib::table::{
+    AccountRow, ConfigRecord, Edit, GroupRow, Row, RowKey, Table, VersionRow,
+};
+use hemlock_lib::time::Time;
+use hemlock_lib::view::{EntryStatus, Health, View, VmStatus};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const ACCOUNT: &str = "account-01";
+const GROUP: &str = "listwriter";
+const DOMAINS: [&str; 3] = ["riverside", "pinehill", "cotton-row"];
+const TICK: Duration = Duration::from_millis(50);
+const VIEWS: Duration = Duration::from_millis(250);
+/// Time until probes tell that an endpoint went down or came back.
+const PROBED: Duration = Duration::from_millis(500);
+/// Time until a suspicion has reached every gateway.
+const SPREAD: Duration = Duration::from_millis(400);
+/// Time that a lost endpoint is away.
+const AWAY: Duration = Duration::from_secs(8);
+const DEADLINE: Duration = Duration::from_secs(20);
+/// Time from its start until the crashing request takes its endpoint down.
+const FUSE: Duration = Duration::from_millis(40);
+const TOKENS: u64 = 100;
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Gateways.
+    pub gateways: usize,
+    /// Replicas, of one VM each.
+    pub replicas: usize,
+    /// Requests a second.
+    pub rate: f64,
+    /// Length of the load.
+    pub length: Duration,
+    /// Share of attempts that fail between a third and two thirds of the load.
+    pub failing: f64,
+    /// Whether a caller sends a request that crashes endpoints.
+    pub culprit: bool,
+    /// Endpoints lost at one moment for another reason.
+    pub losses: usize,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    /// Innocent requests.
+    pub requests: u64,
+    /// Innocent requests answered.
+    pub answered: u64,
+    /// Refusals of innocent requests by code.
+    pub refused: BTreeMap<Code, u64>,
+    /// Innocent requests without a final answer by their deadline.
+    pub hung: u64,
+    /// Retries by reason.
+    pub retries: BTreeMap<FailReason, u64>,
+    /// Endpoints lost to the crashing request.
+    pub crashes: u64,
+    /// Times that its caller sent the crashing request.
+    pub sends: u64,
+    /// Longest time from a loss to the answer of a request that it hit, in milliseconds.
+    pub recovery_ms: u64,
+}
+
+impl Outcome {
+    /// Returns the share of retries in first tries.
+    pub fn retry_share(&self) -> f64 {
+        self.retries.values().sum::<u64>() as f64 / self.requests.max(1) as f64
+    }
+
+    /// Returns the number of innocent requests refused with `code`.
+    pub fn refusals(&self, code: Code) -> u64 {
+        self.refused.get(&code).copied().unwrap_or(0)
+    }
+}
+
+/// Runs `config` with a seed.
+pub fn run(seed: u64, config: &Config, charts: &Charts) -> Outcome {
+    let mut world = World::new(seed, config.clone(), charts);
+    world.run();
+    world.result.hung = world.open.len() as u64;
+    world.result
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Culprit,
+    Tick(usize),
+    View(usize),
+    End(usize),
+    Crash(usize),
+    Lose(usize),
+    Back(usize),
+}
+
+#[derive(Debug)]
+struct Vm {
+    id: VmId,
+    domain: DomainId,
+    run: u64,
+    up: bool,
+    /// When it went down or came back.
+    changed: Time,
+    running: BTreeSet<usize>,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    gateway: usize,
+    request: RequestId,
+    id: AttemptId,
+    vm: usize,
+    failing: bool,
+}
+
+struct World {
+    config: Config,
+    rng: SmallRng,
+    now: Time,
+    order: u64,
+    heap: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    table: Table,
+    gateways: Vec<Gateway>,
+    vms: Vec<Vm>,
+    attempts: Vec<Attempt>,
+    suspicions: Vec<(Suspicion, Time)>,
+    open: BTreeSet<RequestId>,
+    hit: BTreeMap<RequestId, Time>,
+    next: u64,
+    result: Outcome,
+}
+
+impl World {
+    fn new(seed: u64, config: Config, charts: &Charts) -> Self {
+        let vm = |i: usize| Vm {
+            id: VmId::new(format!("engine-{i:02}")),
+            domain: DOMAINS[i % DOMAINS.len()].into(),
+            run: 1,
+            up: true,
+            changed: Time::ZERO,
+            running: BTreeSet::new(),
+        };
+        let gateway = |g: usize| {
+            let config = GatewayConfig {
+                owner: Owner {
+                    entry: entry(g).as_str().into(),
+                    run: Incarnation(1),
+                },
+                domain: DOMAINS[g % DOMAINS.len()].into(),
+                queue: 1_024,
+                key_life: Duration::from_secs(600),
+                isolation: Duration::from_secs(3_600),
+                seed: seed ^ g as u64,
+            };
+            Gateway::new(config, charts)
+        };
+        let mut world = Self {
+            rng: SmallRng::seed_from_u64(seed),
+            now: Time::from_millis(1_000),
+            order: 0,
+            heap: BinaryHeap::new(),
+            table: table(config.replicas as u32),
+            gateways: (0..config.gateways).map(gateway).collect(),
+            vms: (0..config.replicas).map(vm).collect(),
+            attempts: Vec::new(),
+            suspicions: Vec::new(),
+            open: BTreeSet::new(),
+            hit: BTreeMap::new(),
+            next: 0,
+            result: Outcome::default(),
+            config,
+        };
+        world.set_up();
+        world
+    }
+
+    fn set_up(&mut self) {
+        for g in 0..self.config.gateways {
+            self.at(Duration::ZERO, Event::View(g));
+            self.at(TICK, Event::Tick(g));
+        }
+        self.at(Duration::from_millis(100), Event::Arrive);
+        if self.config.culprit {
+            self.at(self.config.length / 4, Event::Culprit);
+        }
+        for vm in 0..self.config.losses {
+            // All in one failure domain.
+            self.at(self.config.length / 2, Event::Lose(vm * DOMAINS.len()));
+        }
+    }
+
+    fn run(&mut self) {
+        let end = self.now + self.config.length + DEADLINE + DEADLINE;
+        while let Some(Reverse((at, _, event))) = self.heap.pop() {
+            if at > end {
+                return;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => {
+                let id = self.arrive("innocent");
+                self.result.requests += 1;
+                self.open.insert(id);
+                let gap = -self.rng.random::<f64>().max(1e-9).ln() / self.config.rate;
+                let next = Duration::from_secs_f64(gap);
+                if self.now.since(Time::ZERO) + next < self.config.length {
+                    self.at(next, Event::Arrive);
+                }
+            }
+            Event::Culprit => {
+                self.result.sends += 1;
+                self.arrive("culprit");
+            }
+            Event::Tick(g) => {
+                self.step(g, Input::Tick);
+                self.at(TICK, Event::Tick(g));
+            }
+            Event::View(g) => {
+                let view = Arc::new(self.view(g));
+                self.step(g, Input::View(view));
+                self.at(VIEWS, Event::View(g));
+            }
+            Event::End(a) => self.end(a),
+            Event::Crash(a) => self.crash(a),
+            Event::Lose(vm) => self.lose(vm),
+            Event::Back(vm) => {
+                let now = self.now;
+                let vm = &mut self.vms[vm];
+                (vm.up, vm.changed) = (true, now);
+            }
+        }
+    }
+
+    fn arrive(&mut self, kind: &str) -> RequestId {
+        self.next += 1;
+        let id = RequestId::new(format!("{kind}-{}", self.next));
+        let body = match kind {
+            "culprit" => kind.to_owned(),
+            _ => id.to_string(),
+        };
+        let arrival = Arrival {
+            request: id.clone(),
+            key_hash: hash::sha256_hex(ACCOUNT.as_bytes()),
+            target: Target::Model(GROUP.into()),
+            tokens: TOKENS,
+            deadline: self.now + DEADLINE,
+            once: None,
+            body,
+        };
+        let g = self.rng.random_range(0..self.gateways.len());
+        self.step(g, Input::Arrive(arrival));
+        id
+    }
+
+    fn step(&mut self, g: usize, input: Input) {
+        let mut out = Vec::new();
+        self.gateways[g].step(self.now, input, &mut out);
+        for output in out {
+            self.carry_out(g, output);
+        }
+    }
+
+    fn carry_out(&mut self, g: usize, output: Output) {
+        match output {
+            Output::Dispatch {
+                request,
+                attempt,
+                vm,
+                ..
+            } => self.dispatch(g, request, attempt, &vm),
+            Output::Refuse {
+                request,
+                code,
+                after,
+                ..
+            } => self.refused(&request, code, after),
+            Output::Suspect(suspicion) => self.suspicions.push((suspicion, self.now)),
+            Output::Retry(_, reason) => *self.result.retries.entry(reason).or_insert(0) += 1,
+            Output::Replay(..) | Output::Claim(..) | Output::Settle(_) => {}
+        }
+    }
+
+    fn refused(&mut self, request: &RequestId, code: Code, after: Duration) {
+        if request.as_str().starts_with("culprit") {
+            if self.now.since(Time::ZERO) < self.config.length {
+                self.at(after, Event::Culprit);
+            }
+            return;
+        }
+        self.open.remove(request);
+        *self.result.refused.entry(code).or_insert(0) += 1;
+    }
+
+    fn dispatch(&mut self, g: usize, request: RequestId, id: AttemptId, vm: &VmId) {
+        let vm = self.vms.iter().position(|v| v.id == *vm).unwrap_or(0);
+        let third = self.config.length / 3;
+        let spent = self.now.since(Time::ZERO);
+        let within = spent > third && spent < third * 2;
+        let failing = within && self.rng.random_bool(self.config.failing);
+        let a = self.attempts.len();
+        let culprit = request.as_str().starts_with("culprit");
+        self.attempts.push(Attempt {
+            gateway: g,
+            request,
+            id,
+            vm,
+            failing,
+        });
+        if !self.vms[vm].up {
+            // The endpoint is gone already, though its probers don't know yet.
+            let soon = Duration::from_millis(2);
+            self.attempts[a].failing = true;
+            return self.at(soon, Event::End(a));
+        }
+        self.vms[vm].running.insert(a);
+        if culprit {
+            return self.at(FUSE, Event::Crash(a));
+        }
+        let time = Duration::from_millis(self.rng.random_range(200..1_500));
+        self.at(time, Event::End(a));
+    }
+
+    fn end(&mut self, a: usize) {
+        let attempt = &self.attempts[a];
+        let (g, id, vm, failing) = (attempt.gateway, attempt.id, attempt.vm, attempt.failing);
+        let request = attempt.request.clone();
+        let ran = self.vms[vm].running.remove(&a);
+        if !ran && !failing {
+            return;
+        }
+        if failing {
+            let reasons = [
+                FailReason::Refused,
+                FailReason::Failed,
+                FailReason::Stalled,
+                FailReason::Connect,
+            ];
+            let reason = match ran {
+                true => reasons[self.rng.random_range(0..3)],
+                false => reasons[3],
+            };
+            return self.step(g, Input::Failed(request, id, reason));
+        }
+        if self.open.remove(&request) {
+            self.result.answered += 1;
+        }
+        if let Some(at) = self.hit.remove(&request) {
+            let ms = self.now.since(at).as_millis() as u64;
+            self.result.recovery_ms = self.result.recovery_ms.max(ms);
+        }
+        self.step(g, Input::Finished(request, id, None));
+    }
+
+    fn crash(&mut self, a: usize) {
+        let vm = self.attempts[a].vm;
+        if self.vms[vm].running.contains(&a) {
+            self.result.crashes += 1;
+            self.lose(vm);
+        }
+    }
+
+    fn lose(&mut self, vm: usize) {
+        let now = self.now;
+        let state = &mut self.vms[vm];
+        if !state.up {
+            return;
+        }
+        (state.up, state.changed) = (false, now);
+        state.run += 1;
+        for a in std::mem::take(&mut state.running) {
+            let attempt = &self.attempts[a];
+            let (g, id) = (attempt.gateway, attempt.id);
+            let request = attempt.request.clone();
+            self.hit.insert(request.clone(), now);
+            self.step(g, Input::Failed(request, id, FailReason::Broken));
+        }
+        self.at(AWAY, Event::Back(vm));
+    }
+
+    fn view(&self, g: usize) -> View {
+        let mut view = View {
+            version: 1,
+            table: self.table.clone(),
+            log_up: true,
+            peers_up: true,
+            entries: (0..self.gateways.len()).map(entry_status).collect(),
+            ..View::default()
+        };
+        for domain in DOMAINS {
+            view.fleets.insert(domain.into(), lease());
+        }
+        for vm in &self.vms {
+            let Some(fleet) = view.fleets.get_mut(&vm.domain) else {
+                continue;
+            };
+            let seq = assign(fleet, &vm.id);
+            let replica = ReplicaId {
+                shard: vm.domain.clone(),
+                seq,
+            };
+            view.vms.insert(vm.id.clone(), self.status(vm, replica));
+        }
+        let me = entry(g);
+        let heard =
+            |(s, at): &&(Suspicion, Time)| s.origin.as_str() == me || self.now.since(*at) >= SPREAD;
+        let aged = |(s, at): &(Suspicion, Time)| Suspicion {
+            age_ms: self.now.since(*at).as_millis() as u64,
+            ..s.clone()
+        };
+        view.suspicions = self.suspicions.iter().filter(heard).map(aged).collect();
+        view
+    }
+
+    fn status(&self, vm: &Vm, replica: ReplicaId) -> VmStatus {
+        let probed = self.now.since(vm.changed) >= PROBED || vm.changed == Time::ZERO;
+        let up = vm.up == probed;
+        let run = if probed || vm.up { vm.run } else { vm.run - 1 };
+        let since = self.now.since(vm.changed).as_millis() as u64;
+        VmStatus {
+            listing: VmListing {
+                vm: vm.id.clone(),
+                address: format!("http://{}", vm.id),
+                domain: vm.domain.clone(),
+                role: VmRole::Engine,
+                leaving: false,
+            },
+            health: if up { Health::Live } else { Health::Suspect },
+            run: Incarnation(run),
+            held: Some(Held {
+                replica,
+                fence: Fence(1),
+                version: "listwriter-v1".into(),
+                rank: 0,
+                ready: up,
+            }),
+            load: Load {
+                running: vm.running.len() as u32,
+                queued: 0,
+                tokens: vm.running.len() as u64 * TOKENS,
+                age_ms: 0,
+            },
+            silent_ms: if probed && up { 100 } else { since },
+        }
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.order += 1;
+        self.heap
+            .push(Reverse((self.now + after, self.order, event)));
+    }
+}
+
+fn entry(g: usize) -> String {
+    format!("entry-{g}")
+}
+
+fn entry_status(g: usize) -> EntryStatus {
+    let name = entry(g);
+    EntryStatus {
+        member: Member {
+            entry: name.as_str().into(),
+            domain: DOMAINS[g % DOMAINS.len()].into(),
+            gateway: format!("http://{name}"),
+            agent: format!("http://{name}"),
+            gossip: name,
+            incarnation: Incarnation(1),
+            leaving: false,
+        },
+        live: true,
+        spare: 1.0,
+        config: 0,
+    }
+}
+
+fn lease() -> Fleet {
+    let mut fleet = Fleet::default();
+    fold(
+        &mut fleet,
+        FleetChange::Lease {
+            holder: "entry-0".into(),
+            run: Incarnation(1),
+            supersedes: None,
+            length_ms: 3_000,
+        },
+    );
+    fleet
+}
+
+fn assign(fleet: &mut Fleet, vm: &VmId) -> ReplicaSeq {
+    let seq = ReplicaSeq(fleet.next.0 + 1);
+    fold(
+        fleet,
+        FleetChange::Assign {
+            fence: Fence(1),
+            group: GROUP.into(),
+            version: "listwriter-v1".into(),
+            span: 1,
+            vms: vec![vm.clone()],
+            reserve: Vec::new(),
+        },
+    );
+    seq
+}
+
+fn fold(fleet: &mut Fleet, change: FleetChange) {
+    let offset = fleet.next;
+    let record = FleetRecord {
+        nonce: Nonce(offset.0),
+        change,
+    };
+    fleet.fold(offset, &record).expect("each record is valid");
+}
+
+fn table(replicas: u32) -> Table {
+    let edit = |key, row| Edit {
+        key,
+        base: None,
+        row: Some(row),
+    };
+    let group = GroupRow {
+        replicas,
+        minimum: 0,
+        downtime: 1.0,
+        stranded: 1.0,
+        reserve: 0,
+        slots: 8,
+    };
+    let version = VersionRow {
+        group: GROUP.into(),
+        weight: 1.0,
+        span: 1,
+    };
+    let account = AccountRow {
+        key_hash: hash::sha256_hex(ACCOUNT.as_bytes()),
+        weight: 1.0,
+        requests: 1e6,
+        tokens: 1e8,
+        concurrency: 100_000,
+    };
+    let edits = vec![
+        edit(RowKey::Group(GROUP.into()), Row::Group(group)),
+        edit(
+            RowKey::Version("listwriter-v1".into()),
+            Row::Version(version),
+        ),
+        edit(RowKey::Account(ACCOUNT.into()), Row::Account(account)),
+    ];
+    let record = ConfigRecord {
+        nonce: Nonce(1),
+        author: "outage".to_owned(),
+        at_ms: 0,
+        edits,
+    };
+    let mut table = Table::default();
+    table
+        .fold(Offset(0), &record)
+        .expect("the rows are well formed");
+    table
+}
