--- a/gateway/tests/site.rs
+++ b/gateway/tests/site.rs
@@ -12,7 +12,7 @@
 use hemlock_lib::claims::{ClaimRecord, Claims};
 use hemlock_lib::codec;
 use hemlock_lib::engine::{Chunk, EngineCall, Held, Load};
-use hemlock_lib::fleet::{Fleet, FleetChange, FleetRecord};
+use hemlock_lib::fleet::{Fleet, FleetChange, FleetRecord, Form};
 use hemlock_lib::hash;
 use hemlock_lib::ids::{Fence, Incarnation, Nonce, Offset, ReplicaId, ReplicaSeq, VmId};
 use hemlock_lib::members::Member;
@@ -569,11 +569,13 @@
     );
     for (i, endpoint) in engines.iter().enumerate() {
         let vm = VmId::new(format!("engine-{i}"));
-        let seq = ReplicaSeq(fleet.next.0 + 1);
+        let (seq, base) = (ReplicaSeq(fleet.next.0 + 1), fleet.planned);
         fold(
             &mut fleet,
             FleetChange::Assign {
                 fence: Fence(1),
+                base,
+                form: 1,
                 group: "listwriter".into(),
                 version: "listwriter-v1".into(),
                 span: 1,
@@ -587,6 +589,10 @@
                 seq,
             },
             fence: Fence(1),
+            form: Form {
+                fence: Fence(1),
+                seq: 1,
+            },
             version: "listwriter-v1".into(),
             rank: 0,
             ready: true,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,8 +3,8 @@
 mod test_chart;
 mod test_fleet;
 mod test_model;
-mod test_planner;
 mod test_once;
+mod test_planner;
 mod test_settings;
-mod world;
 mod test_suspicion;
+mod world;
--- a/lib/tests/world.rs
+++ b/lib/tests/world.rs
@@ -201,6 +201,7 @@
             fleets: BTreeMap::from([(self.shard.clone(), node.fleet.clone())]),
             log_up: self.log_up && !node.cut,
             peers_up: true,
+            suspicions: Vec::new(),
         }
     }
 
--- a/testutils/src/outage.rs
+++ b/testutils/src/outage.rs
@@ -10,7 +10,7 @@
 use hemlock_lib::claims::Owner;
 use hemlock_lib::codes::Code;
 use hemlock_lib::engine::{Held, Load};
-use hemlock_lib::fleet::{Fleet, FleetChange, FleetRecord};
+use hemlock_lib::fleet::{Fleet, FleetChange, FleetRecord, Form};
 use hemlock_lib::gateway::{Arrival, FailReason, Gateway, GatewayConfig, Input, Output, Target};
 use hemlock_lib::hash;
 use hemlock_lib::ids::{
@@ -456,6 +456,10 @@
             held: Some(Held {
                 replica,
                 fence: Fence(1),
+                form: Form {
+                    fence: Fence(1),
+                    seq: 1,
+                },
                 version: "listwriter-v1".into(),
                 rank: 0,
                 ready: up,
@@ -514,11 +518,13 @@
 }
 
 fn assign(fleet: &mut Fleet, vm: &VmId) -> ReplicaSeq {
-    let seq = ReplicaSeq(fleet.next.0 + 1);
+    let (seq, base) = (ReplicaSeq(fleet.next.0 + 1), fleet.planned);
     fold(
         fleet,
         FleetChange::Assign {
             fence: Fence(1),
+            base,
+            form: 1,
             group: GROUP.into(),
             version: "listwriter-v1".into(),
             span: 1,
--- a/testutils/src/schedule.rs
+++ b/testutils/src/schedule.rs
@@ -60,7 +60,7 @@
     pub untrue: u64,
     /// Sends with more than one final answer.
     pub repeated: u64,
-    /// Sends without a final answer in time.
+    /// Sends without a final answer at their deadline.
     pub hung: u64,
     /// Sends.
     pub sends: u64,
@@ -129,6 +129,8 @@
     gateway: Option<Gateway>,
     run: u64,
     paused: bool,
+    /// When it last woke.
+    woke: Time,
     /// What came while it was paused.
     held: Vec<Input>,
     claims: Claims,
@@ -245,6 +247,7 @@
                 gateway: None,
                 run: 0,
                 paused: false,
+                woke: Time::ZERO,
                 held: Vec::new(),
                 claims: Claims::default(),
                 next: 0,
@@ -329,6 +332,7 @@
             }
             Event::Wake(g) => {
                 self.entries[g].paused = false;
+                self.entries[g].woke = self.now;
                 for input in std::mem::take(&mut self.entries[g].held) {
                     self.step(g, input);
                 }
@@ -602,7 +606,7 @@
         if *answer != self.right_answer(sent) {
             self.result.wrong += 1;
         }
-        self.sent[sent].finals += 1;
+        self.finish(sent);
         let job = self.sent[sent].job;
         self.jobs[job].done = true;
     }
@@ -610,7 +614,7 @@
     fn refused(&mut self, request: &RequestId, code: Code, ran: Ran, after: Duration) {
         *self.result.refused.entry(code).or_insert(0) += 1;
         let sent = self.by_request[request];
-        self.sent[sent].finals += 1;
+        self.finish(sent);
         self.sent[sent].denied |= ran == Ran::No;
         let job = self.sent[sent].job;
         if code.retry() {
@@ -619,6 +623,15 @@
         }
     }
 
+    /// Counts a final answer, and a late one of a gateway that was not paused as hung.
+    fn finish(&mut self, sent: usize) {
+        let sent = &mut self.sent[sent];
+        sent.finals += 1;
+        let deadline = sent.at + Duration::from_millis(DEADLINE_MS);
+        let due = deadline.max(self.entries[sent.gateway].woke) + BOUND;
+        self.result.hung += u64::from(self.now > due);
+    }
+
     fn leave(&mut self, s: usize) {
         let sent = &mut self.sent[s];
         if sent.finals > 0 || sent.gone {
