bench: at-most-once, retries and relay experiments

The stand-in for an agent moves to testutils, so that the gateway's tests and the relay experiment share it.

--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -1,6 +1,9 @@
 //! The experiments, one file each.
 
 mod fold;
+mod once;
+mod relay;
+mod retries;
 
 use crate::figure::{Figure, Options};
 
@@ -18,7 +21,12 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[fold::EXPERIMENT];
+pub const ALL: &[Experiment] = &[
+    fold::EXPERIMENT,
+    once::EXPERIMENT,
+    retries::EXPERIMENT,
+    relay::EXPERIMENT,
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- /dev/null
+++ b/bench/src/experiments/once.rs
@@ -0,0 +1,47 @@
+//! Non-idempotent work under seeded fault schedules.
+
+use hemlock_lib::chart::Charts;
+use hemlock_testutils::schedule::{self, Outcome};
+
+use super::Experiment;
+use crate::figure::{Figure, Options};
+
+/// Schedules of one run; `--repeats` runs more of them.
+const SCHEDULES: u64 = 4_000;
+
+/// The experiment.
+pub(super) const EXPERIMENT: Experiment = Experiment {
+    name: "once",
+    about: "Duplicate runs, wrong answers and untrue refusals over fault schedules",
+    timed: false,
+    run,
+};
+
+fn run(options: &Options) -> Vec<Figure> {
+    let charts = Charts::built_in().expect("the built-in charts are sound");
+    let mut total = Outcome::default();
+    let first = options.seed * 1_000_000;
+    for seed in first..first + SCHEDULES * u64::from(options.repeats) {
+        total.add(&schedule::run(seed, &charts));
+    }
+    let mut figures: Vec<Figure> = [
+        ("schedules", SCHEDULES * u64::from(options.repeats)),
+        ("duplicates", total.duplicates),
+        ("wrong", total.wrong),
+        ("untrue", total.untrue),
+        ("repeated", total.repeated),
+        ("hung", total.hung),
+        ("sends", total.sends),
+        ("ran", total.ran),
+        ("answered", total.answered),
+        ("replayed", total.replayed),
+    ]
+    .into_iter()
+    .map(|(name, count)| Figure::new(format!("once.{name}"), count as f64, ""))
+    .collect();
+    for (code, count) in &total.refused {
+        let name = format!("once.refused.{}", code.number());
+        figures.push(Figure::new(name, *count as f64, ""));
+    }
+    figures
+}
--- a/gateway/tests/test_services.rs
+++ b/gateway/tests/test_services.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use hemlock_testutils::agent::LogFault;
 use uuid::Uuid;
 
-use crate::site::{AUTH, Act, Endpoint, LogFault, Reply, Site};
+use crate::site::{AUTH, Act, Endpoint, Reply, Site};
 
 const CALL: &str = "/v1/services/portal-app/claims";
 
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform, model engines and plain services, for tests and the demo.
 
+pub mod agent;
 pub mod caller;
 pub mod engine;
 pub mod invariants;
--- a/testutils/src/schedule.rs
+++ b/testutils/src/schedule.rs
@@ -582,7 +582,7 @@
             Fate::Answer => {
                 let answer = self.right_answer(sent);
                 // The task of the request hands the answer on unless it was told of a refusal.
-                if self.sent[sent].finals == 0 {
+                if self.sent[sent].finals == 0 && !self.sent[sent].gone {
                     self.result.answered += 1;
                     self.answered(&request, &answer);
                 }
