--- a/bench/src/experiments/relay.rs
+++ b/bench/src/experiments/relay.rs
@@ -77,8 +77,12 @@
             format!("{gateway_url}/v1/chat/completions"),
             chat_call(),
         );
-        let name = format!("relay.stream_bytes.{streams}");
-        figures.push(Figure::new(name, through - direct, "B a stream"));
+        for (way, (held, bytes)) in [("direct", direct), ("gateway", through)] {
+            let name = format!("relay.streams.{way}.{streams}");
+            figures.push(Figure::new(name, held as f64, "open"));
+            let name = format!("relay.stream_bytes.{way}.{streams}");
+            figures.push(Figure::new(name, bytes, "B a stream"));
+        }
     }
     gateway.stop();
     agent.stop();
@@ -195,7 +199,7 @@
         "attempt": "direct/1",
         "replica": {"shard": "riverside", "seq": 1},
         "prompt": "hello",
-        "max_tokens": 100_000,
+        "max_tokens": 1_000,
         "resume_from": 0,
         "priority": 0,
     })
@@ -206,14 +210,15 @@
     serde_json::json!({
         "model": GROUP,
         "stream": true,
-        "max_tokens": 100_000,
+        "max_tokens": 1_000,
         "messages": [{"role": "user", "content": "hello"}],
     })
     .to_string()
 }
 
-/// Returns the resident bytes that each of `streams` open streams adds to this process.
-fn memory(streams: usize, url: String, body: String) -> f64 {
+/// Returns how many of `streams` streams were opened, and the resident bytes that each adds to this
+/// process.
+fn memory(streams: usize, url: String, body: String) -> (usize, f64) {
     caller::block_on("relay-memory", async move || {
         let before = resident();
         let mut open = Vec::new();
@@ -231,7 +236,7 @@
         let grown = resident().saturating_sub(before);
         drop(open);
         ntex::time::sleep(Millis(1_500)).await;
-        grown as f64 / held.max(1) as f64
+        (held, grown as f64 / held.max(1) as f64)
     })
 }
 
--- a/testutils/src/agent.rs
+++ b/testutils/src/agent.rs
@@ -276,7 +276,7 @@
         ),
         row(
             RowKey::Service(SERVICE.into()),
-            Row::Service(ServiceRow { slots: 16 }),
+            Row::Service(ServiceRow { slots: 100_000 }),
         ),
     ];
     for key in KEYS {
