--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -1,6 +1,7 @@
 //! The agent daemon: threads and sockets around [`hemlock_lib::agent::Agent`].
 
 mod board;
+mod gauges;
 mod links;
 mod mind;
 mod routes;
@@ -18,8 +19,10 @@
 use hemlock_lib::ids::Incarnation;
 use hemlock_lib::members::Member;
 use hemlock_lib::probe::ProbeConfig;
+use hemlock_lib::restate::RestateConfig;
 use hemlock_lib::seal::KeyRing;
 use hemlock_lib::settings::Settings;
+use hemlock_wire::metrics::Metrics;
 use hemlock_wire::server::{self, Server};
 use hemlock_wire::{clock, notify};
 
@@ -36,11 +39,19 @@
     bound: Duration::from_millis(2_000),
 };
 const GOSSIP: GossipConfig = GossipConfig {
-    every: Duration::from_millis(300),
-    fanout: 3,
-    beats: 16,
-    bound: Duration::from_millis(2_500),
+    every: Duration::from_millis(500),
+    ack: Duration::from_millis(200),
+    suspicion: Duration::from_millis(1_500),
+    relays: 3,
+    beats: 8,
+    fanout: 6,
+    reports: Duration::from_millis(600),
+    payload: 1_150,
 };
+/// Silence after which an entry VM that never announced its leave is removed.
+const SILENCE: Duration = Duration::from_secs(120);
+/// Age from which a claimed key is dropped: the time a key is good for, twice, and clock error.
+const CLAIM_LIFE: Duration = Duration::from_secs(3 * 3_600);
 
 /// A running agent.
 #[derive(Debug)]
@@ -68,17 +79,19 @@
 
 /// Starts an agent and returns once its addresses are bound.
 pub fn spawn(settings: &Settings, charts: &Charts, keys: KeyRing) -> io::Result<AgentHandle> {
-    let listener = server::bind(&settings.agent.listen)?;
-    let socket = Arc::new(UdpSocket::bind(&settings.agent.gossip)?);
+    let listener = server::bind(&settings.agent.listen).map_err(named(&settings.agent.listen))?;
+    let gossip = &settings.agent.gossip;
+    let socket = Arc::new(UdpSocket::bind(gossip).map_err(named(gossip))?);
     socket.set_read_timeout(Some(Duration::from_millis(200)))?;
     let (events, ring) = crossbeam_channel::bounded(RING);
     let board = Arc::new(Board::default());
     let agent = Agent::new(config(settings, keys), charts);
     let (calls, call_ring) = async_channel::bounded(RING);
+    let metrics = Metrics::open(settings.metrics.statsd.as_deref(), &settings.entry)?;
     let threads = vec![
         links::spawn_calls(settings.platform.clone(), call_ring, events.clone())?,
         links::spawn_datagrams(Arc::clone(&socket), events.clone())?,
-        spawn_mind(agent, ring, calls, socket, Arc::clone(&board))?,
+        spawn_mind(agent, ring, calls, socket, Arc::clone(&board), metrics)?,
     ];
     let state = routes::State {
         events: events.clone(),
@@ -103,10 +116,11 @@
     calls: async_channel::Sender<links::Call>,
     socket: Arc<UdpSocket>,
     board: Arc<Board>,
+    metrics: Metrics,
 ) -> io::Result<JoinHandle<()>> {
     std::thread::Builder::new()
         .name("agent-mind".to_owned())
-        .spawn(move || mind::Mind::new(agent, calls, socket, board).run(&ring))
+        .spawn(move || mind::Mind::new(agent, calls, socket, board, metrics).run(&ring))
 }
 
 fn config(settings: &Settings, keys: KeyRing) -> AgentConfig {
@@ -126,11 +140,18 @@
         partitions: settings.agent.partitions,
         probe: PROBE,
         gossip: GOSSIP,
+        restate: RestateConfig::new(Duration::from_secs(settings.agent.retention_s), CLAIM_LIFE),
+        silence: SILENCE,
+        peers: settings.agent.peers.clone(),
         keys,
         seed: run.0 ^ hemlock_lib::rendezvous::score(settings.entry.as_str().as_bytes(), b"seed"),
     }
 }
 
+fn named(address: &str) -> impl Fn(io::Error) -> io::Error {
+    move |e| io::Error::new(e.kind(), format!("can't listen on {address}: {e}"))
+}
+
 async fn wait_change(changed: async_channel::Receiver<()>, wait: Duration) {
     notify::wait(changed, wait).await;
 }
--- a/agent/src/routes.rs
+++ b/agent/src/routes.rs
@@ -42,10 +42,12 @@
     config
         .route("/v1/view", web::get().to(view))
         .route("/v1/submit", web::post().to(submit))
+        .route("/v1/states", web::get().to(states))
         .route("/v1/spare", web::post().to(spare))
         .route("/v1/suspicions", web::post().to(suspicions))
         .route("/v1/leave", web::post().to(leave))
-        .route("/healthz", web::get().to(health));
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready));
 }
 
 async fn view(state: types::State<State>, query: types::Query<ViewQuery>) -> HttpResponse {
@@ -82,6 +84,17 @@
     HttpResponse::Ok().body(codec::encode(&settled))
 }
 
+async fn states(state: types::State<State>) -> HttpResponse {
+    let (reply, states) = async_channel::bounded(1);
+    if state.events.try_send(Event::States(reply)).is_err() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match states.recv().await {
+        Ok(states) => HttpResponse::Ok().body(codec::encode(&states)),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 async fn spare(state: types::State<State>, body: Bytes) -> HttpResponse {
     let Ok(spare) = codec::decode::<f64>(&body) else {
         return HttpResponse::BadRequest().finish();
@@ -108,3 +121,11 @@
 async fn health() -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
 }
+
+async fn ready(state: types::State<State>) -> HttpResponse {
+    if state.board.ready() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("neither the log nor a peer answers\n")
+    }
+}
--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -1,9 +1,13 @@
 //! The experiments, one file each.
 
+mod decision_cost;
 mod fold;
+mod limits;
 mod once;
 mod relay;
 mod retries;
+mod routing;
+mod shares;
 
 use crate::figure::{Figure, Options};
 
@@ -26,6 +30,12 @@
     once::EXPERIMENT,
     retries::EXPERIMENT,
     relay::EXPERIMENT,
+    decision_cost::TIMED,
+    decision_cost::COUNTED,
+    fold::EXPERIMENT,
+    limits::EXPERIMENT,
+    routing::EXPERIMENT,
+    shares::EXPERIMENT,
 ];
 
 /// Returns the experiment with this name.
--- a/gateway/src/drive.rs
+++ b/gateway/src/drive.rs
@@ -10,6 +10,7 @@
 use hemlock_lib::codes::{Code, Ran};
 use hemlock_lib::gateway::{Arrival, FailReason, Input};
 use hemlock_lib::ids::{AttemptId, RequestId};
+use hemlock_lib::stream::DropReason;
 
 use crate::body::Refusal;
 use crate::mind::{Decision, Event};
@@ -44,6 +45,13 @@
     }
 }
 
+/// Tells the state machine how an attempt goes on, while its task is busy with it.
+#[derive(Debug, Clone)]
+pub(crate) struct Reporter {
+    request: RequestId,
+    events: Sender<Event>,
+}
+
 /// A request under way; dropping it before its end tells the state machine that the caller left.
 #[derive(Debug)]
 pub(crate) struct Driven {
@@ -54,6 +62,19 @@
     ended: bool,
 }
 
+impl Reporter {
+    /// Tells how many pieces an attempt has given; this may be lost when the ring is full.
+    pub(crate) fn progress(&self, attempt: AttemptId, pieces: u64) {
+        let input = Input::Progress(self.request.clone(), attempt, pieces);
+        let _ = self.events.try_send(Event::Input(input));
+    }
+
+    /// Tells that a chunk was dropped, so that it is counted.
+    pub(crate) fn dropped(&self, reason: DropReason) {
+        let _ = self.events.try_send(Event::Dropped(reason));
+    }
+}
+
 impl Driven {
     /// Hands the request to the state machine; fails if that has stopped or is swamped.
     pub(crate) fn start(events: &Sender<Event>, arrival: Arrival) -> Result<Self, Code> {
@@ -78,6 +99,14 @@
         &self.request
     }
 
+    /// Returns what tells the state machine of an attempt's progress.
+    pub(crate) fn reporter(&self) -> Reporter {
+        Reporter {
+            request: self.request.clone(),
+            events: self.events.clone(),
+        }
+    }
+
     /// Waits for the next decision.
     ///
     /// A state machine that has stopped refuses; it surely did not run what was never dispatched.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod body;
 mod drive;
+mod gauges;
 mod mind;
 mod model;
 mod routes;
 mod service;
+mod slices;
 
 use std::io;
 use std::thread::JoinHandle;
@@ -16,8 +18,10 @@
 use hemlock_lib::claims::Owner;
 use hemlock_lib::gateway::{Gateway, GatewayConfig, Input};
 use hemlock_lib::ids::Incarnation;
+use hemlock_lib::seal::KeyRing;
 use hemlock_lib::settings::Settings;
 use hemlock_lib::stopping::{Phase, Stopping};
+use hemlock_wire::metrics::Metrics;
 use hemlock_wire::server::{self, Server};
 use hemlock_wire::{agent, caller, clock, follower};
 
@@ -118,12 +122,29 @@
     }
 }
 
-/// Starts a gateway and returns once its address is bound.
+/// Starts a gateway that takes an even part of the account limits, and returns once its address is
+/// bound.
 pub fn spawn(settings: &Settings, charts: &Charts) -> io::Result<GatewayHandle> {
+    start(settings, charts, None)
+}
+
+/// Starts a gateway that shares the account limits with the others by slices, and returns once its
+/// address is bound.
+pub fn spawn_sharing(
+    settings: &Settings,
+    charts: &Charts,
+    keys: KeyRing,
+) -> io::Result<GatewayHandle> {
+    start(settings, charts, Some(keys))
+}
+
+fn start(settings: &Settings, charts: &Charts, keys: Option<KeyRing>) -> io::Result<GatewayHandle> {
     let listener = server::bind(&settings.gateway.listen)?;
     let (events, ring) = crossbeam_channel::bounded(RING);
     let (calls, call_ring) = async_channel::bounded(RING);
     let gateway = Gateway::new(config(settings), charts);
+    let metrics = Metrics::open(settings.metrics.statsd.as_deref(), &settings.entry)?;
+    let mind_keys = keys.clone();
     let views = events.clone();
     let on_view = move |view: Option<_>| {
         let input = view.map_or(Input::ViewLost, Input::View);
@@ -136,13 +157,17 @@
         mind::spawn_calls(agent.clone(), call_ring, events.clone())?,
         std::thread::Builder::new()
             .name("gateway-mind".to_owned())
-            .spawn(move || mind::Mind::new(gateway, calls, keep_for).run(&ring))?,
+            .spawn(move || {
+                let mind = mind::Mind::new(gateway, calls, metrics, keep_for);
+                mind.with_keys(mind_keys).run(&ring);
+            })?,
     ];
     let unread = Unread::default();
     let state = routes::State {
         events: events.clone(),
         limit: settings.gateway.body_limit,
         unread: unread.clone(),
+        keys,
     };
     let workers = settings.gateway.workers;
     let server = server::spawn("gateway-http", listener, workers, state, routes::configure)?;
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -14,15 +14,23 @@
 use hemlock_lib::ids::{AccountId, AttemptId, DomainId, ReplicaId, RequestId};
 use hemlock_lib::once::Change;
 use hemlock_lib::peers::{Settled, Submit, Suspicion};
+use hemlock_lib::seal::KeyRing;
+use hemlock_lib::slices::{ASK_EVERY, SliceAsk, SliceReply};
+use hemlock_lib::stream::DropReason;
 use hemlock_lib::view::View;
+use hemlock_wire::metrics::Metrics;
 use hemlock_wire::{agent, clock};
 use uuid::Uuid;
 
 use crate::body::Refusal;
+use crate::gauges::Gauges;
+use crate::slices;
 
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two reports of spare capacity to the agent.
 const SPARE_TICKS: u32 = 50;
+/// Ticks between two asks for slices of account limits.
+const SLICE_TICKS: u32 = (ASK_EVERY.as_millis() / TICK.as_millis()) as u32;
 const CLAIM_WAIT: Duration = Duration::from_secs(3);
 const SPARE_WAIT: Duration = Duration::from_secs(1);
 
@@ -60,6 +68,14 @@
         key_hash: String,
         reply: async_channel::Sender<KeyStatus>,
     },
+    /// A chunk of an answer was dropped.
+    Dropped(DropReason),
+    /// Whether this gateway has a view to work from.
+    Ready(async_channel::Sender<bool>),
+    /// Another gateway asks for slices of account limits.
+    Slices(SliceAsk, async_channel::Sender<Option<SliceReply>>),
+    /// A home replied to an ask for slices.
+    SliceReply(SliceReply),
     /// How many requests and unsettled claims are open.
     CountOpen(Sender<usize>),
     /// Stop.
@@ -74,6 +90,7 @@
     Suspect(Suspicion),
     KeyStatus(Uuid, async_channel::Sender<Settled>),
     Spare(f64),
+    Slices(String, SliceAsk, KeyRing),
 }
 
 /// What a gateway knows of a key before it asks the agent.
@@ -90,6 +107,8 @@
 pub(crate) struct Mind {
     gateway: Gateway,
     calls: async_channel::Sender<Call>,
+    gauges: Gauges,
+    keys: Option<KeyRing>,
     waiting: BTreeMap<RequestId, async_channel::Sender<Decision>>,
     out: Vec<Output>,
     ticks: u32,
@@ -100,11 +119,14 @@
     pub(crate) fn new(
         gateway: Gateway,
         calls: async_channel::Sender<Call>,
+        metrics: Metrics,
         keep_for: Duration,
     ) -> Self {
         Self {
             gateway,
             calls,
+            gauges: Gauges::new(metrics),
+            keys: None,
             waiting: BTreeMap::new(),
             out: Vec::new(),
             ticks: 0,
@@ -112,6 +134,15 @@
         }
     }
 
+    /// Shares account limits with other gateways, if there are keys to seal the messages.
+    pub(crate) fn with_keys(mut self, keys: Option<KeyRing>) -> Self {
+        if keys.is_some() {
+            self.gateway = self.gateway.with_slices();
+        }
+        self.keys = keys;
+        self
+    }
+
     /// Runs until told to stop.
     pub(crate) fn run(mut self, ring: &Receiver<Event>) {
         let mut tick = Instant::now();
@@ -134,6 +165,15 @@
                     key_hash,
                     reply,
                 }) => self.key_status(key, &key_hash, &reply),
+                Ok(Event::Dropped(reason)) => self.gauges.count_dropped(reason),
+                Ok(Event::Ready(reply)) => {
+                    let _ = reply.try_send(self.gateway.view().is_some());
+                }
+                Ok(Event::Slices(ask, reply)) => {
+                    let answer = self.gateway.answer_slices(clock::now(), &ask);
+                    let _ = reply.try_send(answer);
+                }
+                Ok(Event::SliceReply(reply)) => self.gateway.take_slices(&reply),
                 Ok(Event::CountOpen(reply)) => {
                     let _ = reply.send(self.gateway.open() + self.gateway.unsettled());
                 }
@@ -184,8 +224,15 @@
     fn tick(&mut self) {
         self.step(Input::Tick);
         self.ticks += 1;
+        if let Some(keys) = &self.keys
+            && self.ticks.is_multiple_of(SLICE_TICKS)
+        {
+            slices::ask(&mut self.gateway, clock::now(), keys, &self.calls);
+        }
         if self.ticks.is_multiple_of(SPARE_TICKS) {
             let _ = self.calls.try_send(Call::Spare(self.gateway.spare()));
+            self.gauges
+                .report(self.gateway.open(), self.gateway.spare());
         }
     }
 
@@ -193,6 +240,7 @@
         if let Input::Left(request) | Input::Finished(request, ..) = &input {
             self.waiting.remove(request);
         }
+        self.gauges.count_input(&input);
         let mut out = std::mem::take(&mut self.out);
         self.gateway.step(clock::now(), input, &mut out);
         for output in out.drain(..) {
@@ -202,6 +250,7 @@
     }
 
     fn carry_out(&mut self, output: Output) {
+        self.gauges.count(&output);
         match output {
             Output::Dispatch {
                 request,
@@ -321,6 +370,7 @@
             let submit = Submit::ClaimStatus { key };
             let _ = reply.try_send(agent::submit(agent, &submit, CLAIM_WAIT).await);
         }
+        Call::Slices(address, ask, keys) => slices::send(&address, &ask, &keys, events).await,
         Call::Spare(spare) => drop(agent::spare(agent, spare, SPARE_WAIT).await),
     }
 }
--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -15,7 +15,7 @@
 use serde_bytes::ByteBuf;
 
 use crate::body::{KeptText, Refusal};
-use crate::drive::Driven;
+use crate::drive::{Driven, Reporter};
 use crate::mind::Decision;
 
 /// Pieces that wait for a slow caller at most.
@@ -24,6 +24,8 @@
 const STALL: Duration = Duration::from_secs(3);
 /// Time that a slow caller may hold a full buffer.
 const SLOW_CALLER: Duration = Duration::from_secs(10);
+/// Pieces between two reports of an attempt's progress.
+const PROGRESS_PIECES: u64 = 32;
 /// Largest event of an engine in bytes.
 const EVENT_LIMIT: usize = 256 << 10;
 
@@ -120,7 +122,11 @@
             answering: &mut self.answering,
             kept: &mut self.kept,
             parts: &self.parts,
+            from: 0,
+            attempt,
+            reporter: self.driven.reporter(),
         };
+        chunks.from = chunks.answering.delivered();
         let reading = chunks.read(&name, address, replica);
         match self.driven.during(reading).await {
             Err(Decision::Refuse(refusal)) => {
@@ -178,6 +184,10 @@
     answering: &'a mut Answering,
     kept: &'a mut KeptText,
     parts: &'a Sender<Part>,
+    /// Pieces delivered before this attempt.
+    from: u64,
+    attempt: AttemptId,
+    reporter: Reporter,
 }
 
 impl Chunks<'_> {
@@ -230,11 +240,21 @@
             return Some(End::Failed(FailReason::Malformed));
         }
         match self.answering.take(chunk) {
-            Piece::Deliver(text) => self.deliver(text).await.err(),
+            Piece::Deliver(text) => {
+                let pieces = self.answering.delivered() - self.from;
+                if pieces % PROGRESS_PIECES == 1 {
+                    self.reporter.progress(self.attempt, pieces);
+                }
+                self.deliver(text).await.err()
+            }
             Piece::Done => Some(End::Done),
-            Piece::Drop(DropReason::Gap) => Some(End::Failed(FailReason::Malformed)),
+            Piece::Drop(DropReason::Gap) => {
+                self.reporter.dropped(DropReason::Gap);
+                Some(End::Failed(FailReason::Malformed))
+            }
             Piece::Drop(reason) => {
-                log::info!("event=drop attempt={name} reason={}", reason.name());
+                log::debug!("event=drop attempt={name} reason={}", reason.name());
+                self.reporter.dropped(reason);
                 None
             }
         }
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -4,10 +4,11 @@
 
 use crossbeam_channel::Sender;
 use hemlock_lib::codes::{Code, Ran};
-use hemlock_lib::gateway::{Arrival, Target};
+use hemlock_lib::gateway::{Arrival, Hint, Target};
 use hemlock_lib::hash;
 use hemlock_lib::ids::{AccountId, RequestId};
 use hemlock_lib::peers::Settled;
+use hemlock_lib::seal::KeyRing;
 use hemlock_wire::clock;
 use ntex::http::Method;
 use ntex::time::Millis;
@@ -21,6 +22,7 @@
 use crate::mind::Event;
 use crate::model::{self, PIECES, Part, Question};
 use crate::service::{self, Pass};
+use crate::slices;
 
 /// Time that a request has when its caller names no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
@@ -39,6 +41,7 @@
     pub(crate) events: Sender<Event>,
     pub(crate) limit: usize,
     pub(crate) unread: Unread,
+    pub(crate) keys: Option<KeyRing>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -55,7 +58,9 @@
         .route("/v1/chat/completions", web::to(chat))
         .route("/v1/services/{service}/{path}*", web::to(pass))
         .route("/v1/keys/{key}", web::to(key_status))
+        .route(slices::PATH, web::post().to(slices::answer))
         .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready))
         .route("/{path}*", web::to(unknown));
 }
 
@@ -63,6 +68,16 @@
     HttpResponse::Ok().body("ok\n")
 }
 
+async fn ready(state: types::State<State>) -> HttpResponse {
+    let (reply, answer) = async_channel::bounded(1);
+    let asked = state.events.try_send(Event::Ready(reply)).is_ok();
+    if asked && answer.recv().await.unwrap_or(false) {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("no agent answers\n")
+    }
+}
+
 async fn unknown() -> HttpResponse {
     refuse(Code::UnknownPath)
 }
@@ -167,8 +182,12 @@
     };
     let target = Target::Model(call.model.as_str().into());
     let print = fingerprint(&request, &payload);
+    let priority = number(&request, "x-priority").ok().flatten().unwrap_or(0);
     let arrival = match arrival(&request, target, call.tokens(), once, print) {
-        Ok(arrival) => arrival,
+        Ok(arrival) => Arrival {
+            hint: call.hint(priority),
+            ..arrival
+        },
         Err(code) => return refuse(code),
     };
     let driven = match Driven::start(&state.events, arrival) {
@@ -179,7 +198,7 @@
     let question = Question {
         prompt: call.prompt(),
         max_tokens: call.max_tokens(),
-        priority: number(&request, "x-priority").ok().flatten().unwrap_or(0),
+        priority,
         once: once.is_some(),
     };
     let (sender, parts) = async_channel::bounded(PIECES);
@@ -383,6 +402,7 @@
         deadline: clock::now() + deadline.unwrap_or(DEFAULT_DEADLINE),
         once,
         body,
+        hint: Hint::default(),
     })
 }
 
--- a/lib/src/attempts.rs
+++ b/lib/src/attempts.rs
@@ -1,22 +1,26 @@
 //! Requests from their claim to their final answer: attempts, retries, claims and refusals.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use uuid::Uuid;
 
 use crate::claims::{Answer, Binding, ClaimChange, ClaimId};
 use crate::codes::{Code, Ran};
+use crate::dispatch::{Dispatcher, Sent};
 use crate::gateway::{Attempt, FailReason, Gateway, Output, RETRY_AFTER, Request, Target};
 use crate::ids::{AccountId, AttemptId, RequestId, VmId};
 use crate::once::{self, Change, Held};
 use crate::peers::{Settled, Suspicion};
 use crate::retry::Next;
-use crate::router::Candidate;
-use crate::suspicion::{Suspects, TRIAL_TIME};
+use crate::suspicion::{Suspects, TRIAL_TIME, Verdict};
 use crate::time::Time;
+use crate::view::View;
 
 /// Time for which a VM is avoided that broke off or was not reached; its probers tell more by then.
 const AVOID: Duration = Duration::from_secs(1);
+/// Time for which a VM is avoided that refused a request.
+const AVOID_FULL: Duration = Duration::from_millis(100);
 /// Wait before a caller tries a request again that is under suspicion.
 const SUSPECT_AFTER: Duration = Duration::from_secs(5);
 
@@ -31,7 +35,13 @@
             self.deadlines.remove(&(deadline, id));
         }
         out.extend(self.unsettled.due(now).into_iter().map(Output::Settle));
+        let before = self.avoided.len();
         self.avoided.retain(|_, until| now < *until);
+        if self.avoided.len() < before
+            && let Some(view) = self.view.clone()
+        {
+            self.refresh(now, &view);
+        }
     }
 
     /// Returns the wait that callers are told with a refusal.
@@ -59,8 +69,8 @@
 
     /// Claims the key of a request.
     pub(crate) fn claim(&mut self, id: &RequestId, key: Uuid, out: &mut Vec<Output>) {
-        self.next += 1;
-        let claim = ClaimId(self.next);
+        self.claims += 1;
+        let claim = ClaimId(self.claims);
         self.advance(id, "claim");
         let Some(request) = self.requests.get_mut(id) else {
             return;
@@ -103,7 +113,7 @@
         match outcome {
             None => {
                 self.advance(id, "claimed");
-                self.queue.push_back(id.clone());
+                self.enqueue(id, out);
             }
             Some(Held::Refuse(_)) if released => {
                 self.refuse(now, id, Code::ClaimUnavailable, out);
@@ -127,13 +137,17 @@
         out: &mut Vec<Output>,
     ) {
         let since = self.trials.get(id).map(|(_, since)| *since);
-        let Some(mut ended) = self.end_attempt(id, attempt) else {
+        let Some(mut ended) = self.end_attempt(id, attempt, false) else {
             return;
         };
         let young = since.is_some_and(|since| now.since(since) < TRIAL_TIME);
-        ended.alone &= young || self.dispatched.requests(&ended.vm) == 0;
+        let others = self.trials.values().any(|(vm, _)| *vm == ended.vm);
+        ended.alone &= young || !others;
         if matches!(reason, FailReason::Connect | FailReason::Broken) {
-            self.avoided.insert(ended.vm.clone(), now + AVOID);
+            self.avoid(now, &ended.vm, AVOID);
+        }
+        if reason == FailReason::Refused {
+            self.avoid(now, &ended.vm, AVOID_FULL);
         }
         if reason == FailReason::Broken {
             self.suspect(now, id, &ended, out);
@@ -160,7 +174,7 @@
             Next::Retry => {
                 out.push(Output::Retry(id.clone(), reason));
                 self.advance(id, "failed");
-                self.queue.push_front(id.clone());
+                self.enqueue_front(id);
             }
         }
     }
@@ -174,7 +188,7 @@
         answer: Option<Answer>,
         out: &mut Vec<Output>,
     ) {
-        if self.end_attempt(id, attempt).is_none() {
+        if self.end_attempt(id, attempt, true).is_none() {
             return;
         }
         self.advance(id, "finish");
@@ -191,7 +205,7 @@
     pub(crate) fn left(&mut self, now: Time, id: &RequestId, out: &mut Vec<Output>) {
         self.cancel_attempt(id);
         self.advance(id, "cancel");
-        self.queue.retain(|q| q != id);
+        self.unqueue(id);
         if let Some(request) = self.forget(id) {
             self.give_up_claim(now, &request, out);
         }
@@ -199,9 +213,21 @@
 
     /// Gives a request its final refusal.
     pub(crate) fn refuse(&mut self, now: Time, id: &RequestId, code: Code, out: &mut Vec<Output>) {
+        self.refuse_after(now, id, code, self.wait_after(code), out);
+    }
+
+    /// Gives a request its final refusal, and says when it may be sent again.
+    pub(crate) fn refuse_after(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        code: Code,
+        after: Duration,
+        out: &mut Vec<Output>,
+    ) {
         self.cancel_attempt(id);
         self.advance(id, "refuse");
-        self.queue.retain(|q| q != id);
+        self.unqueue(id);
         let Some(request) = self.forget(id) else {
             return;
         };
@@ -214,47 +240,114 @@
             request: id.clone(),
             code,
             ran: if of_key { code.ran() } else { request.ran },
-            after: self.wait_after(code),
+            after,
         });
     }
 
-    /// Returns the candidate on which a suspect may run alone now, if there is one.
-    pub(crate) fn trial_candidate<'a>(
-        &self,
+    /// Takes the endpoints of a view, but for those that failed lately or run suspects.
+    pub(crate) fn refresh(&mut self, now: Time, view: &View) {
+        let mut avoided: BTreeSet<VmId> = self.avoided.keys().cloned().collect();
+        if self.suspects.any() {
+            let domain = &self.config.domain;
+            for (group, _) in view.table.groups() {
+                let target = Target::Model(group.clone());
+                let vms = Dispatcher::vms(now, view, domain, &target);
+                avoided.extend(self.suspects.tried(now, &vms));
+            }
+        }
+        self.dispatcher.refresh(now, view, &avoided);
+    }
+
+    /// Returns whether a request with this fingerprint is refused for the crashes it caused.
+    pub(crate) fn is_refused(&self, now: Time, view: &View, print: u64) -> bool {
+        let me = &self.config.owner.entry;
+        let verdict = self.suspects.verdict(now, view, me, print);
+        matches!(verdict, Verdict::Convicted(_) | Verdict::Elsewhere)
+    }
+
+    /// Judges an open request.
+    pub(crate) fn verdict(&self, now: Time, id: &RequestId) -> Verdict {
+        let (Some(view), Some(request)) = (&self.view, self.requests.get(id)) else {
+            return Verdict::Clear;
+        };
+        let me = &self.config.owner.entry;
+        self.suspects.verdict(now, view, me, request.print)
+    }
+
+    /// Holds a request back from the queue if it is under suspicion.
+    pub(crate) fn hold(&mut self, id: &RequestId) -> bool {
+        let suspect = self.verdict(self.now, id) != Verdict::Clear;
+        if suspect && !self.held.contains(id) {
+            self.held.push(id.clone());
+        }
+        suspect
+    }
+
+    /// Holds back or refuses a request that came under suspicion while it waited.
+    pub(crate) fn divert(
+        &mut self,
         now: Time,
-        from: Time,
-        candidates: &'a [Candidate],
-    ) -> Option<&'a Candidate> {
-        if now < from {
-            return None;
+        id: &RequestId,
+        verdict: Verdict,
+        out: &mut Vec<Output>,
+    ) {
+        match verdict {
+            Verdict::Clear => self.enqueue_front(id),
+            Verdict::Suspect(_) => drop(self.hold(id)),
+            Verdict::Elsewhere | Verdict::Convicted(_) => {
+                self.refuse(now, id, Code::Suspect, out);
+            }
         }
-        let vms = Suspects::trial_vms(&self.config.owner.entry, candidates);
-        candidates.iter().find(|c| {
-            vms.contains(&&c.vm) && !self.is_avoided(now, &c.vm) && self.is_spared(now, c)
-        })
     }
 
-    /// Returns whether a VM runs nothing but suspects that have run for a while.
-    fn is_spared(&self, now: Time, candidate: &Candidate) -> bool {
-        let here = self.trials.values().filter(|(vm, _)| *vm == candidate.vm);
-        let (trials, young) = here.fold((0, false), |(n, young), (_, since)| {
-            (n + 1, young || now.since(*since) < TRIAL_TIME)
-        });
-        let idle = trials > 0 || candidate.reported == 0;
-        idle && !young && self.dispatched.requests(&candidate.vm) == trials
+    /// Runs the suspects that may run now, each alone.
+    pub(crate) fn run_trials(&mut self, now: Time, out: &mut Vec<Output>) {
+        for id in std::mem::take(&mut self.held) {
+            match self.verdict(now, &id) {
+                Verdict::Suspect(from) if now < from => self.held.push(id),
+                Verdict::Suspect(_) => match self.trial(now, &id) {
+                    Some(sent) => {
+                        self.trials.insert(id, (sent.vm.clone(), now));
+                        self.start_attempt(sent, true, out);
+                    }
+                    None => self.held.push(id),
+                },
+                verdict => self.divert(now, &id, verdict, out),
+            }
+        }
     }
 
-    /// Leaves out the VM of the last attempt and VMs that failed lately, unless no other is left.
-    pub(crate) fn avoid(&self, now: Time, id: &RequestId, candidates: &mut Vec<Candidate>) {
-        let last = self.requests.get(id).and_then(|r| r.last.as_ref());
-        let good = |c: &Candidate| Some(&c.vm) != last && !self.is_avoided(now, &c.vm);
-        if candidates.iter().any(good) {
-            candidates.retain(good);
+    fn trial(&mut self, now: Time, id: &RequestId) -> Option<Sent> {
+        let view = self.view.clone()?;
+        let target = self.requests.get(id)?.arrival.target.clone();
+        let all = Dispatcher::vms(now, &view, &self.config.domain, &target);
+        let vms = Suspects::trial_vms(&self.config.owner.entry, &all);
+        let (trials, avoided) = (&self.trials, &self.avoided);
+        let spared = |vm: &VmId| {
+            let here = trials.values().filter(|(at, _)| at == vm);
+            let young = here
+                .clone()
+                .any(|(_, since)| now.since(*since) < TRIAL_TIME);
+            let usable = vms.contains(&vm) && !young && !avoided.contains_key(vm);
+            usable.then(|| here.count() as u32)
+        };
+        self.dispatcher.send_alone(now, &view, &target, id, spared)
+    }
+
+    fn avoid(&mut self, now: Time, vm: &VmId, span: Duration) {
+        self.avoided.insert(vm.clone(), now + span);
+        if let Some(view) = self.view.clone() {
+            self.refresh(now, &view);
         }
     }
 
-    fn is_avoided(&self, now: Time, vm: &VmId) -> bool {
-        self.avoided.get(vm).is_some_and(|until| now < *until)
+    /// Takes a request out of the queue.
+    fn unqueue(&mut self, id: &RequestId) {
+        self.held.retain(|held| held != id);
+        if let Some(request) = self.requests.get(id) {
+            let target = request.arrival.target.clone();
+            self.dispatcher.leave(&target, id);
+        }
     }
 
     fn time_out(&mut self, now: Time, id: &RequestId, out: &mut Vec<Output>) {
@@ -314,16 +407,16 @@
         let Some(attempt) = running.map(|a| a.id) else {
             return;
         };
-        self.end_attempt(id, attempt);
+        self.end_attempt(id, attempt, false);
         if let Some(request) = self.requests.get_mut(id) {
             request.ran = Ran::Unknown;
         }
     }
 
-    fn end_attempt(&mut self, id: &RequestId, attempt: AttemptId) -> Option<Attempt> {
+    fn end_attempt(&mut self, id: &RequestId, attempt: AttemptId, whole: bool) -> Option<Attempt> {
         let request = self.requests.get_mut(id)?;
         let ended = request.attempt.take_if(|a| a.id == attempt)?;
-        self.dispatched.end(&ended.vm, request.arrival.tokens);
+        self.dispatcher.end(self.now, attempt, whole);
         self.trials.remove(id);
         Some(ended)
     }
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -7,6 +7,7 @@
 use uuid::Uuid;
 
 use crate::ids::{AccountId, EntryId, Incarnation, Nonce, Offset};
+use crate::peers::Settled;
 
 /// A gateway in one of its runs.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -103,6 +104,17 @@
 }
 
 impl Claim {
+    /// Returns what a request for the key is told.
+    pub fn taken(&self) -> Settled {
+        Settled::ClaimTaken {
+            owner: self.owner.clone(),
+            claim: self.claim,
+            binding: self.binding.clone(),
+            answer: self.answer.clone(),
+            closed: self.closed,
+        }
+    }
+
     /// Returns whether its work has ended, so that it can't be released.
     fn ended(&self) -> bool {
         self.answer.is_some() || self.closed.is_some()
@@ -120,15 +132,23 @@
     }
 }
 
-/// Says that a record was ignored, since another claim stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ClaimTaken;
+/// Says why a record was ignored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimRefusal {
+    /// Another claim stands, or there is none to release or finish.
+    Taken,
+    /// The key lies before the horizon, so whether it was claimed is no longer known.
+    Expired,
+}
 
 /// The folded claims of one partition.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claims {
     /// Offset of the next record to fold.
     pub next: Offset,
+    /// Keys made before this time, in milliseconds since the Unix epoch, can't be claimed.
+    #[serde(default)]
+    pub horizon_ms: u64,
     claims: BTreeMap<Uuid, Claim>,
     /// Claims released before their own record came.
     #[serde(default)]
@@ -137,13 +157,16 @@
 
 impl Claims {
     /// Folds the record at `offset`, which every reader accepts or ignores alike.
-    pub fn fold(&mut self, offset: Offset, record: &ClaimRecord) -> Result<(), ClaimTaken> {
+    pub fn fold(&mut self, offset: Offset, record: &ClaimRecord) -> Result<(), ClaimRefusal> {
         self.next = Offset(offset.0 + 1);
+        if made_ms(&record.key) < self.horizon_ms {
+            return Err(ClaimRefusal::Expired);
+        }
         let id = (record.key, record.owner.clone(), record.claim);
         let held = self.claims.get_mut(&record.key);
         let own = |c: &Claim| c.owner == record.owner && c.claim == record.claim;
         match (&record.change, held) {
-            (ClaimChange::Claim, None) if self.void.remove(&id) => Err(ClaimTaken),
+            (ClaimChange::Claim, None) if self.void.remove(&id) => Err(ClaimRefusal::Taken),
             (ClaimChange::Claim, None) => {
                 self.claims.insert(record.key, claim(offset, record));
                 Ok(())
@@ -152,7 +175,7 @@
                 self.claims.remove(&record.key);
                 Ok(())
             }
-            (ClaimChange::Release, Some(c)) if own(c) => Err(ClaimTaken),
+            (ClaimChange::Release, Some(c)) if own(c) => Err(ClaimRefusal::Taken),
             (ClaimChange::Release, _) => {
                 self.void.insert(id);
                 Ok(())
@@ -165,7 +188,19 @@
                 c.closed = Some(*ran || c.closed == Some(true));
                 Ok(())
             }
-            _ => Err(ClaimTaken),
+            _ => Err(ClaimRefusal::Taken),
+        }
+    }
+
+    /// Drops the claims on keys made before `horizon_ms`.
+    ///
+    /// Such keys can't be claimed any more, so that dropping a claim too early refuses work but
+    /// never runs it twice.
+    pub fn drop_before(&mut self, horizon_ms: u64) {
+        if horizon_ms > self.horizon_ms {
+            self.horizon_ms = horizon_ms;
+            self.claims.retain(|key, _| made_ms(key) >= horizon_ms);
+            self.void.retain(|(key, ..)| made_ms(key) >= horizon_ms);
         }
     }
 
@@ -189,3 +224,9 @@
 pub fn partition(key: &Uuid, partitions: u32) -> u32 {
     (xxhash_rust::xxh3::xxh3_64(key.as_bytes()) % u64::from(partitions.max(1))) as u32
 }
+
+/// Returns when a key was made, in milliseconds since the Unix epoch.
+fn made_ms(key: &Uuid) -> u64 {
+    let made = key.get_timestamp().map(|stamp| stamp.to_unix());
+    made.map_or(0, |(s, ns)| s * 1_000 + u64::from(ns / 1_000_000))
+}
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -1,33 +1,39 @@
 //! The gateway's state machine: admission, queueing, routing, retries and at-most-once claims.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use uuid::Uuid;
 
+use crate::accounts::{Account, Accounts};
 use crate::chart::{Chart, Charts, State};
 use crate::claims::{Answer, Binding, ClaimId, Owner};
 use crate::codes::{Code, Ran};
+use crate::dispatch::{Dispatcher, Sent};
+use crate::endpoints::Work;
+use crate::fair_queue::Queued;
 use crate::ids::{
-    AccountId, AttemptId, DomainId, GroupId, Incarnation, ReplicaId, RequestId, ServiceId, VmId,
+    AccountId, AttemptId, DomainId, EntryId, GroupId, Incarnation, Offset, ReplicaId, RequestId,
+    ServiceId, VmId,
 };
-use crate::limits::Usage;
+use crate::limits::{Refused, Usage};
 use crate::once::{self, Change, Unsettled};
 use crate::peers::{Settled, Suspicion};
-use crate::platform::VmRole;
 use crate::rendezvous;
 use crate::retry::Budget;
-use crate::router::{self, Candidate, Dispatched};
+use crate::router::Policy;
+use crate::slices::{Amount, Electorate, SliceAsk, SliceHome, SliceReply, SliceUser};
 use crate::suspicion::{Suspects, Verdict};
 use crate::time::Time;
-use crate::view::{Health, View};
+use crate::view::{EntryStatus, View};
 
 /// Wait before a caller tries again.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest time that a request stays open after the gateway that admitted it fell silent.
+const LONGEST_OPEN: Duration = Duration::from_secs(30);
+
 /// What a gateway is told when it starts.
 #[derive(Debug, Clone)]
 pub struct GatewayConfig {
@@ -46,7 +52,7 @@
 }
 
 /// What a request is for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Target {
     /// A model group.
     Model(GroupId),
@@ -71,6 +77,34 @@
     pub once: Option<Uuid>,
     /// Fingerprint of the target and the body.
     pub body: String,
+    /// What helps to place and order it.
+    pub hint: Hint,
+}
+
+/// What a caller or its prompt says that helps to place and order a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Hint {
+    /// Larger goes first among the requests of the account.
+    pub priority: i32,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Hash of the prompt's prefix; zero if unknown.
+    pub prefix: u64,
+}
+
+impl Arrival {
+    pub(crate) fn work(&self) -> Work {
+        Work {
+            tokens: self.tokens,
+            prompt: self.hint.prompt,
+            prefix: self.hint.prefix,
+        }
+    }
+}
+
+fn refused(code: Code) -> Refused {
+    let after = RETRY_AFTER;
+    Refused { code, after }
 }
 
 /// Says why an attempt failed.
@@ -124,6 +158,8 @@
     Claimed(RequestId, Settled),
     /// A release, an answer or a closure was settled.
     Settled(ClaimId, Settled),
+    /// An attempt has given this many pieces of its answer.
+    Progress(RequestId, AttemptId, u64),
     /// An attempt failed.
     Failed(RequestId, AttemptId, FailReason),
     /// An attempt gave the whole answer; it is kept if the work was claimed.
@@ -190,12 +226,11 @@
 pub(crate) struct Request {
     pub(crate) arrival: Arrival,
     pub(crate) account: AccountId,
+    pub(crate) weight: f64,
     pub(crate) print: u64,
     pub(crate) state: State,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) attempts: u32,
-    /// The VM of the last attempt.
-    pub(crate) last: Option<VmId>,
     /// The claim that this request made, unless it is known not to stand.
     pub(crate) claim: Option<ClaimId>,
     /// Whether an ended attempt ran.
@@ -207,25 +242,30 @@
 pub struct Gateway {
     pub(crate) config: GatewayConfig,
     pub(crate) chart: Chart,
-    pub(crate) rng: SmallRng,
+    pub(crate) now: Time,
     pub(crate) view: Option<Arc<View>>,
     pub(crate) in_touch: Time,
     pub(crate) requests: BTreeMap<RequestId, Request>,
-    pub(crate) queue: VecDeque<RequestId>,
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) accounts: Accounts,
+    pub(crate) indexed: Option<Offset>,
     pub(crate) usage: BTreeMap<AccountId, Usage>,
-    pub(crate) dispatched: Dispatched,
+    pub(crate) electorate: Electorate,
+    pub(crate) slices: Option<(SliceUser, SliceHome)>,
     pub(crate) retries: Budget,
     pub(crate) unsettled: Unsettled,
+    pub(crate) claims: u64,
     pub(crate) suspects: Suspects,
     /// Open requests by idempotency key.
     pub(crate) keys: BTreeMap<Uuid, RequestId>,
     pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
+    /// Suspects that wait for a replica of their own.
+    pub(crate) held: Vec<RequestId>,
     /// Suspects that run alone: where, and since when.
     pub(crate) trials: BTreeMap<RequestId, (VmId, Time)>,
-    /// VMs that broke off or were not reached, and until when they are avoided.
+    /// VMs that failed lately, and until when they are avoided.
     pub(crate) avoided: BTreeMap<VmId, Time>,
     pub(crate) leaving: bool,
-    pub(crate) next: u64,
     pub(crate) stopping: bool,
 }
 
@@ -233,23 +273,27 @@
     /// Makes a gateway that has seen no view yet.
     pub fn new(config: GatewayConfig, charts: &Charts) -> Self {
         Self {
-            rng: SmallRng::seed_from_u64(config.seed),
+            now: Time::ZERO,
+            dispatcher: Dispatcher::new(config.domain.clone(), config.queue, config.seed),
             chart: charts.request.clone(),
             view: None,
             in_touch: Time::ZERO,
             requests: BTreeMap::new(),
-            queue: VecDeque::new(),
+            accounts: Accounts::default(),
+            indexed: None,
             usage: BTreeMap::new(),
-            dispatched: Dispatched::default(),
+            electorate: Electorate::default(),
+            slices: None,
             retries: Budget::default(),
             unsettled: Unsettled::default(),
+            claims: 0,
             suspects: Suspects::default(),
             keys: BTreeMap::new(),
             deadlines: BTreeSet::new(),
+            held: Vec::new(),
             trials: BTreeMap::new(),
             avoided: BTreeMap::new(),
             leaving: false,
-            next: 0,
             stopping: false,
             config,
         }
@@ -257,6 +301,7 @@
 
     /// Takes one input at the time `now` and appends what is to be done to `out`.
     pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.now = now;
         match input {
             Input::Tick => self.tick(now, out),
             Input::ViewLost => {}
@@ -264,6 +309,7 @@
             Input::Arrive(arrival) => self.arrive(now, arrival, out),
             Input::Claimed(request, settled) => self.claimed(now, &request, settled, out),
             Input::Settled(claim, settled) => self.unsettled.settled(now, claim, &settled),
+            Input::Progress(_, attempt, chunks) => self.dispatcher.progress(now, attempt, chunks),
             Input::Failed(request, attempt, reason) => {
                 self.failed(now, &request, attempt, reason, out);
             }
@@ -275,6 +321,7 @@
             Input::Stop => self.stopping = true,
         }
         self.drain_queue(now, out);
+        self.run_trials(now, out);
     }
 
     /// Returns the number of requests that have no final answer yet.
@@ -292,7 +339,7 @@
         if self.stopping || self.leaving {
             return 0.0;
         }
-        1.0 - self.queue.len() as f64 / self.config.queue.max(1) as f64
+        1.0 - self.dispatcher.waiting() as f64 / self.config.queue.max(1) as f64
     }
 
     /// Returns the name under which it claims work.
@@ -305,19 +352,107 @@
         self.view.as_ref()
     }
 
+    /// Compares endpoints by another policy than the default one.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.dispatcher.use_policy(policy);
+        self
+    }
+
+    /// Shares account limits with the other gateways by leased slices; without this, each gateway
+    /// takes an even part.
+    #[must_use]
+    pub fn with_slices(mut self) -> Self {
+        let Owner { entry, run } = self.config.owner.clone();
+        let user = SliceUser::new(entry.clone(), run);
+        self.slices = Some((user, SliceHome::new(entry, run, LONGEST_OPEN)));
+        self
+    }
+
+    /// Returns the number of endpoints that all choices looked at.
+    pub fn examined(&self) -> u64 {
+        self.dispatcher.examined()
+    }
+
+    /// Returns the asks for slices to send now, with the base URL of the gateway that each is for.
+    pub fn slice_asks(&mut self, now: Time) -> Vec<(String, SliceAsk)> {
+        let (Some((user, _)), Some(view)) = (&mut self.slices, &self.view) else {
+            return Vec::new();
+        };
+        for account in self.accounts.iter() {
+            let new = || Usage::new(now, Amount::default());
+            self.usage.entry(account.id.clone()).or_insert_with(new);
+        }
+        let demands = self.usage.iter_mut().map(|(id, u)| u.demand(now, id));
+        let asks = user.asks(now, &self.electorate, demands);
+        let address = |home: &EntryId| {
+            let found = view.entries.iter().find(|e| e.member.entry == *home)?;
+            Some(found.member.gateway.clone())
+        };
+        asks.into_iter()
+            .filter_map(|(home, ask)| Some((address(&home)?, ask)))
+            .collect()
+    }
+
+    /// Answers another gateway's ask for slices; `None` if limits are not shared by slices.
+    pub fn answer_slices(&mut self, now: Time, ask: &SliceAsk) -> Option<SliceReply> {
+        let (_, home) = self.slices.as_mut()?;
+        let accounts = &self.accounts;
+        let limit = |id: &AccountId| accounts.get(id).map(|a| Amount::of(&a.row));
+        Some(home.answer(now, ask, limit))
+    }
+
+    /// Takes the reply to an ask for slices.
+    pub fn take_slices(&mut self, reply: &SliceReply) {
+        if let Some((user, _)) = &mut self.slices {
+            user.take(reply);
+        }
+    }
+
     fn take_view(&mut self, now: Time, view: Arc<View>) {
         if view.log_up || view.peers_up {
             self.in_touch = now;
         }
         self.suspects.take(now, &view);
+        self.refresh(now, &view);
+        if self.indexed != Some(view.table.next) {
+            self.accounts = Accounts::index(&view.table);
+            self.indexed = Some(view.table.next);
+            self.dispatcher.reweigh(&self.accounts);
+        }
+        self.take_electorate(&view);
         self.view = Some(view);
     }
 
+    fn take_electorate(&mut self, view: &View) {
+        let mut entries: Vec<&EntryStatus> = view.entries.iter().collect();
+        entries.sort_by(|a, b| a.member.entry.cmp(&b.member.entry));
+        let name = |e: &&EntryStatus| e.member.entry.clone();
+        let usable = |e: &&&EntryStatus| e.live && !e.member.leaving;
+        self.electorate = Electorate {
+            all: entries.iter().map(name).collect(),
+            live: entries.iter().filter(usable).map(name).collect(),
+        };
+        if let Some((_, home)) = &mut self.slices {
+            home.refresh(&self.electorate);
+        }
+    }
+
+    /// Returns what this gateway may use of an account's limits now.
+    fn amount(&self, now: Time, account: &Account) -> Amount {
+        let limit = Amount::of(&account.row);
+        let members = self.electorate.all.len();
+        match &self.slices {
+            _ if members <= 1 => limit,
+            Some((user, _)) => user.amount(now, &account.id, limit, members),
+            None => limit.even_part(self.electorate.live.len()),
+        }
+    }
+
     fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Output>) {
         match self.admit(now, &arrival) {
-            Err(code) => {
+            Err(Refused { code, after }) => {
                 let request = arrival.request;
-                let after = self.wait_after(code);
                 out.push(Output::Refuse {
                     request,
                     code,
@@ -325,11 +460,17 @@
                     after,
                 });
             }
-            Ok(account) => self.open_request(arrival, account, out),
+            Ok((account, weight)) => self.open_request(arrival, account, weight, out),
         }
     }
 
-    fn open_request(&mut self, arrival: Arrival, account: AccountId, out: &mut Vec<Output>) {
+    fn open_request(
+        &mut self,
+        arrival: Arrival,
+        account: AccountId,
+        weight: f64,
+        out: &mut Vec<Output>,
+    ) {
         self.retries.first_try();
         let id = arrival.request.clone();
         let once = arrival.once;
@@ -338,176 +479,157 @@
             print: print(&account, &arrival.body),
             arrival,
             account,
+            weight,
             state: self.chart.start(),
             attempt: None,
             attempts: 0,
-            last: None,
             claim: None,
             ran: Ran::No,
         };
         self.requests.insert(id.clone(), request);
         match once {
-            None => self.queue.push_back(id),
+            None => self.enqueue(&id, out),
             Some(key) => self.claim(&id, key, out),
         }
     }
 
-    fn admit(&mut self, now: Time, arrival: &Arrival) -> Result<AccountId, Code> {
+    fn admit(&mut self, now: Time, arrival: &Arrival) -> Result<(AccountId, f64), Refused> {
         if self.stopping {
-            return Err(Code::Stopping);
+            return Err(refused(Code::Stopping));
         }
         let Some(view) = self.view.clone() else {
-            return Err(Code::Isolated);
+            return Err(refused(Code::Isolated));
         };
         if now.since(self.in_touch) > self.config.isolation {
-            return Err(Code::Isolated);
+            return Err(refused(Code::Isolated));
         }
-        let account = view
-            .table
-            .accounts()
-            .find(|(_, row)| row.key_hash == arrival.key_hash);
-        let Some((id, row)) = account else {
-            return Err(Code::UnknownAccount);
+        let Some(account) = self.accounts.find(&arrival.key_hash).cloned() else {
+            return Err(refused(Code::UnknownAccount));
         };
         let known = match &arrival.target {
             Target::Model(group) => view.table.group(group).is_some(),
             Target::Service(service) => view.table.service(service).is_some(),
         };
         if !known {
-            return Err(Code::UnknownModel);
+            return Err(refused(Code::UnknownModel));
         }
+        let (id, weight) = (account.id.clone(), account.row.weight);
         if let Some(key) = &arrival.once {
-            once::check_key(now, key, self.config.key_life)?;
-            self.check_open(key, id, &arrival.body)?;
+            once::check_key(now, key, self.config.key_life).map_err(refused)?;
+            self.check_open(key, &id, &arrival.body).map_err(refused)?;
         }
-        let print = print(id, &arrival.body);
-        let verdict = self
-            .suspects
-            .verdict(now, &view, &self.config.owner.entry, print);
-        if matches!(verdict, Verdict::Convicted(_) | Verdict::Elsewhere) {
-            return Err(Code::Suspect);
+        if self.is_refused(now, &view, print(&id, &arrival.body)) {
+            return Err(Refused {
+                code: Code::Suspect,
+                after: self.wait_after(Code::Suspect),
+            });
         }
-        if self.queue.len() >= self.config.queue {
-            return Err(Code::Overload);
+        let late = self.dispatcher.too_late(
+            now,
+            &arrival.target,
+            &id,
+            weight,
+            arrival.work(),
+            arrival.deadline,
+        );
+        if let Some(after) = late {
+            let code = Code::DeadlineUnmet;
+            return Err(Refused { code, after });
         }
-        let gateways = view.entries.iter().filter(|e| e.live).count().max(1);
-        let share = 1.0 / gateways as f64;
-        let usage = self
-            .usage
-            .entry(id.clone())
-            .or_insert_with(|| Usage::new(now, row, share));
-        usage.admit(now, row, share, arrival.tokens as f64)?;
-        Ok(id.clone())
+        let amount = self.amount(now, &account);
+        let new = || Usage::new(now, amount);
+        let usage = self.usage.entry(id.clone()).or_insert_with(new);
+        usage.admit(now, amount, arrival.tokens)?;
+        Ok((id, weight))
     }
 
-    fn drain_queue(&mut self, now: Time, out: &mut Vec<Output>) {
-        let Some(view) = self.view.clone() else {
+    pub(crate) fn enqueue(&mut self, id: &RequestId, out: &mut Vec<Output>) {
+        if self.hold(id) {
+            return;
+        }
+        let Some((target, queued)) = self.queued(id) else {
             return;
         };
-        let mut kept = VecDeque::new();
-        while let Some(id) = self.queue.pop_front() {
-            let Some(request) = self.requests.get(&id) else {
-                continue;
-            };
-            let (target, print) = (request.arrival.target.clone(), request.print);
-            let mut candidates = self.candidates(&view, &target);
-            let me = &self.config.owner.entry;
-            match self.suspects.verdict(now, &view, me, print) {
-                Verdict::Convicted(_) | Verdict::Elsewhere => {
-                    self.refuse(now, &id, Code::Suspect, out);
-                    continue;
-                }
-                Verdict::Suspect(from) => {
-                    match self.trial_candidate(now, from, &candidates) {
-                        Some(candidate) => self.dispatch(now, &view, &id, candidate, true, out),
-                        None => kept.push_back(id),
-                    }
-                    continue;
-                }
-                Verdict::Clear => self.suspects.spare(now, &mut candidates),
-            }
-            self.avoid(now, &id, &mut candidates);
-            let chosen = router::choose(&candidates, &self.dispatched, &mut self.rng);
-            match chosen {
-                Some(candidate) => self.dispatch(now, &view, &id, candidate, false, out),
-                None => kept.push_back(id),
-            }
+        let shed = self.dispatcher.enter(&target, queued);
+        if let Some(shed) = shed {
+            let after = self.dispatcher.full_for(&target);
+            self.refuse_after(self.now, &shed, Code::Overload, after, out);
         }
-        self.queue = kept;
     }
 
-    fn dispatch(
-        &mut self,
-        now: Time,
-        view: &View,
-        id: &RequestId,
-        to: &Candidate,
-        alone: bool,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(status) = view.vms.get(&to.vm) else {
+    pub(crate) fn enqueue_front(&mut self, id: &RequestId) {
+        if self.hold(id) {
             return;
+        }
+        if let Some((target, queued)) = self.queued(id) {
+            self.dispatcher.enter_front(&target, queued);
+        }
+    }
+
+    fn queued(&self, id: &RequestId) -> Option<(Target, Queued)> {
+        let request = self.requests.get(id)?;
+        let arrival = &request.arrival;
+        let queued = Queued {
+            request: id.clone(),
+            account: request.account.clone(),
+            weight: request.weight,
+            priority: arrival.hint.priority,
+            work: arrival.work(),
+            deadline: arrival.deadline,
+            latest: arrival.deadline,
         };
-        self.next += 1;
-        let attempt = AttemptId(self.next);
-        self.advance(id, "dispatch");
-        let Some(request) = self.requests.get_mut(id) else {
+        Some((arrival.target.clone(), queued))
+    }
+
+    fn drain_queue(&mut self, now: Time, out: &mut Vec<Output>) {
+        for id in self.dispatcher.overdue(now) {
+            let request = self.requests.get(&id);
+            let served = request.is_some_and(|r| self.dispatcher.serves(&r.arrival.target));
+            let code = if served {
+                Code::DeadlineUnmet
+            } else {
+                Code::NoReplica
+            };
+            self.refuse(now, &id, code, out);
+        }
+        for sent in self.dispatcher.drain(now) {
+            self.dispatch(now, sent, out);
+        }
+    }
+
+    fn dispatch(&mut self, now: Time, sent: Sent, out: &mut Vec<Output>) {
+        let id = &sent.request;
+        let verdict = self.verdict(now, id);
+        if verdict != Verdict::Clear {
+            self.dispatcher.end(now, sent.attempt, false);
+            return self.divert(now, id, verdict, out);
+        }
+        self.start_attempt(sent, false, out);
+    }
+
+    pub(crate) fn start_attempt(&mut self, sent: Sent, alone: bool, out: &mut Vec<Output>) {
+        self.advance(&sent.request, "dispatch");
+        let status = self.view.as_ref().and_then(|v| v.vms.get(&sent.vm));
+        let run = status.map_or(Incarnation(0), |s| s.run);
+        let Some(request) = self.requests.get_mut(&sent.request) else {
             return;
         };
         request.attempts += 1;
-        request.last = Some(to.vm.clone());
         request.attempt = Some(Attempt {
-            id: attempt,
-            vm: to.vm.clone(),
-            run: status.run,
+            id: sent.attempt,
+            vm: sent.vm.clone(),
+            run,
             alone,
         });
-        self.dispatched.start(&to.vm, request.arrival.tokens);
-        if alone {
-            self.trials.insert(id.clone(), (to.vm.clone(), now));
-        }
         out.push(Output::Dispatch {
-            request: id.clone(),
-            attempt,
-            vm: to.vm.clone(),
-            address: status.listing.address.clone(),
-            replica: status.held.as_ref().map(|h| h.replica.clone()),
+            request: sent.request,
+            attempt: sent.attempt,
+            vm: sent.vm,
+            address: sent.address,
+            replica: sent.replica,
         });
     }
 
-    fn candidates(&self, view: &View, target: &Target) -> Vec<Candidate> {
-        match target {
-            Target::Model(group) => {
-                let slots = view.table.group(group).map_or(1, |g| g.slots);
-                view.replicas()
-                    .filter(|(_, a)| a.group == *group && !a.draining)
-                    .filter_map(|(id, a)| {
-                        let ranks = view.ranks(&id, a)?;
-                        self.candidate(view, ranks.first()?, slots)
-                    })
-                    .collect()
-            }
-            Target::Service(service) => {
-                let slots = view.table.service(service).map_or(1, |s| s.slots);
-                let role = VmRole::Service(service.clone());
-                let vms = view.vms.values().filter(|s| s.listing.role == role);
-                vms.filter_map(|s| self.candidate(view, &s.listing.vm, slots))
-                    .collect()
-            }
-        }
-    }
-
-    fn candidate(&self, view: &View, vm: &VmId, slots: u32) -> Option<Candidate> {
-        let status = view.vms.get(vm).filter(|s| s.health == Health::Live)?;
-        Some(Candidate {
-            vm: vm.clone(),
-            reported: status.load.tokens,
-            age_ms: status.load.age_ms + status.silent_ms,
-            slots,
-            near: status.listing.domain == self.config.domain,
-        })
-    }
-
     /// Returns whether the gateway that holds a claim may still answer it.
     ///
     /// Gossip tells whether an entry VM lives, not in which run its gateway is; only an earlier run
--- a/lib/src/once.rs
+++ b/lib/src/once.rs
@@ -74,7 +74,7 @@
             closed: None,
             ..
         } if is_live(&owner) => Some(Held::Refuse(Code::InProgress)),
-        Settled::ClaimTaken { .. } => Some(Held::Refuse(Code::MayHaveRun)),
+        Settled::ClaimTaken { .. } | Settled::ClaimExpired => Some(Held::Refuse(Code::MayHaveRun)),
         Settled::Unknown => Some(Held::Refuse(Code::ClaimUnknown)),
         _ => Some(Held::Refuse(Code::ClaimUnavailable)),
     }
--- a/lib/src/retry.rs
+++ b/lib/src/retry.rs
@@ -8,6 +8,9 @@
 const RESERVE: f64 = 16.0;
 /// Attempts of one request at most.
 const ATTEMPTS: u32 = 4;
+/// Attempts at most of a request whose last one surely did not run: several endpoints may be gone
+/// before their probers know.
+const ATTEMPTS_NOT_RUN: u32 = 8;
 
 /// Retries that a gateway may still make.
 #[derive(Debug)]
@@ -43,7 +46,12 @@
         if once && !reason.not_run() {
             return Next::MayHaveRun;
         }
-        if attempts >= ATTEMPTS || self.level < 1.0 {
+        let limit = if reason.not_run() {
+            ATTEMPTS_NOT_RUN
+        } else {
+            ATTEMPTS
+        };
+        if attempts >= limit || self.level < 1.0 {
             return Next::GiveUp;
         }
         self.level -= 1.0;
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -11,7 +11,6 @@
 use crate::ids::{EntryId, Incarnation, VmId};
 use crate::peers::Suspicion;
 use crate::rendezvous;
-use crate::router::Candidate;
 use crate::time::Time;
 use crate::view::{Health, View};
 
@@ -29,6 +28,8 @@
 pub const TRIAL_TIME: Duration = Duration::from_secs(1);
 /// Replicas on which the suspects of one gateway run.
 const TRIAL_VMS: usize = 2;
+/// One in this many VMs runs suspects, so that the other requests keep their capacity.
+const TRIAL_PART: usize = 4;
 /// Time after a crash for which ordinary requests avoid the replica where suspects run.
 const TRIAL_WINDOW: Duration = Duration::from_secs(15);
 
@@ -134,6 +135,9 @@
 
     /// Judges a request of the gateway on the entry VM `me`.
     pub fn verdict(&self, now: Time, view: &View, me: &EntryId, print: u64) -> Verdict {
+        if self.crashes.is_empty() {
+            return Verdict::Clear;
+        }
         let since = self.cleared.get(&print).copied().unwrap_or(Time::ZERO);
         let mine = |c: &&Crash| c.seen.print == print && c.at >= since && is_down(view, now, c);
         let crashes: Vec<&Crash> = self.crashes.values().filter(mine).collect();
@@ -151,27 +155,25 @@
     }
 
     /// Returns the VMs on which the suspects of `origin` run: the same in each gateway.
-    pub fn trial_vms<'a>(origin: &EntryId, candidates: &'a [Candidate]) -> Vec<&'a VmId> {
-        let key = origin.as_str().as_bytes();
-        let mut vms: Vec<&VmId> = candidates.iter().map(|c| &c.vm).collect();
-        vms.sort_by_key(|vm| Reverse(rendezvous::score(key, vm.as_str().as_bytes())));
-        vms.truncate(TRIAL_VMS.min(candidates.len().div_ceil(2)));
+    pub fn trial_vms<'a>(origin: &EntryId, all: &'a [VmId]) -> Vec<&'a VmId> {
+        let mut vms: Vec<&VmId> = all.iter().collect();
+        keep_best(&mut vms, b"trial", (all.len() / TRIAL_PART).max(1));
+        keep_best(&mut vms, origin.as_str().as_bytes(), TRIAL_VMS);
         vms
     }
 
-    /// Removes the candidates on which suspects run, while one candidate at least is left.
-    pub fn spare(&self, now: Time, candidates: &mut Vec<Candidate>) {
+    /// Returns whether any request is under suspicion.
+    pub fn any(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
+    /// Returns the VMs that other requests leave to suspects.
+    pub fn tried(&self, now: Time, all: &[VmId]) -> BTreeSet<VmId> {
         let open = |c: &&Crash| now.since(c.at) < TRIAL_WINDOW && !self.is_cleared(c);
         let crashes = self.crashes.values().filter(open);
         let origins: BTreeSet<&EntryId> = crashes.map(|c| &c.seen.origin).collect();
-        let tried: BTreeSet<VmId> = origins
-            .into_iter()
-            .flat_map(|o| Self::trial_vms(o, candidates))
-            .cloned()
-            .collect();
-        if candidates.iter().any(|c| !tried.contains(&c.vm)) {
-            candidates.retain(|c| !tried.contains(&c.vm));
-        }
+        let tried = origins.into_iter().flat_map(|o| Self::trial_vms(o, all));
+        tried.cloned().collect()
     }
 
     fn is_cleared(&self, crash: &Crash) -> bool {
@@ -185,6 +187,11 @@
     }
 }
 
+fn keep_best(vms: &mut Vec<&VmId>, key: &[u8], count: usize) {
+    vms.sort_by_key(|vm| Reverse(rendezvous::score(key, vm.as_str().as_bytes())));
+    vms.truncate(count);
+}
+
 /// Returns whether the endpoint really went down, or may have: its probers have not been heard yet.
 fn is_down(view: &View, now: Time, crash: &Crash) -> bool {
     let Some(status) = view.vms.get(&crash.seen.vm) else {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,10 +1,19 @@
 //! Runs the tests of this crate in one program.
 
+mod test_agent;
+mod test_appender;
 mod test_chart;
+mod test_check;
 mod test_fleet;
+mod test_folds;
+mod test_gateway_policy;
+mod test_gossip;
 mod test_model;
 mod test_once;
 mod test_planner;
+mod test_repeats;
 mod test_settings;
+mod test_shortage;
+mod test_slices;
 mod test_suspicion;
 mod world;
--- a/testutils/src/outage.rs
+++ b/testutils/src/outage.rs
@@ -11,7 +11,9 @@
 use hemlock_lib::codes::Code;
 use hemlock_lib::engine::{Held, Load};
 use hemlock_lib::fleet::{Fleet, FleetChange, FleetRecord, Form};
-use hemlock_lib::gateway::{Arrival, FailReason, Gateway, GatewayConfig, Input, Output, Target};
+use hemlock_lib::gateway::{
+    Arrival, FailReason, Gateway, GatewayConfig, Hint, Input, Output, Target,
+};
 use hemlock_lib::hash;
 use hemlock_lib::ids::{
     AttemptId, DomainId, Fence, Incarnation, Nonce, Offset, ReplicaId, ReplicaSeq, RequestId, VmId,
@@ -225,9 +227,8 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive => {
-                let id = self.arrive("innocent");
                 self.result.requests += 1;
-                self.open.insert(id);
+                self.arrive("innocent");
                 let gap = -self.rng.random::<f64>().max(1e-9).ln() / self.config.rate;
                 let next = Duration::from_secs_f64(gap);
                 if self.now.since(Time::ZERO) + next < self.config.length {
@@ -258,7 +259,7 @@
         }
     }
 
-    fn arrive(&mut self, kind: &str) -> RequestId {
+    fn arrive(&mut self, kind: &str) {
         self.next += 1;
         let id = RequestId::new(format!("{kind}-{}", self.next));
         let body = match kind {
@@ -273,10 +274,13 @@
             deadline: self.now + DEADLINE,
             once: None,
             body,
+            hint: Hint::default(),
         };
+        if kind == "innocent" {
+            self.open.insert(id);
+        }
         let g = self.rng.random_range(0..self.gateways.len());
         self.step(g, Input::Arrive(arrival));
-        id
     }
 
     fn step(&mut self, g: usize, input: Input) {
--- a/testutils/src/schedule.rs
+++ b/testutils/src/schedule.rs
@@ -13,7 +13,9 @@
 use hemlock_lib::claims::{Answer, Binding, ClaimRecord, Claims, Owner};
 use hemlock_lib::codes::{Code, Ran};
 use hemlock_lib::engine::Load;
-use hemlock_lib::gateway::{Arrival, FailReason, Gateway, GatewayConfig, Input, Output, Target};
+use hemlock_lib::gateway::{
+    Arrival, FailReason, Gateway, GatewayConfig, Hint, Input, Output, Target,
+};
 use hemlock_lib::hash;
 use hemlock_lib::ids::{AttemptId, Incarnation, Nonce, Offset, RequestId, ServiceId, VmId};
 use hemlock_lib::members::Member;
@@ -381,6 +383,7 @@
             deadline: self.now + Duration::from_millis(DEADLINE_MS),
             once: Some(job.key),
             body: job.body.clone(),
+            hint: Hint::default(),
         };
         self.step(g, Input::Arrive(arrival));
     }
--- a/wire/tests/runner.rs
+++ b/wire/tests/runner.rs
@@ -1,4 +1,6 @@
 //! Runs the tests of this crate in one program.
 
 mod test_caller;
+mod test_logger;
+mod test_metrics;
 mod test_server;
