--- a/agent/src/gauges.rs
+++ b/agent/src/gauges.rs
@@ -73,6 +73,7 @@
         Settled::FleetRefused(_) => "fleet_refused",
         Settled::ClaimTaken { .. } => "claim_taken",
         Settled::ClaimExpired => "claim_expired",
+        Settled::ClaimFree => "claim_free",
         Settled::ConfigInvalid(_) => "config_invalid",
         Settled::Gap => "gap",
         Settled::NotAppended => "not_appended",
--- a/bench/src/experiments/limits.rs
+++ b/bench/src/experiments/limits.rs
@@ -181,6 +181,7 @@
             tokens: 100,
             deadline: now + Duration::from_secs(60),
             once: None,
+            body: String::new(),
             hint: Hint::default(),
         }
     }
--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -4,8 +4,11 @@
 mod fold;
 mod gossip;
 mod limits;
+mod once;
 mod placement;
 mod planner;
+mod relay;
+mod retries;
 mod routing;
 mod shares;
 mod state;
@@ -33,9 +36,12 @@
     fold::EXPERIMENT,
     gossip::EXPERIMENT,
     limits::EXPERIMENT,
+    once::EXPERIMENT,
     placement::EXPERIMENT,
     placement::TARGET,
     planner::EXPERIMENT,
+    relay::EXPERIMENT,
+    retries::EXPERIMENT,
     routing::EXPERIMENT,
     shares::EXPERIMENT,
     state::EXPERIMENT,
--- a/bench/src/experiments/shares.rs
+++ b/bench/src/experiments/shares.rs
@@ -191,6 +191,7 @@
             tokens: job.prompt + job.answer,
             deadline: self.now + DEADLINE,
             once: None,
+            body: String::new(),
             hint: Hint {
                 prompt: job.prompt,
                 ..Hint::default()
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -19,19 +19,22 @@
 use crate::gossip::{Gossip, GossipConfig, Mail};
 use crate::ids::{DomainId, EntryId, Nonce, StreamId, VmId};
 use crate::members::{Member, MemberChange, MemberRecord};
-use crate::peers::{GossipMessage, Settled, Submit, VmReport};
+use crate::peers::{GossipMessage, Settled, Submit, Suspicion, VmReport};
 use crate::platform::{AppendCall, ReadCall, ReadReply, VmListing, VmRole};
 use crate::probe::{ProbeConfig, Prober};
 use crate::rendezvous;
 use crate::restate::{RestateConfig, Restater};
 use crate::seal::KeyRing;
 use crate::snapshot::{Restate, RestateRecord};
+use crate::suspicion::Rumours;
 use crate::table::{ConfigRecord, Edit, Refusal};
 use crate::time::Time;
 use crate::view::{self, EntryStatus, View};
 
 pub use crate::folds::{CONFIG_STREAM, MEMBERS_STREAM, claims_stream, fleet_stream};
 
+/// Suspicions that one datagram carries at most.
+const SUSPICIONS: usize = 6;
 const READ_WAIT_MS: u64 = 1_000;
 const READ_LIMIT: u32 = 1_024;
 const READ_RETRY: Duration = Duration::from_millis(300);
@@ -110,6 +113,8 @@
     },
     /// The gateway of this entry VM reports its spare share of capacity.
     Spare(f64),
+    /// The gateway of this entry VM puts requests under suspicion.
+    Suspect(Vec<Suspicion>),
     /// The operator or a signal asks this entry VM to leave.
     Leave,
 }
@@ -151,6 +156,7 @@
     gossip: Gossip,
     prober: Prober,
     spare: f64,
+    rumours: Rumours,
     reading: bool,
     stale_read: bool,
     next_read: Time,
@@ -183,6 +189,7 @@
             gossip: Gossip::new(config.gossip, me),
             prober: Prober::new(config.probe, charts.vm.clone()),
             spare: 1.0,
+            rumours: Rumours::default(),
             reading: false,
             stale_read: false,
             next_read: Time::ZERO,
@@ -242,6 +249,11 @@
             }
             Input::Spare(spare) if spare.is_finite() => self.spare = spare.clamp(0.0, 1.0),
             Input::Spare(_) => {}
+            Input::Suspect(suspicions) => {
+                let changed = self.rumours.take(now, &suspicions);
+                self.mark(changed);
+                self.spread(now, out);
+            }
             Input::Leave => self.leave(now),
         }
         let held = self.restater.holds(now, &self.folds);
@@ -363,12 +375,21 @@
                 fleet_stream(&shard),
                 codec::encode(&FleetRecord { nonce, change }),
             ),
-            Submit::Claim { key, owner, change } => {
+            Submit::ClaimStatus { key } => return Some(self.claim_status(&key)),
+            Submit::Claim {
+                key,
+                owner,
+                claim,
+                binding,
+                change,
+            } => {
                 let partition = claims::partition(&key, self.config.partitions) as usize;
                 let record = ClaimRecord {
                     nonce,
                     key,
                     owner,
+                    claim,
+                    binding,
                     change,
                 };
                 (claims_stream(partition), codec::encode(&record))
@@ -412,6 +433,28 @@
         (!faults.is_empty()).then_some(Settled::ConfigInvalid(faults))
     }
 
+    fn claim_status(&self, key: &uuid::Uuid) -> Settled {
+        let partition = claims::partition(key, self.config.partitions) as usize;
+        let held = self.folds.claims.get(partition).and_then(|c| c.get(key));
+        match held {
+            Some(held) => held.taken(),
+            None if self.log_up => Settled::ClaimFree,
+            None => Settled::Unknown,
+        }
+    }
+
+    /// Sends the newest suspicions to some entry VMs, in datagrams of bounded size.
+    fn spread(&mut self, now: Time, out: &mut Vec<Output>) {
+        for part in self.rumours.newest(now).chunks(SUSPICIONS) {
+            let message = GossipMessage::Suspicions(part.to_vec());
+            let bytes = self.config.keys.seal(&message);
+            for to in self.gossip.report_targets(&mut self.rng) {
+                let bytes = bytes.clone();
+                out.push(Output::Send { to, bytes });
+            }
+        }
+    }
+
     fn announce(&mut self, now: Time, change: MemberChange) {
         let nonce = Nonce(self.rng.next_u64());
         self.appender.submit(Submission {
@@ -559,6 +602,7 @@
         let mut reports = self.prober.reports(now, now - REPORT_AGE);
         reports.retain(|r| probed.contains(&r.vm));
         self.next_report = now + self.config.gossip.reports;
+        self.spread(now, out);
         for part in split(reports, self.config.gossip.payload) {
             let bytes = self.config.keys.seal(&GossipMessage::Reports(part));
             for to in self.gossip.report_targets(&mut self.rng) {
@@ -584,6 +628,10 @@
                 self.post(mails, out);
                 self.dirty = true;
             }
+            Some(GossipMessage::Suspicions(suspicions)) => {
+                let changed = self.rumours.take(now, &suspicions);
+                self.mark(changed);
+            }
             Some(GossipMessage::Reports(reports)) => {
                 let mut changed = false;
                 for report in &reports {
@@ -629,6 +677,7 @@
             vms,
             fleets: self.folds.fleets.clone(),
             log_up: self.log_up,
+            suspicions: self.rumours.newest(now),
             peers_up: self.gossip.peers_up(now),
             gaps: self.folds.gaps().cloned().collect(),
             alarms: self.folds.alarms,
--- /dev/null
+++ b/lib/src/attempts.rs
@@ -0,0 +1,454 @@
+//! Requests from their claim to their final answer: attempts, retries, claims and refusals.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use uuid::Uuid;
+
+use crate::claims::{Answer, Binding, ClaimChange, ClaimId};
+use crate::codes::{Code, Ran};
+use crate::dispatch::{Dispatcher, Sent};
+use crate::gateway::{Attempt, FailReason, Gateway, Output, RETRY_AFTER, Request, Target};
+use crate::ids::{AccountId, AttemptId, RequestId, VmId};
+use crate::once::{self, Change, Held};
+use crate::peers::{Settled, Suspicion};
+use crate::retry::Next;
+use crate::suspicion::{Suspects, TRIAL_TIME, Verdict};
+use crate::time::Time;
+use crate::view::View;
+
+/// Time for which a VM is avoided that broke off or was not reached; its probers tell more by then.
+const AVOID: Duration = Duration::from_secs(1);
+/// Time for which a VM is avoided that refused a request.
+const AVOID_FULL: Duration = Duration::from_millis(100);
+/// Wait before a caller tries a request again that is under suspicion.
+const SUSPECT_AFTER: Duration = Duration::from_secs(5);
+
+impl Gateway {
+    /// Ends the requests whose deadline has passed, and submits again what the log may not hold.
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        while let Some((deadline, id)) = self.deadlines.first().cloned() {
+            if deadline > now {
+                break;
+            }
+            self.time_out(now, &id, out);
+            self.deadlines.remove(&(deadline, id));
+        }
+        out.extend(self.unsettled.due(now).into_iter().map(Output::Settle));
+        let before = self.avoided.len();
+        self.avoided.retain(|_, until| now < *until);
+        if self.avoided.len() < before
+            && let Some(view) = self.view.clone()
+        {
+            self.refresh(now, &view);
+        }
+    }
+
+    /// Returns the wait that callers are told with a refusal.
+    pub(crate) fn wait_after(&self, code: Code) -> Duration {
+        match code {
+            Code::Suspect => SUSPECT_AFTER,
+            _ => RETRY_AFTER,
+        }
+    }
+
+    /// Refuses a key under which a request of this gateway is open.
+    pub(crate) fn check_open(
+        &self,
+        key: &Uuid,
+        account: &AccountId,
+        body: &str,
+    ) -> Result<(), Code> {
+        let open = self.keys.get(key).and_then(|id| self.requests.get(id));
+        match open {
+            None => Ok(()),
+            Some(r) if r.account == *account && r.arrival.body == body => Err(Code::InProgress),
+            Some(_) => Err(Code::KeyReused),
+        }
+    }
+
+    /// Claims the key of a request.
+    pub(crate) fn claim(&mut self, id: &RequestId, key: Uuid, out: &mut Vec<Output>) {
+        self.claims += 1;
+        let claim = ClaimId(self.claims);
+        self.advance(id, "claim");
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.claim = Some(claim);
+        self.keys.insert(key, id.clone());
+        let change = Change {
+            claim,
+            key,
+            change: ClaimChange::Claim,
+        };
+        out.push(Output::Claim(id.clone(), change, binding(request)));
+    }
+
+    /// Takes the end of a claim.
+    ///
+    /// The request may have got its final answer meanwhile; its claim is released then already.
+    pub(crate) fn claimed(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        settled: Settled,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let stands = matches!(settled, Settled::Accepted { .. } | Settled::Unknown);
+        let released = match &settled {
+            Settled::ClaimTaken { owner, claim, .. } => {
+                *owner == self.config.owner && self.unsettled.is_released(*claim)
+            }
+            _ => false,
+        };
+        let bound = binding(request);
+        let outcome = once::outcome(settled, &bound, |owner| self.is_live(owner));
+        if !stands && let Some(request) = self.requests.get_mut(id) {
+            request.claim = None;
+        }
+        match outcome {
+            None => {
+                self.advance(id, "claimed");
+                self.enqueue(id, out);
+            }
+            Some(Held::Refuse(_)) if released => {
+                self.refuse(now, id, Code::ClaimUnavailable, out);
+            }
+            Some(Held::Refuse(code)) => self.refuse(now, id, code, out),
+            Some(Held::Replay(answer)) => {
+                self.advance(id, "refuse");
+                self.forget(id);
+                out.push(Output::Replay(id.clone(), answer));
+            }
+        }
+    }
+
+    /// Takes the failure of an attempt.
+    pub(crate) fn failed(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        attempt: AttemptId,
+        reason: FailReason,
+        out: &mut Vec<Output>,
+    ) {
+        let since = self.trials.get(id).map(|(_, since)| *since);
+        let Some(mut ended) = self.end_attempt(id, attempt, false) else {
+            return;
+        };
+        let young = since.is_some_and(|since| now.since(since) < TRIAL_TIME);
+        let others = self.trials.values().any(|(vm, _)| *vm == ended.vm);
+        ended.alone &= young || !others;
+        if matches!(reason, FailReason::Connect | FailReason::Broken) {
+            self.avoid(now, &ended.vm, AVOID);
+        }
+        if reason == FailReason::Refused {
+            self.avoid(now, &ended.vm, AVOID_FULL);
+        }
+        if reason == FailReason::Broken {
+            self.suspect(now, id, &ended, out);
+        }
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        if !reason.not_run() {
+            request.ran = Ran::Unknown;
+        }
+        if now >= request.arrival.deadline {
+            return self.time_out(now, id, out);
+        }
+        if ended.alone && reason == FailReason::Broken {
+            return self.refuse(now, id, Code::Suspect, out);
+        }
+        let once = request.arrival.once.is_some();
+        match self.retries.decide(reason, once, request.attempts) {
+            Next::MayHaveRun => self.refuse(now, id, Code::MayHaveRun, out),
+            Next::GiveUp if request.ran == Ran::No => {
+                self.refuse(now, id, Code::EndpointRefused, out);
+            }
+            Next::GiveUp => self.refuse(now, id, Code::RetryBudget, out),
+            Next::Retry => {
+                out.push(Output::Retry(id.clone(), reason));
+                self.advance(id, "failed");
+                self.enqueue_front(id);
+            }
+        }
+    }
+
+    /// Takes the whole answer of an attempt.
+    pub(crate) fn finished(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        attempt: AttemptId,
+        answer: Option<Answer>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.end_attempt(id, attempt, true).is_none() {
+            return;
+        }
+        self.advance(id, "finish");
+        let Some(request) = self.forget(id) else {
+            return;
+        };
+        self.suspects.passed(now, request.print);
+        let kept = answer.filter(|a| a.body.len() <= once::KEEP_LIMIT);
+        let change = kept.map_or(ClaimChange::Close { ran: true }, ClaimChange::Finish);
+        self.settle(now, &request, change, out);
+    }
+
+    /// Takes the departure of a caller.
+    pub(crate) fn left(&mut self, now: Time, id: &RequestId, out: &mut Vec<Output>) {
+        self.cancel_attempt(id);
+        self.advance(id, "cancel");
+        self.unqueue(id);
+        if let Some(request) = self.forget(id) {
+            self.give_up_claim(now, &request, out);
+        }
+    }
+
+    /// Gives a request its final refusal.
+    pub(crate) fn refuse(&mut self, now: Time, id: &RequestId, code: Code, out: &mut Vec<Output>) {
+        self.refuse_after(now, id, code, self.wait_after(code), out);
+    }
+
+    /// Gives a request its final refusal, and says when it may be sent again.
+    pub(crate) fn refuse_after(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        code: Code,
+        after: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        self.cancel_attempt(id);
+        self.advance(id, "refuse");
+        self.unqueue(id);
+        let Some(request) = self.forget(id) else {
+            return;
+        };
+        self.give_up_claim(now, &request, out);
+        let of_key = matches!(
+            code,
+            Code::InProgress | Code::MayHaveRun | Code::AnswerNotKept
+        );
+        out.push(Output::Refuse {
+            request: id.clone(),
+            code,
+            ran: if of_key { code.ran() } else { request.ran },
+            after,
+        });
+    }
+
+    /// Takes the endpoints of a view, but for those that failed lately or run suspects.
+    pub(crate) fn refresh(&mut self, now: Time, view: &View) {
+        let mut avoided: BTreeSet<VmId> = self.avoided.keys().cloned().collect();
+        if self.suspects.any() {
+            let domain = &self.config.domain;
+            for (group, _) in view.table.groups() {
+                let target = Target::Model(group.clone());
+                let vms = Dispatcher::vms(now, view, domain, &target);
+                avoided.extend(self.suspects.tried(now, &vms));
+            }
+        }
+        self.dispatcher.refresh(now, view, &avoided);
+    }
+
+    /// Returns whether a request with this fingerprint is refused for the crashes it caused.
+    pub(crate) fn is_refused(&self, now: Time, view: &View, print: u64) -> bool {
+        let me = &self.config.owner.entry;
+        let verdict = self.suspects.verdict(now, view, me, print);
+        matches!(verdict, Verdict::Convicted(_) | Verdict::Elsewhere)
+    }
+
+    /// Judges an open request.
+    pub(crate) fn verdict(&self, now: Time, id: &RequestId) -> Verdict {
+        let (Some(view), Some(request)) = (&self.view, self.requests.get(id)) else {
+            return Verdict::Clear;
+        };
+        let me = &self.config.owner.entry;
+        self.suspects.verdict(now, view, me, request.print)
+    }
+
+    /// Holds a request back from the queue if it is under suspicion.
+    pub(crate) fn hold(&mut self, id: &RequestId) -> bool {
+        let suspect = self.verdict(self.now, id) != Verdict::Clear;
+        if suspect && !self.held.contains(id) {
+            self.held.push(id.clone());
+        }
+        suspect
+    }
+
+    /// Holds back or refuses a request that came under suspicion while it waited.
+    pub(crate) fn divert(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        verdict: Verdict,
+        out: &mut Vec<Output>,
+    ) {
+        match verdict {
+            Verdict::Clear => self.enqueue_front(id),
+            Verdict::Suspect(_) => drop(self.hold(id)),
+            Verdict::Elsewhere | Verdict::Convicted(_) => {
+                self.refuse(now, id, Code::Suspect, out);
+            }
+        }
+    }
+
+    /// Runs the suspects that may run now, each alone.
+    pub(crate) fn run_trials(&mut self, now: Time, out: &mut Vec<Output>) {
+        for id in std::mem::take(&mut self.held) {
+            match self.verdict(now, &id) {
+                Verdict::Suspect(from) if now < from => self.held.push(id),
+                Verdict::Suspect(_) => match self.trial(now, &id) {
+                    Some(sent) => {
+                        self.trials.insert(id, (sent.vm.clone(), now));
+                        self.start_attempt(sent, true, out);
+                    }
+                    None => self.held.push(id),
+                },
+                verdict => self.divert(now, &id, verdict, out),
+            }
+        }
+    }
+
+    fn trial(&mut self, now: Time, id: &RequestId) -> Option<Sent> {
+        let view = self.view.clone()?;
+        let target = self.requests.get(id)?.arrival.target.clone();
+        let all = Dispatcher::vms(now, &view, &self.config.domain, &target);
+        let vms = Suspects::trial_vms(&self.config.owner.entry, &all);
+        let (trials, avoided) = (&self.trials, &self.avoided);
+        let spared = |vm: &VmId| {
+            let here = trials.values().filter(|(at, _)| at == vm);
+            let young = here
+                .clone()
+                .any(|(_, since)| now.since(*since) < TRIAL_TIME);
+            let usable = vms.contains(&vm) && !young && !avoided.contains_key(vm);
+            usable.then(|| here.count() as u32)
+        };
+        self.dispatcher.send_alone(now, &view, &target, id, spared)
+    }
+
+    fn avoid(&mut self, now: Time, vm: &VmId, span: Duration) {
+        self.avoided.insert(vm.clone(), now + span);
+        if let Some(view) = self.view.clone() {
+            self.refresh(now, &view);
+        }
+    }
+
+    /// Takes a request out of the queue.
+    fn unqueue(&mut self, id: &RequestId) {
+        self.held.retain(|held| held != id);
+        if let Some(request) = self.requests.get(id) {
+            let target = request.arrival.target.clone();
+            self.dispatcher.leave(&target, id);
+        }
+    }
+
+    fn time_out(&mut self, now: Time, id: &RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let started = request.attempt.is_some() || request.ran != Ran::No;
+        let code = if started {
+            Code::TimedOut
+        } else {
+            Code::DeadlineUnmet
+        };
+        self.refuse(now, id, code, out);
+    }
+
+    fn suspect(&mut self, now: Time, id: &RequestId, ended: &Attempt, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if matches!(request.arrival.target, Target::Service(_)) {
+            return;
+        }
+        let suspicion = Suspicion {
+            print: request.print,
+            origin: self.config.owner.entry.clone(),
+            vm: ended.vm.clone(),
+            run: ended.run,
+            alone: ended.alone,
+            age_ms: 0,
+        };
+        self.suspects.broke(now, suspicion.clone());
+        out.push(Output::Suspect(suspicion));
+    }
+
+    /// Releases the claim of a request that surely did not run, or ends it for good.
+    fn give_up_claim(&mut self, now: Time, request: &Request, out: &mut Vec<Output>) {
+        let change = match request.ran {
+            Ran::No => ClaimChange::Release,
+            Ran::Yes => ClaimChange::Close { ran: true },
+            Ran::Unknown => ClaimChange::Close { ran: false },
+        };
+        self.settle(now, request, change, out);
+    }
+
+    fn settle(&mut self, now: Time, request: &Request, change: ClaimChange, out: &mut Vec<Output>) {
+        let (Some(key), Some(claim)) = (request.arrival.once, request.claim) else {
+            return;
+        };
+        let change = Change { claim, key, change };
+        self.unsettled.add(now, change.clone());
+        out.push(Output::Settle(change));
+    }
+
+    /// Ends the attempt in flight, which may have run.
+    fn cancel_attempt(&mut self, id: &RequestId) {
+        let running = self.requests.get(id).and_then(|r| r.attempt.as_ref());
+        let Some(attempt) = running.map(|a| a.id) else {
+            return;
+        };
+        self.end_attempt(id, attempt, false);
+        if let Some(request) = self.requests.get_mut(id) {
+            request.ran = Ran::Unknown;
+        }
+    }
+
+    fn end_attempt(&mut self, id: &RequestId, attempt: AttemptId, whole: bool) -> Option<Attempt> {
+        let request = self.requests.get_mut(id)?;
+        let ended = request.attempt.take_if(|a| a.id == attempt)?;
+        self.dispatcher.end(self.now, attempt, whole);
+        self.trials.remove(id);
+        Some(ended)
+    }
+
+    fn forget(&mut self, id: &RequestId) -> Option<Request> {
+        let request = self.requests.remove(id)?;
+        self.deadlines
+            .remove(&(request.arrival.deadline, id.clone()));
+        if let Some(key) = request.arrival.once {
+            self.keys.remove(&key);
+        }
+        if let Some(usage) = self.usage.get_mut(&request.account) {
+            usage.ended();
+        }
+        Some(request)
+    }
+
+    pub(crate) fn advance(&mut self, id: &RequestId, event: &str) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let next = self
+            .chart
+            .event(event)
+            .and_then(|e| self.chart.next(request.state, e));
+        request.state = next.unwrap_or(request.state);
+    }
+}
+
+fn binding(request: &Request) -> Binding {
+    Binding {
+        account: request.account.clone(),
+        body: request.arrival.body.clone(),
+    }
+}
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! Queues of all targets and the choice of where their next requests go.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -79,9 +79,16 @@
     }
 
     /// Takes the endpoints, weights and gateways of a new view.
-    pub fn refresh(&mut self, now: Time, view: &View) {
-        self.endpoints
-            .refresh(endpoints::specs(now, view, &self.domain));
+    ///
+    /// The VMs in `avoided` get no work, unless they are all that a target has.
+    pub fn refresh(&mut self, now: Time, view: &View, avoided: &BTreeSet<VmId>) {
+        let specs = || endpoints::specs(now, view, &self.domain);
+        let good: BTreeSet<Target> = specs()
+            .filter(|(_, spec)| !avoided.contains(&spec.vm))
+            .map(|(target, _)| target)
+            .collect();
+        let usable = specs().filter(|(t, s)| !avoided.contains(&s.vm) || !good.contains(t));
+        self.endpoints.refresh(usable);
         let versions = view.table.versions();
         self.weights = versions.map(|(id, row)| (id.clone(), row.weight)).collect();
         self.gateways = view.entries.iter().filter(|e| e.live).count().max(1);
@@ -186,6 +193,40 @@
         sent
     }
 
+    /// Returns an attempt on an endpoint of the target that runs nothing but `trials` requests, for
+    /// a request that must run alone.
+    pub fn send_alone(
+        &mut self,
+        now: Time,
+        view: &View,
+        target: &Target,
+        request: &RequestId,
+        spared: impl Fn(&VmId) -> Option<u32>,
+    ) -> Option<Sent> {
+        let mut specs = endpoints::specs(now, view, &self.domain);
+        let (_, spec) = specs.find(|(t, s)| {
+            let trials = spared(&s.vm).filter(|_| t == target);
+            trials.is_some_and(|n| n > 0 || s.load.running + s.load.queued == 0)
+        })?;
+        self.attempts += 1;
+        Some(Sent {
+            request: request.clone(),
+            attempt: AttemptId(self.attempts),
+            vm: spec.vm,
+            address: spec.address,
+            replica: spec.replica,
+        })
+    }
+
+    /// Returns the VMs that serve a target.
+    pub fn vms(now: Time, view: &View, domain: &DomainId, target: &Target) -> Vec<VmId> {
+        let specs = endpoints::specs(now, view, domain);
+        specs
+            .filter(|(t, _)| t == target)
+            .map(|(_, spec)| spec.vm)
+            .collect()
+    }
+
     /// Takes the news that an attempt has given `chunks` pieces of its answer.
     pub fn progress(&mut self, now: Time, attempt: AttemptId, chunks: u64) {
         self.endpoints.progress(now, attempt, chunks);
--- a/lib/src/folds.rs
+++ b/lib/src/folds.rs
@@ -483,10 +483,7 @@
 fn claim_refused(claims: &Claims, record: &ClaimRecord, refusal: ClaimRefusal) -> Settled {
     match (refusal, claims.get(&record.key)) {
         (ClaimRefusal::Expired, _) => Settled::ClaimExpired,
-        (ClaimRefusal::Taken, Some(held)) => Settled::ClaimTaken {
-            owner: held.owner.clone(),
-            answer: held.answer.clone(),
-        },
+        (ClaimRefusal::Taken, Some(held)) => held.taken(),
         (ClaimRefusal::Taken, None) => Settled::NotAppended,
     }
 }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway's state machine: admission, queueing, routing, retries and at-most-once claims.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,29 +8,28 @@
 
 use crate::accounts::{Account, Accounts};
 use crate::chart::{Chart, Charts, State};
-use crate::claims::{Answer, ClaimChange, Owner};
-use crate::codes::Code;
+use crate::claims::{Answer, Binding, ClaimId, Owner};
+use crate::codes::{Code, Ran};
 use crate::dispatch::{Dispatcher, Sent};
 use crate::endpoints::Work;
 use crate::fair_queue::Queued;
 use crate::ids::{
-    AccountId, AttemptId, DomainId, EntryId, GroupId, Offset, ReplicaId, RequestId, ServiceId, VmId,
+    AccountId, AttemptId, DomainId, EntryId, GroupId, Incarnation, Offset, ReplicaId, RequestId,
+    ServiceId, VmId,
 };
 use crate::limits::{Refused, Usage};
-use crate::peers::Settled;
+use crate::once::{self, Change, Unsettled};
+use crate::peers::{Settled, Suspicion};
+use crate::rendezvous;
+use crate::retry::Budget;
 use crate::router::Policy;
 use crate::slices::{Amount, Electorate, SliceAsk, SliceHome, SliceReply, SliceUser};
+use crate::suspicion::{Suspects, Verdict};
 use crate::time::Time;
 use crate::view::{EntryStatus, View};
 
-/// Attempts of one request at most.
-const ATTEMPTS: u32 = 4;
-/// Share of first tries that retries may add.
-const RETRY_SHARE: f64 = 0.1;
-/// Retries that an idle gateway has in hand.
-const RETRY_RESERVE: f64 = 10.0;
 /// Wait before a caller tries again.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Longest time that a request stays open after the gateway that admitted it fell silent.
 const LONGEST_OPEN: Duration = Duration::from_secs(30);
@@ -76,6 +75,8 @@
     pub deadline: Time,
     /// Idempotency key of work that must run at most once.
     pub once: Option<Uuid>,
+    /// Fingerprint of the target and the body.
+    pub body: String,
     /// What helps to place and order it.
     pub hint: Hint,
 }
@@ -92,7 +93,7 @@
 }
 
 impl Arrival {
-    fn work(&self) -> Work {
+    pub(crate) fn work(&self) -> Work {
         Work {
             tokens: self.tokens,
             prompt: self.hint.prompt,
@@ -117,6 +118,10 @@
     Broken,
     /// No chunk came in time.
     Stalled,
+    /// The endpoint replied that it failed.
+    Failed,
+    /// The endpoint's output breaks the protocol.
+    Malformed,
 }
 
 impl FailReason {
@@ -132,6 +137,8 @@
             Self::Refused => "refused",
             Self::Broken => "broken",
             Self::Stalled => "stalled",
+            Self::Failed => "failed",
+            Self::Malformed => "malformed",
         }
     }
 }
@@ -149,6 +156,8 @@
     Arrive(Arrival),
     /// The claim of a request was settled.
     Claimed(RequestId, Settled),
+    /// A release, an answer or a closure was settled.
+    Settled(ClaimId, Settled),
     /// An attempt has given this many pieces of its answer.
     Progress(RequestId, AttemptId, u64),
     /// An attempt failed.
@@ -157,7 +166,9 @@
     Finished(RequestId, AttemptId, Option<Answer>),
     /// The caller left.
     Left(RequestId),
-    /// The operator or a signal asks this gateway to stop.
+    /// The operator or a signal asks this gateway to leave the address advice; it serves on.
+    Leave,
+    /// The gateway refuses new requests from now on.
     Stop,
 }
 
@@ -183,45 +194,79 @@
         request: RequestId,
         /// Why.
         code: Code,
+        /// Whether it ran, by what became of its attempts.
+        ran: Ran,
         /// Wait before the next try.
         after: Duration,
     },
     /// Give the answer that was kept for this idempotency key.
     Replay(RequestId, Answer),
-    /// Ask the agent to append a change of a claim; the reply matters for `Claim` alone.
-    Claim(RequestId, Uuid, ClaimChange),
+    /// Ask the agent to append a claim, whose end is awaited as [`Input::Claimed`].
+    Claim(RequestId, Change, Binding),
+    /// Ask the agent to append a change of a claim, whose end is awaited as [`Input::Settled`].
+    Settle(Change),
+    /// Tell the agent of requests under suspicion of crashing endpoints.
+    Suspect(Suspicion),
     /// Count a retry.
     Retry(RequestId, FailReason),
 }
 
+/// An attempt under way.
+#[derive(Debug, Clone)]
+pub(crate) struct Attempt {
+    pub(crate) id: AttemptId,
+    pub(crate) vm: VmId,
+    pub(crate) run: Incarnation,
+    /// Whether it runs alone, under suspicion.
+    pub(crate) alone: bool,
+}
+
+/// A request without its final answer.
 #[derive(Debug)]
-struct Request {
-    arrival: Arrival,
-    account: AccountId,
-    weight: f64,
-    state: State,
-    attempt: Option<(AttemptId, VmId)>,
-    attempts: u32,
-    claimed: bool,
+pub(crate) struct Request {
+    pub(crate) arrival: Arrival,
+    pub(crate) account: AccountId,
+    pub(crate) weight: f64,
+    pub(crate) print: u64,
+    pub(crate) state: State,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) attempts: u32,
+    /// The claim that this request made, unless it is known not to stand.
+    pub(crate) claim: Option<ClaimId>,
+    /// Whether an ended attempt ran.
+    pub(crate) ran: Ran,
 }
 
 /// The gateway of one entry VM.
 #[derive(Debug)]
 pub struct Gateway {
-    config: GatewayConfig,
-    chart: Chart,
-    now: Time,
-    view: Option<Arc<View>>,
-    in_touch: Time,
-    requests: BTreeMap<RequestId, Request>,
-    dispatcher: Dispatcher,
-    accounts: Accounts,
-    indexed: Option<Offset>,
-    usage: BTreeMap<AccountId, Usage>,
-    electorate: Electorate,
-    slices: Option<(SliceUser, SliceHome)>,
-    retries: f64,
-    stopping: bool,
+    pub(crate) config: GatewayConfig,
+    pub(crate) chart: Chart,
+    pub(crate) now: Time,
+    pub(crate) view: Option<Arc<View>>,
+    pub(crate) in_touch: Time,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) accounts: Accounts,
+    pub(crate) indexed: Option<Offset>,
+    pub(crate) usage: BTreeMap<AccountId, Usage>,
+    pub(crate) electorate: Electorate,
+    pub(crate) slices: Option<(SliceUser, SliceHome)>,
+    pub(crate) retries: Budget,
+    pub(crate) unsettled: Unsettled,
+    pub(crate) claims: u64,
+    pub(crate) suspects: Suspects,
+    /// Open requests by idempotency key.
+    pub(crate) keys: BTreeMap<Uuid, RequestId>,
+    pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
+    /// Suspects that wait for a replica of their own.
+    pub(crate) held: Vec<RequestId>,
+    /// Suspects that run alone: where, and since when.
+    pub(crate) trials: BTreeMap<RequestId, (VmId, Time)>,
+    /// VMs that failed lately, and until when they are avoided.
+    pub(crate) avoided: BTreeMap<VmId, Time>,
+    pub(crate) leaving: bool,
+    pub(crate) stopping: bool,
 }
 
 impl Gateway {
@@ -239,7 +284,16 @@
             usage: BTreeMap::new(),
             electorate: Electorate::default(),
             slices: None,
-            retries: RETRY_RESERVE,
+            retries: Budget::default(),
+            unsettled: Unsettled::default(),
+            claims: 0,
+            suspects: Suspects::default(),
+            keys: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            held: Vec::new(),
+            trials: BTreeMap::new(),
+            avoided: BTreeMap::new(),
+            leaving: false,
             stopping: false,
             config,
         }
@@ -249,21 +303,25 @@
     pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.now = now;
         match input {
-            Input::Tick | Input::ViewLost => {}
+            Input::Tick => self.tick(now, out),
+            Input::ViewLost => {}
             Input::View(view) => self.take_view(now, view),
             Input::Arrive(arrival) => self.arrive(now, arrival, out),
-            Input::Claimed(request, settled) => self.claimed(&request, settled, out),
+            Input::Claimed(request, settled) => self.claimed(now, &request, settled, out),
+            Input::Settled(claim, settled) => self.unsettled.settled(now, claim, &settled),
             Input::Progress(_, attempt, chunks) => self.dispatcher.progress(now, attempt, chunks),
             Input::Failed(request, attempt, reason) => {
                 self.failed(now, &request, attempt, reason, out);
             }
             Input::Finished(request, attempt, answer) => {
-                self.finished(&request, attempt, answer, out);
+                self.finished(now, &request, attempt, answer, out);
             }
-            Input::Left(request) => self.left(&request, out),
+            Input::Left(request) => self.left(now, &request, out),
+            Input::Leave => self.leaving = true,
             Input::Stop => self.stopping = true,
         }
         self.drain_queue(now, out);
+        self.run_trials(now, out);
     }
 
     /// Returns the number of requests that have no final answer yet.
@@ -271,9 +329,14 @@
         self.requests.len()
     }
 
+    /// Returns the number of changes of claims that the log is not known to hold yet.
+    pub fn unsettled(&self) -> usize {
+        self.unsettled.len()
+    }
+
     /// Returns the spare share of the queue, from 0 to 1; zero while stopping.
     pub fn spare(&self) -> f64 {
-        if self.stopping {
+        if self.stopping || self.leaving {
             return 0.0;
         }
         1.0 - self.dispatcher.waiting() as f64 / self.config.queue.max(1) as f64
@@ -350,7 +413,8 @@
         if view.log_up || view.peers_up {
             self.in_touch = now;
         }
-        self.dispatcher.refresh(now, &view);
+        self.suspects.take(now, &view);
+        self.refresh(now, &view);
         if self.indexed != Some(view.table.next) {
             self.accounts = Accounts::index(&view.table);
             self.indexed = Some(view.table.next);
@@ -392,32 +456,40 @@
                 out.push(Output::Refuse {
                     request,
                     code,
+                    ran: code.ran(),
                     after,
                 });
             }
-            Ok((account, weight)) => {
-                self.retries = (self.retries + RETRY_SHARE).min(RETRY_RESERVE);
-                let id = arrival.request.clone();
-                let state = self.chart.start();
-                let once = arrival.once;
-                let request = Request {
-                    arrival,
-                    account,
-                    weight,
-                    state,
-                    attempt: None,
-                    attempts: 0,
-                    claimed: false,
-                };
-                self.requests.insert(id.clone(), request);
-                match once {
-                    None => self.enqueue(&id, out),
-                    Some(key) => {
-                        self.advance(&id, "claim");
-                        out.push(Output::Claim(id, key, ClaimChange::Claim));
-                    }
-                }
-            }
+            Ok((account, weight)) => self.open_request(arrival, account, weight, out),
+        }
+    }
+
+    fn open_request(
+        &mut self,
+        arrival: Arrival,
+        account: AccountId,
+        weight: f64,
+        out: &mut Vec<Output>,
+    ) {
+        self.retries.first_try();
+        let id = arrival.request.clone();
+        let once = arrival.once;
+        self.deadlines.insert((arrival.deadline, id.clone()));
+        let request = Request {
+            print: print(&account, &arrival.body),
+            arrival,
+            account,
+            weight,
+            state: self.chart.start(),
+            attempt: None,
+            attempts: 0,
+            claim: None,
+            ran: Ran::No,
+        };
+        self.requests.insert(id.clone(), request);
+        match once {
+            None => self.enqueue(&id, out),
+            Some(key) => self.claim(&id, key, out),
         }
     }
 
@@ -441,8 +513,17 @@
         if !known {
             return Err(refused(Code::UnknownModel));
         }
-        self.check_key(now, arrival).map_err(refused)?;
         let (id, weight) = (account.id.clone(), account.row.weight);
+        if let Some(key) = &arrival.once {
+            once::check_key(now, key, self.config.key_life).map_err(refused)?;
+            self.check_open(key, &id, &arrival.body).map_err(refused)?;
+        }
+        if self.is_refused(now, &view, print(&id, &arrival.body)) {
+            return Err(Refused {
+                code: Code::Suspect,
+                after: self.wait_after(Code::Suspect),
+            });
+        }
         let late = self.dispatcher.too_late(
             now,
             &arrival.target,
@@ -462,18 +543,24 @@
         Ok((id, weight))
     }
 
-    fn enqueue(&mut self, id: &RequestId, out: &mut Vec<Output>) {
+    pub(crate) fn enqueue(&mut self, id: &RequestId, out: &mut Vec<Output>) {
+        if self.hold(id) {
+            return;
+        }
         let Some((target, queued)) = self.queued(id) else {
             return;
         };
         let shed = self.dispatcher.enter(&target, queued);
         if let Some(shed) = shed {
             let after = self.dispatcher.full_for(&target);
-            self.refuse_after(&shed, Code::Overload, after, out);
+            self.refuse_after(self.now, &shed, Code::Overload, after, out);
         }
     }
 
-    fn enqueue_front(&mut self, id: &RequestId) {
+    pub(crate) fn enqueue_front(&mut self, id: &RequestId) {
+        if self.hold(id) {
+            return;
+        }
         if let Some((target, queued)) = self.queued(id) {
             self.dispatcher.enter_front(&target, queued);
         }
@@ -494,124 +581,6 @@
         Some((arrival.target.clone(), queued))
     }
 
-    fn check_key(&self, now: Time, arrival: &Arrival) -> Result<(), Code> {
-        let Some(key) = arrival.once else {
-            return Ok(());
-        };
-        let Some(stamp) = key.get_timestamp().filter(|_| key.get_version_num() == 7) else {
-            return Err(Code::KeyMalformed);
-        };
-        let (s, ns) = stamp.to_unix();
-        let made = Time(s * 1_000_000 + u64::from(ns / 1_000));
-        let life = self.config.key_life;
-        if now.since(made) > life || made.since(now) > life {
-            return Err(Code::KeyExpired);
-        }
-        Ok(())
-    }
-
-    fn claimed(&mut self, id: &RequestId, settled: Settled, out: &mut Vec<Output>) {
-        if !self.requests.contains_key(id) {
-            return;
-        }
-        let code = match settled {
-            Settled::Accepted { .. } => {
-                self.advance(id, "claimed");
-                if let Some(request) = self.requests.get_mut(id) {
-                    request.claimed = true;
-                }
-                self.enqueue(id, out);
-                return;
-            }
-            Settled::ClaimTaken {
-                answer: Some(answer),
-                ..
-            } => {
-                self.advance(id, "refuse");
-                self.forget(id);
-                out.push(Output::Replay(id.clone(), answer));
-                return;
-            }
-            Settled::ClaimTaken {
-                answer: None,
-                owner,
-            } if self.is_live(&owner) => Code::InProgress,
-            Settled::ClaimTaken { .. } | Settled::ClaimExpired => Code::MayHaveRun,
-            Settled::Unknown => Code::ClaimUnknown,
-            _ => Code::ClaimUnavailable,
-        };
-        self.refuse(id, code, out);
-    }
-
-    fn failed(
-        &mut self,
-        now: Time,
-        id: &RequestId,
-        attempt: AttemptId,
-        reason: FailReason,
-        out: &mut Vec<Output>,
-    ) {
-        if !self.end_attempt(id, attempt, false) {
-            return;
-        }
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let once = request.arrival.once.is_some();
-        if once && !reason.not_run() {
-            return self.refuse(id, Code::MayHaveRun, out);
-        }
-        if now >= request.arrival.deadline {
-            return self.refuse(id, Code::TimedOut, out);
-        }
-        if request.attempts >= ATTEMPTS || self.retries < 1.0 {
-            return self.refuse(id, Code::RetryBudget, out);
-        }
-        self.retries -= 1.0;
-        out.push(Output::Retry(id.clone(), reason));
-        self.advance(id, "failed");
-        self.enqueue_front(id);
-    }
-
-    fn finished(
-        &mut self,
-        id: &RequestId,
-        attempt: AttemptId,
-        answer: Option<Answer>,
-        out: &mut Vec<Output>,
-    ) {
-        if !self.end_attempt(id, attempt, true) {
-            return;
-        }
-        self.advance(id, "finish");
-        let Some(request) = self.forget(id) else {
-            return;
-        };
-        if let (Some(key), Some(answer)) = (request.arrival.once, answer) {
-            out.push(Output::Claim(id.clone(), key, ClaimChange::Finish(answer)));
-        }
-    }
-
-    fn left(&mut self, id: &RequestId, out: &mut Vec<Output>) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let target = request.arrival.target.clone();
-        let running = request.attempt.clone();
-        if let Some((attempt, _)) = &running {
-            self.end_attempt(id, *attempt, false);
-        }
-        self.advance(id, "cancel");
-        self.dispatcher.leave(&target, id);
-        let Some(request) = self.forget(id) else {
-            return;
-        };
-        if request.claimed && running.is_none() {
-            let key = request.arrival.once;
-            out.extend(key.map(|k| Output::Claim(id.clone(), k, ClaimChange::Release)));
-        }
-    }
-
     fn drain_queue(&mut self, now: Time, out: &mut Vec<Output>) {
         for id in self.dispatcher.overdue(now) {
             let request = self.requests.get(&id);
@@ -621,20 +590,37 @@
             } else {
                 Code::NoReplica
             };
-            self.refuse(&id, code, out);
+            self.refuse(now, &id, code, out);
         }
         for sent in self.dispatcher.drain(now) {
-            self.dispatch(sent, out);
+            self.dispatch(now, sent, out);
         }
     }
 
-    fn dispatch(&mut self, sent: Sent, out: &mut Vec<Output>) {
+    fn dispatch(&mut self, now: Time, sent: Sent, out: &mut Vec<Output>) {
+        let id = &sent.request;
+        let verdict = self.verdict(now, id);
+        if verdict != Verdict::Clear {
+            self.dispatcher.end(now, sent.attempt, false);
+            return self.divert(now, id, verdict, out);
+        }
+        self.start_attempt(sent, false, out);
+    }
+
+    pub(crate) fn start_attempt(&mut self, sent: Sent, alone: bool, out: &mut Vec<Output>) {
         self.advance(&sent.request, "dispatch");
+        let status = self.view.as_ref().and_then(|v| v.vms.get(&sent.vm));
+        let run = status.map_or(Incarnation(0), |s| s.run);
         let Some(request) = self.requests.get_mut(&sent.request) else {
             return;
         };
         request.attempts += 1;
-        request.attempt = Some((sent.attempt, sent.vm.clone()));
+        request.attempt = Some(Attempt {
+            id: sent.attempt,
+            vm: sent.vm.clone(),
+            run,
+            alone,
+        });
         out.push(Output::Dispatch {
             request: sent.request,
             attempt: sent.attempt,
@@ -644,65 +630,23 @@
         });
     }
 
-    fn refuse(&mut self, id: &RequestId, code: Code, out: &mut Vec<Output>) {
-        self.refuse_after(id, code, RETRY_AFTER, out);
-    }
-
-    fn refuse_after(&mut self, id: &RequestId, code: Code, after: Duration, out: &mut Vec<Output>) {
-        self.advance(id, "refuse");
-        let Some(request) = self.forget(id) else {
-            return;
-        };
-        if request.claimed && code != Code::MayHaveRun {
-            let key = request.arrival.once;
-            out.extend(key.map(|k| Output::Claim(id.clone(), k, ClaimChange::Release)));
-        }
-        out.push(Output::Refuse {
-            request: id.clone(),
-            code,
-            after,
-        });
-    }
-
-    fn end_attempt(&mut self, id: &RequestId, attempt: AttemptId, whole: bool) -> bool {
-        let Some(request) = self.requests.get_mut(id) else {
-            return false;
-        };
-        match request.attempt.take() {
-            Some((current, _)) if current == attempt => {
-                self.dispatcher.end(self.now, attempt, whole);
-                true
-            }
-            other => {
-                request.attempt = other;
-                false
-            }
+    /// Returns whether the gateway that holds a claim may still answer it.
+    ///
+    /// Gossip tells whether an entry VM lives, not in which run its gateway is; only an earlier run
+    /// of this gateway itself is known to be gone.
+    pub(crate) fn is_live(&self, owner: &Owner) -> bool {
+        let me = &self.config.owner;
+        if owner.entry == me.entry {
+            return owner.run == me.run;
         }
-    }
-
-    fn forget(&mut self, id: &RequestId) -> Option<Request> {
-        let request = self.requests.remove(id)?;
-        if let Some(usage) = self.usage.get_mut(&request.account) {
-            usage.ended();
-        }
-        Some(request)
-    }
-
-    fn advance(&mut self, id: &RequestId, event: &str) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let next = self
-            .chart
-            .event(event)
-            .and_then(|e| self.chart.next(request.state, e));
-        request.state = next.unwrap_or(request.state);
-    }
-
-    fn is_live(&self, owner: &Owner) -> bool {
         let Some(view) = &self.view else { return false };
         view.entries
             .iter()
-            .any(|e| e.live && e.member.entry == owner.entry && e.member.incarnation == owner.run)
+            .any(|e| e.live && e.member.entry == owner.entry)
     }
 }
+
+/// Returns the fingerprint under which a request comes under suspicion.
+pub(crate) fn print(account: &AccountId, body: &str) -> u64 {
+    rendezvous::score(account.as_str().as_bytes(), body.as_bytes())
+}
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -5,10 +5,10 @@
 use uuid::Uuid;
 
 use crate::check::Fault;
-use crate::claims::{Answer, Owner};
+use crate::claims::{Answer, Binding, ClaimId, Owner};
 use crate::engine::EngineState;
 use crate::fleet::{FleetChange, FleetRefusal};
-use crate::ids::{DomainId, Offset, VmId};
+use crate::ids::{DomainId, EntryId, Incarnation, Offset, VmId};
 use crate::table::{Edit, Refusal};
 
 /// A record that a daemon or operator asks the agent to append and settle.
@@ -34,9 +34,20 @@
         key: Uuid,
         /// The gateway that asks.
         owner: Owner,
+        /// The claim that is made or changed.
+        #[serde(default)]
+        claim: ClaimId,
+        /// What a new claim ties the key to.
+        #[serde(default)]
+        binding: Option<Binding>,
         /// What to do.
         change: crate::claims::ClaimChange,
     },
+    /// Asks for the claim on a key as folded so far; nothing is appended.
+    ClaimStatus {
+        /// The idempotency key.
+        key: Uuid,
+    },
 }
 
 /// How a submitted record was settled.
@@ -55,9 +66,20 @@
     ClaimTaken {
         /// The gateway that holds it.
         owner: Owner,
+        /// Number of the claim.
+        #[serde(default)]
+        claim: ClaimId,
+        /// What the key is tied to.
+        #[serde(default)]
+        binding: Option<Binding>,
         /// The answer, once there is one.
         answer: Option<Answer>,
+        /// Whether the work ran, once the claim ended without an answer.
+        #[serde(default)]
+        closed: Option<bool>,
     },
+    /// No claim on the key is known.
+    ClaimFree,
     /// The key is too old; whether its work ran is no longer known.
     ClaimExpired,
     /// The agent found faults in the edits and appended nothing.
@@ -151,6 +173,23 @@
     pub config: u64,
 }
 
+/// A request that was running at an endpoint when this broke off.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// Fingerprint of the client account, the target and the body.
+    pub print: u64,
+    /// The entry VM whose gateway saw it.
+    pub origin: EntryId,
+    /// The endpoint VM.
+    pub vm: VmId,
+    /// Run of the endpoint VM.
+    pub run: Incarnation,
+    /// Whether it was the only request there.
+    pub alone: bool,
+    /// Age in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What a packet asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "u8", into = "u8")]
@@ -211,6 +250,8 @@
     Packet(Packet),
     /// Probed VMs.
     Reports(Vec<VmReport>),
+    /// Requests under suspicion of crashing endpoints.
+    Suspicions(Vec<Suspicion>),
 }
 
 /// A datagram with its authentication tag, encoded without field names.
--- a/lib/src/seal.rs
+++ b/lib/src/seal.rs
@@ -18,6 +18,8 @@
 const PACKET_FORM: u8 = 1;
 /// Number of the encoding of probe reports.
 const REPORTS_FORM: u8 = 2;
+/// Form of a datagram that carries suspicions.
+const SUSPICIONS_FORM: u8 = 4;
 /// Number of the encoding of messages between gateways.
 const CALL_FORM: u8 = 3;
 
@@ -62,6 +64,9 @@
                 self.seal_body(PACKET_FORM, codec::encode_compact(packet))
             }
             GossipMessage::Reports(reports) => self.seal_body(REPORTS_FORM, codec::encode(reports)),
+            GossipMessage::Suspicions(suspicions) => {
+                self.seal_body(SUSPICIONS_FORM, codec::encode(suspicions))
+            }
         }
     }
 
@@ -71,6 +76,7 @@
         match form {
             PACKET_FORM => codec::decode(&body).ok().map(GossipMessage::Packet),
             REPORTS_FORM => codec::decode(&body).ok().map(GossipMessage::Reports),
+            SUSPICIONS_FORM => codec::decode(&body).ok().map(GossipMessage::Suspicions),
             _ => None,
         }
     }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -89,6 +89,12 @@
     #[serde(default = "body_limit")]
     #[schemars(range(min = 1_024, max = 4_194_304))]
     pub body_limit: usize,
+    /// Time in seconds for which callers keep an address, and a leaving gateway serves on.
+    #[serde(default = "keep_for_s")]
+    pub keep_for_s: u64,
+    /// Time in seconds that open requests have to end once a leaving gateway takes no new ones.
+    #[serde(default = "drain_s")]
+    pub drain_s: u64,
 }
 
 /// Settings of the agent.
@@ -197,6 +203,14 @@
     1 << 20
 }
 
+fn keep_for_s() -> u64 {
+    30
+}
+
+fn drain_s() -> u64 {
+    90
+}
+
 fn retention_s() -> u64 {
     24 * 3_600
 }
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -9,6 +9,7 @@
 use crate::folds::Alarms;
 use crate::ids::{DomainId, Incarnation, ReplicaId, StreamId, VmId};
 use crate::members::Member;
+use crate::peers::Suspicion;
 use crate::platform::VmListing;
 use crate::table::Table;
 
@@ -77,6 +78,9 @@
     pub log_up: bool,
     /// Whether a peer was heard lately.
     pub peers_up: bool,
+    /// Requests under suspicion of crashing endpoints.
+    #[serde(default)]
+    pub suspicions: Vec<Suspicion>,
     /// Streams whose records expired unread, on which nothing may be decided.
     #[serde(default)]
     pub gaps: Vec<StreamId>,
--- a/lib/tests/test_folds.rs
+++ b/lib/tests/test_folds.rs
@@ -1,6 +1,6 @@
 //! Folds: equal on every reader at every place, over restating, trims, races and malformed records.
 
-use hemlock_lib::claims::{ClaimChange, ClaimRecord, Owner};
+use hemlock_lib::claims::{ClaimChange, ClaimId, ClaimRecord, Owner};
 use hemlock_lib::codec;
 use hemlock_lib::folds::{CONFIG_STREAM, Folded, Folds, claims_stream};
 use hemlock_lib::ids::{Incarnation, Nonce, Offset, StreamId};
@@ -303,6 +303,8 @@
             nonce: Nonce(1),
             key,
             owner,
+            claim: ClaimId(0),
+            binding: None,
             change,
         })
     };
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,10 +1,13 @@
 //! Stand-ins for the platform, model engines and plain services, for tests and the demo.
 
+pub mod agent;
 pub mod caller;
 pub mod engine;
 pub mod invariants;
 pub mod log;
+pub mod outage;
 pub mod pacer;
 pub mod platform;
 pub mod scenario;
+pub mod schedule;
 pub mod service;
