--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -1,127 +1,55 @@
-//! `hemlock apply`: makes the table what a directory declares.
+//! `hemlock apply`: makes the table what a directory or a file declares.
 
-use std::io::Write;
 use std::path::PathBuf;
-use std::time::{Duration, Instant};
 
-use clap::{Arg, ArgAction, ArgMatches, Command};
-use hemlock_lib::declaration;
-use hemlock_lib::ids::Offset;
-use hemlock_lib::peers::{Settled, Submit};
-use hemlock_lib::table::{Edit, Refusal};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use hemlock_lib::declaration::{self, Declared};
+use hemlock_lib::table::{Edit, Table};
 
+use super::check;
 use crate::exit::{Exit, Failure};
-use crate::session::Session;
-
-/// Time that `--wait` waits for every entry VM.
-const WAIT: Duration = Duration::from_secs(12);
-const POLL: Duration = Duration::from_millis(200);
+use crate::session::Context;
+use crate::settle;
 
 pub(crate) fn command() -> Command {
-    let dir = Arg::new("dir")
-        .value_name("DIR")
-        .required(true)
-        .value_parser(clap::value_parser!(PathBuf))
-        .help("Directory of YAML files that declare the table");
-    let wait = Arg::new("wait")
-        .long("wait")
-        .action(ArgAction::SetTrue)
-        .help("Wait until the change is in force on every entry VM");
-    let author = Arg::new("author")
-        .long("author")
-        .value_name("NAME")
-        .default_value("operator");
+    let file = Arg::new("file")
+        .long("file")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .conflicts_with("dir")
+        .help("Change only the rows of this file, such as `get ROW --output yaml` writes");
+    let dir = check::dir_arg()
+        .required(false)
+        .required_unless_present("file");
     Command::new("apply")
-        .about("Make the table what a directory declares")
-        .args([
-            dir,
-            wait,
-            author.help("Name that the change is recorded under"),
-        ])
+        .about("Make the table what a directory or a file declares")
+        .args([dir, file])
+        .args(settle::args())
+        .after_help(
+            "A directory declares the whole table: rows that it lacks are deleted, but for drains.\n\
+             Only rows that differ are touched, all of them or none.\n\n\
+             Examples:\n  \
+             hemlock apply examples/tallow-creek/table --wait --author ines\n  \
+             hemlock get group/listwriter --output yaml > row.yaml\n  \
+             hemlock apply --file row.yaml",
+        )
 }
 
-pub(crate) fn run(
-    session: &Session,
-    matches: &ArgMatches,
-    out: &mut impl Write,
-) -> Result<Exit, Failure> {
-    let dir = matches
-        .get_one::<PathBuf>("dir")
-        .cloned()
-        .unwrap_or_default();
-    let declared = declaration::open(&dir)
-        .map_err(|e| Failure::new(Exit::Usage, e.current_context().to_string()))?;
-    let edits = declaration::diff(&session.view()?.table, &declared);
-    if edits.is_empty() {
-        writeln!(out, "no row differs")?;
-        return Ok(Exit::Done);
-    }
-    for edit in &edits {
-        writeln!(out, "{} {}", verb(edit), edit.key)?;
-    }
-    let author = matches
-        .get_one::<String>("author")
-        .cloned()
-        .unwrap_or_default();
-    let offset = accepted(session.submit(Submit::Config { author, edits }))?;
-    writeln!(out, "accepted at offset {offset}")?;
-    if matches.get_flag("wait") {
-        wait_in_force(session, offset, out)
-    } else {
-        Ok(Exit::Done)
-    }
+pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
+    let (declared, diff) = declared(matches)?;
+    let view = context.session.view()?;
+    let edits = diff(&view.table, &declared);
+    check::refuse_faults(context, &declared, &view, &edits)?;
+    settle::submit(context, matches, &view.table, edits)
 }
 
-fn verb(edit: &Edit) -> &'static str {
-    match (&edit.base, &edit.row) {
-        (_, None) => "delete",
-        (None, Some(_)) => "add",
-        (Some(_), Some(_)) => "change",
-    }
-}
+type Diff = fn(&Table, &Declared) -> Vec<Edit>;
 
-fn accepted(settled: Settled) -> Result<Offset, Failure> {
-    let failure = match settled {
-        Settled::Accepted { offset } => return Ok(offset),
-        Settled::ConfigRefused(Refusal::Conflict { key, entry }) => {
-            let who = entry.map_or_else(
-                || "it is gone".to_owned(),
-                |e| format!("{} changed it at offset {}", e.author, e.version),
-            );
-            let cause = format!("`{key}` moved on since it was read: {who}; nothing was changed");
-            Failure::new(Exit::Conflict, cause)
-        }
-        Settled::NotAppended => Failure::new(
-            Exit::Unreachable,
-            "the log did not take the change; nothing was changed",
-        ),
-        Settled::Unknown => Failure::new(
-            Exit::Unknown,
-            "whether the change was accepted can't be told; run `hemlock status` before a new try",
-        ),
-        other => Failure::new(Exit::Refused, format!("the change was refused: {other:?}")),
+fn declared(matches: &ArgMatches) -> Result<(Declared, Diff), Failure> {
+    let Some(file) = matches.get_one::<PathBuf>("file") else {
+        return Ok((check::open_dir(matches)?, declaration::diff));
     };
-    Err(failure)
-}
-
-fn wait_in_force(session: &Session, offset: Offset, out: &mut impl Write) -> Result<Exit, Failure> {
-    let end = Instant::now() + WAIT;
-    loop {
-        let view = session.view()?;
-        let behind: Vec<String> = view
-            .entries
-            .iter()
-            .filter(|e| e.config <= offset.0)
-            .map(|e| e.member.entry.to_string())
-            .collect();
-        if behind.is_empty() {
-            writeln!(out, "in force on {} entry VMs", view.entries.len())?;
-            return Ok(Exit::Done);
-        }
-        if Instant::now() >= end {
-            writeln!(out, "not confirmed on: {}", behind.join(", "))?;
-            return Ok(Exit::NotInForce);
-        }
-        std::thread::sleep(POLL);
-    }
+    let declared = declaration::open_file(file)
+        .map_err(|e| Failure::usage(e.current_context().to_string()))?;
+    Ok((declared, declaration::edits))
 }
--- /dev/null
+++ b/cli/src/commands/get.rs
@@ -0,0 +1,55 @@
+//! `hemlock get`: shows rows of the table.
+
+use clap::{Arg, ArgMatches, Command};
+use hemlock_lib::declaration::Declaration;
+use hemlock_lib::table::{Entry, Row, RowKey, Table};
+
+use crate::exit::{Exit, Failure};
+use crate::output::{self, Sheet};
+use crate::rows;
+use crate::session::Context;
+
+pub(crate) fn command() -> Command {
+    let row = Arg::new("row")
+        .value_name("ROW")
+        .help("Row to show, such as group/listwriter; all rows without it");
+    Command::new("get")
+        .about("Show rows of the table")
+        .arg(row)
+        .after_help(
+            "Examples:\n  hemlock get\n  hemlock get group/listwriter --output yaml > row.yaml",
+        )
+}
+
+pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
+    let row = matches.get_one::<String>("row");
+    let key = row.map(|r| rows::key(r)).transpose()?;
+    let table = context.session.view()?.table;
+    let picked = pick(&table, key.as_ref())?;
+    let mut declaration = Declaration::default();
+    for (key, entry, row) in &picked {
+        declaration.insert(key, row);
+        declaration.bases.insert(key.to_string(), entry.version.0);
+    }
+    output::print(context.out, context.format, &declaration, || {
+        let mut sheet = Sheet::new(&["row", "columns", "last changed by"]);
+        for (key, entry, row) in &picked {
+            let columns = rows::difference(None, Some(row));
+            sheet.line([key.to_string(), columns, rows::origin(entry)]);
+        }
+        sheet
+    })?;
+    Ok(Exit::Done)
+}
+
+type Picked<'a> = Vec<(&'a RowKey, &'a Entry, &'a Row)>;
+
+fn pick<'a>(table: &'a Table, key: Option<&'a RowKey>) -> Result<Picked<'a>, Failure> {
+    match key {
+        None => Ok(table.rows().collect()),
+        Some(key) => {
+            let (entry, row) = rows::existing(table, key)?;
+            Ok(vec![(key, entry, row)])
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/commands/history.rs
@@ -0,0 +1,76 @@
+//! `hemlock history`: shows who changed rows, when and to what.
+
+use clap::{Arg, ArgMatches, Command};
+use hemlock_lib::ids::Offset;
+use hemlock_lib::table::{Entry, RowKey};
+use serde::Serialize;
+
+use crate::exit::{Exit, Failure};
+use crate::output::{self, Sheet};
+use crate::session::Context;
+use crate::{clock, rows};
+
+pub(crate) fn command() -> Command {
+    let row = Arg::new("row")
+        .value_name("ROW")
+        .help("Row to show, such as group/listwriter; all rows without it");
+    Command::new("history")
+        .about("Show who changed rows, when and to what")
+        .arg(row)
+        .after_help(
+            "The table keeps the last five changes of each row; older ones live in version control.\n\n\
+             Example:\n  hemlock history group/listwriter",
+        )
+}
+
+#[derive(Debug, Serialize)]
+struct Step {
+    offset: Offset,
+    at: String,
+    author: String,
+    row: String,
+    change: String,
+}
+
+pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
+    let row = matches.get_one::<String>("row");
+    let key = row.map(|r| rows::key(r)).transpose()?;
+    let table = context.session.view()?.table;
+    let mut all: Vec<Step> = match &key {
+        None => table.entries().flat_map(|(k, e)| steps(k, e)).collect(),
+        Some(key) => match table.entry(key) {
+            Some(entry) => steps(key, entry),
+            None => return rows::existing(&table, key).map(|_| Exit::Done),
+        },
+    };
+    all.sort_by(|a, b| b.offset.cmp(&a.offset).then_with(|| a.row.cmp(&b.row)));
+    output::print(context.out, context.format, &all, || {
+        let mut sheet = Sheet::new(&["offset", "at", "author", "row", "change"]);
+        for s in &all {
+            sheet.line([&s.offset.to_string(), &s.at, &s.author, &s.row, &s.change]);
+        }
+        sheet
+    })?;
+    Ok(Exit::Done)
+}
+
+fn steps(key: &RowKey, entry: &Entry) -> Vec<Step> {
+    let changes = rows::changes(entry);
+    let mut out = Vec::new();
+    for (i, change) in changes.iter().enumerate() {
+        let before = changes.get(i + 1).and_then(|c| c.row.as_ref());
+        let what = match (&change.row, before) {
+            (None, _) => "delete".to_owned(),
+            (Some(row), None) => rows::difference(None, Some(row)),
+            (Some(row), Some(before)) => rows::difference(Some(before), Some(row)),
+        };
+        out.push(Step {
+            offset: change.version,
+            at: clock::show(change.at_ms),
+            author: change.author.clone(),
+            row: key.to_string(),
+            change: what,
+        });
+    }
+    out
+}
--- /dev/null
+++ b/cli/src/commands/schema.rs
@@ -0,0 +1,33 @@
+//! `hemlock schema`: writes the JSON Schema of settings or of table files.
+
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgMatches, Command};
+use hemlock_lib::declaration::Declaration;
+use hemlock_lib::settings::Settings;
+
+use crate::exit::{Exit, Failure};
+use crate::session::Context;
+
+pub(crate) fn command() -> Command {
+    let of = Arg::new("of")
+        .value_name("OF")
+        .required(true)
+        .value_parser(PossibleValuesParser::new(["settings", "table"]))
+        .help("Files to describe");
+    Command::new("schema")
+        .about("Write the JSON Schema of settings or of table files")
+        .arg(of)
+        .after_help("Example:\n  hemlock schema settings > settings.schema.json")
+}
+
+pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
+    let of = matches.get_one::<String>("of").map_or("", |s| s);
+    let schema = match of {
+        "settings" => schemars::schema_for!(Settings),
+        _ => schemars::schema_for!(Declaration),
+    };
+    let text = serde_json::to_string_pretty(&schema)
+        .map_err(|e| Failure::new(Exit::Failed, e.to_string()))?;
+    writeln!(context.out, "{text}")?;
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/cli/src/commands/set.rs
@@ -0,0 +1,66 @@
+//! `hemlock set`: changes columns of one row.
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use hemlock_lib::declaration::{self, Declared};
+use hemlock_lib::nearest::nearest;
+use hemlock_lib::table::Row;
+use serde_json::Value;
+
+use super::check;
+use crate::exit::{Exit, Failure};
+use crate::session::Context;
+use crate::{rows, settle};
+
+pub(crate) fn command() -> Command {
+    let row = Arg::new("row")
+        .value_name("ROW")
+        .required(true)
+        .help("Row to change, such as group/listwriter");
+    let columns = Arg::new("columns")
+        .value_name("COLUMN=VALUE")
+        .required(true)
+        .action(ArgAction::Append)
+        .help("New values");
+    Command::new("set")
+        .about("Change columns of one row")
+        .args([row, columns])
+        .args(settle::args())
+        .after_help("Example:\n  hemlock set group/listwriter replicas=14 minimum=9 --wait")
+}
+
+pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
+    let row = matches.get_one::<String>("row").cloned();
+    let key = rows::key(&row.unwrap_or_default())?;
+    let columns = matches.get_many::<String>("columns").unwrap_or_default();
+    let view = context.session.view()?;
+    let (entry, old) = rows::existing(&view.table, &key)?;
+    let new = changed(old, columns)?;
+    let mut declared = Declared::default();
+    declared.rows.insert(key.clone(), new);
+    declared.bases.insert(key, entry.version);
+    let edits = declaration::edits(&view.table, &declared);
+    check::refuse_faults(context, &declared, &view, &edits)?;
+    settle::submit(context, matches, &view.table, edits)
+}
+
+fn changed<'a>(old: &Row, given: impl Iterator<Item = &'a String>) -> Result<Row, Failure> {
+    let mut columns = rows::columns(old);
+    for text in given {
+        let (column, value) = text
+            .split_once('=')
+            .ok_or_else(|| Failure::usage(format!("`{text}` is no COLUMN=VALUE")))?;
+        let known = columns.keys().map(String::as_str);
+        if !columns.contains_key(column) {
+            let meant = nearest(column, known).map(|m| format!("; did you mean `{m}`?"));
+            let cause = format!("no column `{column}`{}", meant.unwrap_or_default());
+            return Err(Failure::usage(cause));
+        }
+        let text_column = columns.get(column).is_some_and(Value::is_string);
+        let value = match serde_yaml_ng::from_str(value) {
+            Ok(parsed) if !text_column => parsed,
+            _ => Value::String(value.to_owned()),
+        };
+        columns.insert(column.to_owned(), value);
+    }
+    rows::from_columns(old, columns).map_err(Failure::usage)
+}
--- a/cli/src/exit.rs
+++ b/cli/src/exit.rs
@@ -22,6 +22,41 @@
     NotInForce = 6,
     /// The agent or the log did not answer.
     Unreachable = 7,
+    /// `diff` found rows that differ.
+    Differs = 8,
+}
+
+impl Exit {
+    /// Lists all exits with their meaning.
+    pub const ALL: [(Self, &'static str); 9] = [
+        (Self::Done, "it did what was asked"),
+        (
+            Self::Failed,
+            "it failed in a way that no other code names, such as an unwritable output",
+        ),
+        (
+            Self::Usage,
+            "the command line, the settings or the table files are wrong; nothing was sent",
+        ),
+        (Self::Refused, "the system refused; nothing was changed"),
+        (
+            Self::Conflict,
+            "somebody else changed a row first; nothing was changed",
+        ),
+        (
+            Self::Unknown,
+            "whether the change was accepted can't be told; `hemlock history` shows it",
+        ),
+        (
+            Self::NotInForce,
+            "the change was accepted but is not confirmed in force on every entry VM",
+        ),
+        (
+            Self::Unreachable,
+            "no agent, or not the log, answered; nothing was changed",
+        ),
+        (Self::Differs, "`diff` found rows that differ"),
+    ];
 }
 
 impl From<Exit> for ExitCode {
@@ -44,6 +79,10 @@
             cause: cause.into(),
         }
     }
+
+    pub(crate) fn usage(cause: impl Into<String>) -> Self {
+        Self::new(Exit::Usage, cause)
+    }
 }
 
 impl From<std::io::Error> for Failure {
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,61 +1,98 @@
 //! The `hemlock` command: operators' view of the table and of the system's state.
 
+mod clock;
 mod commands;
 mod exit;
+mod output;
+mod rows;
 mod session;
+mod settle;
 
 use std::ffi::OsString;
+use std::fmt::Write as _;
 use std::io::Write;
 use std::process::ExitCode;
 
-use clap::{Arg, Command};
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgAction, Command};
 
 pub use crate::exit::Exit;
+use crate::output::Format;
 
-/// Environment variable that names the agent.
+/// Environment variable that names the agents, separated by commas.
 const AGENT_VARIABLE: &str = "HEMLOCK_AGENT";
+/// Agent that is asked if none is named.
+const DEFAULT_AGENT: &str = "http://127.0.0.1:8101";
 
 /// Returns the command line's definition.
 pub fn command() -> Command {
     let agent = Arg::new("agent")
         .long("agent")
         .global(true)
+        .action(ArgAction::Append)
         .value_name("URL")
-        .default_value("http://127.0.0.1:8101")
         .help(format!(
-            "Agent to talk to; {AGENT_VARIABLE} sets the default"
+            "Agent to talk to; given more than once, they are tried in turn \
+             [default: {AGENT_VARIABLE}, or {DEFAULT_AGENT}]"
         ));
+    let output = Arg::new("output")
+        .long("output")
+        .global(true)
+        .value_name("FORMAT")
+        .value_parser(PossibleValuesParser::new(Format::NAMES))
+        .default_value("table")
+        .help("Form of the output");
     Command::new("hemlock")
         .about("Operates hemlocklb")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
-        .arg(agent)
+        .arg_required_else_help(true)
+        .args([agent, output])
+        .after_help(exit_codes())
         .subcommands(commands::all())
 }
 
-/// Runs one command; output goes to `out`, errors to `err`.
+/// Runs one command; output goes to `out`, errors and progress to `err`.
 pub fn run(
     args: impl IntoIterator<Item = impl Into<OsString> + Clone>,
     out: &mut impl Write,
     err: &mut impl Write,
+) -> Exit {
+    run_with(DEFAULT_AGENT, args, out, err)
+}
+
+/// Runs the process's own command line.
+pub fn main() -> ExitCode {
+    let agents = std::env::var(AGENT_VARIABLE).unwrap_or_else(|_| DEFAULT_AGENT.to_owned());
+    let args: Vec<OsString> = std::env::args_os().collect();
+    run_with(
+        &agents,
+        args,
+        &mut std::io::stdout(),
+        &mut std::io::stderr(),
+    )
+    .into()
+}
+
+fn run_with(
+    agents: &str,
+    args: impl IntoIterator<Item = impl Into<OsString> + Clone>,
+    out: &mut dyn Write,
+    err: &mut dyn Write,
 ) -> Exit {
     let matches = match command().try_get_matches_from(args) {
         Ok(matches) => matches,
         Err(e) => {
             let shown = e.render();
-            let _ = if e.use_stderr() {
-                write!(err, "{shown}")
-            } else {
-                write!(out, "{shown}")
-            };
-            return if e.use_stderr() {
-                Exit::Usage
-            } else {
-                Exit::Done
-            };
+            if !e.use_stderr() {
+                let _ = write!(out, "{shown}");
+                return Exit::Done;
+            }
+            let _ = write!(err, "{shown}");
+            return Exit::Usage;
         }
     };
-    match commands::run(&matches, out) {
+    match commands::run(agents, &matches, out, err) {
         Ok(exit) => exit,
         Err(failure) => {
             let _ = writeln!(err, "error: {}", failure.cause);
@@ -64,11 +101,10 @@
     }
 }
 
-/// Runs the process's own command line.
-pub fn main() -> ExitCode {
-    let mut args: Vec<OsString> = std::env::args_os().collect();
-    if let Some(agent) = std::env::var_os(AGENT_VARIABLE) {
-        args.splice(1..1, ["--agent".into(), agent]);
+fn exit_codes() -> String {
+    let mut text = "Exit codes:\n".to_owned();
+    for (exit, meaning) in Exit::ALL {
+        let _ = writeln!(text, "  {}  {meaning}", exit as u8);
     }
-    run(args, &mut std::io::stdout(), &mut std::io::stderr()).into()
+    text
 }
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,1 +1,9 @@
 //! Runs the tests of this crate in one program.
+
+mod fake;
+mod test_apply;
+mod test_check;
+mod test_commands;
+mod test_drain;
+mod test_explain;
+mod test_pages;
--- /dev/null
+++ b/cli/tests/test_pages.rs
@@ -0,0 +1,1 @@
+//! Pages that are checked against the code.
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -28,7 +28,7 @@
 use crate::snapshot::{Restate, RestateRecord};
 use crate::table::{ConfigRecord, Edit, Refusal};
 use crate::time::Time;
-use crate::view::{EntryStatus, View};
+use crate::view::{self, EntryStatus, View};
 
 pub use crate::folds::{CONFIG_STREAM, MEMBERS_STREAM, claims_stream, fleet_stream};
 
@@ -392,7 +392,7 @@
             if entry.is_some_and(|e| Some(e.version) > edit.base) {
                 return Some(Settled::ConfigRefused(Refusal::Conflict {
                     key: edit.key.clone(),
-                    entry: entry.cloned(),
+                    entry: entry.cloned().map(Box::new),
                 }));
             }
         }
@@ -609,6 +609,8 @@
     }
 
     fn view(&self, now: Time) -> View {
+        let mut vms = self.prober.statuses(now);
+        view::mark_drained(&mut vms, &self.folds.table);
         View {
             version: self.version,
             table: self.folds.table.clone(),
@@ -618,7 +620,7 @@
                 .iter()
                 .map(|m| self.entry_status(m))
                 .collect(),
-            vms: self.prober.statuses(now),
+            vms,
             fleets: self.folds.fleets.clone(),
             log_up: self.log_up,
             peers_up: self.gossip.peers_up(now),
--- a/lib/src/check.rs
+++ b/lib/src/check.rs
@@ -8,10 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DomainId, GroupId};
+use crate::nearest;
 use crate::table::{AccountRow, Edit, GroupRow, Row, RowKey, ServiceRow, Table, VersionRow};
 
-/// Similarity from which a known name is offered in place of an unknown one.
-const SIMILAR: f64 = 0.7;
 /// Hexadecimal digits of a SHA-256 hash.
 const HASH_DIGITS: usize = 64;
 
@@ -94,6 +93,7 @@
             (RowKey::Version(_), Some(Row::Version(row))) => self.check_version(rows, key, row),
             (RowKey::Account(_), Some(Row::Account(row))) => self.check_account(rows, key, row),
             (RowKey::Service(_), Some(Row::Service(row))) => self.check_service(key, row),
+            (RowKey::Drain(_), Some(Row::Drain(_))) => {}
             (_, Some(_)) => self.fault(key, "", "the values are those of another kind of row"),
         }
     }
@@ -130,7 +130,7 @@
         self.at_least_zero(key, "weight", row.weight);
         self.at_least_one(key, "span", row.span);
         let Some(group) = find_group(rows, &row.group) else {
-            let cause = format!("no group `{}`{}", row.group, nearest(rows, &row.group));
+            let cause = format!("no group `{}`{}", row.group, meant(rows, &row.group));
             self.fault(key, "group", cause);
             return;
         };
@@ -239,16 +239,13 @@
 }
 
 /// Returns the known group whose name is most like `group`, worded for a fault.
-fn nearest(rows: &BTreeMap<&RowKey, &Row>, group: &GroupId) -> String {
+fn meant(rows: &BTreeMap<&RowKey, &Row>, group: &GroupId) -> String {
     let groups = rows.keys().filter_map(|key| match key {
         RowKey::Group(id) => Some(id),
         _ => None,
     });
-    groups
-        .map(|id| (strsim::jaro_winkler(id.as_str(), group.as_str()), id))
-        .filter(|(score, _)| *score >= SIMILAR)
-        .max_by(|a, b| a.0.total_cmp(&b.0))
-        .map_or_else(String::new, |(_, id)| format!("; did you mean `{id}`?"))
+    nearest::nearest(group.as_str(), groups.map(GroupId::as_str))
+        .map_or_else(String::new, |id| format!("; did you mean `{id}`?"))
 }
 
 fn is_name(key: &RowKey) -> bool {
--- a/lib/src/declaration.rs
+++ b/lib/src/declaration.rs
@@ -4,31 +4,40 @@
 use std::path::{Path, PathBuf};
 
 use error_stack::Report;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::table::{AccountRow, Edit, GroupRow, Row, RowKey, ServiceRow, Table, VersionRow};
+use crate::check::{self, Fault};
+use crate::ids::{DomainId, Offset};
+use crate::table::{
+    AccountRow, DrainRow, Edit, GroupRow, Row, RowKey, ServiceRow, Table, VersionRow,
+};
+use crate::yaml::{self, Place};
 
 /// Says what is wrong with a declaration, and where.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DeclarationError {
     /// The file.
     pub file: PathBuf,
-    /// Line within the file, counted from one; zero when the file as a whole is at fault.
-    pub line: usize,
+    /// Place within the file.
+    pub place: Place,
     /// What is wrong and how to mend it.
     pub cause: String,
 }
 
 impl std::fmt::Display for DeclarationError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}:{}: {}", self.file.display(), self.line, self.cause)
+        if self.file.as_os_str().is_empty() {
+            return f.write_str(&self.cause);
+        }
+        write!(f, "{}:{}: {}", self.file.display(), self.place, self.cause)
     }
 }
 
 impl std::error::Error for DeclarationError {}
 
 /// Rows that one file declares.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Declaration {
     /// Model groups.
@@ -43,88 +52,197 @@
     /// Plain services.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub services: BTreeMap<String, ServiceRow>,
+    /// Drained endpoint VMs.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub drains: BTreeMap<String, DrainRow>,
+    /// Row versions that the file was made from, as `get` writes them; a row that moved on since is a
+    /// conflict. Files under version control leave them out.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub bases: BTreeMap<String, u64>,
 }
 
 impl Declaration {
     /// Parses one file.
     pub fn parse(file: impl AsRef<Path>, text: &str) -> Result<Self, Report<DeclarationError>> {
-        serde_yaml_ng::from_str(text).map_err(|e| {
-            let line = e.location().map_or(0, |l| l.line());
-            fault(file.as_ref(), line, e.to_string())
-        })
+        yaml::parse(text).map_err(|f| fault(file.as_ref(), f.place, f.cause))
+    }
+
+    /// Declares a row.
+    pub fn insert(&mut self, key: &RowKey, row: &Row) {
+        match (key, row) {
+            (RowKey::Group(id), Row::Group(row)) => {
+                self.groups.insert(id.to_string(), row.clone());
+            }
+            (RowKey::Version(id), Row::Version(row)) => {
+                self.versions.insert(id.to_string(), row.clone());
+            }
+            (RowKey::Account(id), Row::Account(row)) => {
+                self.accounts.insert(id.to_string(), row.clone());
+            }
+            (RowKey::Service(id), Row::Service(row)) => {
+                self.services.insert(id.to_string(), row.clone());
+            }
+            (RowKey::Drain(id), Row::Drain(row)) => {
+                self.drains.insert(id.to_string(), row.clone());
+            }
+            _ => {}
+        }
     }
 
     /// Returns the declared rows.
     pub fn rows(&self) -> BTreeMap<RowKey, Row> {
-        let groups = self
-            .groups
-            .iter()
-            .map(|(id, row)| (RowKey::Group(id.as_str().into()), Row::Group(row.clone())));
-        let versions = self.versions.iter().map(|(id, row)| {
-            (
-                RowKey::Version(id.as_str().into()),
-                Row::Version(row.clone()),
-            )
-        });
-        let accounts = self.accounts.iter().map(|(id, row)| {
-            (
-                RowKey::Account(id.as_str().into()),
-                Row::Account(row.clone()),
-            )
-        });
-        let services = self.services.iter().map(|(id, row)| {
-            (
-                RowKey::Service(id.as_str().into()),
-                Row::Service(row.clone()),
-            )
-        });
-        groups
-            .chain(versions)
-            .chain(accounts)
-            .chain(services)
-            .collect()
+        let mut out = BTreeMap::new();
+        for (id, row) in &self.groups {
+            out.insert(RowKey::Group(id.as_str().into()), Row::Group(row.clone()));
+        }
+        for (id, row) in &self.versions {
+            let key = RowKey::Version(id.as_str().into());
+            out.insert(key, Row::Version(row.clone()));
+        }
+        for (id, row) in &self.accounts {
+            let key = RowKey::Account(id.as_str().into());
+            out.insert(key, Row::Account(row.clone()));
+        }
+        for (id, row) in &self.services {
+            let key = RowKey::Service(id.as_str().into());
+            out.insert(key, Row::Service(row.clone()));
+        }
+        for (id, row) in &self.drains {
+            out.insert(RowKey::Drain(id.as_str().into()), Row::Drain(row.clone()));
+        }
+        out
+    }
+}
+
+/// Rows that an operator declares, with the files that they come from.
+#[derive(Debug, Clone, Default)]
+pub struct Declared {
+    /// The rows.
+    pub rows: BTreeMap<RowKey, Row>,
+    /// Row versions that were named.
+    pub bases: BTreeMap<RowKey, Offset>,
+    sources: BTreeMap<RowKey, (PathBuf, Place)>,
+    texts: BTreeMap<PathBuf, String>,
+}
+
+impl Declared {
+    /// Adds the rows of one file; a row declared twice is an error.
+    pub fn add(&mut self, file: &Path, text: &str) -> Result<(), Report<DeclarationError>> {
+        let declaration = Declaration::parse(file, text)?;
+        for (name, base) in &declaration.bases {
+            let place = yaml::find(text, 1, name).unwrap_or_default();
+            let key = name.parse().map_err(|e: String| fault(file, place, e))?;
+            self.bases.insert(key, Offset(*base));
+        }
+        for (key, row) in declaration.rows() {
+            let place = row_place(text, &key);
+            if let Some((first, at)) = self.sources.get(&key) {
+                let cause = format!("`{key}` is declared in {}:{at} too", first.display());
+                return Err(fault(file, place, cause));
+            }
+            self.sources.insert(key.clone(), (file.to_owned(), place));
+            self.rows.insert(key, row);
+        }
+        self.texts.insert(file.to_owned(), text.to_owned());
+        Ok(())
+    }
+
+    /// Returns the edits that would make all rows in an empty table.
+    pub fn all(&self) -> Vec<Edit> {
+        edits(&Table::default(), self)
+    }
+
+    /// Returns what is wrong with edits that come from these rows, and where.
+    ///
+    /// `vms` is the number of engine VMs of each failure domain; while it is empty, spans aren't
+    /// checked.
+    pub fn check(
+        &self,
+        table: &Table,
+        edits: &[Edit],
+        vms: &BTreeMap<DomainId, usize>,
+    ) -> Vec<DeclarationError> {
+        let faults = check::check(table, edits, vms);
+        faults.iter().map(|f| self.place_fault(f)).collect()
+    }
+
+    fn place_fault(&self, fault: &Fault) -> DeclarationError {
+        let (file, row) = self.sources.get(&fault.row).cloned().unwrap_or_default();
+        let text = self.texts.get(&file).map_or("", String::as_str);
+        let column = yaml::find(text, row.line, &fault.column);
+        let place = column.filter(|_| !fault.column.is_empty()).unwrap_or(row);
+        DeclarationError {
+            file,
+            place,
+            cause: fault.to_string(),
+        }
     }
 }
 
 /// Reads every `.yaml` file of a directory; a row declared twice is an error.
-pub fn open(dir: impl AsRef<Path>) -> Result<BTreeMap<RowKey, Row>, Report<DeclarationError>> {
+pub fn open(dir: impl AsRef<Path>) -> Result<Declared, Report<DeclarationError>> {
     let dir = dir.as_ref();
-    let unreadable = |e: std::io::Error| fault(dir, 0, format!("can't read the table: {e}"));
+    let unreadable = |e: std::io::Error| {
+        let cause = format!("can't read the table: {e}");
+        fault(dir, Place::default(), cause)
+    };
     let mut files = Vec::new();
     for entry in std::fs::read_dir(dir).map_err(unreadable)? {
         files.push(entry.map_err(unreadable)?.path());
     }
     files.retain(|f| f.extension().is_some_and(|e| e == "yaml"));
     files.sort();
-    let mut out = BTreeMap::new();
+    if files.is_empty() {
+        let cause = "no `.yaml` file here; an empty table would delete every row".to_owned();
+        return Err(fault(dir, Place::default(), cause));
+    }
+    let mut out = Declared::default();
     for file in files {
-        let text = std::fs::read_to_string(&file)
-            .map_err(|e| fault(&file, 0, format!("can't read the table: {e}")))?;
-        for (key, row) in Declaration::parse(&file, &text)?.rows() {
-            if out.insert(key.clone(), row).is_some() {
-                return Err(fault(&file, 0, format!("`{key}` is declared twice")));
-            }
-        }
+        add_file(&mut out, &file)?;
     }
     Ok(out)
 }
 
-/// Returns the edits that turn `table` into what is declared, touching only rows that differ.
-pub fn diff(table: &Table, declared: &BTreeMap<RowKey, Row>) -> Vec<Edit> {
+/// Reads one file.
+pub fn open_file(file: impl AsRef<Path>) -> Result<Declared, Report<DeclarationError>> {
+    let mut out = Declared::default();
+    add_file(&mut out, file.as_ref())?;
+    Ok(out)
+}
+
+fn add_file(out: &mut Declared, file: &Path) -> Result<(), Report<DeclarationError>> {
+    let text = std::fs::read_to_string(file).map_err(|e| {
+        let cause = format!("can't read the table: {e}");
+        fault(file, Place::default(), cause)
+    })?;
+    out.add(file, &text)
+}
+
+/// Returns the edits that make the declared rows hold, touching only rows that differ.
+pub fn edits(table: &Table, declared: &Declared) -> Vec<Edit> {
     let mut edits = Vec::new();
-    for (key, row) in declared {
+    for (key, row) in &declared.rows {
         let entry = table.entry(key);
         if entry.and_then(|e| e.row.as_ref()) != Some(row) {
-            let base = entry.map(|e| e.version);
+            let read = declared.bases.get(key).copied();
             edits.push(Edit {
                 key: key.clone(),
-                base,
+                base: read.or(entry.map(|e| e.version)),
                 row: Some(row.clone()),
             });
         }
     }
+    edits
+}
+
+/// Returns the edits that turn `table` into what is declared, touching only rows that differ.
+///
+/// Drains come and go by `hemlock drain`, so that one which isn't declared is left alone.
+pub fn diff(table: &Table, declared: &Declared) -> Vec<Edit> {
+    let mut edits = edits(table, declared);
     for (key, entry, _) in table.rows() {
-        if !declared.contains_key(key) {
+        let kept = matches!(key, RowKey::Drain(_)) || declared.rows.contains_key(key);
+        if !kept {
             edits.push(Edit {
                 key: key.clone(),
                 base: Some(entry.version),
@@ -135,10 +253,17 @@
     edits
 }
 
-fn fault(file: &Path, line: usize, cause: String) -> Report<DeclarationError> {
+fn row_place(text: &str, key: &RowKey) -> Place {
+    let shown = key.to_string();
+    let (kind, name) = shown.split_once('/').unwrap_or_default();
+    let start = yaml::find(text, 1, &format!("{kind}s")).unwrap_or_default();
+    yaml::find(text, start.line, name).unwrap_or(start)
+}
+
+fn fault(file: &Path, place: Place, cause: String) -> Report<DeclarationError> {
     Report::new(DeclarationError {
         file: file.to_owned(),
-        line,
+        place,
         cause,
     })
 }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -4,12 +4,15 @@
 use std::fmt;
 use std::sync::Arc;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 macro_rules! text_id {
     ($(#[$doc:meta] $name:ident;)*) => {$(
         #[$doc]
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+        )]
         #[serde(transparent)]
         pub struct $name(Arc<str>);
 
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -1,34 +1,37 @@
 //! Settings of an entry VM, read from one YAML file by its three daemons.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use error_stack::Report;
-use serde::Deserialize;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::{DomainId, EntryId};
+use crate::yaml::{self, Place};
 
 /// Says what is wrong with a settings file, and where.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingsError {
     /// The file.
     pub file: PathBuf,
-    /// Line within the file, counted from one; zero when the file as a whole is at fault.
-    pub line: usize,
+    /// Place within the file.
+    pub place: Place,
     /// What is wrong and how to mend it.
     pub cause: String,
 }
 
 impl std::fmt::Display for SettingsError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}:{}: {}", self.file.display(), self.line, self.cause)
+        write!(f, "{}:{}: {}", self.file.display(), self.place, self.cause)
     }
 }
 
 impl std::error::Error for SettingsError {}
 
 /// Settings of an entry VM.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the entry VM.
@@ -57,7 +60,7 @@
 }
 
 /// Addresses of the platform.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Base URL of the log.
@@ -67,7 +70,7 @@
 }
 
 /// Settings of the gateway.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct GatewaySettings {
     /// IP address and port to listen on.
@@ -76,17 +79,20 @@
     pub advertise: String,
     /// Requests queued at most.
     #[serde(default = "queue")]
+    #[schemars(range(min = 1, max = 65_536))]
     pub queue: usize,
     /// Threads that serve callers.
     #[serde(default = "workers")]
+    #[schemars(range(min = 1, max = 64))]
     pub workers: usize,
     /// Largest body in bytes.
     #[serde(default = "body_limit")]
+    #[schemars(range(min = 1_024, max = 4_194_304))]
     pub body_limit: usize,
 }
 
 /// Settings of the agent.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct AgentSettings {
     /// IP address and port to listen on.
@@ -99,6 +105,7 @@
     pub keys: Vec<KeySettings>,
     /// Partitions of the claims streams.
     #[serde(default = "partitions")]
+    #[schemars(range(min = 1, max = 64))]
     pub partitions: u32,
     /// Time that the log keeps records, in seconds.
     #[serde(default = "retention_s")]
@@ -109,7 +116,7 @@
 }
 
 /// A shared key.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct KeySettings {
     /// Number of the key.
@@ -119,20 +126,25 @@
 }
 
 /// Settings of the planner.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct PlannerSettings {
     /// Length of a lease in milliseconds.
+    #[schemars(range(min = 500, max = 60_000))]
     pub lease_ms: u64,
-    /// Largest clock drift over one lease in milliseconds.
+    /// Largest clock drift over one lease in milliseconds; under a third of the lease.
+    #[schemars(range(min = 1, max = 20_000))]
     pub drift_ms: u64,
     /// Time after which engines drop an order, in milliseconds.
+    #[schemars(range(min = 100, max = 60_000))]
     pub order_ms: u64,
     /// Whether engines refuse an order with an old fencing number.
     pub fenced: bool,
     /// VMs of one failure domain that load weights at a time, unless one replica needs more; what
     /// the weight store serves at a time, divided by the failure domains.
     pub loads: u32,
+    /// IP address and port of `/healthz`, `/readyz` and `/v1/log-level`; none are served without it.
+    pub listen: Option<String>,
 }
 
 impl Default for PlannerSettings {
@@ -143,12 +155,13 @@
             order_ms: 2_000,
             fenced: true,
             loads: 8,
+            listen: None,
         }
     }
 }
 
 /// Settings of metrics.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct MetricsSettings {
     /// IP address and UDP port that takes metrics; none are sent without it.
@@ -156,10 +169,10 @@
 }
 
 /// Settings of logs.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
-    /// `error`, `warn`, `info`, `debug` or `trace`.
+    /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
     pub level: String,
 }
 
@@ -191,24 +204,35 @@
     4
 }
 
+/// Bounds of a number in the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Bound {
+    section: &'static str,
+    key: &'static str,
+    value: u64,
+    min: u64,
+    max: u64,
+}
+
 impl Settings {
     /// Reads and checks the file at `path`.
     pub fn open(path: impl AsRef<Path>) -> Result<Self, Report<SettingsError>> {
         let path = path.as_ref();
-        let text = std::fs::read_to_string(path)
-            .map_err(|e| fault(path, 0, format!("can't read the settings: {e}")))?;
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            let cause = format!("can't read the settings: {e}");
+            fault(path, Place::default(), cause)
+        })?;
         Self::parse(path, &text)
     }
 
     /// Parses and checks `text`; `file` is named in errors.
     pub fn parse(file: impl AsRef<Path>, text: &str) -> Result<Self, Report<SettingsError>> {
         let file = file.as_ref();
-        let settings: Self = serde_yaml_ng::from_str(text).map_err(|e| {
-            let line = e.location().map_or(0, |l| l.line());
-            fault(file, line, e.to_string())
-        })?;
-        settings.check(file, text)?;
-        Ok(settings)
+        let settings: Self = yaml::parse(text).map_err(|f| fault(file, f.place, f.cause))?;
+        match settings.first_fault() {
+            Some((section, word, cause)) => Err(fault(file, place(text, section, &word), cause)),
+            None => Ok(settings),
+        }
     }
 
     /// Returns the length of a lease.
@@ -216,49 +240,121 @@
         Duration::from_millis(self.planner.lease_ms)
     }
 
-    fn check(&self, file: &Path, text: &str) -> Result<(), Report<SettingsError>> {
-        let addresses = [&self.gateway.listen, &self.agent.listen, &self.agent.gossip];
-        for address in addresses {
-            if address.parse::<std::net::SocketAddr>().is_err() {
-                let cause = format!("`{address}` is no address; write IP:PORT");
-                return Err(fault(file, line_of(text, address), cause));
-            }
-        }
-        for url in [
-            &self.platform.log,
-            &self.platform.vms,
-            &self.gateway.advertise,
-        ] {
-            if !url.starts_with("http://") {
-                let cause = format!("`{url}` is no URL; write http://IP:PORT");
-                return Err(fault(file, line_of(text, url), cause));
-            }
-        }
+    /// Returns the section, the word and the cause of the first fault.
+    fn first_fault(&self) -> Option<(&'static str, String, String)> {
+        let found = self.address_fault().or_else(|| self.url_fault());
+        let found = found.or_else(|| self.bound_fault());
+        found.or_else(|| self.choice_fault())
+    }
+
+    fn address_fault(&self) -> Option<(&'static str, String, String)> {
+        let addresses = [
+            ("gateway", Some(&self.gateway.listen)),
+            ("agent", Some(&self.agent.listen)),
+            ("agent", Some(&self.agent.gossip)),
+            ("planner", self.planner.listen.as_ref()),
+            ("metrics", self.metrics.statsd.as_ref()),
+        ];
+        let mut given = addresses
+            .into_iter()
+            .filter_map(|(section, a)| Some((section, a?)));
+        let (section, address) = given.find(|(_, a)| a.parse::<SocketAddr>().is_err())?;
+        let cause = format!("`{address}` is no address; write IP:PORT");
+        Some((section, address.clone(), cause))
+    }
+
+    fn url_fault(&self) -> Option<(&'static str, String, String)> {
+        let urls = [
+            ("platform", &self.platform.log),
+            ("platform", &self.platform.vms),
+            ("gateway", &self.gateway.advertise),
+            ("agent", &self.agent.advertise),
+        ];
+        let (section, url) = urls.into_iter().find(|(_, u)| !is_url(u))?;
+        let cause = format!("`{url}` is no URL; write http://IP:PORT");
+        Some((section, url.clone(), cause))
+    }
+
+    fn bound_fault(&self) -> Option<(&'static str, String, String)> {
+        let bound = self
+            .bounds()
+            .into_iter()
+            .find(|b| b.value < b.min || b.value > b.max)?;
+        let cause = format!(
+            "`{}` is {}; it must be from {} to {}",
+            bound.key, bound.value, bound.min, bound.max
+        );
+        Some((bound.section, bound.key.to_owned(), cause))
+    }
+
+    fn choice_fault(&self) -> Option<(&'static str, String, String)> {
         if self.agent.keys.is_empty() {
-            return Err(fault(
-                file,
-                line_of(text, "keys"),
-                "`keys` names no key".to_owned(),
-            ));
+            let cause = "`keys` names no key; write {id: NUMBER, file: FILE}";
+            return Some(("agent", "keys".to_owned(), cause.to_owned()));
+        }
+        if !self.domains.contains(&self.domain) {
+            let cause = format!("`domain` `{}` is not among `domains`", self.domain);
+            return Some(("domain", "domain".to_owned(), cause));
         }
         if self.planner.drift_ms * 3 >= self.planner.lease_ms {
-            let cause = "`lease_ms` must be more than three times `drift_ms`".to_owned();
-            return Err(fault(file, line_of(text, "lease_ms"), cause));
+            let cause = "`lease_ms` must be more than three times `drift_ms`";
+            return Some(("planner", "lease_ms".to_owned(), cause.to_owned()));
+        }
+        let level = self.log.level.as_str();
+        if !LEVELS.contains(&level) {
+            let cause = format!("`{level}` is no level: {}", LEVELS.join(", "));
+            return Some(("log", level.to_owned(), cause));
         }
-        Ok(())
+        None
+    }
+
+    fn bounds(&self) -> [Bound; 7] {
+        let bound = |section, key, value, min, max| Bound {
+            section,
+            key,
+            value,
+            min,
+            max,
+        };
+        let (gateway, planner) = (&self.gateway, &self.planner);
+        [
+            bound("gateway", "queue", gateway.queue as u64, 1, 65_536),
+            bound("gateway", "workers", gateway.workers as u64, 1, 64),
+            bound(
+                "gateway",
+                "body_limit",
+                gateway.body_limit as u64,
+                1_024,
+                4 << 20,
+            ),
+            bound("agent", "partitions", self.agent.partitions.into(), 1, 64),
+            bound("planner", "lease_ms", planner.lease_ms, 500, 60_000),
+            bound("planner", "drift_ms", planner.drift_ms, 1, 20_000),
+            bound("planner", "order_ms", planner.order_ms, 100, 60_000),
+        ]
     }
 }
 
-fn fault(file: &Path, line: usize, cause: String) -> Report<SettingsError> {
+/// Levels of logs.
+pub const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+fn is_url(text: &str) -> bool {
+    let rest = text.strip_prefix("http://").unwrap_or_default();
+    !rest.is_empty() && !rest.contains(char::is_whitespace)
+}
+
+fn fault(file: &Path, place: Place, cause: String) -> Report<SettingsError> {
     Report::new(SettingsError {
         file: file.to_owned(),
-        line,
+        place,
         cause,
     })
 }
 
-fn line_of(text: &str, word: &str) -> usize {
-    text.lines()
-        .position(|l| l.contains(word))
-        .map_or(0, |l| l + 1)
+fn place(text: &str, section: &str, word: &str) -> Place {
+    let start = yaml::find(text, 1, section).map_or(1, |p| p.line);
+    yaml::find(text, start, word).unwrap_or(Place {
+        line: start,
+        column: 1,
+    })
 }
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -5,9 +5,16 @@
 
 use std::collections::BTreeMap;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AccountId, GroupId, Nonce, Offset, ServiceId, VersionId};
+use crate::ids::{AccountId, GroupId, Nonce, Offset, ServiceId, VersionId, VmId};
+use crate::nearest::nearest;
+
+/// Earlier changes of a row that its entry keeps.
+const PAST: usize = 4;
+/// Kinds of rows.
+const KINDS: [&str; 5] = ["group", "version", "account", "service", "drain"];
 
 /// Names a row of the table.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -21,6 +28,8 @@
     Account(AccountId),
     /// A plain service.
     Service(ServiceId),
+    /// The planned drain of an endpoint VM.
+    Drain(VmId),
 }
 
 impl std::fmt::Display for RowKey {
@@ -30,6 +39,7 @@
             Self::Version(id) => write!(f, "version/{id}"),
             Self::Account(id) => write!(f, "account/{id}"),
             Self::Service(id) => write!(f, "service/{id}"),
+            Self::Drain(id) => write!(f, "drain/{id}"),
         }
     }
 }
@@ -47,15 +57,21 @@
             "version" => Ok(Self::Version(name.into())),
             "account" => Ok(Self::Account(name.into())),
             "service" => Ok(Self::Service(name.into())),
-            _ => Err(format!(
-                "`{kind}` is no kind of row: group, version, account or service"
-            )),
+            "drain" => Ok(Self::Drain(name.into())),
+            _ => {
+                let meant = nearest(kind, KINDS).map(|k| format!("; did you mean `{k}`?"));
+                Err(format!(
+                    "`{kind}` is no kind of row: {}{}",
+                    KINDS.join(", "),
+                    meant.unwrap_or_default()
+                ))
+            }
         }
     }
 }
 
 /// A model group: the replicas that serve one model.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct GroupRow {
     /// Replicas wanted.
@@ -78,7 +94,7 @@
 }
 
 /// A model version of a group.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct VersionRow {
     /// The group.
@@ -90,7 +106,7 @@
 }
 
 /// A client account.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct AccountRow {
     /// SHA-256 of the account's key in lower-case hexadecimal.
@@ -107,7 +123,7 @@
 }
 
 /// A plain service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceRow {
     /// Open requests that one VM of the service takes.
@@ -115,6 +131,15 @@
     pub slots: u32,
 }
 
+/// The planned drain of an endpoint VM: it ends its work and takes no more until the row is gone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct DrainRow {
+    /// Why, for other operators.
+    #[serde(default)]
+    pub reason: String,
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -135,6 +160,8 @@
     Account(AccountRow),
     /// A plain service.
     Service(ServiceRow),
+    /// The planned drain of an endpoint VM.
+    Drain(DrainRow),
 }
 
 /// One row's change.
@@ -172,6 +199,22 @@
     pub at_ms: u64,
     /// The values; `None` once deleted.
     pub row: Option<Row>,
+    /// Earlier changes, the last one first; older ones live in version control.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub past: Vec<Change>,
+}
+
+/// A change of a row that a later one replaced.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Offset of its record.
+    pub version: Offset,
+    /// Who made it.
+    pub author: String,
+    /// When, for display only.
+    pub at_ms: u64,
+    /// The values; `None` if it deleted the row.
+    pub row: Option<Row>,
 }
 
 /// Says why a record was refused.
@@ -182,7 +225,7 @@
         /// The row.
         key: RowKey,
         /// Its present entry.
-        entry: Option<Entry>,
+        entry: Option<Box<Entry>>,
     },
 }
 
@@ -204,11 +247,13 @@
             self.check_base(edit)?;
         }
         for edit in &record.edits {
+            let past = self.entries.remove(&edit.key).map(past);
             let entry = Entry {
                 version: offset,
                 author: record.author.clone(),
                 at_ms: record.at_ms,
                 row: edit.row.clone(),
+                past: past.unwrap_or_default(),
             };
             self.entries.insert(edit.key.clone(), entry);
         }
@@ -221,6 +266,19 @@
         self.entries.get(key)
     }
 
+    /// Lists the entries of all rows, also of those that were deleted.
+    pub fn entries(&self) -> impl Iterator<Item = (&RowKey, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Lists the endpoint VMs that are drained.
+    pub fn drains(&self) -> impl Iterator<Item = &VmId> {
+        self.rows().filter_map(|(key, _, _)| match key {
+            RowKey::Drain(vm) => Some(vm),
+            _ => None,
+        })
+    }
+
     /// Lists the rows that exist.
     pub fn rows(&self) -> impl Iterator<Item = (&RowKey, &Entry, &Row)> {
         self.entries
@@ -280,7 +338,20 @@
         }
         Err(Refusal::Conflict {
             key: edit.key.clone(),
-            entry: entry.cloned(),
+            entry: entry.cloned().map(Box::new),
         })
     }
 }
+
+fn past(entry: Entry) -> Vec<Change> {
+    let last = Change {
+        version: entry.version,
+        author: entry.author,
+        at_ms: entry.at_ms,
+        row: entry.row,
+    };
+    let mut past = entry.past;
+    past.insert(0, last);
+    past.truncate(PAST);
+    past
+}
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -148,3 +148,12 @@
         (0..assignment.vms.len()).map(ranked).collect()
     }
 }
+
+/// Treats the live VMs that the table drains as leaving.
+pub fn mark_drained(vms: &mut BTreeMap<VmId, VmStatus>, table: &Table) {
+    for vm in table.drains() {
+        if let Some(status) = vms.get_mut(vm).filter(|s| s.health == Health::Live) {
+            status.health = Health::Leaving;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/yaml.rs
@@ -0,0 +1,88 @@
+//! Faults of YAML files: where they are, and what the author likely meant.
+
+use serde::de::DeserializeOwned;
+
+use crate::nearest::nearest;
+
+/// A place in a text file.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Place {
+    /// Line, counted from one; zero when the file as a whole is at fault.
+    pub line: usize,
+    /// Column, counted from one; zero when the line as a whole is at fault.
+    pub column: usize,
+}
+
+impl std::fmt::Display for Place {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}:{}", self.line, self.column)
+    }
+}
+
+/// A fault of a YAML text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Where it is.
+    pub place: Place,
+    /// What is wrong, with the key that is at fault.
+    pub cause: String,
+}
+
+/// Parses `text`.
+pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T, Fault> {
+    serde_yaml_ng::from_str(text).map_err(|e| fault(text, &e))
+}
+
+/// Finds `word` as a whole at or after the line `from`, counted from one.
+pub fn find(text: &str, from: usize, word: &str) -> Option<Place> {
+    let skip = from.saturating_sub(1);
+    let mut lines = text.lines().enumerate().skip(skip);
+    lines.find_map(|(i, line)| {
+        let column = find_word(line, word)? + 1;
+        Some(Place {
+            line: i + 1,
+            column,
+        })
+    })
+}
+
+fn find_word(line: &str, word: &str) -> Option<usize> {
+    let inner = |c: char| c.is_alphanumeric() || c == '_' || c == '-';
+    let starts = line.match_indices(word).map(|(at, _)| at);
+    starts.into_iter().find(|at| {
+        let before = line[..*at].chars().next_back().is_some_and(inner);
+        let after = line[at + word.len()..].chars().next().is_some_and(inner);
+        !before && !after
+    })
+}
+
+fn fault(text: &str, error: &serde_yaml_ng::Error) -> Fault {
+    let start = error.location().map_or_else(Place::default, |l| Place {
+        line: l.line(),
+        column: l.column(),
+    });
+    let message = without_place(&error.to_string());
+    let names: Vec<&str> = message.split('`').skip(1).step_by(2).collect();
+    let Some((offender, known)) = names.split_first() else {
+        return Fault {
+            place: start,
+            cause: message,
+        };
+    };
+    let place = find(text, start.line, offender).unwrap_or(start);
+    let unknown = ["unknown field", "unknown variant"];
+    let meant = nearest(offender, known.iter().copied());
+    let cause = match meant.filter(|_| unknown.iter().any(|u| message.contains(u))) {
+        Some(meant) => format!("{message}; did you mean `{meant}`?"),
+        None => message,
+    };
+    Fault { place, cause }
+}
+
+/// Cuts the place that the parser adds, since it is given apart.
+fn without_place(message: &str) -> String {
+    match message.rfind(" at line ") {
+        Some(at) => message[..at].to_owned(),
+        None => message.to_owned(),
+    }
+}
