docs, wire: metrics, logs, examples and operators' pages

Daemons sent no metrics, served no readiness, could not change their log level and flooded the log with repeated failures. Adds a closed enum of metrics sent by cadence, group downtime and stranded accelerators from each view, /readyz on each daemon, SIGHUP for the level, and a limit of 20 lines an event in 10 s.

Settings and tables of both deployments are under examples/; the schemas, the tables of settings, metrics and result codes, links and examples are checked against the code by tests.

--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -1,6 +1,7 @@
 //! The agent daemon: threads and sockets around [`hemlock_lib::agent::Agent`].
 
 mod board;
+mod gauges;
 mod links;
 mod mind;
 mod routes;
@@ -21,6 +22,7 @@
 use hemlock_lib::restate::RestateConfig;
 use hemlock_lib::seal::KeyRing;
 use hemlock_lib::settings::Settings;
+use hemlock_wire::metrics::Metrics;
 use hemlock_wire::server::{self, Server};
 use hemlock_wire::{clock, notify};
 
@@ -77,17 +79,19 @@
 
 /// Starts an agent and returns once its addresses are bound.
 pub fn spawn(settings: &Settings, charts: &Charts, keys: KeyRing) -> io::Result<AgentHandle> {
-    let listener = server::bind(&settings.agent.listen)?;
-    let socket = Arc::new(UdpSocket::bind(&settings.agent.gossip)?);
+    let listener = server::bind(&settings.agent.listen).map_err(named(&settings.agent.listen))?;
+    let gossip = &settings.agent.gossip;
+    let socket = Arc::new(UdpSocket::bind(gossip).map_err(named(gossip))?);
     socket.set_read_timeout(Some(Duration::from_millis(200)))?;
     let (events, ring) = crossbeam_channel::bounded(RING);
     let board = Arc::new(Board::default());
     let agent = Agent::new(config(settings, keys), charts);
     let (calls, call_ring) = async_channel::bounded(RING);
+    let metrics = Metrics::open(settings.metrics.statsd.as_deref(), &settings.entry)?;
     let threads = vec![
         links::spawn_calls(settings.platform.clone(), call_ring, events.clone())?,
         links::spawn_datagrams(Arc::clone(&socket), events.clone())?,
-        spawn_mind(agent, ring, calls, socket, Arc::clone(&board))?,
+        spawn_mind(agent, ring, calls, socket, Arc::clone(&board), metrics)?,
     ];
     let state = routes::State {
         events: events.clone(),
@@ -112,10 +116,11 @@
     calls: async_channel::Sender<links::Call>,
     socket: Arc<UdpSocket>,
     board: Arc<Board>,
+    metrics: Metrics,
 ) -> io::Result<JoinHandle<()>> {
     std::thread::Builder::new()
         .name("agent-mind".to_owned())
-        .spawn(move || mind::Mind::new(agent, calls, socket, board).run(&ring))
+        .spawn(move || mind::Mind::new(agent, calls, socket, board, metrics).run(&ring))
 }
 
 fn config(settings: &Settings, keys: KeyRing) -> AgentConfig {
@@ -143,6 +148,10 @@
     }
 }
 
+fn named(address: &str) -> impl Fn(io::Error) -> io::Error {
+    move |e| io::Error::new(e.kind(), format!("can't listen on {address}: {e}"))
+}
+
 async fn wait_change(changed: async_channel::Receiver<()>, wait: Duration) {
     notify::wait(changed, wait).await;
 }
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -10,7 +10,7 @@
         "Follows the log and watches endpoints and peers",
         |started| {
             let agent = hemlock_agent::spawn(&started.settings, &started.charts, started.keys)
-                .map_err(|e| format!("can't listen on {}: {e}", started.settings.agent.listen))?;
+                .map_err(|e| format!("can't start the agent: {e}"))?;
             daemon::wait_for_stop();
             agent.stop();
             Ok(())
--- a/agent/src/mind.rs
+++ b/agent/src/mind.rs
@@ -11,8 +11,10 @@
 use hemlock_lib::folds::StreamState;
 use hemlock_lib::peers::{Settled, Submit};
 use hemlock_wire::clock;
+use hemlock_wire::metrics::Metrics;
 
 use crate::board::Board;
+use crate::gauges::Gauges;
 use crate::links::Call;
 
 const TICK: Duration = Duration::from_millis(20);
@@ -43,6 +45,7 @@
     calls: async_channel::Sender<Call>,
     socket: Arc<UdpSocket>,
     board: Arc<Board>,
+    gauges: Gauges,
     replies: BTreeMap<Ticket, async_channel::Sender<Settled>>,
     next: u64,
     out: Vec<Output>,
@@ -54,12 +57,14 @@
         calls: async_channel::Sender<Call>,
         socket: Arc<UdpSocket>,
         board: Arc<Board>,
+        metrics: Metrics,
     ) -> Self {
         Self {
             agent,
             calls,
             socket,
             board,
+            gauges: Gauges::new(metrics),
             replies: BTreeMap::new(),
             next: 0,
             out: Vec::new(),
@@ -113,6 +118,7 @@
     }
 
     fn carry_out(&mut self, output: Output) {
+        self.gauges.count(&output);
         match output {
             Output::Read(call) => self.call(Call::Read(call)),
             Output::Append(id, call) => self.call(Call::Append(id, call)),
--- a/agent/src/routes.rs
+++ b/agent/src/routes.rs
@@ -45,7 +45,8 @@
         .route("/v1/states", web::get().to(states))
         .route("/v1/spare", web::post().to(spare))
         .route("/v1/leave", web::post().to(leave))
-        .route("/healthz", web::get().to(health));
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready));
 }
 
 async fn view(state: types::State<State>, query: types::Query<ViewQuery>) -> HttpResponse {
@@ -109,3 +110,11 @@
 async fn health() -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
 }
+
+async fn ready(state: types::State<State>) -> HttpResponse {
+    if state.board.ready() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("neither the log nor a peer answers\n")
+    }
+}
--- a/cli/tests/test_pages.rs
+++ b/cli/tests/test_pages.rs
@@ -1,1 +1,236 @@
-//! Pages that are checked against the code.
+//! Pages and examples that are checked against the code.
+//!
+//! With `HEMLOCK_WRITE_PAGES` set, the generated parts of the pages are written anew instead.
+
+use std::path::{Path, PathBuf};
+
+use hemlock_cli::Exit;
+use hemlock_lib::codes::Code;
+use hemlock_lib::declaration;
+use hemlock_lib::settings::Settings;
+use hemlock_testutils::scenario::Deployment;
+use hemlock_wire::metrics::Metric;
+use serde_json::Value;
+
+use crate::fake::run;
+
+const BEGIN: &str = "<!-- generated -->\n";
+const END: &str = "<!-- end -->";
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
+}
+
+fn read(path: &str) -> String {
+    std::fs::read_to_string(root().join(path)).expect("the page exists")
+}
+
+/// Checks that a page holds `part` between its markers.
+fn check_part(path: &str, part: &str) {
+    let page = read(path);
+    let (head, rest) = page
+        .split_once(BEGIN)
+        .expect("the page has a generated part");
+    let (found, tail) = rest.split_once(END).expect("the generated part ends");
+    if found == part {
+        return;
+    }
+    check_file(path, &format!("{head}{BEGIN}{part}{END}{tail}"));
+}
+
+fn check_file(path: &str, text: &str) {
+    if std::env::var_os("HEMLOCK_WRITE_PAGES").is_some() {
+        std::fs::write(root().join(path), text).expect("a writable page");
+        return;
+    }
+    let page = read(path);
+    let mut lines = text.lines().zip(page.lines());
+    let first = lines.find(|(wanted, found)| wanted != found);
+    assert!(
+        page == text,
+        "{path} is stale; run `HEMLOCK_WRITE_PAGES=1 cargo test -p hemlock-cli test_pages`; \
+         first difference (wanted, found): {first:?}"
+    );
+}
+
+#[test]
+fn schemas_are_those_of_the_code() {
+    for of in ["settings", "table"] {
+        let ended = run(&["hemlock", "schema", of]);
+        let text = ended
+            .text
+            .strip_prefix("exit: 0\n--- out\n")
+            .expect("it succeeds");
+        let text = text.split("\n--- err").next().unwrap_or_default();
+        check_file(&format!("docs/schema/{of}.json"), text);
+    }
+}
+
+#[test]
+fn settings_page_lists_every_key() {
+    let schema = schemars::schema_for!(Settings);
+    let mut part =
+        "| key | unit | default | bounds | meaning |\n|---|---|---|---|---|\n".to_owned();
+    keys(schema.as_value(), schema.as_value(), "", &mut part);
+    check_part("docs/SETTINGS.md", &part);
+}
+
+fn keys(root: &Value, object: &Value, prefix: &str, part: &mut String) {
+    let required = object["required"].as_array().cloned().unwrap_or_default();
+    let properties = object["properties"].as_object().expect("an object");
+    for (name, property) in properties {
+        let key = format!("{prefix}{name}");
+        let target = resolve(root, property);
+        if target["properties"].is_object() {
+            keys(root, target, &format!("{key}."), part);
+            continue;
+        }
+        let items = resolve(root, &target["items"]);
+        if items["properties"].is_object() {
+            keys(root, items, &format!("{key}[]."), part);
+        }
+        let must = required.contains(&Value::String(name.clone()));
+        part.push_str(&key_line(&key, property, target, must));
+    }
+}
+
+fn resolve<'a>(root: &'a Value, value: &'a Value) -> &'a Value {
+    let name = value["$ref"]
+        .as_str()
+        .and_then(|r| r.strip_prefix("#/$defs/"));
+    name.map_or(value, |name| &root["$defs"][name])
+}
+
+fn key_line(key: &str, property: &Value, target: &Value, required: bool) -> String {
+    let text = property["description"]
+        .as_str()
+        .or(target["description"].as_str());
+    let default = match &property["default"] {
+        _ if required => "required".to_owned(),
+        Value::Null => "none".to_owned(),
+        value => format!("`{value}`"),
+    };
+    let bounds = match (&property["minimum"], &property["maximum"]) {
+        (Value::Null, _) => "-".to_owned(),
+        (min, Value::Null) => format!("{min} or more"),
+        (min, max) => format!("{min} to {max}"),
+    };
+    let kind = target["type"].as_str().or(target["type"][0].as_str());
+    let unit = match kind.unwrap_or_default() {
+        "integer" | "number" if key.ends_with("_ms") => "ms",
+        "integer" | "number" if text.is_some_and(|t| t.contains("bytes")) => "bytes",
+        "integer" | "number" => "count",
+        "boolean" => "true or false",
+        "array" => "list",
+        _ => "text",
+    };
+    format!(
+        "| `{key}` | {unit} | {default} | {bounds} | {} |\n",
+        text.unwrap_or_default()
+    )
+}
+
+#[test]
+fn metrics_page_lists_every_metric() {
+    let mut part = "| name | kind | unit | meaning |\n|---|---|---|---|\n".to_owned();
+    for metric in Metric::ALL {
+        let (name, kind) = (metric.pattern(), metric.kind().name());
+        part.push_str(&format!(
+            "| `{name}` | {kind} | {} | {} |\n",
+            metric.unit(),
+            metric.text()
+        ));
+    }
+    check_part("docs/METRICS.md", &part);
+}
+
+/// The last column is written by hand, so that a new code needs an operator's action to pass.
+#[test]
+fn result_codes_page_lists_every_code() {
+    let page = read("docs/RESULT-CODES.md");
+    let rows: Vec<&str> = page
+        .lines()
+        .filter(|l| l.starts_with("| 1") || l.starts_with("| 2"))
+        .collect();
+    assert_eq!(rows.len(), Code::ALL.len(), "one line a code");
+    for (code, row) in Code::ALL.iter().zip(rows) {
+        let retry = if code.retry() { "yes" } else { "no" };
+        let wanted = format!(
+            "| {} | {} | {} | {} | {retry} | {} | ",
+            code.number(),
+            code.name(),
+            code.status(),
+            code.ran().as_str(),
+            code.text()
+        );
+        let action = row.strip_prefix(&wanted);
+        assert!(
+            action.is_some_and(|a| a.len() > 10),
+            "wanted `{wanted}ACTION |`, found `{row}`"
+        );
+    }
+}
+
+/// Relative links of the pages lead to files.
+#[test]
+fn links_resolve() {
+    let mut checked = 0;
+    for dir in ["", "docs", "docs/operating"] {
+        let dir = root().join(dir);
+        for entry in std::fs::read_dir(&dir).expect("a directory") {
+            let path = entry.expect("an entry").path();
+            if path.extension().is_none_or(|e| e != "md") {
+                continue;
+            }
+            let page = std::fs::read_to_string(&path).expect("a readable page");
+            for link in page.split("](").skip(1).filter_map(|l| l.split(')').next()) {
+                let file = link.split('#').next().unwrap_or_default();
+                let local = !link.contains("://") && !file.is_empty();
+                assert!(
+                    !local || dir.join(file).exists(),
+                    "{}: {link}",
+                    path.display()
+                );
+                checked += 1;
+            }
+        }
+    }
+    assert!(checked > 0, "no link was found");
+}
+
+#[test]
+fn exit_codes_are_documented() {
+    let page = read("docs/OPERATING.md");
+    for exit in [
+        Exit::Refused,
+        Exit::Conflict,
+        Exit::Unknown,
+        Exit::NotInForce,
+        Exit::Unreachable,
+    ] {
+        assert!(page.contains(&format!("| {} |", exit as u8)), "{exit:?}");
+    }
+}
+
+#[test]
+fn examples_are_sound_and_declare_the_demo() {
+    for deployment in Deployment::ALL {
+        let dir = root().join("examples").join(deployment.name());
+        for i in 0..6 {
+            let settings = Settings::open(dir.join(format!("entry-{i}.yaml")));
+            settings.expect("sound settings");
+        }
+        let declared = declaration::open(dir.join("table")).expect("sound table files");
+        assert_eq!(declared.check(&Default::default()), []);
+        let rows = deployment.edits();
+        assert_eq!(declared.rows.len(), rows.len());
+        for edit in rows {
+            assert_eq!(
+                declared.rows.get(&edit.key),
+                edit.row.as_ref(),
+                "{}",
+                edit.key
+            );
+        }
+    }
+}
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -9,8 +9,12 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, Command};
+use hemlock_testutils::engine::EnginePace;
+use hemlock_testutils::platform::Platform;
 use hemlock_testutils::scenario::Deployment;
 
+/// Port of each deployment's stand-ins.
+const STAND_IN_PORTS: [u16; 2] = [19_000, 19_001];
 /// First port of each deployment's entry VMs.
 const PORTS: [u16; 2] = [18_100, 18_200];
 
@@ -19,12 +23,19 @@
         .long("hold")
         .action(ArgAction::SetTrue)
         .help("Keep both deployments running after the table is printed");
+    let stand_ins = Arg::new("stand-ins")
+        .long("stand-ins")
+        .action(ArgAction::SetTrue)
+        .help("Run only the stand-ins that the settings under examples/ name");
     let matches = Command::new("hemlock-demo")
         .about("Runs both deployments with stand-ins, load and faults")
-        .arg(hold)
+        .args([hold, stand_ins])
         .get_matches();
     let hold = matches.get_flag("hold");
-    let _logger = hemlock_wire::logger::start("warn");
+    let _ = hemlock_wire::logger::start("warn");
+    if matches.get_flag("stand-ins") {
+        return run_stand_ins();
+    }
     let runs: Vec<_> = Deployment::ALL
         .into_iter()
         .zip(PORTS)
@@ -51,3 +62,21 @@
         ExitCode::FAILURE
     }
 }
+
+fn run_stand_ins() -> ExitCode {
+    let mut running = Vec::new();
+    for (deployment, port) in Deployment::ALL.into_iter().zip(STAND_IN_PORTS) {
+        let address = format!("127.0.0.1:{port}");
+        let vms = deployment.vms();
+        match Platform::spawn(&address, &vms, EnginePace::default()) {
+            Ok(platform) => running.push(platform),
+            Err(e) => {
+                let cause = format!("can't listen on {address}: {e}");
+                return hemlock_wire::daemon::refuse(cause);
+            }
+        }
+        println!("{}: log, VM list and VMs at {address}", deployment.name());
+    }
+    hemlock_wire::daemon::wait_for_stop();
+    ExitCode::SUCCESS
+}
--- a/gateway/src/drive.rs
+++ b/gateway/src/drive.rs
@@ -4,6 +4,7 @@
 use hemlock_lib::codes::Code;
 use hemlock_lib::gateway::{Arrival, FailReason, Input};
 use hemlock_lib::ids::{AttemptId, RequestId};
+use hemlock_lib::stream::DropReason;
 
 use crate::mind::{Decision, Event};
 
@@ -66,6 +67,11 @@
         self.tell(Input::Finished(self.request.clone(), attempt, answer));
     }
 
+    /// Tells that a chunk was dropped, so that it is counted.
+    pub(crate) fn dropped(&self, reason: DropReason) {
+        let _ = self.events.try_send(Event::Dropped(reason));
+    }
+
     fn tell(&self, input: Input) {
         let _ = self.events.send(Event::Input(input));
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod drive;
+mod gauges;
 mod mind;
 mod model;
 mod routes;
@@ -17,6 +18,7 @@
 use hemlock_lib::gateway::{Gateway, GatewayConfig, Input};
 use hemlock_lib::ids::Incarnation;
 use hemlock_lib::settings::Settings;
+use hemlock_wire::metrics::Metrics;
 use hemlock_wire::server::{self, Server};
 use hemlock_wire::{clock, follower};
 
@@ -72,6 +74,7 @@
     let (events, ring) = crossbeam_channel::bounded(RING);
     let (calls, call_ring) = async_channel::bounded(RING);
     let gateway = Gateway::new(config(settings), charts);
+    let metrics = Metrics::open(settings.metrics.statsd.as_deref(), &settings.entry)?;
     let views = events.clone();
     let on_view = move |view: Option<_>| {
         let input = view.map_or(Input::ViewLost, Input::View);
@@ -83,7 +86,7 @@
         mind::spawn_calls(agent, call_ring, events.clone())?,
         std::thread::Builder::new()
             .name("gateway-mind".to_owned())
-            .spawn(move || mind::Mind::new(gateway, calls).run(&ring))?,
+            .spawn(move || mind::Mind::new(gateway, calls, metrics).run(&ring))?,
     ];
     let state = routes::State {
         events: events.clone(),
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -13,10 +13,14 @@
 use hemlock_lib::gateway::{Arrival, Gateway, Input, Output};
 use hemlock_lib::ids::{AttemptId, DomainId, ReplicaId, RequestId};
 use hemlock_lib::peers::Submit;
+use hemlock_lib::stream::DropReason;
 use hemlock_lib::view::View;
+use hemlock_wire::metrics::Metrics;
 use hemlock_wire::{agent, clock};
 use uuid::Uuid;
 
+use crate::gauges::Gauges;
+
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two reports of spare capacity to the agent.
 const SPARE_TICKS: u32 = 50;
@@ -51,6 +55,10 @@
         near: Option<DomainId>,
         reply: async_channel::Sender<Option<Advice>>,
     },
+    /// A chunk of an answer was dropped.
+    Dropped(DropReason),
+    /// Whether this gateway has a view to work from.
+    Ready(async_channel::Sender<bool>),
     /// How many requests are open.
     CountOpen(Sender<usize>),
     /// Stop.
@@ -74,16 +82,22 @@
 pub(crate) struct Mind {
     gateway: Gateway,
     calls: async_channel::Sender<Call>,
+    gauges: Gauges,
     waiting: BTreeMap<RequestId, async_channel::Sender<Decision>>,
     out: Vec<Output>,
     ticks: u32,
 }
 
 impl Mind {
-    pub(crate) fn new(gateway: Gateway, calls: async_channel::Sender<Call>) -> Self {
+    pub(crate) fn new(
+        gateway: Gateway,
+        calls: async_channel::Sender<Call>,
+        metrics: Metrics,
+    ) -> Self {
         Self {
             gateway,
             calls,
+            gauges: Gauges::new(metrics),
             waiting: BTreeMap::new(),
             out: Vec::new(),
             ticks: 0,
@@ -109,6 +123,10 @@
                     let advice = view.map(|v: &View| advice::advise(v, &caller, near.as_ref()));
                     let _ = reply.try_send(advice);
                 }
+                Ok(Event::Dropped(reason)) => self.gauges.count_dropped(reason),
+                Ok(Event::Ready(reply)) => {
+                    let _ = reply.try_send(self.gateway.view().is_some());
+                }
                 Ok(Event::CountOpen(reply)) => drop(reply.send(self.gateway.open())),
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {
@@ -124,6 +142,8 @@
         self.ticks += 1;
         if self.ticks.is_multiple_of(SPARE_TICKS) {
             let _ = self.calls.try_send(Call::Spare(self.gateway.spare()));
+            self.gauges
+                .report(self.gateway.open(), self.gateway.spare());
         }
     }
 
@@ -131,6 +151,7 @@
         if let Input::Left(request) | Input::Finished(request, ..) = &input {
             self.waiting.remove(request);
         }
+        self.gauges.count_input(&input);
         let mut out = std::mem::take(&mut self.out);
         self.gateway.step(clock::now(), input, &mut out);
         for output in out.drain(..) {
@@ -140,6 +161,7 @@
     }
 
     fn carry_out(&mut self, output: Output) {
+        self.gauges.count(&output);
         match output {
             Output::Dispatch {
                 request,
--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -79,7 +79,11 @@
             }
             none => none.insert(Answering::new(&name)),
         };
-        match attempt_once(&name, &address, replica, &question, progress, &parts).await {
+        match attempt_once(
+            &driven, &name, &address, replica, &question, progress, &parts,
+        )
+        .await
+        {
             End::Done => {
                 driven.finished(attempt, None);
                 let _ = parts.send(Part::Done).await;
@@ -101,6 +105,7 @@
 }
 
 async fn attempt_once(
+    driven: &Driven,
     name: &str,
     address: &str,
     replica: ReplicaId,
@@ -144,8 +149,15 @@
                     Err(end) => return end,
                 },
                 Piece::Done => return End::Done,
-                Piece::Drop(DropReason::Gap) => return End::Failed(FailReason::Broken),
-                Piece::Drop(reason) => log::debug!("event=drop attempt={name} reason={reason:?}"),
+                Piece::Drop(DropReason::Gap) => {
+                    driven.dropped(DropReason::Gap);
+                    return End::Failed(FailReason::Broken);
+                }
+                Piece::Drop(reason) => {
+                    let reason_name = reason.name();
+                    log::debug!("event=drop attempt={name} reason={reason_name}");
+                    driven.dropped(reason);
+                }
             }
         }
     }
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -45,13 +45,24 @@
         .route("/v1/entry", web::get().to(entry))
         .route("/v1/chat/completions", web::post().to(chat))
         .route("/v1/services/{service}/{path}*", web::to(pass))
-        .route("/healthz", web::get().to(health));
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready));
 }
 
 async fn health() -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
 }
 
+async fn ready(state: types::State<State>) -> HttpResponse {
+    let (reply, answer) = async_channel::bounded(1);
+    let asked = state.events.try_send(Event::Ready(reply)).is_ok();
+    if asked && answer.recv().await.unwrap_or(false) {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("no agent answers\n")
+    }
+}
+
 async fn entry(state: types::State<State>, query: types::Query<AdviceQuery>) -> HttpResponse {
     let (reply, advice) = async_channel::bounded(1);
     let near = query.near.as_deref().map(Into::into);
--- /dev/null
+++ b/lib/src/repeats.rs
@@ -0,0 +1,82 @@
+//! Limits repeated log lines: a few pass, the rest are summarised.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Events told apart at most; further ones share one limit.
+const EVENTS: usize = 256;
+
+/// How many lines of one event pass.
+#[derive(Debug, Clone, Copy)]
+pub struct RepeatConfig {
+    /// Lines that pass within one span.
+    pub lines: u32,
+    /// The span.
+    pub span: Duration,
+}
+
+/// What becomes of a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is written, with the number of lines that were held back before it.
+    Write(u64),
+    /// It is held back.
+    Hold,
+}
+
+#[derive(Debug)]
+struct Seen {
+    since: Time,
+    passed: u32,
+    held: u64,
+}
+
+/// Counts of log lines by event.
+#[derive(Debug)]
+pub struct Repeats {
+    config: RepeatConfig,
+    events: BTreeMap<String, Seen>,
+}
+
+impl Repeats {
+    /// Makes a limit that has seen nothing yet.
+    pub fn new(config: RepeatConfig) -> Self {
+        Self {
+            config,
+            events: BTreeMap::new(),
+        }
+    }
+
+    /// Decides about a line of `event` at the time `now`.
+    pub fn decide(&mut self, now: Time, event: &str) -> Verdict {
+        let known = self.events.contains_key(event) || self.events.len() < EVENTS;
+        let event = if known { event } else { "" };
+        let seen = self.events.entry(event.to_owned()).or_insert(Seen {
+            since: now,
+            passed: 0,
+            held: 0,
+        });
+        if now.since(seen.since) >= self.config.span {
+            seen.since = now;
+            seen.passed = 0;
+        }
+        if seen.passed >= self.config.lines {
+            seen.held += 1;
+            return Verdict::Hold;
+        }
+        seen.passed += 1;
+        Verdict::Write(std::mem::take(&mut seen.held))
+    }
+
+    /// Lists the events with lines held back in a span that has ended, and forgets the counts.
+    pub fn summaries(&mut self, now: Time) -> Vec<(String, u64)> {
+        let span = self.config.span;
+        let due = |s: &Seen| s.held > 0 && now.since(s.since) >= span;
+        let ended = self.events.iter_mut().filter(|(_, s)| due(s));
+        ended
+            .map(|(event, s)| (event.clone(), std::mem::take(&mut s.held)))
+            .collect()
+    }
+}
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -142,8 +142,9 @@
     pub fenced: bool,
     /// VMs of one failure domain that load weights at a time, unless one replica needs more; what
     /// the weight store serves at a time, divided by the failure domains.
+    #[schemars(range(min = 1, max = 4_096))]
     pub loads: u32,
-    /// IP address and port of `/healthz`, `/readyz` and `/v1/log-level`; none are served without it.
+    /// IP address and port of `/healthz` and `/readyz`; none are served without it.
     pub listen: Option<String>,
 }
 
@@ -308,7 +309,7 @@
         None
     }
 
-    fn bounds(&self) -> [Bound; 7] {
+    fn bounds(&self) -> [Bound; 8] {
         let bound = |section, key, value, min, max| Bound {
             section,
             key,
@@ -331,6 +332,7 @@
             bound("planner", "lease_ms", planner.lease_ms, 500, 60_000),
             bound("planner", "drift_ms", planner.drift_ms, 1, 20_000),
             bound("planner", "order_ms", planner.order_ms, 100, 60_000),
+            bound("planner", "loads", planner.loads.into(), 1, 4_096),
         ]
     }
 }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -24,6 +24,17 @@
     Gap,
 }
 
+impl DropReason {
+    /// Returns the name used in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Foreign => "foreign",
+            Self::Repeated => "repeated",
+            Self::Gap => "gap",
+        }
+    }
+}
+
 /// An answer in the making.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answering {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -9,5 +9,7 @@
 mod test_gossip;
 mod test_model;
 mod test_planner;
+mod test_repeats;
 mod test_settings;
+mod test_shortage;
 mod world;
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -42,6 +42,44 @@
             "s.yaml:14:",
             "key",
         ),
+        (
+            GOOD.replace("  listen: 127.0.0.1:8101\n", ""),
+            "s.yaml:11:",
+            "agent: missing field `listen`",
+        ),
+        (
+            GOOD.replace("  gossip:", "  gosip:"),
+            "s.yaml:13:3: ",
+            "did you mean `gossip`?",
+        ),
+        (
+            GOOD.replace("agent:", "  queue: 0\nagent:"),
+            "s.yaml:10:3: ",
+            "`queue` is 0; it must be from 1 to 65536",
+        ),
+        (
+            GOOD.replace("[riverside]", "[pinehill]"),
+            "s.yaml:2:1: ",
+            "`domain` `riverside` is not among `domains`",
+        ),
+        (
+            GOOD.replace("entry: entry-1", "log: {level: loud}\nentry: entry-1"),
+            "s.yaml:1:14: ",
+            "`loud` is no level",
+        ),
+        (
+            GOOD.replace(
+                "entry: entry-1",
+                "planner: {drift_ms: 1000}\nentry: entry-1",
+            ),
+            "s.yaml:1:1: ",
+            "`lease_ms` must be more than three times `drift_ms`",
+        ),
+        (
+            GOOD.replace("domains: [riverside]", "domains: [riverside"),
+            "s.yaml:4:",
+            "did not find expected",
+        ),
     ];
     for (text, place, cause) in cases {
         let error = Settings::parse("s.yaml", &text).expect_err("faulty settings");
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -1,5 +1,8 @@
 //! The planner daemon: threads and sockets around [`hemlock_lib::planner::Planner`].
 
+mod gauges;
+mod ready;
+
 use std::io;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -12,8 +15,13 @@
 use hemlock_lib::plan::{Reform, Rules};
 use hemlock_lib::planner::{Input, Output, Planner, PlannerConfig};
 use hemlock_lib::settings::Settings;
+use hemlock_wire::metrics::Metrics;
+use hemlock_wire::server::Server;
 use hemlock_wire::{agent, caller, clock, follower};
 
+use crate::gauges::Gauges;
+use crate::ready::Ready;
+
 const RING: usize = 1_024;
 const TICK: Duration = Duration::from_millis(100);
 const SUBMIT_WAIT: Duration = Duration::from_millis(1_500);
@@ -34,6 +42,7 @@
 pub struct PlannerHandle {
     events: Sender<Event>,
     threads: Vec<JoinHandle<()>>,
+    server: Option<Server>,
 }
 
 impl PlannerHandle {
@@ -43,6 +52,9 @@
         for thread in self.threads {
             let _ = thread.join();
         }
+        if let Some(server) = self.server {
+            server.stop(false);
+        }
     }
 }
 
@@ -51,8 +63,13 @@
     let (events, ring) = crossbeam_channel::bounded(RING);
     let (calls, call_ring) = async_channel::bounded(RING);
     let planner = Planner::new(config(settings), charts);
+    let metrics = Metrics::open(settings.metrics.statsd.as_deref(), &settings.entry)?;
+    let ready = Ready::default();
+    let server = ready::serve(settings.planner.listen.as_deref(), ready.clone())?;
+    let gauges = Gauges::new(metrics, settings.entry.clone());
     let views = events.clone();
     let on_view = move |view: Option<_>| {
+        ready.set(view.is_some());
         let event = view.map_or(Event::Idle, |v| Event::Input(Input::View(v)));
         views.send(event).is_ok()
     };
@@ -62,10 +79,14 @@
         spawn_calls(url, call_ring, events.clone())?,
         std::thread::Builder::new()
             .name("planner-mind".to_owned())
-            .spawn(move || run(planner, &ring, &calls))?,
+            .spawn(move || run(planner, gauges, &ring, &calls))?,
     ];
     log::info!("event=planner_started entry={}", settings.entry);
-    Ok(PlannerHandle { events, threads })
+    Ok(PlannerHandle {
+        events,
+        threads,
+        server,
+    })
 }
 
 fn config(settings: &Settings) -> PlannerConfig {
@@ -94,7 +115,12 @@
     }
 }
 
-fn run(mut planner: Planner, ring: &Receiver<Event>, calls: &async_channel::Sender<Output>) {
+fn run(
+    mut planner: Planner,
+    gauges: Gauges,
+    ring: &Receiver<Event>,
+    calls: &async_channel::Sender<Output>,
+) {
     let mut tick = Instant::now();
     let mut out = Vec::new();
     loop {
@@ -107,8 +133,10 @@
                 Input::Tick
             }
         };
+        gauges.count_input(&input);
         planner.step(clock::now(), input, &mut out);
         for output in out.drain(..) {
+            gauges.count(&output);
             log::debug!("event=planner_output output={output:?}");
             let _ = calls.send_blocking(output);
         }
--- a/wire/src/daemon.rs
+++ b/wire/src/daemon.rs
@@ -7,7 +7,7 @@
 use hemlock_lib::chart::{ChartError, Charts};
 use hemlock_lib::seal::{Key, KeyRing};
 use hemlock_lib::settings::{Settings, SettingsError};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::logger;
@@ -37,7 +37,7 @@
         .get_one::<PathBuf>("settings")
         .cloned()
         .unwrap_or_default();
-    let started = match load(path) {
+    let started = match load(path.clone()) {
         Ok(started) => started,
         Err(cause) => return refuse(cause),
     };
@@ -45,7 +45,10 @@
         println!("settings ok");
         return ExitCode::SUCCESS;
     }
-    let _logger = logger::start(&started.settings.log.level);
+    if let Err(e) = logger::start(&started.settings.log.level) {
+        return refuse(format!("can't start the log: {e}"));
+    }
+    follow_level(path);
     match body(started) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => refuse(cause),
@@ -69,6 +72,30 @@
         .args([settings, check])
 }
 
+/// Sets the log's level anew from the settings at `path` on each SIGHUP.
+fn follow_level(path: PathBuf) {
+    let Ok(mut signals) = Signals::new([SIGHUP]) else {
+        return;
+    };
+    let body = move || {
+        for _ in signals.forever() {
+            let read = Settings::open(&path).map_err(|e| e.current_context().to_string());
+            let set = read.and_then(|s| {
+                let level = s.log.level;
+                logger::set_level(&level).map_err(|e| e.to_string())?;
+                Ok(level)
+            });
+            match set {
+                Ok(level) => log::warn!("event=log_level level_now={level}"),
+                Err(e) => log::error!("event=log_level_refused cause={}", logger::value(&e)),
+            }
+        }
+    };
+    let _ = std::thread::Builder::new()
+        .name("log-level".to_owned())
+        .spawn(body);
+}
+
 /// Reads the settings, the charts and the keys that they name.
 pub fn load(path: PathBuf) -> Result<Started, String> {
     let settings = Settings::open(&path).map_err(|e| settings_line(e.current_context()))?;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod daemon;
 pub mod follower;
 pub mod logger;
+pub mod metrics;
 pub mod notify;
 pub mod server;
--- a/wire/tests/runner.rs
+++ b/wire/tests/runner.rs
@@ -1,3 +1,5 @@
 //! Runs the tests of this crate in one program.
 
+mod test_logger;
+mod test_metrics;
 mod test_server;
--- /dev/null
+++ b/wire/tests/test_logger.rs
@@ -0,0 +1,19 @@
+//! Values of log lines.
+
+use hemlock_wire::logger::value;
+
+#[test]
+fn values_are_quoted_when_needed() {
+    let cases = [
+        ("plain", "plain"),
+        ("a/b:1", "a/b:1"),
+        ("", "\"\""),
+        ("two words", "\"two words\""),
+        ("a=b", "\"a=b\""),
+        ("say \"x\"", "\"say \\\"x\\\"\""),
+        ("two\nlines", "\"two\\nlines\""),
+    ];
+    for (text, wanted) in cases {
+        assert_eq!(value(text), wanted);
+    }
+}
