--- a/cli/src/commands/drain.rs
+++ b/cli/src/commands/drain.rs
@@ -1,15 +1,21 @@
 //! `hemlock drain`: takes an endpoint VM or an entry VM out of work, as planned.
 
+use std::time::{Duration, Instant};
+
 use clap::{Arg, ArgMatches, Command};
 use hemlock_lib::ids::{Offset, VmId};
 use hemlock_lib::nearest::nearest;
 use hemlock_lib::table::{DrainRow, Edit, Row, RowKey, Table};
-use hemlock_lib::view::View;
+use hemlock_lib::view::{EntryStatus, View};
 
 use crate::exit::{Exit, Failure};
 use crate::session::Context;
 use crate::settle;
 
+/// Time within which the log shows that an entry VM leaves.
+const LEAVE_LIMIT: Duration = Duration::from_secs(6);
+const POLL: Duration = Duration::from_millis(200);
+
 pub(crate) fn command() -> Command {
     let reason = Arg::new("reason")
         .long("reason")
@@ -34,8 +40,7 @@
     let view = context.session.view()?;
     if let Some(agent) = entry_agent(&view, &name) {
         context.session.leave(&agent)?;
-        writeln!(context.out, "entry VM {name} announces that it leaves")?;
-        return Ok(Exit::Done);
+        return wait_leaving(context, &name);
     }
     let vm = known_vm(&view, &name)?;
     let reason = matches.get_one::<String>("reason").cloned();
@@ -55,6 +60,25 @@
     settle::submit(context, matches, &view.table, edits)
 }
 
+/// Waits until the log says that an entry VM leaves.
+fn wait_leaving(context: &mut Context<'_>, name: &str) -> Result<Exit, Failure> {
+    let end = Instant::now() + LEAVE_LIMIT;
+    while Instant::now() < end {
+        let view = context.session.view()?;
+        let leaving = |e: &EntryStatus| e.member.entry.as_str() == name && e.member.leaving;
+        if view.entries.iter().any(leaving) {
+            writeln!(context.out, "entry VM {name} is leaving")?;
+            return Ok(Exit::Done);
+        }
+        std::thread::sleep(POLL);
+    }
+    let cause = format!(
+        "entry VM {name} was told to leave, but the log did not show it within {} s; run it again",
+        LEAVE_LIMIT.as_secs()
+    );
+    Err(Failure::new(Exit::NotInForce, cause))
+}
+
 /// Returns the argument that names a VM.
 pub(crate) fn vm_arg() -> Arg {
     Arg::new("vm")
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -12,6 +12,7 @@
 use crate::exit::{Exit, Failure};
 use crate::output::{self, Sheet};
 use crate::session::Context;
+use crate::settle;
 
 pub(crate) fn command() -> Command {
     let replicas = Arg::new("replicas")
@@ -43,6 +44,7 @@
     author: String,
     at: String,
     in_force: bool,
+    working: usize,
     behind: Vec<String>,
 }
 
@@ -111,7 +113,8 @@
 /// Names the state of an entry VM.
 pub(crate) fn entry_state(entry: &EntryStatus) -> &'static str {
     match (entry.live, entry.member.leaving) {
-        (_, true) => "leaving",
+        (false, true) => "left",
+        (true, true) => "leaving",
         (true, false) => "live",
         (false, false) => "silent",
     }
@@ -181,18 +184,14 @@
         .table
         .entries()
         .find(|(_, e)| Some(e.version) == changed);
-    let reached = |e: &&EntryStatus| changed.is_some_and(|c| e.config <= c.0);
-    let behind: Vec<String> = view
-        .entries
-        .iter()
-        .filter(reached)
-        .map(|e| e.member.entry.to_string())
-        .collect();
+    let progress = changed.map(|offset| settle::progress(view, offset));
+    let (working, behind) = progress.unwrap_or_default();
     TableStatus {
         changed,
         author: last.map_or_else(String::new, |(_, e)| e.author.clone()),
         at: last.map_or_else(String::new, |(_, e)| clock::show(e.at_ms)),
         in_force: behind.is_empty(),
+        working,
         behind,
     }
 }
@@ -271,10 +270,7 @@
 fn sheet(status: &Status) -> Sheet {
     let mut sheet = Sheet::default();
     sheet.line(["log:", if status.log_up { "up" } else { "out" }]);
-    sheet.line([
-        "table:".to_owned(),
-        in_force(&status.table, status.entries.len()),
-    ]);
+    sheet.line(["table:".to_owned(), in_force(&status.table)]);
     sheet.part(&["entry vm", "domain", "state", "table read to", "spare"]);
     for e in &status.entries {
         let (table, spare) = (e.table.to_string(), format!("{:.2}", e.spare));
@@ -316,14 +312,15 @@
     sheet
 }
 
-fn in_force(table: &TableStatus, entries: usize) -> String {
+fn in_force(table: &TableStatus) -> String {
     let Some(changed) = table.changed else {
         return "empty".to_owned();
     };
     let (author, at) = (&table.author, &table.at);
     let change = format!("changed at offset {changed} by {author}, {at}");
     if table.in_force {
-        return format!("{change}; in force on all {entries} entry VMs");
+        let working = table.working;
+        return format!("{change}; in force on all {working} entry VMs");
     }
     let behind = table.behind.join(", ");
     format!("{change}; not in force since then on: {behind}")
--- a/cli/src/settle.rs
+++ b/cli/src/settle.rs
@@ -6,6 +6,7 @@
 use hemlock_lib::ids::Offset;
 use hemlock_lib::peers::{Settled, Submit};
 use hemlock_lib::table::{Edit, Entry, Refusal, RowKey, Table};
+use hemlock_lib::view::{EntryStatus, View};
 use serde::Serialize;
 
 use crate::exit::{Exit, Failure};
@@ -214,13 +215,7 @@
     let mut last = usize::MAX;
     loop {
         let view = context.session.view()?;
-        let total = view.entries.len();
-        let behind: Vec<String> = view
-            .entries
-            .iter()
-            .filter(|e| e.config <= offset.0)
-            .map(|e| e.member.entry.to_string())
-            .collect();
+        let (total, behind) = progress(&view, offset);
         if behind.is_empty() {
             writeln!(context.err, "in force on {total} entry VMs")?;
             return Ok(Exit::Done);
@@ -244,3 +239,18 @@
         std::thread::sleep(POLL);
     }
 }
+
+/// Returns how many entry VMs work, and those of them that have not read the record at `offset`.
+///
+/// An entry VM that left as planned and is silent takes no more work, so it does not count.
+pub(crate) fn progress(view: &View, offset: Offset) -> (usize, Vec<String>) {
+    let working = view.entries.iter().filter(|e| !has_left(e));
+    let behind = working.clone().filter(|e| e.config <= offset.0);
+    let names = behind.map(|e| e.member.entry.to_string());
+    (working.count(), names.collect())
+}
+
+/// Returns whether an entry VM announced that it leaves and was not heard since.
+pub(crate) fn has_left(entry: &EntryStatus) -> bool {
+    entry.member.leaving && !entry.live
+}
--- a/cli/tests/test_drain.rs
+++ b/cli/tests/test_drain.rs
@@ -38,6 +38,15 @@
     assert_eq!(left.exit, Exit::Done, "{}", left.text);
     insta::assert_snapshot!("drain_entry", left.text);
     insta::assert_snapshot!("status_leaving", fake.run(&["status"]).text);
+    fake.silence(1);
+    insta::assert_snapshot!("status_left", fake.run(&["status"]).text);
+    let set = fake.run(&["set", "group/listwriter", "slots=9", "--wait=1"]);
+    assert_eq!(
+        set.exit,
+        Exit::Done,
+        "one that left holds up nothing: {}",
+        set.text
+    );
     let back = fake.run(&["undrain", "entry-1"]);
     assert_eq!(back.exit, Exit::Refused);
     insta::assert_snapshot!("undrain_entry", back.text);
