--- a/cli/tests/test_pages.rs
+++ b/cli/tests/test_pages.rs
@@ -221,7 +221,8 @@
             settings.expect("sound settings");
         }
         let declared = declaration::open(dir.join("table")).expect("sound table files");
-        assert_eq!(declared.check(&Default::default()), []);
+        let (table, vms) = (Default::default(), Default::default());
+        assert_eq!(declared.check(&table, &declared.all(), &vms), []);
         let rows = deployment.edits();
         assert_eq!(declared.rows.len(), rows.len());
         for edit in rows {
