--- a/lib/src/declaration.rs
+++ b/lib/src/declaration.rs
@@ -30,7 +30,11 @@
         if self.file.as_os_str().is_empty() {
             return f.write_str(&self.cause);
         }
-        write!(f, "{}:{}: {}", self.file.display(), self.place, self.cause)
+        let file = self.file.display();
+        match self.place.line {
+            0 => write!(f, "{file}: {}", self.cause),
+            _ => write!(f, "{file}:{}: {}", self.place, self.cause),
+        }
     }
 }
 
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -24,7 +24,11 @@
 
 impl std::fmt::Display for SettingsError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}:{}: {}", self.file.display(), self.place, self.cause)
+        let file = self.file.display();
+        match self.place.line {
+            0 => write!(f, "{file}: {}", self.cause),
+            _ => write!(f, "{file}:{}: {}", self.place, self.cause),
+        }
     }
 }
 
@@ -49,7 +53,7 @@
     /// The planner.
     #[serde(default)]
     pub planner: PlannerSettings,
-    /// Directory of state charts that replace the built-in ones.
+    /// Directory of state charts that replace the built-in ones, from the directory of this file.
     pub charts: Option<PathBuf>,
     /// Metrics.
     #[serde(default)]
@@ -121,7 +125,7 @@
 pub struct KeySettings {
     /// Number of the key.
     pub id: u32,
-    /// File that holds the secret.
+    /// File that holds the secret, from the directory of this file.
     pub file: PathBuf,
 }
 
--- a/wire/src/daemon.rs
+++ b/wire/src/daemon.rs
@@ -101,7 +101,7 @@
     let settings = Settings::open(&path).map_err(|e| settings_line(e.current_context()))?;
     let charts = match &settings.charts {
         None => Charts::built_in(),
-        Some(dir) => Charts::open(dir),
+        Some(dir) => Charts::open(base(&path).join(dir)),
     };
     let charts = charts.map_err(|e| chart_line(e.current_context()))?;
     let keys = keys(&path, &settings)?;
@@ -126,7 +126,7 @@
 }
 
 fn keys(path: &std::path::Path, settings: &Settings) -> Result<KeyRing, String> {
-    let base = path.parent().unwrap_or(std::path::Path::new("."));
+    let base = base(path);
     let read = |key: &hemlock_lib::settings::KeySettings| {
         let file = base.join(&key.file);
         std::fs::read(&file)
@@ -143,6 +143,11 @@
     ))
 }
 
+/// Returns the directory from which paths in the settings are read.
+fn base(settings: &std::path::Path) -> &std::path::Path {
+    settings.parent().unwrap_or(std::path::Path::new("."))
+}
+
 fn settings_line(error: &SettingsError) -> String {
     error.to_string()
 }
