gateway: remember the last 4,096 requests for explain

hemlock explain REQUEST asked a route that no gateway served. A bounded ring of attempts, retry reasons and ends is kept beside the state machine and served at /v1/requests/ID.

--- a/gateway/src/gauges.rs
+++ b/gateway/src/gauges.rs
@@ -1,22 +1,33 @@
-//! Metrics of what the gateway does.
+//! Metrics of what the gateway does, and what became of its last requests.
 
 use hemlock_lib::gateway::{Input, Output};
+use hemlock_lib::ids::RequestId;
+use hemlock_lib::outcomes::{Outcome, Outcomes};
 use hemlock_lib::stream::DropReason;
+use hemlock_wire::clock;
 use hemlock_wire::metrics::{Metric, Metrics};
 
+/// Requests remembered for `hemlock explain`.
+const OUTCOMES: usize = 4_096;
+
 /// Counters and gauges of one gateway.
 #[derive(Debug)]
 pub(crate) struct Gauges {
     metrics: Metrics,
+    outcomes: Outcomes,
 }
 
 impl Gauges {
     pub(crate) fn new(metrics: Metrics) -> Self {
-        Self { metrics }
+        Self {
+            metrics,
+            outcomes: Outcomes::new(OUTCOMES),
+        }
     }
 
     /// Counts an input of the state machine.
-    pub(crate) fn count_input(&self, input: &Input) {
+    pub(crate) fn count_input(&mut self, input: &Input) {
+        self.outcomes.take_input(clock::now(), input);
         match input {
             Input::Finished(..) => self.metrics.count(Metric::Answered),
             Input::Left(_) => self.metrics.count(Metric::Left),
@@ -25,7 +36,8 @@
     }
 
     /// Counts an output of the state machine.
-    pub(crate) fn count(&self, output: &Output) {
+    pub(crate) fn count(&mut self, output: &Output) {
+        self.outcomes.take_output(output);
         match output {
             Output::Dispatch { .. } => self.metrics.count(Metric::Dispatched),
             Output::Refuse { code, .. } => self.metrics.count_by(Metric::Refused, code.name()),
@@ -35,6 +47,11 @@
         }
     }
 
+    /// Returns what became of a request, if it is remembered.
+    pub(crate) fn outcome(&self, request: &RequestId) -> Option<Outcome> {
+        self.outcomes.get(request).cloned()
+    }
+
     /// Counts a dropped chunk.
     pub(crate) fn count_dropped(&self, reason: DropReason) {
         self.metrics.count_by(Metric::Dropped, reason.name());
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -12,6 +12,7 @@
 use hemlock_lib::codes::Code;
 use hemlock_lib::gateway::{Arrival, Gateway, Input, Output};
 use hemlock_lib::ids::{AttemptId, DomainId, ReplicaId, RequestId};
+use hemlock_lib::outcomes::Outcome;
 use hemlock_lib::peers::Submit;
 use hemlock_lib::stream::DropReason;
 use hemlock_lib::view::View;
@@ -57,6 +58,8 @@
     },
     /// A chunk of an answer was dropped.
     Dropped(DropReason),
+    /// What became of a request.
+    Explain(RequestId, async_channel::Sender<Option<Outcome>>),
     /// Whether this gateway has a view to work from.
     Ready(async_channel::Sender<bool>),
     /// How many requests are open.
@@ -124,6 +127,9 @@
                     let _ = reply.try_send(advice);
                 }
                 Ok(Event::Dropped(reason)) => self.gauges.count_dropped(reason),
+                Ok(Event::Explain(request, reply)) => {
+                    let _ = reply.try_send(self.gauges.outcome(&request));
+                }
                 Ok(Event::Ready(reply)) => {
                     let _ = reply.try_send(self.gateway.view().is_some());
                 }
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -45,6 +45,7 @@
         .route("/v1/entry", web::get().to(entry))
         .route("/v1/chat/completions", web::post().to(chat))
         .route("/v1/services/{service}/{path}*", web::to(pass))
+        .route("/v1/requests/{request}", web::get().to(explain))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready));
 }
@@ -53,6 +54,22 @@
     HttpResponse::Ok().body("ok\n")
 }
 
+async fn explain(state: types::State<State>, request: types::Path<String>) -> HttpResponse {
+    let (reply, outcome) = async_channel::bounded(1);
+    let request = RequestId::new(request.into_inner());
+    if state
+        .events
+        .try_send(Event::Explain(request, reply))
+        .is_err()
+    {
+        return body::refusal(Code::Overload, None, None);
+    }
+    match outcome.recv().await {
+        Ok(Some(outcome)) => HttpResponse::Ok().json(&outcome),
+        _ => body::refusal(Code::UnknownPath, None, None),
+    }
+}
+
 async fn ready(state: types::State<State>) -> HttpResponse {
     let (reply, answer) = async_channel::bounded(1);
     let asked = state.events.try_send(Event::Ready(reply)).is_ok();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod limits;
 pub mod members;
 pub mod nearest;
+pub mod outcomes;
 pub mod peers;
 pub mod placement;
 pub mod plan;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_folds;
 mod test_gossip;
 mod test_model;
+mod test_outcomes;
 mod test_planner;
 mod test_repeats;
 mod test_settings;
