--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -14,6 +14,8 @@
 use hemlock_lib::ids::{AttemptId, DomainId, ReplicaId, RequestId};
 use hemlock_lib::outcomes::Outcome;
 use hemlock_lib::peers::Submit;
+use hemlock_lib::seal::KeyRing;
+use hemlock_lib::slices::{ASK_EVERY, SliceAsk, SliceReply};
 use hemlock_lib::stream::DropReason;
 use hemlock_lib::view::View;
 use hemlock_wire::metrics::Metrics;
@@ -21,10 +23,13 @@
 use uuid::Uuid;
 
 use crate::gauges::Gauges;
+use crate::slices;
 
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two reports of spare capacity to the agent.
 const SPARE_TICKS: u32 = 50;
+/// Ticks between two asks for slices of account limits.
+const SLICE_TICKS: u32 = (ASK_EVERY.as_millis() / TICK.as_millis()) as u32;
 const CLAIM_WAIT: Duration = Duration::from_secs(3);
 const SPARE_WAIT: Duration = Duration::from_secs(1);
 
@@ -62,6 +67,10 @@
     Explain(RequestId, async_channel::Sender<Option<Outcome>>),
     /// Whether this gateway has a view to work from.
     Ready(async_channel::Sender<bool>),
+    /// Another gateway asks for slices of account limits.
+    Slices(SliceAsk, async_channel::Sender<Option<SliceReply>>),
+    /// A home replied to an ask for slices.
+    SliceReply(SliceReply),
     /// How many requests are open.
     CountOpen(Sender<usize>),
     /// Stop.
@@ -78,6 +87,7 @@
         owner: Owner,
     },
     Spare(f64),
+    Slices(String, SliceAsk, KeyRing),
 }
 
 /// The state machine with its outlets.
@@ -86,6 +96,7 @@
     gateway: Gateway,
     calls: async_channel::Sender<Call>,
     gauges: Gauges,
+    keys: Option<KeyRing>,
     waiting: BTreeMap<RequestId, async_channel::Sender<Decision>>,
     out: Vec<Output>,
     ticks: u32,
@@ -101,12 +112,22 @@
             gateway,
             calls,
             gauges: Gauges::new(metrics),
+            keys: None,
             waiting: BTreeMap::new(),
             out: Vec::new(),
             ticks: 0,
         }
     }
 
+    /// Shares account limits with other gateways, if there are keys to seal the messages.
+    pub(crate) fn with_keys(mut self, keys: Option<KeyRing>) -> Self {
+        if keys.is_some() {
+            self.gateway = self.gateway.with_slices();
+        }
+        self.keys = keys;
+        self
+    }
+
     /// Runs until told to stop.
     pub(crate) fn run(mut self, ring: &Receiver<Event>) {
         let mut tick = Instant::now();
@@ -133,6 +154,11 @@
                 Ok(Event::Ready(reply)) => {
                     let _ = reply.try_send(self.gateway.view().is_some());
                 }
+                Ok(Event::Slices(ask, reply)) => {
+                    let answer = self.gateway.answer_slices(clock::now(), &ask);
+                    let _ = reply.try_send(answer);
+                }
+                Ok(Event::SliceReply(reply)) => self.gateway.take_slices(&reply),
                 Ok(Event::CountOpen(reply)) => drop(reply.send(self.gateway.open())),
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {
@@ -146,6 +172,11 @@
     fn tick(&mut self) {
         self.step(Input::Tick);
         self.ticks += 1;
+        if let Some(keys) = &self.keys
+            && self.ticks.is_multiple_of(SLICE_TICKS)
+        {
+            slices::ask(&mut self.gateway, clock::now(), keys, &self.calls);
+        }
         if self.ticks.is_multiple_of(SPARE_TICKS) {
             let _ = self.calls.try_send(Call::Spare(self.gateway.spare()));
             self.gauges
@@ -251,6 +282,7 @@
                 let _ = events.send(Event::Input(Input::Claimed(request, settled)));
             }
         }
+        Call::Slices(address, ask, keys) => slices::send(&address, &ask, &keys, events).await,
         Call::Spare(spare) => drop(agent::spare(agent, spare, SPARE_WAIT).await),
     }
 }
--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -20,6 +20,8 @@
 const STALL: Duration = Duration::from_secs(3);
 /// Time that a slow caller may hold a full buffer.
 const SLOW_CALLER: Duration = Duration::from_secs(10);
+/// Pieces between two reports of an attempt's progress.
+const PROGRESS_PIECES: u64 = 32;
 
 /// A part of the answer on its way to the caller.
 #[derive(Debug)]
@@ -71,7 +73,7 @@
             }
             Decision::Replay(_) => return,
         };
-        let name = format!("{}/{attempt}", driven.request());
+        let name = attempt_name(&driven, attempt);
         let progress = match &mut answering {
             Some(progress) => {
                 progress.resume(&name);
@@ -79,11 +81,10 @@
             }
             none => none.insert(Answering::new(&name)),
         };
-        match attempt_once(
-            &driven, &name, &address, replica, &question, progress, &parts,
-        )
-        .await
-        {
+        let end = attempt_once(
+            &driven, attempt, &address, replica, &question, progress, &parts,
+        );
+        match end.await {
             End::Done => {
                 driven.finished(attempt, None);
                 let _ = parts.send(Part::Done).await;
@@ -96,6 +97,10 @@
     }
 }
 
+fn attempt_name(driven: &Driven, attempt: AttemptId) -> String {
+    format!("{}/{attempt}", driven.request())
+}
+
 fn end_slow(driven: Driven, attempt: AttemptId, parts: &async_channel::Sender<Part>) {
     log::info!(
         "event=slow_caller request={} attempt={attempt}",
@@ -106,15 +111,17 @@
 
 async fn attempt_once(
     driven: &Driven,
-    name: &str,
+    attempt: AttemptId,
     address: &str,
     replica: ReplicaId,
     question: &Question,
     progress: &mut Answering,
     parts: &async_channel::Sender<Part>,
 ) -> End {
+    let name = attempt_name(driven, attempt);
+    let from = progress.delivered();
     let call = EngineCall {
-        attempt: name.to_owned(),
+        attempt: name.clone(),
         replica,
         prompt: question.prompt.clone(),
         max_tokens: question.max_tokens,
@@ -144,10 +151,16 @@
         }
         while let Some(chunk) = next_chunk(&mut buffer) {
             match progress.take(chunk) {
-                Piece::Deliver(text) => match deliver(parts, text).await {
-                    Ok(()) => {}
-                    Err(end) => return end,
-                },
+                Piece::Deliver(text) => {
+                    let pieces = progress.delivered() - from;
+                    if pieces % PROGRESS_PIECES == 1 {
+                        driven.progress(attempt, pieces);
+                    }
+                    match deliver(parts, text).await {
+                        Ok(()) => {}
+                        Err(end) => return end,
+                    }
+                }
                 Piece::Done => return End::Done,
                 Piece::Drop(DropReason::Gap) => {
                     driven.dropped(DropReason::Gap);
--- a/lib/src/seal.rs
+++ b/lib/src/seal.rs
@@ -4,6 +4,8 @@
 //! one behind the old on every entry VM, then moving it to the front, then dropping the old one.
 
 use hmac::{Hmac, Mac};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
 use sha2::Sha256;
 
@@ -16,6 +18,8 @@
 const PACKET_FORM: u8 = 1;
 /// Number of the encoding of probe reports.
 const REPORTS_FORM: u8 = 2;
+/// Number of the encoding of messages between gateways.
+const CALL_FORM: u8 = 3;
 
 /// A shared key with its number.
 #[derive(Clone, PartialEq, Eq)]
@@ -51,13 +55,39 @@
         Self { keys }
     }
 
-    /// Encodes and seals a message.
+    /// Encodes and seals a gossip message.
     pub fn seal(&self, message: &GossipMessage) -> Vec<u8> {
+        match message {
+            GossipMessage::Packet(packet) => {
+                self.seal_body(PACKET_FORM, codec::encode_compact(packet))
+            }
+            GossipMessage::Reports(reports) => self.seal_body(REPORTS_FORM, codec::encode(reports)),
+        }
+    }
+
+    /// Opens a gossip datagram, or returns `None` if it is malformed or its tag is wrong.
+    pub fn open(&self, bytes: &[u8]) -> Option<GossipMessage> {
+        let (form, body) = self.open_body(bytes)?;
+        match form {
+            PACKET_FORM => codec::decode(&body).ok().map(GossipMessage::Packet),
+            REPORTS_FORM => codec::decode(&body).ok().map(GossipMessage::Reports),
+            _ => None,
+        }
+    }
+
+    /// Encodes and seals a message between gateways.
+    pub fn seal_call(&self, message: &impl Serialize) -> Vec<u8> {
+        self.seal_body(CALL_FORM, codec::encode(message))
+    }
+
+    /// Opens a message between gateways, or returns `None` if it is malformed or its tag is wrong.
+    pub fn open_call<T: DeserializeOwned>(&self, bytes: &[u8]) -> Option<T> {
+        let (form, body) = self.open_body(bytes)?;
+        (form == CALL_FORM).then(|| codec::decode(&body).ok())?
+    }
+
+    fn seal_body(&self, form: u8, body: Vec<u8>) -> Vec<u8> {
         let key = &self.keys[0];
-        let (form, body) = match message {
-            GossipMessage::Packet(packet) => (PACKET_FORM, codec::encode_compact(packet)),
-            GossipMessage::Reports(reports) => (REPORTS_FORM, codec::encode(reports)),
-        };
         let tag = mac(key, form, &body).finalize().into_bytes();
         codec::encode_compact(&Sealed {
             key: key.id,
@@ -67,8 +97,7 @@
         })
     }
 
-    /// Opens a datagram, or returns `None` if it is malformed or its tag is wrong.
-    pub fn open(&self, bytes: &[u8]) -> Option<GossipMessage> {
+    fn open_body(&self, bytes: &[u8]) -> Option<(u8, ByteBuf)> {
         let sealed: Sealed = codec::decode(bytes).ok()?;
         if sealed.tag.len() != TAG_BYTES {
             return None;
@@ -77,11 +106,7 @@
         mac(key, sealed.form, &sealed.body)
             .verify_truncated_left(&sealed.tag)
             .ok()?;
-        match sealed.form {
-            PACKET_FORM => codec::decode(&sealed.body).ok().map(GossipMessage::Packet),
-            REPORTS_FORM => codec::decode(&sealed.body).ok().map(GossipMessage::Reports),
-            _ => None,
-        }
+        Some((sealed.form, sealed.body))
     }
 }
 
