--- a/agent/src/gauges.rs
+++ b/agent/src/gauges.rs
@@ -48,6 +48,9 @@
         let live = view.entries.iter().filter(|e| e.live).count();
         let vms = view.vms.values().filter(|s| s.health == Health::Live);
         self.metrics.gauge(Metric::LogUp, u64::from(view.log_up));
+        for (kind, count) in alarms(view) {
+            self.metrics.gauge_by(Metric::Alarms, kind, count);
+        }
         self.metrics.gauge(Metric::ConfigOffset, view.table.next.0);
         self.metrics.gauge(Metric::EntriesLive, live as u64);
         self.metrics.gauge(Metric::VmsLive, vms.count() as u64);
@@ -66,6 +69,17 @@
     }
 }
 
+fn alarms(view: &View) -> [(&'static str, u64); 5] {
+    let alarms = &view.alarms;
+    [
+        ("gaps", alarms.gaps),
+        ("regressions", alarms.regressions),
+        ("undecodable", alarms.undecodable),
+        ("divergences", alarms.divergences),
+        ("unsound", alarms.unsound),
+    ]
+}
+
 fn end(settled: &Settled) -> &'static str {
     match settled {
         Settled::Accepted { .. } => "accepted",
--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -37,13 +37,10 @@
 
 pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
     let (declared, diff) = declared(matches)?;
-    if matches.contains_id("dir") {
-        check::refuse_faults(context, &declared, &Table::default())?;
-    }
-    let table = context.session.view()?.table;
-    check::refuse_faults(context, &declared, &table)?;
-    let edits = diff(&table, &declared);
-    settle::submit(context, matches, &table, edits)
+    let view = context.session.view()?;
+    let edits = diff(&view.table, &declared);
+    check::refuse_faults(context, &declared, &view, &edits)?;
+    settle::submit(context, matches, &view.table, edits)
 }
 
 type Diff = fn(&Table, &Declared) -> Vec<Edit>;
--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -1,10 +1,14 @@
 //! `hemlock check`: checks declarations without sending anything.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use hemlock_lib::declaration::{self, Declared};
-use hemlock_lib::table::Table;
+use hemlock_lib::ids::DomainId;
+use hemlock_lib::platform::VmRole;
+use hemlock_lib::table::Edit;
+use hemlock_lib::view::View;
 
 use crate::exit::{Exit, Failure};
 use crate::session::Context;
@@ -18,7 +22,8 @@
 
 pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
     let declared = open_dir(matches)?;
-    refuse_faults(context, &declared, &Table::default())?;
+    let edits = declared.all();
+    refuse_faults(context, &declared, &View::default(), &edits)?;
     writeln!(context.out, "{} rows ok", declared.rows.len())?;
     Ok(Exit::Done)
 }
@@ -39,13 +44,14 @@
         .map_err(|e| Failure::usage(e.current_context().to_string()))
 }
 
-/// Writes each fault in one line and fails if there is any.
+/// Writes each fault of the edits in one line, and fails if there is any.
 pub(crate) fn refuse_faults(
     context: &mut Context<'_>,
     declared: &Declared,
-    known: &Table,
+    view: &View,
+    edits: &[Edit],
 ) -> Result<(), Failure> {
-    let faults = declared.check(known);
+    let faults = declared.check(&view.table, edits, &engines(view));
     for fault in &faults {
         writeln!(context.err, "{fault}")?;
     }
@@ -56,3 +62,13 @@
         ))),
     }
 }
+
+/// Counts the engine VMs of each failure domain.
+fn engines(view: &View) -> BTreeMap<DomainId, usize> {
+    let mut out = BTreeMap::new();
+    let listings = view.vms.values().map(|s| &s.listing);
+    for listing in listings.filter(|l| l.role == VmRole::Engine) {
+        *out.entry(listing.domain.clone()).or_insert(0) += 1;
+    }
+    out
+}
--- a/cli/src/commands/diff.rs
+++ b/cli/src/commands/diff.rs
@@ -2,7 +2,6 @@
 
 use clap::{ArgMatches, Command};
 use hemlock_lib::declaration;
-use hemlock_lib::table::Table;
 
 use super::check;
 use crate::exit::{Exit, Failure};
@@ -18,10 +17,10 @@
 
 pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
     let declared = check::open_dir(matches)?;
-    check::refuse_faults(context, &declared, &Table::default())?;
-    let table = context.session.view()?.table;
-    let edits = declaration::diff(&table, &declared);
-    settle::show(context, &table, &edits)?;
+    let view = context.session.view()?;
+    let edits = declaration::diff(&view.table, &declared);
+    check::refuse_faults(context, &declared, &view, &edits)?;
+    settle::show(context, &view.table, &edits)?;
     Ok(if edits.is_empty() {
         Exit::Done
     } else {
--- a/cli/src/commands/set.rs
+++ b/cli/src/commands/set.rs
@@ -32,15 +32,15 @@
     let row = matches.get_one::<String>("row").cloned();
     let key = rows::key(&row.unwrap_or_default())?;
     let columns = matches.get_many::<String>("columns").unwrap_or_default();
-    let table = context.session.view()?.table;
-    let (entry, old) = rows::existing(&table, &key)?;
+    let view = context.session.view()?;
+    let (entry, old) = rows::existing(&view.table, &key)?;
     let new = changed(old, columns)?;
     let mut declared = Declared::default();
     declared.rows.insert(key.clone(), new);
     declared.bases.insert(key, entry.version);
-    check::refuse_faults(context, &declared, &table)?;
-    let edits = declaration::edits(&table, &declared);
-    settle::submit(context, matches, &table, edits)
+    let edits = declaration::edits(&view.table, &declared);
+    check::refuse_faults(context, &declared, &view, &edits)?;
+    settle::submit(context, matches, &view.table, edits)
 }
 
 fn changed<'a>(old: &Row, given: impl Iterator<Item = &'a String>) -> Result<Row, Failure> {
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -13,6 +13,7 @@
 use hemlock_lib::gateway::{Arrival, Gateway, Input, Output};
 use hemlock_lib::ids::{AccountId, AttemptId, DomainId, ReplicaId, RequestId};
 use hemlock_lib::once::Change;
+use hemlock_lib::outcomes::Outcome;
 use hemlock_lib::peers::{Settled, Submit, Suspicion};
 use hemlock_lib::seal::KeyRing;
 use hemlock_lib::slices::{ASK_EVERY, SliceAsk, SliceReply};
@@ -70,6 +71,8 @@
     },
     /// A chunk of an answer was dropped.
     Dropped(DropReason),
+    /// What became of a request.
+    Explain(RequestId, async_channel::Sender<Option<Outcome>>),
     /// Whether this gateway has a view to work from.
     Ready(async_channel::Sender<bool>),
     /// Another gateway asks for slices of account limits.
@@ -166,6 +169,9 @@
                     reply,
                 }) => self.key_status(key, &key_hash, &reply),
                 Ok(Event::Dropped(reason)) => self.gauges.count_dropped(reason),
+                Ok(Event::Explain(request, reply)) => {
+                    let _ = reply.try_send(self.gauges.outcome(&request));
+                }
                 Ok(Event::Ready(reply)) => {
                     let _ = reply.try_send(self.gateway.view().is_some());
                 }
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -59,6 +59,7 @@
         .route("/v1/services/{service}/{path}*", web::to(pass))
         .route("/v1/keys/{key}", web::to(key_status))
         .route(slices::PATH, web::post().to(slices::answer))
+        .route("/v1/requests/{request}", web::get().to(explain))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready))
         .route("/{path}*", web::to(unknown));
@@ -68,6 +69,22 @@
     HttpResponse::Ok().body("ok\n")
 }
 
+async fn explain(state: types::State<State>, request: types::Path<String>) -> HttpResponse {
+    let (reply, outcome) = async_channel::bounded(1);
+    let request = RequestId::new(request.into_inner());
+    if state
+        .events
+        .try_send(Event::Explain(request, reply))
+        .is_err()
+    {
+        return body::refusal(&Code::Overload.into(), None);
+    }
+    match outcome.recv().await {
+        Ok(Some(outcome)) => HttpResponse::Ok().json(&outcome),
+        _ => body::refusal(&Code::UnknownPath.into(), None),
+    }
+}
+
 async fn ready(state: types::State<State>) -> HttpResponse {
     let (reply, answer) = async_channel::bounded(1);
     let asked = state.events.try_send(Event::Ready(reply)).is_ok();
--- a/lib/src/declaration.rs
+++ b/lib/src/declaration.rs
@@ -7,16 +7,13 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::Offset;
-use crate::nearest::nearest;
+use crate::check::{self, Fault};
+use crate::ids::{DomainId, Offset};
 use crate::table::{
     AccountRow, DrainRow, Edit, GroupRow, Row, RowKey, ServiceRow, Table, VersionRow,
 };
 use crate::yaml::{self, Place};
 
-/// Length of a SHA-256 in hexadecimal digits.
-const HASH_DIGITS: usize = 64;
-
 /// Says what is wrong with a declaration, and where.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DeclarationError {
@@ -33,7 +30,11 @@
         if self.file.as_os_str().is_empty() {
             return f.write_str(&self.cause);
         }
-        write!(f, "{}:{}: {}", self.file.display(), self.place, self.cause)
+        let file = self.file.display();
+        match self.place.line {
+            0 => write!(f, "{file}: {}", self.cause),
+            _ => write!(f, "{file}:{}: {}", self.place, self.cause),
+        }
     }
 }
 
@@ -125,6 +126,7 @@
     /// Row versions that were named.
     pub bases: BTreeMap<RowKey, Offset>,
     sources: BTreeMap<RowKey, (PathBuf, Place)>,
+    texts: BTreeMap<PathBuf, String>,
 }
 
 impl Declared {
@@ -145,34 +147,38 @@
             self.sources.insert(key.clone(), (file.to_owned(), place));
             self.rows.insert(key, row);
         }
+        self.texts.insert(file.to_owned(), text.to_owned());
         Ok(())
     }
 
-    /// Returns what is wrong with the rows' values and with the names that they use.
+    /// Returns the edits that would make all rows in an empty table.
+    pub fn all(&self) -> Vec<Edit> {
+        edits(&Table::default(), self)
+    }
+
+    /// Returns what is wrong with edits that come from these rows, and where.
     ///
-    /// `known` holds rows that are already in the table and need not be declared.
-    pub fn check(&self, known: &Table) -> Vec<DeclarationError> {
-        let table = known.groups().map(|(id, _)| id.as_str());
-        let declared = self.rows.keys().filter_map(|key| match key {
-            RowKey::Group(id) => Some(id.as_str()),
-            _ => None,
-        });
-        let groups: Vec<&str> = table.chain(declared).collect();
-        let causes = self
-            .rows
-            .iter()
-            .flat_map(|(key, row)| row_causes(row, &groups).into_iter().map(move |c| (key, c)));
-        causes
-            .map(|(key, cause)| self.fault_of(key, &cause))
-            .collect()
+    /// `vms` is the number of engine VMs of each failure domain; while it is empty, spans aren't
+    /// checked.
+    pub fn check(
+        &self,
+        table: &Table,
+        edits: &[Edit],
+        vms: &BTreeMap<DomainId, usize>,
+    ) -> Vec<DeclarationError> {
+        let faults = check::check(table, edits, vms);
+        faults.iter().map(|f| self.place_fault(f)).collect()
     }
 
-    fn fault_of(&self, key: &RowKey, cause: &str) -> DeclarationError {
-        let (file, place) = self.sources.get(key).cloned().unwrap_or_default();
+    fn place_fault(&self, fault: &Fault) -> DeclarationError {
+        let (file, row) = self.sources.get(&fault.row).cloned().unwrap_or_default();
+        let text = self.texts.get(&file).map_or("", String::as_str);
+        let column = yaml::find(text, row.line, &fault.column);
+        let place = column.filter(|_| !fault.column.is_empty()).unwrap_or(row);
         DeclarationError {
             file,
             place,
-            cause: format!("`{key}`: {cause}"),
+            cause: fault.to_string(),
         }
     }
 }
@@ -251,63 +257,6 @@
     edits
 }
 
-fn row_causes(row: &Row, groups: &[&str]) -> Vec<String> {
-    let mut out = Vec::new();
-    match row {
-        Row::Group(row) => {
-            share(&mut out, "downtime", row.downtime);
-            share(&mut out, "stranded", row.stranded);
-            positive(&mut out, "slots", row.slots);
-            if row.minimum > row.replicas {
-                let (minimum, replicas) = (row.minimum, row.replicas);
-                out.push(format!(
-                    "`minimum` {minimum} is more than `replicas` {replicas}"
-                ));
-            }
-        }
-        Row::Version(row) => {
-            share(&mut out, "weight", row.weight);
-            positive(&mut out, "span", row.span);
-            if !groups.contains(&row.group.as_str()) {
-                let meant = nearest(row.group.as_str(), groups.iter().copied());
-                let meant = meant.map(|m| format!("; did you mean `{m}`?"));
-                let meant = meant.unwrap_or_default();
-                out.push(format!("no group is named `{}`{meant}", row.group));
-            }
-        }
-        Row::Account(row) => {
-            share(&mut out, "weight", row.weight);
-            share(&mut out, "requests", row.requests);
-            share(&mut out, "tokens", row.tokens);
-            if !is_hash(&row.key_hash) {
-                let cause = "`key_hash` is no SHA-256 in lower-case hexadecimal; \
-                    `hemlock key hash` makes one";
-                out.push(cause.to_owned());
-            }
-        }
-        Row::Service(row) => positive(&mut out, "slots", row.slots),
-        Row::Drain(_) => {}
-    }
-    out
-}
-
-fn share(out: &mut Vec<String>, column: &str, value: f64) {
-    if !value.is_finite() || value < 0.0 {
-        out.push(format!("`{column}` is {value}; it must be zero or more"));
-    }
-}
-
-fn positive(out: &mut Vec<String>, column: &str, value: u32) {
-    if value == 0 {
-        out.push(format!("`{column}` is 0; it must be one or more"));
-    }
-}
-
-fn is_hash(text: &str) -> bool {
-    let digit = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
-    text.len() == HASH_DIGITS && text.chars().all(digit)
-}
-
 fn row_place(text: &str, key: &RowKey) -> Place {
     let shown = key.to_string();
     let (kind, name) = shown.split_once('/').unwrap_or_default();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod members;
 pub mod nearest;
 pub mod once;
+pub mod outcomes;
 pub mod peers;
 pub mod placement;
 pub mod plan;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_lease;
 mod test_model;
 mod test_once;
+mod test_outcomes;
 mod test_plan;
 mod test_planner;
 mod test_probe;
--- a/wire/src/metrics.rs
+++ b/wire/src/metrics.rs
@@ -80,6 +80,7 @@
     Datagrams Counter "agent.datagrams" "datagrams" "Gossip datagrams sent.";
     Probes Counter "agent.probes" "probes" "Probes sent to endpoint VMs.";
     LogUp Gauge "agent.log.up" "0 or 1" "Whether the log answers.";
+    Alarms Gauge "agent.alarms.{kind}" "count" "Faults of the log that the agent met since it started, by kind.";
     ConfigOffset Gauge "agent.config.offset" "offset" "Offset of the next table record to read.";
     EntriesLive Gauge "agent.entries.live" "entry VMs" "Entry VMs that gossip holds alive.";
     VmsLive Gauge "agent.vms.live" "VMs" "Endpoint VMs that answer.";
