--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -26,14 +26,13 @@
 
 /// All experiments.
 pub const ALL: &[Experiment] = &[
-    fold::EXPERIMENT,
-    once::EXPERIMENT,
-    retries::EXPERIMENT,
-    relay::EXPERIMENT,
-    decision_cost::TIMED,
     decision_cost::COUNTED,
+    decision_cost::TIMED,
     fold::EXPERIMENT,
     limits::EXPERIMENT,
+    once::EXPERIMENT,
+    relay::EXPERIMENT,
+    retries::EXPERIMENT,
     routing::EXPERIMENT,
     shares::EXPERIMENT,
 ];
--- a/bench/tests/test_bounds.rs
+++ b/bench/tests/test_bounds.rs
@@ -25,3 +25,16 @@
     let broken = |value| bounds.broken(&[Figure::new("a.b", value, "s")]).len();
     assert_eq!((broken(1.0), broken(1.1), broken(f64::NAN)), (0, 1, 1));
 }
+
+/// Two experiments with one name would stop the program at its start.
+#[test]
+fn each_experiment_has_a_name_of_its_own() {
+    let mut names: Vec<&str> = hemlock_bench::experiments::ALL
+        .iter()
+        .map(|e| e.name)
+        .collect();
+    let all = names.len();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), all);
+}
