--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -2,12 +2,17 @@
 
 mod decision_cost;
 mod fold;
+mod gossip;
 mod limits;
 mod once;
+mod placement;
+mod planner;
 mod relay;
 mod retries;
 mod routing;
 mod shares;
+mod state;
+mod state_time;
 
 use crate::figure::{Figure, Options};
 
@@ -29,12 +34,18 @@
     decision_cost::COUNTED,
     decision_cost::TIMED,
     fold::EXPERIMENT,
+    gossip::EXPERIMENT,
     limits::EXPERIMENT,
     once::EXPERIMENT,
     relay::EXPERIMENT,
     retries::EXPERIMENT,
+    placement::EXPERIMENT,
+    placement::TARGET,
+    planner::EXPERIMENT,
     routing::EXPERIMENT,
     shares::EXPERIMENT,
+    state::EXPERIMENT,
+    state_time::EXPERIMENT,
 ];
 
 /// Returns the experiment with this name.
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -158,6 +158,7 @@
     spare: f64,
     rumours: Rumours,
     reading: bool,
+    stale_read: bool,
     next_read: Time,
     log_up: bool,
     next_join: Time,
@@ -190,6 +191,7 @@
             spare: 1.0,
             rumours: Rumours::default(),
             reading: false,
+            stale_read: false,
             next_read: Time::ZERO,
             log_up: false,
             next_join: Time::ZERO,
@@ -245,7 +247,8 @@
                 let refused = self.submit(now, ticket, submit, deadline);
                 out.extend(refused.map(|end| Output::Settle(ticket, end)));
             }
-            Input::Spare(spare) => self.spare = spare,
+            Input::Spare(spare) if spare.is_finite() => self.spare = spare.clamp(0.0, 1.0),
+            Input::Spare(_) => {}
             Input::Suspect(suspicions) => {
                 let changed = self.rumours.take(now, &suspicions);
                 self.mark(changed);
@@ -306,6 +309,9 @@
 
     fn take_read(&mut self, now: Time, reply: Option<ReadReply>, out: &mut Vec<Output>) {
         self.reading = false;
+        if std::mem::take(&mut self.stale_read) {
+            return self.read(out);
+        }
         let up = reply.is_some();
         let changed = self.log_up != up;
         self.log_up = up;
@@ -551,7 +557,7 @@
     fn take_states(&mut self, now: Time, states: Option<Vec<StreamState>>) {
         self.fetching = false;
         if let Some(states) = states {
-            self.folds.import(&states);
+            self.stale_read |= self.folds.import(&states) && self.reading;
             self.gossip.follow(now, &self.folds.members);
             self.mark(true);
         }
