gateway: bound the whole wait for an engine's reply

The client's limit covers the wait for the reply alone; an attempt that hung in connecting or sending held its request until the deadline.

--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -207,7 +207,11 @@
         };
         let request = client.post(format!("{address}/v1/generate"));
         let wait = Millis(STALL.as_millis() as u32);
-        let reply = request.timeout(wait).send_json(&call).await;
+        // The client's own limit covers the wait for the reply, not the connection.
+        let reply = request.timeout(wait).send_json(&call);
+        let Ok(reply) = ntex::time::timeout(wait, reply).await else {
+            return End::Failed(FailReason::Stalled);
+        };
         let reply = match reply.map_err(CallError::from) {
             Ok(reply) if reply.status().is_success() => reply,
             Ok(reply) => return End::Failed(refused(reply.status().as_u16())),
