--- a/gateway/tests/test_engines.rs
+++ b/gateway/tests/test_engines.rs
@@ -61,7 +61,8 @@
         (Act::Status(500), "unknown"),
     ];
     for (act, ran) in cases {
-        let script = [act; 8];
+        // More calls than two requests make together.
+        let script = [act; 32];
         let engines = [Endpoint::spawn(&script), Endpoint::spawn(&script)];
         let site = Site::spawn(&[&engines[0], &engines[1]], &[]);
         let whole = site.chat(false, TOKENS, &[("x-deadline-ms", "4000")]);
--- a/lib/src/delta.rs
+++ b/lib/src/delta.rs
@@ -8,6 +8,7 @@
 use crate::fleet::Fleet;
 use crate::folds::Alarms;
 use crate::ids::{DomainId, StreamId, VmId};
+use crate::peers::Suspicion;
 use crate::table::Table;
 use crate::view::{EntryStatus, View, VmStatus};
 
@@ -49,6 +50,9 @@
     pub peers_up: bool,
     /// Streams on which nothing may be decided.
     pub gaps: Vec<StreamId>,
+    /// Requests under suspicion of crashing endpoints.
+    #[serde(default)]
+    pub suspicions: Vec<Suspicion>,
     /// Faults of the log that the agent met.
     pub alarms: Alarms,
 }
@@ -83,6 +87,7 @@
             log_up: new.log_up,
             peers_up: new.peers_up,
             gaps: new.gaps.clone(),
+            suspicions: new.suspicions.clone(),
             alarms: new.alarms,
             ..Self::default()
         };
@@ -128,6 +133,7 @@
         view.log_up = self.log_up;
         view.peers_up = self.peers_up;
         view.gaps = self.gaps;
+        view.suspicions = self.suspicions;
         view.alarms = self.alarms;
         true
     }
--- a/testutils/src/agent.rs
+++ b/testutils/src/agent.rs
@@ -4,6 +4,7 @@
 
 use hemlock_lib::claims::{ClaimRecord, Claims};
 use hemlock_lib::codec;
+use hemlock_lib::delta::{Change, News};
 use hemlock_lib::engine::{Held, Load};
 use hemlock_lib::fleet::{Fleet, FleetChange, FleetRecord, Form};
 use hemlock_lib::hash;
@@ -107,15 +108,19 @@
 
 fn routes(config: &mut ServiceConfig) {
     config
-        .route("/v1/view", web::get().to(serve_view))
+        .route("/v1/change", web::get().to(serve_change))
         .route("/v1/submit", web::post().to(serve_submit))
         .route("/{path}*", web::to(async || HttpResponse::NoContent()));
 }
 
-async fn serve_view(agent: types::State<State>) -> HttpResponse {
+async fn serve_change(agent: types::State<State>) -> HttpResponse {
     ntex::time::sleep(ntex::time::Millis(VIEW_PAUSE_MS)).await;
-    let view = codec::encode(&agent.lock().view);
-    HttpResponse::Ok().body(Bytes::from(view))
+    let view = Box::new(agent.lock().view.clone());
+    let change = Change {
+        run: 1,
+        news: News::Whole(view),
+    };
+    HttpResponse::Ok().body(Bytes::from(codec::encode(&change)))
 }
 
 async fn serve_submit(agent: types::State<State>, body: Bytes) -> HttpResponse {
