--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -60,6 +60,20 @@
         /// A reserve VM of the replica, or a free VM.
         vm: VmId,
     },
+    /// Adds a free VM to the reserve of a replica, or gives one up, which stays taken until a
+    /// `FreeVm` record names it.
+    Reserve {
+        /// Fencing number of the lease.
+        fence: Fence,
+        /// The fold's `planned` that the planner had read.
+        base: Offset,
+        /// The replica.
+        replica: ReplicaSeq,
+        /// The VM.
+        vm: VmId,
+        /// Whether the VM is added.
+        add: bool,
+    },
     /// Ends a replica in order: it gets no new work, and what runs on it may finish.
     Drain {
         /// Fencing number of the lease.
@@ -277,6 +291,9 @@
                 vm,
                 ..
             } => self.fold_replace(*fence, *form, *replica, *rank, vm),
+            FleetChange::Reserve {
+                replica, vm, add, ..
+            } => self.fold_reserve(*replica, vm, *add),
             FleetChange::Drain { replica, .. } => {
                 let assignment = self.replica_mut(*replica)?;
                 assignment.draining = true;
@@ -332,6 +349,30 @@
         Ok(())
     }
 
+    fn fold_reserve(
+        &mut self,
+        replica: ReplicaSeq,
+        vm: &VmId,
+        add: bool,
+    ) -> Result<(), FleetRefusal> {
+        let is_free = !self.owners.contains_key(vm);
+        let assignment = self.replica_mut(replica)?;
+        let allowed = match add {
+            true => is_free,
+            false => assignment.reserve.contains(vm),
+        };
+        if !allowed {
+            return Err(FleetRefusal::VmTaken);
+        }
+        if add {
+            assignment.reserve.push(vm.clone());
+            self.owners.insert(vm.clone(), replica);
+        } else {
+            assignment.reserve.retain(|r| r != vm);
+        }
+        Ok(())
+    }
+
     fn replica_mut(&mut self, replica: ReplicaSeq) -> Result<&mut Assignment, FleetRefusal> {
         self.replicas
             .get_mut(&replica)
@@ -393,6 +434,7 @@
         FleetChange::Lease { .. } => (Fence(0), Offset(0)),
         FleetChange::Assign { fence, base, .. }
         | FleetChange::Replace { fence, base, .. }
+        | FleetChange::Reserve { fence, base, .. }
         | FleetChange::Drain { fence, base, .. }
         | FleetChange::Free { fence, base, .. }
         | FleetChange::FreeVm { fence, base, .. } => (*fence, *base),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod codes;
 pub mod declaration;
 pub mod delta;
+pub mod digest;
 pub mod dispatch;
 pub mod endpoint_pace;
 pub mod endpoints;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -96,35 +96,42 @@
     out
 }
 
-/// Splits the wanted replicas over shards by the VMs that they have; returns the part of `shard`.
+/// Splits the wanted replicas over shards by the VMs that they have.
 ///
 /// Wide replicas go first, and each goes to the shard with most VMs left, so that every shard that
 /// sees the same VMs computes the same split and a dark shard's part goes to the others.
-pub fn wanted(
-    table: &Table,
+pub fn split(
+    totals: &[Wanted],
     capacities: &BTreeMap<DomainId, u32>,
-    shard: &DomainId,
-) -> Vec<Wanted> {
+) -> BTreeMap<DomainId, Vec<Wanted>> {
     let mut left: Vec<(&DomainId, u32)> = capacities.iter().map(|(d, n)| (d, *n)).collect();
-    let mut out = totals(table);
-    let mut order: Vec<usize> = (0..out.len()).collect();
+    let none: Vec<Wanted> = totals
+        .iter()
+        .map(|w| Wanted {
+            count: 0,
+            ..w.clone()
+        })
+        .collect();
+    let mut parts = vec![none; left.len()];
+    let mut order: Vec<usize> = (0..totals.len()).collect();
     order.sort_by(|a, b| {
-        let (a, b) = (&out[*a], &out[*b]);
+        let (a, b) = (&totals[*a], &totals[*b]);
         b.span.cmp(&a.span).then(b.value.total_cmp(&a.value))
     });
     for i in order {
-        let (span, count) = (out[i].span, out[i].count);
-        out[i].count = 0;
-        for _ in 0..count {
-            let widest = left.iter_mut().rev().max_by_key(|(_, n)| *n);
-            let Some((domain, n)) = widest.filter(|(_, n)| span > 0 && *n >= span) else {
+        let span = totals[i].span;
+        for _ in 0..totals[i].count {
+            let widest = left.iter_mut().enumerate().rev();
+            let widest = widest.max_by_key(|(_, (_, n))| *n);
+            let Some((shard, (_, n))) = widest.filter(|(_, (_, n))| span > 0 && *n >= span) else {
                 break;
             };
             *n -= span;
-            out[i].count += u32::from(*domain == shard);
+            parts[shard][i].count += 1;
         }
     }
-    out
+    let names = left.into_iter().map(|(domain, _)| domain.clone());
+    names.zip(parts).collect()
 }
 
 /// Returns how many replicas of each need a failure domain with `vms` free VMs should form, so that
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -6,11 +6,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::digest::Digest;
 use crate::engine::{Action, Held};
 use crate::fleet::{Assignment, Fleet, FleetChange, Form};
 use crate::ids::{DomainId, Fence, GroupId, ReplicaId, ReplicaSeq, VersionId, VmId};
 use crate::placement::{self, Need, Wanted};
-use crate::platform::VmRole;
 use crate::view::{Health, View, VmStatus};
 
 /// How a replica that lost a VM is made whole.
@@ -87,10 +87,8 @@
     pub swaps: &'a BTreeMap<ReplicaSeq, Swap>,
     /// Whether VMs that the platform's list doesn't name are gone.
     pub trusted: bool,
-    /// What the shard should hold.
-    pub wanted: &'a [Wanted],
-    /// What all shards should hold together.
-    pub totals: &'a [Wanted],
+    /// What the view says over all shards.
+    pub digest: &'a Digest,
 }
 
 /// What is known of a VM that a replica names.
@@ -132,7 +130,7 @@
     /// Lists the orders to load: one replica after the other, so that the first serves soonest.
     pub fn loads(&self) -> Vec<Wish> {
         let mut out = Vec::new();
-        let mut loading = self.loading();
+        let mut loading = self.digest.loading;
         for (seq, assignment) in &self.fleet.replicas {
             let (form, vms) = self.formation(*seq, assignment);
             let gone = vms.iter().any(|vm| self.part(vm) == Part::Gone);
@@ -171,8 +169,10 @@
             .or_else(|| self.finish())
             .or_else(|| self.free_vm())
             .or_else(|| self.assign())
+            .or_else(|| self.give_up_reserve())
             .or_else(|| self.lend())
             .or_else(|| self.drain())
+            .or_else(|| self.add_reserve())
     }
 
     /// Records a reserve VM that was given a rank without the log.
@@ -264,14 +264,9 @@
 
     fn assign(&self) -> Option<FleetChange> {
         let free = self.free_vms();
-        let need = |w: &Wanted| Need {
-            span: w.span,
-            count: w.count.saturating_sub(self.healthy(&w.version)),
-            value: w.value,
-        };
-        let needs: Vec<Need> = self.wanted.iter().map(need).collect();
+        let needs = self.needs();
         let counts = placement::pack(free.len() as u32, &needs);
-        let (want, count) = self.wanted.iter().zip(counts).find(|(_, n)| *n > 0)?;
+        let (want, count) = self.wanted().iter().zip(counts).find(|(_, n)| *n > 0)?;
         let used = count * want.span;
         let reserve = want.reserve.min((free.len() as u32).saturating_sub(used));
         let (vms, reserve) = placement::form(&free, want.span, reserve)?;
@@ -287,6 +282,60 @@
         })
     }
 
+    /// Returns what the shard still lacks.
+    fn needs(&self) -> Vec<Need> {
+        let healthy = self.healthy_counts();
+        let have = |v: &VersionId| healthy.get(v).copied().unwrap_or(0);
+        let need = |w: &Wanted| Need {
+            span: w.span,
+            count: w.count.saturating_sub(have(&w.version)),
+            value: w.value,
+        };
+        self.wanted().iter().map(need).collect()
+    }
+
+    /// Gives up a reserve VM if a wanted replica can be formed with it.
+    fn give_up_reserve(&self) -> Option<FleetChange> {
+        let spare = |(seq, a): (&ReplicaSeq, &Assignment)| {
+            let good = a.reserve.iter().filter(|vm| self.part(vm) == Part::Good);
+            good.map(|vm| (*seq, vm.clone())).collect::<Vec<_>>()
+        };
+        let staying = self.fleet.replicas.iter().filter(|(_, a)| !a.draining);
+        let spares: Vec<_> = staying.flat_map(spare).collect();
+        let vms = spares.len() + self.free_vms().len();
+        let short = |n: &Need| n.count > 0 && n.span > 0 && n.span as usize <= vms;
+        if !self.needs().iter().any(short) {
+            return None;
+        }
+        let (replica, vm) = spares.into_iter().next_back()?;
+        Some(self.reserve(replica, vm, false))
+    }
+
+    /// Gives a replica that lacks reserve VMs one that nothing else needs.
+    fn add_reserve(&self) -> Option<FleetChange> {
+        let lacks = |a: &Assignment| {
+            let row = self.view.table.group(&a.group);
+            !a.draining && row.is_some_and(|g| a.reserve.len() < g.reserve as usize)
+        };
+        let mut replicas = self.fleet.replicas.iter();
+        let (replica, _) = replicas.find(|(_, a)| lacks(a))?;
+        if self.needs().iter().any(|n| n.count > 0) {
+            return None;
+        }
+        let vm = self.free_vms().into_iter().next()?;
+        Some(self.reserve(*replica, vm, true))
+    }
+
+    fn reserve(&self, replica: ReplicaSeq, vm: VmId, add: bool) -> FleetChange {
+        FleetChange::Reserve {
+            fence: self.fence,
+            base: self.fleet.planned,
+            replica,
+            vm,
+            add,
+        }
+    }
+
     /// Ends the broken replica that is worth least, if its VMs make another whole.
     fn lend(&self) -> Option<FleetChange> {
         let draining = self.fleet.replicas.values().any(|a| a.draining);
@@ -311,8 +360,9 @@
     /// Ends one surplus replica, or one that a VM is about to leave.
     fn drain(&self) -> Option<FleetChange> {
         let replicas = || self.fleet.replicas.iter();
+        let healthy = self.healthy_counts();
         let mut surplus: Vec<_> = replicas()
-            .filter(|(seq, a)| !a.draining && self.is_surplus(**seq, a))
+            .filter(|(seq, a)| !a.draining && self.is_surplus(**seq, a, &healthy))
             .collect();
         surplus.sort_by_key(|(seq, a)| (self.serves(**seq, a), std::cmp::Reverse(**seq)));
         let (seq, assignment) = surplus.first()?;
@@ -332,7 +382,12 @@
         (leaving || self.spares_one(group)).then(|| self.end(**seq))
     }
 
-    fn is_surplus(&self, seq: ReplicaSeq, assignment: &Assignment) -> bool {
+    fn is_surplus(
+        &self,
+        seq: ReplicaSeq,
+        assignment: &Assignment,
+        healthy: &BTreeMap<&VersionId, u32>,
+    ) -> bool {
         let Some(want) = self.want(&assignment.version) else {
             return true;
         };
@@ -342,7 +397,7 @@
         if self.gone_rank(assignment).is_some() {
             return self.total(&assignment.version) == 0;
         }
-        if self.healthy(&assignment.version) <= want.count {
+        if healthy.get(&assignment.version).copied().unwrap_or(0) <= want.count {
             return false;
         }
         let everywhere = self
@@ -402,21 +457,16 @@
 
     /// Lists orders to VMs that hold a part of a replica that they don't belong to.
     fn strays(&self) -> Vec<Wish> {
-        let stray = |(vm, status): (&VmId, &VmStatus)| {
-            let held = status.held.as_ref()?;
-            let seq = held.replica.seq;
-            let known = held.replica.shard == *self.shard && seq.0 <= self.fleet.next.0;
+        let stray = |vm: &VmId| {
+            let status = self.view.vms.get(vm)?;
+            let seq = status.held.as_ref()?.replica.seq;
+            let known = seq.0 <= self.fleet.next.0 && status.health != Health::Lost;
             let owner = self.fleet.owner(vm);
             let part = owner.is_some_and(|r| self.fleet.has_part(vm, r));
             (known && !part).then(|| self.wish(vm, seq, self.next_form(), Action::Unload))
         };
-        let answers = |(_, s): &(&VmId, &VmStatus)| s.health != Health::Lost;
-        self.view
-            .vms
-            .iter()
-            .filter(answers)
-            .filter_map(stray)
-            .collect()
+        let holders = self.digest.holders.get(self.shard).into_iter().flatten();
+        holders.filter_map(stray).collect()
     }
 
     fn unload(&self, vm: &VmId, seq: ReplicaSeq) -> Option<Wish> {
@@ -548,13 +598,15 @@
 
     fn free_vms(&self) -> Vec<VmId> {
         let owned = |vm: &VmId| self.view.fleets.values().any(|f| f.owner(vm).is_some());
-        self.view
-            .vms
-            .values()
-            .filter(|s| s.listing.domain == *self.shard && s.listing.role == VmRole::Engine)
-            .filter(|s| s.health == Health::Live && s.held.is_none() && !s.listing.leaving)
-            .map(|s| s.listing.vm.clone())
-            .filter(|vm| !owned(vm) && !self.busy.contains(vm))
+        let empty = |vm: &VmId| {
+            let status = self.view.vms.get(vm);
+            status
+                .is_some_and(|s| s.health == Health::Live && s.held.is_none() && !s.listing.leaving)
+        };
+        let listed = self.digest.listed.get(self.shard).into_iter().flatten();
+        listed
+            .filter(|vm| empty(vm) && !owned(vm) && !self.busy.contains(*vm))
+            .cloned()
             .collect()
     }
 
@@ -566,28 +618,34 @@
         held.is_some_and(|h| h.ready && h.version == *version && h.rank == *rank)
     }
 
-    /// Counts the VMs of all shards that load, since they share the weight store.
-    fn loading(&self) -> u32 {
-        let loads =
-            |s: &&VmStatus| s.health == Health::Live && s.held.as_ref().is_some_and(|h| !h.ready);
-        self.view.vms.values().filter(loads).count() as u32
+    /// Counts the replicas of each version that are whole and stay.
+    fn healthy_counts(&self) -> BTreeMap<&VersionId, u32> {
+        let whole = |a: &&Assignment| {
+            let mut parts = a.vms.iter().map(|vm| self.part(vm));
+            !a.draining && parts.all(|p| matches!(p, Part::Good | Part::Unsure))
+        };
+        let mut out = BTreeMap::new();
+        for assignment in self.fleet.replicas.values().filter(whole) {
+            *out.entry(&assignment.version).or_insert(0) += 1;
+        }
+        out
     }
 
-    /// Counts the replicas of a version that are whole and stay.
     fn healthy(&self, version: &VersionId) -> u32 {
-        let stays = |a: &&Assignment| {
-            let whole = self.gone_rank(a).is_none() && !self.has_leaving(a);
-            a.version == *version && !a.draining && whole
-        };
-        self.fleet.replicas.values().filter(stays).count() as u32
+        self.healthy_counts().get(version).copied().unwrap_or(0)
+    }
+
+    fn wanted(&self) -> &'a [Wanted] {
+        let wanted = self.digest.wanted.get(self.shard);
+        wanted.map_or(&[], Vec::as_slice)
     }
 
     fn want(&self, version: &VersionId) -> Option<&Wanted> {
-        self.wanted.iter().find(|w| w.version == *version)
+        self.wanted().iter().find(|w| w.version == *version)
     }
 
     fn total(&self, version: &VersionId) -> u32 {
-        let of = self.totals.iter().find(|w| w.version == *version);
+        let of = self.digest.totals.iter().find(|w| w.version == *version);
         of.map_or(0, |w| w.count)
     }
 
--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -6,12 +6,12 @@
 
 use crate::appender::Ticket;
 use crate::chart::Charts;
+use crate::digest::Digest;
 use crate::engine::{Action, Order, OrderReply};
 use crate::fleet::{Assignment, Fleet, FleetChange};
 use crate::ids::{DomainId, EntryId, Fence, Incarnation, Offset, OrderId, ReplicaSeq, VmId};
 use crate::lease::{LeaseConfig, LeaseEnd, LeaseStep, LeaseWatch};
 use crate::peers::{Settled, Submit};
-use crate::placement;
 use crate::plan::{Rules, Scene, Swap, Wish};
 use crate::rendezvous;
 use crate::time::Time;
@@ -22,6 +22,8 @@
 const SEQ_BITS: u32 = 20;
 /// Time after which a change that was not accepted is planned again.
 const CHANGE_RETRY: Duration = Duration::from_millis(300);
+/// Time between two plans of a shard.
+const PLAN_EVERY: Duration = Duration::from_millis(250);
 /// Time for which a list that leaves out most VMs in use is taken as faulty.
 const LIST_DOUBT: Duration = Duration::from_secs(600);
 /// Time that gateways have to read that a replica takes no new work.
@@ -98,6 +100,8 @@
     draining: BTreeMap<ReplicaSeq, Time>,
     swaps: BTreeMap<ReplicaSeq, Swap>,
     doubted: Option<Time>,
+    planned: Offset,
+    next_plan: Time,
 }
 
 impl Shard {
@@ -112,6 +116,8 @@
             draining: BTreeMap::new(),
             swaps: BTreeMap::new(),
             doubted: None,
+            planned: Offset(0),
+            next_plan: Time::ZERO,
         }
     }
 
@@ -122,6 +128,16 @@
             .is_none_or(|since| now.since(since) >= LIST_DOUBT)
     }
 
+    /// Returns whether to plan now: at once after a change, and else every `PLAN_EVERY`.
+    fn is_due(&mut self, now: Time, planned: Offset) -> bool {
+        if now < self.next_plan && planned == self.planned {
+            return false;
+        }
+        self.planned = planned;
+        self.next_plan = now + PLAN_EVERY;
+        true
+    }
+
     /// Notes since when replicas drain and the list is doubtful, and forgets replicas that ended.
     fn update(&mut self, now: Time, view: &View, fleet: &Fleet) {
         let unlisted = |(vm, _): &(&VmId, ReplicaSeq)| !view.vms.contains_key(*vm);
@@ -149,6 +165,7 @@
     config: PlannerConfig,
     charts: Charts,
     view: Option<Arc<View>>,
+    digest: Option<Arc<Digest>>,
     shards: BTreeMap<DomainId, Shard>,
     next: u64,
 }
@@ -161,6 +178,7 @@
             config,
             charts,
             view: None,
+            digest: None,
             shards: BTreeMap::new(),
             next,
         }
@@ -170,7 +188,10 @@
     pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Tick => {}
-            Input::View(view) => self.view = Some(view),
+            Input::View(view) => {
+                self.digest = None;
+                self.view = Some(view);
+            }
             Input::Settled(ticket, settled) => self.take_settled(now, ticket, &settled),
             Input::Ordered(..) => return,
         }
@@ -262,7 +283,7 @@
         fence: Fence,
         out: &mut Vec<Output>,
     ) {
-        if fleet.next < self.shard(id).wait {
+        if fleet.next < self.shard(id).wait || !self.shard(id).is_due(now, fleet.planned) {
             return;
         }
         self.next += 1;
@@ -315,6 +336,10 @@
         fence: Fence,
         run: impl FnOnce(&Scene<'_>) -> T,
     ) -> T {
+        let digest = self
+            .digest
+            .get_or_insert_with(|| Arc::new(Digest::new(view)));
+        let digest = Arc::clone(digest);
         let drained = self.drained(now, view, id, fleet);
         let busy = self.busy(now, id);
         let scene = Scene {
@@ -328,8 +353,7 @@
             busy: &busy,
             swaps: &self.shards[id].swaps,
             trusted: self.shards[id].trusts_list(now),
-            wanted: &placement::wanted(&view.table, &placement::capacities(view), id),
-            totals: &placement::totals(&view.table),
+            digest: &digest,
         };
         run(&scene)
     }
--- a/lib/src/probe.rs
+++ b/lib/src/probe.rs
@@ -235,12 +235,10 @@
             domain: probed.listing.domain.clone(),
             ..listing.clone()
         };
-        let mut changed = probed.listing != listing;
+        let changed = probed.listing != listing;
         probed.listing = listing.clone();
-        if listing.leaving {
-            changed |= advance(&self.chart, probed, "leave");
-        }
-        changed
+        let event = if listing.leaving { "leave" } else { "stay" };
+        changed | advance(&self.chart, probed, event)
     }
 }
 
--- a/lib/tests/test_model.rs
+++ b/lib/tests/test_model.rs
@@ -130,7 +130,15 @@
         rank: 0,
         vm: VmId::new(vm),
     };
+    let reserve = |(vm, add): (&str, bool)| FleetChange::Reserve {
+        fence,
+        base,
+        replica,
+        vm: VmId::new(vm),
+        add,
+    };
     let mut out = vec![free(Vec::new()), free(vms[..1].to_vec())];
+    out.extend([("y", true), ("y", false), ("z", true)].map(reserve));
     out.extend(["x", "y", "z"].iter().map(replace));
     out
 }
--- a/lib/tests/test_plan.rs
+++ b/lib/tests/test_plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use hemlock_lib::digest::Digest;
 use hemlock_lib::engine::Held;
 use hemlock_lib::fleet::{Fleet, FleetChange, FleetRecord, Form};
 use hemlock_lib::ids::{DomainId, Fence, Incarnation, Nonce, Offset, ReplicaId, ReplicaSeq, VmId};
@@ -147,8 +148,7 @@
             busy: &BTreeSet::new(),
             swaps: &BTreeMap::new(),
             trusted: view.vms.len() > 3,
-            wanted: &placement::wanted(&view.table, &placement::capacities(&view), &domain()),
-            totals: &placement::totals(&view.table),
+            digest: &Digest::new(&view),
         };
         scene.plan()
     }
@@ -173,6 +173,11 @@
                 let vms: Vec<&str> = vms.iter().map(VmId::as_str).collect();
                 format!("assign {version} [{}]", vms.join(" "))
             }
+            Some(FleetChange::Reserve {
+                replica, vm, add, ..
+            }) => {
+                format!("reserve {vm} of {replica}: {add}")
+            }
             Some(FleetChange::Lease { .. }) => "lease".to_owned(),
         };
         let ordered: Vec<&str> = plan.wishes.iter().map(|w| w.vm.as_str()).collect();
@@ -229,6 +234,13 @@
         case("the same with free VMs", &s);
     }
 
+    let mut s = Shard::new(1, &["f0"], &["r0"]);
+    set_rows(&mut s.view.table, vec![group(4, 1, 0)]);
+    case("one more wanted, a reserve VM is needed", &s);
+    let mut s = Shard::new(1, &["f0"], &[]);
+    set_rows(&mut s.view.table, vec![group(3, 1, 1)]);
+    case("reserve wanted", &s);
+
     let mut s = Shard::new(3, &[], &[]);
     s.health("c1", Health::Leaving);
     case("leaving", &s);
@@ -250,6 +262,8 @@
     the same with free VMs: assign v2 [f0 f1]; orders []
     new version at the minimum: nothing; orders []
     the same with free VMs: assign v2 [f0 f1]; orders []
+    one more wanted, a reserve VM is needed: reserve r0 of 2: false; orders []
+    reserve wanted: reserve f0 of 2: true; orders []
     leaving: drain 4; orders []
     ");
 }
@@ -309,7 +323,8 @@
     for (vms, counts) in cases {
         let names = ["a", "b", "c"].map(DomainId::new);
         let capacities: BTreeMap<DomainId, u32> = names.iter().cloned().zip(vms).collect();
-        let count = |d: &DomainId| placement::wanted(&table, &capacities, d)[0].count;
+        let split = placement::split(&placement::totals(&table), &capacities);
+        let count = |d: &DomainId| split[d][0].count;
         let got: Vec<u32> = names.iter().map(count).collect();
         assert_eq!(got, counts, "{vms:?}");
     }
--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -8,6 +8,7 @@
 const SCHEDULES: u64 = 10_000;
 const THREADS: u64 = 4;
 const STEPS: u32 = 70;
+
 const CALM_STEPS: u32 = 240;
 
 fn disturb(world: &mut World) {
--- a/lib/tests/test_probe.rs
+++ b/lib/tests/test_probe.rs
@@ -160,8 +160,11 @@
         Some(Health::Leaving),
         "one is left out"
     );
-    p.expire(at(23_000));
-    assert_eq!(health(&p, 23_000, "z"), None, "left out and silent");
+    p.listed(at(20_100), &list(&["x", "y", "z"]));
+    assert_eq!(health(&p, 20_100, "z"), Some(Health::Live), "listed again");
+    p.listed(at(20_200), &list(&["x", "y"]));
+    p.expire(at(31_000));
+    assert_eq!(health(&p, 31_000, "z"), None, "left out and silent");
 }
 
 #[test]
