--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -41,9 +41,9 @@
 const GOSSIP: GossipConfig = GossipConfig {
     every: Duration::from_millis(500),
     ack: Duration::from_millis(200),
-    suspicion: Duration::from_millis(1_500),
-    relays: 3,
-    beats: 8,
+    suspicion: Duration::from_millis(2_000),
+    relays: 5,
+    beats: 24,
     fanout: 6,
     reports: Duration::from_millis(600),
     payload: 1_150,
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -24,7 +24,7 @@
 /// Transmissions of an update for each doubling of the members.
 const TRANSMIT_FACTOR: u32 = 3;
 /// Updates in one packet.
-const UPDATES: usize = 6;
+const UPDATES: usize = 10;
 /// Age of a packet, against the newest of its sender, from which it is held replayed.
 const REPLAY_WINDOW_MS: u64 = 2_000;
 
@@ -70,6 +70,7 @@
     incarnation: u32,
     since: Time,
     stamp: u64,
+    told: u32,
 }
 
 #[derive(Debug)]
@@ -151,6 +152,7 @@
                 incarnation: 0,
                 since: now,
                 stamp: 0,
+                told: 0,
             });
         }
         let known = &self.peers;
@@ -160,7 +162,10 @@
     /// Sets what its own beats say.
     pub fn set_beat(&mut self, spare: f64, config: u64) {
         self.beat.spare = (spare.clamp(0.0, 1.0) * 100.0) as u8;
-        self.beat.config = config;
+        if self.beat.config != config {
+            self.beat.config = config;
+            self.beat.count += 1;
+        }
     }
 
     /// Lets time pass: starts rounds, asks relays, and ends suspicions.
@@ -253,12 +258,16 @@
     }
 
     fn start_round(&mut self, now: Time, rng: &mut SmallRng, out: &mut Vec<Mail>) {
-        self.beat.count += 1;
         self.rounds = self.rounds.wrapping_add(1);
+        if self.rounds.is_multiple_of(self.beat_rounds()) {
+            self.beat.count += 1;
+        }
+        self.relays.clear();
         if let Some(missed) = self.probing.take() {
             self.suspect(now, missed.target);
+            let seq = self.next_seq();
+            self.send(now, missed.target, PacketKind::Ping, (seq, 0), rng, out);
         }
-        self.relays.clear();
         if self.rounds.is_multiple_of(DEAD_ROUNDS) {
             let dead = self.peers.iter().filter(|(_, p)| !p.status.is_live());
             if let Some(number) = dead.map(|(n, _)| *n).choose(rng) {
@@ -409,6 +418,7 @@
         };
         if beat.count > peer.beat.count {
             peer.beat = beat;
+            peer.told = 0;
             self.discover(now, beat.member);
         }
     }
@@ -492,15 +502,31 @@
         out
     }
 
-    /// Picks its own beat and a random choice of those of the live others.
-    fn pick_beats(&self, count: usize, rng: &mut impl Rng) -> Vec<Beat> {
-        let known = self.live_peers().filter(|p| p.beat.count > 0);
+    /// Returns the time between two of its own beats.
+    pub fn beat_time(&self) -> Duration {
+        self.config.every * self.beat_rounds()
+    }
+
+    /// Returns the rounds between two beats, which grow with the members to bound their traffic.
+    fn beat_rounds(&self) -> u32 {
+        (self.peers.len() / self.config.beats.max(1)).max(1) as u32
+    }
+
+    /// Picks its own beat and those of the live others that it told least often.
+    fn pick_beats(&mut self, count: usize, rng: &mut impl Rng) -> Vec<Beat> {
+        let known = |p: &&mut Peer| p.status.is_live() && p.beat.count > 0;
+        let mut peers: Vec<(u32, u32, &mut Peer)> = self
+            .peers
+            .values_mut()
+            .filter(known)
+            .map(|p| (p.told, rng.random(), p))
+            .collect();
+        peers.sort_unstable_by_key(|(told, tie, _)| (*told, *tie));
         let mut beats = vec![self.beat];
-        beats.extend(
-            known
-                .map(|p| p.beat)
-                .choose_multiple(rng, count.saturating_sub(1)),
-        );
+        for (_, _, peer) in peers.into_iter().take(count.saturating_sub(1)) {
+            peer.told += 1;
+            beats.push(peer.beat);
+        }
         beats
     }
 }
