--- a/agent/src/board.rs
+++ b/agent/src/board.rs
@@ -1,48 +1,97 @@
-//! The last view, where the HTTP threads find it.
+//! The last views, where the HTTP threads find them.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hemlock_lib::codec;
+use hemlock_lib::delta::{Change, Delta, News};
 use hemlock_lib::view::View;
-use hemlock_wire::notify::Notifier;
+use hemlock_wire::notify::{self, Notifier};
 
-/// The last published view with its encoding.
-#[derive(Debug, Default)]
+/// Views that a delta may start from.
+const BASES: usize = 8;
+
+#[derive(Debug, Clone)]
+struct Published {
+    at: Instant,
+    view: Arc<View>,
+}
+
+/// The last published views.
+#[derive(Debug)]
 pub(crate) struct Board {
-    last: Mutex<(u64, Arc<Vec<u8>>)>,
-    ready: AtomicBool,
+    run: u64,
+    views: Mutex<VecDeque<Published>>,
     notifier: Notifier,
 }
 
 impl Board {
+    /// Makes an empty board of the agent run `run`.
+    pub(crate) fn new(run: u64) -> Self {
+        Self {
+            run,
+            views: Mutex::default(),
+            notifier: Notifier::default(),
+        }
+    }
+
     /// Publishes a view.
-    pub(crate) fn publish(&self, view: &View) {
-        let bytes = Arc::new(codec::encode(view));
-        let informed = view.log_up || view.peers_up;
-        self.ready.store(informed, Ordering::Relaxed);
-        *self.lock() = (view.version, bytes);
+    pub(crate) fn publish(&self, view: Arc<View>) {
+        let mut views = self.lock();
+        views.truncate(BASES - 1);
+        views.push_front(Published {
+            at: Instant::now(),
+            view,
+        });
+        drop(views);
         self.notifier.notify();
     }
 
     /// Returns whether the last view came from a reachable log or peer.
     pub(crate) fn ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
+        let last = self.lock().front().cloned();
+        last.is_some_and(|p| p.view.log_up || p.view.peers_up)
+    }
+
+    /// Returns the encoded view, once there is one that is newer than `after`.
+    pub(crate) async fn after(&self, after: u64, wait: Duration) -> Option<Vec<u8>> {
+        let last = self.last(after, wait).await?;
+        Some(codec::encode(&*last.view))
+    }
+
+    /// Returns the encoded change since the view `after` of the agent run `run`.
+    pub(crate) async fn change(&self, run: u64, after: u64, wait: Duration) -> Option<Vec<u8>> {
+        let after = if run == self.run { after } else { 0 };
+        let last = self.last(after, wait).await?;
+        let base = self
+            .lock()
+            .iter()
+            .find(|p| p.view.version == after)
+            .cloned();
+        let news = match base {
+            None => News::Whole(Box::new(View::clone(&last.view))),
+            Some(base) => {
+                let aged = last.at.duration_since(base.at).as_millis() as u64;
+                News::Delta(Box::new(Delta::between(&base.view, &last.view, aged)))
+            }
+        };
+        let run = self.run;
+        Some(codec::encode(&Change { run, news }))
     }
 
-    /// Returns the encoded view once it is newer than `after`, or the last one after `wait`.
-    pub(crate) async fn after(&self, after: u64, wait: Duration) -> Arc<Vec<u8>> {
+    /// Returns the last view once it is newer than `after`, or as it is after `wait`.
+    async fn last(&self, after: u64, wait: Duration) -> Option<Published> {
         let changed = self.notifier.next();
-        let (version, bytes) = self.lock().clone();
-        if version != after {
-            return bytes;
+        let last = self.lock().front().cloned();
+        if last.as_ref().is_some_and(|p| p.view.version != after) {
+            return last;
         }
-        crate::wait_change(changed, wait).await;
-        self.lock().1.clone()
+        notify::wait(changed, wait).await;
+        self.lock().front().cloned()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, (u64, Arc<Vec<u8>>)> {
-        self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Published>> {
+        self.views.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -22,9 +22,9 @@
 use hemlock_lib::restate::RestateConfig;
 use hemlock_lib::seal::KeyRing;
 use hemlock_lib::settings::Settings;
+use hemlock_wire::clock;
 use hemlock_wire::metrics::Metrics;
 use hemlock_wire::server::{self, Server};
-use hemlock_wire::{clock, notify};
 
 use crate::board::Board;
 use crate::mind::Event;
@@ -84,8 +84,9 @@
     let socket = Arc::new(UdpSocket::bind(gossip).map_err(named(gossip))?);
     socket.set_read_timeout(Some(Duration::from_millis(200)))?;
     let (events, ring) = crossbeam_channel::bounded(RING);
-    let board = Arc::new(Board::default());
-    let agent = Agent::new(config(settings, keys), charts);
+    let config = config(settings, keys);
+    let board = Arc::new(Board::new(config.seed));
+    let agent = Agent::new(config, charts);
     let (calls, call_ring) = async_channel::bounded(RING);
     let metrics = Metrics::open(settings.metrics.statsd.as_deref(), &settings.entry)?;
     let threads = vec![
@@ -151,7 +152,3 @@
 fn named(address: &str) -> impl Fn(io::Error) -> io::Error {
     move |e| io::Error::new(e.kind(), format!("can't listen on {address}: {e}"))
 }
-
-async fn wait_change(changed: async_channel::Receiver<()>, wait: Duration) {
-    notify::wait(changed, wait).await;
-}
--- a/agent/src/mind.rs
+++ b/agent/src/mind.rs
@@ -133,7 +133,7 @@
                     let _ = reply.try_send(settled);
                 }
             }
-            Output::Publish(view) => self.board.publish(&view),
+            Output::Publish(view) => self.board.publish(view),
         }
     }
 
--- a/agent/src/routes.rs
+++ b/agent/src/routes.rs
@@ -26,6 +26,8 @@
 
 #[derive(Debug, Deserialize)]
 struct ViewQuery {
+    #[serde(default)]
+    run: u64,
     #[serde(default)]
     after: u64,
     #[serde(default)]
@@ -42,6 +44,7 @@
     config
         .route("/v1/view", web::get().to(view))
         .route("/v1/submit", web::post().to(submit))
+        .route("/v1/change", web::get().to(change))
         .route("/v1/states", web::get().to(states))
         .route("/v1/spare", web::post().to(spare))
         .route("/v1/leave", web::post().to(leave))
@@ -51,11 +54,19 @@
 
 async fn view(state: types::State<State>, query: types::Query<ViewQuery>) -> HttpResponse {
     let wait = Duration::from_millis(query.wait_ms.min(WAIT_MS));
-    let bytes = state.board.after(query.after, wait).await;
-    if bytes.is_empty() {
-        return HttpResponse::ServiceUnavailable().finish();
+    reply(state.board.after(query.after, wait).await)
+}
+
+async fn change(state: types::State<State>, query: types::Query<ViewQuery>) -> HttpResponse {
+    let wait = Duration::from_millis(query.wait_ms.min(WAIT_MS));
+    reply(state.board.change(query.run, query.after, wait).await)
+}
+
+fn reply(bytes: Option<Vec<u8>>) -> HttpResponse {
+    match bytes {
+        Some(bytes) => HttpResponse::Ok().body(bytes),
+        None => HttpResponse::ServiceUnavailable().finish(),
     }
-    HttpResponse::Ok().body(Bytes::copy_from_slice(&bytes))
 }
 
 async fn submit(
--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod routing;
 mod shares;
+mod state;
 
 use crate::figure::{Figure, Options};
 
@@ -29,6 +30,7 @@
     limits::EXPERIMENT,
     routing::EXPERIMENT,
     shares::EXPERIMENT,
+    state::EXPERIMENT,
 ];
 
 /// Returns the experiment with this name.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_appender;
 mod test_chart;
 mod test_check;
+mod test_delta;
 mod test_fleet;
 mod test_folds;
 mod test_gateway_policy;
--- a/wire/src/follower.rs
+++ b/wire/src/follower.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hemlock_lib::codec;
+use hemlock_lib::delta::{Change, News};
 use hemlock_lib::view::View;
 
 use crate::caller;
@@ -29,37 +30,55 @@
         .spawn(move || {
             let system = ntex::rt::System::new(&name, ntex::rt::DefaultRuntime);
             system.block_on(async move {
-                let mut last: Option<Arc<View>> = None;
+                let mut last = None;
                 loop {
-                    let view = next(&agent, last.as_deref()).await;
-                    if view.is_none() {
+                    let next = next(&agent, last.as_ref()).await;
+                    if next.is_none() {
                         ntex::time::sleep(ntex::time::Millis(RETRY_MS)).await;
                     }
-                    if !on_view(view.clone()) {
+                    if !on_view(next.as_ref().map(|f| Arc::clone(&f.view))) {
                         return;
                     }
-                    last = view.or(last);
+                    last = next.or(last);
                 }
             });
         })
 }
 
-async fn next(agent: &str, last: Option<&View>) -> Option<Arc<View>> {
-    let after = last.map_or(0, |v| v.version);
-    if let Some(view) = fetch(agent, after).await {
+/// A view with the agent run that it came from.
+#[derive(Debug)]
+struct Followed {
+    run: u64,
+    view: Arc<View>,
+}
+
+async fn next(agent: &str, last: Option<&Followed>) -> Option<Followed> {
+    if let Some(view) = fetch(agent, last).await {
         return Some(view);
     }
-    let peers = last.map(|v| v.entries.as_slice()).unwrap_or_default();
+    let peers = last.map(|f| f.view.entries.as_slice()).unwrap_or_default();
     for peer in peers.iter().filter(|e| e.member.agent != agent && e.live) {
-        if let Some(view) = fetch(&peer.member.agent, 0).await {
+        if let Some(view) = fetch(&peer.member.agent, None).await {
             return Some(view);
         }
     }
     None
 }
 
-async fn fetch(agent: &str, after: u64) -> Option<Arc<View>> {
-    let url = format!("{agent}/v1/view?after={after}&wait_ms={VIEW_WAIT_MS}");
+async fn fetch(agent: &str, last: Option<&Followed>) -> Option<Followed> {
+    let (run, after) = last.map_or((0, 0), |f| (f.run, f.view.version));
+    let url = format!("{agent}/v1/change?run={run}&after={after}&wait_ms={VIEW_WAIT_MS}");
     let body = caller::get(&url, VIEW_TIMEOUT).await.ok()?;
-    codec::decode(&body).ok().map(Arc::new)
+    let change: Change = codec::decode(&body).ok()?;
+    let view = match change.news {
+        News::Whole(view) => *view,
+        News::Delta(delta) => {
+            let mut view = View::clone(&last?.view);
+            delta.apply(&mut view).then_some(view)?
+        }
+    };
+    Some(Followed {
+        run: change.run,
+        view: Arc::new(view),
+    })
 }
