--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -7,6 +7,7 @@
 mod routing;
 mod shares;
 mod state;
+mod state_time;
 
 use crate::figure::{Figure, Options};
 
@@ -31,6 +32,7 @@
     routing::EXPERIMENT,
     shares::EXPERIMENT,
     state::EXPERIMENT,
+    state_time::EXPERIMENT,
 ];
 
 /// Returns the experiment with this name.
--- a/bench/src/experiments/state.rs
+++ b/bench/src/experiments/state.rs
@@ -15,7 +15,7 @@
 use crate::figure::{Figure, Options};
 
 /// Entry VMs, endpoint VMs and shards.
-const SIZES: [(usize, usize, usize); 4] =
+pub(super) const SIZES: [(usize, usize, usize); 4] =
     [(7, 60, 3), (60, 720, 6), (180, 2_160, 12), (380, 4_500, 21)];
 const SPAN: usize = 4;
 const ACCOUNTS: usize = 100;
