--- a/agent/src/links.rs
+++ b/agent/src/links.rs
@@ -19,7 +19,7 @@
 use crate::DATAGRAM;
 use crate::mind::Event;
 
-const READ_TIMEOUT: Duration = Duration::from_secs(4);
+const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -152,6 +152,7 @@
     prober: Prober,
     spare: f64,
     reading: bool,
+    stale_read: bool,
     next_read: Time,
     log_up: bool,
     next_join: Time,
@@ -183,6 +184,7 @@
             prober: Prober::new(config.probe, charts.vm.clone()),
             spare: 1.0,
             reading: false,
+            stale_read: false,
             next_read: Time::ZERO,
             log_up: false,
             next_join: Time::ZERO,
@@ -294,6 +296,9 @@
 
     fn take_read(&mut self, now: Time, reply: Option<ReadReply>, out: &mut Vec<Output>) {
         self.reading = false;
+        if std::mem::take(&mut self.stale_read) {
+            return self.read(out);
+        }
         let up = reply.is_some();
         let changed = self.log_up != up;
         self.log_up = up;
@@ -508,7 +513,7 @@
     fn take_states(&mut self, now: Time, states: Option<Vec<StreamState>>) {
         self.fetching = false;
         if let Some(states) = states {
-            self.folds.import(&states);
+            self.stale_read |= self.folds.import(&states) && self.reading;
             self.gossip.follow(now, &self.folds.members);
             self.mark(true);
         }
--- a/lib/src/folds.rs
+++ b/lib/src/folds.rs
@@ -5,6 +5,7 @@
 //! version folds is found out by the digests of the snapshots.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -28,6 +29,9 @@
 /// Marks of a stream whose digests are kept.
 const MARKS: usize = 8;
 
+/// Time after which a stream that ends before what was read has lost records.
+const SHORT_BOUND: Duration = Duration::from_secs(10);
+
 /// Faults of the log that a reader met; each is an alarm.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Alarms {
@@ -75,6 +79,7 @@
     synced: bool,
     gap: Option<Offset>,
     alarmed: bool,
+    short: Option<Time>,
     held: Vec<(Offset, ByteBuf)>,
     marks: VecDeque<Marked>,
     marked: Option<Time>,
@@ -174,7 +179,11 @@
         let Some(mut progress) = self.progress.remove(&part.stream) else {
             return out;
         };
-        self.check_place(&mut progress, part);
+        if self.is_short(now, &mut progress, part) {
+            self.progress.insert(part.stream.clone(), progress);
+            return out;
+        }
+        check_kept(&mut progress, part);
         for (offset, bytes) in &part.records {
             if *offset != progress.next {
                 continue;
@@ -215,8 +224,10 @@
             .collect()
     }
 
-    /// Takes the states that another agent handed over, where they are ahead of its own.
-    pub fn import(&mut self, states: &[StreamState]) {
+    /// Takes the states that another agent handed over, where they are ahead of its own; returns
+    /// whether any was.
+    pub fn import(&mut self, states: &[StreamState]) -> bool {
+        let mut changed = false;
         for state in states {
             let Some(mut progress) = self.progress.remove(&state.stream) else {
                 continue;
@@ -228,9 +239,11 @@
                 progress.gap = None;
                 progress.held.clear();
                 progress.synced = true;
+                changed = true;
             }
             self.progress.insert(state.stream.clone(), progress);
         }
+        changed
     }
 
     /// Returns the encoded state of a stream.
@@ -243,16 +256,23 @@
         }
     }
 
-    /// Finds records that expired unread and streams that lost their end.
-    fn check_place(&mut self, progress: &mut Progress, part: &StreamPart) {
-        let regressed = part.end < progress.next;
-        if part.kept <= progress.next && !regressed {
-            return;
+    /// Returns whether the stream ends before what was read, so that the part says nothing.
+    ///
+    /// A reply of a lagging copy of the log is passed over. Once the stream stays short, records are
+    /// lost, and the stream is in a gap.
+    fn is_short(&mut self, now: Time, progress: &mut Progress, part: &StreamPart) -> bool {
+        if part.end >= progress.next {
+            progress.short = None;
+            return false;
+        }
+        let since = *progress.short.get_or_insert(now);
+        if now.since(since) < SHORT_BOUND {
+            return true;
         }
-        self.alarms.regressions += u64::from(regressed);
-        progress.next = part.kept;
-        progress.gap = Some(part.kept);
-        progress.held.clear();
+        self.alarms.regressions += 1;
+        progress.short = None;
+        open_gap(progress, part.kept);
+        true
     }
 
     /// Ends a gap if the record is a snapshot that covers it.
@@ -429,6 +449,19 @@
     StreamId::new(format!("claims/{partition}"))
 }
 
+/// Finds records that expired unread.
+fn check_kept(progress: &mut Progress, part: &StreamPart) {
+    if part.kept > progress.next {
+        open_gap(progress, part.kept);
+    }
+}
+
+fn open_gap(progress: &mut Progress, kept: Offset) {
+    progress.next = kept;
+    progress.gap = Some(kept);
+    progress.held.clear();
+}
+
 fn index(partition: &str) -> Option<usize> {
     partition.parse().ok()
 }
--- a/lib/tests/test_folds.rs
+++ b/lib/tests/test_folds.rs
@@ -252,6 +252,25 @@
     assert_eq!(fresh.table, schedule.reference.table);
 }
 
+#[test]
+fn stream_that_stays_short_is_an_alarm() {
+    let mut schedule = Schedule::new(3);
+    for _ in 0..4 {
+        let record = edit_record(&schedule.reference, &mut schedule.rng);
+        schedule.append(record);
+    }
+    let stream = StreamId::new(CONFIG_STREAM);
+    let mut folds = new_folds();
+    folds.take(Time::ZERO, &schedule.log.part(Offset(0), 99));
+    schedule.log.records.truncate(2);
+    let short = schedule.log.part(Offset(4), 99);
+    for (ms, is_gap) in [(1_000, false), (10_999, false), (11_000, true)] {
+        folds.take(Time::from_millis(ms), &short);
+        assert_eq!(folds.is_gap(&stream), is_gap, "after {ms} ms");
+        assert_eq!(folds.alarms.regressions, u64::from(is_gap));
+    }
+}
+
 #[test]
 fn differing_snapshot_is_an_alarm() {
     let mut schedule = Schedule::new(2);
