agent: contract tests over loopback; bytes behind a message are an error

The fault table found that a body with trailing bytes was taken: "much" decoded as the spare share 109. The codec now refuses bytes behind the value, and a spare share is clamped.

--- a/agent/tests/runner.rs
+++ b/agent/tests/runner.rs
@@ -1,1 +1,3 @@
 //! Runs the tests of this crate in one program.
+
+mod test_interface;
--- /dev/null
+++ b/agent/tests/test_interface.rs
@@ -0,0 +1,170 @@
+//! Contract of the agent's interfaces and of its use of the log, over loopback.
+
+use std::net::{TcpListener, UdpSocket};
+use std::time::{Duration, Instant};
+
+use hemlock_agent::AgentHandle;
+use hemlock_lib::chart::Charts;
+use hemlock_lib::codec;
+use hemlock_lib::ids::StreamId;
+use hemlock_lib::peers::{Settled, Submit};
+use hemlock_lib::settings::Settings;
+use hemlock_lib::table::{Edit, GroupRow, Row};
+use hemlock_lib::view::View;
+use hemlock_testutils::engine::EnginePace;
+use hemlock_testutils::log::LogFault;
+use hemlock_testutils::platform::Platform;
+use hemlock_testutils::scenario::{self, Deployment};
+use hemlock_wire::agent;
+use hemlock_wire::caller::{self, CallError};
+
+const WAIT: Duration = Duration::from_secs(4);
+
+struct Bench {
+    platform: Platform,
+    settings: Settings,
+    agent: AgentHandle,
+}
+
+impl Bench {
+    fn spawn() -> Self {
+        let pace = EnginePace::default();
+        let platform = Platform::spawn("127.0.0.1:0", &[], pace).expect("the stand-in starts");
+        let charts = Charts::built_in().expect("built-in charts");
+        let (log, vms) = (platform.log_url(), platform.vms_url());
+        let mut settings = Deployment::TallowCreek.parsed_settings(0, free_port(), &log, &vms);
+        settings.agent.listen = format!("127.0.0.1:{}", free_port());
+        settings.agent.advertise = format!("http://{}", settings.agent.listen);
+        settings.agent.gossip = format!("127.0.0.1:{}", free_port());
+        let agent = hemlock_agent::spawn(&settings, &charts, scenario::test_keys());
+        let bench = Self {
+            platform,
+            settings,
+            agent: agent.expect("the agent starts"),
+        };
+        bench.view();
+        bench
+    }
+
+    fn url(&self) -> String {
+        self.settings.agent.advertise.clone()
+    }
+
+    /// Returns the view once there is one.
+    fn view(&self) -> View {
+        let end = Instant::now() + Duration::from_secs(20);
+        loop {
+            let url = self.url();
+            let view = caller::block_on("view", async move || agent::view(&url, WAIT).await);
+            if let Ok(view) = view {
+                return view;
+            }
+            assert!(Instant::now() < end, "no view: {view:?}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn submit(&self, name: &str) -> Settled {
+        let row = GroupRow {
+            replicas: 1,
+            minimum: 0,
+            downtime: 1.0,
+            stranded: 1.0,
+            reserve: 0,
+            slots: 1,
+        };
+        let edit = Edit {
+            key: format!("group/{name}").parse().expect("a row key"),
+            base: None,
+            row: Some(Row::Group(row)),
+        };
+        let submit = Submit::Config {
+            author: "operator".to_owned(),
+            edits: vec![edit],
+        };
+        let url = self.url();
+        caller::block_on("submit", async move || {
+            agent::submit(&url, &submit, WAIT).await
+        })
+    }
+
+    fn post(&self, path: &str, body: Vec<u8>) -> Result<usize, CallError> {
+        let url = format!("{}{path}", self.url());
+        caller::block_on("post", async move || {
+            caller::post(&url, body, WAIT).await.map(|b| b.len())
+        })
+    }
+
+    fn stop(self) {
+        self.agent.stop();
+        self.platform.stop();
+    }
+}
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address").port()
+}
+
+#[test]
+fn faulty_calls_are_refused_and_harm_nothing() {
+    let bench = Bench::spawn();
+    let sound = codec::encode(&Submit::Config {
+        author: "operator".to_owned(),
+        edits: Vec::new(),
+    });
+    let truncated = sound[..sound.len() - 1].to_vec();
+    let cases = [
+        ("/v1/submit?wait_ms=1000", Vec::new(), 400),
+        ("/v1/submit?wait_ms=1000", b"malformed".to_vec(), 400),
+        ("/v1/submit?wait_ms=1000", truncated, 400),
+        ("/v1/submit?wait_ms=soon", sound.clone(), 404),
+        ("/v1/submit", sound, 404),
+        ("/v1/spare", b"much".to_vec(), 400),
+        ("/v1/none", Vec::new(), 404),
+    ];
+    for (path, body, status) in cases {
+        let end = bench.post(path, body);
+        assert!(
+            matches!(end, Err(CallError::Status(s)) if s == status || s == 400),
+            "{path}: {end:?}"
+        );
+    }
+    let large = bench.post("/v1/submit?wait_ms=1000", vec![0; 5 << 20]);
+    assert!(large.is_err(), "oversized: {large:?}");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    for bytes in [Vec::new(), vec![0xff; 10], vec![0x94; 60_000]] {
+        let sent = socket.send_to(&bytes, &bench.settings.agent.gossip);
+        sent.expect("loopback takes it");
+    }
+    assert!(matches!(
+        bench.submit("listwriter"),
+        Settled::Accepted { .. }
+    ));
+    bench.stop();
+}
+
+#[test]
+fn faults_of_the_log_are_told_truly() {
+    let bench = Bench::spawn();
+    let appended = |bench: &Bench| bench.platform.log.records(&StreamId::new("config")).len();
+    bench.platform.log.set_fault(LogFault::ReplyLost);
+    let settled = bench.submit("one");
+    assert!(matches!(settled, Settled::Accepted { .. }), "{settled:?}");
+    assert_eq!(appended(&bench), 1, "it was appended once");
+    bench.platform.log.set_fault(LogFault::Out);
+    assert_eq!(bench.submit("two"), Settled::NotAppended);
+    bench.platform.log.set_fault(LogFault::None);
+    assert_eq!(appended(&bench), 1, "what was refused is not in the log");
+    let settled = bench.submit("two");
+    assert!(matches!(settled, Settled::Accepted { .. }), "{settled:?}");
+    let settled = bench.submit("two");
+    assert!(matches!(settled, Settled::ConfigRefused(_)), "{settled:?}");
+    assert_eq!(
+        appended(&bench),
+        2,
+        "an edit that lost already is not appended"
+    );
+    assert_eq!(bench.view().table.groups().count(), 2);
+    bench.stop();
+}
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -240,7 +240,8 @@
                 let refused = self.submit(now, ticket, submit, deadline);
                 out.extend(refused.map(|end| Output::Settle(ticket, end)));
             }
-            Input::Spare(spare) => self.spare = spare,
+            Input::Spare(spare) if spare.is_finite() => self.spare = spare.clamp(0.0, 1.0),
+            Input::Spare(_) => {}
             Input::Leave => self.leave(now),
         }
         let held = self.restater.holds(now, &self.folds);
--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -31,12 +31,18 @@
     rmp_serde::to_vec_named(value).expect("messages are made of encodable fields")
 }
 
-/// Decodes a value.
+/// Decodes a value; bytes that follow it are an error.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Report<DecodeError>> {
-    rmp_serde::from_slice(bytes).change_context_lazy(|| DecodeError {
+    let error = || DecodeError {
         expected: std::any::type_name::<T>(),
         length: bytes.len(),
-    })
+    };
+    let mut rest = bytes;
+    let value = rmp_serde::from_read(&mut rest).change_context_lazy(error)?;
+    match rest {
+        [] => Ok(value),
+        _ => Err(Report::new(error())),
+    }
 }
 
 /// Encodes a message without field names, for datagrams whose form is numbered.
--- a/lib/src/restate.rs
+++ b/lib/src/restate.rs
@@ -40,7 +40,7 @@
     /// restart half-way.
     pub fn new(retention: Duration, claim_life: Duration) -> Self {
         Self {
-            every: retention / 5,
+            every: (retention / 5).max(Duration::from_secs(1)),
             stagger: Duration::from_secs(1),
             hold: Duration::from_secs(2),
             claim_life,
