--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -26,6 +26,8 @@
 
 /// All experiments.
 pub const ALL: &[Experiment] = &[
+    decision_cost::TIMED,
+    decision_cost::COUNTED,
     fold::EXPERIMENT,
     gossip::EXPERIMENT,
     limits::EXPERIMENT,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,13 +16,10 @@
 pub mod codec;
 pub mod codes;
 pub mod declaration;
-<<<<<<< HEAD
+pub mod delta;
 pub mod dispatch;
 pub mod endpoint_pace;
 pub mod endpoints;
-=======
-pub mod delta;
->>>>>>> ea784f9 (view: followers fetch deltas; bytes by size measured)
 pub mod engine;
 pub mod fair_queue;
 pub mod fleet;
