--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -4,6 +4,8 @@
 mod fold;
 mod gossip;
 mod limits;
+mod placement;
+mod planner;
 mod routing;
 mod shares;
 mod state;
@@ -31,6 +33,9 @@
     fold::EXPERIMENT,
     gossip::EXPERIMENT,
     limits::EXPERIMENT,
+    placement::EXPERIMENT,
+    placement::TARGET,
+    planner::EXPERIMENT,
     routing::EXPERIMENT,
     shares::EXPERIMENT,
     state::EXPERIMENT,
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -140,8 +140,8 @@
     pub order_ms: u64,
     /// Whether engines refuse an order with an old fencing number.
     pub fenced: bool,
-    /// VMs of one failure domain that load weights at a time, unless one replica needs more; what
-    /// the weight store serves at a time, divided by the failure domains.
+    /// VMs that load weights at a time, unless one replica needs more: as many as the weight store
+    /// serves at full speed.
     #[schemars(range(min = 1, max = 4_096))]
     pub loads: u32,
     /// IP address and port of `/healthz` and `/readyz`; none are served without it.
@@ -155,7 +155,7 @@
             drift_ms: 300,
             order_ms: 2_000,
             fenced: true,
-            loads: 8,
+            loads: 20,
             listen: None,
         }
     }
