--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -28,8 +28,8 @@
 
 /// All experiments.
 pub const ALL: &[Experiment] = &[
-    decision_cost::TIMED,
     decision_cost::COUNTED,
+    decision_cost::TIMED,
     fold::EXPERIMENT,
     gossip::EXPERIMENT,
     limits::EXPERIMENT,
