--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod codec;
 pub mod codes;
 pub mod declaration;
+pub mod delta;
 pub mod dispatch;
 pub mod endpoint_pace;
 pub mod endpoints;
