--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -30,7 +30,23 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[decision_cost::COUNTED, decision_cost::TIMED, fold::EXPERIMENT, gossip::EXPERIMENT, limits::EXPERIMENT, once::EXPERIMENT, placement::EXPERIMENT, placement::TARGET, planner::EXPERIMENT, relay::EXPERIMENT, retries::EXPERIMENT, routing::EXPERIMENT, shares::EXPERIMENT, state::EXPERIMENT, state_time::EXPERIMENT];
+pub const ALL: &[Experiment] = &[
+    decision_cost::COUNTED,
+    decision_cost::TIMED,
+    fold::EXPERIMENT,
+    gossip::EXPERIMENT,
+    limits::EXPERIMENT,
+    once::EXPERIMENT,
+    placement::EXPERIMENT,
+    placement::TARGET,
+    planner::EXPERIMENT,
+    relay::EXPERIMENT,
+    retries::EXPERIMENT,
+    routing::EXPERIMENT,
+    shares::EXPERIMENT,
+    state::EXPERIMENT,
+    state_time::EXPERIMENT,
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
