--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -191,6 +191,11 @@
         self.endpoints.progress(now, attempt, chunks);
     }
 
+    /// Takes the failure of an attempt, before its end.
+    pub fn fail(&mut self, now: Time, attempt: AttemptId) {
+        self.endpoints.fail(now, attempt);
+    }
+
     /// Counts the end of an attempt; `whole` says that it gave the whole answer.
     pub fn end(&mut self, now: Time, attempt: AttemptId, whole: bool) {
         self.endpoints.end(now, attempt, whole);
--- a/lib/src/endpoint_pace.rs
+++ b/lib/src/endpoint_pace.rs
@@ -31,27 +31,41 @@
 }
 
 /// Slowness of one endpoint relative to its pool.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Slowness {
-    ratio: Average,
+    ratio: f64,
     seen: Time,
 }
 
+impl Default for Slowness {
+    fn default() -> Self {
+        Self {
+            ratio: 1.0,
+            seen: Time::ZERO,
+        }
+    }
+}
+
 impl Slowness {
     /// Takes an observed time, of a first token or between tokens, beside the pool's average.
     pub fn observe(&mut self, now: Time, seconds: f64, pool: f64) {
-        if pool > 0.0 {
-            self.ratio.observe((seconds / pool).min(RATIO_CAP));
-            self.seen = now;
+        if pool <= 0.0 {
+            return;
         }
+        let old = self.faded(now);
+        let ratio = (seconds / pool).min(RATIO_CAP);
+        self.ratio = old + NEW_WEIGHT * (ratio - old);
+        self.seen = now;
     }
 
     /// Returns how many times slower the endpoint is expected to be now; 1 for a sound one.
     pub fn factor(&self, now: Time) -> f64 {
-        let Some(ratio) = self.ratio.get().filter(|r| *r > SOUND_RATIO) else {
-            return 1.0;
-        };
+        let ratio = self.faded(now);
+        if ratio > SOUND_RATIO { ratio } else { 1.0 }
+    }
+
+    fn faded(&self, now: Time) -> f64 {
         let halves = now.since(self.seen).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        1.0 + (ratio - 1.0) * (-halves).exp2()
+        1.0 + (self.ratio - 1.0) * (-halves).exp2()
     }
 }
--- a/lib/src/endpoints.rs
+++ b/lib/src/endpoints.rs
@@ -21,6 +21,10 @@
 const FIRST_PREFILL_S: f64 = 0.000_1;
 /// Age at which a report says little about the requests of other gateways, in seconds.
 const REPORT_LIFE_S: f64 = 0.1;
+/// Time for which an endpoint is avoided after it failed once.
+const AVOID: Duration = Duration::from_millis(250);
+/// Times that this doubles at most.
+const AVOID_DOUBLINGS: u32 = 5;
 /// Weight of one view in the usual load of an endpoint.
 const BIAS_WEIGHT: f64 = 0.005;
 /// Largest part of an expected answer that one observation may claim.
@@ -73,6 +77,8 @@
     /// How far these usually lie above the mean of the pool.
     bias: f64,
     slowness: Slowness,
+    failures: u32,
+    avoided: Time,
     changes: VecDeque<(Time, i32)>,
     prefixes: VecDeque<u64>,
     listed: bool,
@@ -87,6 +93,8 @@
             open: 0,
             prefill: 0,
             slowness: Slowness::default(),
+            failures: 0,
+            avoided: Time::ZERO,
             changes: VecDeque::new(),
             prefixes: VecDeque::new(),
             listed: true,
@@ -125,6 +133,12 @@
         self.slowness.factor(now)
     }
 
+    /// Returns whether the endpoint failed a moment ago, so that it would draw all work by failing
+    /// sooner than others answer.
+    pub fn is_avoided(&self, now: Time) -> bool {
+        now < self.avoided
+    }
+
     /// Returns whether the endpoint's prompt cache is taken to hold this prefix.
     pub fn has_prefix(&self, prefix: u64) -> bool {
         prefix != 0 && self.prefixes.contains(&prefix)
@@ -384,6 +398,15 @@
         }
     }
 
+    /// Takes the failure of an attempt: its endpoint is avoided for a while that doubles each time.
+    pub fn fail(&mut self, now: Time, attempt: AttemptId) {
+        let place = self.open.get(&attempt).map(|a| a.place);
+        if let Some(endpoint) = place.and_then(|p| self.slots[p].as_mut()) {
+            endpoint.avoided = now + AVOID * 2_u32.pow(endpoint.failures.min(AVOID_DOUBLINGS));
+            endpoint.failures += 1;
+        }
+    }
+
     /// Counts the end of an attempt; `whole` says that it gave the whole answer.
     pub fn end(&mut self, now: Time, attempt: AttemptId, whole: bool) {
         let Some(attempted) = self.open.remove(&attempt) else {
@@ -398,6 +421,7 @@
             endpoint.prefill = endpoint.prefill.saturating_sub(attempted.prompt);
         }
         if whole {
+            endpoint.failures = 0;
             let pace = self.paces.entry(attempted.target.clone()).or_default();
             let taken = now.since(attempted.started).as_secs_f64();
             let usual = pace.hold.get().unwrap_or(taken);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -551,6 +551,7 @@
         reason: FailReason,
         out: &mut Vec<Output>,
     ) {
+        self.dispatcher.fail(now, attempt);
         if !self.end_attempt(id, attempt, false) {
             return;
         }
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -114,8 +114,10 @@
         let (all, near) = (&self.pool.all, &self.pool.near);
         let owner = self.pool.owner(self.work.prefix);
         let owner = owner.filter(|_| self.work.prefix != 0);
+        let start = rng.random_range(0..all.len());
         if all.len() <= CANDIDATES {
-            return self.least(now, all.iter().copied(), cost);
+            let turns = (0..all.len()).map(|i| all[(start + i) % all.len()]);
+            return self.least(now, turns, cost);
         }
         let near_count = near.len().min(CANDIDATES / 2);
         let mut picked = [0; CANDIDATES];
@@ -127,7 +129,6 @@
         if choice.place.is_some() {
             return choice;
         }
-        let start = rng.random_range(0..all.len());
         let scan = (0..all.len().min(SCANNED)).map(|i| all[(start + i) % all.len()]);
         let scanned = self.least(now, scan, cost);
         Choice {
@@ -172,6 +173,9 @@
     /// Returns whether an endpoint takes another request: it has a slot that nobody is expected to
     /// use, or this gateway runs less than its even share there.
     fn has_room(&self, now: Time, endpoint: &Endpoint) -> bool {
+        if endpoint.is_avoided(now) {
+            return false;
+        }
         let slots = endpoint.spec.slots;
         let expected = match self.policy {
             Policy::Completion => endpoint.requests(now, self.pool.mean),
