--- a/gateway/src/drive.rs
+++ b/gateway/src/drive.rs
@@ -1,8 +1,10 @@
 //! The task that carries one request from its arrival to its final answer.
 
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Sender, TrySendError};
+use hemlock_lib::codes::Code;
 use hemlock_lib::gateway::{Arrival, FailReason, Input};
 use hemlock_lib::ids::{AttemptId, RequestId};
+use hemlock_lib::stream::DropReason;
 
 use crate::mind::{Decision, Event};
 
@@ -19,12 +21,17 @@
 }
 
 impl Driven {
-    /// Hands the request to the state machine; fails if that has stopped or is swamped.
-    pub(crate) fn start(events: &Sender<Event>, arrival: Arrival) -> Option<Self> {
+    /// Hands the request to the state machine; refuses if that has stopped or is swamped.
+    pub(crate) fn start(events: &Sender<Event>, arrival: Arrival) -> Result<Self, Code> {
         let (reply, decisions) = async_channel::bounded(DECISIONS);
         let request = arrival.request.clone();
-        events.try_send(Event::Arrive(arrival, reply)).ok()?;
-        Some(Self {
+        events
+            .try_send(Event::Arrive(arrival, reply))
+            .map_err(|e| match e {
+                TrySendError::Full(_) => Code::Overload,
+                TrySendError::Disconnected(_) => Code::Stopping,
+            })?;
+        Ok(Self {
             request,
             events: events.clone(),
             decisions,
@@ -66,6 +73,11 @@
         self.tell(Input::Finished(self.request.clone(), attempt, answer));
     }
 
+    /// Tells that a chunk was dropped, so that it is counted.
+    pub(crate) fn dropped(&self, reason: DropReason) {
+        let _ = self.events.try_send(Event::Dropped(reason));
+    }
+
     fn tell(&self, input: Input) {
         let _ = self.events.send(Event::Input(input));
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod drive;
+mod gauges;
 mod mind;
 mod model;
 mod routes;
@@ -19,6 +20,7 @@
 use hemlock_lib::ids::Incarnation;
 use hemlock_lib::seal::KeyRing;
 use hemlock_lib::settings::Settings;
+use hemlock_wire::metrics::Metrics;
 use hemlock_wire::server::{self, Server};
 use hemlock_wire::{clock, follower};
 
@@ -89,6 +91,7 @@
     let (events, ring) = crossbeam_channel::bounded(RING);
     let (calls, call_ring) = async_channel::bounded(RING);
     let gateway = Gateway::new(config(settings), charts);
+    let metrics = Metrics::open(settings.metrics.statsd.as_deref(), &settings.entry)?;
     let views = events.clone();
     let on_view = move |view: Option<_>| {
         let input = view.map_or(Input::ViewLost, Input::View);
@@ -102,7 +105,7 @@
         std::thread::Builder::new()
             .name("gateway-mind".to_owned())
             .spawn(move || {
-                let mind = mind::Mind::new(gateway, calls).with_keys(mind_keys);
+                let mind = mind::Mind::new(gateway, calls, metrics).with_keys(mind_keys);
                 mind.run(&ring);
             })?,
     ];
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -15,10 +15,13 @@
 use hemlock_lib::peers::Submit;
 use hemlock_lib::seal::KeyRing;
 use hemlock_lib::slices::{ASK_EVERY, SliceAsk, SliceReply};
+use hemlock_lib::stream::DropReason;
 use hemlock_lib::view::View;
+use hemlock_wire::metrics::Metrics;
 use hemlock_wire::{agent, clock};
 use uuid::Uuid;
 
+use crate::gauges::Gauges;
 use crate::slices;
 
 const TICK: Duration = Duration::from_millis(10);
@@ -61,6 +64,10 @@
     Slices(SliceAsk, async_channel::Sender<Option<SliceReply>>),
     /// A home replied to an ask for slices.
     SliceReply(SliceReply),
+    /// A chunk of an answer was dropped.
+    Dropped(DropReason),
+    /// Whether this gateway has a view to work from.
+    Ready(async_channel::Sender<bool>),
     /// How many requests are open.
     CountOpen(Sender<usize>),
     /// Stop.
@@ -86,17 +93,23 @@
     gateway: Gateway,
     calls: async_channel::Sender<Call>,
     keys: Option<KeyRing>,
+    gauges: Gauges,
     waiting: BTreeMap<RequestId, async_channel::Sender<Decision>>,
     out: Vec<Output>,
     ticks: u32,
 }
 
 impl Mind {
-    pub(crate) fn new(gateway: Gateway, calls: async_channel::Sender<Call>) -> Self {
+    pub(crate) fn new(
+        gateway: Gateway,
+        calls: async_channel::Sender<Call>,
+        metrics: Metrics,
+    ) -> Self {
         Self {
             gateway,
             calls,
             keys: None,
+            gauges: Gauges::new(metrics),
             waiting: BTreeMap::new(),
             out: Vec::new(),
             ticks: 0,
@@ -136,6 +149,10 @@
                     let _ = reply.try_send(answer);
                 }
                 Ok(Event::SliceReply(reply)) => self.gateway.take_slices(&reply),
+                Ok(Event::Dropped(reason)) => self.gauges.count_dropped(reason),
+                Ok(Event::Ready(reply)) => {
+                    let _ = reply.try_send(self.gateway.view().is_some());
+                }
                 Ok(Event::CountOpen(reply)) => drop(reply.send(self.gateway.open())),
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {
@@ -156,6 +173,8 @@
         }
         if self.ticks.is_multiple_of(SPARE_TICKS) {
             let _ = self.calls.try_send(Call::Spare(self.gateway.spare()));
+            self.gauges
+                .report(self.gateway.open(), self.gateway.spare());
         }
     }
 
@@ -163,6 +182,7 @@
         if let Input::Left(request) | Input::Finished(request, ..) = &input {
             self.waiting.remove(request);
         }
+        self.gauges.count_input(&input);
         let mut out = std::mem::take(&mut self.out);
         self.gateway.step(clock::now(), input, &mut out);
         for output in out.drain(..) {
@@ -172,6 +192,7 @@
     }
 
     fn carry_out(&mut self, output: Output) {
+        self.gauges.count(&output);
         match output {
             Output::Dispatch {
                 request,
--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -73,7 +73,7 @@
             }
             Decision::Replay(_) => return,
         };
-        let name = format!("{}/{attempt}", driven.request());
+        let name = attempt_name(&driven, attempt);
         let progress = match &mut answering {
             Some(progress) => {
                 progress.resume(&name);
@@ -81,14 +81,11 @@
             }
             none => none.insert(Answering::new(&name)),
         };
-        let from = progress.delivered();
-        let told = |delivered: u64| {
-            let pieces = delivered - from;
-            if pieces % PROGRESS_PIECES == 1 {
-                driven.progress(attempt, pieces);
-            }
-        };
-        match attempt_once(&name, &address, replica, &question, progress, &parts, told).await {
+        match attempt_once(
+            &driven, attempt, &address, replica, &question, progress, &parts,
+        )
+        .await
+        {
             End::Done => {
                 driven.finished(attempt, None);
                 let _ = parts.send(Part::Done).await;
@@ -110,16 +107,18 @@
 }
 
 async fn attempt_once(
-    name: &str,
+    driven: &Driven,
+    attempt: AttemptId,
     address: &str,
     replica: ReplicaId,
     question: &Question,
     progress: &mut Answering,
     parts: &async_channel::Sender<Part>,
-    told: impl Fn(u64),
 ) -> End {
+    let name = attempt_name(driven, attempt);
+    let from = progress.delivered();
     let call = EngineCall {
-        attempt: name.to_owned(),
+        attempt: name.clone(),
         replica,
         prompt: question.prompt.clone(),
         max_tokens: question.max_tokens,
@@ -150,20 +149,34 @@
         while let Some(chunk) = next_chunk(&mut buffer) {
             match progress.take(chunk) {
                 Piece::Deliver(text) => {
-                    told(progress.delivered());
+                    let pieces = progress.delivered() - from;
+                    if pieces % PROGRESS_PIECES == 1 {
+                        driven.progress(attempt, pieces);
+                    }
                     match deliver(parts, text).await {
                         Ok(()) => {}
                         Err(end) => return end,
                     }
                 }
                 Piece::Done => return End::Done,
-                Piece::Drop(DropReason::Gap) => return End::Failed(FailReason::Broken),
-                Piece::Drop(reason) => log::debug!("event=drop attempt={name} reason={reason:?}"),
+                Piece::Drop(DropReason::Gap) => {
+                    driven.dropped(DropReason::Gap);
+                    return End::Failed(FailReason::Broken);
+                }
+                Piece::Drop(reason) => {
+                    let reason_name = reason.name();
+                    log::debug!("event=drop attempt={name} reason={reason_name}");
+                    driven.dropped(reason);
+                }
             }
         }
     }
 }
 
+fn attempt_name(driven: &Driven, attempt: AttemptId) -> String {
+    format!("{}/{attempt}", driven.request())
+}
+
 async fn deliver(parts: &async_channel::Sender<Part>, text: String) -> Result<(), End> {
     match parts.try_send(Part::Text(text)) {
         Ok(()) => Ok(()),
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -49,13 +49,24 @@
         .route("/v1/chat/completions", web::post().to(chat))
         .route("/v1/services/{service}/{path}*", web::to(pass))
         .route(slices::PATH, web::post().to(slices::answer))
-        .route("/healthz", web::get().to(health));
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready));
 }
 
 async fn health() -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
 }
 
+async fn ready(state: types::State<State>) -> HttpResponse {
+    let (reply, answer) = async_channel::bounded(1);
+    let asked = state.events.try_send(Event::Ready(reply)).is_ok();
+    if asked && answer.recv().await.unwrap_or(false) {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("no agent answers\n")
+    }
+}
+
 async fn entry(state: types::State<State>, query: types::Query<AdviceQuery>) -> HttpResponse {
     let (reply, advice) = async_channel::bounded(1);
     let near = query.near.as_deref().map(Into::into);
@@ -88,8 +99,9 @@
         },
         Err(code) => return body::refusal(code, None, None),
     };
-    let Some(driven) = Driven::start(&state.events, arrival) else {
-        return body::refusal(Code::Overload, None, Some(Duration::from_secs(1)));
+    let driven = match Driven::start(&state.events, arrival) {
+        Ok(driven) => driven,
+        Err(code) => return body::refusal(code, None, Some(Duration::from_secs(1))),
     };
     let id = driven.request().clone();
     let question = Question {
@@ -197,8 +209,9 @@
         Ok(arrival) => arrival,
         Err(code) => return body::refusal(code, None, None),
     };
-    let Some(driven) = Driven::start(&state.events, arrival) else {
-        return body::refusal(Code::Overload, None, Some(Duration::from_secs(1)));
+    let driven = match Driven::start(&state.events, arrival) {
+        Ok(driven) => driven,
+        Err(code) => return body::refusal(code, None, Some(Duration::from_secs(1))),
     };
     let pass = Pass {
         method: request.method().clone(),
--- a/lib/src/seal.rs
+++ b/lib/src/seal.rs
@@ -4,13 +4,23 @@
 //! one behind the old on every entry VM, then moving it to the front, then dropping the old one.
 
 use hmac::{Hmac, Mac};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
 use sha2::Sha256;
 
 use crate::codec;
-use crate::peers::Sealed;
+use crate::peers::{GossipMessage, Sealed};
+use crate::slices::{SliceAsk, SliceReply};
+
+/// Bytes of the tag that a datagram carries.
+const TAG_BYTES: usize = 16;
+/// Number of the encoding of packets.
+const PACKET_FORM: u8 = 1;
+/// Number of the encoding of probe reports.
+const REPORTS_FORM: u8 = 2;
+/// Number of the encoding of asks for slices of account limits.
+const SLICE_ASK_FORM: u8 = 3;
+/// Number of the encoding of replies to them.
+const SLICE_REPLY_FORM: u8 = 4;
 
 /// A shared key with its number.
 #[derive(Clone, PartialEq, Eq)]
@@ -47,28 +57,76 @@
     }
 
     /// Encodes and seals a message.
-    pub fn seal(&self, message: &impl Serialize) -> Vec<u8> {
+    pub fn seal(&self, message: &GossipMessage) -> Vec<u8> {
+        match message {
+            GossipMessage::Packet(packet) => {
+                self.seal_body(PACKET_FORM, codec::encode_compact(packet))
+            }
+            GossipMessage::Reports(reports) => self.seal_body(REPORTS_FORM, codec::encode(reports)),
+        }
+    }
+
+    /// Encodes and seals an ask for slices.
+    pub fn seal_ask(&self, ask: &SliceAsk) -> Vec<u8> {
+        self.seal_body(SLICE_ASK_FORM, codec::encode(ask))
+    }
+
+    /// Encodes and seals a reply to an ask for slices.
+    pub fn seal_reply(&self, reply: &SliceReply) -> Vec<u8> {
+        self.seal_body(SLICE_REPLY_FORM, codec::encode(reply))
+    }
+
+    /// Opens an ask for slices, or returns `None` if it is malformed or its tag is wrong.
+    pub fn open_ask(&self, bytes: &[u8]) -> Option<SliceAsk> {
+        let (form, body) = self.open_body(bytes)?;
+        codec::decode(&body).ok().filter(|_| form == SLICE_ASK_FORM)
+    }
+
+    /// Opens a reply to an ask for slices, or returns `None` if it is malformed or its tag is wrong.
+    pub fn open_reply(&self, bytes: &[u8]) -> Option<SliceReply> {
+        let (form, body) = self.open_body(bytes)?;
+        codec::decode(&body)
+            .ok()
+            .filter(|_| form == SLICE_REPLY_FORM)
+    }
+
+    /// Opens a datagram, or returns `None` if it is malformed or its tag is wrong.
+    pub fn open(&self, bytes: &[u8]) -> Option<GossipMessage> {
+        let (form, body) = self.open_body(bytes)?;
+        match form {
+            PACKET_FORM => codec::decode(&body).ok().map(GossipMessage::Packet),
+            REPORTS_FORM => codec::decode(&body).ok().map(GossipMessage::Reports),
+            _ => None,
+        }
+    }
+
+    fn seal_body(&self, form: u8, body: Vec<u8>) -> Vec<u8> {
         let key = &self.keys[0];
-        let body = codec::encode(message);
-        let tag = mac(key, &body).finalize().into_bytes().to_vec();
-        codec::encode(&Sealed {
+        let tag = mac(key, form, &body).finalize().into_bytes();
+        codec::encode_compact(&Sealed {
             key: key.id,
-            tag: ByteBuf::from(tag),
+            form,
+            tag: ByteBuf::from(&tag[..TAG_BYTES]),
             body: ByteBuf::from(body),
         })
     }
 
-    /// Opens a datagram, or returns `None` if it is malformed or its tag is wrong.
-    pub fn open<T: DeserializeOwned>(&self, bytes: &[u8]) -> Option<T> {
+    fn open_body(&self, bytes: &[u8]) -> Option<(u8, ByteBuf)> {
         let sealed: Sealed = codec::decode(bytes).ok()?;
+        if sealed.tag.len() != TAG_BYTES {
+            return None;
+        }
         let key = self.keys.iter().find(|k| k.id == sealed.key)?;
-        mac(key, &sealed.body).verify_slice(&sealed.tag).ok()?;
-        codec::decode(&sealed.body).ok()
+        mac(key, sealed.form, &sealed.body)
+            .verify_truncated_left(&sealed.tag)
+            .ok()?;
+        Some((sealed.form, sealed.body))
     }
 }
 
-fn mac(key: &Key, body: &[u8]) -> Hmac<Sha256> {
+fn mac(key: &Key, form: u8, body: &[u8]) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(&key.secret).expect("HMAC takes keys of any size");
+    mac.update(&[form]);
     mac.update(body);
     mac
 }
