--- a/bench/src/experiments/limits.rs
+++ b/bench/src/experiments/limits.rs
@@ -6,9 +6,12 @@
 
 use hemlock_lib::chart::Charts;
 use hemlock_lib::claims::Owner;
+use hemlock_lib::codec;
 use hemlock_lib::gateway::{Arrival, Gateway, GatewayConfig, Hint, Input, Output, Target};
-use hemlock_lib::ids::{AttemptId, Incarnation, RequestId};
-use hemlock_lib::slices::{ASK_EVERY, SliceAsk, SliceReply};
+use hemlock_lib::ids::{AccountId, AttemptId, EntryId, Incarnation, RequestId};
+use hemlock_lib::slices::{
+    ASK_EVERY, Amount, Demand, Electorate, SliceAsk, SliceReply, SliceUser, Token,
+};
 use hemlock_lib::table::AccountRow;
 use hemlock_lib::time::Time;
 
@@ -59,7 +62,7 @@
     let least = (1..VISITS).map(usable).fold(f64::INFINITY, f64::min);
     let total: u64 = world.admitted.values().sum();
     let allowed = REQUESTS * (end.as_secs_f64() + 1.0);
-    vec![
+    let mut figures = vec![
         Figure::new("limits.usable", least, "of the limit"),
         Figure::new("limits.admitted", total as f64 / allowed, "of the limit"),
         Figure::new(
@@ -67,7 +70,55 @@
             world.most as f64 / f64::from(CONCURRENCY),
             "of the limit",
         ),
-    ]
+    ];
+    for accounts in [10, 100] {
+        for members in [7, 60, 180, 380] {
+            let name = format!("limits.bytes.{accounts}_accounts.{members}");
+            figures.push(Figure::new(name, bytes(members, accounts), "B/s"));
+        }
+    }
+    figures
+}
+
+/// Returns the bytes a second of one gateway's asks and, by symmetry, of its replies as a home.
+fn bytes(members: usize, accounts: usize) -> f64 {
+    let all: Vec<EntryId> = (0..members)
+        .map(|i| EntryId::new(format!("entry-{i:03}")))
+        .collect();
+    let electorate = Electorate {
+        live: all.clone(),
+        all,
+    };
+    let amount = Amount {
+        requests: 40_000,
+        tokens: 40_000,
+        open: 40,
+    };
+    let demand = |i: usize| Demand {
+        account: AccountId::new(format!("account-{i:02}")),
+        wants: amount,
+        open: 40,
+    };
+    let mut user = SliceUser::new("entry-000".into(), Incarnation(1_764_800_000_000));
+    user.asks(Time::ZERO, &electorate, std::iter::empty());
+    let now = Time::ZERO + Duration::from_secs(3);
+    let asks = user.asks(now, &electorate, (0..accounts).map(demand));
+    let size = |ask: &SliceAsk| {
+        let grants = ask.accounts.iter().map(|a| (a.account.clone(), amount));
+        let reply = SliceReply {
+            from: ask.to.clone(),
+            to: ask.run,
+            seq: ask.seq,
+            token: Token {
+                run: ask.run,
+                at: now,
+            },
+            grants: grants.collect(),
+        };
+        codec::encode(ask).len() + codec::encode(&reply).len()
+    };
+    let total: usize = asks.iter().map(|(_, ask)| size(ask)).sum();
+    total as f64 / ASK_EVERY.as_secs_f64()
 }
 
 enum Message {
