--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -11,8 +11,11 @@
 const SCANNED: usize = 64;
 /// Requests past its slots that an endpoint is given, so that none idles between two reports.
 const HEADROOM: f64 = 0.25;
-/// Cost of one request beside others in a batch, as a share of a request's time in its slot.
-const BATCH_SHARE: f64 = 0.05;
+/// Marginal cost of backlog to the requests that come later, beside its cost to this one.
+///
+/// The M/G/1 value function of [`Policy::FirstIteration`] puts it at `ρ/(1-ρ)`; this is its value at a
+/// load of three quarters, held constant.
+const BACKLOG_WEIGHT: f64 = 3.0;
 /// Scale of the logistic curve that stands for the normal one, in standard deviations.
 const EXCESS_SCALE: f64 = 0.6;
 /// Least deviation of the requests at an endpoint.
@@ -196,9 +199,9 @@
             false => self.work.prompt,
         };
         let prefill = (endpoint.prefill + prompt) as f64 * self.pace.prefill();
-        let batch = requests / slots * BATCH_SHARE * hold;
+        let later = requests / slots * BACKLOG_WEIGHT * hold;
         let far = if endpoint.spec.near { 0.0 } else { FAR_S };
-        (wait + prefill + batch + hold) * endpoint.slowness(now) + far
+        (wait + prefill + later + hold) * endpoint.slowness(now) + far
     }
 
     fn load(&self, now: Time) -> f64 {
