--- a/bench/src/experiments/mod.rs
+++ b/bench/src/experiments/mod.rs
@@ -2,9 +2,14 @@
 
 mod decision_cost;
 mod fold;
+mod gossip;
 mod limits;
+mod placement;
+mod planner;
 mod routing;
 mod shares;
+mod state;
+mod state_time;
 
 use crate::figure::{Figure, Options};
 
@@ -23,12 +28,18 @@
 
 /// All experiments.
 pub const ALL: &[Experiment] = &[
-    decision_cost::TIMED,
     decision_cost::COUNTED,
+    decision_cost::TIMED,
     fold::EXPERIMENT,
+    gossip::EXPERIMENT,
     limits::EXPERIMENT,
+    placement::EXPERIMENT,
+    placement::TARGET,
+    planner::EXPERIMENT,
     routing::EXPERIMENT,
     shares::EXPERIMENT,
+    state::EXPERIMENT,
+    state_time::EXPERIMENT,
 ];
 
 /// Returns the experiment with this name.
--- a/gateway/src/mind.rs
+++ b/gateway/src/mind.rs
@@ -60,14 +60,14 @@
         near: Option<DomainId>,
         reply: async_channel::Sender<Option<Advice>>,
     },
-    /// Another gateway asks for slices of account limits.
-    Slices(SliceAsk, async_channel::Sender<Option<SliceReply>>),
-    /// A home replied to an ask for slices.
-    SliceReply(SliceReply),
     /// A chunk of an answer was dropped.
     Dropped(DropReason),
     /// Whether this gateway has a view to work from.
     Ready(async_channel::Sender<bool>),
+    /// Another gateway asks for slices of account limits.
+    Slices(SliceAsk, async_channel::Sender<Option<SliceReply>>),
+    /// A home replied to an ask for slices.
+    SliceReply(SliceReply),
     /// How many requests are open.
     CountOpen(Sender<usize>),
     /// Stop.
@@ -92,8 +92,8 @@
 pub(crate) struct Mind {
     gateway: Gateway,
     calls: async_channel::Sender<Call>,
-    keys: Option<KeyRing>,
     gauges: Gauges,
+    keys: Option<KeyRing>,
     waiting: BTreeMap<RequestId, async_channel::Sender<Decision>>,
     out: Vec<Output>,
     ticks: u32,
@@ -108,8 +108,8 @@
         Self {
             gateway,
             calls,
-            keys: None,
             gauges: Gauges::new(metrics),
+            keys: None,
             waiting: BTreeMap::new(),
             out: Vec::new(),
             ticks: 0,
@@ -144,15 +144,15 @@
                     let advice = view.map(|v: &View| advice::advise(v, &caller, near.as_ref()));
                     let _ = reply.try_send(advice);
                 }
+                Ok(Event::Dropped(reason)) => self.gauges.count_dropped(reason),
+                Ok(Event::Ready(reply)) => {
+                    let _ = reply.try_send(self.gateway.view().is_some());
+                }
                 Ok(Event::Slices(ask, reply)) => {
                     let answer = self.gateway.answer_slices(clock::now(), &ask);
                     let _ = reply.try_send(answer);
                 }
                 Ok(Event::SliceReply(reply)) => self.gateway.take_slices(&reply),
-                Ok(Event::Dropped(reason)) => self.gauges.count_dropped(reason),
-                Ok(Event::Ready(reply)) => {
-                    let _ = reply.try_send(self.gateway.view().is_some());
-                }
                 Ok(Event::CountOpen(reply)) => drop(reply.send(self.gateway.open())),
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {
--- a/gateway/src/model.rs
+++ b/gateway/src/model.rs
@@ -81,11 +81,10 @@
             }
             none => none.insert(Answering::new(&name)),
         };
-        match attempt_once(
+        let end = attempt_once(
             &driven, attempt, &address, replica, &question, progress, &parts,
-        )
-        .await
-        {
+        );
+        match end.await {
             End::Done => {
                 driven.finished(attempt, None);
                 let _ = parts.send(Part::Done).await;
@@ -98,6 +97,10 @@
     }
 }
 
+fn attempt_name(driven: &Driven, attempt: AttemptId) -> String {
+    format!("{}/{attempt}", driven.request())
+}
+
 fn end_slow(driven: Driven, attempt: AttemptId, parts: &async_channel::Sender<Part>) {
     log::info!(
         "event=slow_caller request={} attempt={attempt}",
@@ -173,10 +176,6 @@
     }
 }
 
-fn attempt_name(driven: &Driven, attempt: AttemptId) -> String {
-    format!("{}/{attempt}", driven.request())
-}
-
 async fn deliver(parts: &async_channel::Sender<Part>, text: String) -> Result<(), End> {
     match parts.try_send(Part::Text(text)) {
         Ok(()) => Ok(()),
--- a/lib/src/seal.rs
+++ b/lib/src/seal.rs
@@ -1,15 +1,16 @@
-//! Authentication of messages between entry VMs with keys from the settings.
+//! Authentication of gossip datagrams with keys from the settings.
 //!
 //! The first key seals; every key of the ring opens. A key is rotated without a gap by adding the new
 //! one behind the old on every entry VM, then moving it to the front, then dropping the old one.
 
 use hmac::{Hmac, Mac};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
 use sha2::Sha256;
 
 use crate::codec;
 use crate::peers::{GossipMessage, Sealed};
-use crate::slices::{SliceAsk, SliceReply};
 
 /// Bytes of the tag that a datagram carries.
 const TAG_BYTES: usize = 16;
@@ -17,10 +18,8 @@
 const PACKET_FORM: u8 = 1;
 /// Number of the encoding of probe reports.
 const REPORTS_FORM: u8 = 2;
-/// Number of the encoding of asks for slices of account limits.
-const SLICE_ASK_FORM: u8 = 3;
-/// Number of the encoding of replies to them.
-const SLICE_REPLY_FORM: u8 = 4;
+/// Number of the encoding of messages between gateways.
+const CALL_FORM: u8 = 3;
 
 /// A shared key with its number.
 #[derive(Clone, PartialEq, Eq)]
@@ -56,7 +55,7 @@
         Self { keys }
     }
 
-    /// Encodes and seals a message.
+    /// Encodes and seals a gossip message.
     pub fn seal(&self, message: &GossipMessage) -> Vec<u8> {
         match message {
             GossipMessage::Packet(packet) => {
@@ -66,31 +65,7 @@
         }
     }
 
-    /// Encodes and seals an ask for slices.
-    pub fn seal_ask(&self, ask: &SliceAsk) -> Vec<u8> {
-        self.seal_body(SLICE_ASK_FORM, codec::encode(ask))
-    }
-
-    /// Encodes and seals a reply to an ask for slices.
-    pub fn seal_reply(&self, reply: &SliceReply) -> Vec<u8> {
-        self.seal_body(SLICE_REPLY_FORM, codec::encode(reply))
-    }
-
-    /// Opens an ask for slices, or returns `None` if it is malformed or its tag is wrong.
-    pub fn open_ask(&self, bytes: &[u8]) -> Option<SliceAsk> {
-        let (form, body) = self.open_body(bytes)?;
-        codec::decode(&body).ok().filter(|_| form == SLICE_ASK_FORM)
-    }
-
-    /// Opens a reply to an ask for slices, or returns `None` if it is malformed or its tag is wrong.
-    pub fn open_reply(&self, bytes: &[u8]) -> Option<SliceReply> {
-        let (form, body) = self.open_body(bytes)?;
-        codec::decode(&body)
-            .ok()
-            .filter(|_| form == SLICE_REPLY_FORM)
-    }
-
-    /// Opens a datagram, or returns `None` if it is malformed or its tag is wrong.
+    /// Opens a gossip datagram, or returns `None` if it is malformed or its tag is wrong.
     pub fn open(&self, bytes: &[u8]) -> Option<GossipMessage> {
         let (form, body) = self.open_body(bytes)?;
         match form {
@@ -100,6 +75,17 @@
         }
     }
 
+    /// Encodes and seals a message between gateways.
+    pub fn seal_call(&self, message: &impl Serialize) -> Vec<u8> {
+        self.seal_body(CALL_FORM, codec::encode(message))
+    }
+
+    /// Opens a message between gateways, or returns `None` if it is malformed or its tag is wrong.
+    pub fn open_call<T: DeserializeOwned>(&self, bytes: &[u8]) -> Option<T> {
+        let (form, body) = self.open_body(bytes)?;
+        (form == CALL_FORM).then(|| codec::decode(&body).ok())?
+    }
+
     fn seal_body(&self, form: u8, body: Vec<u8>) -> Vec<u8> {
         let key = &self.keys[0];
         let tag = mac(key, form, &body).finalize().into_bytes();
