wire: wake calls that wait for a connection; demo ends again

Cause: the client library takes a limit of zero connections as none, but then never wakes a call that found another one connecting to the same peer. Ruled out: the state machines (agents and gateways answered), the stand-ins, the slices. It hung the demo's callers, appends of agents at start and attempts of gateways. Change: a finite limit; callers of the demo give up after 15 s of silence and count it.

--- a/demo/src/load.rs
+++ b/demo/src/load.rs
@@ -38,6 +38,7 @@
     pub(crate) answered: u64,
     pub(crate) wrong: u64,
     pub(crate) lost: u64,
+    pub(crate) silent: u64,
     pub(crate) resent: u64,
     pub(crate) refused: BTreeMap<u64, u64>,
     pub(crate) first: Histogram<u64>,
@@ -52,6 +53,7 @@
             answered: 0,
             wrong: 0,
             lost: 0,
+            silent: 0,
             resent: 0,
             refused: BTreeMap::new(),
             first: histogram(),
@@ -64,6 +66,7 @@
             CallEnd::Answered => self.answered += 1,
             CallEnd::Wrong => self.wrong += 1,
             CallEnd::Lost => self.lost += 1,
+            CallEnd::Silent => self.silent += 1,
             CallEnd::Refused(code) => *self.refused.entry(*code).or_insert(0) += 1,
         }
     }
--- a/demo/src/report.rs
+++ b/demo/src/report.rs
@@ -34,6 +34,7 @@
             ("requests".to_owned(), load.requests.to_string()),
             ("answered".to_owned(), load.answered.to_string()),
             ("connection lost".to_owned(), load.lost.to_string()),
+            ("silent past 15 s".to_owned(), load.silent.to_string()),
             ("sent again by callers".to_owned(), load.resent.to_string()),
         ];
         for (code, count) in &load.refused {
--- a/lib/src/attempts.rs
+++ b/lib/src/attempts.rs
@@ -136,6 +136,7 @@
         reason: FailReason,
         out: &mut Vec<Output>,
     ) {
+        self.dispatcher.fail(now, attempt);
         let since = self.trials.get(id).map(|(_, since)| *since);
         let Some(mut ended) = self.end_attempt(id, attempt, false) else {
             return;
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -3,12 +3,16 @@
 use std::time::{Duration, Instant};
 
 use hemlock_wire::caller;
+use ntex::client::error::ClientError;
 use ntex::time::Millis;
 use serde_json::{Value, json};
 use uuid::Uuid;
 
 use crate::engine;
 
+/// Time without a word from the system after which a caller gives up.
+const SILENCE: Millis = Millis(15_000);
+
 /// How a call ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallEnd {
@@ -20,6 +24,8 @@
     Refused(u64),
     /// The connection failed.
     Lost,
+    /// Nothing came for longer than any answer may take.
+    Silent,
 }
 
 /// What a caller saw of one call.
@@ -51,8 +57,12 @@
     let request = client
         .post(format!("{gateway}/v1/chat/completions"))
         .bearer_auth(key);
-    let Ok(reply) = request.timeout(Millis(60_000)).send_json(&body).await else {
-        return report;
+    let reply = match request.timeout(SILENCE).send_json(&body).await {
+        Ok(reply) => reply,
+        Err(e) => {
+            report.end = lost(&e);
+            return report;
+        }
     };
     if !reply.status().is_success() {
         let error = reply
@@ -68,7 +78,15 @@
     let mut stream = String::new();
     let mut answer = String::new();
     let mut last = started;
-    while let Some(Ok(bytes)) = payload.recv().await {
+    loop {
+        let bytes = match ntex::time::timeout(SILENCE, payload.recv()).await {
+            Ok(Some(Ok(bytes))) => bytes,
+            Ok(_) => break,
+            Err(_) => {
+                report.end = CallEnd::Silent;
+                return report;
+            }
+        };
         stream.push_str(&String::from_utf8_lossy(&bytes));
         while let Some(end) = stream.find("\n\n") {
             let event: String = stream.drain(..end + 2).collect();
@@ -111,12 +129,9 @@
         .post(url)
         .bearer_auth(key)
         .header("idempotency-key", id.to_string());
-    let reply = request
-        .timeout(Millis(15_000))
-        .send_body(text.to_owned())
-        .await;
-    let Ok(reply) = reply else {
-        return CallEnd::Lost;
+    let reply = match request.timeout(SILENCE).send_body(text.to_owned()).await {
+        Ok(reply) => reply,
+        Err(e) => return lost(&e),
     };
     let Ok(body) = reply.body().await else {
         return CallEnd::Lost;
@@ -134,6 +149,13 @@
     }
 }
 
+fn lost(error: &ClientError) -> CallEnd {
+    match error {
+        ClientError::Timeout => CallEnd::Silent,
+        _ => CallEnd::Lost,
+    }
+}
+
 enum Event {
     Text(String),
     Done,
--- a/wire/src/caller.rs
+++ b/wire/src/caller.rs
@@ -11,6 +11,11 @@
 use ntex::time::Millis;
 use ntex::util::Bytes;
 
+/// Connections of one thread at most.
+///
+/// The client library names zero as no limit, but then never wakes a call that found another one
+/// connecting to the same peer.
+const CONNECTIONS: usize = 65_536;
 /// Largest reply body in bytes.
 const REPLY_LIMIT: usize = 16 << 20;
 
@@ -65,7 +70,11 @@
 pub async fn client() -> Client {
     let shared = CLIENT.with_borrow_mut(|known| {
         known
-            .get_or_insert_with(|| build(Connector::default().limit(0)).boxed_local().shared())
+            .get_or_insert_with(|| {
+                build(Connector::default().limit(CONNECTIONS))
+                    .boxed_local()
+                    .shared()
+            })
             .clone()
     });
     shared.await
