gateway: take an even part of account limits unless the settings ask for slices

Change: gateway.slices, false by default; an even part counts the entry VMs that the log announces, so that a partition doesn't raise the total. Conclusion: slices stay runnable; a home agreed through the log is the next step.

--- a/demo/src/run.rs
+++ b/demo/src/run.rs
@@ -38,7 +38,7 @@
     fn spawn(settings: Settings, charts: &Charts) -> io::Result<Self> {
         let agent = hemlock_agent::spawn(&settings, charts, scenario::test_keys())?;
         let planner = hemlock_planner::spawn(&settings, charts.clone())?;
-        let gateway = hemlock_gateway::spawn_sharing(&settings, charts, scenario::test_keys())?;
+        let gateway = hemlock_gateway::spawn(&settings, charts, scenario::test_keys())?;
         Ok(Self {
             settings,
             agent,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -122,23 +122,11 @@
     }
 }
 
-/// Starts a gateway that takes an even part of the account limits, and returns once its address is
-/// bound.
-pub fn spawn(settings: &Settings, charts: &Charts) -> io::Result<GatewayHandle> {
-    start(settings, charts, None)
-}
-
-/// Starts a gateway that shares the account limits with the others by slices, and returns once its
-/// address is bound.
-pub fn spawn_sharing(
-    settings: &Settings,
-    charts: &Charts,
-    keys: KeyRing,
-) -> io::Result<GatewayHandle> {
-    start(settings, charts, Some(keys))
-}
-
-fn start(settings: &Settings, charts: &Charts, keys: Option<KeyRing>) -> io::Result<GatewayHandle> {
+/// Starts a gateway and returns once its address is bound.
+///
+/// `keys` authenticate the slices of account limits, if the settings share them that way.
+pub fn spawn(settings: &Settings, charts: &Charts, keys: KeyRing) -> io::Result<GatewayHandle> {
+    let keys = settings.gateway.slices.then_some(keys);
     let listener = server::bind(&settings.gateway.listen)?;
     let (events, ring) = crossbeam_channel::bounded(RING);
     let (calls, call_ring) = async_channel::bounded(RING);
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -10,11 +10,8 @@
         "hemlock-gateway",
         "Takes requests and routes them to endpoints",
         |started| {
-            let gateway =
-                hemlock_gateway::spawn_sharing(&started.settings, &started.charts, started.keys)
-                    .map_err(|e| {
-                        format!("can't listen on {}: {e}", started.settings.gateway.listen)
-                    })?;
+            let gateway = hemlock_gateway::spawn(&started.settings, &started.charts, started.keys)
+                .map_err(|e| format!("can't listen on {}: {e}", started.settings.gateway.listen))?;
             daemon::wait_for_stop();
             let settings = &started.settings.gateway;
             let keep_for = Duration::from_secs(settings.keep_for_s);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -445,7 +445,7 @@
         match &self.slices {
             _ if members <= 1 => limit,
             Some((user, _)) => user.amount(now, &account.id, limit, members),
-            None => limit.even_part(self.electorate.live.len()),
+            None => limit.even_part(members),
         }
     }
 
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -99,6 +99,10 @@
     /// Time in seconds that open requests have to end once a leaving gateway takes no new ones.
     #[serde(default = "drain_s")]
     pub drain_s: u64,
+    /// Whether account limits are shared by slices that follow the demand; else each gateway takes an
+    /// even part.
+    #[serde(default)]
+    pub slices: bool,
 }
 
 /// Settings of the agent.
