--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -114,7 +114,8 @@
 
     /// Decides whether to claim or renew.
     pub fn decide(&mut self, now: Time, mine: bool, preferred: bool) -> LeaseStep {
-        if self.sent.is_some() || now < self.retry {
+        let waiting = |sent: Time| now.since(sent) < self.config.length;
+        if self.sent.is_some_and(waiting) || now < self.retry {
             return LeaseStep::Wait;
         }
         let due = if mine {
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -91,3 +91,19 @@
     let pause = |ms| (!(1_000..4_000).contains(&ms)).then_some(true);
     assert_eq!(claims_at(pause), patience + 2_100, "a pause is no silence");
 }
+
+/// A claim whose end is never told doesn't keep a planner from claiming again.
+#[test]
+fn a_claim_without_an_end_is_sent_again() {
+    let mut watch = watch();
+    watch.observe(at(0), None, false, true);
+    assert_eq!(watch.decide(at(0), false, true), LeaseStep::Append(None));
+    assert_eq!(
+        watch.decide(at(LENGTH_MS - 1), false, true),
+        LeaseStep::Wait
+    );
+    assert_eq!(
+        watch.decide(at(LENGTH_MS), false, true),
+        LeaseStep::Append(None)
+    );
+}
