--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -26,7 +26,7 @@
 use crate::restate::{RestateConfig, Restater};
 use crate::seal::KeyRing;
 use crate::snapshot::{Restate, RestateRecord};
-use crate::suspicion::Rumours;
+use crate::suspicion::SuspicionSet;
 use crate::table::{ConfigRecord, Edit, Refusal};
 use crate::time::Time;
 use crate::view::{self, EntryStatus, View};
@@ -156,7 +156,7 @@
     gossip: Gossip,
     prober: Prober,
     spare: f64,
-    rumours: Rumours,
+    suspicions: SuspicionSet,
     reading: bool,
     stale_read: bool,
     next_read: Time,
@@ -189,7 +189,7 @@
             gossip: Gossip::new(config.gossip, me),
             prober: Prober::new(config.probe, charts.vm.clone()),
             spare: 1.0,
-            rumours: Rumours::default(),
+            suspicions: SuspicionSet::default(),
             reading: false,
             stale_read: false,
             next_read: Time::ZERO,
@@ -250,7 +250,7 @@
             Input::Spare(spare) if spare.is_finite() => self.spare = spare.clamp(0.0, 1.0),
             Input::Spare(_) => {}
             Input::Suspect(suspicions) => {
-                let changed = self.rumours.take(now, &suspicions);
+                let changed = self.suspicions.take(now, &suspicions);
                 self.mark(changed);
                 self.spread(now, out);
             }
@@ -445,7 +445,7 @@
 
     /// Sends the newest suspicions to some entry VMs, in datagrams of bounded size.
     fn spread(&mut self, now: Time, out: &mut Vec<Output>) {
-        for part in self.rumours.newest(now).chunks(SUSPICIONS) {
+        for part in self.suspicions.newest(now).chunks(SUSPICIONS) {
             let message = GossipMessage::Suspicions(part.to_vec());
             let bytes = self.config.keys.seal(&message);
             for to in self.gossip.report_targets(&mut self.rng) {
@@ -629,7 +629,7 @@
                 self.dirty = true;
             }
             Some(GossipMessage::Suspicions(suspicions)) => {
-                let changed = self.rumours.take(now, &suspicions);
+                let changed = self.suspicions.take(now, &suspicions);
                 self.mark(changed);
             }
             Some(GossipMessage::Reports(reports)) => {
@@ -677,7 +677,7 @@
             vms,
             fleets: self.folds.fleets.clone(),
             log_up: self.log_up,
-            suspicions: self.rumours.newest(now),
+            suspicions: self.suspicions.newest(now),
             peers_up: self.gossip.peers_up(now),
             gaps: self.folds.gaps().cloned().collect(),
             alarms: self.folds.alarms,
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -37,11 +37,11 @@
 
 /// The suspicions that one agent has heard, spread by gossip.
 #[derive(Debug, Default)]
-pub struct Rumours {
+pub struct SuspicionSet {
     heard: BTreeMap<Key, (Suspicion, Time)>,
 }
 
-impl Rumours {
+impl SuspicionSet {
     /// Takes suspicions and returns whether one of them is news.
     pub fn take(&mut self, now: Time, suspicions: &[Suspicion]) -> bool {
         self.heard
