--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod limits;
 pub mod members;
 pub mod nearest;
+pub mod node;
 pub mod once;
 pub mod outcomes;
 pub mod peers;
--- /dev/null
+++ b/lib/src/node/balance.rs
@@ -0,0 +1,338 @@
+//! Places requests on endpoints and refuses those that none can serve in time.
+//!
+//! Answers load that is uneven in tokens and endpoints that stop answering without saying so: the
+//! endpoint with the least expected time to the first event takes the next request, from what this
+//! gateway and its peers have placed there.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::config::Engine;
+use super::peers::Placed;
+use crate::time::Time;
+
+/// Time for which a silent endpoint gets no requests, unless its group changes; a replica with a
+/// lost member gives up after 5 s.
+const SILENT_TIME: Duration = Duration::from_secs(6);
+/// Requests that wait at an endpoint beyond its slots, so that it never runs dry.
+const AHEAD: usize = 4;
+/// Failures in a row after which a plain endpoint is avoided.
+const FAILS: u32 = 3;
+/// Time for which it is avoided.
+const AVOID_TIME: Duration = Duration::from_millis(1_500);
+/// Shortest and longest wait before a refused caller comes back.
+const RETRY_MIN: Duration = Duration::from_millis(400);
+const RETRY_MAX: Duration = Duration::from_millis(1_800);
+
+/// An endpoint that takes requests now: a plain one, or the head of a group.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// Its identifier.
+    pub id: Arc<str>,
+    /// Its start and the epoch of its group; what is known of an older one doesn't hold.
+    pub life: (u64, u64),
+    /// Its address.
+    pub address: String,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// The model of its group.
+    pub model: Option<Arc<str>>,
+    /// Requests that it runs at a time.
+    pub slots: usize,
+    /// Factor on its engine's times.
+    pub pace: f64,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// Its model.
+    pub model: Option<&'a str>,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// Zone of this gateway.
+    pub zone: &'a str,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    /// To this endpoint.
+    Send(Candidate, Estimate),
+    /// All endpoints are full; the caller may come back after this time.
+    Full(Duration),
+    /// No endpoint serves it now; the caller may come back after this time.
+    Nobody(Duration),
+}
+
+/// What a choice was made from, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Estimate {
+    /// Expected time to the first event.
+    pub first: Duration,
+    /// Requests under way there.
+    pub running: usize,
+}
+
+#[derive(Debug, Default)]
+struct Load {
+    requests: usize,
+    unread: u32,
+    peers: usize,
+    peers_unread: u32,
+    silent: Option<Time>,
+    peers_silent: Option<Time>,
+    progress: Option<Time>,
+    fails: u32,
+    avoided: Option<Time>,
+}
+
+/// The endpoints that take requests, with the load on them.
+#[derive(Debug, Default)]
+pub struct Balance {
+    candidates: BTreeMap<Arc<str>, Candidate>,
+    loads: BTreeMap<Arc<str>, Load>,
+    turn: u64,
+}
+
+impl Balance {
+    /// Takes the endpoints that may be sent requests from now on.
+    pub fn refresh(&mut self, candidates: impl IntoIterator<Item = Candidate>) {
+        let fresh: BTreeMap<Arc<str>, Candidate> =
+            candidates.into_iter().map(|c| (c.id.clone(), c)).collect();
+        for (id, new) in &fresh {
+            let old = self.candidates.get(id);
+            if old.is_some_and(|o| o.life != new.life)
+                && let Some(load) = self.loads.get_mut(id)
+            {
+                load.silent = None;
+                load.peers_silent = None;
+                load.fails = 0;
+                load.avoided = None;
+            }
+        }
+        self.loads
+            .retain(|id, l| fresh.contains_key(id) || l.requests > 0);
+        self.candidates = fresh;
+    }
+
+    /// Returns an endpoint that takes requests.
+    pub fn candidate(&self, id: &str) -> Option<&Candidate> {
+        self.candidates.get(id)
+    }
+
+    /// Lists all endpoints that take requests.
+    pub fn candidates(&self) -> impl Iterator<Item = &Candidate> {
+        self.candidates.values()
+    }
+
+    /// Chooses where a request goes; `tried` have had it already.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        ask: &Ask<'_>,
+        engine: Option<&Engine>,
+        tried: &[Arc<str>],
+    ) -> Choice {
+        self.turn = self.turn.wrapping_add(1);
+        let turn = self.turn;
+        let fits = |c: &&Candidate| {
+            &*c.service == ask.service
+                && (engine.is_none() || c.model.as_deref() == ask.model)
+                && !tried.contains(&c.id)
+        };
+        let silent = |c: &&Candidate| self.load(&c.id).is_some_and(|l| l.is_silent(now));
+        let all: Vec<&Candidate> = self.candidates.values().filter(fits).collect();
+        let good = all.iter().filter(|c| !silent(c)).copied();
+        let avoided = |c: &&Candidate| self.load(&c.id).is_some_and(|l| l.is_avoided(now));
+        let mut good: Vec<&Candidate> = good.collect();
+        if engine.is_none() && good.iter().any(|c| !avoided(c)) {
+            good.retain(|c| !avoided(c));
+        }
+        if good.is_empty() {
+            return Choice::Nobody(self.retry_after(RETRY_MIN * 2));
+        }
+        let score = |c: &&Candidate| {
+            let e = self.estimate(c, ask.prompt, engine);
+            let far = u128::from(&*c.zone != ask.zone);
+            // Zones decide between endpoints that are alike within a few milliseconds.
+            let mix = crate::rendezvous::score(&turn.to_le_bytes(), c.id.as_bytes());
+            (e.first.as_millis() / 4 + far, mix)
+        };
+        let room = |c: &&Candidate| {
+            let running = self.load(&c.id).map_or(0, Load::running);
+            running < c.slots.max(1) + AHEAD
+        };
+        let best = good.iter().copied().filter(room).min_by_key(score);
+        match best {
+            Some(c) => Choice::Send(c.clone(), self.estimate(c, ask.prompt, engine)),
+            None => Choice::Full(self.retry_after(RETRY_MIN)),
+        }
+    }
+
+    /// Returns the expected time to the first event on an endpoint.
+    fn estimate(&self, c: &Candidate, prompt: u32, engine: Option<&Engine>) -> Estimate {
+        let load = self.load(&c.id);
+        let running = load.map_or(0, Load::running);
+        let Some(engine) = engine else {
+            let first = Duration::from_millis(10) * running as u32 / c.slots.max(1) as u32;
+            return Estimate { first, running };
+        };
+        let unread = load.map_or(0, |l| l.unread + l.peers_unread);
+        let read = f64::from(unread + prompt) / engine.read_rate.max(1.0);
+        let batch = running.min(c.slots) as f64;
+        let step = engine.step.as_secs_f64() + engine.per_request.as_secs_f64() * batch;
+        let over = (running + 1).saturating_sub(c.slots) as f64;
+        // A slot frees when one of the batch ends: an answer's steps over the slots.
+        let wait = over * step * ANSWER_STEPS / c.slots.max(1) as f64;
+        let pass = step * f64::from(engine.stride) * 1.5;
+        let first = Duration::from_secs_f64((read + pass + wait) * c.pace);
+        Estimate { first, running }
+    }
+
+    fn load(&self, id: &str) -> Option<&Load> {
+        self.loads.get(id)
+    }
+
+    fn retry_after(&self, least: Duration) -> Duration {
+        let spread = self.turn.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48;
+        let part = spread as f64 / 65_536.0;
+        (least + RETRY_MIN.mul_f64(part)).min(RETRY_MAX)
+    }
+
+    /// Counts a request that is sent to an endpoint.
+    pub fn start(&mut self, now: Time, id: &Arc<str>, prompt: u32) {
+        let load = self.loads.entry(id.clone()).or_default();
+        if load.requests == 0 {
+            load.progress = Some(now);
+        }
+        load.requests += 1;
+        load.unread += prompt;
+    }
+
+    /// Takes the first event of a request.
+    pub fn first(&mut self, now: Time, id: &str, prompt: u32) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.unread = load.unread.saturating_sub(prompt);
+        }
+        self.progress(now, id);
+    }
+
+    /// Takes the news that an endpoint sent something.
+    pub fn progress(&mut self, now: Time, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.progress = Some(now);
+            load.silent = None;
+            load.peers_silent = None;
+            load.fails = 0;
+        }
+    }
+
+    /// Returns when an endpoint last sent something.
+    pub fn last_progress(&self, id: &str) -> Option<Time> {
+        self.loads.get(id).and_then(|l| l.progress)
+    }
+
+    /// Counts the end of a request; `unread` tells that no event came.
+    pub fn end(&mut self, id: &str, prompt: u32, unread: bool) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.requests = load.requests.saturating_sub(1);
+            if unread {
+                load.unread = load.unread.saturating_sub(prompt);
+            }
+        }
+    }
+
+    /// Takes the news that an endpoint stopped answering.
+    pub fn silent(&mut self, now: Time, id: &Arc<str>) {
+        self.loads.entry(id.clone()).or_default().silent = Some(now);
+    }
+
+    /// Takes a failure of an endpoint: a reset, a broken answer or a refusal.
+    pub fn failed(&mut self, now: Time, id: &Arc<str>) {
+        let load = self.loads.entry(id.clone()).or_default();
+        load.fails += 1;
+        if load.fails >= FAILS {
+            load.avoided = Some(now);
+            load.fails = 0;
+        }
+    }
+
+    /// Returns whether an endpoint counts as silent.
+    pub fn is_silent(&self, now: Time, id: &str) -> bool {
+        self.load(id).is_some_and(|l| l.is_silent(now))
+    }
+
+    /// Lists the endpoints that this gateway finds silent, with the age of that.
+    pub fn silents(&self, now: Time) -> Vec<(Arc<str>, Duration)> {
+        let silent = |(id, l): (&Arc<str>, &Load)| {
+            let since = l.silent.filter(|t| now.since(*t) < SILENT_TIME)?;
+            Some((id.clone(), now.since(since)))
+        };
+        self.loads.iter().filter_map(silent).collect()
+    }
+
+    /// Lists the load that this gateway has placed.
+    pub fn placed(&self) -> Vec<Placed> {
+        let own = self.loads.iter().filter(|(_, l)| l.requests > 0);
+        own.map(|(id, l)| Placed {
+            endpoint: id.to_string(),
+            requests: l.requests.min(usize::from(u16::MAX)) as u16,
+            unread: l.unread,
+        })
+        .collect()
+    }
+
+    /// Takes the load and the silent endpoints of all peers, as last heard.
+    pub fn take_peers<'a>(
+        &mut self,
+        placed: impl Iterator<Item = &'a Placed>,
+        silent: impl Iterator<Item = (&'a str, Time)>,
+    ) {
+        for load in self.loads.values_mut() {
+            (load.peers, load.peers_unread) = (0, 0);
+            load.peers_silent = None;
+        }
+        for p in placed {
+            let Some((id, _)) = self.candidates.get_key_value(p.endpoint.as_str()) else {
+                continue;
+            };
+            let load = self.loads.entry(id.clone()).or_default();
+            load.peers += usize::from(p.requests);
+            load.peers_unread += p.unread;
+        }
+        for (id, since) in silent {
+            let Some((id, _)) = self.candidates.get_key_value(id) else {
+                continue;
+            };
+            let load = self.loads.entry(id.clone()).or_default();
+            // What came after the peer's doubt settles it.
+            if load.progress.is_none_or(|p| p <= since) {
+                load.peers_silent = Some(load.peers_silent.map_or(since, |s| s.max(since)));
+            }
+        }
+    }
+}
+
+/// Steps that a usual answer takes (154 tokens in the users' services).
+const ANSWER_STEPS: f64 = 150.0;
+
+impl Load {
+    fn running(&self) -> usize {
+        self.requests + self.peers
+    }
+
+    fn is_silent(&self, now: Time) -> bool {
+        let recent = |t: Option<Time>| t.is_some_and(|t| now.since(t) < SILENT_TIME);
+        recent(self.silent) || recent(self.peers_silent)
+    }
+
+    fn is_avoided(&self, now: Time) -> bool {
+        self.avoided.is_some_and(|t| now.since(t) < AVOID_TIME)
+    }
+}
--- /dev/null
+++ b/lib/src/node/endpoints.rs
@@ -0,0 +1,243 @@
+//! The endpoints that the platform lists, and the groups that their engines form.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Time after the store's return in which lapsed entries come back (stated by the platform).
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// Where an engine stands in its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SeatState {
+    /// Loading or starting the model.
+    Joining,
+    /// Ready; the head may be opened.
+    Ready,
+    /// The head takes requests.
+    Open,
+    /// The head finishes its requests.
+    Closing,
+    /// The head gave up after a member failed.
+    Broken,
+}
+
+/// An engine's membership in a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seat {
+    /// Name of the group.
+    pub group: Arc<str>,
+    /// Epoch of its member list.
+    pub epoch: u64,
+    /// Rank; zero is the head.
+    pub rank: usize,
+    /// State.
+    pub state: SeatState,
+}
+
+/// One listed endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Endpoint {
+    /// Its identifier.
+    pub id: Arc<str>,
+    /// Unix millisecond of its start; another one means that it holds nothing of before.
+    pub born: u64,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Address as host and port.
+    pub address: String,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Its failure domain; empty for plain services.
+    pub domain: Arc<str>,
+    /// Whether it is about to stop.
+    pub draining: bool,
+    /// Requests that it runs at a time.
+    pub slots: usize,
+    /// Models on its host.
+    pub staged: Vec<Arc<str>>,
+    /// Model that it holds.
+    pub model: Option<Arc<str>>,
+    /// Its place in a group.
+    pub seat: Option<Seat>,
+}
+
+/// A group of engines, pieced together from what its members say.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Group {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Epoch of its member list.
+    pub epoch: u64,
+    /// Members by rank, with their states.
+    pub members: BTreeMap<usize, (Arc<str>, SeatState)>,
+    /// The model that the head holds.
+    pub model: Option<Arc<str>>,
+    /// Service of its members.
+    pub service: Arc<str>,
+    /// Failure domain of its members.
+    pub domain: Arc<str>,
+    /// Whether a member is about to stop.
+    pub draining: bool,
+}
+
+impl Group {
+    /// Returns the head's identifier and state, if it is listed.
+    pub fn head(&self) -> Option<(&Arc<str>, SeatState)> {
+        self.members.get(&0).map(|(id, state)| (id, *state))
+    }
+
+    /// Returns whether ranks 0 to `size` - 1 are all listed.
+    pub fn is_whole(&self, size: usize) -> bool {
+        size > 0 && (0..size).all(|rank| self.members.contains_key(&rank))
+    }
+}
+
+/// What a change of the list meant, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that matters.
+    None,
+    /// A new endpoint, or a new start of a known one.
+    Listed,
+    /// It began to drain.
+    Draining,
+    /// Its place in a group changed.
+    Seat,
+    /// It is gone.
+    Gone,
+    /// It lapsed while the store was away; it stays in use for a moment.
+    Lapsed,
+}
+
+/// All listed endpoints.
+#[derive(Debug, Default)]
+pub struct Endpoints {
+    listed: BTreeMap<Arc<str>, Endpoint>,
+    /// Entries that lapsed around an outage of the store.
+    lapsed: BTreeMap<Arc<str>, Time>,
+    store_back: Option<Time>,
+    version: u64,
+}
+
+impl Endpoints {
+    /// Returns a number that grows with each change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns an endpoint by its identifier.
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.listed.get(id)
+    }
+
+    /// Lists all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.listed.values()
+    }
+
+    /// Takes an entry.
+    pub fn put(&mut self, endpoint: Endpoint) -> Change {
+        self.lapsed.remove(&endpoint.id);
+        let old = self.listed.get(&endpoint.id);
+        let change = match old {
+            None => Change::Listed,
+            Some(old) if old.born != endpoint.born => Change::Listed,
+            Some(old) if endpoint.draining && !old.draining => Change::Draining,
+            Some(old) if old.seat != endpoint.seat => Change::Seat,
+            Some(old) if *old == endpoint => return Change::None,
+            Some(_) => Change::None,
+        };
+        self.version += 1;
+        self.listed.insert(endpoint.id.clone(), endpoint);
+        change
+    }
+
+    /// Takes the end of an entry.
+    ///
+    /// Shortly after an outage of the store it may only have lapsed, and stays in use until it
+    /// would be back.
+    pub fn remove(&mut self, now: Time, id: &str) -> Change {
+        let Some((key, _)) = self.listed.get_key_value(id) else {
+            return Change::None;
+        };
+        let key = key.clone();
+        if let Some(back) = self.store_back {
+            let until = back + RETURN_TIME;
+            if now < until {
+                self.lapsed.insert(key, until);
+                return Change::Lapsed;
+            }
+        }
+        self.version += 1;
+        self.listed.remove(&key);
+        Change::Gone
+    }
+
+    /// Takes the news that the store answers again after an outage.
+    pub fn store_returned(&mut self, now: Time) {
+        self.store_back = Some(now);
+    }
+
+    /// Removes entries that lapsed and did not come back; returns them.
+    pub fn expire(&mut self, now: Time) -> Vec<Arc<str>> {
+        let due = |(_, until): &(&Arc<str>, &Time)| **until <= now;
+        let gone: Vec<Arc<str>> = self
+            .lapsed
+            .iter()
+            .filter(due)
+            .map(|e| e.0.clone())
+            .collect();
+        for id in &gone {
+            self.lapsed.remove(id);
+            self.listed.remove(id);
+            self.version += 1;
+        }
+        gone
+    }
+
+    /// Replaces the whole list, as read anew; returns the identifiers that are no longer listed.
+    pub fn replace(&mut self, now: Time, fresh: Vec<Endpoint>) -> Vec<(Arc<str>, Change)> {
+        let old: Vec<Arc<str>> = self.listed.keys().cloned().collect();
+        let mut changes = Vec::new();
+        for id in old {
+            if !fresh.iter().any(|e| e.id == id) {
+                let change = self.remove(now, &id);
+                changes.push((id, change));
+            }
+        }
+        for endpoint in fresh {
+            let id = endpoint.id.clone();
+            changes.push((id, self.put(endpoint)));
+        }
+        changes
+    }
+
+    /// Pieces the groups together, by name and epoch.
+    pub fn groups(&self) -> BTreeMap<(Arc<str>, u64), Group> {
+        let mut groups: BTreeMap<(Arc<str>, u64), Group> = BTreeMap::new();
+        for endpoint in self.listed.values() {
+            let Some(seat) = &endpoint.seat else { continue };
+            let key = (seat.group.clone(), seat.epoch);
+            let group = groups.entry(key).or_insert_with(|| Group {
+                name: seat.group.clone(),
+                epoch: seat.epoch,
+                members: BTreeMap::new(),
+                model: None,
+                service: endpoint.service.clone(),
+                domain: endpoint.domain.clone(),
+                draining: false,
+            });
+            group
+                .members
+                .insert(seat.rank, (endpoint.id.clone(), seat.state));
+            group.draining |= endpoint.draining;
+            if endpoint.model.is_some() {
+                group.model.clone_from(&endpoint.model);
+            }
+        }
+        groups
+    }
+}
--- /dev/null
+++ b/lib/src/node/mod.rs
@@ -0,0 +1,17 @@
+//! Decisions of `hemlock-node`, the one daemon of an entry VM on a hosted platform.
+//!
+//! The order of the modules is the way of a request: [`config`] finds its route and account,
+//! [`endpoints`] says which endpoints exist, [`balance`] places or refuses it, [`budget`] and
+//! [`quarantine`] bound its repeats, [`events`] keeps its stream whole. [`planner`] forms the groups
+//! of engines that [`placement`] asks for, and [`peers`] knows the other entry VMs.
+
+pub mod balance;
+pub mod budget;
+pub mod config;
+pub mod endpoints;
+pub mod events;
+pub mod peers;
+pub mod placement;
+pub mod planner;
+pub mod quarantine;
+pub mod settings;
--- /dev/null
+++ b/lib/src/node/peers.rs
@@ -0,0 +1,179 @@
+//! The other entry VMs: who lives, who takes callers, and what load they have placed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::quarantine::Break;
+use crate::time::Time;
+
+/// Silence after which a peer is taken as gone; several datagrams may be lost meanwhile.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time for which a member of the list that was never heard counts as starting.
+const START_TIME: Duration = Duration::from_secs(4);
+/// Time after which a silent peer's record is of no more use.
+const FORGET: Duration = Duration::from_secs(120);
+
+/// An entry VM's record in the members' list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub node: String,
+    /// Random number of this start.
+    pub run: u64,
+    /// Its zone.
+    pub zone: String,
+    /// Address for callers.
+    pub front: String,
+    /// Address for datagrams.
+    pub peer: SocketAddr,
+}
+
+/// Load that an entry VM has placed on one endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// Identifier of the endpoint, the head for a group.
+    pub endpoint: String,
+    /// Requests under way.
+    pub requests: u16,
+    /// Tokens of prompts that no first event has come for.
+    pub unread: u32,
+}
+
+/// What one entry VM tells the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Who says it.
+    pub member: Member,
+    /// Grows with each datagram of a run.
+    pub count: u64,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Version of the configuration in force there.
+    pub config: u64,
+    /// Whether the store answers it.
+    pub store: bool,
+    /// Whether it plans.
+    pub leads: bool,
+    /// Load by endpoint.
+    pub placed: Vec<Placed>,
+    /// Endpoints that stopped answering there, with the age of that in milliseconds.
+    pub silent: Vec<(String, u32)>,
+    /// Endpoints that break lately on requests.
+    pub breaks: Vec<Break>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    member: Member,
+    listed: Time,
+    heard: Option<Time>,
+    news: Option<News>,
+}
+
+/// What the list and the datagrams say of the other entry VMs.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: BTreeMap<String, Peer>,
+}
+
+impl Peers {
+    /// Takes a record of the members' list.
+    pub fn list(&mut self, now: Time, member: Member) {
+        let old = self.known.get(&member.node);
+        if old.is_some_and(|p| p.member.run == member.run && p.member == member) {
+            return;
+        }
+        let peer = Peer {
+            member: member.clone(),
+            listed: now,
+            heard: None,
+            news: None,
+        };
+        self.known.insert(member.node, peer);
+    }
+
+    /// Takes the end of a record.
+    pub fn unlist(&mut self, node: &str) {
+        self.known.remove(node);
+    }
+
+    /// Takes a datagram; returns whether it is newer than the last one of that peer.
+    pub fn hear(&mut self, now: Time, news: News) -> bool {
+        let node = news.member.node.clone();
+        let peer = self.known.entry(node).or_insert_with(|| Peer {
+            member: news.member.clone(),
+            listed: now,
+            heard: None,
+            news: None,
+        });
+        let run = peer.news.as_ref().map(|n| (n.member.run, n.count));
+        if run.is_some_and(|(run, count)| run == news.member.run && count >= news.count) {
+            return false;
+        }
+        peer.member = news.member.clone();
+        peer.heard = Some(now);
+        peer.news = Some(news);
+        true
+    }
+
+    /// Forgets peers that have been silent for long.
+    pub fn forget(&mut self, now: Time) {
+        let last = |p: &Peer| p.heard.unwrap_or(p.listed);
+        self.known.retain(|_, p| now.since(last(p)) < FORGET);
+    }
+
+    /// Returns whether this entry VM is the one that should ask to plan: no live peer plans, and
+    /// none that the store answers comes before it by name.
+    pub fn should_lead(&self, now: Time, me: &str) -> bool {
+        let mut news = self.news(now).map(|(n, _)| n);
+        !news.any(|n| n.leads || n.store && n.ready && n.member.node.as_str() < me)
+    }
+
+    /// Returns where to send datagrams.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.known.values().map(|p| p.member.peer).collect()
+    }
+
+    /// Returns the number of entry VMs that live, with this one.
+    pub fn machines(&self, now: Time) -> usize {
+        1 + self.known.values().filter(|p| p.lives(now)).count()
+    }
+
+    /// Lists the members that live and take callers.
+    pub fn ready(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let ready = |p: &&Peer| p.news.as_ref().is_some_and(|n| n.ready);
+        let live = self.known.values().filter(move |p| p.lives(now));
+        live.filter(ready).map(|p| &p.member)
+    }
+
+    /// Lists the latest news of the peers that live, with the times of their arrival.
+    pub fn news(&self, now: Time) -> impl Iterator<Item = (&News, Time)> {
+        let live = self.known.values().filter(move |p| p.lives(now));
+        live.filter_map(|p| Some((p.news.as_ref()?, p.heard?)))
+    }
+}
+
+impl Peer {
+    fn lives(&self, now: Time) -> bool {
+        match self.heard {
+            Some(heard) => now.since(heard) < SILENCE,
+            None => now.since(self.listed) < START_TIME,
+        }
+    }
+}
+
+/// Returns the addresses for a caller: all entry VMs that take callers, those of its zone first.
+pub fn advice<'a>(
+    zone: &str,
+    members: impl IntoIterator<Item = &'a Member>,
+    most: usize,
+) -> Vec<Arc<str>> {
+    let mut members: Vec<&Member> = members.into_iter().collect();
+    members.sort_by_key(|m| (m.zone != zone, &m.node));
+    let fronts = members.into_iter().take(most);
+    fronts.map(|m| Arc::from(m.front.as_str())).collect()
+}
--- /dev/null
+++ b/lib/src/node/planner.rs
@@ -0,0 +1,801 @@
+//! Forms groups of engines and mends them: answers the load of lost, draining and new engines.
+//!
+//! What engines hold is read from the endpoints' list, so that a new planner needs no record of the
+//! last one. Two rules bind every order: a group is opened only once each of its members was seen
+//! ready under its name and epoch, and no member joins another group while its head may take
+//! requests.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::config::{Engine, Model};
+use super::endpoints::{Endpoint, Endpoints, Group, SeatState};
+use crate::time::Time;
+
+/// Time in which the list shows what an engine took; its entry follows a change at once, and a slow
+/// store takes some hundred milliseconds.
+const SHOW_TIME: Duration = Duration::from_millis(1_500);
+/// Time between two sends of an order that shows no effect.
+const RESEND: Duration = Duration::from_millis(400);
+/// Joins sent again before their group is given up, for each member.
+const RESENDS: u32 = 3;
+/// Time that a replica's head needs beyond the stated bound to give up after a member left.
+const STALL_MARGIN: Duration = Duration::from_millis(700);
+/// Longest time that a head may finish its requests before a draining member ends.
+const CLOSE_TIME: Duration = Duration::from_millis(2_500);
+/// Probes without an answer after which an engine of a silent group counts as lost.
+const DEAD_PROBES: u32 = 2;
+/// Time between two probes of one engine.
+const PROBE_EVERY: Duration = Duration::from_millis(350);
+/// Time for which an engine that answered no probe gets no new group.
+const DEAD_TIME: Duration = Duration::from_secs(4);
+/// Part of the engines that stays without a group, to replace lost members at once.
+const RESERVE: f64 = 0.1;
+/// Part of a model's share below which it may use the reserve.
+const CRITICAL: f64 = 0.8;
+/// Bits of an epoch that count within one term.
+const EPOCH_BITS: u32 = 20;
+
+/// What an engine is told to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Become a member of a group.
+    Join {
+        /// Its name.
+        group: Arc<str>,
+        /// Epoch of the member list.
+        epoch: u64,
+        /// Model to hold.
+        model: Arc<str>,
+        /// Members by rank.
+        members: Vec<Arc<str>>,
+    },
+    /// Take requests, as the head of a group.
+    Open {
+        /// The group.
+        group: Arc<str>,
+        /// Its epoch.
+        epoch: u64,
+    },
+    /// Finish the requests of a group, as its head.
+    Close {
+        /// The group.
+        group: Arc<str>,
+        /// Its epoch.
+        epoch: u64,
+    },
+    /// Give up the membership in a group.
+    Leave {
+        /// The group.
+        group: Arc<str>,
+        /// Its epoch.
+        epoch: u64,
+    },
+    /// Load a model onto the host.
+    Stage {
+        /// The model.
+        model: Arc<str>,
+    },
+}
+
+impl Action {
+    /// Returns the name used in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Join { .. } => "join",
+            Self::Open { .. } => "open",
+            Self::Close { .. } => "close",
+            Self::Leave { .. } => "leave",
+            Self::Stage { .. } => "stage",
+        }
+    }
+
+    /// Returns the group that it names, or the model to stage.
+    pub fn subject(&self) -> &str {
+        match self {
+            Self::Join { group, .. }
+            | Self::Open { group, .. }
+            | Self::Close { group, .. }
+            | Self::Leave { group, .. } => group,
+            Self::Stage { model } => model,
+        }
+    }
+}
+
+/// What the planner wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Send an order.
+    Order {
+        /// The engine.
+        endpoint: Arc<str>,
+        /// Its address.
+        address: String,
+        /// Fencing token.
+        fence: u64,
+        /// What to do.
+        action: Action,
+    },
+    /// Ask an engine for its report, to see whether it lives.
+    Probe {
+        /// The engine.
+        endpoint: Arc<str>,
+        /// Its address.
+        address: String,
+    },
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// It has begun.
+    Begun,
+    /// It is done, or the state holds already.
+    Done,
+    /// It doesn't fit the engine's state.
+    Conflict,
+    /// Another planner has used a higher fencing token, or a later epoch.
+    Outdated,
+    /// Another engine has the address.
+    Elsewhere,
+    /// No reply came: it may be carried out yet.
+    Lost,
+}
+
+/// What the planner plans from.
+#[derive(Debug, Clone, Copy)]
+pub struct Scene<'a> {
+    /// The service whose engines are planned.
+    pub service: &'a str,
+    /// How its engines work.
+    pub engine: &'a Engine,
+    /// The list.
+    pub endpoints: &'a Endpoints,
+    /// Heads of groups that stopped answering, as gateways see it.
+    pub silent: &'a BTreeSet<Arc<str>>,
+    /// Time after which a head with a lost member gives up.
+    pub stall: Duration,
+}
+
+/// A group that this planner ordered.
+#[derive(Debug, Clone)]
+struct Formed {
+    model: Arc<str>,
+    members: Vec<Arc<str>>,
+    since: Time,
+    /// Sends of joins that showed no effect.
+    resends: u32,
+    /// Whether an order to open it was sent.
+    opened: bool,
+    given_up: bool,
+}
+
+/// What the planner knows of an engine beyond the list.
+#[derive(Debug, Default)]
+struct Mind {
+    /// The order under way, and since when.
+    pending: Option<Time>,
+    /// No other order before this time.
+    wait: Option<Time>,
+    /// Unanswered probes in a row, and the time of the last probe.
+    unanswered: u32,
+    probed: Option<Time>,
+    dead_until: Option<Time>,
+    /// Start that all of this is about.
+    born: u64,
+}
+
+/// The planner of all engines of one deployment.
+#[derive(Debug, Default)]
+pub struct Planner {
+    fence: Option<u64>,
+    count: u64,
+    formed: BTreeMap<u64, Formed>,
+    minds: BTreeMap<Arc<str>, Mind>,
+    /// Members of groups whose head is lost: free at the given time.
+    held: BTreeMap<(Arc<str>, u64), Time>,
+    /// When a group was first seen damaged or closing.
+    seen: BTreeMap<(Arc<str>, u64), Time>,
+    loads: Vec<Time>,
+    /// Heads of groups, by epoch.
+    heads: BTreeMap<u64, Arc<str>>,
+}
+
+/// Returns the name of a group; it tells later planners the group's size and model.
+pub fn group_name(epoch: u64, size: usize, model: &str) -> Arc<str> {
+    Arc::from(format!("g{epoch}-{size}-{model}"))
+}
+
+/// Returns the size and model that a group's name tells.
+pub fn parse_name(name: &str) -> Option<(usize, &str)> {
+    let mut parts = name.strip_prefix('g')?.splitn(3, '-');
+    parts.next()?.parse::<u64>().ok()?;
+    Some((parts.next()?.parse().ok()?, parts.next()?))
+}
+
+/// Where a group stands in its life, as the plan sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Members are still joining.
+    Forming,
+    /// All members are ready; the head is to be opened.
+    Ready,
+    /// It takes requests.
+    Serving,
+    /// A member is about to stop.
+    Leaving,
+    /// A member is lost or the group was given up.
+    Damaged,
+    /// Its head gave up, so that members may join others.
+    Over,
+}
+
+impl Planner {
+    /// Returns the fencing token of the present term, if there is one.
+    pub fn fence(&self) -> Option<u64> {
+        self.fence
+    }
+
+    /// Begins or goes on with a term.
+    ///
+    /// An engine without a group may have been told by the last planner to leave one whose head
+    /// still waits for it, so that each one listed now is held for as long as such a head needs.
+    pub fn lead(&mut self, now: Time, fence: u64, scene: &Scene<'_>) {
+        if self.fence.is_none() {
+            *self = Self::default();
+            let engines = || {
+                scene
+                    .endpoints
+                    .iter()
+                    .filter(|e| &*e.service == scene.service)
+            };
+            if engines().any(|e| e.seat.is_some()) {
+                let until = now + scene.stall + STALL_MARGIN;
+                let unseated = engines().filter(|e| e.seat.is_none());
+                self.held = unseated.map(|e| ((e.id.clone(), 0), until)).collect();
+            }
+        }
+        self.fence = Some(self.fence.map_or(fence, |f| f.max(fence)));
+    }
+
+    /// Ends the term.
+    pub fn resign(&mut self) {
+        self.fence = None;
+    }
+
+    /// Takes the end of an order; returns whether the term is over.
+    pub fn replied(&mut self, now: Time, endpoint: &str, action: &Action, reply: Reply) -> bool {
+        let Some(mind) = self.minds.get_mut(endpoint) else {
+            return false;
+        };
+        mind.pending = None;
+        mind.wait = match reply {
+            Reply::Begun | Reply::Done => Some(now + SHOW_TIME),
+            Reply::Conflict | Reply::Elsewhere | Reply::Lost | Reply::Outdated => {
+                Some(now + RESEND)
+            }
+        };
+        if let (Action::Leave { .. } | Action::Open { .. } | Action::Close { .. }, _) =
+            (action, reply)
+        {
+            mind.wait = Some(now + RESEND);
+        }
+        if let Action::Join { epoch, .. } = action
+            && matches!(reply, Reply::Conflict | Reply::Elsewhere | Reply::Outdated)
+            && let Some(formed) = self.formed.get_mut(epoch)
+        {
+            formed.given_up = true;
+        }
+        reply == Reply::Outdated
+    }
+
+    /// Takes the end of a probe.
+    pub fn probed(&mut self, now: Time, endpoint: &str, answered: bool) {
+        let Some(mind) = self.minds.get_mut(endpoint) else {
+            return;
+        };
+        if answered {
+            mind.unanswered = 0;
+            mind.dead_until = None;
+            return;
+        }
+        mind.unanswered += 1;
+        if mind.unanswered >= DEAD_PROBES {
+            mind.dead_until = Some(now + DEAD_TIME);
+        }
+    }
+
+    /// Plans once and appends what is to be done to `out`.
+    pub fn step(&mut self, now: Time, scene: &Scene<'_>, out: &mut Vec<Output>) {
+        let Some(fence) = self.fence else { return };
+        self.follow(scene);
+        let mut round = Round {
+            now,
+            fence,
+            scene,
+            groups: scene.endpoints.groups(),
+            planner: self,
+            out,
+        };
+        round.groups.retain(|_, g| &*g.service == scene.service);
+        round.probe_silent();
+        round.resend_joins();
+        let stages = round.tend();
+        round.fill(&stages);
+    }
+
+    fn follow(&mut self, scene: &Scene<'_>) {
+        for endpoint in scene.endpoints.iter() {
+            if &*endpoint.service != scene.service {
+                continue;
+            }
+            let mind = self.minds.entry(endpoint.id.clone()).or_default();
+            if mind.born != endpoint.born {
+                *mind = Mind {
+                    born: endpoint.born,
+                    ..Mind::default()
+                };
+            }
+        }
+        for endpoint in scene.endpoints.iter() {
+            if let Some(seat) = endpoint.seat.as_ref().filter(|s| s.rank == 0) {
+                self.heads.insert(seat.epoch, endpoint.id.clone());
+            }
+        }
+        let seated = |epoch: &u64| {
+            let mut seats = scene.endpoints.iter().filter_map(|e| e.seat.as_ref());
+            seats.any(|s| s.epoch == *epoch)
+        };
+        self.heads.retain(|epoch, _| seated(epoch));
+        let listed = |id: &Arc<str>| scene.endpoints.get(id).is_some();
+        self.minds.retain(|id, _| listed(id));
+        self.formed.retain(|_, f| f.members.iter().any(listed));
+    }
+}
+
+/// One pass of the planner.
+struct Round<'a, 'b> {
+    now: Time,
+    fence: u64,
+    scene: &'a Scene<'a>,
+    groups: BTreeMap<(Arc<str>, u64), Group>,
+    planner: &'b mut Planner,
+    out: &'b mut Vec<Output>,
+}
+
+impl Round<'_, '_> {
+    fn size(&self, group: &Group) -> usize {
+        parse_name(&group.name).map_or(0, |(size, _)| size)
+    }
+
+    fn is_dead(&self, id: &str) -> bool {
+        let mind = self.planner.minds.get(id);
+        mind.is_some_and(|m| m.dead_until.is_some_and(|t| t > self.now))
+    }
+
+    fn is_idle(&self, id: &str) -> bool {
+        let mind = self.planner.minds.get(id);
+        mind.is_some_and(|m| m.pending.is_none() && m.wait.is_none_or(|t| t <= self.now))
+    }
+
+    fn order(&mut self, id: &Arc<str>, action: Action) {
+        let Some(endpoint) = self.scene.endpoints.get(id) else {
+            return;
+        };
+        if let Some(mind) = self.planner.minds.get_mut(id) {
+            mind.pending = Some(self.now);
+        }
+        self.out.push(Output::Order {
+            endpoint: id.clone(),
+            address: endpoint.address.clone(),
+            fence: self.fence,
+            action,
+        });
+    }
+
+    /// Probes the members of groups that gateways find silent, to learn which one is lost.
+    fn probe_silent(&mut self) {
+        let heads = |g: &Group| {
+            g.head()
+                .is_some_and(|(id, _)| self.scene.silent.contains(id))
+        };
+        let silent: Vec<Arc<str>> = self
+            .groups
+            .values()
+            .filter(|g| heads(g))
+            .flat_map(|g| g.members.values().map(|(id, _)| id.clone()))
+            .collect();
+        for id in silent {
+            let Some(endpoint) = self.scene.endpoints.get(&id) else {
+                continue;
+            };
+            let Some(mind) = self.planner.minds.get_mut(&id) else {
+                continue;
+            };
+            if mind.probed.is_some_and(|t| self.now.since(t) < PROBE_EVERY) {
+                continue;
+            }
+            mind.probed = Some(self.now);
+            self.out.push(Output::Probe {
+                endpoint: id,
+                address: endpoint.address.clone(),
+            });
+        }
+    }
+
+    /// Sends joins again that showed no effect; the same epoch and members make that harmless.
+    fn resend_joins(&mut self) {
+        let open: Vec<(u64, Formed)> = self
+            .planner
+            .formed
+            .iter()
+            .filter(|(_, f)| !f.given_up && !f.opened)
+            .map(|(epoch, f)| (*epoch, f.clone()))
+            .collect();
+        for (epoch, formed) in open {
+            let lacks = |id: &&Arc<str>| {
+                let seat = self.scene.endpoints.get(id).and_then(|e| e.seat.as_ref());
+                seat.is_none_or(|s| s.epoch != epoch)
+            };
+            let lacking: Vec<Arc<str>> = formed.members.iter().filter(lacks).cloned().collect();
+            let spent = formed.resends as usize >= RESENDS as usize * formed.members.len();
+            for id in lacking {
+                let lost = self.is_dead(&id) || self.scene.endpoints.get(&id).is_none();
+                let idle = self.is_idle(&id);
+                let Some(state) = self.planner.formed.get_mut(&epoch) else {
+                    continue;
+                };
+                if lost || spent && idle {
+                    state.given_up = true;
+                    break;
+                }
+                if !idle {
+                    continue;
+                }
+                state.resends += 1;
+                let action = Action::Join {
+                    group: group_name(epoch, formed.members.len(), &formed.model),
+                    epoch,
+                    model: formed.model.clone(),
+                    members: formed.members.clone(),
+                };
+                self.order(&id, action);
+            }
+        }
+    }
+
+    /// Tends to each group and returns where it stands.
+    fn tend(&mut self) -> BTreeMap<(Arc<str>, u64), Stage> {
+        let keys: Vec<_> = self.groups.keys().cloned().collect();
+        let mut stages = BTreeMap::new();
+        for key in keys {
+            let group = self.groups[&key].clone();
+            let stage = self.stage(&group);
+            self.act(&key, &group, stage);
+            stages.insert(key, stage);
+        }
+        self.planner.seen.retain(|k, _| stages.contains_key(k));
+        let now = self.now;
+        self.planner.held.retain(|_, until| *until > now);
+        stages
+    }
+
+    fn stage(&mut self, group: &Group) -> Stage {
+        let key = (group.name.clone(), group.epoch);
+        let size = self.size(group);
+        let formed = self.planner.formed.get(&group.epoch).cloned();
+        if let Some((_, SeatState::Broken)) = group.head() {
+            return Stage::Over;
+        }
+        if formed.as_ref().is_some_and(|f| f.given_up && !f.opened) {
+            return Stage::Over;
+        }
+        let dead = group.members.values().any(|(id, _)| self.is_dead(id));
+        if dead {
+            return Stage::Damaged;
+        }
+        if !group.is_whole(size) {
+            let since = formed.as_ref().map(|f| f.since);
+            let first = *self.planner.seen.entry(key).or_insert(self.now);
+            let started = group.members.values().all(|(_, s)| *s <= SeatState::Ready);
+            let since = since.unwrap_or(first);
+            if started && self.now.since(since) < SHOW_TIME * 2 {
+                return Stage::Forming;
+            }
+            return Stage::Damaged;
+        }
+        if group.draining {
+            return Stage::Leaving;
+        }
+        let joining = group
+            .members
+            .values()
+            .any(|(_, s)| *s == SeatState::Joining);
+        match group.head() {
+            _ if joining => Stage::Forming,
+            Some((_, SeatState::Ready)) => Stage::Ready,
+            Some((_, SeatState::Open)) => Stage::Serving,
+            // A close that is not ours any more ends in ready, and the group opens again.
+            _ => Stage::Leaving,
+        }
+    }
+
+    fn act(&mut self, key: &(Arc<str>, u64), group: &Group, stage: Stage) {
+        let (name, epoch) = key.clone();
+        let Some((head, state)) = group.head().map(|(id, s)| (id.clone(), s)) else {
+            if stage == Stage::Damaged && !self.head_moved(epoch) {
+                self.release_members(key, group);
+            }
+            return;
+        };
+        match stage {
+            Stage::Ready if self.is_idle(&head) => {
+                if let Some(formed) = self.planner.formed.get_mut(&epoch) {
+                    formed.opened = true;
+                }
+                self.order(&head, Action::Open { group: name, epoch });
+            }
+            Stage::Leaving => {
+                let since = *self.planner.seen.entry(key.clone()).or_insert(self.now);
+                let late = self.now.since(since) >= CLOSE_TIME;
+                if !self.is_idle(&head) {
+                    return;
+                }
+                match state {
+                    SeatState::Open if !late => {
+                        self.order(&head, Action::Close { group: name, epoch });
+                    }
+                    SeatState::Closing if !late => {}
+                    _ => self.order(&head, Action::Leave { group: name, epoch }),
+                }
+            }
+            Stage::Damaged if self.is_dead(&head) => self.release_members(key, group),
+            Stage::Damaged if self.is_idle(&head) => {
+                self.order(&head, Action::Leave { group: name, epoch });
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets members leave a group whose head is lost: the head gives up once it misses them, and
+    /// only then may they join another group.
+    fn release_members(&mut self, key: &(Arc<str>, u64), group: &Group) {
+        let never = self.planner.formed.get(&group.epoch);
+        if never.is_some_and(|f| !f.opened) {
+            if let Some(formed) = self.planner.formed.get_mut(&group.epoch) {
+                formed.given_up = true;
+            }
+            return;
+        }
+        let until = self.now + self.scene.stall + STALL_MARGIN;
+        for (rank, (id, _)) in &group.members {
+            if *rank == 0 || self.is_dead(id) || !self.is_idle(id) {
+                continue;
+            }
+            let (group, epoch) = key.clone();
+            self.planner.held.insert((id.clone(), epoch), until);
+            self.order(&id.clone(), Action::Leave { group, epoch });
+        }
+    }
+
+    /// Returns whether an engine may join a group now.
+    fn is_free(&self, endpoint: &Endpoint, stages: &BTreeMap<(Arc<str>, u64), Stage>) -> bool {
+        if endpoint.draining || self.is_dead(&endpoint.id) || !self.is_idle(&endpoint.id) {
+            return false;
+        }
+        let mut held = self.planner.held.iter();
+        if held.any(|((id, _), until)| *id == endpoint.id && *until > self.now) {
+            return false;
+        }
+        let Some(seat) = &endpoint.seat else {
+            return true;
+        };
+        let key = (seat.group.clone(), seat.epoch);
+        if stages.get(&key) == Some(&Stage::Over) {
+            return true;
+        }
+        // The head of its group has moved on, so that it can't take requests for it.
+        seat.rank != 0 && stages.get(&key) == Some(&Stage::Damaged) && self.head_moved(seat.epoch)
+    }
+
+    /// Returns whether the head of a group is listed and no longer in it.
+    fn head_moved(&self, epoch: u64) -> bool {
+        let Some(head) = self.planner.heads.get(&epoch) else {
+            return false;
+        };
+        let head = self.scene.endpoints.get(head);
+        head.is_some_and(|h| h.seat.as_ref().is_none_or(|s| s.epoch != epoch))
+    }
+
+    /// Forms groups from free engines, the model furthest below its share first.
+    fn fill(&mut self, stages: &BTreeMap<(Arc<str>, u64), Stage>) {
+        let engines: Vec<&Endpoint> = self.scene.endpoints.iter().collect();
+        let usable = |e: &&&Endpoint| {
+            &*e.service == self.scene.service && !e.draining && !self.is_dead(&e.id)
+        };
+        let usable: Vec<&Endpoint> = engines.iter().filter(usable).copied().collect();
+        let total = usable.len() as f64;
+        let mut free: BTreeMap<Arc<str>, Vec<&Endpoint>> = BTreeMap::new();
+        for e in usable.iter().filter(|e| self.is_free(e, stages)) {
+            free.entry(e.domain.clone()).or_default().push(e);
+        }
+        let mut have: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for (key, stage) in stages {
+            if matches!(stage, Stage::Forming | Stage::Ready | Stage::Serving)
+                && let Some((size, model)) = parse_name(&key.0)
+            {
+                *have.entry(Arc::from(model)).or_default() += size;
+            }
+        }
+        for (epoch, formed) in &self.planner.formed {
+            let shown = stages.keys().any(|(_, e)| e == epoch);
+            if !shown && !formed.given_up && self.now.since(formed.since) < SHOW_TIME {
+                *have.entry(formed.model.clone()).or_default() += formed.members.len();
+            }
+        }
+        while self.form_one(total, &mut free, &mut have) {}
+        self.stage_spares(&free, stages);
+    }
+
+    fn form_one(
+        &mut self,
+        total: f64,
+        free: &mut BTreeMap<Arc<str>, Vec<&Endpoint>>,
+        have: &mut BTreeMap<Arc<str>, usize>,
+    ) -> bool {
+        let engine = self.scene.engine;
+        let shares: f64 = engine.models.iter().map(|m| m.share).sum();
+        let part = |m: &Model| {
+            let have = have.get(&m.name).copied().unwrap_or(0) as f64;
+            have / (m.share / shares.max(1e-9) * total).max(1e-9)
+        };
+        let mut models: Vec<&Model> = engine.models.iter().collect();
+        models.sort_by(|a, b| part(a).total_cmp(&part(b)));
+        let used: usize = have.values().sum();
+        for model in models {
+            let within = (used + model.size) as f64 <= total * (1.0 - RESERVE);
+            if !within && part(model) >= CRITICAL {
+                continue;
+            }
+            let places = free.iter().filter(|(_, e)| e.len() >= model.size.max(1));
+            let best = places
+                .map(|(domain, engines)| (pick(engines, model), domain.clone(), engines.len()))
+                .min_by_key(|((cost, _), _, count)| (*cost, std::cmp::Reverse(*count)));
+            let Some(((_, members), domain, _)) = best else {
+                continue;
+            };
+            let loads = members.iter().filter(|e| needs_load(e, model)).count();
+            if !self.may_load(loads) {
+                continue;
+            }
+            if let Some(engines) = free.get_mut(&domain) {
+                engines.retain(|e| !members.iter().any(|m| m.id == e.id));
+            }
+            *have.entry(model.name.clone()).or_default() += model.size;
+            self.form(model, &members);
+            return true;
+        }
+        false
+    }
+
+    fn form(&mut self, model: &Model, members: &[&Endpoint]) {
+        self.planner.count += 1;
+        let epoch = (self.fence << EPOCH_BITS) + self.planner.count;
+        let group = group_name(epoch, model.size, &model.name);
+        let ids: Vec<Arc<str>> = members.iter().map(|e| e.id.clone()).collect();
+        self.planner.formed.insert(
+            epoch,
+            Formed {
+                model: model.name.clone(),
+                members: ids.clone(),
+                since: self.now,
+                resends: 0,
+                opened: false,
+                given_up: false,
+            },
+        );
+        for id in &ids {
+            self.order(
+                id,
+                Action::Join {
+                    group: group.clone(),
+                    epoch,
+                    model: model.name.clone(),
+                    members: ids.clone(),
+                },
+            );
+        }
+    }
+
+    /// Takes `count` loads of the weight store's allowance if it has them.
+    fn may_load(&mut self, count: usize) -> bool {
+        if count == 0 {
+            return true;
+        }
+        let engine = self.scene.engine;
+        let now = self.now;
+        let longest = engine.models.iter().map(|m| m.load).max();
+        let longest = longest.unwrap_or_default();
+        self.planner.loads.retain(|t| now.since(*t) < longest);
+        let second = Duration::from_secs(1);
+        let recent = self
+            .planner
+            .loads
+            .iter()
+            .filter(|t| now.since(**t) < second);
+        let recent = recent.count();
+        let allowed = (engine.load_rate.floor() as usize).max(count);
+        let running = self.loading();
+        if recent + count > allowed || running > 0 && running + count > engine.load_limit {
+            return false;
+        }
+        self.planner.loads.extend((0..count).map(|_| now));
+        true
+    }
+
+    /// Returns the number of engines that seem to load weights now.
+    fn loading(&self) -> usize {
+        let joining = |e: &&Endpoint| {
+            let seat = e
+                .seat
+                .as_ref()
+                .is_some_and(|s| s.state == SeatState::Joining);
+            &*e.service == self.scene.service && seat
+        };
+        let listed = self.scene.endpoints.iter().filter(joining).count();
+        let second = Duration::from_millis(500);
+        let fresh = self.planner.loads.iter();
+        let fresh = fresh.filter(|t| self.now.since(**t) < second).count();
+        listed.max(fresh)
+    }
+
+    /// Stages, on spare engines of a domain, the model that most of its engines serve.
+    fn stage_spares(
+        &mut self,
+        free: &BTreeMap<Arc<str>, Vec<&Endpoint>>,
+        _stages: &BTreeMap<(Arc<str>, u64), Stage>,
+    ) {
+        let engine = self.scene.engine;
+        let Some(first) = engine.models.iter().max_by_key(|m| m.size) else {
+            return;
+        };
+        for spares in free.values() {
+            let covered = spares.iter().any(|e| !needs_load(e, first));
+            if covered {
+                continue;
+            }
+            let Some(spare) = spares.iter().find(|e| e.staged.is_empty()) else {
+                continue;
+            };
+            if self.may_load(1) {
+                let model = first.name.clone();
+                self.order(&spare.id.clone(), Action::Stage { model });
+            }
+        }
+    }
+}
+
+/// Returns whether an engine must read the model's weights from the weight store.
+fn needs_load(endpoint: &Endpoint, model: &Model) -> bool {
+    !endpoint.staged.contains(&model.name) && endpoint.model.as_ref() != Some(&model.name)
+}
+
+/// Picks the members of a group from a domain's free engines, and the time until it is ready in
+/// milliseconds.
+fn pick<'a>(engines: &[&'a Endpoint], model: &Model) -> (u128, Vec<&'a Endpoint>) {
+    let cost = |e: &&Endpoint| {
+        if e.model.as_ref() == Some(&model.name) {
+            Duration::from_millis(200)
+        } else if e.staged.contains(&model.name) {
+            model.warm
+        } else {
+            model.load
+        }
+    };
+    let mut sorted: Vec<&Endpoint> = engines.to_vec();
+    sorted.sort_by_key(|e| (cost(e), !e.staged.is_empty(), e.id.clone()));
+    sorted.truncate(model.size);
+    let slowest = sorted.iter().map(cost).max().unwrap_or_default();
+    (slowest.as_millis(), sorted)
+}
--- /dev/null
+++ b/node/src/duty.rs
@@ -0,0 +1,180 @@
+//! The planner's duty: asks the store for it, and carries out what the planner decides.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::node::config::Config;
+use hemlock_lib::node::planner::{Output, Planner, Scene};
+use hemlock_lib::time::Time;
+use hemlock_platform::engines;
+use tokio::task::spawn_local;
+
+use crate::state::Node;
+
+/// Time between two plans, unless the endpoints change.
+const PLAN_EVERY: Duration = Duration::from_millis(150);
+/// Shortest time between two plans.
+const PLAN_PAUSE: Duration = Duration::from_millis(15);
+/// Time between two renewals of the duty.
+const RENEW_EVERY: Duration = Duration::from_millis(700);
+/// Time that the duty lasts without a renewal.
+const LEASE: Duration = Duration::from_millis(2_500);
+/// Time before its end at which no more orders are sent.
+const LEASE_MARGIN: Duration = Duration::from_millis(700);
+/// Time after the start in which peers are heard of, so that one VM asks for the duty.
+const LISTEN_FIRST: Duration = Duration::from_millis(500);
+
+/// The duty of one engine service after the other.
+#[derive(Debug, Default)]
+struct Duty {
+    planners: std::collections::BTreeMap<Arc<str>, Planner>,
+    generation: u64,
+    until: Option<Time>,
+}
+
+/// Holds the duty whenever this VM should, for good.
+pub(crate) async fn run(node: Rc<Node>) {
+    let duty = Rc::new(RefCell::new(Duty::default()));
+    spawn_local(renew(node.clone(), duty.clone()));
+    loop {
+        let changed = node.changed.notified();
+        let _ = tokio::time::timeout(PLAN_EVERY, changed).await;
+        tokio::time::sleep(PLAN_PAUSE).await;
+        plan(&node, &duty);
+    }
+}
+
+async fn renew(node: Rc<Node>, duty: Rc<RefCell<Duty>>) {
+    let lease = LEASE.max(Duration::from_millis(node.settings.store.lease_ms));
+    tokio::time::sleep(LISTEN_FIRST).await;
+    loop {
+        let now = node.now();
+        let held = duty.borrow().until.is_some_and(|t| t > now);
+        let should = held || node.peers.borrow().should_lead(now, &node.me.node);
+        if should && node.is_ready() {
+            let generation = duty.borrow().generation;
+            let joined = node.store.join(&node.me.node, generation, lease).await;
+            match joined {
+                Ok(term) => {
+                    let mut duty = duty.borrow_mut();
+                    duty.generation = term.generation;
+                    // The lease runs from the call's arrival, which is later than its start.
+                    duty.until = term.holds.then(|| now + lease - LEASE_MARGIN);
+                    drop(duty);
+                    lead(&node, term.holds, term.generation);
+                }
+                Err(e) => log::warn!("event=duty_unrenewed cause=\"{e}\""),
+            }
+        }
+        if duty.borrow().until.is_none_or(|t| t <= node.now()) {
+            lead(&node, false, duty.borrow().generation);
+        }
+        tokio::time::sleep(RENEW_EVERY).await;
+    }
+}
+
+fn lead(node: &Node, holds: bool, generation: u64) {
+    if node.leads.replace(holds) != holds {
+        let change = if holds { "gained" } else { "lost" };
+        log::info!("event=duty change={change} fence={generation}");
+        node.metrics.count("duty_changes", change);
+        node.urgent.notify_one();
+    }
+}
+
+fn plan(node: &Rc<Node>, duty: &Rc<RefCell<Duty>>) {
+    let Some(config) = node.config() else { return };
+    let now = node.now();
+    let mut state = duty.borrow_mut();
+    let leads = state.until.is_some_and(|t| t > now) && node.leads.get();
+    if !leads {
+        state.planners.values_mut().for_each(Planner::resign);
+        return;
+    }
+    let generation = state.generation;
+    for service in engine_services(&config) {
+        let mut out = Vec::new();
+        let silent = silent(node, now);
+        let endpoints = node.endpoints.borrow();
+        let Some(engine) = config
+            .services
+            .get(&service)
+            .and_then(|s| s.engine.as_ref())
+        else {
+            continue;
+        };
+        let scene = Scene {
+            service: &service,
+            engine,
+            endpoints: &endpoints,
+            silent: &silent,
+            stall: node.settings.bounds.stall(),
+        };
+        let planner = state.planners.entry(service.clone()).or_default();
+        planner.lead(now, generation, &scene);
+        planner.step(now, &scene, &mut out);
+        for output in out {
+            spawn_local(carry_out(
+                node.clone(),
+                duty.clone(),
+                service.clone(),
+                output,
+            ));
+        }
+    }
+}
+
+fn engine_services(config: &Config) -> Vec<Arc<str>> {
+    let engines = config.services.values().filter(|s| s.engine.is_some());
+    engines.map(|s| s.name.clone()).collect()
+}
+
+/// Lists the heads that this VM or a peer finds silent.
+fn silent(node: &Node, now: Time) -> BTreeSet<Arc<str>> {
+    let balance = node.balance.borrow();
+    let silent = |id: &&Arc<str>| balance.is_silent(now, id);
+    let ids = balance.candidates().map(|c| &c.id);
+    ids.filter(silent).cloned().collect()
+}
+
+async fn carry_out(node: Rc<Node>, duty: Rc<RefCell<Duty>>, service: Arc<str>, output: Output) {
+    match output {
+        Output::Order {
+            endpoint,
+            address,
+            fence,
+            action,
+        } => {
+            let reply = engines::order(&address, fence, &action).await;
+            let now = node.now();
+            log::info!(
+                "event=order action={} subject={} id={endpoint} fence={fence} reply={reply:?}",
+                action.name(),
+                action.subject()
+            );
+            node.metrics.count("orders", action.name());
+            let mut duty = duty.borrow_mut();
+            let Some(planner) = duty.planners.get_mut(&service) else {
+                return;
+            };
+            if planner.replied(now, &endpoint, &action, reply) {
+                log::warn!("event=order_outdated id={endpoint} fence={fence}");
+            }
+        }
+        Output::Probe { endpoint, address } => {
+            let answered = engines::answers(&address).await;
+            log::info!("event=probe id={endpoint} answered={answered}");
+            node.metrics
+                .count("probes", if answered { "answered" } else { "unanswered" });
+            let now = node.now();
+            let mut duty = duty.borrow_mut();
+            if let Some(planner) = duty.planners.get_mut(&service) {
+                planner.probed(now, &endpoint, answered);
+            }
+        }
+    }
+    node.changed.notify_one();
+}
--- /dev/null
+++ b/node/src/follow.rs
@@ -0,0 +1,205 @@
+//! Reads the configuration, the endpoints and the members from the store, and follows them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlock_lib::node::endpoints::Change;
+use hemlock_lib::node::peers::Member;
+use hemlock_platform::store::{Record, Store, StoreError, Topic};
+use rand::Rng;
+
+use crate::state::Node;
+
+/// Wait of one read; the connection may be silent, and a change must be known within the 2 s that
+/// the users allow after 3 s of undisturbed service.
+const READ_WAIT: Duration = Duration::from_millis(2_000);
+/// First and longest wait before another try.
+const BACKOFF: Duration = Duration::from_millis(60);
+const BACKOFF_MOST: Duration = Duration::from_millis(600);
+/// Time between two writes of the own record, unless it was lost.
+const REWRITE: Duration = Duration::from_secs(30);
+
+/// Follows the operators' configuration.
+pub(crate) async fn config(node: Rc<Node>) {
+    follow(&node, Topic::Config, |node, records, _| {
+        for record in records {
+            take_config(node, &record);
+        }
+    })
+    .await;
+}
+
+/// Follows the list of endpoints.
+pub(crate) async fn endpoints(node: Rc<Node>) {
+    follow(&node, Topic::Endpoints, |node, records, fresh| {
+        if fresh {
+            replace_endpoints(node, &records);
+        } else {
+            for record in &records {
+                take_endpoint(node, record);
+            }
+        }
+        node.refresh();
+        node.changed.notify_one();
+    })
+    .await;
+}
+
+/// Writes the own record of the members' list and follows the others.
+pub(crate) async fn members(node: Rc<Node>) {
+    let writer = node.clone();
+    tokio::task::spawn_local(async move { write_member(&writer).await });
+    follow(&node, Topic::Members, |node, records, _| {
+        for record in records {
+            take_member(node, &record);
+        }
+    })
+    .await;
+}
+
+/// Reads the newest records of a topic and then each new one, for good.
+///
+/// `take` gets the records, and whether they are all that there are.
+async fn follow(node: &Rc<Node>, topic: Topic, take: impl Fn(&Node, Vec<Record>, bool)) {
+    // Each topic has its own connection, which a long read occupies.
+    let store = Store::open(node.settings.store.address);
+    let mut next = None;
+    let mut wait = BACKOFF;
+    loop {
+        let read = match next {
+            None => store.newest(topic).await.map(|s| (s.records, s.next, true)),
+            Some(from) => {
+                let read = store.read(topic, from, READ_WAIT).await;
+                read.map(|(records, next)| (records, next, false))
+            }
+        };
+        node.metrics.count("store_reads", topic.label());
+        match read {
+            Ok((records, to, fresh)) => {
+                node.store_answers(true, &format_args!("topic={topic:?}"));
+                wait = BACKOFF;
+                next = Some(to);
+                if fresh {
+                    log::info!(
+                        "event=read topic={topic:?} records={} next={to}",
+                        records.len()
+                    );
+                }
+                if fresh || !records.is_empty() {
+                    take(node, records, fresh);
+                }
+            }
+            Err(StoreError::Trimmed) => {
+                log::info!("event=history_lost topic={topic:?} next={next:?}");
+                next = None;
+            }
+            Err(e) => {
+                node.store_answers(false, &e);
+                log::debug!("event=read_failed topic={topic:?} cause=\"{e}\"");
+                let part = rand::rng().random_range(0.5..1.0);
+                tokio::time::sleep(wait.mul_f64(part)).await;
+                wait = (wait * 2).min(BACKOFF_MOST);
+            }
+        }
+    }
+}
+
+fn take_config(node: &Node, record: &Record) {
+    if record.key != hemlock_platform::config::KEY {
+        return;
+    }
+    let Some(value) = &record.value else { return };
+    let config = match hemlock_platform::config::decode(value) {
+        Ok(config) => config,
+        Err(e) => {
+            log::error!("event=config_refused cause=\"{e}\"");
+            return;
+        }
+    };
+    let old = node.config().map_or(0, |c| c.version);
+    if config.version <= old {
+        return;
+    }
+    log::info!(
+        "event=config version={} before={old} routes={} services={}",
+        config.version,
+        config.route_count(),
+        config.services.len()
+    );
+    *node.config.borrow_mut() = Some(Rc::new(config));
+    node.refresh();
+}
+
+fn replace_endpoints(node: &Node, records: &[Record]) {
+    let decode = |r: &Record| hemlock_platform::endpoints::decode(&r.key, r.value.as_deref()?);
+    let fresh = records.iter().filter_map(decode).collect();
+    let changes = node.endpoints.borrow_mut().replace(node.now(), fresh);
+    for (id, change) in changes {
+        node.log_change(&id, change);
+    }
+    node.listed.set(true);
+}
+
+fn take_endpoint(node: &Node, record: &Record) {
+    if let Some(value) = &record.value {
+        log::debug!("event=entry id={} entry={:?}", record.key, value);
+    }
+    let decoded = record
+        .value
+        .as_deref()
+        .and_then(|v| hemlock_platform::endpoints::decode(&record.key, v));
+    let (now, mut endpoints) = (node.now(), node.endpoints.borrow_mut());
+    let change = match decoded {
+        Some(endpoint) => endpoints.put(endpoint),
+        // An entry that another writer spoiled names no endpoint either.
+        None => endpoints.remove(now, &record.key),
+    };
+    drop(endpoints);
+    if change != Change::None {
+        node.log_change(&record.key, change);
+    }
+}
+
+fn take_member(node: &Node, record: &Record) {
+    if record.key == node.me.node {
+        return;
+    }
+    let mut peers = node.peers.borrow_mut();
+    let Some(value) = &record.value else {
+        peers.unlist(&record.key);
+        return;
+    };
+    match rmp_serde::from_slice::<Member>(value) {
+        Ok(member) if member.node == record.key => peers.list(node.now(), member),
+        Ok(_) => log::warn!(
+            "event=member_refused node={} cause=\"other name\"",
+            record.key
+        ),
+        Err(e) => log::warn!("event=member_refused node={} cause=\"{e}\"", record.key),
+    }
+}
+
+async fn write_member(node: &Rc<Node>) {
+    let value = match rmp_serde::to_vec(&node.me) {
+        Ok(value) => value,
+        Err(e) => {
+            log::error!("event=member_unwritten cause=\"{e}\"");
+            return;
+        }
+    };
+    let mut wait = BACKOFF;
+    while node.stopping.get().is_none() {
+        let key = &node.me.node;
+        match node.store.put(Topic::Members, key, Some(&value)).await {
+            Ok(()) => {
+                wait = BACKOFF;
+                tokio::time::sleep(REWRITE).await;
+            }
+            Err(e) => {
+                log::debug!("event=member_unwritten cause=\"{e}\"");
+                tokio::time::sleep(wait).await;
+                wait = (wait * 2).min(BACKOFF_MOST);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/gossip.rs
@@ -0,0 +1,124 @@
+//! Datagrams between entry VMs: readiness, load, silent endpoints and requests that break them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlock_lib::node::peers::News;
+use hemlock_lib::time::Time;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+
+use crate::state::{Node, PEERS_EVERY};
+
+/// Largest datagram.
+const DATAGRAM: usize = 16 << 10;
+/// Time for which own breaks are repeated against losses.
+const BREAK_NEWS: Duration = Duration::from_secs(2);
+/// Shortest time between two datagrams.
+const SHORTEST: Duration = Duration::from_millis(20);
+
+/// Binds the address for datagrams.
+pub(crate) fn bind(node: Rc<Node>) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(node.settings.listen.peer)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
+/// Sends and takes datagrams for good.
+pub(crate) async fn run(node: Rc<Node>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    spawn_local(send(node.clone(), socket.clone()));
+    let mut buffer = vec![0; DATAGRAM];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => take(&node, &buffer[..length], from),
+            Err(e) => {
+                // A peer without a listener shows as an error of the next call.
+                log::debug!("event=datagram_failed cause=\"{e}\"");
+            }
+        }
+    }
+}
+
+async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut count = 0;
+    loop {
+        count += 1;
+        let news = news(&node, count);
+        match rmp_serde::to_vec(&news) {
+            Ok(bytes) => {
+                let addresses = node.peers.borrow().addresses();
+                for address in addresses {
+                    if let Err(e) = socket.send_to(&bytes, address).await {
+                        log::debug!("event=datagram_failed to={address} cause=\"{e}\"");
+                    }
+                }
+            }
+            Err(e) => log::error!("event=datagram_failed cause=\"{e}\""),
+        }
+        tokio::time::sleep(SHORTEST).await;
+        let urgent = node.urgent.notified();
+        let _ = tokio::time::timeout(PEERS_EVERY - SHORTEST, urgent).await;
+    }
+}
+
+fn news(node: &Node, count: u64) -> News {
+    let now = node.now();
+    let balance = node.balance.borrow();
+    let silent = balance.silents(now).into_iter();
+    News {
+        member: node.me.clone(),
+        count,
+        ready: node.is_ready(),
+        config: node.config().map_or(0, |c| c.version),
+        store: node.store_up.get(),
+        leads: node.leads.get(),
+        placed: balance.placed(),
+        silent: silent
+            .map(|(id, age)| (id.to_string(), age.as_millis() as u32))
+            .collect(),
+        breaks: node.quarantine.borrow_mut().news(now, BREAK_NEWS),
+    }
+}
+
+fn take(node: &Node, bytes: &[u8], from: SocketAddr) {
+    let now = node.now();
+    let news: News = match rmp_serde::from_slice(bytes) {
+        Ok(news) => news,
+        Err(e) => {
+            log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
+            node.metrics.count("datagrams_refused", "malformed");
+            return;
+        }
+    };
+    if news.member.node == node.me.node {
+        return;
+    }
+    for seen in &news.breaks {
+        node.quarantine.borrow_mut().broke(now, *seen, false);
+    }
+    let known = node
+        .peers
+        .borrow()
+        .news(now)
+        .any(|(n, _)| n.member.node == news.member.node);
+    let (name, run) = (news.member.node.clone(), news.member.run);
+    if !node.peers.borrow_mut().hear(now, news) {
+        return;
+    }
+    if !known {
+        log::info!("event=peer_regained node={name} run={run}");
+    }
+    let peers = node.peers.borrow();
+    let all: Vec<(&News, Time)> = peers.news(now).collect();
+    let placed = all.iter().flat_map(|(n, _)| n.placed.iter());
+    let silent = all.iter().flat_map(|(n, heard)| {
+        let since = |age: u32| *heard - Duration::from_millis(u64::from(age));
+        n.silent
+            .iter()
+            .map(move |(id, age)| (id.as_str(), since(*age)))
+    });
+    node.balance.borrow_mut().take_peers(placed, silent);
+}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,119 @@
+//! The daemon of an entry VM on a hosted platform: sockets and tasks around the decisions of
+//! [`hemlock_lib::node`], all on one thread.
+//!
+//! A request comes in at `front`, is sent on by `relay` over connections of `pool`, and meets what
+//! `follow` has read from the store, `gossip` has heard from the other entry VMs and `duty` has
+//! formed if this VM plans.
+
+mod duty;
+mod follow;
+mod front;
+mod gossip;
+mod metrics;
+mod pool;
+mod relay;
+mod serve;
+mod state;
+mod stop;
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlock_lib::node::settings::NodeSettings;
+use hemlock_wire::stdout::{self, Log};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::state::Node;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Time between two batches of log lines.
+const LOG_EVERY: Duration = Duration::from_millis(100);
+/// Time between two looks at what only time changes.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Runs the daemon until it is told to stop.
+pub fn run(path: PathBuf, settings: NodeSettings) -> Result<(), String> {
+    let log = stdout::open(&settings.log.level).map_err(|e| format!("can't start the log: {e}"))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .map_err(|e| format!("can't start the runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, serve_all(path, settings, Rc::new(log)))
+}
+
+async fn serve_all(path: PathBuf, settings: NodeSettings, log: Rc<Log>) -> Result<(), String> {
+    let listen = settings.listen.clone();
+    let node = Node::new(settings);
+    log::info!(
+        "event=started node={} zone={} run={} front={} store={}",
+        node.me.node,
+        node.me.zone,
+        node.me.run,
+        listen.front,
+        node.settings.store.address
+    );
+    let gossip = gossip::bind(node.clone()).map_err(|e| fault("peer", &e))?;
+    let front = bind(listen.front).map_err(|e| fault("front", &e))?;
+    let ready = bind(listen.ready).map_err(|e| fault("ready", &e))?;
+    let directory = bind(listen.directory).map_err(|e| fault("directory", &e))?;
+    spawn_local(serve::accept(node.clone(), ready, serve::Role::Ready));
+    spawn_local(serve::accept(
+        node.clone(),
+        directory,
+        serve::Role::Directory,
+    ));
+    match bind(listen.metrics) {
+        Ok(metrics) => {
+            spawn_local(serve::accept(node.clone(), metrics, serve::Role::Metrics));
+        }
+        Err(e) => log::warn!("event=metrics_unavailable cause=\"{e}\""),
+    }
+    spawn_local(front::accept(node.clone(), front));
+    spawn_local(follow::config(node.clone()));
+    spawn_local(follow::endpoints(node.clone()));
+    spawn_local(follow::members(node.clone()));
+    spawn_local(gossip::run(node.clone(), gossip));
+    spawn_local(duty::run(node.clone()));
+    spawn_local(tick(node.clone()));
+    spawn_local(write_log(log.clone()));
+    stop::wait(&node, &path, &log).await?;
+    log::info!("event=stopped open={}", node.open.get());
+    let dropped = log.hand_over();
+    if dropped > 0 {
+        log::warn!("event=log_dropped lines={dropped}");
+    }
+    tokio::time::sleep(LOG_EVERY).await;
+    Ok(())
+}
+
+fn fault(what: &str, error: &std::io::Error) -> String {
+    format!("can't listen for {what}: {error}")
+}
+
+fn bind(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn write_log(log: Rc<Log>) {
+    loop {
+        tokio::time::sleep(LOG_EVERY).await;
+        let dropped = log.hand_over();
+        if dropped > 0 {
+            log::warn!("event=log_dropped lines={dropped}");
+        }
+    }
+}
+
+async fn tick(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        node.tick();
+    }
+}
--- /dev/null
+++ b/node/src/relay.rs
@@ -0,0 +1,744 @@
+//! Sends requests on to endpoints and brings the answers back.
+//!
+//! Each send ends in one of a few ways ([`End`]); what follows depends on whether the request may
+//! have run and on whether it may be repeated. A whole answer is read before any of it is passed
+//! on; a stream is passed on event by event, and goes on at another endpoint after the last one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlock_lib::node::balance::{Ask, Candidate, Choice, Estimate};
+use hemlock_lib::node::config::{Engine, Repeat};
+use hemlock_lib::node::events::{self, Order, Splitter};
+use hemlock_lib::time::Time;
+use hemlock_platform::requests::{self, Passed};
+use hemlock_wire::http1::{self, Conn, Framing, HttpError, ResponseHead};
+use rand::Rng;
+
+use crate::front::{self, Next, Request};
+use crate::metrics::Latency;
+use crate::state::Node;
+
+/// Time to connect to an endpoint that lives: a few network delays and its handshake.
+const CONNECT_WAIT: Duration = Duration::from_millis(250);
+/// Largest head of an endpoint's answer in bytes.
+const HEAD_LIMIT: usize = 32 << 10;
+/// Largest whole answer in bytes.
+const BODY_LIMIT: usize = 8 << 20;
+/// Bytes that a caller may send ahead of its next request.
+const AHEAD: usize = 64 << 10;
+/// Pause of a stream after which its endpoint is asked for: a pass with full chunks of prompts
+/// takes 270 ms at most in the users' services.
+const PAUSE_LEAST: Duration = Duration::from_millis(450);
+/// Answers to other requests that are skipped on one connection.
+const SKIPS: u32 = 2;
+/// Least part of the caller's wait that a send needs to be of use.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+
+/// How one send of a request ended.
+#[derive(Debug)]
+enum End {
+    /// The answer was passed on in whole.
+    Answered { status: u16, next: Next },
+    /// It surely did not run.
+    NotRun(&'static str),
+    /// It may have run, and nothing was passed on since the last event.
+    MayHaveRun(&'static str),
+    /// The caller left.
+    Left,
+    /// Its time is over.
+    Overdue,
+}
+
+/// What the caller has got so far.
+#[derive(Debug, Default)]
+struct Sent {
+    /// Whether the head of the answer was passed on.
+    head: bool,
+    /// Number of the last event.
+    last: Option<u64>,
+    events: u32,
+    last_at: Option<Time>,
+}
+
+struct Relay<'a> {
+    node: &'a Rc<Node>,
+    request: &'a Request,
+    keep: bool,
+    tried: Vec<Arc<str>>,
+    /// Endpoints at which it may have run.
+    runs: u32,
+    sent: Sent,
+}
+
+/// Relays a request and returns what becomes of the caller's connection.
+pub(crate) async fn relay(node: &Rc<Node>, conn: &mut Conn, request: &Request, keep: bool) -> Next {
+    let mut relay = Relay {
+        node,
+        request,
+        keep,
+        tried: Vec::new(),
+        runs: 0,
+        sent: Sent {
+            last: request.meta.last_event,
+            ..Sent::default()
+        },
+    };
+    relay.run(conn).await
+}
+
+impl Relay<'_> {
+    fn id(&self) -> &str {
+        &self.request.meta.request_id
+    }
+
+    async fn run(&mut self, conn: &mut Conn) -> Next {
+        let draw = rand::rng().random_range(0.0..1.0);
+        let Some(service) = self.request.route.service(draw).cloned() else {
+            return self
+                .give_up(conn, "no_service", Duration::from_secs(1))
+                .await;
+        };
+        let now = self.node.now();
+        self.node.budget.borrow_mut().request(now, &service);
+        let config = self.request.config.clone();
+        let engine = config
+            .services
+            .get(&service)
+            .and_then(|s| s.engine.as_ref());
+        let mut cause = "";
+        loop {
+            let now = self.node.now();
+            if now + LEAST_LEFT >= self.request.deadline {
+                return self.overdue(conn).await;
+            }
+            let (to, estimate) = match self.choose(now, &service, engine) {
+                Choice::Send(to, estimate) => (to, estimate),
+                Choice::Full(after) => return self.give_up(conn, "full", after).await,
+                Choice::Nobody(after) => return self.give_up(conn, "nobody", after).await,
+            };
+            if !self.tried.is_empty() && !self.may_repeat(now, &service, cause) {
+                return self
+                    .give_up(conn, "budget", Duration::from_millis(800))
+                    .await;
+            }
+            self.log_send(&to, estimate, cause);
+            self.tried.push(to.id.clone());
+            let end = self.send(conn, &to, engine.is_some()).await;
+            match end {
+                End::Answered { status, next } => return self.answered(&to, status, next),
+                End::Left => return self.left(&to),
+                End::Overdue => {
+                    self.runs += 1;
+                    return self.overdue(conn).await;
+                }
+                End::NotRun(why) => {
+                    self.log_failed(&to, why, false);
+                    self.node
+                        .balance
+                        .borrow_mut()
+                        .failed(self.node.now(), &to.id);
+                    cause = why;
+                }
+                End::MayHaveRun(why) => {
+                    self.runs += 1;
+                    self.log_failed(&to, why, true);
+                    self.node
+                        .balance
+                        .borrow_mut()
+                        .failed(self.node.now(), &to.id);
+                    cause = why;
+                    let repeat = self.request.route.repeat.may_repeat();
+                    if !repeat || self.runs >= self.request.route.attempts {
+                        return self.give_up(conn, why, Duration::ZERO).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn choose(&self, now: Time, service: &str, engine: Option<&Engine>) -> Choice {
+        let ask = Ask {
+            service,
+            model: self.request.meta.model.as_deref(),
+            prompt: self.request.meta.prompt,
+            zone: &self.node.me.zone,
+        };
+        let mut balance = self.node.balance.borrow_mut();
+        balance.choose(now, &ask, engine, &self.tried)
+    }
+
+    fn may_repeat(&self, now: Time, service: &Arc<str>, cause: &'static str) -> bool {
+        let machines = self.node.machines();
+        let taken = self.node.budget.borrow_mut().take(now, service, machines);
+        let counter = if taken { "repeated" } else { "repeats_denied" };
+        self.node.metrics.count(counter, cause);
+        taken
+    }
+
+    fn log_send(&self, to: &Candidate, estimate: Estimate, cause: &str) {
+        log::info!(
+            "event=sent request={} id={} attempt={} after={cause} running={} first_ms={} from={:?} \
+             config={}",
+            self.id(),
+            to.id,
+            self.tried.len() + 1,
+            estimate.running,
+            estimate.first.as_millis(),
+            self.sent.last,
+            self.request.config.version
+        );
+    }
+
+    fn log_failed(&self, to: &Candidate, cause: &'static str, may_have_run: bool) {
+        log::info!(
+            "event=send_failed request={} id={} cause={cause} may_have_run={may_have_run} events={}",
+            self.id(),
+            to.id,
+            self.sent.events
+        );
+        self.node.metrics.count("sends_failed", cause);
+    }
+
+    fn spent(&self) -> Duration {
+        self.node.now().since(self.request.received)
+    }
+
+    fn answered(&self, to: &Candidate, status: u16, next: Next) -> Next {
+        log::info!(
+            "event=answered request={} id={} status={status} ms={} events={} attempts={}",
+            self.id(),
+            to.id,
+            self.spent().as_millis(),
+            self.sent.events,
+            self.tried.len()
+        );
+        self.node
+            .metrics
+            .count("answered", if status < 300 { "success" } else { "failure" });
+        self.node
+            .metrics
+            .record(Latency::Whole, "answered", self.spent());
+        next
+    }
+
+    fn left(&self, to: &Candidate) -> Next {
+        log::info!(
+            "event=left request={} id={} ms={} events={}",
+            self.id(),
+            to.id,
+            self.spent().as_millis(),
+            self.sent.events
+        );
+        self.node.metrics.count("left", "caller");
+        self.node
+            .metrics
+            .record(Latency::Whole, "left", self.spent());
+        Next::Abort
+    }
+
+    /// Ends a request that no endpoint will answer any more.
+    async fn give_up(&self, conn: &mut Conn, cause: &'static str, after: Duration) -> Next {
+        if self.sent.head {
+            log::info!(
+                "event=broken_off request={} cause={cause} ms={} events={} attempts={}",
+                self.id(),
+                self.spent().as_millis(),
+                self.sent.events,
+                self.tried.len()
+            );
+            self.node.metrics.count("broken_off", cause);
+            return Next::Abort;
+        }
+        // A resumable stream may run again elsewhere, but this attempt of the caller has run.
+        if self.runs == 0 {
+            return front::refuse(self.node, conn, self.id(), cause, after, self.keep).await;
+        }
+        self.fail(conn, 502, cause).await
+    }
+
+    async fn overdue(&self, conn: &mut Conn) -> Next {
+        if self.sent.head || self.runs == 0 {
+            return self.give_up(conn, "overdue", Duration::ZERO).await;
+        }
+        self.fail(conn, 504, "overdue").await
+    }
+
+    async fn fail(&self, conn: &mut Conn, status: u16, cause: &'static str) -> Next {
+        log::info!(
+            "event=failed request={} status={status} cause={cause} ms={} attempts={}",
+            self.id(),
+            self.spent().as_millis(),
+            self.tried.len()
+        );
+        self.node.metrics.count("failed", cause);
+        self.node
+            .metrics
+            .record(Latency::Whole, "failed", self.spent());
+        front::answer(conn, status, self.id(), None, self.keep).await
+    }
+
+    /// Sends the request to one endpoint and relays its answer.
+    async fn send(&mut self, caller: &mut Conn, to: &Candidate, engine: bool) -> End {
+        let Ok(address) = to.address.parse::<SocketAddr>() else {
+            return End::NotRun("bad_address");
+        };
+        let now = self.node.now();
+        let mut conn = match self.node.pool.take(now, &to.id) {
+            Some(conn) => conn,
+            None => match self.connect(caller, address).await {
+                Ok(conn) => conn,
+                Err(end) => return end,
+            },
+        };
+        let prompt = if engine { self.request.meta.prompt } else { 0 };
+        let now = self.node.now();
+        self.node.balance.borrow_mut().start(now, &to.id, prompt);
+        let mut first = false;
+        let end = self
+            .exchange(caller, &mut conn, to, prompt, &mut first)
+            .await;
+        let mut balance = self.node.balance.borrow_mut();
+        balance.end(&to.id, prompt, !first);
+        let (end, reuse) = end;
+        if let Some(keep) = reuse {
+            self.node.pool.put(self.node.now(), &to.id, conn, keep);
+        }
+        end
+    }
+
+    async fn connect(&self, caller: &mut Conn, address: SocketAddr) -> Result<Conn, End> {
+        self.node.metrics.count("connects", "endpoint");
+        let mut connect = std::pin::pin!(Conn::connect(address, CONNECT_WAIT));
+        loop {
+            tokio::select! {
+                conn = &mut connect => return conn.map_err(|_| End::NotRun("connect")),
+                gone = caller_gone(caller) => if gone { return Err(End::Left) },
+            }
+        }
+    }
+
+    /// Exchanges one request and its answer; the second part says whether the connection may be
+    /// kept, and for how long.
+    async fn exchange(
+        &mut self,
+        caller: &mut Conn,
+        conn: &mut Conn,
+        to: &Candidate,
+        prompt: u32,
+        first: &mut bool,
+    ) -> (End, Option<Option<Duration>>) {
+        let now = self.node.now();
+        let passed = Passed {
+            endpoint: &to.id,
+            address: &to.address,
+            account: self.request.account.as_ref().map(|a| &*a.name),
+            left: self.request.deadline.since(now),
+            last_event: self.sent.last,
+            rank: self.rank(),
+        };
+        let mut out =
+            requests::encode_request(&self.request.head, &passed, self.request.body.len());
+        out.extend_from_slice(&self.request.body);
+        if conn.write(&out).await.is_err() {
+            return (End::MayHaveRun("write"), None);
+        }
+        let mut skips = 0;
+        let (mut head, meta) = loop {
+            let head = match self.answer_head(caller, conn, to).await {
+                Ok(head) => head,
+                Err(end) => return (end, None),
+            };
+            let meta = requests::read_answer(&head);
+            if meta.request_id == self.id() {
+                break (head, meta);
+            }
+            log::info!(
+                "event=foreign_answer request={} id={} answers={}",
+                self.id(),
+                to.id,
+                meta.request_id
+            );
+            self.node.metrics.count("foreign_answers", "skipped");
+            skips += 1;
+            let mut framing = head.body;
+            let body = conn.body(&mut framing, BODY_LIMIT).await;
+            // Status 421 comes from another endpoint, which need not repeat the identifier.
+            if head.status == 421 {
+                return (End::NotRun("other_endpoint"), None);
+            }
+            if skips > SKIPS || !head.keep || !matches!(body, Ok(Some(_))) {
+                return (End::MayHaveRun("foreign_answer"), None);
+            }
+        };
+        if meta.not_run {
+            let whole = conn.body(&mut head.body, BODY_LIMIT).await;
+            let reuse = head.keep && skips == 0 && matches!(whole, Ok(Some(_)));
+            let end = End::NotRun(if head.status == 421 {
+                "other_endpoint"
+            } else {
+                "endpoint_full"
+            });
+            return (end, reuse.then_some(meta.keep_for));
+        }
+        let success = (200..300).contains(&head.status);
+        if success && !meta.signed {
+            return (End::MayHaveRun("unsigned"), None);
+        }
+        let end = if success && self.request.route.repeat.is_stream() {
+            self.stream(caller, conn, &mut head, to, prompt, first)
+                .await
+        } else {
+            self.whole(caller, conn, &mut head, to).await
+        };
+        let reuse = matches!(end, End::Answered { .. }) && head.keep && skips == 0;
+        (end, reuse.then_some(meta.keep_for))
+    }
+
+    fn rank(&self) -> Option<u8> {
+        let own = self.request.account.as_ref().and_then(|a| a.rank);
+        Some(own.unwrap_or(self.request.route.rank))
+    }
+
+    /// Returns how long the endpoint may stay silent before another one is tried.
+    fn patience(&self, waits_first: bool) -> Duration {
+        let route = &self.request.route;
+        match (route.repeat, waits_first) {
+            (Repeat::Idempotent, _) => route.timeout / 2,
+            (_, true) => (route.goal * 2).max(PAUSE_LEAST),
+            (_, false) => (route.pause * 3 / 2).max(PAUSE_LEAST),
+        }
+    }
+
+    /// Returns whether another endpoint may go on if this one stays silent.
+    fn may_move(&self) -> bool {
+        let route = &self.request.route;
+        route.repeat.may_repeat() && self.runs + 1 < route.attempts
+    }
+
+    async fn answer_head(
+        &self,
+        caller: &mut Conn,
+        conn: &mut Conn,
+        to: &Candidate,
+    ) -> Result<ResponseHead, End> {
+        let mut since = self.node.now();
+        loop {
+            let now = self.node.now();
+            let left = self.request.deadline.since(now);
+            let wait = self.wait(now, since, true).min(left);
+            let read = conn.response_head(HEAD_LIMIT);
+            tokio::select! {
+                biased;
+                head = read => return head.map_err(|e| self.broken(to, &e)),
+                gone = caller_gone(caller) => if gone { return Err(End::Left) },
+                () = tokio::time::sleep(wait) => {
+                    let now = self.node.now();
+                    if now >= self.request.deadline {
+                        return Err(End::Overdue);
+                    }
+                    if self.gave_up_on(now, &mut since, to, true) {
+                        return Err(End::MayHaveRun("silent"));
+                    }
+                }
+            }
+        }
+    }
+
+    fn wait(&self, now: Time, since: Time, waits_first: bool) -> Duration {
+        if !self.may_move() {
+            return Duration::from_secs(60);
+        }
+        let patience = self.patience(waits_first);
+        patience
+            .saturating_sub(now.since(since))
+            .max(Duration::from_millis(1))
+    }
+
+    /// Returns whether to leave an endpoint that was silent for this request. One that answers
+    /// others meanwhile is only slow, and keeps the request for as long again.
+    fn gave_up_on(&self, now: Time, since: &mut Time, to: &Candidate, first: bool) -> bool {
+        if !self.may_move() || now.since(*since) < self.patience(first) {
+            return false;
+        }
+        let mut balance = self.node.balance.borrow_mut();
+        let progress = balance.last_progress(&to.id).unwrap_or_default();
+        if self.request.route.repeat == Repeat::Idempotent {
+            return true;
+        }
+        if now.since(progress) < PAUSE_LEAST {
+            *since = now;
+            return false;
+        }
+        balance.silent(now, &to.id);
+        log::warn!(
+            "event=silent id={} request={} progress_age_ms={}",
+            to.id,
+            self.id(),
+            now.since(progress).as_millis()
+        );
+        self.node.metrics.count("silent", "endpoint");
+        self.node.urgent.notify_one();
+        self.node.changed.notify_one();
+        true
+    }
+
+    /// Notes a connection that broke while its endpoint had the request.
+    fn broken(&self, to: &Candidate, error: &HttpError) -> End {
+        let now = self.node.now();
+        let start = xxhash(&to.id, to.life.0);
+        let count = self
+            .node
+            .quarantine
+            .borrow_mut()
+            .broke(now, (self.request.print, start), true);
+        if count > 1 {
+            log::warn!(
+                "event=breaks request={} id={} endpoints={count}",
+                self.id(),
+                to.id
+            );
+        }
+        log::debug!(
+            "event=broken request={} id={} cause=\"{error}\"",
+            self.id(),
+            to.id
+        );
+        match error {
+            HttpError::Malformed(_) | HttpError::HeadTooLarge => End::MayHaveRun("malformed"),
+            HttpError::Closed | HttpError::Broken(_) => End::MayHaveRun("broken"),
+        }
+    }
+
+    /// Reads a whole answer and passes it on.
+    async fn whole(
+        &mut self,
+        caller: &mut Conn,
+        conn: &mut Conn,
+        head: &mut ResponseHead,
+        to: &Candidate,
+    ) -> End {
+        if self.request.head.method == "HEAD" {
+            head.body = Framing::Done;
+        }
+        let body = {
+            let left = self.request.deadline.since(self.node.now());
+            let mut read = std::pin::pin!(conn.body(&mut head.body, BODY_LIMIT));
+            let mut over = std::pin::pin!(tokio::time::sleep(left));
+            loop {
+                tokio::select! {
+                    biased;
+                    body = &mut read => break body,
+                    gone = caller_gone(caller) => if gone { return End::Left },
+                    () = &mut over => return End::Overdue,
+                }
+            }
+        };
+        let body = match body {
+            Ok(Some(body)) => body,
+            Ok(None) => return End::MayHaveRun("too_large"),
+            Err(e) => return self.broken(to, &e),
+        };
+        self.node
+            .balance
+            .borrow_mut()
+            .progress(self.node.now(), &to.id);
+        // An endpoint's own failure of work that may be repeated is tried once more.
+        if head.status >= 500 && self.request.route.repeat == Repeat::Idempotent && self.may_move()
+        {
+            return End::MayHaveRun("endpoint_failed");
+        }
+        if matches!(head.status, 408 | 421 | 429 | 503) {
+            // These promise that nothing ran, which this endpoint does not say.
+            return End::MayHaveRun("unclear_refusal");
+        }
+        if self.sent.head {
+            return End::MayHaveRun("refused_to_go_on");
+        }
+        let mut out = requests::encode_answer(head);
+        http1::put_header(
+            &mut out,
+            "Content-Length",
+            body.len().to_string().as_bytes(),
+        );
+        if !self.keep {
+            http1::put_header(&mut out, "Connection", b"close");
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(&body);
+        match self.pass_on(caller, &out).await {
+            true => End::Answered {
+                status: head.status,
+                next: if self.keep { Next::Keep } else { Next::Close },
+            },
+            false => End::Left,
+        }
+    }
+
+    async fn pass_on(&self, caller: &mut Conn, bytes: &[u8]) -> bool {
+        let left = self.request.deadline.since(self.node.now());
+        let write = tokio::time::timeout(left.max(LEAST_LEFT), caller.write(bytes));
+        matches!(write.await, Ok(Ok(())))
+    }
+
+    /// Passes a stream on event by event.
+    async fn stream(
+        &mut self,
+        caller: &mut Conn,
+        conn: &mut Conn,
+        head: &mut ResponseHead,
+        to: &Candidate,
+        prompt: u32,
+        first: &mut bool,
+    ) -> End {
+        let mut splitter = Splitter::default();
+        let mut since = self.node.now();
+        loop {
+            let now = self.node.now();
+            let left = self.request.deadline.since(now);
+            let wait = self.wait(now, since, !*first).min(left);
+            let piece = tokio::select! {
+                biased;
+                piece = conn.piece(&mut head.body) => piece,
+                gone = caller_gone(caller) => {
+                    if gone { return End::Left }
+                    continue;
+                }
+                () = tokio::time::sleep(wait) => {
+                    let now = self.node.now();
+                    if now >= self.request.deadline {
+                        return End::Overdue;
+                    }
+                    if self.gave_up_on(now, &mut since, to, !*first) {
+                        return End::MayHaveRun("silent");
+                    }
+                    continue;
+                }
+            };
+            let now = self.node.now();
+            match piece {
+                Ok(Some(bytes)) => {
+                    since = now;
+                    self.note_progress(now, to, prompt, first);
+                    splitter.push(&bytes);
+                    match self.pass_events(caller, head, &mut splitter, now).await {
+                        Ok(()) => {}
+                        Err(end) => return end,
+                    }
+                }
+                Ok(None) if splitter.rest().is_empty() => return self.finish(caller, head).await,
+                Ok(None) => return End::MayHaveRun("cut_event"),
+                Err(e) => return self.broken(to, &e),
+            }
+        }
+    }
+
+    fn note_progress(&self, now: Time, to: &Candidate, prompt: u32, first: &mut bool) {
+        let mut balance = self.node.balance.borrow_mut();
+        if *first {
+            return balance.progress(now, &to.id);
+        }
+        *first = true;
+        balance.first(now, &to.id, prompt);
+        if self.sent.events == 0 {
+            let time = now.since(self.request.received);
+            self.node
+                .metrics
+                .record(Latency::FirstEvent, "answered", time);
+        }
+    }
+
+    async fn pass_events(
+        &mut self,
+        caller: &mut Conn,
+        head: &ResponseHead,
+        splitter: &mut Splitter,
+        now: Time,
+    ) -> Result<(), End> {
+        let mut out = Vec::new();
+        let mut last = self.sent.last;
+        let mut events = 0;
+        let mut gap = false;
+        while let Some(event) = splitter.next_event() {
+            match events::order(last, event.id) {
+                Order::Seen => continue,
+                Order::Gap => {
+                    gap = true;
+                    break;
+                }
+                Order::Next => {}
+            }
+            last = event.id.or(last);
+            events += 1;
+            put_event(&mut out, &event.bytes);
+        }
+        if events > 0 {
+            let mut message = Vec::new();
+            if !self.sent.head {
+                message = self.stream_head(head);
+            }
+            message.extend_from_slice(&out);
+            if !self.pass_on(caller, &message).await {
+                return Err(End::Left);
+            }
+            self.sent.head = true;
+            self.sent.last = last;
+            self.sent.events += events;
+            if let Some(before) = self.sent.last_at.replace(now) {
+                self.node
+                    .metrics
+                    .record(Latency::Pause, "answered", now.since(before));
+            }
+        }
+        if gap {
+            return Err(End::MayHaveRun("missing_event"));
+        }
+        Ok(())
+    }
+
+    fn stream_head(&self, head: &ResponseHead) -> Vec<u8> {
+        let mut out = requests::encode_answer(head);
+        http1::put_header(&mut out, "Transfer-Encoding", b"chunked");
+        if !self.keep {
+            http1::put_header(&mut out, "Connection", b"close");
+        }
+        out.extend_from_slice(b"\r\n");
+        out
+    }
+
+    /// Ends a stream that is complete.
+    async fn finish(&mut self, caller: &mut Conn, head: &ResponseHead) -> End {
+        let mut out = Vec::new();
+        if !self.sent.head {
+            out = self.stream_head(head);
+        }
+        out.extend_from_slice(http1::LAST_CHUNK);
+        if !self.pass_on(caller, &out).await {
+            return End::Left;
+        }
+        self.sent.head = true;
+        End::Answered {
+            status: head.status,
+            next: if self.keep { Next::Keep } else { Next::Close },
+        }
+    }
+}
+
+fn put_event(out: &mut Vec<u8>, event: &Bytes) {
+    http1::put_chunk(out, event);
+}
+
+fn xxhash(id: &str, born: u64) -> u64 {
+    hemlock_lib::rendezvous::score(id.as_bytes(), &born.to_le_bytes())
+}
+
+/// Waits until the caller sends something or leaves; returns whether it left.
+async fn caller_gone(caller: &mut Conn) -> bool {
+    if caller.buffered() > AHEAD {
+        return std::future::pending().await;
+    }
+    !matches!(caller.fill().await, Ok(1..))
+}
--- /dev/null
+++ b/node/src/state.rs
@@ -0,0 +1,244 @@
+//! What the tasks of a node share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::node::balance::{Balance, Candidate};
+use hemlock_lib::node::budget::{Allowance, Budget};
+use hemlock_lib::node::config::Config;
+use hemlock_lib::node::endpoints::{Change, Endpoints, SeatState};
+use hemlock_lib::node::peers::{Member, Peers};
+use hemlock_lib::node::planner::parse_name;
+use hemlock_lib::node::quarantine::Quarantine;
+use hemlock_lib::node::settings::NodeSettings;
+use hemlock_lib::time::Time;
+use hemlock_platform::store::Store;
+use hemlock_wire::clock;
+use rand::Rng;
+use tokio::sync::Notify;
+
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+
+/// Time for which the platform's list may say nothing new of a lost store before it is logged.
+pub(crate) const PEERS_EVERY: Duration = Duration::from_millis(200);
+
+/// One entry VM.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) me: Member,
+    pub(crate) store: Store,
+    pub(crate) config: RefCell<Option<Rc<Config>>>,
+    pub(crate) endpoints: RefCell<Endpoints>,
+    pub(crate) listed: Cell<bool>,
+    pub(crate) balance: RefCell<Balance>,
+    pub(crate) budget: RefCell<Budget>,
+    pub(crate) quarantine: RefCell<Quarantine>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    /// When SIGTERM came.
+    pub(crate) stopping: Cell<Option<Time>>,
+    pub(crate) stop: Notify,
+    /// Requests read and not yet answered.
+    pub(crate) open: Cell<usize>,
+    pub(crate) store_up: Cell<bool>,
+    pub(crate) leads: Cell<bool>,
+    /// Wakes the planner after a change of the endpoints.
+    pub(crate) changed: Notify,
+    /// Wakes the sender of datagrams when news can't wait.
+    pub(crate) urgent: Notify,
+    refreshed: Cell<(u64, u64)>,
+}
+
+impl Node {
+    pub(crate) fn new(settings: NodeSettings) -> Rc<Self> {
+        let bounds = &settings.bounds;
+        let allowance = Allowance {
+            ratio: bounds.repeat_ratio,
+            extra: bounds.repeat_extra,
+            window: bounds.repeat_window(),
+        };
+        let me = Member {
+            node: settings.node.clone(),
+            run: rand::rng().random(),
+            zone: settings.zone.clone(),
+            front: settings.listen.front.to_string(),
+            peer: settings.listen.peer,
+        };
+        Rc::new(Self {
+            me,
+            store: Store::open(settings.store.address),
+            config: RefCell::default(),
+            endpoints: RefCell::default(),
+            listed: Cell::default(),
+            balance: RefCell::default(),
+            budget: RefCell::new(Budget::new(allowance)),
+            quarantine: RefCell::default(),
+            peers: RefCell::default(),
+            pool: Pool::default(),
+            metrics: Metrics::default(),
+            stopping: Cell::default(),
+            stop: Notify::new(),
+            open: Cell::default(),
+            store_up: Cell::default(),
+            leads: Cell::default(),
+            changed: Notify::new(),
+            urgent: Notify::new(),
+            refreshed: Cell::default(),
+            settings,
+        })
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        clock::boot()
+    }
+
+    pub(crate) fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Returns whether this VM takes callers: it has a configuration and endpoints, and isn't
+    /// about to stop.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.stopping.get().is_none() && self.config.borrow().is_some() && self.listed.get()
+    }
+
+    /// Notes whether the store answers, and logs a change of that.
+    pub(crate) fn store_answers(&self, up: bool, cause: &dyn std::fmt::Display) {
+        if self.store_up.replace(up) == up {
+            return;
+        }
+        if up {
+            self.endpoints.borrow_mut().store_returned(self.now());
+            log::info!("event=store_regained {cause}");
+        } else {
+            log::warn!("event=store_lost cause=\"{cause}\"");
+        }
+        self.metrics
+            .count("store_changes", if up { "up" } else { "down" });
+    }
+
+    /// Logs a change of the list of endpoints.
+    pub(crate) fn log_change(&self, id: &str, change: Change) {
+        let endpoints = self.endpoints.borrow();
+        let version = endpoints.version();
+        let name = match change {
+            Change::None => return,
+            Change::Listed => "listed",
+            Change::Draining => "draining",
+            Change::Seat => "seat",
+            Change::Gone => "gone",
+            Change::Lapsed => "lapsed",
+        };
+        let seat = endpoints.get(id).and_then(|e| e.seat.as_ref());
+        match seat {
+            Some(s) => log::info!(
+                "event=endpoint change={name} id={id} group={} rank={} state={:?} list={version}",
+                s.group,
+                s.rank,
+                s.state
+            ),
+            None => log::info!("event=endpoint change={name} id={id} list={version}"),
+        }
+    }
+
+    /// Does what only the passing of time calls for.
+    pub(crate) fn tick(&self) {
+        let now = self.now();
+        let expired = self.endpoints.borrow_mut().expire(now);
+        for id in &expired {
+            self.log_change(id, Change::Gone);
+        }
+        self.peers.borrow_mut().forget(now);
+        self.refresh();
+        self.pool.expire(now);
+    }
+
+    /// Works out which endpoints take requests, if the list or the configuration has changed.
+    pub(crate) fn refresh(&self) {
+        let Some(config) = self.config() else { return };
+        let version = (self.endpoints.borrow().version(), config.version);
+        if self.refreshed.replace(version) == version {
+            return;
+        }
+        let endpoints = self.endpoints.borrow();
+        let mut candidates = Vec::new();
+        for e in endpoints.iter().filter(|e| !e.draining) {
+            let service = config.services.get(&e.service);
+            if service.is_some_and(|s| s.engine.is_none()) {
+                candidates.push(Candidate {
+                    id: e.id.clone(),
+                    life: (e.born, 0),
+                    address: e.address.clone(),
+                    zone: e.zone.clone(),
+                    service: e.service.clone(),
+                    model: None,
+                    slots: e.slots,
+                    pace: 1.0,
+                });
+            }
+        }
+        for group in endpoints.groups().values() {
+            let service = config.services.get(&group.service);
+            let Some(engine) = service.and_then(|s| s.engine.as_ref()) else {
+                continue;
+            };
+            let Some((size, model)) = parse_name(&group.name) else {
+                continue;
+            };
+            let Some((head, SeatState::Open)) = group.head() else {
+                continue;
+            };
+            let (Some(head), Some(model)) = (endpoints.get(head), engine.model(model)) else {
+                continue;
+            };
+            if group.draining || !group.is_whole(size) {
+                continue;
+            }
+            candidates.push(Candidate {
+                id: head.id.clone(),
+                life: (head.born, group.epoch),
+                address: head.address.clone(),
+                zone: head.zone.clone(),
+                service: head.service.clone(),
+                model: Some(model.name.clone()),
+                slots: engine.slots,
+                pace: model.pace,
+            });
+        }
+        drop(endpoints);
+        let before: Vec<Arc<str>> = self.serving();
+        self.balance.borrow_mut().refresh(candidates);
+        let after = self.serving();
+        for id in after.iter().filter(|id| !before.contains(id)) {
+            log::info!(
+                "event=serving id={id} list={} config={}",
+                version.0,
+                version.1
+            );
+        }
+        for id in before.iter().filter(|id| !after.contains(id)) {
+            log::info!(
+                "event=not_serving id={id} list={} config={}",
+                version.0,
+                version.1
+            );
+            self.pool.drop_endpoint(id);
+        }
+        self.changed.notify_one();
+    }
+
+    fn serving(&self) -> Vec<Arc<str>> {
+        let balance = self.balance.borrow();
+        balance.candidates().map(|c| c.id.clone()).collect()
+    }
+
+    /// Returns how many entry VMs share the budget of repeats.
+    pub(crate) fn machines(&self) -> usize {
+        self.peers.borrow().machines(self.now())
+    }
+}
--- /dev/null
+++ b/node/src/stop.rs
@@ -0,0 +1,60 @@
+//! Signals: a graceful stop on SIGTERM, settings read anew on SIGHUP.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlock_lib::node::settings::NodeSettings;
+use hemlock_wire::stdout::Log;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::state::Node;
+
+/// Time between two looks at the open requests of a stopping node.
+const CHECK: Duration = Duration::from_millis(50);
+/// Shortest time that a stopping node goes on serving: callers keep addresses for up to three
+/// times what they are told, and learn a new one meanwhile.
+const SERVE_ON: Duration = Duration::from_millis(5_500);
+/// Time before the kill by which the process has ended.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// Waits for the signal to stop, and then until the open requests have ended.
+pub(crate) async fn wait(node: &Rc<Node>, path: &Path, log: &Log) -> Result<(), String> {
+    let cause = |e| format!("can't wait for signals: {e}");
+    let mut term = signal(SignalKind::terminate()).map_err(cause)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(cause)?;
+    let mut hup = signal(SignalKind::hangup()).map_err(cause)?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => reload(path, log),
+        }
+    }
+    let started = node.now();
+    node.stopping.set(Some(started));
+    node.stop.notify_waiters();
+    node.urgent.notify_one();
+    log::info!("event=stopping open={}", node.open.get());
+    if let Err(e) = node.store.leave(&node.me.node).await {
+        log::warn!("event=leave_failed cause=\"{e}\"");
+    }
+    let grace = node.settings.bounds.grace().saturating_sub(MARGIN);
+    loop {
+        let spent = node.now().since(started);
+        if spent >= grace || spent >= SERVE_ON && node.open.get() == 0 {
+            return Ok(());
+        }
+        tokio::time::sleep(CHECK).await;
+    }
+}
+
+fn reload(path: &Path, log: &Log) {
+    match NodeSettings::open(path) {
+        Ok(settings) => match log.set_level(&settings.log.level) {
+            Ok(()) => log::info!("event=reloaded level={}", settings.log.level),
+            Err(e) => log::error!("event=reload_refused cause=\"{e}\""),
+        },
+        Err(e) => log::error!("event=reload_refused cause=\"{e}\""),
+    }
+}
--- a/wire/src/clock.rs
+++ b/wire/src/clock.rs
@@ -1,4 +1,4 @@
-//! The wall clock of a process.
+//! The clocks of a process.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -11,3 +11,9 @@
         .unwrap_or_default();
     Time(since.as_micros() as u64)
 }
+
+/// Returns the time since the machine's start, which no one sets and which counts a suspension.
+pub fn boot() -> Time {
+    let since = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Time(since.tv_sec as u64 * 1_000_000 + since.tv_nsec as u64 / 1_000)
+}
