planner: deal groups within each model's share, all of them before callers come

Cause: engines are listed two or three at a time, so that pairs took them all and no domain ever had four free; loads kept to the weight store's rate although they are ten times quicker and free before the first request.

--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -11,7 +11,7 @@
 use crate::time::Time;
 
 /// Silence after which a peer is taken as gone; several datagrams may be lost meanwhile.
-const SILENCE: Duration = Duration::from_millis(1_500);
+const SILENCE: Duration = Duration::from_millis(1_100);
 /// Time for which a member of the list that was never heard counts as starting.
 const START_TIME: Duration = Duration::from_secs(4);
 /// Time after which a silent peer's record is of no more use.
@@ -58,6 +58,8 @@
     pub store: bool,
     /// Whether it plans.
     pub leads: bool,
+    /// Whether a caller has come to it.
+    pub called: bool,
     /// Load by endpoint.
     pub placed: Vec<Placed>,
     /// Endpoints that stopped answering there, with the age of that in milliseconds.
@@ -126,6 +128,11 @@
         self.known.retain(|_, p| now.since(last(p)) < FORGET);
     }
 
+    /// Returns whether a caller has come to a peer.
+    pub fn any_called(&self, now: Time) -> bool {
+        self.news(now).any(|(n, _)| n.called)
+    }
+
     /// Returns whether this entry VM is the one that should ask to plan: no live peer plans, and
     /// none that the store answers comes before it by name.
     pub fn should_lead(&self, now: Time, me: &str) -> bool {
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::config::{Engine, Model};
-use super::endpoints::{Endpoint, Endpoints, Group, SeatState};
+use super::endpoints::{Endpoint, Endpoints, Group, Seat, SeatState};
 use crate::time::Time;
 
 /// Time in which the list shows what an engine took; its entry follows a change at once, and a slow
@@ -27,13 +27,17 @@
 /// Probes without an answer after which an engine of a silent group counts as lost.
 const DEAD_PROBES: u32 = 2;
 /// Time between two probes of one engine.
-const PROBE_EVERY: Duration = Duration::from_millis(350);
+const PROBE_EVERY: Duration = Duration::from_millis(150);
 /// Time for which an engine that answered no probe gets no new group.
 const DEAD_TIME: Duration = Duration::from_secs(4);
+/// Time to join a group of the model of the engine's last group (stated by the users).
+const REJOIN: Duration = Duration::from_millis(200);
+/// Loads may take this many times longer while others run.
+const STAGE_FACTOR: u32 = 4;
 /// Part of the engines that stays without a group, to replace lost members at once.
 const RESERVE: f64 = 0.1;
-/// Part of a model's share below which it may use the reserve.
-const CRITICAL: f64 = 0.8;
+/// Part of a model's share below which groups are formed that need loads once callers have come.
+const SHORT: f64 = 0.7;
 /// Bits of an epoch that count within one term.
 const EPOCH_BITS: u32 = 20;
 
@@ -156,6 +160,8 @@
     pub silent: &'a BTreeSet<Arc<str>>,
     /// Time after which a head with a lost member gives up.
     pub stall: Duration,
+    /// Whether no caller has come yet; until then loads are quick and don't count.
+    pub early: bool,
 }
 
 /// A group that this planner ordered.
@@ -182,6 +188,12 @@
     unanswered: u32,
     probed: Option<Time>,
     dead_until: Option<Time>,
+    /// The model of its last group.
+    last: Option<Arc<str>>,
+    /// The model that it loads onto its host, and since when.
+    staging: Option<(Arc<str>, Time)>,
+    /// Its place in a group when it was last looked at.
+    seat: Option<Seat>,
     /// Start that all of this is about.
     born: u64,
 }
@@ -276,10 +288,10 @@
                 Some(now + RESEND)
             }
         };
-        if let (Action::Leave { .. } | Action::Open { .. } | Action::Close { .. }, _) =
-            (action, reply)
+        if let Action::Stage { model } = action
+            && matches!(reply, Reply::Begun | Reply::Lost)
         {
-            mind.wait = Some(now + RESEND);
+            mind.staging = Some((model.clone(), now));
         }
         if let Action::Join { epoch, .. } = action
             && matches!(reply, Reply::Conflict | Reply::Elsewhere | Reply::Outdated)
@@ -337,6 +349,17 @@
                     ..Mind::default()
                 };
             }
+            if mind.seat != endpoint.seat {
+                mind.seat.clone_from(&endpoint.seat);
+                mind.wait = None;
+            }
+            if endpoint.model.is_some() {
+                mind.last.clone_from(&endpoint.model);
+            }
+            let staged = |(model, _): &(Arc<str>, Time)| endpoint.staged.contains(model);
+            if mind.staging.as_ref().is_some_and(staged) {
+                mind.staging = None;
+            }
         }
         for endpoint in scene.endpoints.iter() {
             if let Some(seat) = endpoint.seat.as_ref().filter(|s| s.rank == 0) {
@@ -635,7 +658,7 @@
             }
         }
         while self.form_one(total, &mut free, &mut have) {}
-        self.stage_spares(&free, stages);
+        self.stage_spares(&free);
     }
 
     fn form_one(
@@ -652,21 +675,21 @@
         };
         let mut models: Vec<&Model> = engine.models.iter().collect();
         models.sort_by(|a, b| part(a).total_cmp(&part(b)));
-        let used: usize = have.values().sum();
         for model in models {
-            let within = (used + model.size) as f64 <= total * (1.0 - RESERVE);
-            if !within && part(model) >= CRITICAL {
+            let goal = model.share / shares.max(1e-9) * total * (1.0 - RESERVE);
+            let held = have.get(&model.name).copied().unwrap_or(0);
+            if (held + model.size) as f64 > goal + model.size as f64 / 2.0 && held > 0 {
                 continue;
             }
             let places = free.iter().filter(|(_, e)| e.len() >= model.size.max(1));
             let best = places
-                .map(|(domain, engines)| (pick(engines, model), domain.clone(), engines.len()))
+                .map(|(domain, engines)| (self.pick(engines, model), domain.clone(), engines.len()))
                 .min_by_key(|((cost, _), _, count)| (*cost, std::cmp::Reverse(*count)));
             let Some(((_, members), domain, _)) = best else {
                 continue;
             };
-            let loads = members.iter().filter(|e| needs_load(e, model)).count();
-            if !self.may_load(loads) {
+            let loads = members.iter().filter(|e| self.needs_load(e, model)).count();
+            if loads > 0 && !self.scene.early && part(model) >= SHORT || !self.may_load(loads) {
                 continue;
             }
             if let Some(engines) = free.get_mut(&domain) {
@@ -710,7 +733,7 @@
 
     /// Takes `count` loads of the weight store's allowance if it has them.
     fn may_load(&mut self, count: usize) -> bool {
-        if count == 0 {
+        if count == 0 || self.scene.early {
             return true;
         }
         let engine = self.scene.engine;
@@ -744,24 +767,41 @@
             &*e.service == self.scene.service && seat
         };
         let listed = self.scene.endpoints.iter().filter(joining).count();
+        let staging = self.planner.minds.values().filter(|m| m.staging.is_some());
+        let listed = listed + staging.count();
         let second = Duration::from_millis(500);
         let fresh = self.planner.loads.iter();
         let fresh = fresh.filter(|t| self.now.since(**t) < second).count();
         listed.max(fresh)
     }
 
-    /// Stages, on spare engines of a domain, the model that most of its engines serve.
-    fn stage_spares(
-        &mut self,
-        free: &BTreeMap<Arc<str>, Vec<&Endpoint>>,
-        _stages: &BTreeMap<(Arc<str>, u64), Stage>,
-    ) {
+    /// Stages, on a spare engine of each domain, the model of the largest groups, which lose members
+    /// most often.
+    fn stage_spares(&mut self, free: &BTreeMap<Arc<str>, Vec<&Endpoint>>) {
         let engine = self.scene.engine;
         let Some(first) = engine.models.iter().max_by_key(|m| m.size) else {
             return;
         };
+        let now = self.now;
+        let longest = first.load * STAGE_FACTOR;
+        for mind in self.planner.minds.values_mut() {
+            if mind
+                .staging
+                .as_ref()
+                .is_some_and(|(_, t)| now.since(*t) > longest)
+            {
+                mind.staging = None;
+            }
+        }
         for spares in free.values() {
-            let covered = spares.iter().any(|e| !needs_load(e, first));
+            let covered = spares.iter().any(|e| {
+                !self.needs_load(e, first)
+                    || self
+                        .planner
+                        .minds
+                        .get(&e.id)
+                        .is_some_and(|m| m.staging.is_some())
+            });
             if covered {
                 continue;
             }
@@ -774,28 +814,31 @@
             }
         }
     }
-}
 
-/// Returns whether an engine must read the model's weights from the weight store.
-fn needs_load(endpoint: &Endpoint, model: &Model) -> bool {
-    !endpoint.staged.contains(&model.name) && endpoint.model.as_ref() != Some(&model.name)
-}
+    /// Returns whether an engine must read the model's weights from the weight store.
+    fn needs_load(&self, endpoint: &Endpoint, model: &Model) -> bool {
+        self.delay(endpoint, model) >= model.load
+    }
 
-/// Picks the members of a group from a domain's free engines, and the time until it is ready in
-/// milliseconds.
-fn pick<'a>(engines: &[&'a Endpoint], model: &Model) -> (u128, Vec<&'a Endpoint>) {
-    let cost = |e: &&Endpoint| {
-        if e.model.as_ref() == Some(&model.name) {
-            Duration::from_millis(200)
-        } else if e.staged.contains(&model.name) {
-            model.warm
-        } else {
-            model.load
-        }
-    };
-    let mut sorted: Vec<&Endpoint> = engines.to_vec();
-    sorted.sort_by_key(|e| (cost(e), !e.staged.is_empty(), e.id.clone()));
-    sorted.truncate(model.size);
-    let slowest = sorted.iter().map(cost).max().unwrap_or_default();
-    (slowest.as_millis(), sorted)
+    /// Returns the time that an engine needs to become a member of a group of this model.
+    fn delay(&self, endpoint: &Endpoint, model: &Model) -> Duration {
+        let mind = self.planner.minds.get(&endpoint.id);
+        if mind.is_some_and(|m| m.last.as_ref() == Some(&model.name)) {
+            return REJOIN.min(model.load);
+        }
+        match endpoint.staged.contains(&model.name) {
+            true => model.warm,
+            false => model.load,
+        }
+    }
+
+    /// Picks the members of a group from a domain's free engines, and the time until it is ready in
+    /// milliseconds.
+    fn pick<'e>(&self, engines: &[&'e Endpoint], model: &Model) -> (u128, Vec<&'e Endpoint>) {
+        let mut sorted: Vec<&Endpoint> = engines.to_vec();
+        sorted.sort_by_key(|e| (self.delay(e, model), !e.staged.is_empty(), e.id.clone()));
+        sorted.truncate(model.size);
+        let slowest = sorted.iter().map(|e| self.delay(e, model)).max();
+        (slowest.unwrap_or_default().as_millis(), sorted)
+    }
 }
--- a/node/src/duty.rs
+++ b/node/src/duty.rs
@@ -19,11 +19,11 @@
 /// Shortest time between two plans.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
 /// Time between two renewals of the duty.
-const RENEW_EVERY: Duration = Duration::from_millis(700);
+const RENEW_EVERY: Duration = Duration::from_millis(500);
 /// Time that the duty lasts without a renewal.
-const LEASE: Duration = Duration::from_millis(2_500);
+const LEASE: Duration = Duration::from_millis(1_800);
 /// Time before its end at which no more orders are sent.
-const LEASE_MARGIN: Duration = Duration::from_millis(700);
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
 /// Time after the start in which peers are heard of, so that one VM asks for the duty.
 const LISTEN_FIRST: Duration = Duration::from_millis(500);
 
@@ -112,6 +112,7 @@
             endpoints: &endpoints,
             silent: &silent,
             stall: node.settings.bounds.stall(),
+            early: !node.called.get() && !node.peers.borrow().any_called(now),
         };
         let planner = state.planners.entry(service.clone()).or_default();
         planner.lead(now, generation, &scene);
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -75,6 +75,7 @@
         config: node.config().map_or(0, |c| c.version),
         store: node.store_up.get(),
         leads: node.leads.get(),
+        called: node.called.get(),
         placed: balance.placed(),
         silent: silent
             .map(|(id, age)| (id.to_string(), age.as_millis() as u32))
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -76,6 +76,7 @@
 
 /// Relays a request and returns what becomes of the caller's connection.
 pub(crate) async fn relay(node: &Rc<Node>, conn: &mut Conn, request: &Request, keep: bool) -> Next {
+    node.called.set(true);
     let mut relay = Relay {
         node,
         request,
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -47,6 +47,8 @@
     pub(crate) open: Cell<usize>,
     pub(crate) store_up: Cell<bool>,
     pub(crate) leads: Cell<bool>,
+    /// Whether a caller has come.
+    pub(crate) called: Cell<bool>,
     /// Wakes the planner after a change of the endpoints.
     pub(crate) changed: Notify,
     /// Wakes the sender of datagrams when news can't wait.
@@ -86,6 +88,7 @@
             open: Cell::default(),
             store_up: Cell::default(),
             leads: Cell::default(),
+            called: Cell::default(),
             changed: Notify::new(),
             urgent: Notify::new(),
             refreshed: Cell::default(),
