--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -15,8 +15,9 @@
 /// Time for which a silent endpoint gets no requests, unless its group changes; a replica with a
 /// lost member gives up after 5 s.
 const SILENT_TIME: Duration = Duration::from_secs(6);
-/// Requests that wait at an endpoint beyond its slots, so that it never runs dry.
-const AHEAD: usize = 4;
+/// Requests at an endpoint for each of its slots at most; the users' endpoints queue twice their
+/// slots.
+const QUEUE_FACTOR: usize = 3;
 /// Failures in a row after which a plain endpoint is avoided.
 const FAILS: u32 = 3;
 /// Time for which it is avoided.
@@ -57,6 +58,8 @@
     pub prompt: u32,
     /// Zone of this gateway.
     pub zone: &'a str,
+    /// Longest time to the first event that is of use to the caller.
+    pub patience: Duration,
 }
 
 /// Where a request goes.
@@ -165,8 +168,8 @@
             (e.first.as_millis() / 4 + far, mix)
         };
         let room = |c: &&Candidate| {
-            let running = self.load(&c.id).map_or(0, Load::running);
-            running < c.slots.max(1) + AHEAD
+            let e = self.estimate(c, ask.prompt, engine);
+            e.first <= ask.patience && e.running < c.slots.max(1) * QUEUE_FACTOR
         };
         let best = good.iter().copied().filter(room).min_by_key(score);
         match best {
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -36,8 +36,6 @@
 const STAGE_FACTOR: u32 = 4;
 /// Part of the engines that stays without a group, to replace lost members at once.
 const RESERVE: f64 = 0.1;
-/// Part of a model's share below which groups are formed that need loads once callers have come.
-const SHORT: f64 = 0.7;
 /// Bits of an epoch that count within one term.
 const EPOCH_BITS: u32 = 20;
 
@@ -202,7 +200,8 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     fence: Option<u64>,
-    count: u64,
+    /// The highest epoch seen or given out.
+    epoch: u64,
     formed: BTreeMap<u64, Formed>,
     minds: BTreeMap<Arc<str>, Mind>,
     /// Members of groups whose head is lost: free at the given time.
@@ -212,6 +211,26 @@
     loads: Vec<Time>,
     /// Heads of groups, by epoch.
     heads: BTreeMap<u64, Arc<str>>,
+    summary: Summary,
+}
+
+/// What the last plan found, for the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Engines that may be used.
+    pub usable: usize,
+    /// Of these, without a group and ready for one.
+    pub free: usize,
+    /// Engines that wait for a lost head to give up.
+    pub held: usize,
+    /// Engines that load weights.
+    pub loading: usize,
+    /// Groups that serve.
+    pub serving: usize,
+    /// Groups that form or are to be opened.
+    pub forming: usize,
+    /// Groups that are being ended.
+    pub ending: usize,
 }
 
 /// Returns the name of a group; it tells later planners the group's size and model.
@@ -251,26 +270,27 @@
 
     /// Begins or goes on with a term.
     ///
-    /// An engine without a group may have been told by the last planner to leave one whose head
-    /// still waits for it, so that each one listed now is held for as long as such a head needs.
+    /// An engine may have left a group on an order of the last planner while the group's head, out
+    /// of reach, still waited for it; so it is held for as long as such a head needs to give up.
     pub fn lead(&mut self, now: Time, fence: u64, scene: &Scene<'_>) {
         if self.fence.is_none() {
             *self = Self::default();
-            let engines = || {
-                scene
-                    .endpoints
-                    .iter()
-                    .filter(|e| &*e.service == scene.service)
-            };
-            if engines().any(|e| e.seat.is_some()) {
-                let until = now + scene.stall + STALL_MARGIN;
-                let unseated = engines().filter(|e| e.seat.is_none());
-                self.held = unseated.map(|e| ((e.id.clone(), 0), until)).collect();
+            for endpoint in scene.endpoints.iter().filter(|e| e.seat.is_none()) {
+                if let Some(left) = scene.endpoints.left_at(&endpoint.id) {
+                    let until = left + scene.stall + STALL_MARGIN;
+                    self.held.insert((endpoint.id.clone(), 0), until);
+                }
             }
+            self.held.retain(|_, until| *until > now);
         }
         self.fence = Some(self.fence.map_or(fence, |f| f.max(fence)));
     }
 
+    /// Returns what the last plan found.
+    pub fn summary(&self) -> &Summary {
+        &self.summary
+    }
+
     /// Ends the term.
     pub fn resign(&mut self) {
         self.fence = None;
@@ -337,7 +357,16 @@
         round.fill(&stages);
     }
 
+    /// Returns an epoch that is higher than all that were seen or given out.
+    fn next_epoch(&mut self, fence: u64) -> u64 {
+        self.epoch = self.epoch.max(fence << EPOCH_BITS) + 1;
+        self.epoch
+    }
+
     fn follow(&mut self, scene: &Scene<'_>) {
+        let seats = scene.endpoints.iter().filter_map(|e| e.seat.as_ref());
+        let seen = seats.map(|s| s.epoch).max().unwrap_or_default();
+        self.epoch = self.epoch.max(seen);
         for endpoint in scene.endpoints.iter() {
             if &*endpoint.service != scene.service {
                 continue;
@@ -657,6 +686,16 @@
                 *have.entry(formed.model.clone()).or_default() += formed.members.len();
             }
         }
+        let count = |wanted: &[Stage]| stages.values().filter(|s| wanted.contains(s)).count();
+        self.planner.summary = Summary {
+            usable: usable.len(),
+            free: free.values().map(Vec::len).sum(),
+            held: self.planner.held.len(),
+            loading: self.loading(),
+            serving: count(&[Stage::Serving]),
+            forming: count(&[Stage::Forming, Stage::Ready]),
+            ending: count(&[Stage::Leaving, Stage::Damaged]),
+        };
         while self.form_one(total, &mut free, &mut have) {}
         self.stage_spares(&free);
     }
@@ -689,7 +728,7 @@
                 continue;
             };
             let loads = members.iter().filter(|e| self.needs_load(e, model)).count();
-            if loads > 0 && !self.scene.early && part(model) >= SHORT || !self.may_load(loads) {
+            if !self.may_load(loads) {
                 continue;
             }
             if let Some(engines) = free.get_mut(&domain) {
@@ -703,8 +742,7 @@
     }
 
     fn form(&mut self, model: &Model, members: &[&Endpoint]) {
-        self.planner.count += 1;
-        let epoch = (self.fence << EPOCH_BITS) + self.planner.count;
+        let epoch = self.planner.next_epoch(self.fence);
         let group = group_name(epoch, model.size, &model.name);
         let ids: Vec<Arc<str>> = members.iter().map(|e| e.id.clone()).collect();
         self.planner.formed.insert(
--- a/node/src/duty.rs
+++ b/node/src/duty.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::config::Config;
-use hemlock_lib::node::planner::{Output, Planner, Scene};
+use hemlock_lib::node::planner::{Output, Planner, Scene, Summary};
 use hemlock_lib::time::Time;
 use hemlock_platform::engines;
 use tokio::task::spawn_local;
@@ -16,16 +16,18 @@
 
 /// Time between two plans, unless the endpoints change.
 const PLAN_EVERY: Duration = Duration::from_millis(150);
+/// Shortest time between two lines on what a plan found.
+const SUMMARY_EVERY: Duration = Duration::from_millis(500);
 /// Shortest time between two plans.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
 /// Time between two renewals of the duty.
-const RENEW_EVERY: Duration = Duration::from_millis(500);
+const RENEW_EVERY: Duration = Duration::from_millis(400);
 /// Time that the duty lasts without a renewal.
-const LEASE: Duration = Duration::from_millis(1_800);
+const LEASE: Duration = Duration::from_millis(1_500);
 /// Time before its end at which no more orders are sent.
-const LEASE_MARGIN: Duration = Duration::from_millis(500);
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
 /// Time after the start in which peers are heard of, so that one VM asks for the duty.
-const LISTEN_FIRST: Duration = Duration::from_millis(500);
+const LISTEN_FIRST: Duration = Duration::from_millis(700);
 
 /// The duty of one engine service after the other.
 #[derive(Debug, Default)]
@@ -33,6 +35,8 @@
     planners: std::collections::BTreeMap<Arc<str>, Planner>,
     generation: u64,
     until: Option<Time>,
+    /// The summary that was logged last, and when.
+    logged: Option<(Time, Summary)>,
 }
 
 /// Holds the duty whenever this VM should, for good.
@@ -47,26 +51,23 @@
     }
 }
 
+/// Asks the store for the duty while this VM should have it, and gives it back otherwise.
 async fn renew(node: Rc<Node>, duty: Rc<RefCell<Duty>>) {
     let lease = LEASE.max(Duration::from_millis(node.settings.store.lease_ms));
+    let mut asks = false;
     tokio::time::sleep(LISTEN_FIRST).await;
     loop {
         let now = node.now();
         let held = duty.borrow().until.is_some_and(|t| t > now);
         let should = held || node.peers.borrow().should_lead(now, &node.me.node);
         if should && node.is_ready() {
-            let generation = duty.borrow().generation;
-            let joined = node.store.join(&node.me.node, generation, lease).await;
-            match joined {
-                Ok(term) => {
-                    let mut duty = duty.borrow_mut();
-                    duty.generation = term.generation;
-                    // The lease runs from the call's arrival, which is later than its start.
-                    duty.until = term.holds.then(|| now + lease - LEASE_MARGIN);
-                    drop(duty);
-                    lead(&node, term.holds, term.generation);
-                }
-                Err(e) => log::warn!("event=duty_unrenewed cause=\"{e}\""),
+            asks = true;
+            ask(&node, &duty, now, lease).await;
+        } else if asks {
+            // A member that stays in the group without need would get the duty some day.
+            match node.store.leave(&node.planner_name()).await {
+                Ok(()) => asks = false,
+                Err(e) => log::warn!("event=duty_unreturned cause=\"{e}\""),
             }
         }
         if duty.borrow().until.is_none_or(|t| t <= node.now()) {
@@ -76,6 +77,32 @@
     }
 }
 
+async fn ask(node: &Node, duty: &RefCell<Duty>, now: Time, lease: Duration) {
+    let generation = duty.borrow().generation;
+    let name = node.planner_name();
+    let joined = node.store.join(&name, generation, lease).await;
+    let term = match joined {
+        Ok(term) => term,
+        Err(e) => {
+            log::warn!("event=duty_unrenewed cause=\"{e}\"");
+            return;
+        }
+    };
+    if term.generation != generation {
+        log::info!(
+            "event=duty_asked holds={} fence={} before={generation}",
+            term.holds,
+            term.generation
+        );
+    }
+    let mut duty = duty.borrow_mut();
+    duty.generation = term.generation;
+    // The lease runs from the call's arrival, which is later than its start.
+    duty.until = term.holds.then(|| now + lease - LEASE_MARGIN);
+    drop(duty);
+    lead(node, term.holds, term.generation);
+}
+
 fn lead(node: &Node, holds: bool, generation: u64) {
     if node.leads.replace(holds) != holds {
         let change = if holds { "gained" } else { "lost" };
@@ -95,6 +122,8 @@
         return;
     }
     let generation = state.generation;
+    let state = &mut *state;
+    let logged = &mut state.logged;
     for service in engine_services(&config) {
         let mut out = Vec::new();
         let silent = silent(node, now);
@@ -117,6 +146,7 @@
         let planner = state.planners.entry(service.clone()).or_default();
         planner.lead(now, generation, &scene);
         planner.step(now, &scene, &mut out);
+        log_summary(now, &service, planner, logged);
         for output in out {
             spawn_local(carry_out(
                 node.clone(),
@@ -128,6 +158,34 @@
     }
 }
 
+/// Logs what a plan found, if it differs from what was logged and that was a while ago.
+fn log_summary(
+    now: Time,
+    service: &str,
+    planner: &Planner,
+    logged: &mut Option<(Time, Summary)>,
+) {
+    let found = planner.summary();
+    let due = |(at, old): &(Time, Summary)| now.since(*at) >= SUMMARY_EVERY && old != found;
+    if logged.as_ref().is_some_and(|l| !due(l)) {
+        return;
+    }
+    *logged = Some((now, found.clone()));
+    let Summary {
+        usable,
+        free,
+        held,
+        loading,
+        serving,
+        forming,
+        ending,
+    } = found;
+    log::info!(
+        "event=plan service={service} usable={usable} free={free} held={held} loading={loading} \
+         serving={serving} forming={forming} ending={ending}"
+    );
+}
+
 fn engine_services(config: &Config) -> Vec<Arc<str>> {
     let engines = config.services.values().filter(|s| s.engine.is_some());
     engines.map(|s| s.name.clone()).collect()
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -13,6 +13,19 @@
 /// Wait of one read; the connection may be silent, and a change must be known within the 2 s that
 /// the users allow after 3 s of undisturbed service.
 const READ_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after new endpoints, so that changes in a row are read at once: short for the planner, whose
+/// next orders wait for them.
+const GATHER: Duration = Duration::from_millis(200);
+const GATHER_PLANNER: Duration = Duration::from_millis(40);
+/// Time between two looks at the members' list; datagrams tell of new members sooner.
+const MEMBERS_EVERY: Duration = Duration::from_secs(10);
+/// Times between the first looks: all entry VMs may start at once, and none knows another then.
+const MEMBERS_EARLY: [Duration; 4] = [
+    Duration::from_millis(150),
+    Duration::from_millis(300),
+    Duration::from_millis(600),
+    Duration::from_secs(2),
+];
 /// First and longest wait before another try.
 const BACKOFF: Duration = Duration::from_millis(60);
 const BACKOFF_MOST: Duration = Duration::from_millis(600);
@@ -45,16 +58,27 @@
     .await;
 }
 
-/// Writes the own record of the members' list and follows the others.
+/// Writes the own record of the members' list and reads the others now and then.
 pub(crate) async fn members(node: Rc<Node>) {
     let writer = node.clone();
     tokio::task::spawn_local(async move { write_member(&writer).await });
-    follow(&node, Topic::Members, |node, records, _| {
-        for record in records {
-            take_member(node, &record);
-        }
-    })
-    .await;
+    let mut early = MEMBERS_EARLY.iter();
+    loop {
+        let wait = match node.store.newest(Topic::Members).await {
+            Ok(snapshot) => {
+                for record in &snapshot.records {
+                    take_member(&node, record);
+                }
+                early.next().copied().unwrap_or(MEMBERS_EVERY)
+            }
+            Err(e) => {
+                log::debug!("event=read_failed topic=Members cause=\"{e}\"");
+                BACKOFF_MOST
+            }
+        };
+        node.metrics.count("store_reads", Topic::Members.label());
+        tokio::time::sleep(wait).await;
+    }
 }
 
 /// Reads the newest records of a topic and then each new one, for good.
@@ -87,6 +111,11 @@
                 }
                 if fresh || !records.is_empty() {
                     take(node, records, fresh);
+                    if topic == Topic::Endpoints {
+                        let leads = node.leads.get();
+                        let pause = if leads { GATHER_PLANNER } else { GATHER };
+                        tokio::time::sleep(pause).await;
+                    }
                 }
             }
             Err(StoreError::Trimmed) => {
@@ -150,7 +179,7 @@
         .and_then(|v| hemlock_platform::endpoints::decode(&record.key, v));
     let (now, mut endpoints) = (node.now(), node.endpoints.borrow_mut());
     let change = match decoded {
-        Some(endpoint) => endpoints.put(endpoint),
+        Some(endpoint) => endpoints.put(now, endpoint),
         // An entry that another writer spoiled names no endpoint either.
         None => endpoints.remove(now, &record.key),
     };
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -33,6 +33,10 @@
 /// Pause of a stream after which its endpoint is asked for: a pass with full chunks of prompts
 /// takes 270 ms at most in the users' services.
 const PAUSE_LEAST: Duration = Duration::from_millis(450);
+/// Shortest gap after which callers abandon a stream.
+const GIVE_UP: Duration = Duration::from_secs(2);
+/// Part of that gap that an expected first event may take, since estimates err.
+const FIRST_PART: f64 = 0.7;
 /// Answers to other requests that are skipped on one connection.
 const SKIPS: u32 = 2;
 /// Least part of the caller's wait that a send needs to be of use.
@@ -167,6 +171,7 @@
             model: self.request.meta.model.as_deref(),
             prompt: self.request.meta.prompt,
             zone: &self.node.me.zone,
+            patience: self.first_limit(now),
         };
         let mut balance = self.node.balance.borrow_mut();
         balance.choose(now, &ask, engine, &self.tried)
@@ -404,6 +409,19 @@
         Some(own.unwrap_or(self.request.route.rank))
     }
 
+    /// Returns the longest time to the first event that is of use: callers abandon a stream after a
+    /// gap of 2 s, four times the goal or eight times the pause, whichever is longest.
+    fn first_limit(&self, now: Time) -> Duration {
+        let route = &self.request.route;
+        let left = self.request.deadline.since(now);
+        if !route.repeat.is_stream() {
+            return left;
+        }
+        let gap = GIVE_UP.max(route.goal * 4).max(route.pause * 8);
+        let spent = self.sent.last_at.map_or_else(|| self.spent(), |t| now.since(t));
+        gap.mul_f64(FIRST_PART).saturating_sub(spent).min(left)
+    }
+
     /// Returns how long the endpoint may stay silent before another one is tried.
     fn patience(&self, waits_first: bool) -> Duration {
         let route = &self.request.route;
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -104,6 +104,12 @@
         self.config.borrow().clone()
     }
 
+    /// Returns the name under which this run asks to plan; another run must not take its terms for
+    /// its own.
+    pub(crate) fn planner_name(&self) -> String {
+        format!("{}-{:x}", self.me.node, self.me.run)
+    }
+
     /// Returns whether this VM takes callers: it has a configuration and endpoints, and isn't
     /// about to stop.
     pub(crate) fn is_ready(&self) -> bool {
--- a/node/src/stop.rs
+++ b/node/src/stop.rs
@@ -36,7 +36,7 @@
     node.stop.notify_waiters();
     node.urgent.notify_one();
     log::info!("event=stopping open={}", node.open.get());
-    if let Err(e) = node.store.leave(&node.me.node).await {
+    if let Err(e) = node.store.leave(&node.planner_name()).await {
         log::warn!("event=leave_failed cause=\"{e}\"");
     }
     let grace = node.settings.bounds.grace().saturating_sub(MARGIN);
