planner: dual-staged hosts, engines by measured demand, idle ones made up to groups

Cause: after each loss two to six engines stood idle: survivors of pairs alone in their domains, triples without a fourth, all waiting for loads of 12 to 16 s. Change: hosts stage the other model before callers come; engines are shared out by expected pressure of the measured demand; a poorer model takes engines.

--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -119,8 +119,6 @@
     /// Entries that lapsed around an outage of the store.
     lapsed: BTreeMap<Arc<str>, Time>,
     store_back: Option<Time>,
-    /// When engines were last seen to leave a group.
-    left: BTreeMap<Arc<str>, Time>,
     version: u64,
 }
 
@@ -140,23 +138,10 @@
         self.listed.values()
     }
 
-    /// Returns when an engine without a group was seen to leave one.
-    pub fn left_at(&self, id: &str) -> Option<Time> {
-        self.left.get(id).copied()
-    }
-
     /// Takes an entry.
-    pub fn put(&mut self, now: Time, endpoint: Endpoint) -> Change {
+    pub fn put(&mut self, endpoint: Endpoint) -> Change {
         self.lapsed.remove(&endpoint.id);
         let old = self.listed.get(&endpoint.id);
-        let seated = old.is_some_and(|o| o.born == endpoint.born && o.seat.is_some());
-        // An engine first listed with weights on its host may just have left a group.
-        let unknown = old.is_none() && !endpoint.staged.is_empty();
-        if endpoint.seat.is_some() || old.is_some_and(|o| o.born != endpoint.born) {
-            self.left.remove(&endpoint.id);
-        } else if seated || unknown {
-            self.left.insert(endpoint.id.clone(), now);
-        }
         let change = match old {
             None => Change::Listed,
             Some(old) if old.born != endpoint.born => Change::Listed,
@@ -188,7 +173,6 @@
         }
         self.version += 1;
         self.listed.remove(&key);
-        self.left.remove(&key);
         Change::Gone
     }
 
@@ -209,7 +193,6 @@
         for id in &gone {
             self.lapsed.remove(id);
             self.listed.remove(id);
-            self.left.remove(id);
             self.version += 1;
         }
         gone
@@ -227,7 +210,7 @@
         }
         for endpoint in fresh {
             let id = endpoint.id.clone();
-            changes.push((id, self.put(now, endpoint)));
+            changes.push((id, self.put(endpoint)));
         }
         changes
     }
--- a/lib/src/node/placement.rs
+++ b/lib/src/node/placement.rs
@@ -1,63 +1,185 @@
-//! How many groups of each model a failure domain gets.
+//! How many engines each model should have.
+//!
+//! Answers demand that differs from what the operators expected, and engines that are lost: each
+//! model gets groups until it is no harder pressed than the others.
 
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
-/// Part of the engines that stays without a group, to replace lost members at once.
-const RESERVE: f64 = 0.1;
+use super::config::{Engine, Model};
+use crate::time::Time;
 
-/// A model's demand for groups.
-#[derive(Debug, Clone, PartialEq)]
+/// Time over which demand is averaged: longer than a burst between two plans, shorter than a swing
+/// of the traffic.
+const WINDOW: Duration = Duration::from_secs(5);
+/// Width of one counted slice of time.
+const SLICE: Duration = Duration::from_millis(500);
+/// Time of counting before a demand is believed.
+const LEAST_TIME: Duration = Duration::from_secs(2);
+/// Part of a group's time that reading prompts may take before it counts as overloaded.
+const READ_MOST: f64 = 0.9;
+/// Pressure of an overloaded model, far above that of one that only misses its goal.
+const OVERLOAD: f64 = 10.0;
+/// Network delays of a first event.
+const NETWORK: f64 = 0.02;
+
+/// What callers ask of a model.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Demand {
-    /// The model.
-    pub model: Arc<str>,
-    /// Engines of one group.
-    pub size: usize,
-    /// Its part of the engines' work.
-    pub share: f64,
+    /// Requests a second.
+    pub rate: f64,
+    /// Mean tokens of a prompt.
+    pub prompt: f64,
+    /// Mean tokens of an answer.
+    pub answer: f64,
+    /// Mean goal of the first event, in seconds.
+    pub goal: f64,
 }
 
-/// Returns how many groups of each model each domain gets, given the engines of each domain.
-///
-/// Groups stay within a domain. They are dealt one at a time to the model that is furthest below
-/// its share of all engines, so that each prefix of the deal is balanced; a domain keeps a reserve
-/// as long as each model has a group somewhere.
-pub fn deal(domains: &[usize], demands: &[Demand]) -> Vec<Vec<usize>> {
-    let mut free: Vec<usize> = domains.to_vec();
-    let mut counts = vec![vec![0; demands.len()]; domains.len()];
-    let mut used = vec![0_usize; demands.len()];
-    let kept: Vec<usize> = domains
-        .iter()
-        .map(|n| (*n as f64 * RESERVE).floor() as usize)
-        .collect();
-    loop {
-        let below = |i: &usize| {
-            let d = &demands[*i];
-            used[*i] as f64 / d.share.max(1e-6)
-        };
-        let mut order: Vec<usize> = (0..demands.len()).collect();
-        order.sort_by(|a, b| below(a).total_cmp(&below(b)).then(a.cmp(b)));
-        let mut placed = None;
-        for i in order {
-            let size = demands[i].size.max(1);
-            let first = used[i] == 0;
-            let room = |d: &usize| {
-                let keep = if first { 0 } else { kept[*d] };
-                free[*d] >= size + keep
-            };
-            let of_model = |d: &usize| counts[*d][i];
-            let fit = (0..domains.len())
-                .filter(room)
-                .min_by_key(|d| (of_model(d), std::cmp::Reverse(free[*d]), *d));
-            if let Some(d) = fit {
-                placed = Some((d, i, size));
+/// One request, as it counts for the demand.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Size {
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// Tokens expected of its answer.
+    pub answer: u32,
+    /// Goal of its first event.
+    pub goal: Duration,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Sum {
+    count: f64,
+    prompt: f64,
+    answer: f64,
+    goal: f64,
+}
+
+/// Measures the demand that one entry VM sees.
+#[derive(Debug, Default)]
+pub struct Meter {
+    since: Option<Time>,
+    slices: VecDeque<(Time, BTreeMap<Arc<str>, Sum>)>,
+}
+
+impl Meter {
+    /// Counts a request for a model.
+    pub fn count(&mut self, now: Time, model: &str, size: &Size) {
+        self.since.get_or_insert(now);
+        while let Some((start, _)) = self.slices.front() {
+            if now.since(*start) <= WINDOW {
                 break;
             }
+            self.slices.pop_front();
+        }
+        if self
+            .slices
+            .back()
+            .is_none_or(|(t, _)| now.since(*t) >= SLICE)
+        {
+            self.slices.push_back((now, BTreeMap::new()));
+        }
+        let Some((_, sums)) = self.slices.back_mut() else {
+            return;
+        };
+        let sum = match sums.get_mut(model) {
+            Some(sum) => sum,
+            None => sums.entry(Arc::from(model)).or_default(),
+        };
+        sum.count += 1.0;
+        sum.prompt += f64::from(size.prompt);
+        sum.answer += f64::from(size.answer);
+        sum.goal += size.goal.as_secs_f64();
+    }
+
+    /// Returns the demand by model, if `machines` see as much each; empty until enough was seen.
+    pub fn demand(&self, now: Time, machines: usize) -> BTreeMap<Arc<str>, Demand> {
+        let Some(since) = self.since.filter(|t| now.since(*t) >= LEAST_TIME) else {
+            return BTreeMap::new();
+        };
+        let span = now.since(since).min(WINDOW).as_secs_f64();
+        let mut sums: BTreeMap<Arc<str>, Sum> = BTreeMap::new();
+        let recent = self.slices.iter().filter(|(t, _)| now.since(*t) <= WINDOW);
+        for (model, part) in recent.flat_map(|(_, sums)| sums) {
+            let sum = sums.entry(model.clone()).or_default();
+            sum.count += part.count;
+            sum.prompt += part.prompt;
+            sum.answer += part.answer;
+            sum.goal += part.goal;
         }
-        let Some((d, i, size)) = placed else {
-            return counts;
+        let demand = |s: Sum| Demand {
+            rate: s.count / span * machines as f64,
+            prompt: s.prompt / s.count,
+            answer: s.answer / s.count,
+            goal: s.goal / s.count,
         };
-        counts[d][i] += 1;
-        free[d] -= size;
-        used[i] += size;
+        sums.into_iter()
+            .map(|(model, s)| (model, demand(s)))
+            .collect()
+    }
+}
+
+/// Returns how hard a model is pressed with so many groups: the expected time to a first event over
+/// its goal, which grows when prompts take turns, and the batch over the slots, which tells how soon
+/// a lost group would make requests wait.
+pub fn pressure(engine: &Engine, model: &Model, demand: &Demand, groups: usize) -> f64 {
+    if groups == 0 {
+        return f64::INFINITY;
+    }
+    let rate = demand.rate / groups as f64;
+    let read = rate * demand.prompt / engine.read_rate.max(1.0) * model.pace;
+    if read >= READ_MOST {
+        return OVERLOAD * (1.0 + read);
+    }
+    let step = |batch: f64| {
+        (engine.step.as_secs_f64() + engine.per_request.as_secs_f64() * batch) * model.pace
+    };
+    // The batch and the time of a step depend on each other; a few rounds are close enough.
+    let mut batch = 1.0;
+    for _ in 0..6 {
+        batch = (rate * demand.answer * step(batch) / (1.0 - read)).min(engine.slots as f64 * 4.0);
+    }
+    let over = batch / engine.slots.max(1) as f64;
+    // Beyond its slots a group makes requests wait, and the wait grows with each of them.
+    if over > 1.0 {
+        return OVERLOAD * over;
     }
+    let pass = step(batch) * f64::from(engine.stride) / (1.0 - read);
+    let own = demand.prompt / engine.read_rate.max(1.0) * model.pace;
+    (1.5 * pass + own + NETWORK) / demand.goal.max(0.001) + over
+}
+
+/// Returns the engines that each model should have of `total`, by the demand or, where none is
+/// known, by the shares that the operators expect.
+pub fn goals(
+    engine: &Engine,
+    total: usize,
+    demand: &BTreeMap<Arc<str>, Demand>,
+) -> BTreeMap<Arc<str>, usize> {
+    let known = engine.models.iter().all(|m| demand.contains_key(&m.name));
+    let shares: f64 = engine.models.iter().map(|m| m.share).sum();
+    let mut groups: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+    let mut left = total;
+    loop {
+        let urgency = |m: &Model| {
+            let have = groups.get(&m.name).copied().unwrap_or(0);
+            match demand.get(&m.name) {
+                Some(d) if known => pressure(engine, m, d, have),
+                _ => m.share / shares.max(1e-9) / (have * m.size).max(1) as f64,
+            }
+        };
+        let fitting = engine.models.iter().filter(|m| m.size <= left);
+        let next = fitting.max_by(|a, b| urgency(a).total_cmp(&urgency(b)));
+        let Some(model) = next else { break };
+        *groups.entry(&model.name).or_default() += 1;
+        left -= model.size.max(1);
+    }
+    let engines = |m: &Model| groups.get(&m.name).copied().unwrap_or(0) * m.size;
+    engine
+        .models
+        .iter()
+        .map(|m| (m.name.clone(), engines(m)))
+        .collect()
 }
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -2,8 +2,8 @@
 //!
 //! What engines hold is read from the endpoints' list, so that a new planner needs no record of the
 //! last one. Two rules bind every order: a group is opened only once each of its members was seen
-//! ready under its name and epoch, and no member joins another group while its head may take
-//! requests.
+//! ready under its name and epoch, and no member joins another group before it has left its own or
+//! the head of that has given up.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -11,6 +11,7 @@
 
 use super::config::{Engine, Model};
 use super::endpoints::{Endpoint, Endpoints, Group, Seat, SeatState};
+use super::placement::{self, Demand};
 use crate::time::Time;
 
 /// Time in which the list shows what an engine took; its entry follows a change at once, and a slow
@@ -20,8 +21,6 @@
 const RESEND: Duration = Duration::from_millis(400);
 /// Joins sent again before their group is given up, for each member.
 const RESENDS: u32 = 3;
-/// Time that a replica's head needs beyond the stated bound to give up after a member left.
-const STALL_MARGIN: Duration = Duration::from_millis(700);
 /// Longest time that a head may finish its requests before a draining member ends.
 const CLOSE_TIME: Duration = Duration::from_millis(2_500);
 /// Probes without an answer after which an engine of a silent group counts as lost.
@@ -32,10 +31,16 @@
 const DEAD_TIME: Duration = Duration::from_secs(4);
 /// Time to join a group of the model of the engine's last group (stated by the users).
 const REJOIN: Duration = Duration::from_millis(200);
+/// Models that an engine can serve without a load: the one of its group and one on its host.
+const KEPT: usize = 2;
+/// Loads that are left to groups that form while hosts stage models.
+const SPARE_LOADS: usize = 3;
 /// Loads may take this many times longer while others run.
 const STAGE_FACTOR: u32 = 4;
 /// Part of the engines that stays without a group, to replace lost members at once.
-const RESERVE: f64 = 0.1;
+const RESERVE: f64 = 0.05;
+/// Part of the richest model's share of engines below which a model takes some of them.
+const CONVERT: f64 = 0.75;
 /// Bits of an epoch that count within one term.
 const EPOCH_BITS: u32 = 20;
 
@@ -156,8 +161,8 @@
     pub endpoints: &'a Endpoints,
     /// Heads of groups that stopped answering, as gateways see it.
     pub silent: &'a BTreeSet<Arc<str>>,
-    /// Time after which a head with a lost member gives up.
-    pub stall: Duration,
+    /// What callers ask of each model.
+    pub demand: &'a BTreeMap<Arc<str>, Demand>,
     /// Whether no caller has come yet; until then loads are quick and don't count.
     pub early: bool,
 }
@@ -204,13 +209,11 @@
     epoch: u64,
     formed: BTreeMap<u64, Formed>,
     minds: BTreeMap<Arc<str>, Mind>,
-    /// Members of groups whose head is lost: free at the given time.
-    held: BTreeMap<(Arc<str>, u64), Time>,
     /// When a group was first seen damaged or closing.
     seen: BTreeMap<(Arc<str>, u64), Time>,
     loads: Vec<Time>,
-    /// Heads of groups, by epoch.
-    heads: BTreeMap<u64, Arc<str>>,
+    /// Epochs of whole groups that are ended for another model.
+    retiring: BTreeSet<u64>,
     summary: Summary,
 }
 
@@ -221,8 +224,6 @@
     pub usable: usize,
     /// Of these, without a group and ready for one.
     pub free: usize,
-    /// Engines that wait for a lost head to give up.
-    pub held: usize,
     /// Engines that load weights.
     pub loading: usize,
     /// Groups that serve.
@@ -231,6 +232,8 @@
     pub forming: usize,
     /// Groups that are being ended.
     pub ending: usize,
+    /// Engines that each model has, and should have.
+    pub models: Vec<(Arc<str>, usize, usize)>,
 }
 
 /// Returns the name of a group; it tells later planners the group's size and model.
@@ -245,6 +248,30 @@
     Some((parts.next()?.parse().ok()?, parts.next()?))
 }
 
+/// Engines to deal out to groups.
+#[derive(Debug)]
+struct Deal<'a> {
+    /// Engines that each model should have.
+    goals: BTreeMap<Arc<str>, usize>,
+    /// Engines without a group, by failure domain.
+    free: BTreeMap<Arc<str>, Vec<&'a Endpoint>>,
+    /// Engines that serve each model or will do so.
+    have: BTreeMap<Arc<str>, usize>,
+}
+
+impl Deal<'_> {
+    /// Returns how many engines a model should have.
+    fn goal(&self, model: &Model) -> f64 {
+        self.goals.get(&model.name).copied().unwrap_or(0) as f64
+    }
+
+    /// Returns the part of these that it has.
+    fn part(&self, model: &Model) -> f64 {
+        let have = self.have.get(&model.name).copied().unwrap_or(0) as f64;
+        have / self.goal(model).max(1e-9)
+    }
+}
+
 /// Where a group stands in its life, as the plan sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -269,19 +296,9 @@
     }
 
     /// Begins or goes on with a term.
-    ///
-    /// An engine may have left a group on an order of the last planner while the group's head, out
-    /// of reach, still waited for it; so it is held for as long as such a head needs to give up.
-    pub fn lead(&mut self, now: Time, fence: u64, scene: &Scene<'_>) {
+    pub fn lead(&mut self, fence: u64) {
         if self.fence.is_none() {
             *self = Self::default();
-            for endpoint in scene.endpoints.iter().filter(|e| e.seat.is_none()) {
-                if let Some(left) = scene.endpoints.left_at(&endpoint.id) {
-                    let until = left + scene.stall + STALL_MARGIN;
-                    self.held.insert((endpoint.id.clone(), 0), until);
-                }
-            }
-            self.held.retain(|_, until| *until > now);
         }
         self.fence = Some(self.fence.map_or(fence, |f| f.max(fence)));
     }
@@ -312,6 +329,7 @@
             && matches!(reply, Reply::Begun | Reply::Lost)
         {
             mind.staging = Some((model.clone(), now));
+            mind.wait = None;
         }
         if let Action::Join { epoch, .. } = action
             && matches!(reply, Reply::Conflict | Reply::Elsewhere | Reply::Outdated)
@@ -390,19 +408,14 @@
                 mind.staging = None;
             }
         }
-        for endpoint in scene.endpoints.iter() {
-            if let Some(seat) = endpoint.seat.as_ref().filter(|s| s.rank == 0) {
-                self.heads.insert(seat.epoch, endpoint.id.clone());
-            }
-        }
+        let listed = |id: &Arc<str>| scene.endpoints.get(id).is_some();
+        self.minds.retain(|id, _| listed(id));
+        self.formed.retain(|_, f| f.members.iter().any(listed));
         let seated = |epoch: &u64| {
             let mut seats = scene.endpoints.iter().filter_map(|e| e.seat.as_ref());
             seats.any(|s| s.epoch == *epoch)
         };
-        self.heads.retain(|epoch, _| seated(epoch));
-        let listed = |id: &Arc<str>| scene.endpoints.get(id).is_some();
-        self.minds.retain(|id, _| listed(id));
-        self.formed.retain(|_, f| f.members.iter().any(listed));
+        self.retiring.retain(seated);
     }
 }
 
@@ -528,8 +541,6 @@
             stages.insert(key, stage);
         }
         self.planner.seen.retain(|k, _| stages.contains_key(k));
-        let now = self.now;
-        self.planner.held.retain(|_, until| *until > now);
         stages
     }
 
@@ -557,7 +568,7 @@
             }
             return Stage::Damaged;
         }
-        if group.draining {
+        if group.draining || self.planner.retiring.contains(&group.epoch) {
             return Stage::Leaving;
         }
         let joining = group
@@ -575,59 +586,38 @@
 
     fn act(&mut self, key: &(Arc<str>, u64), group: &Group, stage: Stage) {
         let (name, epoch) = key.clone();
-        let Some((head, state)) = group.head().map(|(id, s)| (id.clone(), s)) else {
-            if stage == Stage::Damaged && !self.head_moved(epoch) {
-                self.release_members(key, group);
-            }
-            return;
-        };
-        match stage {
-            Stage::Ready if self.is_idle(&head) => {
+        let head = group.head().map(|(id, s)| (id.clone(), s));
+        match (stage, head) {
+            (Stage::Ready, Some((head, _))) if self.is_idle(&head) => {
                 if let Some(formed) = self.planner.formed.get_mut(&epoch) {
                     formed.opened = true;
                 }
                 self.order(&head, Action::Open { group: name, epoch });
             }
-            Stage::Leaving => {
+            (Stage::Leaving, Some((head, state))) => {
                 let since = *self.planner.seen.entry(key.clone()).or_insert(self.now);
                 let late = self.now.since(since) >= CLOSE_TIME;
-                if !self.is_idle(&head) {
-                    return;
-                }
                 match state {
-                    SeatState::Open if !late => {
+                    SeatState::Open if !late && self.is_idle(&head) => {
                         self.order(&head, Action::Close { group: name, epoch });
                     }
-                    SeatState::Closing if !late => {}
-                    _ => self.order(&head, Action::Leave { group: name, epoch }),
+                    SeatState::Open | SeatState::Closing if !late => {}
+                    _ => self.dissolve(key, group),
                 }
             }
-            Stage::Damaged if self.is_dead(&head) => self.release_members(key, group),
-            Stage::Damaged if self.is_idle(&head) => {
-                self.order(&head, Action::Leave { group: name, epoch });
-            }
+            (Stage::Damaged, _) => self.dissolve(key, group),
             _ => {}
         }
     }
 
-    /// Lets members leave a group whose head is lost: the head gives up once it misses them, and
-    /// only then may they join another group.
-    fn release_members(&mut self, key: &(Arc<str>, u64), group: &Group) {
-        let never = self.planner.formed.get(&group.epoch);
-        if never.is_some_and(|f| !f.opened) {
-            if let Some(formed) = self.planner.formed.get_mut(&group.epoch) {
-                formed.given_up = true;
+    /// Tells all members to leave. A head that is lost may still be open, out of reach; it serves
+    /// nothing without its members and gives up after a while.
+    fn dissolve(&mut self, key: &(Arc<str>, u64), group: &Group) {
+        for (id, _) in group.members.values() {
+            if !self.is_dead(id) && self.is_idle(id) {
+                let (group, epoch) = key.clone();
+                self.order(id, Action::Leave { group, epoch });
             }
-            return;
-        }
-        let until = self.now + self.scene.stall + STALL_MARGIN;
-        for (rank, (id, _)) in &group.members {
-            if *rank == 0 || self.is_dead(id) || !self.is_idle(id) {
-                continue;
-            }
-            let (group, epoch) = key.clone();
-            self.planner.held.insert((id.clone(), epoch), until);
-            self.order(&id.clone(), Action::Leave { group, epoch });
         }
     }
 
@@ -636,28 +626,11 @@
         if endpoint.draining || self.is_dead(&endpoint.id) || !self.is_idle(&endpoint.id) {
             return false;
         }
-        let mut held = self.planner.held.iter();
-        if held.any(|((id, _), until)| *id == endpoint.id && *until > self.now) {
-            return false;
-        }
         let Some(seat) = &endpoint.seat else {
             return true;
         };
         let key = (seat.group.clone(), seat.epoch);
-        if stages.get(&key) == Some(&Stage::Over) {
-            return true;
-        }
-        // The head of its group has moved on, so that it can't take requests for it.
-        seat.rank != 0 && stages.get(&key) == Some(&Stage::Damaged) && self.head_moved(seat.epoch)
-    }
-
-    /// Returns whether the head of a group is listed and no longer in it.
-    fn head_moved(&self, epoch: u64) -> bool {
-        let Some(head) = self.planner.heads.get(&epoch) else {
-            return false;
-        };
-        let head = self.scene.endpoints.get(head);
-        head.is_some_and(|h| h.seat.as_ref().is_none_or(|s| s.epoch != epoch))
+        stages.get(&key) == Some(&Stage::Over)
     }
 
     /// Forms groups from free engines, the model furthest below its share first.
@@ -667,7 +640,8 @@
             &*e.service == self.scene.service && !e.draining && !self.is_dead(&e.id)
         };
         let usable: Vec<&Endpoint> = engines.iter().filter(usable).copied().collect();
-        let total = usable.len() as f64;
+        let total = (usable.len() as f64 * (1.0 - RESERVE)).ceil() as usize;
+        let goals = placement::goals(self.scene.engine, total, self.scene.demand);
         let mut free: BTreeMap<Arc<str>, Vec<&Endpoint>> = BTreeMap::new();
         for e in usable.iter().filter(|e| self.is_free(e, stages)) {
             free.entry(e.domain.clone()).or_default().push(e);
@@ -690,37 +664,38 @@
         self.planner.summary = Summary {
             usable: usable.len(),
             free: free.values().map(Vec::len).sum(),
-            held: self.planner.held.len(),
             loading: self.loading(),
             serving: count(&[Stage::Serving]),
             forming: count(&[Stage::Forming, Stage::Ready]),
             ending: count(&[Stage::Leaving, Stage::Damaged]),
+            models: goals
+                .iter()
+                .map(|(m, goal)| (m.clone(), have.get(m).copied().unwrap_or(0), *goal))
+                .collect(),
         };
-        while self.form_one(total, &mut free, &mut have) {}
-        self.stage_spares(&free);
+        let mut deal = Deal { goals, free, have };
+        while self.form_one(&mut deal, false) {}
+        while self.form_one(&mut deal, true) {}
+        self.convert(&deal, stages);
+        self.stage_others(&usable);
     }
 
-    fn form_one(
-        &mut self,
-        total: f64,
-        free: &mut BTreeMap<Arc<str>, Vec<&Endpoint>>,
-        have: &mut BTreeMap<Arc<str>, usize>,
-    ) -> bool {
+    /// Forms one group, of the model furthest below its share; a surplus group is one beyond that
+    /// share, of engines that would serve nothing otherwise, and without a load.
+    fn form_one(&mut self, deal: &mut Deal<'_>, surplus: bool) -> bool {
         let engine = self.scene.engine;
-        let shares: f64 = engine.models.iter().map(|m| m.share).sum();
-        let part = |m: &Model| {
-            let have = have.get(&m.name).copied().unwrap_or(0) as f64;
-            have / (m.share / shares.max(1e-9) * total).max(1e-9)
-        };
         let mut models: Vec<&Model> = engine.models.iter().collect();
-        models.sort_by(|a, b| part(a).total_cmp(&part(b)));
+        models.sort_by(|a, b| deal.part(a).total_cmp(&deal.part(b)));
         for model in models {
-            let goal = model.share / shares.max(1e-9) * total * (1.0 - RESERVE);
-            let held = have.get(&model.name).copied().unwrap_or(0);
-            if (held + model.size) as f64 > goal + model.size as f64 / 2.0 && held > 0 {
+            let held = deal.have.get(&model.name).copied().unwrap_or(0);
+            let beyond = (held + model.size) as f64 > deal.goal(model) + model.size as f64 / 2.0;
+            if beyond && held > 0 && !surplus {
                 continue;
             }
-            let places = free.iter().filter(|(_, e)| e.len() >= model.size.max(1));
+            let places = deal
+                .free
+                .iter()
+                .filter(|(_, e)| e.len() >= model.size.max(1));
             let best = places
                 .map(|(domain, engines)| (self.pick(engines, model), domain.clone(), engines.len()))
                 .min_by_key(|((cost, _), _, count)| (*cost, std::cmp::Reverse(*count)));
@@ -728,19 +703,69 @@
                 continue;
             };
             let loads = members.iter().filter(|e| self.needs_load(e, model)).count();
-            if !self.may_load(loads) {
+            if loads > 0 && surplus || !self.may_load(loads) {
                 continue;
             }
-            if let Some(engines) = free.get_mut(&domain) {
+            if let Some(engines) = deal.free.get_mut(&domain) {
                 engines.retain(|e| !members.iter().any(|m| m.id == e.id));
             }
-            *have.entry(model.name.clone()).or_default() += model.size;
+            *deal.have.entry(model.name.clone()).or_default() += model.size;
             self.form(model, &members);
             return true;
         }
         false
     }
 
+    /// Ends groups of the model that has the most engines for its share, where that frees enough
+    /// engines beside idle ones for a group of the model that has the fewest.
+    fn convert(&mut self, deal: &Deal<'_>, stages: &BTreeMap<(Arc<str>, u64), Stage>) {
+        let engine = self.scene.engine;
+        if !self.planner.retiring.is_empty() || self.scene.early {
+            return;
+        }
+        let part = |m: &&Model| deal.part(m);
+        let models = || engine.models.iter();
+        let by_part = |a: &&Model, b: &&Model| part(a).total_cmp(&part(b));
+        let (Some(short), Some(rich)) = (models().min_by(by_part), models().max_by(by_part)) else {
+            return;
+        };
+        if part(&short) >= part(&rich) * CONVERT {
+            return;
+        }
+        let goal = deal.goal(rich).max(1e-9);
+        let mut best: Option<(usize, Vec<u64>)> = None;
+        for (domain, free) in &deal.free {
+            let able = free.iter().filter(|e| self.is_able(e, short)).count();
+            let serving = self.groups.iter().filter(|(key, g)| {
+                let model = parse_name(&g.name).map(|(_, m)| m);
+                let serves = stages.get(*key) == Some(&Stage::Serving);
+                serves && g.domain == *domain && model == Some(&*rich.name)
+            });
+            let fits = |g: &Group| {
+                let mut members = g
+                    .members
+                    .values()
+                    .filter_map(|(id, _)| self.scene.endpoints.get(id));
+                members.all(|e| self.is_able(e, short))
+            };
+            let victims: Vec<u64> = serving.filter(|(_, g)| fits(g)).map(|(k, _)| k.1).collect();
+            let lacks = short.size.saturating_sub(able);
+            let count = lacks.div_ceil(rich.size);
+            // A domain without any idle engine gains nothing from the change.
+            if able == 0 || count == 0 || count > victims.len() {
+                continue;
+            }
+            let left = part(&rich) - (count * rich.size) as f64 / goal;
+            if left < part(&short) || best.as_ref().is_some_and(|(c, _)| *c <= count) {
+                continue;
+            }
+            best = Some((count, victims.into_iter().take(count).collect()));
+        }
+        if let Some((_, epochs)) = best {
+            self.planner.retiring.extend(epochs);
+        }
+    }
+
     fn form(&mut self, model: &Model, members: &[&Endpoint]) {
         let epoch = self.planner.next_epoch(self.fence);
         let group = group_name(epoch, model.size, &model.name);
@@ -813,15 +838,13 @@
         listed.max(fresh)
     }
 
-    /// Stages, on a spare engine of each domain, the model of the largest groups, which lose members
-    /// most often.
-    fn stage_spares(&mut self, free: &BTreeMap<Arc<str>, Vec<&Endpoint>>) {
+    /// Stages on each host a model that its engine doesn't hold, the rarest of its domain first: an
+    /// engine that can become a member of any group within a second replaces a lost one at once.
+    fn stage_others(&mut self, usable: &[&Endpoint]) {
         let engine = self.scene.engine;
-        let Some(first) = engine.models.iter().max_by_key(|m| m.size) else {
-            return;
-        };
+        let longest = engine.models.iter().map(|m| m.load).max();
+        let longest = longest.unwrap_or_default() * STAGE_FACTOR;
         let now = self.now;
-        let longest = first.load * STAGE_FACTOR;
         for mind in self.planner.minds.values_mut() {
             if mind
                 .staging
@@ -831,28 +854,68 @@
                 mind.staging = None;
             }
         }
-        for spares in free.values() {
-            let covered = spares.iter().any(|e| {
-                !self.needs_load(e, first)
-                    || self
-                        .planner
-                        .minds
-                        .get(&e.id)
-                        .is_some_and(|m| m.staging.is_some())
-            });
-            if covered {
+        let mut able: BTreeMap<(Arc<str>, Arc<str>), usize> = BTreeMap::new();
+        for e in usable {
+            for model in engine.models.iter().filter(|m| self.is_able(e, m)) {
+                *able
+                    .entry((e.domain.clone(), model.name.clone()))
+                    .or_default() += 1;
+            }
+        }
+        for e in usable {
+            // A host keeps one model beside the one that its engine holds.
+            let kept = engine.models.iter().filter(|m| self.is_able(e, m)).count();
+            let mind = self.planner.minds.get(&e.id);
+            let most = if mind.is_some_and(|m| m.last.is_some()) {
+                KEPT
+            } else {
+                1
+            };
+            if kept >= most || !self.is_settled(e) {
                 continue;
             }
-            let Some(spare) = spares.iter().find(|e| e.staged.is_empty()) else {
+            let count = |m: &&Model| {
+                let key = (e.domain.clone(), m.name.clone());
+                let have = able.get(&key).copied().unwrap_or(0) as f64;
+                (have / m.size as f64 * 100.0) as u64
+            };
+            let others = engine.models.iter().filter(|m| !self.is_able(e, m));
+            let Some(model) = others.min_by_key(count) else {
                 continue;
             };
+            if !self.scene.early && self.loading() + SPARE_LOADS >= engine.load_limit {
+                return;
+            }
             if self.may_load(1) {
-                let model = first.name.clone();
-                self.order(&spare.id.clone(), Action::Stage { model });
+                let key = (e.domain.clone(), model.name.clone());
+                *able.entry(key).or_default() += 1;
+                let model = model.name.clone();
+                self.order(&e.id.clone(), Action::Stage { model });
             }
         }
     }
 
+    /// Returns whether an engine can become a member of a group of this model without a load.
+    fn is_able(&self, endpoint: &Endpoint, model: &Model) -> bool {
+        let mind = self.planner.minds.get(&endpoint.id);
+        let staging = mind.and_then(|m| m.staging.as_ref());
+        let seat = endpoint.seat.as_ref().and_then(|s| parse_name(&s.group));
+        staging.is_some_and(|(name, _)| *name == model.name)
+            || seat.is_some_and(|(_, name)| name == &*model.name)
+            || !self.needs_load(endpoint, model)
+    }
+
+    /// Returns whether an engine has no order or load under way.
+    fn is_settled(&self, endpoint: &Endpoint) -> bool {
+        let joining = endpoint
+            .seat
+            .as_ref()
+            .is_some_and(|s| s.state == SeatState::Joining);
+        let mind = self.planner.minds.get(&endpoint.id);
+        let staging = mind.is_some_and(|m| m.staging.is_some());
+        !joining && !staging && self.is_idle(&endpoint.id)
+    }
+
     /// Returns whether an engine must read the model's weights from the weight store.
     fn needs_load(&self, endpoint: &Endpoint, model: &Model) -> bool {
         self.delay(endpoint, model) >= model.load
--- a/node/src/duty.rs
+++ b/node/src/duty.rs
@@ -127,6 +127,7 @@
     for service in engine_services(&config) {
         let mut out = Vec::new();
         let silent = silent(node, now);
+        let demand = node.meter.borrow().demand(now, node.machines());
         let endpoints = node.endpoints.borrow();
         let Some(engine) = config
             .services
@@ -140,11 +141,11 @@
             engine,
             endpoints: &endpoints,
             silent: &silent,
-            stall: node.settings.bounds.stall(),
+            demand: &demand,
             early: !node.called.get() && !node.peers.borrow().any_called(now),
         };
         let planner = state.planners.entry(service.clone()).or_default();
-        planner.lead(now, generation, &scene);
+        planner.lead(generation);
         planner.step(now, &scene, &mut out);
         log_summary(now, &service, planner, logged);
         for output in out {
@@ -159,12 +160,7 @@
 }
 
 /// Logs what a plan found, if it differs from what was logged and that was a while ago.
-fn log_summary(
-    now: Time,
-    service: &str,
-    planner: &Planner,
-    logged: &mut Option<(Time, Summary)>,
-) {
+fn log_summary(now: Time, service: &str, planner: &Planner, logged: &mut Option<(Time, Summary)>) {
     let found = planner.summary();
     let due = |(at, old): &(Time, Summary)| now.since(*at) >= SUMMARY_EVERY && old != found;
     if logged.as_ref().is_some_and(|l| !due(l)) {
@@ -174,15 +170,20 @@
     let Summary {
         usable,
         free,
-        held,
         loading,
         serving,
         forming,
         ending,
+        models,
     } = found;
+    let models: Vec<String> = models
+        .iter()
+        .map(|(m, have, goal)| format!("{m}:{have}/{goal}"))
+        .collect();
+    let models = models.join(",");
     log::info!(
-        "event=plan service={service} usable={usable} free={free} held={held} loading={loading} \
-         serving={serving} forming={forming} ending={ending}"
+        "event=plan service={service} usable={usable} free={free} loading={loading} \
+         serving={serving} forming={forming} ending={ending} models={models}"
     );
 }
 
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -179,7 +179,7 @@
         .and_then(|v| hemlock_platform::endpoints::decode(&record.key, v));
     let (now, mut endpoints) = (node.now(), node.endpoints.borrow_mut());
     let change = match decoded {
-        Some(endpoint) => endpoints.put(now, endpoint),
+        Some(endpoint) => endpoints.put(endpoint),
         // An entry that another writer spoiled names no endpoint either.
         None => endpoints.remove(now, &record.key),
     };
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -13,6 +13,7 @@
 use hemlock_lib::node::balance::{Ask, Candidate, Choice, Estimate};
 use hemlock_lib::node::config::{Engine, Repeat};
 use hemlock_lib::node::events::{self, Order, Splitter};
+use hemlock_lib::node::placement::Size;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, Passed};
 use hemlock_wire::http1::{self, Conn, Framing, HttpError, ResponseHead};
@@ -81,6 +82,16 @@
 /// Relays a request and returns what becomes of the caller's connection.
 pub(crate) async fn relay(node: &Rc<Node>, conn: &mut Conn, request: &Request, keep: bool) -> Next {
     node.called.set(true);
+    if let Some(model) = &request.meta.model {
+        let size = Size {
+            prompt: request.meta.prompt,
+            answer: request.meta.answer,
+            goal: request.route.goal,
+        };
+        node.meter
+            .borrow_mut()
+            .count(request.received, model, &size);
+    }
     let mut relay = Relay {
         node,
         request,
@@ -187,11 +198,13 @@
 
     fn log_send(&self, to: &Candidate, estimate: Estimate, cause: &str) {
         log::info!(
-            "event=sent request={} id={} attempt={} after={cause} running={} first_ms={} from={:?} \
-             config={}",
+            "event=sent request={} id={} attempt={} after={cause} prompt={} answer={} running={} \
+             first_ms={} from={:?} config={}",
             self.id(),
             to.id,
             self.tried.len() + 1,
+            self.request.meta.prompt,
+            self.request.meta.answer,
             estimate.running,
             estimate.first.as_millis(),
             self.sent.last,
@@ -418,7 +431,10 @@
             return left;
         }
         let gap = GIVE_UP.max(route.goal * 4).max(route.pause * 8);
-        let spent = self.sent.last_at.map_or_else(|| self.spent(), |t| now.since(t));
+        let spent = self
+            .sent
+            .last_at
+            .map_or_else(|| self.spent(), |t| now.since(t));
         gap.mul_f64(FIRST_PART).saturating_sub(spent).min(left)
     }
 
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -10,6 +10,7 @@
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, SeatState};
 use hemlock_lib::node::peers::{Member, Peers};
+use hemlock_lib::node::placement::Meter;
 use hemlock_lib::node::planner::parse_name;
 use hemlock_lib::node::quarantine::Quarantine;
 use hemlock_lib::node::settings::NodeSettings;
@@ -38,6 +39,7 @@
     pub(crate) budget: RefCell<Budget>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) meter: RefCell<Meter>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     /// When SIGTERM came.
@@ -81,6 +83,7 @@
             budget: RefCell::new(Budget::new(allowance)),
             quarantine: RefCell::default(),
             peers: RefCell::default(),
+            meter: RefCell::default(),
             pool: Pool::default(),
             metrics: Metrics::default(),
             stopping: Cell::default(),
