planner: demand of all entry VMs, blended with the operators' shares

Ruled out: too few loads as such; a bound on conversions alone. Conclusion: kept; six to fourteen engines still stand idle after half a minute.

--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::placement::Demand;
 use super::quarantine::Break;
 use crate::time::Time;
 
@@ -44,7 +45,7 @@
 }
 
 /// What one entry VM tells the others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// Who says it.
     pub member: Member,
@@ -60,6 +61,8 @@
     pub leads: bool,
     /// Whether a caller has come to it.
     pub called: bool,
+    /// What its callers ask of each model.
+    pub demand: BTreeMap<String, Demand>,
     /// Load by endpoint.
     pub placed: Vec<Placed>,
     /// Endpoints that stopped answering there, with the age of that in milliseconds.
--- a/lib/src/node/placement.rs
+++ b/lib/src/node/placement.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::config::{Engine, Model};
 use crate::time::Time;
 
@@ -26,7 +28,7 @@
 const NETWORK: f64 = 0.02;
 
 /// What callers ask of a model.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     /// Requests a second.
     pub rate: f64,
@@ -94,8 +96,8 @@
         sum.goal += size.goal.as_secs_f64();
     }
 
-    /// Returns the demand by model, if `machines` see as much each; empty until enough was seen.
-    pub fn demand(&self, now: Time, machines: usize) -> BTreeMap<Arc<str>, Demand> {
+    /// Returns the demand by model that this entry VM sees; empty until enough was seen.
+    pub fn demand(&self, now: Time) -> BTreeMap<Arc<str>, Demand> {
         let Some(since) = self.since.filter(|t| now.since(*t) >= LEAST_TIME) else {
             return BTreeMap::new();
         };
@@ -110,7 +112,7 @@
             sum.goal += part.goal;
         }
         let demand = |s: Sum| Demand {
-            rate: s.count / span * machines as f64,
+            rate: s.count / span,
             prompt: s.prompt / s.count,
             answer: s.answer / s.count,
             goal: s.goal / s.count,
@@ -121,6 +123,25 @@
     }
 }
 
+/// Adds up what several entry VMs see.
+pub fn total<'a>(
+    seen: impl IntoIterator<Item = (&'a str, &'a Demand)>,
+) -> BTreeMap<Arc<str>, Demand> {
+    let mut total: BTreeMap<Arc<str>, Demand> = BTreeMap::new();
+    for (model, d) in seen.into_iter().filter(|(_, d)| d.rate > 0.0) {
+        let sum = total.entry(Arc::from(model)).or_default();
+        let rate = sum.rate + d.rate;
+        let mean = |a: f64, b: f64| (a * sum.rate + b * d.rate) / rate;
+        *sum = Demand {
+            rate,
+            prompt: mean(sum.prompt, d.prompt),
+            answer: mean(sum.answer, d.answer),
+            goal: mean(sum.goal, d.goal),
+        };
+    }
+    total
+}
+
 /// Returns how hard a model is pressed with so many groups: the expected time to a first event over
 /// its goal, which grows when prompts take turns, and the batch over the slots, which tells how soon
 /// a lost group would make requests wait.
@@ -151,12 +172,28 @@
     (1.5 * pass + own + NETWORK) / demand.goal.max(0.001) + over
 }
 
-/// Returns the engines that each model should have of `total`, by the demand or, where none is
-/// known, by the shares that the operators expect.
+/// Returns the engines that each model should have of `total`: halfway between the shares that the
+/// operators expect and what the demand asks for, so that a lull or a burst of one model doesn't
+/// take the engines of another.
 pub fn goals(
     engine: &Engine,
     total: usize,
     demand: &BTreeMap<Arc<str>, Demand>,
+) -> BTreeMap<Arc<str>, usize> {
+    let expected = share_out(engine, total, &BTreeMap::new());
+    let asked = share_out(engine, total, demand);
+    let mean = |(model, engines): (Arc<str>, usize)| {
+        let other = asked.get(&model).copied().unwrap_or(engines);
+        (model, (engines + other) / 2)
+    };
+    expected.into_iter().map(mean).collect()
+}
+
+/// Deals `total` engines out to groups, each to the model that is pressed hardest.
+fn share_out(
+    engine: &Engine,
+    total: usize,
+    demand: &BTreeMap<Arc<str>, Demand>,
 ) -> BTreeMap<Arc<str>, usize> {
     let known = engine.models.iter().all(|m| demand.contains_key(&m.name));
     let shares: f64 = engine.models.iter().map(|m| m.share).sum();
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -34,7 +34,7 @@
 /// Models that an engine can serve without a load: the one of its group and one on its host.
 const KEPT: usize = 2;
 /// Loads that are left to groups that form while hosts stage models.
-const SPARE_LOADS: usize = 3;
+const SPARE_LOADS: usize = 1;
 /// Loads may take this many times longer while others run.
 const STAGE_FACTOR: u32 = 4;
 /// Part of the engines that stays without a group, to replace lost members at once.
@@ -217,6 +217,19 @@
     summary: Summary,
 }
 
+/// Engines of one model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelCount {
+    /// The model.
+    pub model: Arc<str>,
+    /// Engines that serve it or will do so.
+    pub have: usize,
+    /// Engines that should.
+    pub goal: usize,
+    /// Engines that could without a load.
+    pub able: usize,
+}
+
 /// What the last plan found, for the log.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Summary {
@@ -232,8 +245,8 @@
     pub forming: usize,
     /// Groups that are being ended.
     pub ending: usize,
-    /// Engines that each model has, and should have.
-    pub models: Vec<(Arc<str>, usize, usize)>,
+    /// Engines by model.
+    pub models: Vec<ModelCount>,
 }
 
 /// Returns the name of a group; it tells later planners the group's size and model.
@@ -668,9 +681,17 @@
             serving: count(&[Stage::Serving]),
             forming: count(&[Stage::Forming, Stage::Ready]),
             ending: count(&[Stage::Leaving, Stage::Damaged]),
-            models: goals
+            models: self
+                .scene
+                .engine
+                .models
                 .iter()
-                .map(|(m, goal)| (m.clone(), have.get(m).copied().unwrap_or(0), *goal))
+                .map(|m| ModelCount {
+                    model: m.name.clone(),
+                    have: have.get(&m.name).copied().unwrap_or(0),
+                    goal: goals.get(&m.name).copied().unwrap_or(0),
+                    able: usable.iter().filter(|e| self.is_able(e, m)).count(),
+                })
                 .collect(),
         };
         let mut deal = Deal { goals, free, have };
@@ -692,12 +713,15 @@
             if beyond && held > 0 && !surplus {
                 continue;
             }
-            let places = deal
-                .free
-                .iter()
-                .filter(|(_, e)| e.len() >= model.size.max(1));
+            let places = deal.free.iter().map(|(domain, engines)| {
+                let open = engines.iter().filter(|e| !self.is_kept(e, model, deal));
+                (domain, open.copied().collect::<Vec<&Endpoint>>())
+            });
+            let places = places.filter(|(_, e)| e.len() >= model.size.max(1));
             let best = places
-                .map(|(domain, engines)| (self.pick(engines, model), domain.clone(), engines.len()))
+                .map(|(domain, engines)| {
+                    (self.pick(&engines, model), domain.clone(), engines.len())
+                })
                 .min_by_key(|((cost, _), _, count)| (*cost, std::cmp::Reverse(*count)));
             let Some(((_, members), domain, _)) = best else {
                 continue;
@@ -716,6 +740,20 @@
         false
     }
 
+    /// Returns whether an engine is kept for the model of its last group: it would have to load that
+    /// again after a change, and that model is at least as short of engines.
+    fn is_kept(&self, endpoint: &Endpoint, model: &Model, deal: &Deal<'_>) -> bool {
+        let mind = self.planner.minds.get(&endpoint.id);
+        let Some(last) = mind.and_then(|m| m.last.as_ref()) else {
+            return false;
+        };
+        if *last == model.name || endpoint.staged.contains(last) {
+            return false;
+        }
+        let last = self.scene.engine.model(last);
+        last.is_some_and(|l| deal.part(l) < 1.0 && deal.part(l) <= deal.part(model))
+    }
+
     /// Ends groups of the model that has the most engines for its share, where that frees enough
     /// engines beside idle ones for a group of the model that has the fewest.
     fn convert(&mut self, deal: &Deal<'_>, stages: &BTreeMap<(Arc<str>, u64), Stage>) {
--- a/node/src/duty.rs
+++ b/node/src/duty.rs
@@ -1,12 +1,13 @@
 //! The planner's duty: asks the store for it, and carries out what the planner decides.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hemlock_lib::node::config::Config;
+use hemlock_lib::node::placement::{self, Demand};
 use hemlock_lib::node::planner::{Output, Planner, Scene, Summary};
 use hemlock_lib::time::Time;
 use hemlock_platform::engines;
@@ -32,7 +33,7 @@
 /// The duty of one engine service after the other.
 #[derive(Debug, Default)]
 struct Duty {
-    planners: std::collections::BTreeMap<Arc<str>, Planner>,
+    planners: BTreeMap<Arc<str>, Planner>,
     generation: u64,
     until: Option<Time>,
     /// The summary that was logged last, and when.
@@ -127,7 +128,7 @@
     for service in engine_services(&config) {
         let mut out = Vec::new();
         let silent = silent(node, now);
-        let demand = node.meter.borrow().demand(now, node.machines());
+        let demand = demand(node, now);
         let endpoints = node.endpoints.borrow();
         let Some(engine) = config
             .services
@@ -178,7 +179,7 @@
     } = found;
     let models: Vec<String> = models
         .iter()
-        .map(|(m, have, goal)| format!("{m}:{have}/{goal}"))
+        .map(|m| format!("{}:{}/{}/{}", m.model, m.have, m.goal, m.able))
         .collect();
     let models = models.join(",");
     log::info!(
@@ -192,6 +193,15 @@
     engines.map(|s| s.name.clone()).collect()
 }
 
+/// Adds up what this VM and its peers see.
+fn demand(node: &Node, now: Time) -> BTreeMap<Arc<str>, Demand> {
+    let own = node.meter.borrow().demand(now);
+    let peers = node.peers.borrow();
+    let news = peers.news(now).flat_map(|(n, _)| &n.demand);
+    let heard = news.map(|(model, d)| (model.as_str(), d));
+    placement::total(own.iter().map(|(m, d)| (&**m, d)).chain(heard))
+}
+
 /// Lists the heads that this VM or a peer finds silent.
 fn silent(node: &Node, now: Time) -> BTreeSet<Arc<str>> {
     let balance = node.balance.borrow();
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -68,6 +68,7 @@
     let now = node.now();
     let balance = node.balance.borrow();
     let silent = balance.silents(now).into_iter();
+    let demand = node.meter.borrow().demand(now);
     News {
         member: node.me.clone(),
         count,
@@ -76,6 +77,10 @@
         store: node.store_up.get(),
         leads: node.leads.get(),
         called: node.called.get(),
+        demand: demand
+            .into_iter()
+            .map(|(m, d)| (m.to_string(), d))
+            .collect(),
         placed: balance.placed(),
         silent: silent
             .map(|(id, age)| (id.to_string(), age.as_millis() as u32))
