--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -58,8 +58,12 @@
     pub prompt: u32,
     /// Zone of this gateway.
     pub zone: &'a str,
+    /// Tokens that are expected of its answer.
+    pub answer: u32,
     /// Longest time to the first event that is of use to the caller.
     pub patience: Duration,
+    /// What is left of the caller's wait for the whole answer.
+    pub left: Duration,
 }
 
 /// Where a request goes.
@@ -78,6 +82,8 @@
 pub struct Estimate {
     /// Expected time to the first event.
     pub first: Duration,
+    /// Expected time to the end of the answer.
+    pub whole: Duration,
     /// Requests under way there.
     pub running: usize,
 }
@@ -93,6 +99,8 @@
     progress: Option<Time>,
     fails: u32,
     avoided: Option<Time>,
+    /// Observed over expected time between events; zero before the first one.
+    slowness: f64,
 }
 
 /// The endpoints that take requests, with the load on them.
@@ -117,6 +125,7 @@
                 load.peers_silent = None;
                 load.fails = 0;
                 load.avoided = None;
+                load.slowness = 0.0;
             }
         }
         self.loads
@@ -161,41 +170,53 @@
             return Choice::Nobody(self.retry_after(RETRY_MIN * 2));
         }
         let score = |c: &&Candidate| {
-            let e = self.estimate(c, ask.prompt, engine);
+            let e = self.estimate(c, ask, engine);
             let far = u128::from(&*c.zone != ask.zone);
             // Zones decide between endpoints that are alike within a few milliseconds.
             let mix = crate::rendezvous::score(&turn.to_le_bytes(), c.id.as_bytes());
             (e.first.as_millis() / 4 + far, mix)
         };
         let room = |c: &&Candidate| {
-            let e = self.estimate(c, ask.prompt, engine);
-            e.first <= ask.patience && e.running < c.slots.max(1) * QUEUE_FACTOR
+            let e = self.estimate(c, ask, engine);
+            e.first <= ask.patience
+                && e.whole <= ask.left * HOPELESS
+                && e.running < c.slots.max(1) * QUEUE_FACTOR
         };
         let best = good.iter().copied().filter(room).min_by_key(score);
         match best {
-            Some(c) => Choice::Send(c.clone(), self.estimate(c, ask.prompt, engine)),
+            Some(c) => Choice::Send(c.clone(), self.estimate(c, ask, engine)),
             None => Choice::Full(self.retry_after(RETRY_MIN)),
         }
     }
 
     /// Returns the expected time to the first event on an endpoint.
-    fn estimate(&self, c: &Candidate, prompt: u32, engine: Option<&Engine>) -> Estimate {
+    fn estimate(&self, c: &Candidate, ask: &Ask<'_>, engine: Option<&Engine>) -> Estimate {
         let load = self.load(&c.id);
         let running = load.map_or(0, Load::running);
         let Some(engine) = engine else {
             let first = Duration::from_millis(10) * running as u32 / c.slots.max(1) as u32;
-            return Estimate { first, running };
+            return Estimate {
+                first,
+                whole: first,
+                running,
+            };
         };
         let unread = load.map_or(0, |l| l.unread + l.peers_unread);
-        let read = f64::from(unread + prompt) / engine.read_rate.max(1.0);
+        let read = f64::from(unread + ask.prompt) / engine.read_rate.max(1.0);
         let batch = running.min(c.slots) as f64;
         let step = engine.step.as_secs_f64() + engine.per_request.as_secs_f64() * batch;
         let over = (running + 1).saturating_sub(c.slots) as f64;
         // A slot frees when one of the batch ends: an answer's steps over the slots.
         let wait = over * step * ANSWER_STEPS / c.slots.max(1) as f64;
         let pass = step * f64::from(engine.stride) * 1.5;
-        let first = Duration::from_secs_f64((read + pass + wait) * c.pace);
-        Estimate { first, running }
+        let slow = load.map_or(1.0, |l| l.slowness.max(1.0)) * c.pace;
+        let first = (read + pass + wait) * slow;
+        let whole = first + step * f64::from(ask.answer) * slow;
+        Estimate {
+            first: Duration::from_secs_f64(first),
+            whole: Duration::from_secs_f64(whole),
+            running,
+        }
     }
 
     fn load(&self, id: &str) -> Option<&Load> {
@@ -236,6 +257,24 @@
         }
     }
 
+    /// Takes the time between two events of a stream, to learn which groups are slow.
+    pub fn paused(&mut self, id: &str, pause: Duration, engine: &Engine) {
+        let Some(candidate) = self.candidates.get(id) else {
+            return;
+        };
+        let Some(load) = self.loads.get_mut(id) else {
+            return;
+        };
+        let batch = load.running().min(candidate.slots) as f64;
+        let step = engine.step.as_secs_f64() + engine.per_request.as_secs_f64() * batch;
+        let expected = step * f64::from(engine.stride) * candidate.pace;
+        let ratio = (pause.as_secs_f64() / expected.max(1e-6)).min(SLOWEST);
+        load.slowness = match load.slowness {
+            0.0 => ratio,
+            known => known + (ratio - known) * LEARN,
+        };
+    }
+
     /// Returns when an endpoint last sent something.
     pub fn last_progress(&self, id: &str) -> Option<Time> {
         self.loads.get(id).and_then(|l| l.progress)
@@ -322,6 +361,13 @@
     }
 }
 
+/// Weight of one pause in what is known of a group's slowness; a group shows some twenty a second.
+const LEARN: f64 = 0.1;
+/// Slowness that a single pause counts for at most.
+const SLOWEST: f64 = 20.0;
+/// Times that an answer may be expected to take of what is left before it counts as hopeless;
+/// callers' estimates of its length are often far off.
+const HOPELESS: u32 = 2;
 /// Steps that a usual answer takes (154 tokens in the users' services).
 const ANSWER_STEPS: f64 = 150.0;
 
--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -1,6 +1,6 @@
 //! The endpoints that the platform lists, and the groups that their engines form.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +8,13 @@
 
 /// Time after the store's return in which lapsed entries come back (stated by the platform).
 const RETURN_TIME: Duration = Duration::from_secs(2);
+/// Entries that end at once, and their part of the list, from which they may have lapsed: more than
+/// a failure domain holds.
+const MANY: usize = 3;
+const MANY_PART: usize = 4;
+/// Time for which such entries stay in use; less than the 2 s in which requests may still reach an
+/// endpoint that has ended.
+const DOUBT_TIME: Duration = Duration::from_millis(1_500);
 
 /// Where an engine stands in its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -112,13 +119,25 @@
     Lapsed,
 }
 
+/// Whether entries that end may have lapsed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum StoreState {
+    /// No: the store has answered all along.
+    #[default]
+    Steady,
+    /// Yes: it does not answer.
+    Away,
+    /// For a while: it answers again since then.
+    Back(Time),
+}
+
 /// All listed endpoints.
 #[derive(Debug, Default)]
 pub struct Endpoints {
     listed: BTreeMap<Arc<str>, Endpoint>,
     /// Entries that lapsed around an outage of the store.
     lapsed: BTreeMap<Arc<str>, Time>,
-    store_back: Option<Time>,
+    store: StoreState,
     version: u64,
 }
 
@@ -155,30 +174,55 @@
         change
     }
 
-    /// Takes the end of an entry.
+    /// Takes the end of entries.
     ///
-    /// Shortly after an outage of the store it may only have lapsed, and stays in use until it
-    /// would be back.
-    pub fn remove(&mut self, now: Time, id: &str) -> Change {
-        let Some((key, _)) = self.listed.get_key_value(id) else {
-            return Change::None;
+    /// While the store is away and shortly after, an entry may only have lapsed, and so may many
+    /// that end at once. These stay in use until they would be back.
+    pub fn remove<'a>(
+        &mut self,
+        now: Time,
+        ids: impl IntoIterator<Item = &'a str>,
+    ) -> Vec<(Arc<str>, Change)> {
+        let key = |id: &str| self.listed.get_key_value(id).map(|(k, _)| k.clone());
+        let ended: Vec<Arc<str>> = ids.into_iter().filter_map(key).collect();
+        let many = ended.len() >= MANY && ended.len() * MANY_PART > self.listed.len();
+        let until = match self.store {
+            StoreState::Away => Some(Time(u64::MAX)),
+            StoreState::Back(since) if now < since + RETURN_TIME => Some(since + RETURN_TIME),
+            _ if many => Some(now + DOUBT_TIME),
+            StoreState::Back(_) | StoreState::Steady => None,
         };
-        let key = key.clone();
-        if let Some(back) = self.store_back {
-            let until = back + RETURN_TIME;
-            if now < until {
-                self.lapsed.insert(key, until);
-                return Change::Lapsed;
+        let mut changes = Vec::new();
+        for id in ended {
+            match until {
+                Some(until) => {
+                    self.lapsed.insert(id.clone(), until);
+                    changes.push((id, Change::Lapsed));
+                }
+                None => {
+                    self.version += 1;
+                    self.listed.remove(&id);
+                    changes.push((id, Change::Gone));
+                }
             }
         }
-        self.version += 1;
-        self.listed.remove(&key);
-        Change::Gone
+        changes
+    }
+
+    /// Takes the news that the store does not answer.
+    pub fn store_lost(&mut self) {
+        self.store = StoreState::Away;
+        for until in self.lapsed.values_mut() {
+            *until = Time(u64::MAX);
+        }
     }
 
     /// Takes the news that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Time) {
-        self.store_back = Some(now);
+        self.store = StoreState::Back(now);
+        for until in self.lapsed.values_mut() {
+            *until = now + RETURN_TIME;
+        }
     }
 
     /// Removes entries that lapsed and did not come back; returns them.
@@ -201,13 +245,9 @@
     /// Replaces the whole list, as read anew; returns the identifiers that are no longer listed.
     pub fn replace(&mut self, now: Time, fresh: Vec<Endpoint>) -> Vec<(Arc<str>, Change)> {
         let old: Vec<Arc<str>> = self.listed.keys().cloned().collect();
-        let mut changes = Vec::new();
-        for id in old {
-            if !fresh.iter().any(|e| e.id == id) {
-                let change = self.remove(now, &id);
-                changes.push((id, change));
-            }
-        }
+        let known: BTreeSet<&str> = fresh.iter().map(|e| &*e.id).collect();
+        let ended = old.iter().map(|id| &**id).filter(|id| !known.contains(id));
+        let mut changes = self.remove(now, ended);
         for endpoint in fresh {
             let id = endpoint.id.clone();
             changes.push((id, self.put(endpoint)));
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -27,6 +27,9 @@
 const DEAD_PROBES: u32 = 2;
 /// Time between two probes of one engine.
 const PROBE_EVERY: Duration = Duration::from_millis(150);
+/// First and longest time until an engine that answered is probed again.
+const PROBE_FIRST: Duration = Duration::from_millis(400);
+const PROBE_MOST: Duration = Duration::from_secs(4);
 /// Time for which an engine that answered no probe gets no new group.
 const DEAD_TIME: Duration = Duration::from_secs(4);
 /// Time to join a group of the model of the engine's last group (stated by the users).
@@ -192,6 +195,8 @@
     wait: Option<Time>,
     /// Unanswered probes in a row, and the time of the last probe.
     unanswered: u32,
+    /// Time until an engine that answered is probed again.
+    patience: Duration,
     probed: Option<Time>,
     dead_until: Option<Time>,
     /// The model of its last group.
@@ -364,9 +369,11 @@
         if answered {
             mind.unanswered = 0;
             mind.dead_until = None;
+            mind.patience = (mind.patience * 2).clamp(PROBE_FIRST, PROBE_MOST);
             return;
         }
         mind.unanswered += 1;
+        mind.patience = Duration::ZERO;
         if mind.unanswered >= DEAD_PROBES {
             mind.dead_until = Some(now + DEAD_TIME);
         }
@@ -494,7 +501,9 @@
             let Some(mind) = self.planner.minds.get_mut(&id) else {
                 continue;
             };
-            if mind.probed.is_some_and(|t| self.now.since(t) < PROBE_EVERY) {
+            // An engine that answered is slow rather than lost, and is asked again later.
+            let every = mind.patience.max(PROBE_EVERY);
+            if mind.probed.is_some_and(|t| self.now.since(t) < every) {
                 continue;
             }
             mind.probed = Some(self.now);
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -362,7 +362,7 @@
             let mut worker = self.workers[&id].clone();
             if let Some(dead) = worker.dead {
                 if now.since(dead) >= LAPSE {
-                    self.endpoints.remove(now, &id);
+                    self.endpoints.remove(now, [&*id]);
                 }
                 continue;
             }
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -1,9 +1,9 @@
 //! Reads the configuration, the endpoints and the members from the store, and follows them.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::endpoints::Change;
 use hemlock_lib::node::peers::Member;
 use hemlock_platform::store::{Record, Store, StoreError, Topic};
 use rand::Rng;
@@ -15,7 +15,7 @@
 const READ_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after new endpoints, so that changes in a row are read at once: short for the planner, whose
 /// next orders wait for them.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(300);
 const GATHER_PLANNER: Duration = Duration::from_millis(40);
 /// Time between two looks at the members' list; datagrams tell of new members sooner.
 const MEMBERS_EVERY: Duration = Duration::from_secs(10);
@@ -29,6 +29,8 @@
 /// First and longest wait before another try.
 const BACKOFF: Duration = Duration::from_millis(60);
 const BACKOFF_MOST: Duration = Duration::from_millis(600);
+/// The longest one of a process that knows nothing yet, and so serves nobody.
+const BACKOFF_START: Duration = Duration::from_millis(150);
 /// Time between two writes of the own record, unless it was lost.
 const REWRITE: Duration = Duration::from_secs(30);
 
@@ -48,9 +50,7 @@
         if fresh {
             replace_endpoints(node, &records);
         } else {
-            for record in &records {
-                take_endpoint(node, record);
-            }
+            take_endpoints(node, &records);
         }
         node.refresh();
         node.changed.notify_one();
@@ -127,7 +127,12 @@
                 log::debug!("event=read_failed topic={topic:?} cause=\"{e}\"");
                 let part = rand::rng().random_range(0.5..1.0);
                 tokio::time::sleep(wait.mul_f64(part)).await;
-                wait = (wait * 2).min(BACKOFF_MOST);
+                let most = if next.is_none() {
+                    BACKOFF_START
+                } else {
+                    BACKOFF_MOST
+                };
+                wait = (wait * 2).min(most);
             }
         }
     }
@@ -169,23 +174,25 @@
     node.listed.set(true);
 }
 
-fn take_endpoint(node: &Node, record: &Record) {
-    if let Some(value) = &record.value {
-        log::debug!("event=entry id={} entry={:?}", record.key, value);
-    }
-    let decoded = record
-        .value
-        .as_deref()
-        .and_then(|v| hemlock_platform::endpoints::decode(&record.key, v));
-    let (now, mut endpoints) = (node.now(), node.endpoints.borrow_mut());
-    let change = match decoded {
-        Some(endpoint) => endpoints.put(endpoint),
+fn take_endpoints(node: &Node, records: &[Record]) {
+    let now = node.now();
+    let mut changes = Vec::new();
+    let mut ended = Vec::new();
+    for record in records {
+        let value = record.value.as_deref();
         // An entry that another writer spoiled names no endpoint either.
-        None => endpoints.remove(now, &record.key),
-    };
-    drop(endpoints);
-    if change != Change::None {
-        node.log_change(&record.key, change);
+        match value.and_then(|v| hemlock_platform::endpoints::decode(&record.key, v)) {
+            Some(endpoint) => {
+                ended.retain(|id| *id != record.key);
+                let change = node.endpoints.borrow_mut().put(endpoint);
+                changes.push((Arc::from(record.key.as_str()), change));
+            }
+            None => ended.push(record.key.as_str()),
+        }
+    }
+    changes.extend(node.endpoints.borrow_mut().remove(now, ended));
+    for (id, change) in changes {
+        node.log_change(&id, change);
     }
 }
 
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -73,6 +73,7 @@
     node: &'a Rc<Node>,
     request: &'a Request,
     keep: bool,
+    service: Option<Arc<str>>,
     tried: Vec<Arc<str>>,
     /// Endpoints at which it may have run.
     runs: u32,
@@ -96,6 +97,7 @@
         node,
         request,
         keep,
+        service: None,
         tried: Vec::new(),
         runs: 0,
         sent: Sent {
@@ -118,6 +120,7 @@
                 .give_up(conn, "no_service", Duration::from_secs(1))
                 .await;
         };
+        self.service = Some(service.clone());
         let now = self.node.now();
         self.node.budget.borrow_mut().request(now, &service);
         let config = self.request.config.clone();
@@ -182,7 +185,9 @@
             model: self.request.meta.model.as_deref(),
             prompt: self.request.meta.prompt,
             zone: &self.node.me.zone,
+            answer: self.answer_left(),
             patience: self.first_limit(now),
+            left: self.request.deadline.since(now),
         };
         let mut balance = self.node.balance.borrow_mut();
         balance.choose(now, &ask, engine, &self.tried)
@@ -422,6 +427,20 @@
         Some(own.unwrap_or(self.request.route.rank))
     }
 
+    /// Returns the tokens that the answer still needs.
+    fn answer_left(&self) -> u32 {
+        let stride = self.engine().map_or(1, |e| e.stride);
+        self.request
+            .meta
+            .answer
+            .saturating_sub(self.sent.events * stride)
+    }
+
+    fn engine(&self) -> Option<&Engine> {
+        let service = self.service.as_ref()?;
+        self.request.config.services.get(service)?.engine.as_ref()
+    }
+
     /// Returns the longest time to the first event that is of use: callers abandon a stream after a
     /// gap of 2 s, four times the goal or eight times the pause, whichever is longest.
     fn first_limit(&self, now: Time) -> Duration {
@@ -657,9 +676,13 @@
             match piece {
                 Ok(Some(bytes)) => {
                     since = now;
+                    let moved = !*first;
                     self.note_progress(now, to, prompt, first);
                     splitter.push(&bytes);
-                    match self.pass_events(caller, head, &mut splitter, now).await {
+                    match self
+                        .pass_events(caller, head, &mut splitter, to, moved)
+                        .await
+                    {
                         Ok(()) => {}
                         Err(end) => return end,
                     }
@@ -691,8 +714,10 @@
         caller: &mut Conn,
         head: &ResponseHead,
         splitter: &mut Splitter,
-        now: Time,
+        to: &Candidate,
+        moved: bool,
     ) -> Result<(), End> {
+        let now = self.node.now();
         let mut out = Vec::new();
         let mut last = self.sent.last;
         let mut events = 0;
@@ -723,9 +748,12 @@
             self.sent.last = last;
             self.sent.events += events;
             if let Some(before) = self.sent.last_at.replace(now) {
-                self.node
-                    .metrics
-                    .record(Latency::Pause, "answered", now.since(before));
+                let pause = now.since(before);
+                self.node.metrics.record(Latency::Pause, "answered", pause);
+                if !moved && let Some(engine) = self.engine() {
+                    let mut balance = self.node.balance.borrow_mut();
+                    balance.paused(&to.id, pause, engine);
+                }
             }
         }
         if gap {
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -128,6 +128,7 @@
             self.endpoints.borrow_mut().store_returned(self.now());
             log::info!("event=store_regained {cause}");
         } else {
+            self.endpoints.borrow_mut().store_lost();
             log::warn!("event=store_lost cause=\"{cause}\"");
         }
         self.metrics
