--- a/lib/src/node/placement.rs
+++ b/lib/src/node/placement.rs
@@ -20,8 +20,6 @@
 const SLICE: Duration = Duration::from_millis(500);
 /// Time of counting before a demand is believed.
 const LEAST_TIME: Duration = Duration::from_secs(2);
-/// Part of a group's time that reading prompts may take before it counts as overloaded.
-const READ_MOST: f64 = 0.9;
 /// Pressure of an overloaded model, far above that of one that only misses its goal.
 const OVERLOAD: f64 = 10.0;
 /// Network delays of a first event.
@@ -150,23 +148,22 @@
         return f64::INFINITY;
     }
     let rate = demand.rate / groups as f64;
+    let slots = engine.slots.max(1) as f64;
     let read = rate * demand.prompt / engine.read_rate.max(1.0) * model.pace;
-    if read >= READ_MOST {
-        return OVERLOAD * (1.0 + read);
-    }
     let step = |batch: f64| {
         (engine.step.as_secs_f64() + engine.per_request.as_secs_f64() * batch) * model.pace
     };
+    // Time that a group's requests need of each second, with all slots in use.
+    let load = read + rate * demand.answer * step(slots) / slots;
+    if load >= 1.0 {
+        return OVERLOAD * load;
+    }
     // The batch and the time of a step depend on each other; a few rounds are close enough.
     let mut batch = 1.0;
     for _ in 0..6 {
-        batch = (rate * demand.answer * step(batch) / (1.0 - read)).min(engine.slots as f64 * 4.0);
-    }
-    let over = batch / engine.slots.max(1) as f64;
-    // Beyond its slots a group makes requests wait, and the wait grows with each of them.
-    if over > 1.0 {
-        return OVERLOAD * over;
+        batch = (rate * demand.answer * step(batch) / (1.0 - read)).min(slots);
     }
+    let over = batch / slots;
     let pass = step(batch) * f64::from(engine.stride) / (1.0 - read);
     let own = demand.prompt / engine.read_rate.max(1.0) * model.pace;
     (1.5 * pass + own + NETWORK) / demand.goal.max(0.001) + over
--- /dev/null
+++ b/lib/tests/test_node_balance.rs
@@ -0,0 +1,208 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::node::balance::{Ask, Balance, Candidate, Choice};
+use hemlock_lib::node::config::Engine;
+use hemlock_lib::node::peers::Placed;
+use hemlock_lib::time::Time;
+
+use crate::node_world::engine;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(10_000 + ms)
+}
+
+fn group(id: &str, zone: &str) -> Candidate {
+    Candidate {
+        id: Arc::from(id),
+        life: (1, 1),
+        address: "10.0.0.1:80".to_owned(),
+        zone: Arc::from(zone),
+        service: Arc::from("models"),
+        model: Some(Arc::from("m")),
+        slots: 17,
+        pace: 1.0,
+    }
+}
+
+fn plain(id: &str) -> Candidate {
+    Candidate {
+        service: Arc::from("plain"),
+        model: None,
+        ..group(id, "z1")
+    }
+}
+
+fn ask(prompt: u32) -> Ask<'static> {
+    Ask {
+        service: "models",
+        model: Some("m"),
+        prompt,
+        answer: 150,
+        zone: "z1",
+        patience: Duration::from_millis(1_400),
+        left: Duration::from_secs(6),
+    }
+}
+
+fn engines() -> Engine {
+    engine(&[("m", 2, 1.0)])
+}
+
+fn sent(choice: &Choice) -> &str {
+    match choice {
+        Choice::Send(to, _) => &to.id,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+/// Requests of one size spread evenly over groups that are alike.
+#[test]
+fn load_is_spread() {
+    let mut balance = Balance::default();
+    balance.refresh((0..4).map(|i| group(&format!("g{i}"), "z1")));
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..40 {
+        let choice = balance.choose(at(0), &ask(500), Some(&engines()), &[]);
+        let id: Arc<str> = Arc::from(sent(&choice));
+        balance.start(at(0), &id, 500);
+        *counts.entry(id).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|n| (8..=12).contains(n)), "{counts:?}");
+}
+
+#[test]
+fn what_peers_have_placed_counts() {
+    let mut balance = Balance::default();
+    balance.refresh([group("g0", "z1"), group("g1", "z1")]);
+    let placed = Placed {
+        endpoint: "g0".to_owned(),
+        requests: 12,
+        unread: 20_000,
+    };
+    balance.take_peers([&placed].into_iter(), std::iter::empty());
+    for _ in 0..5 {
+        let choice = balance.choose(at(0), &ask(500), Some(&engines()), &[]);
+        assert_eq!(sent(&choice), "g1");
+        balance.start(at(0), &Arc::from("g1"), 100);
+    }
+}
+
+#[test]
+fn a_silent_group_gets_nothing_until_it_answers() {
+    let mut balance = Balance::default();
+    balance.refresh([group("g0", "z1")]);
+    let id: Arc<str> = Arc::from("g0");
+    balance.start(at(0), &id, 500);
+    balance.silent(at(500), &id);
+    let nobody = balance.choose(at(600), &ask(500), Some(&engines()), &[]);
+    assert!(matches!(nobody, Choice::Nobody(_)), "{nobody:?}");
+    balance.progress(at(700), "g0");
+    assert_eq!(
+        sent(&balance.choose(at(700), &ask(500), Some(&engines()), &[])),
+        "g0"
+    );
+}
+
+#[test]
+fn a_group_formed_anew_is_not_silent() {
+    let mut balance = Balance::default();
+    balance.refresh([group("g0", "z1")]);
+    let id: Arc<str> = Arc::from("g0");
+    balance.start(at(0), &id, 500);
+    balance.silent(at(500), &id);
+    balance.refresh([Candidate {
+        life: (1, 2),
+        ..group("g0", "z1")
+    }]);
+    assert_eq!(
+        sent(&balance.choose(at(600), &ask(500), Some(&engines()), &[])),
+        "g0"
+    );
+}
+
+/// A peer's doubt that is older than an answer seen here is settled.
+#[test]
+fn answers_settle_older_doubts_of_peers() {
+    let mut balance = Balance::default();
+    balance.refresh([group("g0", "z1")]);
+    let id: Arc<str> = Arc::from("g0");
+    balance.start(at(0), &id, 500);
+    balance.progress(at(1_000), "g0");
+    balance.take_peers(std::iter::empty(), [("g0", at(900))].into_iter());
+    assert!(!balance.is_silent(at(1_100), "g0"));
+    balance.take_peers(std::iter::empty(), [("g0", at(1_050))].into_iter());
+    assert!(balance.is_silent(at(1_100), "g0"));
+}
+
+/// What no group can begin before the caller gives up is refused at once, with a wait that spreads
+/// the returns and lies within what callers honour.
+#[test]
+fn overload_is_refused_at_once() {
+    let mut balance = Balance::default();
+    balance.refresh([group("g0", "z1")]);
+    let id: Arc<str> = Arc::from("g0");
+    let mut waits = std::collections::BTreeSet::new();
+    let mut sends = 0;
+    for _ in 0..200 {
+        match balance.choose(at(0), &ask(700), Some(&engines()), &[]) {
+            Choice::Send(..) => {
+                balance.start(at(0), &id, 700);
+                sends += 1;
+            }
+            Choice::Full(after) => {
+                assert!((Duration::from_millis(300)..Duration::from_secs(2)).contains(&after));
+                waits.insert(after);
+            }
+            Choice::Nobody(_) => panic!("the group is there"),
+        }
+    }
+    assert!((17..=51).contains(&sends), "{sends}");
+    assert!(waits.len() > 50, "{}", waits.len());
+}
+
+/// A long answer that would surely miss its deadline at a slow group goes to another one.
+#[test]
+fn slow_groups_are_learned() {
+    let mut balance = Balance::default();
+    balance.refresh([group("slow", "z1"), group("good", "z1")]);
+    for id in ["slow", "good"] {
+        balance.start(at(0), &Arc::from(id), 10);
+    }
+    for _ in 0..50 {
+        balance.paused("slow", Duration::from_millis(400), &engines());
+        balance.paused("good", Duration::from_millis(40), &engines());
+    }
+    for _ in 0..10 {
+        let choice = balance.choose(at(100), &ask(500), Some(&engines()), &[]);
+        assert_eq!(sent(&choice), "good");
+    }
+    let only = balance.choose(at(100), &ask(500), Some(&engines()), &[Arc::from("good")]);
+    assert!(matches!(only, Choice::Full(_)), "{only:?}");
+}
+
+#[test]
+fn a_failing_plain_endpoint_rests_unless_it_is_the_only_one() {
+    let mut balance = Balance::default();
+    balance.refresh([plain("p0"), plain("p1")]);
+    let ask = Ask {
+        service: "plain",
+        model: None,
+        ..ask(0)
+    };
+    for _ in 0..3 {
+        balance.failed(at(0), &Arc::from("p0"));
+    }
+    for _ in 0..6 {
+        assert_eq!(sent(&balance.choose(at(10), &ask, None, &[])), "p1");
+    }
+    assert_eq!(
+        sent(&balance.choose(at(10), &ask, None, &[Arc::from("p1")])),
+        "p0"
+    );
+    let mut later = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        later.insert(sent(&balance.choose(at(5_000), &ask, None, &[])).to_owned());
+    }
+    assert_eq!(later.len(), 2);
+}
--- /dev/null
+++ b/lib/tests/test_node_endpoints.rs
@@ -0,0 +1,132 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::node::endpoints::{Change, Endpoint, Endpoints, Seat, SeatState};
+use hemlock_lib::time::Time;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(10_000 + ms)
+}
+
+fn endpoint(id: &str) -> Endpoint {
+    Endpoint {
+        id: Arc::from(id),
+        born: 1,
+        service: Arc::from("s"),
+        address: "10.0.0.1:80".to_owned(),
+        zone: Arc::from("z"),
+        domain: Arc::from("d"),
+        draining: false,
+        slots: 4,
+        staged: Vec::new(),
+        model: None,
+        seat: None,
+    }
+}
+
+fn listed(count: usize) -> Endpoints {
+    let mut endpoints = Endpoints::default();
+    for i in 0..count {
+        endpoints.put(endpoint(&format!("e{i}")));
+    }
+    endpoints
+}
+
+#[test]
+fn an_entry_that_ends_is_gone_at_once() {
+    let mut endpoints = listed(10);
+    assert_eq!(
+        endpoints.remove(at(0), ["e1"]),
+        [(Arc::from("e1"), Change::Gone)]
+    );
+    assert!(endpoints.get("e1").is_none());
+    assert!(endpoints.remove(at(0), ["e1"]).is_empty());
+}
+
+/// Entries lapse while the store is away; they are back within 2 s of its return, or gone.
+#[test]
+fn entries_that_lapse_with_the_store_wait_for_its_return() {
+    let mut endpoints = listed(10);
+    endpoints.store_lost();
+    assert_eq!(endpoints.remove(at(0), ["e1"])[0].1, Change::Lapsed);
+    assert!(endpoints.expire(at(60_000)).is_empty());
+    endpoints.store_returned(at(60_000));
+    assert_eq!(endpoints.remove(at(60_500), ["e2"])[0].1, Change::Lapsed);
+    endpoints.put(endpoint("e2"));
+    assert!(endpoints.expire(at(61_900)).is_empty());
+    assert_eq!(endpoints.expire(at(62_000)), [Arc::from("e1")]);
+    assert!(endpoints.get("e2").is_some());
+    assert_eq!(endpoints.remove(at(62_100), ["e3"])[0].1, Change::Gone);
+}
+
+/// qcl-sfax trouble-2: the store answered once between two outages, and what it had sent by then
+/// counted two seconds later, while it was away again.
+#[test]
+fn a_store_that_returns_for_a_moment_ends_nothing() {
+    let mut endpoints = listed(10);
+    endpoints.store_lost();
+    endpoints.store_returned(at(0));
+    endpoints.remove(at(10), ["e1", "e2"]);
+    endpoints.store_lost();
+    assert!(endpoints.expire(at(30_000)).is_empty());
+    assert!(endpoints.get("e1").is_some());
+}
+
+/// Many entries that end at once are doubted for less than the 2 s that a drain may take.
+#[test]
+fn many_ends_at_once_are_doubted() {
+    let mut endpoints = listed(10);
+    let ended = endpoints.remove(at(0), ["e1", "e2", "e3"]);
+    assert!(ended.iter().all(|(_, c)| *c == Change::Lapsed));
+    assert!(endpoints.expire(at(1_400)).is_empty());
+    assert_eq!(endpoints.expire(at(1_500)).len(), 3);
+}
+
+#[test]
+fn a_new_start_under_the_same_name_is_a_new_endpoint() {
+    let mut endpoints = listed(1);
+    let again = Endpoint {
+        born: 2,
+        ..endpoint("e0")
+    };
+    assert_eq!(endpoints.put(again.clone()), Change::Listed);
+    assert_eq!(endpoints.put(again), Change::None);
+}
+
+#[test]
+fn groups_are_pieced_together_by_name_and_epoch() {
+    let mut endpoints = Endpoints::default();
+    let seat = |rank, epoch| Seat {
+        group: Arc::from("g"),
+        epoch,
+        rank,
+        state: SeatState::Ready,
+    };
+    for (id, rank, epoch) in [("a", 0, 7), ("b", 1, 7), ("c", 1, 6)] {
+        let seat = Some(seat(rank, epoch));
+        endpoints.put(Endpoint {
+            seat,
+            ..endpoint(id)
+        });
+    }
+    let groups = endpoints.groups();
+    assert!(groups[&(Arc::from("g"), 7)].is_whole(2));
+    assert!(!groups[&(Arc::from("g"), 6)].is_whole(2));
+    assert_eq!(groups[&(Arc::from("g"), 7)].head().unwrap().0.as_ref(), "a");
+}
+
+#[test]
+fn a_list_read_anew_replaces_the_old_one() {
+    let mut endpoints = listed(10);
+    let mut fresh: Vec<Endpoint> = (0..9).map(|i| endpoint(&format!("e{i}"))).collect();
+    fresh.push(endpoint("new"));
+    let changes = endpoints.replace(at(0), fresh);
+    assert!(changes.contains(&(Arc::from("e9"), Change::Gone)));
+    assert!(changes.contains(&(Arc::from("new"), Change::Listed)));
+    assert_eq!(endpoints.iter().count(), 10);
+    endpoints.store_returned(at(0));
+    endpoints.replace(at(100), Vec::new());
+    assert_eq!(endpoints.iter().count(), 10);
+    endpoints.expire(at(0) + Duration::from_secs(2));
+    assert_eq!(endpoints.iter().count(), 0);
+}
--- /dev/null
+++ b/lib/tests/test_node_parts.rs
@@ -0,0 +1,274 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::node::budget::{Allowance, Budget};
+use hemlock_lib::node::events::{Order, Splitter, order};
+use hemlock_lib::node::peers::{Member, News, Peers, advice};
+use hemlock_lib::node::placement::{self, Demand, Meter, Size};
+use hemlock_lib::node::quarantine::{Quarantine, fingerprint};
+use hemlock_lib::node::settings::NodeSettings;
+use hemlock_lib::time::Time;
+use proptest::prelude::*;
+
+use crate::node_world::engine;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(10_000 + ms)
+}
+
+proptest! {
+    /// However a stream is cut into pieces, the same events come out.
+    #[test]
+    fn events_do_not_depend_on_pieces(
+        sizes in proptest::collection::vec(0_usize..60, 1..8),
+        cuts in proptest::collection::vec(1_usize..40, 1..40),
+        crlf in any::<bool>(),
+    ) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let event = |(i, n): (usize, &usize)| {
+            format!("id: {}{end}data: {}{end}{end}", i + 1, "x".repeat(*n))
+        };
+        let text: String = sizes.iter().enumerate().map(event).collect();
+        let mut splitter = Splitter::default();
+        let (mut ids, mut rest, mut cut) = (Vec::new(), text.as_bytes(), cuts.iter().cycle());
+        let mut bytes = Vec::new();
+        while !rest.is_empty() {
+            let take = (*cut.next().unwrap()).min(rest.len());
+            splitter.push(&rest[..take]);
+            rest = &rest[take..];
+            while let Some(event) = splitter.next_event() {
+                ids.push(event.id);
+                bytes.extend_from_slice(&event.bytes);
+            }
+        }
+        prop_assert_eq!(ids, (1..=sizes.len() as u64).map(Some).collect::<Vec<_>>());
+        prop_assert_eq!(bytes, text.into_bytes());
+        prop_assert!(splitter.rest().is_empty());
+    }
+}
+
+#[test]
+fn events_are_neither_repeated_nor_missed() {
+    assert_eq!(order(Some(4), Some(4)), Order::Seen);
+    assert_eq!(order(Some(4), Some(5)), Order::Next);
+    assert_eq!(order(Some(4), Some(6)), Order::Gap);
+    assert_eq!(order(None, Some(1)), Order::Next);
+}
+
+/// Six machines together stay within what the users allow, in each window.
+#[test]
+fn repeats_stay_within_the_budget() {
+    let allowance = Allowance {
+        ratio: 0.2,
+        extra: 103.0,
+        window: Duration::from_secs(10),
+    };
+    let service: Arc<str> = Arc::from("s");
+    let mut budgets: Vec<Budget> = (0..6).map(|_| Budget::new(allowance)).collect();
+    let mut repeats: Vec<u64> = Vec::new();
+    for ms in (0..40_000).step_by(20) {
+        for budget in &mut budgets {
+            if ms % 200 == 0 {
+                budget.request(at(ms), &service);
+            }
+            if budget.take(at(ms), &service, 6) {
+                repeats.push(ms);
+            }
+        }
+    }
+    for start in (0..30_000).step_by(500) {
+        let within = repeats
+            .iter()
+            .filter(|t| (start..start + 10_000).contains(*t));
+        // 300 requests in ten seconds.
+        assert!(within.count() <= 300 / 5 + 103);
+    }
+    assert!(repeats.len() > 200);
+}
+
+#[test]
+fn a_request_is_quarantined_after_three_endpoints() {
+    let print = fingerprint("/a", "acme", b"body");
+    assert_ne!(print, fingerprint("/a", "acm", b"ebody"));
+    let mut own = Quarantine::default();
+    let mut other = Quarantine::default();
+    own.broke(at(0), (print, 1), true);
+    own.broke(at(10), (print, 1), true);
+    own.broke(at(20), (print, 2), true);
+    assert!(!own.holds(at(20), print));
+    for seen in own.news(at(30), Duration::from_secs(2)) {
+        other.broke(at(30), seen, false);
+    }
+    other.broke(at(40), (print, 3), true);
+    assert!(other.holds(at(50), print));
+    assert!(!other.holds(at(50) + Duration::from_secs(60), print));
+    assert!(!other.holds(at(50), print + 1));
+}
+
+fn member(node: &str) -> Member {
+    Member {
+        node: node.to_owned(),
+        run: 1,
+        zone: if node < "c" { "z1" } else { "z2" }.to_owned(),
+        front: format!("10.0.0.1:{}", node.len()),
+        peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+    }
+}
+
+fn news(node: &str, count: u64) -> News {
+    News {
+        member: member(node),
+        count,
+        ready: true,
+        config: 1,
+        store: true,
+        leads: false,
+        called: false,
+        demand: BTreeMap::new(),
+        placed: Vec::new(),
+        silent: Vec::new(),
+        breaks: Vec::new(),
+    }
+}
+
+#[test]
+fn silent_peers_are_not_told_to_callers() {
+    let mut peers = Peers::default();
+    peers.list(at(0), member("a"));
+    assert_eq!(peers.ready(at(0)).count(), 0);
+    assert!(peers.hear(at(100), news("a", 2)));
+    assert!(!peers.hear(at(150), news("a", 1)));
+    assert_eq!(peers.ready(at(900)).count(), 1);
+    assert_eq!(peers.ready(at(1_300)).count(), 0);
+    peers.hear(
+        at(1_400),
+        News {
+            ready: false,
+            ..news("a", 3)
+        },
+    );
+    assert_eq!(peers.ready(at(1_400)).count(), 0);
+    assert_eq!(peers.machines(at(1_400)), 2);
+}
+
+#[test]
+fn one_peer_asks_to_plan() {
+    let mut peers = Peers::default();
+    peers.hear(at(0), news("a", 1));
+    assert!(!peers.should_lead(at(0), "b"));
+    peers.hear(
+        at(0),
+        News {
+            store: false,
+            ..news("a", 2)
+        },
+    );
+    assert!(peers.should_lead(at(0), "b"));
+    peers.hear(
+        at(0),
+        News {
+            leads: true,
+            ..news("c", 1)
+        },
+    );
+    assert!(!peers.should_lead(at(0), "b"));
+}
+
+#[test]
+fn callers_are_told_their_own_zone_first() {
+    let members = [member("a"), member("cc"), member("ccc")];
+    let told = advice("z2", &members, 2);
+    assert_eq!(told, [Arc::from("10.0.0.1:2"), Arc::from("10.0.0.1:3")]);
+    assert_eq!(advice("z1", &members, 9).len(), 3);
+}
+
+#[test]
+fn demand_is_measured_and_added_up() {
+    let mut meter = Meter::default();
+    for ms in (0..4_000).step_by(100) {
+        let size = Size {
+            prompt: 1_000,
+            answer: 50,
+            goal: Duration::from_millis(400),
+        };
+        meter.count(at(ms), "m", &size);
+    }
+    assert!(meter.demand(at(1_000)).is_empty());
+    let demand = meter.demand(at(4_000));
+    let rate = demand["m"].rate;
+    assert!((9.0..11.0).contains(&rate), "{rate}");
+    let seen = [("m", &demand["m"]), ("m", &demand["m"])];
+    assert_eq!(placement::total(seen)["m"].rate, rate * 2.0);
+    assert_eq!(placement::total(seen)["m"].prompt, 1_000.0);
+}
+
+/// The users' load of an ordinary second: neither model may be starved, whatever the demand says.
+#[test]
+fn engines_follow_demand_halfway() {
+    let engine = engine(&[("large", 4, 0.5), ("small", 2, 0.5)]);
+    let demand = |large: f64, small: f64| {
+        let d = |rate, prompt, answer, goal| Demand {
+            rate,
+            prompt,
+            answer,
+            goal,
+        };
+        BTreeMap::from([
+            (Arc::from("large"), d(large, 1_700.0, 97.0, 0.45)),
+            (Arc::from("small"), d(small, 714.0, 174.0, 0.3)),
+        ])
+    };
+    let usual = placement::goals(&engine, 56, &demand(43.0, 120.0));
+    assert!((24..=32).contains(&usual["large"]), "{usual:?}");
+    for (large, small) in [(200.0, 10.0), (2.0, 300.0), (0.1, 0.1)] {
+        let goals = placement::goals(&engine, 56, &demand(large, small));
+        assert!(
+            goals.values().all(|n| *n >= 12),
+            "{large} {small}: {goals:?}"
+        );
+        assert!(goals.values().sum::<usize>() <= 56);
+    }
+    let expected = placement::goals(&engine, 56, &BTreeMap::new());
+    assert!((26..=30).contains(&expected["large"]), "{expected:?}");
+}
+
+#[test]
+fn more_groups_press_a_model_less() {
+    let engine = engine(&[("m", 2, 1.0)]);
+    let demand = Demand {
+        rate: 100.0,
+        prompt: 700.0,
+        answer: 170.0,
+        goal: 0.3,
+    };
+    let pressures: Vec<f64> = (0..40)
+        .map(|n| placement::pressure(&engine, &engine.models[0], &demand, n))
+        .collect();
+    assert!(pressures.windows(2).all(|w| w[0] >= w[1]), "{pressures:?}");
+}
+
+const SETTINGS: &str = "node: entry-1\nzone: z\nregion: r\nlisten:\n  front: 10.0.0.1:1\n  \
+    ready: 10.0.0.1:2\n  directory: 10.0.0.1:3\n  peer: 10.0.0.1:4\n  metrics: 10.0.0.1:5\n\
+    store:\n  address: 10.0.0.2:1\n  write_rate: 400\n  read_rate: 2000\n  lease_ms: 1000\n\
+    bounds:\n  drain_ms: 2000\n  grace_s: 8\n  stall_ms: 5000\n  advice_s: 5\n  \
+    repeat_ratio: 0.2\n  repeat_extra: 103\n  repeat_s: 10\ndescriptors: 4200\n";
+
+#[test]
+fn settings_are_checked() {
+    assert!(NodeSettings::parse(SETTINGS).is_ok());
+    for (from, to, named) in [
+        ("node: entry-1", "node: ''", "node"),
+        ("grace_s: 8", "grace_s: 0", "grace_s"),
+        ("lease_ms: 1000", "lease_ms: 0", "lease_ms"),
+        ("repeat_ratio: 0.2", "repeat_ratio: 11", "repeat_ratio"),
+        ("repeat_s: 10", "repeat_s: 0", "repeat_s"),
+        ("stall_ms: 5000", "stall_ms: -1", "stall_ms"),
+        ("front: 10.0.0.1:1", "front: here", "front"),
+        ("zone: z\n", "", "zone"),
+    ] {
+        let fault = NodeSettings::parse(&SETTINGS.replace(from, to)).unwrap_err();
+        assert!(fault.to_string().contains(named), "{fault}");
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -12,7 +12,10 @@
         .long("settings")
         .value_name("FILE")
         .value_parser(clap::value_parser!(PathBuf))
-        .help("Settings of this entry VM; the variable HEMLOCKLB_SETTINGS names them otherwise");
+        .help(format!(
+            "Settings of this entry VM; the variable {} names them otherwise",
+            hemlock_platform::SETTINGS_VARIABLE
+        ));
     let check = Arg::new("check")
         .long("check-settings")
         .action(ArgAction::SetTrue)
--- /dev/null
+++ b/node/tests/site.rs
@@ -0,0 +1,192 @@
+//! One entry VM as a real process before stand-ins for the platform.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use hemlock_platform_standin::caller::{self, Got};
+use hemlock_platform_standin::store::Store;
+use hemlock_platform_standin::worker::Worker;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Longest wait for something that must come; a test ends sooner when it does.
+const LIMIT: Duration = Duration::from_secs(20);
+
+pub struct Site {
+    pub store: Store,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub directory: SocketAddr,
+    pub metrics: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    _dir: TempDir,
+}
+
+fn free_port() -> SocketAddr {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("an address")
+}
+
+pub fn route(prefix: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": prefix, "host": "site.example", "pathPrefix": prefix, "kind": kind,
+        "timeoutMs": 4_000, "latencyGoalMs": 400, "gapTargetMs": 200, "priority": 1,
+        "service": service, "maxAttempts": 2, "public": false,
+        "resumable": kind == "streaming",
+    })
+}
+
+pub fn config(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            route("/plain/", "idempotent", "plain"),
+            route("/once/", "non_idempotent", "plain"),
+            route("/stream/", "streaming", "models"),
+        ],
+        "services": [
+            {"name": "plain", "maxConns": 50},
+            {"name": "models", "maxConns": 50, "engine": {
+                "slots": 8, "step_ms": 8.0, "per_seq_ms": 0.1, "read_per_s": 45900.0, "stride": 5,
+                "loadsPerS": 5.0, "loads_at_once": 7,
+                "models": [{"name": "m", "size": 2, "share": 1.0, "pace": 1.0, "loadS": 1.0,
+                    "warmupS": 0.1}],
+            }},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 2000,
+            "idleTimeoutMs": 5000},
+        "tenants": [{"name": "acme", "apiKeys": ["key-1", "key-2"], "priority": 1}],
+    })
+}
+
+impl Site {
+    /// Starts a store and an entry VM; nothing is configured or listed.
+    pub fn bare() -> Self {
+        let store = Store::spawn();
+        let (front, ready, directory) = (free_port(), free_port(), free_port());
+        let metrics = free_port();
+        let peer = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr());
+        let peer = peer.expect("a free port");
+        let dir = tempfile::tempdir().expect("a directory");
+        let path = dir.path().join("node.yaml");
+        let text = format!(
+            "node: entry-1\nzone: z1\nregion: r\nlisten:\n  front: {front}\n  ready: {ready}\n  \
+             directory: {directory}\n  peer: {peer}\n  metrics: {metrics}\nstore:\n  address: {}\n  \
+             write_rate: 400\n  read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: 2000\n  \
+             grace_s: 8\n  stall_ms: 5000\n  advice_s: 5\n  repeat_ratio: 0.2\n  \
+             repeat_extra: 100\n  repeat_s: 10\ndescriptors: 4000\n",
+            store.address()
+        );
+        std::fs::write(&path, text).expect("settings");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_hemlock-node"))
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let out = child.stdout.take().expect("its output");
+        let lines = log.clone();
+        std::thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                lines
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(line);
+            }
+        });
+        Self {
+            store,
+            front,
+            ready,
+            directory,
+            metrics,
+            child,
+            log,
+            _dir: dir,
+        }
+    }
+
+    /// Starts an entry VM with the usual configuration and two plain endpoints.
+    pub fn plain() -> (Self, Vec<Worker>) {
+        let site = Self::bare();
+        let names = ["p1", "p2"];
+        let plain = names.map(|n| Worker::spawn(&site.store, n, "plain", None));
+        site.configure(&config(1));
+        site.wait("two endpoints serve", |s| {
+            s.lines("event=serving").len() >= 2
+        });
+        site.wait("it is ready", |s| s.ready_status() == 200);
+        (site, plain.to_vec())
+    }
+
+    /// Starts an entry VM with four engines, which form two groups.
+    pub fn engines() -> (Self, Vec<Worker>) {
+        let site = Self::bare();
+        let names = ["e1", "e2", "e3", "e4", "e5"];
+        let engines = names.map(|n| Worker::spawn(&site.store, n, "models", Some("d1")));
+        site.configure(&config(1));
+        site.wait("two groups serve", |s| s.lines("event=serving").len() >= 2);
+        (site, engines.to_vec())
+    }
+
+    pub fn configure(&self, config: &Value) {
+        let text = config.to_string();
+        self.store.put("keyed.op", "config", text.as_bytes());
+    }
+
+    pub fn ready_status(&self) -> u16 {
+        caller::send(self.ready, "GET /v1/ready HTTP/1.1\r\nHost: a\r\n\r\n").status
+    }
+
+    /// Sends a request with the account's key.
+    pub fn send(&self, method: &str, path: &str, id: &str, headers: &str, body: &str) -> Got {
+        caller::send(self.front, &request(method, path, id, headers, body))
+    }
+
+    /// Returns the log lines that hold `text`.
+    pub fn lines(&self, text: &str) -> Vec<String> {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.iter().filter(|l| l.contains(text)).cloned().collect()
+    }
+
+    /// Waits until `done`.
+    pub fn wait(&self, what: &str, done: impl Fn(&Self) -> bool) {
+        let start = Instant::now();
+        while !done(self) {
+            assert!(start.elapsed() < LIMIT, "waited in vain: {what}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits for the process's end and returns whether it was a success.
+    pub fn ended(&mut self) -> bool {
+        self.child.wait().expect("its end").success()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn request(method: &str, path: &str, id: &str, headers: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {id}\r\nApi-Key: key-1\r\n\
+         Deadline-Ms: 3000\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
--- /dev/null
+++ b/node/tests/test_relay.rs
@@ -0,0 +1,166 @@
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use hemlock_platform_standin::worker::{Mode, Worker};
+
+use crate::site::{Site, request};
+
+fn runs(workers: &[Worker]) -> usize {
+    workers.iter().map(|w| w.runs().len()).sum()
+}
+
+#[test]
+fn a_request_reaches_an_endpoint_unchanged_but_for_the_account() {
+    let (site, plain) = Site::plain();
+    let headers = "Tenant: forged\r\nX-Own: kept\r\nConnection: x-hop\r\nX-Hop: 1\r\n";
+    let got = site.send("POST", "/once/a?b=c", "r1", headers, "the body");
+    assert_eq!((got.status, got.complete), (200, true), "{got:?}");
+    assert_eq!(got.header("request-id"), Some("r1"));
+    assert_eq!(got.header("server-stamp"), Some("stamp"));
+    let all: Vec<_> = plain.iter().flat_map(|w| w.runs()).collect();
+    assert_eq!(all.len(), 1);
+    let run = &all[0];
+    assert_eq!(
+        (run.target.as_str(), &run.body[..]),
+        ("/once/a?b=c", &b"the body"[..])
+    );
+    assert_eq!(run.headers.get("tenant").map(String::as_str), Some("acme"));
+    assert_eq!(run.headers.get("x-own").map(String::as_str), Some("kept"));
+    for absent in ["api-key", "x-hop", "connection"] {
+        assert!(!run.headers.contains_key(absent), "{absent}");
+    }
+    let left: u64 = run.headers["deadline-ms"].parse().unwrap();
+    assert!((1..=3_000).contains(&left));
+}
+
+#[test]
+fn work_that_must_run_once_is_not_sent_again_after_a_lost_answer() {
+    let (site, plain) = Site::plain();
+    plain.iter().for_each(|w| w.set_mode(Mode::LoseAnswers));
+    let got = site.send("POST", "/once/a", "r1", "", "x");
+    assert_eq!(got.status, 502);
+    assert_eq!(runs(&plain), 1);
+}
+
+#[test]
+fn work_that_may_repeat_is_sent_again_after_a_lost_answer() {
+    let (site, plain) = Site::plain();
+    plain[0].set_mode(Mode::LoseAnswers);
+    for i in 0..6 {
+        let got = site.send("GET", "/plain/a", &format!("r{i}"), "", "");
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+}
+
+#[test]
+fn a_torn_answer_is_never_passed_on_as_whole() {
+    let (site, plain) = Site::plain();
+    plain.iter().for_each(|w| w.set_mode(Mode::Torn));
+    let got = site.send("POST", "/once/a", "r1", "", "x");
+    assert_eq!(got.status, 502, "{got:?}");
+    assert_eq!(runs(&plain), 1);
+}
+
+#[test]
+fn an_unsigned_success_is_not_the_endpoints() {
+    let (site, plain) = Site::plain();
+    plain.iter().for_each(|w| w.set_mode(Mode::Unsigned));
+    let got = site.send("POST", "/once/a", "r1", "", "x");
+    assert_eq!(got.status, 502, "{got:?}");
+}
+
+#[test]
+fn an_answer_to_another_request_is_skipped() {
+    let (site, plain) = Site::plain();
+    plain.iter().for_each(|w| w.set_mode(Mode::Foreign));
+    let got = site.send("POST", "/once/a", "r1", "", "x");
+    assert_eq!(
+        (got.status, got.header("request-id")),
+        (200, Some("r1")),
+        "{got:?}"
+    );
+    assert!(got.body.starts_with("answer of"), "{got:?}");
+}
+
+#[test]
+fn bytes_after_an_answer_reach_nobody() {
+    let (site, plain) = Site::plain();
+    plain.iter().for_each(|w| w.set_mode(Mode::Extra));
+    for i in 0..10 {
+        let id = format!("r{i}");
+        let got = site.send("POST", "/once/a", &id, "", "x");
+        assert_eq!(got.status, 200);
+        assert_eq!(got.header("request-id"), Some(id.as_str()));
+        assert!(got.body.starts_with("answer of"), "{got:?}");
+    }
+    assert_eq!(runs(&plain), 10);
+}
+
+#[test]
+fn a_connection_carries_many_requests() {
+    let (site, _plain) = Site::plain();
+    let mut io = TcpStream::connect(site.front).unwrap();
+    for i in 0..5 {
+        let id = format!("k{i}");
+        let text = request("GET", "/plain/a", &id, "", "");
+        io.write_all(text.as_bytes()).unwrap();
+        let mut bytes = Vec::new();
+        let mut piece = [0; 1024];
+        while !String::from_utf8_lossy(&bytes).contains("answer of p") {
+            let n = io.read(&mut piece).unwrap();
+            assert!(n > 0);
+            bytes.extend_from_slice(&piece[..n]);
+        }
+        assert!(String::from_utf8_lossy(&bytes).contains(&id));
+    }
+}
+
+#[test]
+fn a_request_in_two_readings_is_refused_and_smuggles_nothing() {
+    let (site, plain) = Site::plain();
+    let inner = "GET /plain/in HTTP/1.1\r\nHost: site.example\r\nRequest-Id: in\r\n\r\n";
+    let text = format!(
+        "POST /once/a HTTP/1.1\r\nHost: site.example\r\nRequest-Id: out\r\nApi-Key: key-1\r\n\
+         Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{inner}"
+    );
+    let got = hemlock_platform_standin::caller::send(site.front, &text);
+    assert_eq!(got.status, 400);
+    assert_eq!(runs(&plain), 0);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_request_at_the_endpoint() {
+    let (site, plain) = Site::plain();
+    plain.iter().for_each(|w| w.set_mode(Mode::Mute));
+    let mut io = TcpStream::connect(site.front).unwrap();
+    let text = request("POST", "/once/a", "r1", "", "x");
+    io.write_all(text.as_bytes()).unwrap();
+    site.wait("it runs", |_| runs(&plain) == 1);
+    drop(io);
+    site.wait("it is given up", |_| plain.iter().any(|w| w.left() == 1));
+    site.wait("the log tells", |s| {
+        s.lines("event=left request=r1").len() == 1
+    });
+}
+
+#[test]
+fn a_draining_or_unlisted_endpoint_gets_nothing_new() {
+    let (site, plain) = Site::plain();
+    plain[0].drain();
+    site.wait("it is known", |s| {
+        !s.lines("event=not_serving id=p1").is_empty()
+    });
+    for i in 0..6 {
+        assert_eq!(
+            site.send("GET", "/plain/a", &format!("r{i}"), "", "")
+                .status,
+            200
+        );
+    }
+    assert!(plain[0].runs().is_empty());
+    plain[1].unlist();
+    site.wait("it is gone", |s| {
+        !s.lines("event=not_serving id=p2").is_empty()
+    });
+    assert_eq!(site.send("GET", "/plain/a", "last", "", "").status, 503);
+}
--- /dev/null
+++ b/node/tests/test_stop.rs
@@ -0,0 +1,39 @@
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use crate::site::{Site, request};
+
+#[test]
+fn sigterm_ends_open_requests_before_the_process() {
+    let (mut site, engines) = Site::engines();
+    engines.iter().for_each(|w| w.set_events(200));
+    let mut io = TcpStream::connect(site.front).unwrap();
+    let headers = "Model: m\r\nToken-Count: 100,40\r\n";
+    let text = request("POST", "/stream/a", "r1", headers, "prompt");
+    io.write_all(text.as_bytes()).unwrap();
+    let mut bytes = vec![0; 1];
+    io.read_exact(&mut bytes).unwrap();
+    site.terminate();
+    site.wait("it is not ready", |s| s.ready_status() == 503);
+    io.read_to_end(&mut bytes).unwrap();
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(
+        text.contains("id: 200\n"),
+        "{}",
+        &text[text.len().saturating_sub(200)..]
+    );
+    assert!(text.ends_with("0\r\n\r\n"));
+    assert!(site.ended());
+    assert!(!site.lines("event=stopped open=0").is_empty());
+}
+
+#[test]
+fn a_stopping_node_still_serves_callers_that_come() {
+    let (mut site, _plain) = Site::plain();
+    site.terminate();
+    site.wait("it is not ready", |s| s.ready_status() == 503);
+    let got = site.send("GET", "/plain/a", "r1", "", "");
+    assert_eq!(got.status, 200);
+    assert_eq!(got.header("connection"), Some("close"));
+    assert!(site.ended());
+}
