feed: one VM of each zone reads the store for the others

Ruled out: longer pauses alone (a change must be known within 2 s). Change: VMs read topics from the largest ready VM of their zone, which answers from memory, also while the store is away; datagrams tell offsets, so that a stale source is left; datagrams to many peers go less often. A test's daemon once found its port taken; ports now come from a range of their own.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod balance;
 pub mod budget;
+pub mod cache;
 pub mod config;
 pub mod endpoints;
 pub mod events;
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -11,15 +11,16 @@
 use super::quarantine::Break;
 use crate::time::Time;
 
-/// Silence after which a peer is taken as gone; several datagrams may be lost meanwhile.
-const SILENCE: Duration = Duration::from_millis(1_100);
+/// Datagrams that may be lost in a row before a peer is taken as gone, and the time beyond that.
+const LOST_MOST: u32 = 4;
+const LATE_MOST: Duration = Duration::from_millis(300);
 /// Time for which a member of the list that was never heard counts as starting.
 const START_TIME: Duration = Duration::from_secs(4);
 /// Time after which a silent peer's record is of no more use.
 const FORGET: Duration = Duration::from_secs(120);
 
 /// An entry VM's record in the members' list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub node: String,
@@ -27,6 +28,8 @@
     pub run: u64,
     /// Its zone.
     pub zone: String,
+    /// Part of a core that it has.
+    pub cores: f64,
     /// Address for callers.
     pub front: String,
     /// Address for datagrams.
@@ -61,6 +64,10 @@
     pub leads: bool,
     /// Whether a caller has come to it.
     pub called: bool,
+    /// Milliseconds until its next datagram.
+    pub every_ms: u32,
+    /// Offsets up to which it has read the configuration and the endpoints.
+    pub read: [u64; 2],
     /// What its callers ask of each model.
     pub demand: BTreeMap<String, Demand>,
     /// Load by endpoint.
@@ -138,9 +145,26 @@
 
     /// Returns whether this entry VM is the one that should ask to plan: no live peer plans, and
     /// none that the store answers comes before it by name.
-    pub fn should_lead(&self, now: Time, me: &str) -> bool {
+    pub fn should_lead(&self, now: Time, me: &Member) -> bool {
         let mut news = self.news(now).map(|(n, _)| n);
-        !news.any(|n| n.leads || n.store && n.ready && n.member.node.as_str() < me)
+        let before = |n: &News| rank(&n.member) < rank(me);
+        !news.any(|n| n.leads || n.store && n.ready && before(n))
+    }
+
+    /// Lists the VMs that read the store for others, one of each zone: that of this VM's zone first.
+    pub fn readers<'a>(&'a self, now: Time, me: &'a Member, ready: bool) -> Vec<&'a Member> {
+        let own = ready.then_some(me);
+        let others = self.ready(now).filter(|m| m.node != me.node);
+        let mut first: BTreeMap<&str, &Member> = BTreeMap::new();
+        for member in others.chain(own) {
+            let best = first.entry(&member.zone).or_insert(member);
+            if rank(member) < rank(best) {
+                *best = member;
+            }
+        }
+        let mut readers: Vec<&Member> = first.into_values().collect();
+        readers.sort_by_key(|m| (m.zone != me.zone, &m.node));
+        readers
     }
 
     /// Returns where to send datagrams.
@@ -170,12 +194,22 @@
 impl Peer {
     fn lives(&self, now: Time) -> bool {
         match self.heard {
-            Some(heard) => now.since(heard) < SILENCE,
+            Some(heard) => {
+                let every = self.news.as_ref().map_or(0, |n| n.every_ms);
+                let every = Duration::from_millis(u64::from(every));
+                now.since(heard) < every * LOST_MOST + LATE_MOST
+            }
             None => now.since(self.listed) < START_TIME,
         }
     }
 }
 
+/// Orders VMs for duties that one of them has: the largest first.
+fn rank(member: &Member) -> (u64, &str) {
+    let size = (member.cores * 1_000.0) as u64;
+    (u64::MAX - size, &member.node)
+}
+
 /// Returns the addresses for a caller: all entry VMs that take callers, those of its zone first.
 pub fn advice<'a>(
     zone: &str,
--- a/lib/src/node/settings.rs
+++ b/lib/src/node/settings.rs
@@ -23,8 +23,8 @@
     pub store: StoreSettings,
     /// Bounds that the users state.
     pub bounds: Bounds,
-    /// Connections and files that the process may hold.
-    pub descriptors: usize,
+    /// Part of a core that the process has.
+    pub cores: f64,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_lease;
 mod test_model;
 mod test_node_balance;
+mod test_node_cache;
 mod test_node_endpoints;
 mod test_node_parts;
 mod test_node_planner;
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -112,6 +112,7 @@
         node: node.to_owned(),
         run: 1,
         zone: if node < "c" { "z1" } else { "z2" }.to_owned(),
+        cores: 0.25,
         front: format!("10.0.0.1:{}", node.len()),
         peer: SocketAddr::from(([127, 0, 0, 1], 1)),
     }
@@ -126,6 +127,8 @@
         store: true,
         leads: false,
         called: false,
+        every_ms: 200,
+        read: [0, 0],
         demand: BTreeMap::new(),
         placed: Vec::new(),
         silent: Vec::new(),
@@ -157,7 +160,7 @@
 fn one_peer_asks_to_plan() {
     let mut peers = Peers::default();
     peers.hear(at(0), news("a", 1));
-    assert!(!peers.should_lead(at(0), "b"));
+    assert!(!peers.should_lead(at(0), &member("b")));
     peers.hear(
         at(0),
         News {
@@ -165,7 +168,7 @@
             ..news("a", 2)
         },
     );
-    assert!(peers.should_lead(at(0), "b"));
+    assert!(peers.should_lead(at(0), &member("b")));
     peers.hear(
         at(0),
         News {
@@ -173,7 +176,7 @@
             ..news("c", 1)
         },
     );
-    assert!(!peers.should_lead(at(0), "b"));
+    assert!(!peers.should_lead(at(0), &member("b")));
 }
 
 #[test]
@@ -253,7 +256,7 @@
     ready: 10.0.0.1:2\n  directory: 10.0.0.1:3\n  peer: 10.0.0.1:4\n  metrics: 10.0.0.1:5\n\
     store:\n  address: 10.0.0.2:1\n  write_rate: 400\n  read_rate: 2000\n  lease_ms: 1000\n\
     bounds:\n  drain_ms: 2000\n  grace_s: 8\n  stall_ms: 5000\n  advice_s: 5\n  \
-    repeat_ratio: 0.2\n  repeat_extra: 103\n  repeat_s: 10\ndescriptors: 4200\n";
+    repeat_ratio: 0.2\n  repeat_extra: 103\n  repeat_s: 10\ncores: 0.25\n";
 
 #[test]
 fn settings_are_checked() {
@@ -272,3 +275,38 @@
         assert!(fault.to_string().contains(named), "{fault}");
     }
 }
+
+#[test]
+fn one_vm_of_each_zone_reads_the_store() {
+    let mut peers = Peers::default();
+    for node in ["a", "b", "cc", "d"] {
+        peers.hear(at(0), news(node, 1));
+    }
+    let large = Member {
+        cores: 0.5,
+        ..member("e")
+    };
+    peers.hear(
+        at(0),
+        News {
+            member: large,
+            ..news("e", 1)
+        },
+    );
+    let me = member("b");
+    let names = |peers: &Peers, now| -> Vec<String> {
+        let readers = peers.readers(now, &me, true);
+        readers.iter().map(|m| m.node.clone()).collect()
+    };
+    assert_eq!(names(&peers, at(0)), ["a", "e"]);
+    peers.hear(
+        at(100),
+        News {
+            ready: false,
+            ..news("a", 2)
+        },
+    );
+    assert_eq!(names(&peers, at(100)), ["b", "e"]);
+    // Those that fell silent read for nobody.
+    assert_eq!(names(&peers, at(5_000)), ["b"]);
+}
--- a/node/src/duty.rs
+++ b/node/src/duty.rs
@@ -60,7 +60,7 @@
     loop {
         let now = node.now();
         let held = duty.borrow().until.is_some_and(|t| t > now);
-        let should = held || node.peers.borrow().should_lead(now, &node.me.node);
+        let should = held || node.peers.borrow().should_lead(now, &node.me);
         if should && node.is_ready() {
             asks = true;
             ask(&node, &duty, now, lease).await;
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -1,22 +1,24 @@
 //! Reads the configuration, the endpoints and the members from the store, and follows them.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use hemlock_lib::node::cache::{Batch, Cache, Entry};
 use hemlock_lib::node::peers::Member;
+use hemlock_lib::time::Time;
 use hemlock_platform::store::{Record, Store, StoreError, Topic};
 use rand::Rng;
 
+use crate::feed::Source;
 use crate::state::Node;
 
-/// Wait of one read; the connection may be silent, and a change must be known within the 2 s that
-/// the users allow after 3 s of undisturbed service.
-const READ_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after new endpoints, so that changes in a row are read at once: short for the planner, whose
-/// next orders wait for them.
-const GATHER: Duration = Duration::from_millis(300);
-const GATHER_PLANNER: Duration = Duration::from_millis(40);
+/// Wait of one read at the store. The connection may be silent, and other VMs rely on this one: they
+/// must know a change within the 2 s that the users allow.
+const READ_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which a source that failed or has lost the store is not asked.
+const AVOID: Duration = Duration::from_secs(3);
 /// Time between two looks at the members' list; datagrams tell of new members sooner.
 const MEMBERS_EVERY: Duration = Duration::from_secs(10);
 /// Times between the first looks: all entry VMs may start at once, and none knows another then.
@@ -81,64 +83,141 @@
     }
 }
 
-/// Reads the newest records of a topic and then each new one, for good.
+/// Where a topic is read.
+enum Reader {
+    Store(Store),
+    Peer(Source),
+}
+
+/// Reads the newest records of a topic and then each new one, for good: from the store if this VM
+/// reads it for its zone or plans, and else from the VM that does.
 ///
 /// `take` gets the records, and whether they are all that there are.
-async fn follow(node: &Rc<Node>, topic: Topic, take: impl Fn(&Node, Vec<Record>, bool)) {
-    // Each topic has its own connection, which a long read occupies.
-    let store = Store::open(node.settings.store.address);
-    let mut next = None;
+async fn follow(node: &Rc<Node>, topic: Topic, take: impl Fn(&Node, Vec<Entry>, bool)) {
+    let feed = node.feed(topic);
+    let mut reader = None;
+    let mut avoided: Vec<(SocketAddr, Time)> = Vec::new();
     let mut wait = BACKOFF;
     loop {
-        let read = match next {
-            None => store.newest(topic).await.map(|s| (s.records, s.next, true)),
-            Some(from) => {
-                let read = store.read(topic, from, READ_WAIT).await;
-                read.map(|(records, next)| (records, next, false))
-            }
+        let now = node.now();
+        avoided.retain(|(_, until)| *until > now);
+        let wanted = node.source(now, &avoided);
+        let from = feed.cache.borrow().next();
+        let read = tokio::select! {
+            read = read(node, topic, wanted, &mut reader, from) => read,
+            () = feed.stale.notified() => Err("peers are ahead".to_owned()),
         };
-        node.metrics.count("store_reads", topic.label());
         match read {
-            Ok((records, to, fresh)) => {
-                node.store_answers(true, &format_args!("topic={topic:?}"));
+            Ok(None) => {
+                feed.cache.replace(Cache::default());
+                log::info!("event=history_lost topic={topic:?} next={from:?}");
+            }
+            Ok(Some(batch)) => {
                 wait = BACKOFF;
-                next = Some(to);
-                if fresh {
+                if let (Some(peer), true) = (wanted, batch.away) {
+                    avoided.push((peer, now + AVOID));
+                }
+                if batch.whole || !batch.entries.is_empty() || from.is_none() {
+                    feed.cache.borrow_mut().take(&batch);
+                }
+                node.store_answers(!batch.away, &format_args!("topic={topic:?}"));
+                feed.read();
+                let Batch {
+                    entries,
+                    whole,
+                    next,
+                    ..
+                } = batch;
+                if whole {
+                    let count = entries.len();
                     log::info!(
-                        "event=read topic={topic:?} records={} next={to}",
-                        records.len()
+                        "event=read topic={topic:?} records={count} next={next} from={wanted:?}"
                     );
                 }
-                if fresh || !records.is_empty() {
-                    take(node, records, fresh);
-                    if topic == Topic::Endpoints {
-                        let leads = node.leads.get();
-                        let pause = if leads { GATHER_PLANNER } else { GATHER };
-                        tokio::time::sleep(pause).await;
-                    }
+                if whole || !entries.is_empty() {
+                    take(node, entries, whole);
+                    tokio::time::sleep(node.gather(topic, wanted)).await;
                 }
             }
-            Err(StoreError::Trimmed) => {
-                log::info!("event=history_lost topic={topic:?} next={next:?}");
-                next = None;
-            }
             Err(e) => {
-                node.store_answers(false, &e);
-                log::debug!("event=read_failed topic={topic:?} cause=\"{e}\"");
-                let part = rand::rng().random_range(0.5..1.0);
-                tokio::time::sleep(wait.mul_f64(part)).await;
-                let most = if next.is_none() {
-                    BACKOFF_START
-                } else {
-                    BACKOFF_MOST
-                };
-                wait = (wait * 2).min(most);
+                reader = None;
+                log::info!("event=read_failed topic={topic:?} from={wanted:?} cause=\"{e}\"");
+                match wanted {
+                    Some(peer) => avoided.push((peer, now + AVOID)),
+                    None => {
+                        node.store_answers(false, &e);
+                        let part = rand::rng().random_range(0.5..1.0);
+                        tokio::time::sleep(wait.mul_f64(part)).await;
+                        let most = if from.is_none() {
+                            BACKOFF_START
+                        } else {
+                            BACKOFF_MOST
+                        };
+                        wait = (wait * 2).min(most);
+                    }
+                }
             }
         }
     }
 }
 
-fn take_config(node: &Node, record: &Record) {
+/// Reads once, over the open connection if it leads to the wanted source; `None` says that the
+/// records asked for are deleted.
+async fn read(
+    node: &Node,
+    topic: Topic,
+    wanted: Option<SocketAddr>,
+    reader: &mut Option<Reader>,
+    from: Option<u64>,
+) -> Result<Option<Batch>, String> {
+    let fits = match (&*reader, wanted) {
+        (Some(Reader::Store(_)), None) => true,
+        (Some(Reader::Peer(source)), Some(address)) => source.address == address,
+        _ => false,
+    };
+    if !fits {
+        *reader = Some(match wanted {
+            // Each topic has its own connection, which a long read occupies.
+            None => Reader::Store(Store::open(node.settings.store.address)),
+            Some(address) => Reader::Peer(Source::open(address).await.map_err(|e| e.to_string())?),
+        });
+    }
+    match reader {
+        Some(Reader::Peer(source)) => source.read(topic, from).await.map(Some),
+        Some(Reader::Store(store)) => {
+            node.metrics.count("store_reads", topic.label());
+            read_store(store, topic, from).await
+        }
+        None => Err("no source".to_owned()),
+    }
+}
+
+async fn read_store(
+    store: &Store,
+    topic: Topic,
+    from: Option<u64>,
+) -> Result<Option<Batch>, String> {
+    let read = match from {
+        None => store.newest(topic).await.map(|s| (s.records, s.next)),
+        Some(from) => store.read(topic, from, READ_WAIT).await,
+    };
+    let entry = |r: Record| Entry {
+        key: r.key,
+        value: r.value,
+    };
+    match read {
+        Ok((records, next)) => Ok(Some(Batch {
+            entries: records.into_iter().map(entry).collect(),
+            next,
+            whole: from.is_none(),
+            away: false,
+        })),
+        Err(StoreError::Trimmed) => Ok(None),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+fn take_config(node: &Node, record: &Entry) {
     if record.key != hemlock_platform::config::KEY {
         return;
     }
@@ -164,8 +243,8 @@
     node.refresh();
 }
 
-fn replace_endpoints(node: &Node, records: &[Record]) {
-    let decode = |r: &Record| hemlock_platform::endpoints::decode(&r.key, r.value.as_deref()?);
+fn replace_endpoints(node: &Node, records: &[Entry]) {
+    let decode = |r: &Entry| hemlock_platform::endpoints::decode(&r.key, r.value.as_deref()?);
     let fresh = records.iter().filter_map(decode).collect();
     let changes = node.endpoints.borrow_mut().replace(node.now(), fresh);
     for (id, change) in changes {
@@ -174,7 +253,7 @@
     node.listed.set(true);
 }
 
-fn take_endpoints(node: &Node, records: &[Record]) {
+fn take_endpoints(node: &Node, records: &[Entry]) {
     let now = node.now();
     let mut changes = Vec::new();
     let mut ended = Vec::new();
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -7,11 +7,18 @@
 
 use hemlock_lib::node::peers::News;
 use hemlock_lib::time::Time;
+use hemlock_platform::store::Topic;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 
-use crate::state::{Node, PEERS_EVERY};
+use crate::state::Node;
 
+/// Topics whose offsets are told.
+const TOPICS: [Topic; 2] = [Topic::Config, Topic::Endpoints];
+/// Shortest time between two datagrams to one peer, unless one is urgent, and the time for each peer
+/// when there are many.
+const EVERY: Duration = Duration::from_millis(200);
+const EVERY_PEER: Duration = Duration::from_millis(8);
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
 /// Time for which own breaks are repeated against losses.
@@ -46,7 +53,8 @@
     let mut count = 0;
     loop {
         count += 1;
-        let news = news(&node, count);
+        let every = every(node.machines());
+        let news = news(&node, count, every);
         match rmp_serde::to_vec(&news) {
             Ok(bytes) => {
                 let addresses = node.peers.borrow().addresses();
@@ -60,11 +68,17 @@
         }
         tokio::time::sleep(SHORTEST).await;
         let urgent = node.urgent.notified();
-        let _ = tokio::time::timeout(PEERS_EVERY - SHORTEST, urgent).await;
+        let _ = tokio::time::timeout(every - SHORTEST, urgent).await;
     }
 }
 
-fn news(node: &Node, count: u64) -> News {
+/// Returns the time between two datagrams to each peer: it grows with their number, so that a VM
+/// takes as many a second.
+fn every(machines: usize) -> Duration {
+    EVERY.max(EVERY_PEER * machines as u32)
+}
+
+fn news(node: &Node, count: u64, every: Duration) -> News {
     let now = node.now();
     let balance = node.balance.borrow();
     let silent = balance.silents(now).into_iter();
@@ -77,6 +91,8 @@
         store: node.store_up.get(),
         leads: node.leads.get(),
         called: node.called.get(),
+        every_ms: every.as_millis() as u32,
+        read: TOPICS.map(|t| node.feed(t).next()),
         demand: demand
             .into_iter()
             .map(|(m, d)| (m.to_string(), d))
@@ -105,6 +121,9 @@
     for seen in &news.breaks {
         node.quarantine.borrow_mut().broke(now, *seen, false);
     }
+    for (topic, read) in TOPICS.into_iter().zip(news.read) {
+        node.feed(topic).compare(now, read);
+    }
     let known = node
         .peers
         .borrow()
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! formed if this VM plans.
 
 mod duty;
+mod feed;
 mod follow;
 mod front;
 mod gossip;
@@ -73,6 +74,8 @@
         Err(e) => log::warn!("event=metrics_unavailable cause=\"{e}\""),
     }
     spawn_local(front::accept(node.clone(), front));
+    let feed = bind(listen.peer).map_err(|e| fault("peer", &e))?;
+    spawn_local(feed::accept(node.clone(), feed));
     spawn_local(follow::config(node.clone()));
     spawn_local(follow::endpoints(node.clone()));
     spawn_local(follow::members(node.clone()));
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a node share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,16 +16,19 @@
 use hemlock_lib::node::quarantine::Quarantine;
 use hemlock_lib::node::settings::NodeSettings;
 use hemlock_lib::time::Time;
-use hemlock_platform::store::Store;
+use hemlock_platform::store::{Store, Topic};
 use hemlock_wire::clock;
 use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::feed::Feed;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 
-/// Time for which the platform's list may say nothing new of a lost store before it is logged.
-pub(crate) const PEERS_EVERY: Duration = Duration::from_millis(200);
+/// Pauses after news from the store or a peer.
+const GATHER_PLANNER: Duration = Duration::from_millis(40);
+const GATHER_STORE: Duration = Duration::from_millis(150);
+const GATHER_PEER: Duration = Duration::from_millis(30);
 
 /// One entry VM.
 #[derive(Debug)]
@@ -33,6 +37,8 @@
     pub(crate) me: Member,
     pub(crate) store: Store,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
+    config_feed: Feed,
+    endpoint_feed: Feed,
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) listed: Cell<bool>,
     pub(crate) balance: RefCell<Balance>,
@@ -70,6 +76,7 @@
             node: settings.node.clone(),
             run: rand::rng().random(),
             zone: settings.zone.clone(),
+            cores: settings.cores,
             front: settings.listen.front.to_string(),
             peer: settings.listen.peer,
         };
@@ -77,6 +84,8 @@
             me,
             store: Store::open(settings.store.address),
             config: RefCell::default(),
+            config_feed: Feed::default(),
+            endpoint_feed: Feed::default(),
             endpoints: RefCell::default(),
             listed: Cell::default(),
             balance: RefCell::default(),
@@ -250,6 +259,37 @@
         balance.candidates().map(|c| c.id.clone()).collect()
     }
 
+    /// Returns what this VM has read of a topic that it serves to others.
+    pub(crate) fn feed(&self, topic: Topic) -> &Feed {
+        match topic {
+            Topic::Config => &self.config_feed,
+            _ => &self.endpoint_feed,
+        }
+    }
+
+    /// Returns the peer at which this VM reads the store's topics, or `None` to read the store.
+    pub(crate) fn source(&self, now: Time, avoided: &[(SocketAddr, Time)]) -> Option<SocketAddr> {
+        if self.leads.get() {
+            return None;
+        }
+        let avoids = |m: &&Member| avoided.iter().any(|(a, _)| *a == m.peer);
+        let peers = self.peers.borrow();
+        let readers = peers.readers(now, &self.me, self.is_ready());
+        let mut readers = readers.into_iter().filter(|m| !avoids(m));
+        let first = readers.next()?;
+        (first.node != self.me.node).then_some(first.peer)
+    }
+
+    /// Returns the pause after news of a topic, so that changes in a row are read at once: short for
+    /// the planner, whose next orders wait for them, and where it saves calls to the store.
+    pub(crate) fn gather(&self, topic: Topic, source: Option<SocketAddr>) -> Duration {
+        match (topic, source) {
+            (Topic::Endpoints, None) if self.leads.get() => GATHER_PLANNER,
+            (Topic::Endpoints, None) => GATHER_STORE,
+            _ => GATHER_PEER,
+        }
+    }
+
     /// Returns how many entry VMs share the budget of repeats.
     pub(crate) fn machines(&self) -> usize {
         self.peers.borrow().machines(self.now())
--- a/node/tests/site.rs
+++ b/node/tests/site.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -26,9 +27,23 @@
     _dir: TempDir,
 }
 
+/// First port that tests take: below those that the system hands out to outgoing connections, which
+/// would take one that is free only for a moment.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 fn free_port() -> SocketAddr {
-    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address")
+    let start = (std::process::id() % u32::from(PORTS)) as u16;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (start + next) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 pub fn route(prefix: &str, kind: &str, service: &str) -> Value {
@@ -69,8 +84,7 @@
         let store = Store::spawn();
         let (front, ready, directory) = (free_port(), free_port(), free_port());
         let metrics = free_port();
-        let peer = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr());
-        let peer = peer.expect("a free port");
+        let peer = free_port();
         let dir = tempfile::tempdir().expect("a directory");
         let path = dir.path().join("node.yaml");
         let text = format!(
@@ -78,7 +92,7 @@
              directory: {directory}\n  peer: {peer}\n  metrics: {metrics}\nstore:\n  address: {}\n  \
              write_rate: 400\n  read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: 2000\n  \
              grace_s: 8\n  stall_ms: 5000\n  advice_s: 5\n  repeat_ratio: 0.2\n  \
-             repeat_extra: 100\n  repeat_s: 10\ndescriptors: 4000\n",
+             repeat_extra: 100\n  repeat_s: 10\ncores: 0.25\n",
             store.address()
         );
         std::fs::write(&path, text).expect("settings");
--- a/node/tests/test_relay.rs
+++ b/node/tests/test_relay.rs
@@ -21,7 +21,7 @@
     assert_eq!(all.len(), 1);
     let run = &all[0];
     assert_eq!(
-        (run.target.as_str(), &run.body[..]),
+        (run.target.as_str(), &*run.body),
         ("/once/a?b=c", &b"the body"[..])
     );
     assert_eq!(run.headers.get("tenant").map(String::as_str), Some("acme"));
