planner: loads that complete idle engines first; a pair with one fitting member is enough

Cause: ten to nineteen engines idle in threes and ones; conversion wanted every member of a pair to hold the other model.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -710,7 +710,8 @@
         while self.form_one(&mut deal, false) {}
         while self.form_one(&mut deal, true) {}
         self.convert(&deal, stages);
-        self.stage_others(&usable);
+        let free = deal.free;
+        self.stage_others(&usable, &free);
     }
 
     /// Forms one group, of the model furthest below its share; a surplus group is one beyond that
@@ -786,37 +787,48 @@
         let goal = deal.goal(rich).max(1e-9);
         let mut best: Option<(usize, Vec<u64>)> = None;
         for (domain, free) in &deal.free {
-            let able = free.iter().filter(|e| self.is_able(e, short)).count();
+            let able = free.iter().filter(|e| !self.needs_load(e, short)).count();
             let serving = self.groups.iter().filter(|(key, g)| {
                 let model = parse_name(&g.name).map(|(_, m)| m);
                 let serves = stages.get(*key) == Some(&Stage::Serving);
                 serves && g.domain == *domain && model == Some(&*rich.name)
             });
-            let fits = |g: &Group| {
-                let mut members = g
-                    .members
-                    .values()
-                    .filter_map(|(id, _)| self.scene.endpoints.get(id));
-                members.all(|e| self.is_able(e, short))
+            // Groups whose members can serve the other model without a load go first.
+            let mut victims: Vec<(usize, u64)> = serving
+                .map(|(key, g)| (self.count_quick(g, short), key.1))
+                .filter(|(quick, _)| *quick > 0)
+                .collect();
+            victims.sort_by_key(|(quick, epoch)| (std::cmp::Reverse(*quick), *epoch));
+            let mut found = able;
+            let enough = |(quick, _): &&(usize, u64)| {
+                let more = found < short.size;
+                found += quick;
+                more
             };
-            let victims: Vec<u64> = serving.filter(|(_, g)| fits(g)).map(|(k, _)| k.1).collect();
-            let lacks = short.size.saturating_sub(able);
-            let count = lacks.div_ceil(rich.size);
+            let epochs: Vec<u64> = victims.iter().take_while(enough).map(|(_, e)| *e).collect();
+            let count = epochs.len();
             // A domain without any idle engine gains nothing from the change.
-            if able == 0 || count == 0 || count > victims.len() || !much && able < IDLE {
+            if able == 0 || count == 0 || found < short.size || !much && able < IDLE {
                 continue;
             }
             let left = part(&rich) - (count * rich.size) as f64 / goal;
             if left < part(&short) || best.as_ref().is_some_and(|(c, _)| *c <= count) {
                 continue;
             }
-            best = Some((count, victims.into_iter().take(count).collect()));
+            best = Some((count, epochs));
         }
         if let Some((_, epochs)) = best {
             self.planner.retiring.extend(epochs);
         }
     }
 
+    /// Returns how many members of a group can serve another model without a load.
+    fn count_quick(&self, group: &Group, model: &Model) -> usize {
+        let members = group.members.values();
+        let listed = members.filter_map(|(id, _)| self.scene.endpoints.get(id));
+        listed.filter(|e| !self.needs_load(e, model)).count()
+    }
+
     fn form(&mut self, model: &Model, members: &[&Endpoint]) {
         let epoch = self.planner.next_epoch(self.fence);
         let group = group_name(epoch, model.size, &model.name);
@@ -889,63 +901,78 @@
         listed.max(fresh)
     }
 
-    /// Stages on each host a model that its engine doesn't hold, the rarest of its domain first: an
-    /// engine that can become a member of any group within a second replaces a lost one at once.
-    fn stage_others(&mut self, usable: &[&Endpoint]) {
+    /// Stages on each host a model that its engine doesn't hold: an engine that can become a member of
+    /// any group within a second replaces a lost one at once. What completes a group of idle engines
+    /// goes first, and then the rarest model of a domain.
+    fn stage_others(&mut self, usable: &[&Endpoint], free: &BTreeMap<Arc<str>, Vec<&Endpoint>>) {
+        self.forget_stuck();
         let engine = self.scene.engine;
-        let longest = engine.models.iter().map(|m| m.load).max();
-        let longest = longest.unwrap_or_default() * STAGE_FACTOR;
-        let now = self.now;
-        for mind in self.planner.minds.values_mut() {
-            if mind
-                .staging
-                .as_ref()
-                .is_some_and(|(_, t)| now.since(*t) > longest)
-            {
-                mind.staging = None;
+        let mut able: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        let mut idle: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        let counted = |engines: &[&Endpoint], model: &Model| {
+            engines.iter().filter(|e| self.is_able(e, model)).count()
+        };
+        for model in &engine.models {
+            for (domain, engines) in free {
+                idle.insert((domain, &model.name), counted(engines, model));
             }
-        }
-        let mut able: BTreeMap<(Arc<str>, Arc<str>), usize> = BTreeMap::new();
-        for e in usable {
-            for model in engine.models.iter().filter(|m| self.is_able(e, m)) {
-                *able
-                    .entry((e.domain.clone(), model.name.clone()))
-                    .or_default() += 1;
+            for e in usable.iter().filter(|e| self.is_able(e, model)) {
+                *able.entry((&e.domain, &model.name)).or_default() += 1;
             }
         }
-        for e in usable {
-            // A host keeps one model beside the one that its engine holds.
-            let kept = engine.models.iter().filter(|m| self.is_able(e, m)).count();
-            let mind = self.planner.minds.get(&e.id);
-            let most = if mind.is_some_and(|m| m.last.is_some()) {
-                KEPT
-            } else {
-                1
-            };
-            if kept >= most || !self.is_settled(e) {
-                continue;
-            }
-            let count = |m: &&Model| {
-                let key = (e.domain.clone(), m.name.clone());
-                let have = able.get(&key).copied().unwrap_or(0) as f64;
-                (have / m.size as f64 * 100.0) as u64
+        let mut wanted: Vec<(usize, usize, &Endpoint, &Model)> = Vec::new();
+        for e in usable.iter().filter(|e| self.has_room(e)) {
+            let weigh = |m: &Model| {
+                let key = (&*e.domain, &*m.name);
+                let waiting = idle.get(&key).copied().unwrap_or(0) % m.size.max(1);
+                let lacks = if waiting > 0 {
+                    m.size - waiting
+                } else {
+                    usize::MAX
+                };
+                let have = able.get(&key).copied().unwrap_or(0);
+                (lacks, have * 100 / m.size.max(1))
             };
             let others = engine.models.iter().filter(|m| !self.is_able(e, m));
-            let Some(model) = others.min_by_key(count) else {
-                continue;
-            };
-            if !self.scene.early && self.loading() + SPARE_LOADS >= engine.load_limit {
+            if let Some(model) = others.min_by_key(|m| weigh(m)) {
+                let (lacks, have) = weigh(model);
+                wanted.push((lacks, have, e, model));
+            }
+        }
+        wanted.sort_by(|a, b| (a.0, a.1, &a.2.id).cmp(&(b.0, b.1, &b.2.id)));
+        for (_, _, e, model) in wanted {
+            let late = self.loading() + SPARE_LOADS >= engine.load_limit;
+            if !self.scene.early && late || !self.may_load(1) {
                 return;
             }
-            if self.may_load(1) {
-                let key = (e.domain.clone(), model.name.clone());
-                *able.entry(key).or_default() += 1;
-                let model = model.name.clone();
-                self.order(&e.id.clone(), Action::Stage { model });
+            let model = model.name.clone();
+            self.order(&e.id.clone(), Action::Stage { model });
+        }
+    }
+
+    /// Forgets loads onto hosts that take far too long.
+    fn forget_stuck(&mut self) {
+        let longest = self.scene.engine.models.iter().map(|m| m.load).max();
+        let longest = longest.unwrap_or_default() * STAGE_FACTOR;
+        let now = self.now;
+        for mind in self.planner.minds.values_mut() {
+            let stuck = |(_, since): &(Arc<str>, Time)| now.since(*since) > longest;
+            if mind.staging.as_ref().is_some_and(stuck) {
+                mind.staging = None;
             }
         }
     }
 
+    /// Returns whether a host has room for a model: it keeps one beside that of its engine's group.
+    fn has_room(&self, endpoint: &Endpoint) -> bool {
+        let models = self.scene.engine.models.iter();
+        let kept = models.filter(|m| self.is_able(endpoint, m)).count();
+        let mind = self.planner.minds.get(&endpoint.id);
+        let served = mind.is_some_and(|m| m.last.is_some());
+        let most = if served { KEPT } else { 1 };
+        kept < most && self.is_settled(endpoint)
+    }
+
     /// Returns whether an engine can become a member of a group of this model without a load.
     fn is_able(&self, endpoint: &Endpoint, model: &Model) -> bool {
         let mind = self.planner.minds.get(&endpoint.id);
