planner: load slots kept for idle engines; only true loads count

Cause: hosts of serving engines filled all load slots for 16 s, so that new and idle engines waited for one; joins without a load counted as loads too.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -36,8 +36,8 @@
 const REJOIN: Duration = Duration::from_millis(200);
 /// Models that an engine can serve without a load: the one of its group and one on its host.
 const KEPT: usize = 2;
-/// Loads that are left to groups that form while hosts stage models.
-const SPARE_LOADS: usize = 1;
+/// Loads that are left to idle engines while hosts of serving ones stage models.
+const SPARE_LOADS: usize = 4;
 /// Loads may take this many times longer while others run.
 const STAGE_FACTOR: u32 = 4;
 /// Part of the engines that stays without a group, to replace lost members at once.
@@ -883,22 +883,21 @@
         true
     }
 
-    /// Returns the number of engines that seem to load weights now.
+    /// Returns the number of engines that load weights now.
     fn loading(&self) -> usize {
-        let joining = |e: &&Endpoint| {
-            let seat = e
-                .seat
-                .as_ref()
-                .is_some_and(|s| s.state == SeatState::Joining);
-            &*e.service == self.scene.service && seat
+        let engine = self.scene.engine;
+        let joins = |e: &&Endpoint| {
+            let seat = e.seat.as_ref().filter(|s| s.state == SeatState::Joining);
+            let model = seat.and_then(|s| engine.model(parse_name(&s.group)?.1));
+            &*e.service == self.scene.service && model.is_some_and(|m| self.needs_load(e, m))
         };
-        let listed = self.scene.endpoints.iter().filter(joining).count();
+        let listed = self.scene.endpoints.iter().filter(joins).count();
         let staging = self.planner.minds.values().filter(|m| m.staging.is_some());
-        let listed = listed + staging.count();
-        let second = Duration::from_millis(500);
-        let fresh = self.planner.loads.iter();
-        let fresh = fresh.filter(|t| self.now.since(**t) < second).count();
-        listed.max(fresh)
+        let recent = self.planner.loads.iter();
+        let fresh = recent
+            .filter(|t| self.now.since(**t) < SHOW_TIME / 3)
+            .count();
+        (listed + staging.count()).max(fresh)
     }
 
     /// Stages on each host a model that its engine doesn't hold: an engine that can become a member of
@@ -941,8 +940,12 @@
         }
         wanted.sort_by(|a, b| (a.0, a.1, &a.2.id).cmp(&(b.0, b.1, &b.2.id)));
         for (_, _, e, model) in wanted {
-            let late = self.loading() + SPARE_LOADS >= engine.load_limit;
-            if !self.scene.early && late || !self.may_load(1) {
+            // An engine that serves has time; those without a group, and groups that form, have not.
+            let spared = if e.seat.is_some() { SPARE_LOADS } else { 0 };
+            if !self.scene.early && self.loading() + spared >= engine.load_limit {
+                continue;
+            }
+            if !self.may_load(1) {
                 return;
             }
             let model = model.name.clone();
