--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -64,6 +64,8 @@
     pub patience: Duration,
     /// What is left of the caller's wait for the whole answer.
     pub left: Duration,
+    /// Whether it has begun elsewhere, so that a refusal would waste what was done.
+    pub begun: bool,
 }
 
 /// Where a request goes.
@@ -183,6 +185,10 @@
                 && e.running < c.slots.max(1) * QUEUE_FACTOR
         };
         let best = good.iter().copied().filter(room).min_by_key(score);
+        let best = best.or_else(|| {
+            let all = good.iter().copied().filter(|_| ask.begun);
+            all.min_by_key(score)
+        });
         match best {
             Some(c) => Choice::Send(c.clone(), self.estimate(c, ask, engine)),
             None => Choice::Full(self.retry_after(RETRY_MIN)),
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -42,6 +42,7 @@
         zone: "z1",
         patience: Duration::from_millis(1_400),
         left: Duration::from_secs(6),
+        begun: false,
     }
 }
 
@@ -181,6 +182,26 @@
     assert!(matches!(only, Choice::Full(_)), "{only:?}");
 }
 
+/// A stream that broke midway goes on wherever it can: refusing it would lose what the caller has.
+#[test]
+fn what_has_begun_is_not_refused() {
+    let mut balance = Balance::default();
+    balance.refresh([group("g0", "z1")]);
+    for _ in 0..60 {
+        balance.start(at(0), &Arc::from("g0"), 700);
+    }
+    let fresh = balance.choose(at(0), &ask(700), Some(&engines()), &[]);
+    assert!(matches!(fresh, Choice::Full(_)), "{fresh:?}");
+    let begun = Ask {
+        begun: true,
+        ..ask(700)
+    };
+    assert_eq!(
+        sent(&balance.choose(at(0), &begun, Some(&engines()), &[])),
+        "g0"
+    );
+}
+
 #[test]
 fn a_failing_plain_endpoint_rests_unless_it_is_the_only_one() {
     let mut balance = Balance::default();
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -188,6 +188,7 @@
             answer: self.answer_left(),
             patience: self.first_limit(now),
             left: self.request.deadline.since(now),
+            begun: self.runs > 0,
         };
         let mut balance = self.node.balance.borrow_mut();
         balance.choose(now, &ask, engine, &self.tried)
