--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -12,9 +12,9 @@
 use super::peers::Placed;
 use crate::time::Time;
 
-/// Time for which a silent endpoint gets no requests, unless its group changes; a replica with a
-/// lost member gives up after 5 s.
-const SILENT_TIME: Duration = Duration::from_secs(6);
+/// Time beyond the bound on a replica's stall for which a silent endpoint gets no requests, unless its
+/// group changes.
+const SILENT_MARGIN: Duration = Duration::from_secs(1);
 /// Requests at an endpoint for each of its slots at most; the users' endpoints queue twice their
 /// slots.
 const QUEUE_FACTOR: usize = 3;
@@ -106,14 +106,26 @@
 }
 
 /// The endpoints that take requests, with the load on them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Balance {
+    /// Time for which a silent endpoint gets no requests.
+    silence: Duration,
     candidates: BTreeMap<Arc<str>, Candidate>,
     loads: BTreeMap<Arc<str>, Load>,
     turn: u64,
 }
 
 impl Balance {
+    /// Makes one without endpoints; a replica with a lost member gives up after `stall`.
+    pub fn new(stall: Duration) -> Self {
+        Self {
+            silence: stall + SILENT_MARGIN,
+            candidates: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
     /// Takes the endpoints that may be sent requests from now on.
     pub fn refresh(&mut self, candidates: impl IntoIterator<Item = Candidate>) {
         let fresh: BTreeMap<Arc<str>, Candidate> =
@@ -160,7 +172,10 @@
                 && (engine.is_none() || c.model.as_deref() == ask.model)
                 && !tried.contains(&c.id)
         };
-        let silent = |c: &&Candidate| self.load(&c.id).is_some_and(|l| l.is_silent(now));
+        let silent = |c: &&Candidate| {
+            self.load(&c.id)
+                .is_some_and(|l| l.is_silent(now, self.silence))
+        };
         let all: Vec<&Candidate> = self.candidates.values().filter(fits).collect();
         let good = all.iter().filter(|c| !silent(c)).copied();
         let avoided = |c: &&Candidate| self.load(&c.id).is_some_and(|l| l.is_avoided(now));
@@ -313,13 +328,14 @@
 
     /// Returns whether an endpoint counts as silent.
     pub fn is_silent(&self, now: Time, id: &str) -> bool {
-        self.load(id).is_some_and(|l| l.is_silent(now))
+        self.load(id)
+            .is_some_and(|l| l.is_silent(now, self.silence))
     }
 
     /// Lists the endpoints that this gateway finds silent, with the age of that.
     pub fn silents(&self, now: Time) -> Vec<(Arc<str>, Duration)> {
         let silent = |(id, l): (&Arc<str>, &Load)| {
-            let since = l.silent.filter(|t| now.since(*t) < SILENT_TIME)?;
+            let since = l.silent.filter(|t| now.since(*t) < self.silence)?;
             Some((id.clone(), now.since(since)))
         };
         self.loads.iter().filter_map(silent).collect()
@@ -382,8 +398,8 @@
         self.requests + self.peers
     }
 
-    fn is_silent(&self, now: Time) -> bool {
-        let recent = |t: Option<Time>| t.is_some_and(|t| now.since(t) < SILENT_TIME);
+    fn is_silent(&self, now: Time, silence: Duration) -> bool {
+        let recent = |t: Option<Time>| t.is_some_and(|t| now.since(t) < silence);
         recent(self.silent) || recent(self.peers_silent)
     }
 
--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -12,9 +12,9 @@
 /// a failure domain holds.
 const MANY: usize = 3;
 const MANY_PART: usize = 4;
-/// Time for which such entries stay in use; less than the 2 s in which requests may still reach an
-/// endpoint that has ended.
-const DOUBT_TIME: Duration = Duration::from_millis(1_500);
+/// Part of the time in which requests may still reach an endpoint that has ended, for which such
+/// entries stay in use.
+const DOUBT_PART: f64 = 0.75;
 
 /// Where an engine stands in its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -132,8 +132,10 @@
 }
 
 /// All listed endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Endpoints {
+    /// Time in which requests may still reach an endpoint that has ended.
+    drain: Duration,
     listed: BTreeMap<Arc<str>, Endpoint>,
     /// Entries that lapsed around an outage of the store.
     lapsed: BTreeMap<Arc<str>, Time>,
@@ -142,6 +144,17 @@
 }
 
 impl Endpoints {
+    /// Makes an empty list; requests may reach an endpoint that has ended for `drain`.
+    pub fn new(drain: Duration) -> Self {
+        Self {
+            drain,
+            listed: BTreeMap::new(),
+            lapsed: BTreeMap::new(),
+            store: StoreState::default(),
+            version: 0,
+        }
+    }
+
     /// Returns a number that grows with each change.
     pub fn version(&self) -> u64 {
         self.version
@@ -189,7 +202,7 @@
         let until = match self.store {
             StoreState::Away => Some(Time(u64::MAX)),
             StoreState::Back(since) if now < since + RETURN_TIME => Some(since + RETURN_TIME),
-            _ if many => Some(now + DOUBT_TIME),
+            _ if many => Some(now + self.drain.mul_f64(DOUBT_PART)),
             StoreState::Back(_) | StoreState::Steady => None,
         };
         let mut changes = Vec::new();
--- a/lib/src/node/settings.rs
+++ b/lib/src/node/settings.rs
@@ -15,8 +15,6 @@
     pub node: String,
     /// Its zone.
     pub zone: String,
-    /// Its region.
-    pub region: String,
     /// Addresses that it listens on.
     pub listen: Listen,
     /// The hosted store.
@@ -50,8 +48,6 @@
 pub struct StoreSettings {
     /// Its address.
     pub address: SocketAddr,
-    /// Writing calls a second of all entry VMs.
-    pub write_rate: f64,
     /// Reading calls a second of all entry VMs.
     pub read_rate: f64,
     /// Shortest lease in milliseconds.
@@ -138,6 +134,12 @@
         if !(0.1..=3_600.0).contains(&self.bounds.repeat_s) {
             return bad("bounds.repeat_s must lie between 0.1 and 3600");
         }
+        if !(0.0..=600_000.0).contains(&self.bounds.drain_ms) {
+            return bad("bounds.drain_ms must lie between 0 and 600000");
+        }
+        if !(1.0..=1e9).contains(&self.store.read_rate) {
+            return bad("store.read_rate must lie between 1 and 1000000000");
+        }
         if !(0.0..=600_000.0).contains(&self.bounds.stall_ms) {
             return bad("bounds.stall_ms must lie between 0 and 600000");
         }
@@ -146,6 +148,11 @@
 }
 
 impl Bounds {
+    /// Time in which a draining endpoint may still be sent requests.
+    pub fn drain(&self) -> Duration {
+        Duration::from_secs_f64(self.drain_ms / 1_000.0)
+    }
+
     /// Time after which a replica with a lost member gives up.
     pub fn stall(&self) -> Duration {
         Duration::from_secs_f64(self.stall_ms / 1_000.0)
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -77,7 +77,7 @@
         let mut world = Self {
             now: Time::from_millis(1),
             engine,
-            endpoints: Endpoints::default(),
+            endpoints: Endpoints::new(Duration::from_secs(2)),
             planner: Planner::default(),
             silent: BTreeSet::new(),
             demand: BTreeMap::new(),
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -60,7 +60,7 @@
 /// Requests of one size spread evenly over groups that are alike.
 #[test]
 fn load_is_spread() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh((0..4).map(|i| group(&format!("g{i}"), "z1")));
     let mut counts = std::collections::BTreeMap::new();
     for _ in 0..40 {
@@ -74,7 +74,7 @@
 
 #[test]
 fn what_peers_have_placed_counts() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh([group("g0", "z1"), group("g1", "z1")]);
     let placed = Placed {
         endpoint: "g0".to_owned(),
@@ -91,7 +91,7 @@
 
 #[test]
 fn a_silent_group_gets_nothing_until_it_answers() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     balance.start(at(0), &id, 500);
@@ -107,7 +107,7 @@
 
 #[test]
 fn a_group_formed_anew_is_not_silent() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     balance.start(at(0), &id, 500);
@@ -125,7 +125,7 @@
 /// A peer's doubt that is older than an answer seen here is settled.
 #[test]
 fn answers_settle_older_doubts_of_peers() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     balance.start(at(0), &id, 500);
@@ -140,7 +140,7 @@
 /// the returns and lies within what callers honour.
 #[test]
 fn overload_is_refused_at_once() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     let mut waits = std::collections::BTreeSet::new();
@@ -165,7 +165,7 @@
 /// A long answer that would surely miss its deadline at a slow group goes to another one.
 #[test]
 fn slow_groups_are_learned() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh([group("slow", "z1"), group("good", "z1")]);
     for id in ["slow", "good"] {
         balance.start(at(0), &Arc::from(id), 10);
@@ -185,7 +185,7 @@
 /// A stream that broke midway goes on wherever it can: refusing it would lose what the caller has.
 #[test]
 fn what_has_begun_is_not_refused() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh([group("g0", "z1")]);
     for _ in 0..60 {
         balance.start(at(0), &Arc::from("g0"), 700);
@@ -204,7 +204,7 @@
 
 #[test]
 fn a_failing_plain_endpoint_rests_unless_it_is_the_only_one() {
-    let mut balance = Balance::default();
+    let mut balance = Balance::new(Duration::from_secs(5));
     balance.refresh([plain("p0"), plain("p1")]);
     let ask = Ask {
         service: "plain",
--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -25,7 +25,7 @@
 }
 
 fn listed(count: usize) -> Endpoints {
-    let mut endpoints = Endpoints::default();
+    let mut endpoints = Endpoints::new(Duration::from_secs(2));
     for i in 0..count {
         endpoints.put(endpoint(&format!("e{i}")));
     }
@@ -95,7 +95,7 @@
 
 #[test]
 fn groups_are_pieced_together_by_name_and_epoch() {
-    let mut endpoints = Endpoints::default();
+    let mut endpoints = Endpoints::new(Duration::from_secs(2));
     let seat = |rank, epoch| Seat {
         group: Arc::from("g"),
         epoch,
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -252,9 +252,9 @@
     assert!(pressures.windows(2).all(|w| w[0] >= w[1]), "{pressures:?}");
 }
 
-const SETTINGS: &str = "node: entry-1\nzone: z\nregion: r\nlisten:\n  front: 10.0.0.1:1\n  \
+const SETTINGS: &str = "node: entry-1\nzone: z\nlisten:\n  front: 10.0.0.1:1\n  \
     ready: 10.0.0.1:2\n  directory: 10.0.0.1:3\n  peer: 10.0.0.1:4\n  metrics: 10.0.0.1:5\n\
-    store:\n  address: 10.0.0.2:1\n  write_rate: 400\n  read_rate: 2000\n  lease_ms: 1000\n\
+    store:\n  address: 10.0.0.2:1\n  read_rate: 2000\n  lease_ms: 1000\n\
     bounds:\n  drain_ms: 2000\n  grace_s: 8\n  stall_ms: 5000\n  advice_s: 5\n  \
     repeat_ratio: 0.2\n  repeat_extra: 103\n  repeat_s: 10\ncores: 0.25\n";
 
@@ -267,6 +267,8 @@
         ("lease_ms: 1000", "lease_ms: 0", "lease_ms"),
         ("repeat_ratio: 0.2", "repeat_ratio: 11", "repeat_ratio"),
         ("repeat_s: 10", "repeat_s: 0", "repeat_s"),
+        ("drain_ms: 2000", "drain_ms: -1", "drain_ms"),
+        ("read_rate: 2000", "read_rate: 0", "read_rate"),
         ("stall_ms: 5000", "stall_ms: -1", "stall_ms"),
         ("front: 10.0.0.1:1", "front: here", "front"),
         ("zone: z\n", "", "zone"),
--- a/node/src/duty.rs
+++ b/node/src/duty.rs
@@ -13,6 +13,7 @@
 use hemlock_platform::engines;
 use tokio::task::spawn_local;
 
+use crate::metrics::Counter;
 use crate::state::Node;
 
 /// Time between two plans, unless the endpoints change.
@@ -108,7 +109,7 @@
     if node.leads.replace(holds) != holds {
         let change = if holds { "gained" } else { "lost" };
         log::info!("event=duty change={change} fence={generation}");
-        node.metrics.count("duty_changes", change);
+        node.metrics.count(Counter::DutyChanges, change);
         node.urgent.notify_one();
     }
 }
@@ -225,7 +226,7 @@
                 action.name(),
                 action.subject()
             );
-            node.metrics.count("orders", action.name());
+            node.metrics.count(Counter::Orders, action.name());
             let mut duty = duty.borrow_mut();
             let Some(planner) = duty.planners.get_mut(&service) else {
                 return;
@@ -237,8 +238,10 @@
         Output::Probe { endpoint, address } => {
             let answered = engines::answers(&address).await;
             log::info!("event=probe id={endpoint} answered={answered}");
-            node.metrics
-                .count("probes", if answered { "answered" } else { "unanswered" });
+            node.metrics.count(
+                Counter::Probes,
+                if answered { "answered" } else { "unanswered" },
+            );
             let now = node.now();
             let mut duty = duty.borrow_mut();
             if let Some(planner) = duty.planners.get_mut(&service) {
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::feed::Source;
+use crate::metrics::Counter;
 use crate::state::Node;
 
 /// Wait of one read at the store. The connection may be silent, and other VMs rely on this one: they
@@ -78,7 +79,8 @@
                 BACKOFF_MOST
             }
         };
-        node.metrics.count("store_reads", Topic::Members.label());
+        node.metrics
+            .count(Counter::StoreReads, Topic::Members.label());
         tokio::time::sleep(wait).await;
     }
 }
@@ -153,7 +155,7 @@
                         } else {
                             BACKOFF_MOST
                         };
-                        wait = (wait * 2).min(most);
+                        wait = (wait * 2).min(most).max(node.store_pause());
                     }
                 }
             }
@@ -185,7 +187,7 @@
     match reader {
         Some(Reader::Peer(source)) => source.read(topic, from).await.map(Some),
         Some(Reader::Store(store)) => {
-            node.metrics.count("store_reads", topic.label());
+            node.metrics.count(Counter::StoreReads, topic.label());
             read_store(store, topic, from).await
         }
         None => Err("no source".to_owned()),
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
+use crate::metrics::Counter;
 use crate::relay;
 use crate::state::Node;
 
@@ -68,7 +69,7 @@
             },
             Err(e) => {
                 log::warn!("event=accept_failed cause=\"{e}\"");
-                node.metrics.count("accepts_failed", "front");
+                node.metrics.count(Counter::AcceptsFailed, "front");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -202,7 +203,7 @@
         config.version
     );
     node.metrics
-        .count("denied", if status == 401 { "key" } else { "route" });
+        .count(Counter::Denied, if status == 401 { "key" } else { "route" });
     answer(conn, status, id, None, keep).await
 }
 
@@ -220,7 +221,7 @@
         after.as_millis(),
         node.endpoints.borrow().version()
     );
-    node.metrics.count("refused", cause);
+    node.metrics.count(Counter::Refused, cause);
     answer(conn, 503, id, Some(after), keep).await
 }
 
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -11,6 +11,7 @@
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 
+use crate::metrics::Counter;
 use crate::state::Node;
 
 /// Topics whose offsets are told.
@@ -111,7 +112,7 @@
         Ok(news) => news,
         Err(e) => {
             log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
-            node.metrics.count("datagrams_refused", "malformed");
+            node.metrics.count(Counter::DatagramsRefused, "malformed");
             return;
         }
     };
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -26,6 +26,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::metrics::Counter;
 use crate::state::Node;
 
 /// Connections that wait to be accepted.
@@ -35,6 +36,11 @@
 /// Time between two looks at what only time changes.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Lists the names of all metrics, for the page that describes them.
+pub fn metric_names() -> Vec<String> {
+    metrics::names()
+}
+
 /// Runs the daemon until it is told to stop.
 pub fn run(path: PathBuf, settings: NodeSettings) -> Result<(), String> {
     let log = stdout::open(&settings.log.level).map_err(|e| format!("can't start the log: {e}"))?;
@@ -82,7 +88,7 @@
     spawn_local(gossip::run(node.clone(), gossip));
     spawn_local(duty::run(node.clone()));
     spawn_local(tick(node.clone()));
-    spawn_local(write_log(log.clone()));
+    spawn_local(write_log(node.clone(), log.clone()));
     stop::wait(&node, &path, &log).await?;
     log::info!("event=stopped open={}", node.open.get());
     let dropped = log.hand_over();
@@ -104,11 +110,12 @@
     socket.listen(BACKLOG)
 }
 
-async fn write_log(log: Rc<Log>) {
+async fn write_log(node: Rc<Node>, log: Rc<Log>) {
     loop {
         tokio::time::sleep(LOG_EVERY).await;
         let dropped = log.hand_over();
         if dropped > 0 {
+            node.metrics.add(Counter::LogDropped, "full", dropped);
             log::warn!("event=log_dropped lines={dropped}");
         }
     }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -14,6 +14,49 @@
 /// Quantiles that are served.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
 
+macro_rules! counters {
+    ($($name:ident $text:literal $meaning:literal;)*) => {
+        /// A counter. What it counts by is given when it counts.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+        pub(crate) enum Counter {
+            $(#[doc = $meaning] $name,)*
+        }
+
+        impl Counter {
+            /// Lists all counters.
+            const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the name under which it is served.
+            fn name(self) -> &'static str {
+                match self { $(Self::$name => concat!("hemlock_", $text, "_total"),)* }
+            }
+        }
+    };
+}
+
+counters! {
+    AcceptsFailed "accepts_failed" "Connections that could not be accepted.";
+    Answered "answered" "Requests answered by an endpoint, success or failure.";
+    BrokenOff "broken_off" "Streams that ended unfinished, by cause.";
+    Connects "connects" "New connections to endpoints.";
+    DatagramsRefused "datagrams_refused" "Datagrams that could not be read.";
+    Denied "denied" "Requests that no configuration allows, by what was wrong.";
+    DutyChanges "duty_changes" "Times that the planner's duty was gained or lost.";
+    Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
+    ForeignAnswers "foreign_answers" "Answers to other requests that were skipped.";
+    Left "left" "Requests whose caller left.";
+    LogDropped "log_dropped" "Log lines that found their buffer full.";
+    Orders "orders" "Orders to engines, by action.";
+    Probes "probes" "Probes of engines of silent groups, by outcome.";
+    Refused "refused" "Requests refused before they ran, by cause.";
+    Repeated "repeated" "Second sends, by why the first one failed.";
+    RepeatsDenied "repeats_denied" "Second sends that the budget did not allow.";
+    SendsFailed "sends_failed" "Sends that ended without an answer, by cause.";
+    Silent "silent" "Times that an endpoint was found silent.";
+    StoreChanges "store_changes" "Times that the store was lost or regained.";
+    StoreReads "store_reads" "Reads of the store, by topic.";
+}
+
 /// A latency that is measured.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Latency {
@@ -35,17 +78,78 @@
     }
 }
 
+/// A value of the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Gauge {
+    /// Requests read and not yet answered.
+    OpenRequests,
+    /// Whether it takes callers.
+    Ready,
+    /// Whether the store answers.
+    StoreUp,
+    /// Whether it plans.
+    Leads,
+    /// Entry VMs that live, with this one.
+    Machines,
+    /// Endpoints that take requests.
+    ServingEndpoints,
+    /// Version of the configuration in force.
+    ConfigVersion,
+}
+
+impl Gauge {
+    const ALL: [Self; 7] = [
+        Self::OpenRequests,
+        Self::Ready,
+        Self::StoreUp,
+        Self::Leads,
+        Self::Machines,
+        Self::ServingEndpoints,
+        Self::ConfigVersion,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::OpenRequests => "hemlock_open_requests",
+            Self::Ready => "hemlock_ready",
+            Self::StoreUp => "hemlock_store_up",
+            Self::Leads => "hemlock_leads",
+            Self::Machines => "hemlock_machines",
+            Self::ServingEndpoints => "hemlock_serving_endpoints",
+            Self::ConfigVersion => "hemlock_config_version",
+        }
+    }
+}
+
+/// Lists the names of all metrics.
+pub(crate) fn names() -> Vec<String> {
+    let latencies = [Latency::FirstEvent, Latency::Pause, Latency::Whole];
+    let latency = |l: &Latency| format!("hemlock_{}_seconds", l.name());
+    let counters = Counter::ALL.iter().map(|c| c.name().to_owned());
+    let gauges = Gauge::ALL.iter().map(|g| g.name().to_owned());
+    counters
+        .chain(latencies.iter().map(latency))
+        .chain(gauges)
+        .collect()
+}
+
 /// The metrics of a process.
 #[derive(Debug, Default)]
 pub(crate) struct Metrics {
-    counters: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+    counters: RefCell<BTreeMap<(Counter, &'static str), u64>>,
     latencies: RefCell<BTreeMap<(Latency, &'static str), Histogram<u32>>>,
 }
 
 impl Metrics {
     /// Counts one event of a kind.
-    pub(crate) fn count(&self, name: &'static str, kind: &'static str) {
-        *self.counters.borrow_mut().entry((name, kind)).or_default() += 1;
+    pub(crate) fn count(&self, counter: Counter, kind: &'static str) {
+        self.add(counter, kind, 1);
+    }
+
+    /// Counts several events of a kind.
+    pub(crate) fn add(&self, counter: Counter, kind: &'static str, count: u64) {
+        let mut counters = self.counters.borrow_mut();
+        *counters.entry((counter, kind)).or_default() += count;
     }
 
     /// Records a latency of a request with an outcome.
@@ -66,10 +170,11 @@
     }
 
     /// Renders all metrics, with the gauges given.
-    pub(crate) fn render(&self, gauges: &[(&str, f64)]) -> String {
+    pub(crate) fn render(&self, gauges: &[(Gauge, f64)]) -> String {
         let mut out = String::new();
-        for ((name, kind), value) in self.counters.borrow().iter() {
-            let _ = writeln!(out, "hemlock_{name}_total{{kind=\"{kind}\"}} {value}");
+        for ((counter, kind), value) in self.counters.borrow().iter() {
+            let name = counter.name();
+            let _ = writeln!(out, "{name}{{kind=\"{kind}\"}} {value}");
         }
         for ((latency, outcome), h) in self.latencies.borrow().iter() {
             let name = latency.name();
@@ -86,8 +191,8 @@
                 h.len()
             );
         }
-        for (name, value) in gauges {
-            let _ = writeln!(out, "hemlock_{name} {value}");
+        for (gauge, value) in gauges {
+            let _ = writeln!(out, "{} {value}", gauge.name());
         }
         out
     }
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -20,7 +20,7 @@
 use rand::Rng;
 
 use crate::front::{self, Next, Request};
-use crate::metrics::Latency;
+use crate::metrics::{Counter, Latency};
 use crate::state::Node;
 
 /// Time to connect to an endpoint that lives: a few network delays and its handshake.
@@ -197,7 +197,11 @@
     fn may_repeat(&self, now: Time, service: &Arc<str>, cause: &'static str) -> bool {
         let machines = self.node.machines();
         let taken = self.node.budget.borrow_mut().take(now, service, machines);
-        let counter = if taken { "repeated" } else { "repeats_denied" };
+        let counter = if taken {
+            Counter::Repeated
+        } else {
+            Counter::RepeatsDenied
+        };
         self.node.metrics.count(counter, cause);
         taken
     }
@@ -225,7 +229,7 @@
             to.id,
             self.sent.events
         );
-        self.node.metrics.count("sends_failed", cause);
+        self.node.metrics.count(Counter::SendsFailed, cause);
     }
 
     fn spent(&self) -> Duration {
@@ -241,9 +245,10 @@
             self.sent.events,
             self.tried.len()
         );
-        self.node
-            .metrics
-            .count("answered", if status < 300 { "success" } else { "failure" });
+        self.node.metrics.count(
+            Counter::Answered,
+            if status < 300 { "success" } else { "failure" },
+        );
         self.node
             .metrics
             .record(Latency::Whole, "answered", self.spent());
@@ -258,7 +263,7 @@
             self.spent().as_millis(),
             self.sent.events
         );
-        self.node.metrics.count("left", "caller");
+        self.node.metrics.count(Counter::Left, "caller");
         self.node
             .metrics
             .record(Latency::Whole, "left", self.spent());
@@ -275,7 +280,7 @@
                 self.sent.events,
                 self.tried.len()
             );
-            self.node.metrics.count("broken_off", cause);
+            self.node.metrics.count(Counter::BrokenOff, cause);
             return Next::Abort;
         }
         // A resumable stream may run again elsewhere, but this attempt of the caller has run.
@@ -299,7 +304,7 @@
             self.spent().as_millis(),
             self.tried.len()
         );
-        self.node.metrics.count("failed", cause);
+        self.node.metrics.count(Counter::Failed, cause);
         self.node
             .metrics
             .record(Latency::Whole, "failed", self.spent());
@@ -336,7 +341,7 @@
     }
 
     async fn connect(&self, caller: &mut Conn, address: SocketAddr) -> Result<Conn, End> {
-        self.node.metrics.count("connects", "endpoint");
+        self.node.metrics.count(Counter::Connects, "endpoint");
         let mut connect = std::pin::pin!(Conn::connect(address, CONNECT_WAIT));
         loop {
             tokio::select! {
@@ -387,7 +392,7 @@
                 to.id,
                 meta.request_id
             );
-            self.node.metrics.count("foreign_answers", "skipped");
+            self.node.metrics.count(Counter::ForeignAnswers, "skipped");
             skips += 1;
             let mut framing = head.body;
             let body = conn.body(&mut framing, BODY_LIMIT).await;
@@ -535,7 +540,7 @@
             self.id(),
             now.since(progress).as_millis()
         );
-        self.node.metrics.count("silent", "endpoint");
+        self.node.metrics.count(Counter::Silent, "endpoint");
         self.node.urgent.notify_one();
         self.node.changed.notify_one();
         true
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
+use crate::metrics::Gauge;
 use crate::state::Node;
 
 /// Largest head of such a call.
@@ -108,17 +109,17 @@
 fn metrics(node: &Node) -> String {
     let now = node.now();
     let gauges = [
-        ("open_requests", node.open.get() as f64),
-        ("ready", f64::from(u8::from(node.is_ready()))),
-        ("store_up", f64::from(u8::from(node.store_up.get()))),
-        ("leads", f64::from(u8::from(node.leads.get()))),
-        ("machines", node.peers.borrow().machines(now) as f64),
+        (Gauge::OpenRequests, node.open.get() as f64),
+        (Gauge::Ready, f64::from(u8::from(node.is_ready()))),
+        (Gauge::StoreUp, f64::from(u8::from(node.store_up.get()))),
+        (Gauge::Leads, f64::from(u8::from(node.leads.get()))),
+        (Gauge::Machines, node.peers.borrow().machines(now) as f64),
         (
-            "serving_endpoints",
+            Gauge::ServingEndpoints,
             node.balance.borrow().candidates().count() as f64,
         ),
         (
-            "config_version",
+            Gauge::ConfigVersion,
             node.config().map_or(0.0, |c| c.version as f64),
         ),
     ];
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -22,9 +22,13 @@
 use tokio::sync::Notify;
 
 use crate::feed::Feed;
-use crate::metrics::Metrics;
+use crate::metrics::{Counter, Metrics};
 use crate::pool::Pool;
 
+/// Topics that a VM follows.
+const TOPICS: usize = 2;
+/// Part of the store's rate that following topics may take.
+const RATE_PART: f64 = 0.25;
 /// Pauses after news from the store or a peer.
 const GATHER_PLANNER: Duration = Duration::from_millis(40);
 const GATHER_STORE: Duration = Duration::from_millis(150);
@@ -86,9 +90,9 @@
             config: RefCell::default(),
             config_feed: Feed::default(),
             endpoint_feed: Feed::default(),
-            endpoints: RefCell::default(),
+            endpoints: RefCell::new(Endpoints::new(bounds.drain())),
             listed: Cell::default(),
-            balance: RefCell::default(),
+            balance: RefCell::new(Balance::new(bounds.stall())),
             budget: RefCell::new(Budget::new(allowance)),
             quarantine: RefCell::default(),
             peers: RefCell::default(),
@@ -141,7 +145,7 @@
             log::warn!("event=store_lost cause=\"{cause}\"");
         }
         self.metrics
-            .count("store_changes", if up { "up" } else { "down" });
+            .count(Counter::StoreChanges, if up { "up" } else { "down" });
     }
 
     /// Logs a change of the list of endpoints.
@@ -280,12 +284,20 @@
         (first.node != self.me.node).then_some(first.peer)
     }
 
+    /// Returns the shortest time between two calls to the store on one topic at which all VMs together
+    /// keep to a part of its rate, also when each of them reads it.
+    pub(crate) fn store_pause(&self) -> Duration {
+        let calls = (self.machines() * TOPICS) as f64;
+        let rate = self.settings.store.read_rate.max(1.0) * RATE_PART;
+        Duration::from_secs_f64(calls / rate)
+    }
+
     /// Returns the pause after news of a topic, so that changes in a row are read at once: short for
     /// the planner, whose next orders wait for them, and where it saves calls to the store.
     pub(crate) fn gather(&self, topic: Topic, source: Option<SocketAddr>) -> Duration {
         match (topic, source) {
             (Topic::Endpoints, None) if self.leads.get() => GATHER_PLANNER,
-            (Topic::Endpoints, None) => GATHER_STORE,
+            (Topic::Endpoints, None) => GATHER_STORE.max(self.store_pause()),
             _ => GATHER_PEER,
         }
     }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Runs the tests of this crate in one program.
 
 mod site;
+mod test_pages;
 mod test_refusals;
 mod test_relay;
 mod test_stop;
--- a/node/tests/site.rs
+++ b/node/tests/site.rs
@@ -88,9 +88,9 @@
         let dir = tempfile::tempdir().expect("a directory");
         let path = dir.path().join("node.yaml");
         let text = format!(
-            "node: entry-1\nzone: z1\nregion: r\nlisten:\n  front: {front}\n  ready: {ready}\n  \
+            "node: entry-1\nzone: z1\nlisten:\n  front: {front}\n  ready: {ready}\n  \
              directory: {directory}\n  peer: {peer}\n  metrics: {metrics}\nstore:\n  address: {}\n  \
-             write_rate: 400\n  read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: 2000\n  \
+             read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: 2000\n  \
              grace_s: 8\n  stall_ms: 5000\n  advice_s: 5\n  repeat_ratio: 0.2\n  \
              repeat_extra: 100\n  repeat_s: 10\ncores: 0.25\n",
             store.address()
