--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -293,7 +293,8 @@
         self.fence = None;
     }
 
-    /// Takes the end of an order; returns whether the term is over.
+    /// Takes the end of an order; returns whether the term is over, since another planner may have
+    /// used a higher token.
     pub fn replied(&mut self, now: Time, endpoint: &str, action: &Action, reply: Reply) -> bool {
         let Some(mind) = self.minds.get_mut(endpoint) else {
             return false;
@@ -317,6 +318,9 @@
         {
             formed.given_up = true;
         }
+        if reply == Reply::Outdated {
+            self.resign();
+        }
         reply == Reply::Outdated
     }
 
--- a/lib/src/node/settings.rs
+++ b/lib/src/node/settings.rs
@@ -6,10 +6,11 @@
 
 use serde::Deserialize;
 
+use crate::settings::LogSettings;
 use crate::yaml;
 
 /// Settings of one entry VM.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Deserialize)]
 pub struct NodeSettings {
     /// Name of the VM.
     pub node: String,
@@ -73,21 +74,6 @@
     pub repeat_s: f64,
 }
 
-/// Log settings.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-pub struct LogSettings {
-    /// Least level of the lines that are written.
-    pub level: String,
-}
-
-impl Default for LogSettings {
-    fn default() -> Self {
-        Self {
-            level: "info".to_owned(),
-        }
-    }
-}
-
 /// Says why settings can't be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingsFault(pub String);
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hemlock_lib::node::planner::{Action, parse_name};
+use hemlock_lib::node::planner::{Action, Reply, parse_name};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -136,6 +136,23 @@
     assert_eq!(world.serving(), serving);
 }
 
+#[test]
+fn a_planner_that_was_overtaken_orders_nothing_more() {
+    let mut world = World::new(both(), &[10; 2], 1);
+    world.run(Duration::from_secs(1));
+    let (_, id, action) = world.orders[0].clone();
+    assert!(
+        world
+            .planner
+            .replied(world.now, &id, &action, Reply::Outdated)
+    );
+    assert_eq!(world.planner.fence(), None);
+    world.orders.clear();
+    world.add("w9", "d0");
+    world.run(Duration::from_secs(3));
+    assert!(world.orders.is_empty());
+}
+
 /// Loads keep to the weight store's rate once callers have come: 5 a second and 3 at once beyond.
 #[test]
 fn loads_keep_to_the_rate() {
--- a/node/src/duty.rs
+++ b/node/src/duty.rs
@@ -232,7 +232,10 @@
                 return;
             };
             if planner.replied(now, &endpoint, &action, reply) {
+                // Another planner may have taken over: nothing more until the store confirms the duty.
                 log::warn!("event=order_outdated id={endpoint} fence={fence}");
+                duty.until = None;
+                lead(&node, false, fence);
             }
         }
         Output::Probe { endpoint, address } => {
