--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -58,7 +58,7 @@
     pub ready: bool,
     /// Version of the configuration in force there.
     pub config: u64,
-    /// Whether the store answers it.
+    /// Whether the store answers it, so that it may plan.
     pub store: bool,
     /// Whether it plans.
     pub leads: bool,
@@ -138,6 +138,11 @@
         self.known.retain(|_, p| now.since(last(p)) < FORGET);
     }
 
+    /// Returns whether the store answers a peer.
+    pub fn any_store(&self, now: Time) -> bool {
+        self.news(now).any(|(n, _)| n.store)
+    }
+
     /// Returns whether a caller has come to a peer.
     pub fn any_called(&self, now: Time) -> bool {
         self.news(now).any(|(n, _)| n.called)
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -179,6 +179,24 @@
     assert!(!peers.should_lead(at(0), &member("b")));
 }
 
+/// qcl-sfax, own day store-and-workers varied with seed 14: a VM whose reader was cut off from the
+/// store took that for an outage, and kept a worker that had left for 2 s too long.
+#[test]
+fn a_store_that_answers_one_peer_is_not_out() {
+    let mut peers = Peers::default();
+    peers.hear(
+        at(0),
+        News {
+            store: false,
+            ..news("a", 1)
+        },
+    );
+    assert!(!peers.any_store(at(0)));
+    peers.hear(at(0), news("b", 1));
+    assert!(peers.any_store(at(0)));
+    assert!(!peers.any_store(at(5_000)));
+}
+
 #[test]
 fn callers_are_told_their_own_zone_first() {
     let members = [member("a"), member("cc"), member("ccc")];
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Feed {
     pub(crate) cache: RefCell<Cache>,
+    /// Whether the store answers where this topic is read.
+    pub(crate) up: Cell<bool>,
     /// Wakes the readers that wait.
     pub(crate) news: Notify,
     /// Wakes the own reading when its source is stale.
@@ -115,7 +117,7 @@
 /// Returns what a reader lacks as soon as there is something, or nothing after a while.
 async fn wait_for(node: &Node, topic: Topic, from: Option<u64>) -> Option<Batch> {
     let feed = node.feed(topic);
-    let lacks = || feed.cache.borrow().after(from, !node.store_up.get());
+    let lacks = || feed.cache.borrow().after(from, !feed.up.get());
     let wait = async {
         loop {
             let news = feed.news.notified();
@@ -131,7 +133,7 @@
             entries: Vec::new(),
             next,
             whole: false,
-            away: !node.store_up.get(),
+            away: !feed.up.get(),
         }),
     }
 }
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -122,7 +122,7 @@
                 if batch.whole || !batch.entries.is_empty() || from.is_none() {
                     feed.cache.borrow_mut().take(&batch);
                 }
-                node.store_answers(!batch.away, &format_args!("topic={topic:?}"));
+                node.store_answers(topic, !batch.away, &format_args!("from={wanted:?}"));
                 feed.read();
                 let Batch {
                     entries,
@@ -147,7 +147,7 @@
                 match wanted {
                     Some(peer) => avoided.push((peer, now + AVOID)),
                     None => {
-                        node.store_answers(false, &e);
+                        node.store_answers(topic, false, &e);
                         let part = rand::rng().random_range(0.5..1.0);
                         tokio::time::sleep(wait.mul_f64(part)).await;
                         let most = if from.is_none() {
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -9,6 +9,7 @@
 use hemlock_lib::node::quarantine;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, CallMeta};
+use hemlock_platform::store::Topic;
 use hemlock_wire::http1::{self, Conn, HttpError, RequestHead};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -195,7 +196,7 @@
     config: &Config,
     keep: bool,
 ) -> Next {
-    if !node.store_up.get() {
+    if !node.feed(Topic::Config).up.get() {
         return refuse(node, conn, id, "config_may_be_old", START_WAIT, keep).await;
     }
     log::info!(
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -89,7 +89,7 @@
         count,
         ready: node.is_ready(),
         config: node.config().map_or(0, |c| c.version),
-        store: node.store_up.get(),
+        store: node.store_up() && node.unable.get().is_none_or(|t| t <= now),
         leads: node.leads.get(),
         called: node.called.get(),
         every_ms: every.as_millis() as u32,
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -111,7 +111,7 @@
     let gauges = [
         (Gauge::OpenRequests, node.open.get() as f64),
         (Gauge::Ready, f64::from(u8::from(node.is_ready()))),
-        (Gauge::StoreUp, f64::from(u8::from(node.store_up.get()))),
+        (Gauge::StoreUp, f64::from(u8::from(node.store_up()))),
         (Gauge::Leads, f64::from(u8::from(node.leads.get()))),
         (Gauge::Machines, node.peers.borrow().machines(now) as f64),
         (
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -57,7 +57,10 @@
     pub(crate) stop: Notify,
     /// Requests read and not yet answered.
     pub(crate) open: Cell<usize>,
-    pub(crate) store_up: Cell<bool>,
+    /// Whether no VM reads the store.
+    outage: Cell<bool>,
+    /// Until when this VM does not ask to plan, since the store did not answer that.
+    pub(crate) unable: Cell<Option<Time>>,
     pub(crate) leads: Cell<bool>,
     /// Whether a caller has come.
     pub(crate) called: Cell<bool>,
@@ -102,7 +105,8 @@
             stopping: Cell::default(),
             stop: Notify::new(),
             open: Cell::default(),
-            store_up: Cell::default(),
+            outage: Cell::default(),
+            unable: Cell::default(),
             leads: Cell::default(),
             called: Cell::default(),
             changed: Notify::new(),
@@ -133,19 +137,40 @@
     }
 
     /// Notes whether the store answers, and logs a change of that.
-    pub(crate) fn store_answers(&self, up: bool, cause: &dyn std::fmt::Display) {
-        if self.store_up.replace(up) == up {
+    pub(crate) fn store_answers(&self, topic: Topic, up: bool, cause: &dyn std::fmt::Display) {
+        if self.feed(topic).up.replace(up) == up {
             return;
         }
+        let change = if up { "up" } else { "down" };
         if up {
-            self.endpoints.borrow_mut().store_returned(self.now());
-            log::info!("event=store_regained {cause}");
+            log::info!("event=store_regained topic={topic:?} {cause}");
         } else {
-            self.endpoints.borrow_mut().store_lost();
-            log::warn!("event=store_lost cause=\"{cause}\"");
+            log::warn!("event=store_lost topic={topic:?} cause=\"{cause}\"");
         }
-        self.metrics
-            .count(Counter::StoreChanges, if up { "up" } else { "down" });
+        self.metrics.count(Counter::StoreChanges, change);
+        self.check_outage();
+    }
+
+    /// Returns whether any topic of the store is read, here or at a peer.
+    pub(crate) fn store_up(&self) -> bool {
+        self.config_feed.up.get() || self.endpoint_feed.up.get()
+    }
+
+    /// Notes the begin and the end of an outage of the store as a whole. Entries lapse only then: a
+    /// store that only this VM does not reach goes on hearing from the endpoints.
+    pub(crate) fn check_outage(&self) {
+        let now = self.now();
+        let out = !self.store_up() && !self.peers.borrow().any_store(now);
+        if self.outage.replace(out) == out {
+            return;
+        }
+        let mut endpoints = self.endpoints.borrow_mut();
+        if out {
+            endpoints.store_lost();
+        } else {
+            endpoints.store_returned(now);
+        }
+        log::info!("event=outage of_all={out} list={}", endpoints.version());
     }
 
     /// Logs a change of the list of endpoints.
@@ -180,6 +205,7 @@
             self.log_change(id, Change::Gone);
         }
         self.peers.borrow_mut().forget(now);
+        self.check_outage();
         self.refresh();
         self.pool.expire(now);
     }
