--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -84,6 +84,8 @@
     listed: Time,
     heard: Option<Time>,
     news: Option<News>,
+    /// Whether it lived when it was last looked at.
+    lived: bool,
 }
 
 /// What the list and the datagrams say of the other entry VMs.
@@ -104,6 +106,7 @@
             listed: now,
             heard: None,
             news: None,
+            lived: false,
         };
         self.known.insert(member.node, peer);
     }
@@ -121,6 +124,7 @@
             listed: now,
             heard: None,
             news: None,
+            lived: false,
         });
         let run = peer.news.as_ref().map(|n| (n.member.run, n.count));
         if run.is_some_and(|(run, count)| run == news.member.run && count >= news.count) {
@@ -132,10 +136,19 @@
         true
     }
 
-    /// Forgets peers that have been silent for long.
-    pub fn forget(&mut self, now: Time) {
+    /// Returns the peers that fell silent since the last call, and forgets those silent for long.
+    pub fn fallen(&mut self, now: Time) -> Vec<String> {
+        let mut fallen = Vec::new();
+        for (node, peer) in &mut self.known {
+            let lives = peer.lives(now);
+            if peer.lived && !lives {
+                fallen.push(node.clone());
+            }
+            peer.lived = lives;
+        }
         let last = |p: &Peer| p.heard.unwrap_or(p.listed);
         self.known.retain(|_, p| now.since(last(p)) < FORGET);
+        fallen
     }
 
     /// Returns whether the store answers a peer.
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -144,7 +144,10 @@
     assert!(peers.hear(at(100), news("a", 2)));
     assert!(!peers.hear(at(150), news("a", 1)));
     assert_eq!(peers.ready(at(900)).count(), 1);
+    assert!(peers.fallen(at(900)).is_empty());
     assert_eq!(peers.ready(at(1_300)).count(), 0);
+    assert_eq!(peers.fallen(at(1_300)), ["a"]);
+    assert!(peers.fallen(at(1_350)).is_empty());
     peers.hear(
         at(1_400),
         News {
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -204,7 +204,9 @@
         for id in &expired {
             self.log_change(id, Change::Gone);
         }
-        self.peers.borrow_mut().forget(now);
+        for name in self.peers.borrow_mut().fallen(now) {
+            log::info!("event=peer_lost node={name}");
+        }
         self.check_outage();
         self.refresh();
         self.pool.expire(now);
