balance: peers' progress tells slow groups from silent ones; forecasts learn

All VMs also sent to the group that looked best in datagrams 608 ms old. First events came 110 ms later than expected, waits for a slot took half as long.

Ruled out: lost engines (groups stood still for 41 s in all), lack of slots (pairs ran 15 of 20).

Change: datagrams say for each endpoint how long it has been quiet; a doubt is void when anyone heard of the group within the pause. A request that stays without an answer at a group that answers others moves after two more waits, without a mark. Two endpoints with room are compared, not all. The expected times are code of their own and learn what the engine's figures don't tell.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -9,15 +9,23 @@
 use std::time::Duration;
 
 use super::config::Engine;
+use super::forecast::{Busy, Estimate, Forecast};
 use super::peers::Placed;
 use crate::time::Time;
 
 /// Time beyond the bound on a replica's stall for which a silent endpoint gets no requests, unless its
 /// group changes.
 const SILENT_MARGIN: Duration = Duration::from_secs(1);
+/// Pause of all streams of a group after which it counts as silent: a pass with full chunks of prompts
+/// takes 270 ms at most in the users' services.
+pub const SILENT_PAUSE: Duration = Duration::from_millis(450);
+/// Pause of all streams of a group after which its members are probed, which harms none.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(250);
 /// Requests at an endpoint for each of its slots at most; the users' endpoints queue twice their
 /// slots.
 const QUEUE_FACTOR: usize = 3;
+/// Endpoints with room that are compared for one request.
+const CHOICES: usize = 2;
 /// Failures in a row after which a plain endpoint is avoided.
 const FAILS: u32 = 3;
 /// Time for which it is avoided.
@@ -79,17 +87,6 @@
     Nobody(Duration),
 }
 
-/// What a choice was made from, for the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Estimate {
-    /// Expected time to the first event.
-    pub first: Duration,
-    /// Expected time to the end of the answer.
-    pub whole: Duration,
-    /// Requests under way there.
-    pub running: usize,
-}
-
 #[derive(Debug, Default)]
 struct Load {
     requests: usize,
@@ -99,6 +96,7 @@
     silent: Option<Time>,
     peers_silent: Option<Time>,
     progress: Option<Time>,
+    peers_progress: Option<Time>,
     fails: u32,
     avoided: Option<Time>,
     /// Observed over expected time between events; zero before the first one.
@@ -112,6 +110,7 @@
     silence: Duration,
     candidates: BTreeMap<Arc<str>, Candidate>,
     loads: BTreeMap<Arc<str>, Load>,
+    forecast: Forecast,
     turn: u64,
 }
 
@@ -122,6 +121,7 @@
             silence: stall + SILENT_MARGIN,
             candidates: BTreeMap::new(),
             loads: BTreeMap::new(),
+            forecast: Forecast::default(),
             turn: 0,
         }
     }
@@ -137,6 +137,7 @@
             {
                 load.silent = None;
                 load.peers_silent = None;
+                load.peers_progress = None;
                 load.fails = 0;
                 load.avoided = None;
                 load.slowness = 0.0;
@@ -167,6 +168,11 @@
     ) -> Choice {
         self.turn = self.turn.wrapping_add(1);
         let turn = self.turn;
+        if let Some(model) = ask.model.filter(|_| engine.is_some())
+            && tried.is_empty()
+        {
+            self.forecast.asked(&Arc::from(model), ask.answer);
+        }
         let fits = |c: &&Candidate| {
             &*c.service == ask.service
                 && (engine.is_none() || c.model.as_deref() == ask.model)
@@ -186,12 +192,15 @@
         if good.is_empty() {
             return Choice::Nobody(self.retry_after(RETRY_MIN * 2));
         }
+        // A few at random are compared: what is known of the load is as old as the last datagrams, and
+        // all gateways would send to the one that looked best then.
+        let mix = |c: &Candidate| crate::rendezvous::score(&turn.to_le_bytes(), c.id.as_bytes());
+        good.sort_by_cached_key(|c| mix(c));
         let score = |c: &&Candidate| {
             let e = self.estimate(c, ask, engine);
             let far = u128::from(&*c.zone != ask.zone);
             // Zones decide between endpoints that are alike within a few milliseconds.
-            let mix = crate::rendezvous::score(&turn.to_le_bytes(), c.id.as_bytes());
-            (e.first.as_millis() / 4 + far, mix)
+            e.first.as_millis() / 4 + far
         };
         let room = |c: &&Candidate| {
             let e = self.estimate(c, ask, engine);
@@ -199,7 +208,8 @@
                 && e.whole <= ask.left * HOPELESS
                 && e.running < c.slots.max(1) * QUEUE_FACTOR
         };
-        let best = good.iter().copied().filter(room).min_by_key(score);
+        let open = good.iter().copied().filter(room);
+        let best = open.take(CHOICES).min_by_key(score);
         let best = best.or_else(|| {
             let all = good.iter().copied().filter(|_| ask.begun);
             all.min_by_key(score)
@@ -210,34 +220,18 @@
         }
     }
 
-    /// Returns the expected time to the first event on an endpoint.
+    /// Returns the expected times of a request on an endpoint.
     fn estimate(&self, c: &Candidate, ask: &Ask<'_>, engine: Option<&Engine>) -> Estimate {
         let load = self.load(&c.id);
-        let running = load.map_or(0, Load::running);
-        let Some(engine) = engine else {
-            let first = Duration::from_millis(10) * running as u32 / c.slots.max(1) as u32;
-            return Estimate {
-                first,
-                whole: first,
-                running,
-            };
+        let busy = Busy {
+            running: load.map_or(0, Load::running),
+            unread: load.map_or(0, |l| l.unread + l.peers_unread),
+            slowness: load.map_or(1.0, |l| l.slowness.max(1.0)),
+            slots: c.slots,
+            pace: c.pace,
         };
-        let unread = load.map_or(0, |l| l.unread + l.peers_unread);
-        let read = f64::from(unread + ask.prompt) / engine.read_rate.max(1.0);
-        let batch = running.min(c.slots) as f64;
-        let step = engine.step.as_secs_f64() + engine.per_request.as_secs_f64() * batch;
-        let over = (running + 1).saturating_sub(c.slots) as f64;
-        // A slot frees when one of the batch ends: an answer's steps over the slots.
-        let wait = over * step * ANSWER_STEPS / c.slots.max(1) as f64;
-        let pass = step * f64::from(engine.stride) * 1.5;
-        let slow = load.map_or(1.0, |l| l.slowness.max(1.0)) * c.pace;
-        let first = (read + pass + wait) * slow;
-        let whole = first + step * f64::from(ask.answer) * slow;
-        Estimate {
-            first: Duration::from_secs_f64(first),
-            whole: Duration::from_secs_f64(whole),
-            running,
-        }
+        let size = (ask.prompt, ask.answer);
+        self.forecast.estimate(engine, ask.model, &busy, size)
     }
 
     fn load(&self, id: &str) -> Option<&Load> {
@@ -260,6 +254,15 @@
         load.unread += prompt;
     }
 
+    /// Takes the time from a request's send to its first event.
+    pub fn began(&mut self, to: &Candidate, expected: &Estimate, observed: Duration) {
+        if let Some(model) = &to.model
+            && expected.running < to.slots
+        {
+            self.forecast.began(model, expected.first, observed);
+        }
+    }
+
     /// Takes the first event of a request.
     pub fn first(&mut self, now: Time, id: &str, prompt: u32) {
         if let Some(load) = self.loads.get_mut(id) {
@@ -296,9 +299,9 @@
         };
     }
 
-    /// Returns when an endpoint last sent something.
+    /// Returns when an endpoint last sent something, to this gateway or a peer.
     pub fn last_progress(&self, id: &str) -> Option<Time> {
-        self.loads.get(id).and_then(|l| l.progress)
+        self.loads.get(id).and_then(Load::last_progress)
     }
 
     /// Counts the end of a request; `unread` tells that no event came.
@@ -332,6 +335,16 @@
             .is_some_and(|l| l.is_silent(now, self.silence))
     }
 
+    /// Lists the endpoints with requests that have sent nobody anything for a while.
+    pub fn suspects(&self, now: Time) -> impl Iterator<Item = &Arc<str>> {
+        let quiet = move |l: &Load| {
+            let progress = l.last_progress();
+            l.running() > 0 && progress.is_some_and(|t| now.since(t) >= SUSPECT_PAUSE)
+        };
+        let found = self.loads.iter().filter(move |(_, l)| quiet(l));
+        found.map(|(id, _)| id)
+    }
+
     /// Lists the endpoints that this gateway finds silent, with the age of that.
     pub fn silents(&self, now: Time) -> Vec<(Arc<str>, Duration)> {
         let silent = |(id, l): (&Arc<str>, &Load)| {
@@ -342,43 +355,55 @@
     }
 
     /// Lists the load that this gateway has placed.
-    pub fn placed(&self) -> Vec<Placed> {
+    pub fn placed(&self, now: Time) -> Vec<Placed> {
         let own = self.loads.iter().filter(|(_, l)| l.requests > 0);
         own.map(|(id, l)| Placed {
             endpoint: id.to_string(),
             requests: l.requests.min(usize::from(u16::MAX)) as u16,
             unread: l.unread,
+            quiet_ms: l.progress.map_or(u16::MAX, |t| {
+                now.since(t).as_millis().min(u128::from(u16::MAX)) as u16
+            }),
         })
         .collect()
     }
 
-    /// Takes the load and the silent endpoints of all peers, as last heard.
+    /// Takes the load and the silent endpoints of all peers, with the times at which they were heard
+    /// and fell silent.
     pub fn take_peers<'a>(
         &mut self,
-        placed: impl Iterator<Item = &'a Placed>,
+        placed: impl Iterator<Item = (&'a Placed, Time)>,
         silent: impl Iterator<Item = (&'a str, Time)>,
     ) {
         for load in self.loads.values_mut() {
             (load.peers, load.peers_unread) = (0, 0);
             load.peers_silent = None;
         }
-        for p in placed {
+        for (p, heard) in placed {
             let Some((id, _)) = self.candidates.get_key_value(p.endpoint.as_str()) else {
                 continue;
             };
             let load = self.loads.entry(id.clone()).or_default();
             load.peers += usize::from(p.requests);
             load.peers_unread += p.unread;
+            let progress = heard - Duration::from_millis(u64::from(p.quiet_ms));
+            if p.quiet_ms < u16::MAX {
+                load.peers_progress = load.peers_progress.max(Some(progress));
+            }
         }
         for (id, since) in silent {
             let Some((id, _)) = self.candidates.get_key_value(id) else {
                 continue;
             };
             let load = self.loads.entry(id.clone()).or_default();
-            // What came after the peer's doubt settles it.
-            if load.progress.is_none_or(|p| p <= since) {
-                load.peers_silent = Some(load.peers_silent.map_or(since, |s| s.max(since)));
-            }
+            load.peers_silent = load.peers_silent.max(Some(since));
+        }
+        for load in self.loads.values_mut() {
+            let progress = load.last_progress();
+            // What came after the doubt settles it.
+            let settled = |since: &Time| progress.is_some_and(|p| p + SILENT_PAUSE > *since);
+            load.silent = load.silent.filter(|t| !settled(t));
+            load.peers_silent = load.peers_silent.filter(|t| !settled(t));
         }
     }
 }
@@ -390,10 +415,12 @@
 /// Times that an answer may be expected to take of what is left before it counts as hopeless;
 /// callers' estimates of its length are often far off.
 const HOPELESS: u32 = 2;
-/// Steps that a usual answer takes (154 tokens in the users' services).
-const ANSWER_STEPS: f64 = 150.0;
 
 impl Load {
+    fn last_progress(&self) -> Option<Time> {
+        self.progress.max(self.peers_progress)
+    }
+
     fn running(&self) -> usize {
         self.requests + self.peers
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod endpoints;
 pub mod events;
+pub mod forecast;
 pub mod peers;
 pub mod placement;
 pub mod planner;
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -45,6 +45,8 @@
     pub requests: u16,
     /// Tokens of prompts that no first event has come for.
     pub unread: u32,
+    /// Milliseconds since it last sent something; the largest value says that nothing came yet.
+    pub quiet_ms: u16,
 }
 
 /// What one entry VM tells the others.
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -98,7 +98,7 @@
             .into_iter()
             .map(|(m, d)| (m.to_string(), d))
             .collect(),
-        placed: balance.placed(),
+        placed: balance.placed(now),
         silent: silent
             .map(|(id, age)| (id.to_string(), age.as_millis() as u32))
             .collect(),
@@ -139,7 +139,9 @@
     }
     let peers = node.peers.borrow();
     let all: Vec<(&News, Time)> = peers.news(now).collect();
-    let placed = all.iter().flat_map(|(n, _)| n.placed.iter());
+    let placed = all
+        .iter()
+        .flat_map(|(n, heard)| n.placed.iter().map(|p| (p, *heard)));
     let silent = all.iter().flat_map(|(n, heard)| {
         let since = |age: u32| *heard - Duration::from_millis(u64::from(age));
         n.silent
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -11,8 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::balance::{Ask, Candidate, Choice, Estimate};
+use hemlock_lib::node::balance::{Ask, Candidate, Choice, SILENT_PAUSE};
 use hemlock_lib::node::config::{Engine, Repeat};
+use hemlock_lib::node::forecast::Estimate;
 use hemlock_lib::node::placement::Size;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, Passed};
@@ -31,9 +32,10 @@
 const BODY_LIMIT: usize = 8 << 20;
 /// Bytes that a caller may send ahead of its next request.
 const AHEAD: usize = 64 << 10;
-/// Pause of a stream after which its endpoint is asked for: a pass with full chunks of prompts
-/// takes 270 ms at most in the users' services.
-const PAUSE_LEAST: Duration = Duration::from_millis(450);
+/// Times that a request stays at an endpoint that is silent for it, but answers others.
+const STAYS: u32 = 2;
+/// Part of the expected time to a first event beyond it, for which a request waits.
+const FIRST_SLACK: f64 = 1.5;
 /// Shortest gap after which callers abandon a stream.
 const GIVE_UP: Duration = Duration::from_secs(2);
 /// Part of that gap that an expected first event may take, since estimates err.
@@ -66,9 +68,27 @@
     /// Number of the last event.
     last: Option<u64>,
     events: u32,
+    /// Time from the request's arrival to its first event.
+    first: Option<Duration>,
     last_at: Option<Time>,
 }
 
+/// How long a request has heard nothing of its endpoint.
+#[derive(Debug)]
+struct Watch {
+    since: Time,
+    stays: u32,
+}
+
+impl Watch {
+    fn new(now: Time) -> Self {
+        Self {
+            since: now,
+            stays: 0,
+        }
+    }
+}
+
 struct Relay<'a> {
     node: &'a Rc<Node>,
     request: &'a Request,
@@ -78,6 +98,8 @@
     /// Endpoints at which it may have run.
     runs: u32,
     sent: Sent,
+    /// What was expected of the send under way, and when that began.
+    expected: Option<(Estimate, Time)>,
 }
 
 /// Relays a request and returns what becomes of the caller's connection.
@@ -104,6 +126,7 @@
             last: request.meta.last_event,
             ..Sent::default()
         },
+        expected: None,
     };
     relay.run(conn).await
 }
@@ -146,6 +169,7 @@
             }
             self.log_send(&to, estimate, cause);
             self.tried.push(to.id.clone());
+            self.expected = Some((estimate, now));
             let end = self.send(conn, &to, engine.is_some()).await;
             match end {
                 End::Answered { status, next } => return self.answered(&to, status, next),
@@ -209,13 +233,15 @@
     fn log_send(&self, to: &Candidate, estimate: Estimate, cause: &str) {
         log::info!(
             "event=sent request={} id={} attempt={} after={cause} prompt={} answer={} running={} \
-             first_ms={} from={:?} config={}",
+             unread={} slowness={:.2} first_ms={} from={:?} config={}",
             self.id(),
             to.id,
             self.tried.len() + 1,
             self.request.meta.prompt,
             self.request.meta.answer,
             estimate.running,
+            estimate.unread,
+            estimate.slowness,
             estimate.first.as_millis(),
             self.sent.last,
             self.request.config.version
@@ -238,10 +264,11 @@
 
     fn answered(&self, to: &Candidate, status: u16, next: Next) -> Next {
         log::info!(
-            "event=answered request={} id={} status={status} ms={} events={} attempts={}",
+            "event=answered request={} id={} status={status} ms={} first_ms={:?} events={} attempts={}",
             self.id(),
             to.id,
             self.spent().as_millis(),
+            self.sent.first.map(|t| t.as_millis()),
             self.sent.events,
             self.tried.len()
         );
@@ -468,8 +495,13 @@
         let route = &self.request.route;
         match (route.repeat, waits_first) {
             (Repeat::Idempotent, _) => route.timeout / 2,
-            (_, true) => (route.goal * 2).max(PAUSE_LEAST),
-            (_, false) => (route.pause * 3 / 2).max(PAUSE_LEAST),
+            (_, true) => {
+                let expected = self.expected.map(|(e, _)| e.first.mul_f64(FIRST_SLACK));
+                (route.goal * 2)
+                    .max(SILENT_PAUSE)
+                    .max(expected.unwrap_or_default())
+            }
+            (_, false) => (route.pause * 3 / 2).max(SILENT_PAUSE),
         }
     }
 
@@ -485,11 +517,11 @@
         conn: &mut Conn,
         to: &Candidate,
     ) -> Result<ResponseHead, End> {
-        let mut since = self.node.now();
+        let mut watch = Watch::new(self.node.now());
         loop {
             let now = self.node.now();
             let left = self.request.deadline.since(now);
-            let wait = self.wait(now, since, true).min(left);
+            let wait = self.wait(now, watch.since, true).min(left);
             let read = conn.response_head(HEAD_LIMIT);
             tokio::select! {
                 biased;
@@ -500,8 +532,8 @@
                     if now >= self.request.deadline {
                         return Err(End::Overdue);
                     }
-                    if self.gave_up_on(now, &mut since, to, true) {
-                        return Err(End::MayHaveRun("silent"));
+                    if let Some(cause) = self.gave_up_on(now, &mut watch, to, true) {
+                        return Err(End::MayHaveRun(cause));
                     }
                 }
             }
@@ -518,20 +550,30 @@
             .max(Duration::from_millis(1))
     }
 
-    /// Returns whether to leave an endpoint that was silent for this request. One that answers
-    /// others meanwhile is only slow, and keeps the request for as long again.
-    fn gave_up_on(&self, now: Time, since: &mut Time, to: &Candidate, first: bool) -> bool {
-        if !self.may_move() || now.since(*since) < self.patience(first) {
-            return false;
+    /// Returns why to leave an endpoint that was silent for this request, if it is time. One that
+    /// answers others meanwhile is only slow, and keeps the request for a while.
+    fn gave_up_on(
+        &self,
+        now: Time,
+        watch: &mut Watch,
+        to: &Candidate,
+        first: bool,
+    ) -> Option<&'static str> {
+        if !self.may_move() || now.since(watch.since) < self.patience(first) {
+            return None;
         }
-        let mut balance = self.node.balance.borrow_mut();
-        let progress = balance.last_progress(&to.id).unwrap_or_default();
         if self.request.route.repeat == Repeat::Idempotent {
-            return true;
+            return Some("silent");
         }
-        if now.since(progress) < PAUSE_LEAST {
-            *since = now;
-            return false;
+        let mut balance = self.node.balance.borrow_mut();
+        let progress = balance.last_progress(&to.id).unwrap_or_default();
+        if now.since(progress) < SILENT_PAUSE {
+            if watch.stays >= STAYS {
+                return Some("stuck");
+            }
+            watch.since = now;
+            watch.stays += 1;
+            return None;
         }
         balance.silent(now, &to.id);
         log::warn!(
@@ -543,7 +585,7 @@
         self.node.metrics.count(Counter::Silent, "endpoint");
         self.node.urgent.notify_one();
         self.node.changed.notify_one();
-        true
+        Some("silent")
     }
 
     /// Notes a connection that broke while its endpoint had the request.
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -7,7 +7,7 @@
 use hemlock_platform::requests;
 use hemlock_wire::http1::{self, Conn, ResponseHead};
 
-use super::{End, Relay, caller_gone};
+use super::{End, Relay, Watch, caller_gone};
 use crate::front::Next;
 use crate::metrics::Latency;
 
@@ -23,11 +23,11 @@
         first: &mut bool,
     ) -> End {
         let mut splitter = Splitter::default();
-        let mut since = self.node.now();
+        let mut watch = Watch::new(self.node.now());
         loop {
             let now = self.node.now();
             let left = self.request.deadline.since(now);
-            let wait = self.wait(now, since, !*first).min(left);
+            let wait = self.wait(now, watch.since, !*first).min(left);
             let piece = tokio::select! {
                 biased;
                 piece = conn.piece(&mut head.body) => piece,
@@ -40,8 +40,8 @@
                     if now >= self.request.deadline {
                         return End::Overdue;
                     }
-                    if self.gave_up_on(now, &mut since, to, !*first) {
-                        return End::MayHaveRun("silent");
+                    if let Some(cause) = self.gave_up_on(now, &mut watch, to, !*first) {
+                        return End::MayHaveRun(cause);
                     }
                     continue;
                 }
@@ -49,7 +49,7 @@
             let now = self.node.now();
             match piece {
                 Ok(Some(bytes)) => {
-                    since = now;
+                    watch = Watch::new(now);
                     let moved = !*first;
                     self.note_progress(now, to, prompt, first);
                     splitter.push(&bytes);
@@ -68,15 +68,19 @@
         }
     }
 
-    fn note_progress(&self, now: Time, to: &Candidate, prompt: u32, first: &mut bool) {
+    fn note_progress(&mut self, now: Time, to: &Candidate, prompt: u32, first: &mut bool) {
         let mut balance = self.node.balance.borrow_mut();
         if *first {
             return balance.progress(now, &to.id);
         }
         *first = true;
         balance.first(now, &to.id, prompt);
+        if let Some((expected, sent)) = &self.expected {
+            balance.began(to, expected, now.since(*sent));
+        }
         if self.sent.events == 0 {
             let time = now.since(self.request.received);
+            self.sent.first = Some(time);
             self.node
                 .metrics
                 .record(Latency::FirstEvent, "answered", time);
