gossip: load added up by zone; two VMs read the store; members read once

Cause: at 76 entry VMs what each knew of the others' load was 300 ms old on the mean, and a fifth of the requests to small groups met a full one while others had room.

Change: each VM reports its load ten times a second to the first VM of its zone, which tells the sums to other zones and to each VM what all but itself have placed; news to all others come at two thirds of the rate. A VM writes its record and then reads the list once. Two first VMs of zones read the store, the others read from them; a VM that does not reach the store reads through a peer.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -1,9 +1,10 @@
 //! Decisions of `hemlock-node`, the one daemon of an entry VM on a hosted platform.
 //!
 //! The order of the modules is the way of a request: [`config`] finds its route and account,
-//! [`endpoints`] says which endpoints exist, [`balance`] places or refuses it, [`budget`] and
-//! [`quarantine`] bound its repeats, [`events`] keeps its stream whole. [`planner`] forms the groups
-//! of engines that [`placement`] asks for, and [`peers`] knows the other entry VMs.
+//! [`endpoints`] says which endpoints exist, [`balance`] places or refuses it by the times that
+//! [`forecast`] expects, [`budget`] and [`quarantine`] bound its repeats, [`events`] keeps its stream
+//! whole. [`planner`] forms the groups of engines that [`placement`] asks for, [`peers`] knows the
+//! other entry VMs, and [`tally`] adds up the load that they have placed.
 
 pub mod balance;
 pub mod budget;
@@ -17,3 +18,4 @@
 pub mod planner;
 pub mod quarantine;
 pub mod settings;
+pub mod tally;
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -16,6 +16,8 @@
 const LATE_MOST: Duration = Duration::from_millis(300);
 /// Time for which a member of the list that was never heard counts as starting.
 const START_TIME: Duration = Duration::from_secs(4);
+/// Entry VMs that read the store for all others.
+const STORE_READERS: usize = 2;
 /// Time after which a silent peer's record is of no more use.
 const FORGET: Duration = Duration::from_secs(120);
 
@@ -80,6 +82,32 @@
     pub breaks: Vec<Break>,
 }
 
+/// A datagram between entry VMs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// All that a VM tells each other one, now and then.
+    News(Box<News>),
+    /// What a VM has placed, to the one that adds up its zone.
+    Load {
+        /// Name of the VM.
+        node: String,
+        /// Its load by endpoint.
+        placed: Vec<Placed>,
+    },
+    /// The sum of a zone, to the VMs that add up the others.
+    Zone {
+        /// The zone.
+        zone: String,
+        /// Its load by endpoint.
+        placed: Vec<Placed>,
+    },
+    /// What all VMs but the receiver have placed.
+    Others {
+        /// Their load by endpoint.
+        placed: Vec<Placed>,
+    },
+}
+
 #[derive(Debug)]
 struct Peer {
     member: Member,
@@ -158,6 +186,11 @@
         self.news(now).any(|(n, _)| n.store)
     }
 
+    /// Returns whether the store answers one peer, or the one that it reads it through.
+    pub fn has_store(&self, now: Time, node: &str) -> bool {
+        self.news(now).any(|(n, _)| n.member.node == node && n.store)
+    }
+
     /// Returns whether a caller has come to a peer.
     pub fn any_called(&self, now: Time) -> bool {
         self.news(now).any(|(n, _)| n.called)
@@ -187,6 +220,32 @@
         readers
     }
 
+    /// Lists where this VM reads what the store holds, best first; itself stands for the store. The
+    /// first VM of a zone serves the others of it; two of these VMs read the store, so that one that
+    /// lags is noticed, and serve the rest.
+    pub fn sources<'a>(&'a self, now: Time, me: &'a Member, ready: bool) -> Vec<&'a Member> {
+        let readers = self.readers(now, me, ready);
+        if readers.first().is_none_or(|m| m.node != me.node) {
+            return readers;
+        }
+        let mut ranked = readers;
+        ranked.sort_by_key(|m| rank(m));
+        let place = ranked.iter().position(|m| m.node == me.node);
+        let own = place.map(|p| ranked.remove(p));
+        let at = if place.is_some_and(|p| p < STORE_READERS) {
+            0
+        } else {
+            STORE_READERS.min(ranked.len())
+        };
+        ranked.splice(at..at, own);
+        ranked
+    }
+
+    /// Returns where one peer takes datagrams.
+    pub fn address(&self, node: &str) -> Option<SocketAddr> {
+        self.known.get(node).map(|p| p.member.peer)
+    }
+
     /// Returns where to send datagrams.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.known.values().map(|p| p.member.peer).collect()
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_node_endpoints;
 mod test_node_parts;
 mod test_node_planner;
+mod test_node_tally;
 mod test_once;
 mod test_outcomes;
 mod test_plan;
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -20,22 +20,13 @@
 const READ_WAIT: Duration = Duration::from_millis(1_000);
 /// Time for which a source that failed or has lost the store is not asked.
 const AVOID: Duration = Duration::from_secs(3);
-/// Time between two looks at the members' list; datagrams tell of new members sooner.
-const MEMBERS_EVERY: Duration = Duration::from_secs(10);
-/// Times between the first looks: all entry VMs may start at once, and none knows another then.
-const MEMBERS_EARLY: [Duration; 4] = [
-    Duration::from_millis(150),
-    Duration::from_millis(300),
-    Duration::from_millis(600),
-    Duration::from_secs(2),
-];
+/// Time between two looks at the members' list; datagrams tell of new members at once.
+const MEMBERS_EVERY: Duration = Duration::from_secs(60);
 /// First and longest wait before another try.
 const BACKOFF: Duration = Duration::from_millis(60);
 const BACKOFF_MOST: Duration = Duration::from_millis(600);
 /// The longest one of a process that knows nothing yet, and so serves nobody.
 const BACKOFF_START: Duration = Duration::from_millis(150);
-/// Time between two writes of the own record, unless it was lost.
-const REWRITE: Duration = Duration::from_secs(30);
 
 /// Follows the operators' configuration.
 pub(crate) async fn config(node: Rc<Node>) {
@@ -61,26 +52,28 @@
     .await;
 }
 
-/// Writes the own record of the members' list and reads the others now and then.
+/// Writes the own record of the members' list, and then reads the others.
+///
+/// Of two VMs that start at once, the one that writes last reads the other's record and tells it of
+/// itself by datagram, so that one read after the write is enough; later ones make up for lost records.
 pub(crate) async fn members(node: Rc<Node>) {
-    let writer = node.clone();
-    tokio::task::spawn_local(async move { write_member(&writer).await });
-    let mut early = MEMBERS_EARLY.iter();
+    write_member(&node).await;
+    let mut wait = BACKOFF;
     loop {
-        let wait = match node.store.newest(Topic::Members).await {
+        node.metrics
+            .count(Counter::StoreReads, Topic::Members.label());
+        match node.store.newest(Topic::Members).await {
             Ok(snapshot) => {
                 for record in &snapshot.records {
                     take_member(&node, record);
                 }
-                early.next().copied().unwrap_or(MEMBERS_EVERY)
+                wait = MEMBERS_EVERY;
             }
             Err(e) => {
-                log::debug!("event=read_failed topic=Members cause=\"{e}\"");
-                BACKOFF_MOST
+                log::info!("event=read_failed topic=Members cause=\"{e}\"");
+                wait = (wait * 2).min(BACKOFF_MOST);
             }
-        };
-        node.metrics
-            .count(Counter::StoreReads, Topic::Members.label());
+        }
         tokio::time::sleep(wait).await;
     }
 }
@@ -148,6 +141,8 @@
                     Some(peer) => avoided.push((peer, now + AVOID)),
                     None => {
                         node.store_answers(topic, false, &e);
+                        // A store that only this VM does not reach is read through another one.
+                        avoided.push((node.me.peer, now + AVOID));
                         let part = rand::rng().random_range(0.5..1.0);
                         tokio::time::sleep(wait.mul_f64(part)).await;
                         let most = if from.is_none() {
@@ -308,12 +303,9 @@
     while node.stopping.get().is_none() {
         let key = &node.me.node;
         match node.store.put(Topic::Members, key, Some(&value)).await {
-            Ok(()) => {
-                wait = BACKOFF;
-                tokio::time::sleep(REWRITE).await;
-            }
+            Ok(()) => return,
             Err(e) => {
-                log::debug!("event=member_unwritten cause=\"{e}\"");
+                log::info!("event=member_unwritten cause=\"{e}\"");
                 tokio::time::sleep(wait).await;
                 wait = (wait * 2).min(BACKOFF_MOST);
             }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -10,11 +10,12 @@
 use hemlock_lib::node::budget::{Allowance, Budget};
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, SeatState};
-use hemlock_lib::node::peers::{Member, Peers};
+use hemlock_lib::node::peers::{Member, Peers, Placed};
 use hemlock_lib::node::placement::Meter;
 use hemlock_lib::node::planner::parse_name;
 use hemlock_lib::node::quarantine::Quarantine;
 use hemlock_lib::node::settings::NodeSettings;
+use hemlock_lib::node::tally::Tally;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Store, Topic};
 use hemlock_wire::clock;
@@ -49,6 +50,9 @@
     pub(crate) budget: RefCell<Budget>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) tally: RefCell<Tally>,
+    /// What all other VMs have placed, as last told, and when that was.
+    pub(crate) others: RefCell<Option<(Time, Vec<Placed>)>>,
     pub(crate) meter: RefCell<Meter>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
@@ -99,6 +103,8 @@
             budget: RefCell::new(Budget::new(allowance)),
             quarantine: RefCell::default(),
             peers: RefCell::default(),
+            tally: RefCell::default(),
+            others: RefCell::default(),
             meter: RefCell::default(),
             pool: Pool::default(),
             metrics: Metrics::default(),
@@ -306,8 +312,10 @@
         }
         let avoids = |m: &&Member| avoided.iter().any(|(a, _)| *a == m.peer);
         let peers = self.peers.borrow();
-        let readers = peers.readers(now, &self.me, self.is_ready());
-        let mut readers = readers.into_iter().filter(|m| !avoids(m));
+        let readers = peers.sources(now, &self.me, self.is_ready());
+        // Without a peer that reaches it, the store is asked on.
+        let useful = |m: &&Member| m.node == self.me.node || peers.has_store(now, &m.node);
+        let mut readers = readers.into_iter().filter(|m| !avoids(m) && useful(m));
         let first = readers.next()?;
         (first.node != self.me.node).then_some(first.peer)
     }
