--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -25,7 +25,7 @@
 /// slots.
 const QUEUE_FACTOR: usize = 3;
 /// Endpoints with room that are compared for one request.
-const CHOICES: usize = 2;
+const CHOICES: usize = 4;
 /// Failures in a row after which a plain endpoint is avoided.
 const FAILS: u32 = 3;
 /// Time for which it is avoided.
