planner: goes on while the store is away

Change: the last holder of the duty stays while no VM reads the store, it hears peers, and none of them plans; engines refuse older fencing tokens, so that a successor's orders win. It asks engines with orders to carry out what they hold, and tells the others. An engine that answered no probe counts as lost until it answers, since the list no longer says so. It stops when the store is back, until that confirms the duty.

Ruled out: taking over without the store when the holder is lost, which nothing would fence.

--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::time::Time;
 
 /// Time after the store's return in which lapsed entries come back (stated by the platform).
@@ -17,7 +19,7 @@
 const DOUBT_PART: f64 = 0.75;
 
 /// Where an engine stands in its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum SeatState {
     /// Loading or starting the model.
     Joining,
@@ -32,7 +34,7 @@
 }
 
 /// An engine's membership in a group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seat {
     /// Name of the group.
     pub group: Arc<str>,
@@ -44,6 +46,21 @@
     pub state: SeatState,
 }
 
+/// What an engine says that it holds, when it is asked itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// Its identifier.
+    pub id: Arc<str>,
+    /// Unix millisecond of its start.
+    pub born: u64,
+    /// Models on its host.
+    pub staged: Vec<Arc<str>>,
+    /// Model that it holds.
+    pub model: Option<Arc<str>>,
+    /// Its place in a group.
+    pub seat: Option<Seat>,
+}
+
 /// One listed endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Endpoint {
@@ -187,6 +204,30 @@
         change
     }
 
+    /// Takes what a listed engine says of itself, for a list that is not written.
+    pub fn observe(&mut self, held: &Held) -> Change {
+        let Some(known) = self.listed.get(&held.id) else {
+            return Change::None;
+        };
+        let fresh = Endpoint {
+            born: held.born,
+            staged: held.staged.clone(),
+            model: held.model.clone(),
+            seat: held.seat.clone(),
+            ..known.clone()
+        };
+        if fresh == *known {
+            return Change::None;
+        }
+        let change = match known.born == held.born {
+            true => Change::Seat,
+            false => Change::Listed,
+        };
+        self.version += 1;
+        self.listed.insert(held.id.clone(), fresh);
+        change
+    }
+
     /// Takes the end of entries.
     ///
     /// While the store is away and shortly after, an entry may only have lapsed, and so may many
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::endpoints::Held;
 use super::placement::Demand;
 use super::quarantine::Break;
 use crate::time::Time;
@@ -101,6 +102,8 @@
         /// Its load by endpoint.
         placed: Vec<Placed>,
     },
+    /// What engines hold, as the planner heard from themselves while the store is away.
+    Held(Vec<Held>),
     /// What all VMs but the receiver have placed.
     Others {
         /// Their load by endpoint.
@@ -181,6 +184,13 @@
         fallen
     }
 
+    /// Returns whether this VM may go on to plan while the store is away: no peer plans, and it is
+    /// not cut off from all of them.
+    pub fn may_stay(&self, now: Time) -> bool {
+        let mut heard = self.news(now).peekable();
+        (self.known.is_empty() || heard.peek().is_some()) && !heard.any(|(n, _)| n.leads)
+    }
+
     /// Returns whether the store answers a peer.
     pub fn any_store(&self, now: Time) -> bool {
         self.news(now).any(|(n, _)| n.store)
@@ -188,7 +198,8 @@
 
     /// Returns whether the store answers one peer, or the one that it reads it through.
     pub fn has_store(&self, now: Time, node: &str) -> bool {
-        self.news(now).any(|(n, _)| n.member.node == node && n.store)
+        self.news(now)
+            .any(|(n, _)| n.member.node == node && n.store)
     }
 
     /// Returns whether a caller has come to a peer.
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -29,8 +29,10 @@
 /// First and longest time until an engine that answered is probed again.
 const PROBE_FIRST: Duration = Duration::from_millis(400);
 const PROBE_MOST: Duration = Duration::from_secs(4);
-/// Time for which an engine that answered no probe gets no new group.
-const DEAD_TIME: Duration = Duration::from_secs(4);
+/// Time between two probes of an engine that counts as lost, but is listed.
+const DEAD_EVERY: Duration = Duration::from_secs(2);
+/// Time after an order for which an engine's state is asked for while the list is not written.
+const FLUX_TIME: Duration = Duration::from_secs(4);
 /// Bits of an epoch that count within one term.
 const EPOCH_BITS: u32 = 20;
 
@@ -155,6 +157,8 @@
     pub demand: &'a BTreeMap<Arc<str>, Demand>,
     /// Whether no caller has come yet; until then loads are quick and don't count.
     pub early: bool,
+    /// Whether the list is not written, so that engines are asked what they hold.
+    pub blind: bool,
 }
 
 /// A group that this planner ordered.
@@ -184,7 +188,10 @@
     probed: Option<Time>,
     /// Whether a probe is under way.
     probing: bool,
-    dead_until: Option<Time>,
+    /// Whether it counts as lost, until it answers.
+    dead: bool,
+    /// When it was last sent an order.
+    ordered: Option<Time>,
     /// The model of its last group.
     last: Option<Arc<str>>,
     /// The model that it loads onto its host, and since when.
@@ -340,21 +347,21 @@
     }
 
     /// Takes the end of a probe.
-    pub fn probed(&mut self, now: Time, endpoint: &str, answered: bool) {
+    pub fn probed(&mut self, endpoint: &str, answered: bool) {
         let Some(mind) = self.minds.get_mut(endpoint) else {
             return;
         };
         mind.probing = false;
         if answered {
             mind.unanswered = 0;
-            mind.dead_until = None;
+            mind.dead = false;
             mind.patience = (mind.patience * 2).clamp(PROBE_FIRST, PROBE_MOST);
             return;
         }
         mind.unanswered += 1;
         mind.patience = Duration::ZERO;
         if mind.unanswered >= DEAD_PROBES {
-            mind.dead_until = Some(now + DEAD_TIME);
+            mind.dead = true;
         }
     }
 
@@ -371,7 +378,7 @@
             out,
         };
         round.groups.retain(|_, g| &*g.service == scene.service);
-        round.probe_silent();
+        round.probe();
         round.resend_joins();
         let stages = round.tend();
         round.fill(&stages);
@@ -438,7 +445,7 @@
 
     fn is_dead(&self, id: &str) -> bool {
         let mind = self.planner.minds.get(id);
-        mind.is_some_and(|m| m.dead_until.is_some_and(|t| t > self.now))
+        mind.is_some_and(|m| m.dead)
     }
 
     fn is_idle(&self, id: &str) -> bool {
@@ -452,6 +459,7 @@
         };
         if let Some(mind) = self.planner.minds.get_mut(id) {
             mind.pending = Some(self.now);
+            mind.ordered = Some(self.now);
         }
         self.out.push(Output::Order {
             endpoint: id.clone(),
--- a/lib/src/node/planner/tend.rs
+++ b/lib/src/node/planner/tend.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Action, Formed, Output, Round, SHOW_TIME, Stage, group_name};
+use super::{
+    Action, DEAD_EVERY, FLUX_TIME, Formed, Mind, Output, Round, SHOW_TIME, Stage, group_name,
+};
 use crate::node::endpoints::{Group, SeatState};
 
 /// Joins sent again before their group is given up, for each member.
@@ -13,10 +15,14 @@
 const CLOSE_TIME: Duration = Duration::from_millis(2_500);
 /// Time between two probes of one engine.
 const PROBE_EVERY: Duration = Duration::from_millis(50);
+/// Time between two calls for what an engine holds; its reports are some 200 ms old.
+const FLUX_EVERY: Duration = Duration::from_millis(250);
 
 impl Round<'_, '_> {
-    /// Probes the members of groups that gateways find silent, to learn which one is lost.
-    pub(super) fn probe_silent(&mut self) {
+    /// Probes engines: members of groups that gateways find silent, to learn which one is lost; those
+    /// that were lost, to learn whether they are back; and, while the list is not written, those that
+    /// have orders to carry out.
+    pub(super) fn probe(&mut self) {
         let heads = |g: &Group| {
             g.head()
                 .is_some_and(|(id, _)| self.scene.silent.contains(id))
@@ -27,26 +33,32 @@
             .filter(|g| heads(g))
             .flat_map(|g| g.members.values().map(|(id, _)| id.clone()))
             .collect();
-        // What was learned of a group while it was silent says nothing of its next silence.
-        let calm = self.planner.minds.iter_mut();
-        calm.filter(|(id, _)| !silent.contains(*id))
-            .for_each(|(_, m)| m.patience = Duration::ZERO);
-        for id in silent {
-            let Some(endpoint) = self.scene.endpoints.get(&id) else {
-                continue;
-            };
-            let Some(mind) = self.planner.minds.get_mut(&id) else {
-                continue;
+        let (now, blind) = (self.now, self.scene.blind);
+        for (id, mind) in &mut self.planner.minds {
+            let flux = |m: &Mind| m.ordered.is_some_and(|t| now.since(t) < FLUX_TIME);
+            let every = match () {
+                // What was learned of a group while it was silent says nothing of its next silence.
+                () if !silent.contains(id) => {
+                    mind.patience = Duration::ZERO;
+                    match (mind.dead, blind && flux(mind)) {
+                        (true, _) => DEAD_EVERY,
+                        (false, true) => FLUX_EVERY,
+                        (false, false) => continue,
+                    }
+                }
+                // An engine that answered is slow rather than lost, and is asked again later.
+                () => mind.patience.max(PROBE_EVERY),
             };
-            // An engine that answered is slow rather than lost, and is asked again later.
-            let every = mind.patience.max(PROBE_EVERY);
-            if mind.probing || mind.probed.is_some_and(|t| self.now.since(t) < every) {
+            if mind.probing || mind.probed.is_some_and(|t| now.since(t) < every) {
                 continue;
             }
-            mind.probed = Some(self.now);
+            let Some(endpoint) = self.scene.endpoints.get(id) else {
+                continue;
+            };
+            mind.probed = Some(now);
             mind.probing = true;
             self.out.push(Output::Probe {
-                endpoint: id,
+                endpoint: id.clone(),
                 address: endpoint.address.clone(),
             });
         }
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::config::{Engine, Model};
-use hemlock_lib::node::endpoints::{Endpoint, Endpoints, Seat, SeatState};
+use hemlock_lib::node::endpoints::{Endpoint, Endpoints, Held, Seat, SeatState};
 use hemlock_lib::node::placement::Demand;
 use hemlock_lib::node::planner::{Action, Output, Planner, Reply, Scene};
 use hemlock_lib::time::Time;
@@ -76,6 +76,8 @@
     pub silent: BTreeSet<Arc<str>>,
     pub demand: BTreeMap<Arc<str>, Demand>,
     pub early: bool,
+    /// Whether the list is not written; what engines hold shows when they are asked.
+    pub blind: bool,
     pub loads: Vec<Time>,
     pub orders: Vec<(Time, Arc<str>, Action)>,
     /// Share of the orders that get no reply and are carried out seconds later.
@@ -96,6 +98,7 @@
             silent: BTreeSet::new(),
             demand: BTreeMap::new(),
             early: true,
+            blind: false,
             loads: Vec::new(),
             orders: Vec::new(),
             late_share: 0.0,
@@ -211,6 +214,7 @@
             silent: &self.silent,
             demand: &self.demand,
             early: self.early,
+            blind: self.blind,
         };
         self.planner.step(self.now, &scene, &mut out);
         for output in out {
@@ -226,7 +230,17 @@
                         .workers
                         .get(&endpoint)
                         .is_some_and(|w| w.dead.is_none());
-                    self.planner.probed(self.now, &endpoint, alive);
+                    if alive && self.blind {
+                        let e = &self.workers[&endpoint].entry;
+                        self.endpoints.observe(&Held {
+                            id: e.id.clone(),
+                            born: e.born,
+                            staged: e.staged.clone(),
+                            model: e.model.clone(),
+                            seat: e.seat.clone(),
+                        });
+                    }
+                    self.planner.probed(&endpoint, alive);
                 }
             }
         }
@@ -366,7 +380,7 @@
 
     fn show(&mut self, id: &str) {
         let worker = &self.workers[id];
-        if worker.dead.is_none() {
+        if worker.dead.is_none() && !self.blind {
             self.endpoints.put(worker.entry.clone());
         }
     }
@@ -391,7 +405,7 @@
         for id in ids {
             let mut worker = self.workers[&id].clone();
             if let Some(dead) = worker.dead {
-                if now.since(dead) >= LAPSE {
+                if now.since(dead) >= LAPSE && !self.blind {
                     self.endpoints.remove(now, [&*id]);
                 }
                 continue;
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -290,6 +290,26 @@
     ])
 }
 
+/// The store is away for 8 s, as on the users' days: groups are mended by what engines say themselves.
+#[test]
+fn a_lost_member_is_replaced_while_the_store_is_away() {
+    let mut world = World::new(both(), &[10; 6], 1);
+    world.run(Duration::from_secs(8));
+    world.early = false;
+    let before = world.serving();
+    world.blind = true;
+    for rank in [3, 0] {
+        let (_, id, _) = join_of(&world, "large", rank);
+        world.crash(&id);
+    }
+    world.run(Duration::from_secs(8));
+    let after = world.serving();
+    assert!(after["large"] >= before["large"], "{before:?} {after:?}");
+    // Lost engines are still listed, but no group waits for them.
+    let forming = world.planner.summary().forming;
+    assert_eq!(forming, 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
 
@@ -307,6 +327,7 @@
                 break;
             }
             let id = ids[rng.random_range(0..ids.len())].clone();
+            world.blind = rng.random_bool(0.3);
             match rng.random_range(0..4) {
                 0 | 1 => world.crash(&id),
                 2 => world.drain(&id),
--- a/node/src/duty.rs
+++ b/node/src/duty.rs
@@ -10,7 +10,7 @@
 use hemlock_lib::node::placement::{self, Demand};
 use hemlock_lib::node::planner::{Output, Planner, Scene, Summary};
 use hemlock_lib::time::Time;
-use hemlock_platform::engines;
+use hemlock_platform::engines::{self, Report};
 use tokio::task::spawn_local;
 
 use crate::metrics::Counter;
@@ -30,6 +30,9 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 /// Time for which a VM that could not ask lets others do so.
 const UNABLE: Duration = Duration::from_secs(2);
+/// Time after the end of the duty in which it is taken up again if the store is away: VMs find that out
+/// within a second, and tell each other within another.
+const STAY_LIMIT: Duration = Duration::from_secs(4);
 /// Time after the start in which peers are heard of, so that one VM asks for the duty.
 const LISTEN_FIRST: Duration = Duration::from_millis(700);
 
@@ -39,6 +42,10 @@
     planners: BTreeMap<Arc<str>, Planner>,
     generation: u64,
     until: Option<Time>,
+    /// When it last ended without another VM taking over; the store's outage may be the reason.
+    lapsed: Option<Time>,
+    /// Whether it is held without the store.
+    alone: bool,
     /// The summary that was logged last, and when.
     logged: Option<(Time, Summary)>,
 }
@@ -62,6 +69,10 @@
     tokio::time::sleep(LISTEN_FIRST).await;
     loop {
         let now = node.now();
+        if stay(&node, &duty, now, lease) {
+            tokio::time::sleep(RENEW_EVERY).await;
+            continue;
+        }
         let held = duty.borrow().until.is_some_and(|t| t > now);
         let unable = node.unable.get().is_some_and(|t| t > now);
         let first = !unable && node.peers.borrow().should_lead(now, &node.me);
@@ -83,6 +94,39 @@
     }
 }
 
+/// Goes on to plan while no VM reaches the store, so that nobody else can take over: engines refuse
+/// older fencing tokens once another planner has used its own. Returns whether it does.
+fn stay(node: &Node, duty: &RefCell<Duty>, now: Time, lease: Duration) -> bool {
+    let mut duty = duty.borrow_mut();
+    let held = duty.until.is_some_and(|t| t > now);
+    if held {
+        duty.lapsed = Some(now);
+    }
+    let recent = duty.lapsed.is_some_and(|t| now.since(t) < STAY_LIMIT);
+    let stays = node.is_outage() && recent && node.peers.borrow().may_stay(now);
+    if stays != duty.alone {
+        duty.alone = stays;
+        log::info!(
+            "event=duty_alone stays={stays} fence={} outage={}",
+            duty.generation,
+            node.is_outage()
+        );
+        if !stays {
+            // The store says who plans from now on.
+            duty.until = None;
+        }
+    }
+    if !stays {
+        return false;
+    }
+    duty.until = Some(now + lease);
+    duty.lapsed = Some(now);
+    let fence = duty.generation;
+    drop(duty);
+    lead(node, true, fence);
+    true
+}
+
 async fn ask(node: &Node, duty: &RefCell<Duty>, now: Time, lease: Duration) {
     let generation = duty.borrow().generation;
     let name = node.planner_name();
@@ -107,6 +151,9 @@
     duty.generation = term.generation;
     // The lease runs from the call's arrival, which is later than its start.
     duty.until = term.holds.then(|| now + lease - LEASE_MARGIN);
+    if !term.holds {
+        duty.lapsed = None;
+    }
     drop(duty);
     lead(node, term.holds, term.generation);
 }
@@ -124,7 +171,9 @@
     let Some(config) = node.config() else { return };
     let now = node.now();
     let mut state = duty.borrow_mut();
-    let leads = state.until.is_some_and(|t| t > now) && node.leads.get();
+    // What is held without the store ends with its return.
+    let confirmed = !state.alone || node.is_outage();
+    let leads = state.until.is_some_and(|t| t > now) && node.leads.get() && confirmed;
     if !leads {
         state.planners.values_mut().for_each(Planner::resign);
         return;
@@ -151,6 +200,7 @@
             silent: &silent,
             demand: &demand,
             early: !node.called.get() && !node.peers.borrow().any_called(now),
+            blind: node.is_outage(),
         };
         let planner = state.planners.entry(service.clone()).or_default();
         planner.lead(generation);
@@ -242,20 +292,30 @@
                 // Another planner may have taken over: nothing more until the store confirms the duty.
                 log::warn!("event=order_outdated id={endpoint} fence={fence}");
                 duty.until = None;
+                duty.lapsed = None;
                 lead(&node, false, fence);
             }
         }
         Output::Probe { endpoint, address } => {
-            let answered = engines::answers(&address).await;
+            let report = engines::report(&endpoint, &address).await;
+            let answered = report != Report::Missing;
             log::info!("event=probe id={endpoint} answered={answered}");
+            if let Report::Holds(held) = report
+                && node.is_outage()
+            {
+                node.observe(&held);
+                let mut observed = node.observed.borrow_mut();
+                if observed.insert(held.id.clone(), held.clone()) != Some(held) {
+                    node.urgent.notify_one();
+                }
+            }
             node.metrics.count(
                 Counter::Probes,
                 if answered { "answered" } else { "unanswered" },
             );
-            let now = node.now();
             let mut duty = duty.borrow_mut();
             if let Some(planner) = duty.planners.get_mut(&service) {
-                planner.probed(now, &endpoint, answered);
+                planner.probed(&endpoint, answered);
             }
         }
     }
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hemlock_lib::node::endpoints::Held;
 use hemlock_lib::node::peers::{Message, News, Placed};
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
@@ -23,6 +24,8 @@
 /// Time between two reports of placed load within a zone and between zones: a request lasts ten times
 /// as long.
 const LOAD_EVERY: Duration = Duration::from_millis(100);
+/// Engines told of in one datagram, of some 100 bytes each.
+const HELD_MOST: usize = 80;
 /// Time for which the sum of all others counts; after it, their own news do.
 const LOAD_FRESH: Duration = Duration::from_millis(400);
 /// Largest datagram.
@@ -63,7 +66,13 @@
         let every = every(node.machines());
         let news = Message::News(Box::new(news(&node, count, every)));
         let addresses = node.peers.borrow().addresses();
-        send_to(&socket, &news, addresses).await;
+        send_to(&socket, &news, addresses.iter().copied()).await;
+        let held: Vec<Held> = node.observed.borrow().values().cloned().collect();
+        // Repeated with the news, since datagrams are lost; in parts that fit one.
+        for part in held.chunks(HELD_MOST) {
+            let message = Message::Held(part.to_vec());
+            send_to(&socket, &message, addresses.iter().copied()).await;
+        }
         tokio::time::sleep(SHORTEST).await;
         let urgent = node.urgent.notified();
         let _ = tokio::time::timeout(every - SHORTEST, urgent).await;
@@ -190,6 +199,7 @@
             return node.tally.borrow_mut().zone(now, zone, placed);
         }
         Ok(Message::Others { placed }) => return take_others(node, now, placed),
+        Ok(Message::Held(held)) => return held.iter().for_each(|h| node.observe(h)),
         Err(e) => {
             log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
             node.metrics.count(Counter::DatagramsRefused, "malformed");
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a node share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 use hemlock_lib::node::balance::{Balance, Candidate};
 use hemlock_lib::node::budget::{Allowance, Budget};
 use hemlock_lib::node::config::Config;
-use hemlock_lib::node::endpoints::{Change, Endpoints, SeatState};
+use hemlock_lib::node::endpoints::{Change, Endpoints, Held, SeatState};
 use hemlock_lib::node::peers::{Member, Peers, Placed};
 use hemlock_lib::node::placement::Meter;
 use hemlock_lib::node::planner::parse_name;
@@ -63,6 +64,8 @@
     pub(crate) open: Cell<usize>,
     /// Whether no VM reads the store.
     outage: Cell<bool>,
+    /// What engines said of themselves since the store went away, while this VM plans.
+    pub(crate) observed: RefCell<BTreeMap<Arc<str>, Held>>,
     /// Until when this VM does not ask to plan, since the store did not answer that.
     pub(crate) unable: Cell<Option<Time>>,
     pub(crate) leads: Cell<bool>,
@@ -112,6 +115,7 @@
             stop: Notify::new(),
             open: Cell::default(),
             outage: Cell::default(),
+            observed: RefCell::default(),
             unable: Cell::default(),
             leads: Cell::default(),
             called: Cell::default(),
@@ -155,6 +159,24 @@
         }
         self.metrics.count(Counter::StoreChanges, change);
         self.check_outage();
+        self.urgent.notify_one();
+    }
+
+    /// Returns whether no VM reads the store.
+    pub(crate) fn is_outage(&self) -> bool {
+        self.outage.get()
+    }
+
+    /// Takes what an engine says of itself, which counts while the store is away.
+    pub(crate) fn observe(&self, held: &Held) {
+        if !self.is_outage() {
+            return;
+        }
+        let change = self.endpoints.borrow_mut().observe(held);
+        if change != Change::None {
+            self.log_change(&held.id, change);
+            self.refresh();
+        }
     }
 
     /// Returns whether any topic of the store is read, here or at a peer.
@@ -175,6 +197,7 @@
             endpoints.store_lost();
         } else {
             endpoints.store_returned(now);
+            self.observed.borrow_mut().clear();
         }
         log::info!("event=outage of_all={out} list={}", endpoints.version());
     }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -4,5 +4,6 @@
 mod test_pages;
 mod test_refusals;
 mod test_relay;
+mod test_soak;
 mod test_stop;
 mod test_streams;
--- a/node/tests/site.rs
+++ b/node/tests/site.rs
@@ -9,8 +9,10 @@
 
 use hemlock_platform_standin::caller::{self, Got};
 use hemlock_platform_standin::store::Store;
+use hemlock_platform_standin::texts;
+pub use hemlock_platform_standin::texts::{config, request, route};
 use hemlock_platform_standin::worker::Worker;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tempfile::TempDir;
 
 /// Longest wait for something that must come; a test ends sooner when it does.
@@ -46,38 +48,6 @@
     }
 }
 
-pub fn route(prefix: &str, kind: &str, service: &str) -> Value {
-    json!({
-        "name": prefix, "host": "site.example", "pathPrefix": prefix, "kind": kind,
-        "timeoutMs": 4_000, "latencyGoalMs": 400, "gapTargetMs": 200, "priority": 1,
-        "service": service, "maxAttempts": 2, "public": false,
-        "resumable": kind == "streaming",
-    })
-}
-
-pub fn config(version: u64) -> Value {
-    json!({
-        "version": version,
-        "routes": [
-            route("/plain/", "idempotent", "plain"),
-            route("/once/", "non_idempotent", "plain"),
-            route("/stream/", "streaming", "models"),
-        ],
-        "services": [
-            {"name": "plain", "maxConns": 50},
-            {"name": "models", "maxConns": 50, "engine": {
-                "slots": 8, "step_ms": 8.0, "per_seq_ms": 0.1, "read_per_s": 45900.0, "stride": 5,
-                "loadsPerS": 5.0, "loads_at_once": 7,
-                "models": [{"name": "m", "size": 2, "share": 1.0, "pace": 1.0, "loadS": 1.0,
-                    "warmupS": 0.1}],
-            }},
-        ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 2000,
-            "idleTimeoutMs": 5000},
-        "tenants": [{"name": "acme", "apiKeys": ["key-1", "key-2"], "priority": 1}],
-    })
-}
-
 impl Site {
     /// Starts a store and an entry VM; nothing is configured or listed.
     pub fn bare() -> Self {
@@ -149,8 +119,7 @@
     }
 
     pub fn configure(&self, config: &Value) {
-        let text = config.to_string();
-        self.store.put("keyed.op", "config", text.as_bytes());
+        texts::configure(&self.store, config);
     }
 
     pub fn ready_status(&self) -> u16 {
@@ -196,11 +165,3 @@
         let _ = self.child.wait();
     }
 }
-
-pub fn request(method: &str, path: &str, id: &str, headers: &str, body: &str) -> String {
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {id}\r\nApi-Key: key-1\r\n\
-         Deadline-Ms: 3000\r\n{headers}Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
--- /dev/null
+++ b/node/tests/test_soak.rs
@@ -0,0 +1,21 @@
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hemlock_soak::Soak;
+
+/// A short run with a fixed seed; longer ones are run by hand, with `hemlock-soak`.
+#[test]
+fn nothing_breaks_under_a_few_faults() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let soak = Soak {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_hemlock-node")),
+        nodes: 3,
+        callers: 4,
+        length: Duration::from_secs(6),
+        seed: 1,
+        dir: dir.path().to_owned(),
+    };
+    let outcome = soak.run().expect("it runs");
+    assert!(outcome.broken.is_empty(), "{outcome:#?}");
+    assert!(outcome.served > 0, "{outcome:#?}");
+}
--- /dev/null
+++ b/soak/src/site.rs
@@ -0,0 +1,207 @@
+//! The processes and stand-ins of one run.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Instant;
+
+use hemlock_platform_standin::store::Store;
+use hemlock_platform_standin::texts;
+use hemlock_platform_standin::worker::Worker;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::proxy::Proxy;
+
+/// Ports that runs take: below those that the system hands out to outgoing connections.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 8_000;
+/// Events of a stream.
+pub const EVENTS: u64 = 30;
+/// Time in which an entry VM ends after SIGTERM, in seconds.
+pub const GRACE_S: u64 = 8;
+/// Time in which requests may still reach an endpoint that drains, in milliseconds.
+pub const DRAIN_MS: u64 = 2_000;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns an address that is free now, for TCP and for datagrams.
+fn free_address() -> SocketAddr {
+    let start = (std::process::id() * 97 % u32::from(PORTS)) as u16;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (start + next) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// One entry VM.
+#[derive(Debug)]
+pub struct Node {
+    pub front: SocketAddr,
+    pub directory: SocketAddr,
+    /// Its way to the store.
+    pub store: Proxy,
+    child: Child,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+impl Node {
+    fn spawn(index: usize, program: &Path, store: &Store, dir: &Path) -> std::io::Result<Self> {
+        let name = format!("entry-{index}");
+        let (front, directory) = (free_address(), free_address());
+        let (ready, peer, metrics) = (free_address(), free_address(), free_address());
+        let proxy = Proxy::spawn(store.address())?;
+        let settings = dir.join(format!("{name}.yaml"));
+        let text = format!(
+            "node: {name}\nzone: z{}\nlisten:\n  front: {front}\n  ready: {ready}\n  \
+             directory: {directory}\n  peer: {peer}\n  metrics: {metrics}\nstore:\n  address: {}\n  \
+             read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: {DRAIN_MS}\n  \
+             grace_s: {GRACE_S}\n  stall_ms: 5000\n  advice_s: 1\n  repeat_ratio: 0.2\n  \
+             repeat_extra: 100\n  repeat_s: 10\ncores: 0.25\n",
+            index % 2 + 1,
+            proxy.address()
+        );
+        std::fs::write(&settings, text)?;
+        let log = dir.join(format!("{name}.log"));
+        let child = start(program, &settings, &log)?;
+        Ok(Self {
+            front,
+            directory,
+            store: proxy,
+            child,
+            settings,
+            log,
+        })
+    }
+
+    /// Sends a signal to its process.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            // A process that has ended by itself shows when it is waited for.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Returns whether its process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Starts its process again.
+    pub fn restart(&mut self, program: &Path) -> std::io::Result<()> {
+        self.child = start(program, &self.settings, &self.log)?;
+        Ok(())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(program: &Path, settings: &Path, log: &Path) -> std::io::Result<Child> {
+    let out = File::options().create(true).append(true).open(log)?;
+    Command::new(program)
+        .arg("--settings")
+        .arg(settings)
+        .stderr(out.try_clone()?)
+        .stdout(out)
+        .spawn()
+}
+
+/// An endpoint behind a proxy.
+#[derive(Debug)]
+pub struct Endpoint {
+    pub worker: Worker,
+    pub link: Proxy,
+}
+
+impl Endpoint {
+    fn spawn(
+        store: &Store,
+        id: &str,
+        service: &str,
+        domain: Option<&str>,
+    ) -> std::io::Result<Self> {
+        let worker = Worker::spawn(store, id, service, domain);
+        worker.set_events(EVENTS);
+        let link = Proxy::spawn(worker.address())?;
+        worker.list_at(link.address());
+        Ok(Self { worker, link })
+    }
+}
+
+/// All of a run.
+#[derive(Debug)]
+pub struct Site {
+    pub store: Store,
+    pub nodes: Vec<Node>,
+    pub endpoints: Vec<Endpoint>,
+    /// Paths that versions of the configuration have added, the newest last.
+    pub added: Vec<String>,
+    version: u64,
+}
+
+impl Site {
+    /// Starts the stand-ins and `nodes` entry VMs.
+    pub fn spawn(program: &Path, nodes: usize, dir: &Path) -> std::io::Result<Self> {
+        let store = Store::spawn();
+        let plain = (0..3).map(|i| Endpoint::spawn(&store, &format!("p{i}"), "plain", None));
+        let engine = |i: usize| {
+            let domain = format!("d{}", i / 5);
+            Endpoint::spawn(&store, &format!("e{i}"), "models", Some(&domain))
+        };
+        let endpoints = plain.chain((0..10).map(engine)).collect::<Result<_, _>>()?;
+        let mut site = Self {
+            store,
+            nodes: Vec::new(),
+            endpoints,
+            added: Vec::new(),
+            version: 1,
+        };
+        site.configure();
+        for index in 0..nodes {
+            let node = Node::spawn(index, program, &site.store, dir)?;
+            site.nodes.push(node);
+        }
+        Ok(site)
+    }
+
+    /// Puts a version into force that adds a route.
+    pub fn add_route(&mut self) {
+        self.version += 1;
+        self.added.push(format!("/v{}/", self.version));
+        self.configure();
+    }
+
+    fn configure(&self) {
+        let mut config = texts::config(self.version);
+        if let Some(routes) = config["routes"].as_array_mut() {
+            routes.extend(
+                self.added
+                    .iter()
+                    .map(|p| texts::route(p, "idempotent", "plain")),
+            );
+        }
+        texts::configure(&self.store, &config);
+    }
+
+    /// Returns how often each request has run, with the times, by endpoint.
+    pub fn runs(&self) -> Vec<(String, String, Instant)> {
+        let of = |e: &Endpoint| {
+            let id = e.worker.id().to_owned();
+            let runs = e.worker.runs().into_iter();
+            runs.map(move |r| (r.request_id, id.clone(), r.at))
+                .collect::<Vec<_>>()
+        };
+        self.endpoints.iter().flat_map(of).collect()
+    }
+}
