quarantine: a request that is answered did not break endpoints

Fingerprints of requests that many send meet every broken endpoint.

Change: a good end clears a request's breaks, here and by datagram at the others. One that breaks endpoints has none, so that its bound stays.

--- a/lib/src/node/quarantine.rs
+++ b/lib/src/node/quarantine.rs
@@ -25,9 +25,12 @@
 }
 
 /// A break to tell other entry VMs of: the request's fingerprint, and a hash of the endpoint's id
-/// and start.
+/// and start, or [`CLEARED`].
 pub type Break = (u64, u64);
 
+/// Says that a request ran to a good end, so that something else broke the endpoints.
+const CLEARED: u64 = 0;
+
 /// Requests that broke endpoints.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -39,6 +42,10 @@
     /// Takes the news that an endpoint broke while it ran a request; returns how many it broke.
     pub fn broke(&mut self, now: Time, seen: Break, own: bool) -> usize {
         self.breaks.retain(|_, (at, _)| now.since(*at) < MEMORY);
+        if seen.1 == CLEARED {
+            self.breaks.remove(&seen.0);
+            return 0;
+        }
         if self.breaks.len() >= HELD && !self.breaks.contains_key(&seen.0) {
             return 0;
         }
@@ -51,6 +58,14 @@
         endpoints.len()
     }
 
+    /// Takes the good end of a request: one that breaks endpoints has none.
+    pub fn answered(&mut self, now: Time, request: u64) {
+        if self.breaks.remove(&request).is_some() {
+            self.news.retain(|(_, b)| b.0 != request);
+            self.news.push((now, (request, CLEARED)));
+        }
+    }
+
     /// Returns whether a request is refused now.
     pub fn holds(&self, now: Time, request: u64) -> bool {
         let found = self.breaks.get(&request);
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -107,6 +107,33 @@
     assert!(!other.holds(at(50), print + 1));
 }
 
+/// A request that many callers send is under way wherever endpoints break; once it is answered, here or
+/// at a peer, its breaks had other causes.
+#[test]
+fn an_answered_request_is_not_quarantined() {
+    let mut own = Quarantine::default();
+    let mut other = Quarantine::default();
+    for endpoint in 1..=3 {
+        own.broke(at(0), (7, endpoint), true);
+    }
+    for seen in own.news(at(10), Duration::from_secs(2)) {
+        other.broke(at(10), seen, false);
+    }
+    assert!(own.holds(at(20), 7) && other.holds(at(20), 7));
+    own.answered(at(30), 7);
+    assert!(!own.holds(at(30), 7));
+    for seen in own.news(at(40), Duration::from_secs(2)) {
+        other.broke(at(40), seen, false);
+    }
+    assert!(!other.holds(at(50), 7));
+    own.answered(at(60), 8);
+    assert!(
+        own.news(at(60), Duration::from_secs(2))
+            .iter()
+            .all(|b| b.0 != 8)
+    );
+}
+
 fn member(node: &str) -> Member {
     Member {
         node: node.to_owned(),
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -279,6 +279,10 @@
         self.node
             .metrics
             .record(Latency::Whole, "answered", self.spent());
+        if status < 300 {
+            let mut quarantine = self.node.quarantine.borrow_mut();
+            quarantine.answered(self.node.now(), self.request.print);
+        }
         next
     }
 
