balance, relay: callers come back within a third of their time; returned ones go first

Change: Retry-After is spread between a sixth and a third of the time left, which callers honour. A stream whose caller has come back goes one rank before its like and may wait longer for its first event.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -30,9 +30,11 @@
 const FAILS: u32 = 3;
 /// Time for which it is avoided.
 const AVOID_TIME: Duration = Duration::from_millis(1_500);
-/// Shortest and longest wait before a refused caller comes back.
-const RETRY_MIN: Duration = Duration::from_millis(400);
-const RETRY_MAX: Duration = Duration::from_millis(1_800);
+/// Part of a caller's time left that it waits at most before it comes back (the users' callers honour a
+/// third), and the part of that from which returns are spread: a lost group is back after 3 to 5 s, and
+/// late is late.
+const RETRY_PART: f64 = 1.0 / 3.0;
+const RETRY_SPREAD: f64 = 0.5;
 
 /// An endpoint that takes requests now: a plain one, or the head of a group.
 #[derive(Debug, Clone, PartialEq)]
@@ -190,7 +192,7 @@
             good.retain(|c| !avoided(c));
         }
         if good.is_empty() {
-            return Choice::Nobody(self.retry_after(RETRY_MIN * 2));
+            return Choice::Nobody(self.retry_after(ask));
         }
         // A few at random are compared: what is known of the load is as old as the last datagrams, and
         // all gateways would send to the one that looked best then.
@@ -216,7 +218,7 @@
         });
         match best {
             Some(c) => Choice::Send(c.clone(), self.estimate(c, ask, engine)),
-            None => Choice::Full(self.retry_after(RETRY_MIN)),
+            None => Choice::Full(self.retry_after(ask)),
         }
     }
 
@@ -238,10 +240,9 @@
         self.loads.get(id)
     }
 
-    fn retry_after(&self, least: Duration) -> Duration {
+    fn retry_after(&self, ask: &Ask<'_>) -> Duration {
         let spread = self.turn.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48;
-        let part = spread as f64 / 65_536.0;
-        (least + RETRY_MIN.mul_f64(part)).min(RETRY_MAX)
+        retry_after(ask.left, spread as f64 / 65_536.0)
     }
 
     /// Counts a request that is sent to an endpoint.
@@ -408,6 +409,13 @@
     }
 }
 
+/// Returns after which time a refused caller with so much time left should come back; `draw` is uniform
+/// from 0 to 1.
+pub fn retry_after(left: Duration, draw: f64) -> Duration {
+    let part = RETRY_SPREAD + (1.0 - RETRY_SPREAD) * draw;
+    left.mul_f64(RETRY_PART * part)
+}
+
 /// Weight of one pause in what is known of a group's slowness; a group shows some twenty a second.
 const LEARN: f64 = 0.1;
 /// Slowness that a single pause counts for at most.
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlock_lib::node::balance;
 use hemlock_lib::node::config::{Account, Caller, Config, Route};
 use hemlock_lib::node::quarantine;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, CallMeta};
 use hemlock_platform::store::Topic;
 use hemlock_wire::http1::{self, Conn, HttpError, RequestHead};
+use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -26,8 +28,6 @@
 const IDLE_STOP: Duration = Duration::from_secs(3);
 /// Time in which the last answer on a connection is read before its end.
 const LINGER: Duration = Duration::from_millis(300);
-/// Wait before a caller tries again at a VM that knows no configuration yet.
-const START_WAIT: Duration = Duration::from_millis(500);
 /// Wait before a request that breaks endpoints may come again.
 const BREAKING_WAIT: Duration = Duration::from_secs(60);
 
@@ -158,15 +158,15 @@
     let id = meta.request_id.clone();
     let keep = head.keep && node.stopping.get().is_none();
     let Some(config) = config else {
-        return refuse(node, conn, &id, "no_config", START_WAIT, keep).await;
+        return refuse(node, conn, &id, "no_config", come_back(wait), keep).await;
     };
     let Some(route) = config.route(&meta.host, &head.target).cloned() else {
-        return deny(node, conn, &id, 404, &config, keep).await;
+        return deny(node, conn, &id, 404, &config, wait, keep).await;
     };
     let account = match config.caller(&route, meta.key.as_deref()) {
         Caller::Account(account) => Some(account),
         Caller::Anyone => None,
-        Caller::Unknown => return deny(node, conn, &id, 401, &config, keep).await,
+        Caller::Unknown => return deny(node, conn, &id, 401, &config, wait, keep).await,
     };
     let name = account.as_ref().map_or("", |a| &*a.name);
     let print = quarantine::fingerprint(&head.target, name, &body);
@@ -194,10 +194,11 @@
     id: &str,
     status: u16,
     config: &Config,
+    wait: Duration,
     keep: bool,
 ) -> Next {
     if !node.feed(Topic::Config).up.get() {
-        return refuse(node, conn, id, "config_may_be_old", START_WAIT, keep).await;
+        return refuse(node, conn, id, "config_may_be_old", come_back(wait), keep).await;
     }
     log::info!(
         "event=denied request={id} status={status} config={}",
@@ -208,6 +209,11 @@
     answer(conn, status, id, None, keep).await
 }
 
+/// Returns when a caller that waits for so long may come back.
+pub(crate) fn come_back(wait: Duration) -> Duration {
+    balance::retry_after(wait, rand::rng().random_range(0.0..1.0))
+}
+
 /// Refuses a request that has not run, and says when it may come again.
 pub(crate) async fn refuse(
     node: &Rc<Node>,
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -38,8 +38,12 @@
 const FIRST_SLACK: f64 = 1.5;
 /// Shortest gap after which callers abandon a stream.
 const GIVE_UP: Duration = Duration::from_secs(2);
-/// Part of that gap that an expected first event may take, since estimates err.
+/// Part of that gap that an expected first event may take, since estimates err, and the part for a
+/// caller that has come back and will not come again.
 const FIRST_PART: f64 = 0.7;
+const LAST_PART: f64 = 0.9;
+/// Part of the route's time below which a caller's wait shows that it has come back after a refusal.
+const RETURN_PART: f64 = 0.9;
 /// Answers to other requests that are skipped on one connection.
 const SKIPS: u32 = 2;
 /// Least part of the caller's wait that a send needs to be of use.
@@ -139,8 +143,9 @@
     async fn run(&mut self, conn: &mut Conn) -> Next {
         let draw = rand::rng().random_range(0.0..1.0);
         let Some(service) = self.request.route.service(draw).cloned() else {
+            let left = self.request.deadline.since(self.node.now());
             return self
-                .give_up(conn, "no_service", Duration::from_secs(1))
+                .give_up(conn, "no_service", front::come_back(left))
                 .await;
         };
         self.service = Some(service.clone());
@@ -163,9 +168,8 @@
                 Choice::Nobody(after) => return self.give_up(conn, "nobody", after).await,
             };
             if !self.tried.is_empty() && !self.may_repeat(now, &service, cause) {
-                return self
-                    .give_up(conn, "budget", Duration::from_millis(800))
-                    .await;
+                let after = front::come_back(self.request.deadline.since(now));
+                return self.give_up(conn, "budget", after).await;
             }
             self.log_send(&to, estimate, cause);
             self.tried.push(to.id.clone());
@@ -459,9 +463,17 @@
         (end, reuse.then_some(meta.keep_for))
     }
 
+    /// Returns the rank at the endpoint: a stream whose caller has come back goes before its like.
     fn rank(&self) -> Option<u8> {
         let own = self.request.account.as_ref().and_then(|a| a.rank);
-        Some(own.unwrap_or(self.request.route.rank))
+        let rank = own.unwrap_or(self.request.route.rank);
+        Some(rank.saturating_sub(u8::from(self.is_return())))
+    }
+
+    fn is_return(&self) -> bool {
+        let Request { route, meta, .. } = self.request;
+        let short = |wait: Duration| wait < route.timeout.mul_f64(RETURN_PART);
+        route.repeat.is_stream() && meta.deadline.is_some_and(short)
     }
 
     /// Returns the tokens that the answer still needs.
@@ -491,7 +503,11 @@
             .sent
             .last_at
             .map_or_else(|| self.spent(), |t| now.since(t));
-        gap.mul_f64(FIRST_PART).saturating_sub(spent).min(left)
+        let part = match self.is_return() {
+            true => LAST_PART,
+            false => FIRST_PART,
+        };
+        gap.mul_f64(part).saturating_sub(spent).min(left)
     }
 
     /// Returns how long the endpoint may stay silent before another one is tried.
