follow: a store that nobody reaches is tried seldom by the VMs that don't read it for others

Change: the two VMs that read it for all go on as before, the others try every 50 ms all together, so that a store that is lost only to those two is found; who finds it serves the others. VMs that know nothing yet try every 300 ms.

--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -227,6 +227,56 @@
     assert!(!peers.any_store(at(5_000)));
 }
 
+/// Many VMs need few reads of the store: two first VMs of zones read it, the first of a third zone reads
+/// from these, and all others from the first of their own zone.
+#[test]
+fn two_vms_read_the_store_for_all() {
+    let vm = |node: &str, zone: &str| Member {
+        zone: zone.to_owned(),
+        ..member(node)
+    };
+    let all = [
+        vm("a", "z1"),
+        vm("b", "z2"),
+        vm("c", "z3"),
+        vm("d", "z3"),
+        vm("e", "z1"),
+    ];
+    let sources = |me: &Member| -> Vec<String> {
+        let mut peers = Peers::default();
+        for m in all.iter().filter(|m| m.node != me.node) {
+            let told = News {
+                member: m.clone(),
+                ..news(&m.node, 1)
+            };
+            peers.hear(at(0), told);
+        }
+        let found = peers.sources(at(10), me, true).into_iter();
+        found.map(|m| m.node.clone()).collect()
+    };
+    assert_eq!(sources(&all[0])[0], "a");
+    assert_eq!(sources(&all[1])[0], "b");
+    assert_eq!(sources(&all[2]), ["a", "b", "c"]);
+    assert_eq!(sources(&all[3])[0], "c");
+    assert_eq!(sources(&all[4])[0], "a");
+}
+
+/// A planner goes on without the store only where it hears peers and none of them plans.
+#[test]
+fn a_planner_stays_only_while_it_is_the_only_one() {
+    let mut peers = Peers::default();
+    assert!(peers.may_stay(at(0)));
+    peers.hear(at(0), news("b", 1));
+    assert!(peers.may_stay(at(100)));
+    assert!(!peers.may_stay(at(9_000)), "it hears nobody any more");
+    let leads = News {
+        leads: true,
+        ..news("b", 2)
+    };
+    peers.hear(at(9_100), leads);
+    assert!(!peers.may_stay(at(9_200)));
+}
+
 #[test]
 fn callers_are_told_their_own_zone_first() {
     let members = [member("a"), member("cc"), member("ccc")];
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -26,7 +26,7 @@
 const BACKOFF: Duration = Duration::from_millis(60);
 const BACKOFF_MOST: Duration = Duration::from_millis(600);
 /// The longest one of a process that knows nothing yet, and so serves nobody.
-const BACKOFF_START: Duration = Duration::from_millis(150);
+const BACKOFF_START: Duration = Duration::from_millis(300);
 
 /// Follows the operators' configuration.
 pub(crate) async fn config(node: Rc<Node>) {
@@ -144,7 +144,11 @@
                         // A store that only this VM does not reach is read through another one.
                         avoided.push((node.me.peer, now + AVOID));
                         let part = rand::rng().random_range(0.5..1.0);
-                        tokio::time::sleep(wait.mul_f64(part)).await;
+                        let pause = wait.max(node.search_pause(now, from.is_none()));
+                        tokio::select! {
+                            () = tokio::time::sleep(pause.mul_f64(part)) => {}
+                            () = node.found.notified() => {}
+                        }
                         let most = if from.is_none() {
                             BACKOFF_START
                         } else {
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -221,6 +221,9 @@
         .news(now)
         .any(|(n, _)| n.member.node == news.member.node);
     let (name, run) = (news.member.node.clone(), news.member.run);
+    if news.store && !node.store_up() {
+        node.found.notify_waiters();
+    }
     if !node.peers.borrow_mut().hear(now, news) {
         return;
     }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -29,6 +29,8 @@
 
 /// Topics that a VM follows.
 const TOPICS: usize = 2;
+/// Time between two tries of all VMs together to reach a store that is lost to those that read it.
+const SEARCH_EVERY: Duration = Duration::from_millis(50);
 /// Part of the store's rate that following topics may take.
 const RATE_PART: f64 = 0.25;
 /// Pauses after news from the store or a peer.
@@ -73,6 +75,8 @@
     pub(crate) called: Cell<bool>,
     /// Wakes the planner after a change of the endpoints.
     pub(crate) changed: Notify,
+    /// Wakes the reading of topics when a peer reaches a store that was lost.
+    pub(crate) found: Notify,
     /// Wakes the sender of datagrams when news can't wait.
     pub(crate) urgent: Notify,
     refreshed: Cell<(u64, u64)>,
@@ -120,6 +124,7 @@
             leads: Cell::default(),
             called: Cell::default(),
             changed: Notify::new(),
+            found: Notify::new(),
             urgent: Notify::new(),
             refreshed: Cell::default(),
             settings,
@@ -339,10 +344,29 @@
         // Without a peer that reaches it, the store is asked on.
         let useful = |m: &&Member| m.node == self.me.node || peers.has_store(now, &m.node);
         let mut readers = readers.into_iter().filter(|m| !avoids(m) && useful(m));
-        let first = readers.next()?;
+        // Where those that serve others have lost the store, any VM that reaches it serves.
+        let any = || {
+            peers
+                .ready(now)
+                .find(|m| !avoids(m) && peers.has_store(now, &m.node))
+        };
+        let first = readers.next().or_else(any)?;
         (first.node != self.me.node).then_some(first.peer)
     }
 
+    /// Returns the time between two tries to reach a store that nobody reaches. The VMs that read it for
+    /// others go on as before; the rest try seldom, but together often enough to find a store that is
+    /// only lost to those.
+    pub(crate) fn search_pause(&self, now: Time, starts: bool) -> Duration {
+        let peers = self.peers.borrow();
+        let sources = peers.sources(now, &self.me, self.is_ready());
+        let reads = sources.first().is_none_or(|m| m.node == self.me.node);
+        match reads || starts {
+            true => Duration::ZERO,
+            false => SEARCH_EVERY * peers.machines(now) as u32,
+        }
+    }
+
     /// Returns the shortest time between two calls to the store on one topic at which all VMs together
     /// keep to a part of its rate, also when each of them reads it.
     pub(crate) fn store_pause(&self) -> Duration {
