balance: open connections decide between like endpoints

Change: of four endpoints that are compared, up to two have an idle connection, which decides within 4 ms.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -4,7 +4,7 @@
 //! endpoint with the least expected time to the first event takes the next request, from what this
 //! gateway and its peers have placed there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,8 +24,12 @@
 /// Requests at an endpoint for each of its slots at most; the users' endpoints queue twice their
 /// slots.
 const QUEUE_FACTOR: usize = 3;
-/// Endpoints with room that are compared for one request.
+/// Endpoints with room that are compared for one request, and how many of them at most have an idle
+/// connection: a new one costs the endpoint a moment, and the caller two network delays.
 const CHOICES: usize = 4;
+const WARM_CHOICES: usize = 2;
+/// Difference of expected times in milliseconds within which endpoints count as alike.
+const ALIKE_MS: u128 = 4;
 /// Failures in a row after which a plain endpoint is avoided.
 const FAILS: u32 = 3;
 /// Time for which it is avoided.
@@ -74,6 +78,8 @@
     pub patience: Duration,
     /// What is left of the caller's wait for the whole answer.
     pub left: Duration,
+    /// Endpoints to which a connection is open and idle.
+    pub warm: &'a BTreeSet<Arc<str>>,
     /// Whether it has begun elsewhere, so that a refusal would waste what was done.
     pub begun: bool,
 }
@@ -201,8 +207,9 @@
         let score = |c: &&Candidate| {
             let e = self.estimate(c, ask, engine);
             let far = u128::from(&*c.zone != ask.zone);
-            // Zones decide between endpoints that are alike within a few milliseconds.
-            e.first.as_millis() / 4 + far
+            let cold = u128::from(!ask.warm.contains(&c.id));
+            // Zones and connections decide between endpoints that are alike within a few milliseconds.
+            e.first.as_millis() / ALIKE_MS + far + cold
         };
         let room = |c: &&Candidate| {
             let e = self.estimate(c, ask, engine);
@@ -210,8 +217,12 @@
                 && e.whole <= ask.left * HOPELESS
                 && e.running < c.slots.max(1) * QUEUE_FACTOR
         };
-        let open = good.iter().copied().filter(room);
-        let best = open.take(CHOICES).min_by_key(score);
+        let is_warm = |c: &&Candidate| ask.warm.contains(&c.id);
+        let open = || good.iter().copied().filter(room);
+        let warm = open().filter(is_warm).take(WARM_CHOICES);
+        let count = warm.clone().count();
+        let others = open().filter(|c| !is_warm(c)).take(CHOICES - count);
+        let best = warm.chain(others).min_by_key(score);
         let best = best.or_else(|| {
             let all = good.iter().copied().filter(|_| ask.begun);
             all.min_by_key(score)
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,10 +43,13 @@
         zone: "z1",
         patience: Duration::from_millis(1_400),
         left: Duration::from_secs(6),
+        warm: &NONE,
         begun: false,
     }
 }
 
+static NONE: BTreeSet<Arc<str>> = BTreeSet::new();
+
 fn engines() -> Engine {
     engine(&[("m", 2, 1.0)])
 }
@@ -57,6 +61,27 @@
     }
 }
 
+/// Of endpoints that are alike, one with an open connection is taken, but not one with more to do.
+#[test]
+fn open_connections_decide_between_like_groups() {
+    let mut balance = Balance::new(Duration::from_secs(5));
+    balance.refresh((0..20).map(|i| group(&format!("g{i:02}"), "z1")));
+    let warm = BTreeSet::from([Arc::from("g07")]);
+    let with = Ask {
+        warm: &warm,
+        ..ask(500)
+    };
+    for _ in 0..20 {
+        let choice = balance.choose(at(0), &with, Some(&engines()), &[]);
+        assert_eq!(sent(&choice), "g07");
+    }
+    for _ in 0..8 {
+        balance.start(at(0), &Arc::from("g07"), 2_000);
+    }
+    let choice = balance.choose(at(0), &with, Some(&engines()), &[]);
+    assert_ne!(sent(&choice), "g07");
+}
+
 /// Many gateways with few requests each: one whose only request waits sees by its peers' news that the
 /// group answers others.
 #[test]
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -1,7 +1,7 @@
 //! Idle connections to endpoints.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +41,13 @@
         None
     }
 
+    /// Returns the endpoints to which a connection is open.
+    pub(crate) fn warm(&self, now: Time) -> BTreeSet<Arc<str>> {
+        let idle = self.idle.borrow();
+        let open = idle.iter().filter(|(_, c)| c.iter().any(|c| c.until > now));
+        open.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Keeps a connection after a whole answer.
     pub(crate) fn put(&self, now: Time, endpoint: &Arc<str>, conn: Conn, keep: Option<Duration>) {
         if conn.has_bytes() {
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -208,6 +208,7 @@
     }
 
     fn choose(&self, now: Time, service: &str, engine: Option<&Engine>) -> Choice {
+        let warm = self.node.pool.warm(now);
         let ask = Ask {
             service,
             model: self.request.meta.model.as_deref(),
@@ -216,6 +217,7 @@
             answer: self.answer_left(),
             patience: self.first_limit(now),
             left: self.request.deadline.since(now),
+            warm: &warm,
             begun: self.runs > 0,
         };
         let mut balance = self.node.balance.borrow_mut();
