--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -1,6 +1,8 @@
 //! `hemlock explain`: why a VM is stranded, a replica isn't serving or a request was refused.
 
-use clap::{Arg, ArgMatches, Command};
+use std::path::{Path, PathBuf};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
 use hemlock_lib::engine::Held;
 use hemlock_lib::fleet::{Assignment, Fleet};
 use hemlock_lib::ids::{ReplicaId, VmId};
@@ -14,18 +16,26 @@
 use crate::exit::{Exit, Failure};
 use crate::output::{self, Sheet};
 use crate::session::Context;
+use crate::story;
 
 pub(crate) fn command() -> Command {
     let thing = Arg::new("thing")
         .value_name("REQUEST|VM|REPLICA")
         .required(true)
         .help("Name as `status` and refusals show it");
+    let logs = Arg::new("logs")
+        .long("logs")
+        .value_name("FILE")
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Saved logs of hosted entry VMs; tells the request's story from these and asks no agent");
     Command::new("explain")
         .about("Say why a VM is stranded, a replica is not serving or a request was refused")
-        .arg(thing)
+        .args([thing, logs])
         .after_help(
             "Examples:\n  hemlock explain riverside-03\n  hemlock explain riverside.12\n  \
-             hemlock explain 0198a5c2-7d1e-7a31-b3b5-7f5f7c0e2a11",
+             hemlock explain 0198a5c2-7d1e-7a31-b3b5-7f5f7c0e2a11\n  \
+             hemlock explain 9c41d07be2a35f68 --logs entry-1.log entry-2.log",
         )
 }
 
@@ -39,6 +49,10 @@
 pub(crate) fn run(context: &mut Context<'_>, matches: &ArgMatches) -> Result<Exit, Failure> {
     let name = matches.get_one::<String>("thing").cloned();
     let name = name.unwrap_or_default();
+    if let Some(files) = matches.get_many::<PathBuf>("logs") {
+        let files: Vec<&Path> = files.map(PathBuf::as_path).collect();
+        return explain_logs(context, &files, &name);
+    }
     let view = context.session.view()?;
     let found = explain_vm(&view, &name).or_else(|| explain_replica(&view, &name));
     let found = match found {
@@ -56,6 +70,19 @@
     Ok(Exit::Done)
 }
 
+fn explain_logs(context: &mut Context<'_>, files: &[&Path], name: &str) -> Result<Exit, Failure> {
+    let story = story::tell(files, name)?;
+    output::print(context.out, context.format, &story, || {
+        let mut sheet = Sheet::default();
+        sheet.line([format!("request {}: {}", story.request, story.verdict)]);
+        for line in &story.lines {
+            sheet.line([format!("  {line}")]);
+        }
+        sheet
+    })?;
+    Ok(Exit::Done)
+}
+
 fn explain_vm(view: &View, name: &str) -> Option<Explanation> {
     let (vm, status) = view.vms.get_key_value(name)?;
     let owner = replica_of(view, vm);
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -7,6 +7,7 @@
 mod rows;
 mod session;
 mod settle;
+mod story;
 
 use std::ffi::OsString;
 use std::fmt::Write as _;
--- a/cli/tests/test_explain.rs
+++ b/cli/tests/test_explain.rs
@@ -60,3 +60,76 @@
         insta::assert_snapshot!(name, ended.text);
     }
 }
+
+const LOGS: &str = "\
+  1.0 entry-1 time_ms=1000 level=INFO event=sent request=r1 id=i-1 attempt=1 after= running=3\n\
+  1.2 entry-2 time_ms=1200 level=WARN event=silent id=i-1 request=r9 progress_age_ms=450\n\
+  1.4 entry-1 time_ms=1400 level=INFO event=send_failed request=r1 id=i-1 cause=silent may_have_run=true\n\
+  1.5 entry-3 time_ms=1500 level=INFO event=probe id=i-1 answered=false\n\
+  1.6 entry-3 time_ms=1600 level=INFO event=plan service=m usable=50 free=2\n\
+  1.7 entry-1 time_ms=1700 level=INFO event=broken_off request=r1 cause=budget ms=700 events=3 attempts=1\n\
+  1.8 entry-1 time_ms=1800 level=INFO event=refused request=r2 cause=full after_ms=900 list=7\n";
+
+/// Runs `explain` of a request on the lines above, saved as one file.
+fn explain_logs(request: &str) -> (Exit, String) {
+    let dir = tempfile::tempdir().expect("a directory");
+    let path = dir.path().join("all.log");
+    std::fs::write(&path, LOGS).expect("a file");
+    let file = path.display().to_string();
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = hemlock_cli::run(
+        ["hemlock", "explain", request, "--logs", &file],
+        &mut out,
+        &mut err,
+    );
+    (
+        exit,
+        String::from_utf8_lossy(&[out, err].concat()).into_owned(),
+    )
+}
+
+#[test]
+fn logs_tell_how_a_stream_broke() {
+    let (exit, text) = explain_logs("r1");
+    assert_eq!(exit, Exit::Done, "{text}");
+    let verdict = text.lines().next().unwrap_or_default();
+    for part in [
+        "ended unfinished",
+        "budget",
+        "sends failed: silent",
+        "engine of its group",
+    ] {
+        assert!(verdict.contains(part), "{part}: {text}");
+    }
+    // What other VMs found of its endpoint, and the planner's last summary, stand between its own lines.
+    let order = [
+        "event=sent",
+        "event=silent",
+        "send_failed",
+        "probe",
+        "event=plan",
+        "broken_off",
+    ];
+    let places: Vec<_> = order.iter().map(|p| text.find(p)).collect();
+    assert!(
+        places.iter().all(Option::is_some) && places.is_sorted(),
+        "{places:?} {text}"
+    );
+    assert!(!text.contains("r2"), "{text}");
+}
+
+#[test]
+fn logs_tell_why_a_request_was_refused_or_that_they_do_not_know_it() {
+    let (exit, text) = explain_logs("r2");
+    assert_eq!(exit, Exit::Done);
+    assert!(
+        text.contains("cause full: no endpoint could have begun it in time"),
+        "{text}"
+    );
+    let (exit, text) = explain_logs("r3");
+    assert_eq!(exit, Exit::Failed);
+    assert!(
+        text.contains("no line of 1 files names request r3"),
+        "{text}"
+    );
+}
