--- a/node/tests/test_relay.rs
+++ b/node/tests/test_relay.rs
@@ -1,6 +1,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
+use hemlock_platform_standin::texts;
 use hemlock_platform_standin::worker::{Mode, Worker};
 
 use crate::site::{Site, request};
@@ -15,8 +16,7 @@
     let headers = "Tenant: forged\r\nX-Own: kept\r\nConnection: x-hop\r\nX-Hop: 1\r\n";
     let got = site.send("POST", "/once/a?b=c", "r1", headers, "the body");
     assert_eq!((got.status, got.complete), (200, true), "{got:?}");
-    assert_eq!(got.header("request-id"), Some("r1"));
-    assert_eq!(got.header("server-stamp"), Some("stamp"));
+    assert!(texts::is_own(&got, "r1"), "{got:?}");
     let all: Vec<_> = plain.iter().flat_map(|w| w.runs()).collect();
     assert_eq!(all.len(), 1);
     let run = &all[0];
