--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -311,11 +311,6 @@
         };
     }
 
-    /// Returns the observed over the expected time between events of a group.
-    pub fn slowness(&self, id: &str) -> f64 {
-        self.load(id).map_or(1.0, |l| l.slowness.max(1.0))
-    }
-
     /// Returns when an endpoint last sent something, to this gateway or a peer.
     pub fn last_progress(&self, id: &str) -> Option<Time> {
         self.loads.get(id).and_then(Load::last_progress)
--- a/lib/src/node/forecast.rs
+++ b/lib/src/node/forecast.rs
@@ -20,8 +20,6 @@
 const ERROR_MOST: f64 = 0.2;
 /// Time to the first event that each request of a plain endpoint adds.
 const PLAIN_WAIT: Duration = Duration::from_millis(10);
-/// Slowness from which a group's streams may be moved: twice what load alone shows on the users' days.
-const SLOW: f64 = 2.0;
 /// Passes until the first event: the rest of the one under way, and the one that writes it.
 const FIRST_PASSES: f64 = 1.5;
 
@@ -55,36 +53,6 @@
     pub slowness: f64,
 }
 
-/// A stream under way.
-#[derive(Debug, Clone, Copy)]
-pub struct Course {
-    /// Observed over expected time between events of its group.
-    pub slowness: f64,
-    /// Mean time between its events.
-    pub pause: Duration,
-    /// Events passed on.
-    pub events: u32,
-    /// Events that it was expected to have beyond these.
-    pub missing: u32,
-    /// What is left of the caller's wait.
-    pub left: Duration,
-    /// Time to the first event elsewhere.
-    pub first: Duration,
-}
-
-impl Course {
-    /// Returns whether the stream would miss its end at a slow group, but not at another one.
-    ///
-    /// Answers groups that turned slow with streams under way. Callers' estimates of a length are
-    /// often short; a stream that has passed its own is expected to go on for half as long again.
-    pub fn should_move(&self) -> bool {
-        let missing = self.missing.max(self.events / 2);
-        let rest = self.pause * missing;
-        let elsewhere = self.first + rest.div_f64(self.slowness.max(1.0));
-        self.slowness >= SLOW && rest > self.left && elsewhere < self.left
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Habit {
     /// Mean tokens of an answer.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -15,7 +15,6 @@
 mod test_node_balance;
 mod test_node_cache;
 mod test_node_endpoints;
-mod test_node_forecast;
 mod test_node_parts;
 mod test_node_planner;
 mod test_node_tally;
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -1,11 +1,8 @@
 //! Streams, passed on event by event, so that another endpoint can go on after the last one.
 
 use bytes::Bytes;
-use std::time::Duration;
-
 use hemlock_lib::node::balance::Candidate;
 use hemlock_lib::node::events::{self, Order, Splitter};
-use hemlock_lib::node::forecast::Course;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests;
 use hemlock_wire::http1::{self, Conn, ResponseHead};
@@ -14,9 +11,6 @@
 use crate::front::Next;
 use crate::metrics::Latency;
 
-/// Events at an endpoint after which its pace counts for a stream.
-const PACE_EVENTS: u32 = 6;
-
 impl Relay<'_> {
     /// Passes a stream on event by event.
     pub(super) async fn stream(
@@ -30,7 +24,6 @@
     ) -> End {
         let mut splitter = Splitter::default();
         let mut watch = Watch::new(self.node.now());
-        let (mut began, before) = (None, self.sent.events);
         loop {
             let now = self.node.now();
             let left = self.request.deadline.since(now);
@@ -67,13 +60,6 @@
                         Ok(()) => {}
                         Err(end) => return end,
                     }
-                    let (since, first) = *began.get_or_insert((now, self.sent.events));
-                    if self.sent.events >= first + PACE_EVENTS && first > before {
-                        let pause = now.since(since) / (self.sent.events - first);
-                        if self.is_too_slow(now, to, pause) {
-                            return End::MayHaveRun("slow");
-                        }
-                    }
                 }
                 Ok(None) if splitter.rest().is_empty() => return self.finish(caller, head).await,
                 Ok(None) => return End::MayHaveRun("cut_event"),
@@ -82,20 +68,6 @@
         }
     }
 
-    /// Returns whether another group would bring the stream to its end in time, and this one not.
-    fn is_too_slow(&self, now: Time, to: &Candidate, pause: Duration) -> bool {
-        let stride = self.engine().map_or(1, |e| e.stride).max(1);
-        let course = Course {
-            slowness: self.node.balance.borrow().slowness(&to.id),
-            pause,
-            events: self.sent.events,
-            missing: self.answer_left() / stride,
-            left: self.request.deadline.since(now),
-            first: self.request.route.goal,
-        };
-        self.may_move() && course.should_move()
-    }
-
     fn note_progress(&mut self, now: Time, to: &Candidate, prompt: u32, first: &mut bool) {
         let mut balance = self.node.balance.borrow_mut();
         if *first {
