--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use hemlock_lib::node::endpoints::Held;
-use hemlock_lib::node::peers::{Message, News, Placed};
-use hemlock_lib::time::Time;
+use hemlock_lib::node::peers::{Message, News};
 use hemlock_platform::store::Topic;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 
+use crate::load;
 use crate::metrics::Counter;
 use crate::state::Node;
 
@@ -21,13 +21,8 @@
 /// when there are many.
 const EVERY: Duration = Duration::from_millis(200);
 const EVERY_PEER: Duration = Duration::from_millis(12);
-/// Time between two reports of placed load within a zone and between zones: a request lasts ten times
-/// as long.
-const LOAD_EVERY: Duration = Duration::from_millis(100);
 /// Engines told of in one datagram, of some 100 bytes each.
 const HELD_MOST: usize = 80;
-/// Time for which the sum of all others counts; after it, their own news do.
-const LOAD_FRESH: Duration = Duration::from_millis(400);
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
 /// Time for which own breaks are repeated against losses.
@@ -46,7 +41,7 @@
 pub(crate) async fn run(node: Rc<Node>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     spawn_local(send(node.clone(), socket.clone()));
-    spawn_local(share_load(node.clone(), socket.clone()));
+    spawn_local(load::share(node.clone(), socket.clone()));
     let mut buffer = vec![0; DATAGRAM];
     loop {
         match socket.recv_from(&mut buffer).await {
@@ -79,7 +74,7 @@
     }
 }
 
-async fn send_to(
+pub(crate) async fn send_to(
     socket: &UdpSocket,
     message: &Message,
     addresses: impl IntoIterator<Item = SocketAddr>,
@@ -95,66 +90,6 @@
     }
 }
 
-/// Reports the placed load to the VM that adds up this zone, or adds up as that VM, for good.
-async fn share_load(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    loop {
-        tokio::time::sleep(LOAD_EVERY).await;
-        if !node.called.get() && !node.peers.borrow().any_called(node.now()) {
-            continue;
-        }
-        let now = node.now();
-        let placed = node.balance.borrow().placed(now);
-        let (own, others): (Vec<_>, Vec<_>) = {
-            let peers = node.peers.borrow();
-            let adders = peers.readers(now, &node.me, node.is_ready());
-            let adders = adders
-                .into_iter()
-                .map(|m| (m.node.clone(), m.zone.clone(), m.peer));
-            adders.partition(|(_, zone, _)| *zone == node.me.zone)
-        };
-        match own.first() {
-            Some((name, ..)) if *name == node.me.node => {
-                add_up(&node, &socket, now, &placed, others.iter().map(|o| o.2)).await;
-            }
-            Some((.., address)) => {
-                let node = node.me.node.clone();
-                send_to(&socket, &Message::Load { node, placed }, [*address]).await;
-            }
-            None => {}
-        }
-    }
-}
-
-/// Tells the sum of this zone to the others, and each VM of it what all but itself have placed.
-async fn add_up(
-    node: &Node,
-    socket: &UdpSocket,
-    now: Time,
-    own: &[Placed],
-    others: impl Iterator<Item = SocketAddr>,
-) {
-    let reporters = node.tally.borrow_mut().reporters(now);
-    let sum = Message::Zone {
-        zone: node.me.zone.clone(),
-        placed: node.tally.borrow().sum(now, own),
-    };
-    send_to(socket, &sum, others).await;
-    for name in reporters {
-        let Some(address) = node.peers.borrow().address(&name) else {
-            continue;
-        };
-        let placed = node.tally.borrow().others(now, Some(&name), own);
-        send_to(socket, &Message::Others { placed }, [address]).await;
-    }
-    let placed = node.tally.borrow().others(now, None, own);
-    take_others(node, now, placed);
-}
-
-fn take_others(node: &Node, now: Time, placed: Vec<Placed>) {
-    *node.others.borrow_mut() = Some((now, placed));
-    apply_load(node, now);
-}
-
 /// Returns the time between two datagrams to each peer: it grows with their number, so that a VM
 /// takes as many a second.
 fn every(machines: usize) -> Duration {
@@ -198,7 +133,7 @@
         Ok(Message::Zone { zone, placed }) => {
             return node.tally.borrow_mut().zone(now, zone, placed);
         }
-        Ok(Message::Others { placed }) => return take_others(node, now, placed),
+        Ok(Message::Others { placed }) => return load::take_others(node, now, placed),
         Ok(Message::Held(held)) => return held.iter().for_each(|h| node.observe(h)),
         Err(e) => {
             log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
@@ -230,29 +165,5 @@
     if !known {
         log::info!("event=peer_regained node={name} run={run}");
     }
-    apply_load(node, now);
-}
-
-/// Counts what the others have placed: their sum if it is fresh, and else what each of them tells.
-fn apply_load(node: &Node, now: Time) {
-    let peers = node.peers.borrow();
-    let all: Vec<(&News, Time)> = peers.news(now).collect();
-    let silent = all.iter().flat_map(|(n, heard)| {
-        let since = |age: u32| *heard - Duration::from_millis(u64::from(age));
-        n.silent
-            .iter()
-            .map(move |(id, age)| (id.as_str(), since(*age)))
-    });
-    let mut balance = node.balance.borrow_mut();
-    let others = node.others.borrow();
-    match &*others {
-        Some((heard, placed)) if now.since(*heard) < LOAD_FRESH => {
-            balance.take_peers(placed.iter().map(|p| (p, *heard)), silent);
-        }
-        _ => {
-            let news = all.iter();
-            let placed = news.flat_map(|(n, heard)| n.placed.iter().map(|p| (p, *heard)));
-            balance.take_peers(placed, silent);
-        }
-    }
+    load::apply(node, now);
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod front;
 mod gossip;
+mod load;
 mod metrics;
 mod pool;
 mod relay;
--- /dev/null
+++ b/node/src/load.rs
@@ -0,0 +1,102 @@
+//! Shares the load that entry VMs have placed, by way of the VM of each zone that adds it up.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlock_lib::node::peers::{Message, News, Placed};
+use hemlock_lib::time::Time;
+use tokio::net::UdpSocket;
+
+use crate::gossip::send_to;
+use crate::state::Node;
+
+/// Time between two reports of placed load within a zone and between zones: a request lasts ten times
+/// as long.
+const LOAD_EVERY: Duration = Duration::from_millis(100);
+/// Time for which the sum of all others counts; after it, their own news do.
+const LOAD_FRESH: Duration = Duration::from_millis(400);
+
+/// Reports the placed load to the VM that adds up this zone, or adds up as that VM, for good.
+pub(crate) async fn share(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    loop {
+        tokio::time::sleep(LOAD_EVERY).await;
+        if !node.called.get() && !node.peers.borrow().any_called(node.now()) {
+            continue;
+        }
+        let now = node.now();
+        let placed = node.balance.borrow().placed(now);
+        let (own, others): (Vec<_>, Vec<_>) = {
+            let peers = node.peers.borrow();
+            let adders = peers.readers(now, &node.me, node.is_ready());
+            let adders = adders
+                .into_iter()
+                .map(|m| (m.node.clone(), m.zone.clone(), m.peer));
+            adders.partition(|(_, zone, _)| *zone == node.me.zone)
+        };
+        match own.first() {
+            Some((name, ..)) if *name == node.me.node => {
+                add_up(&node, &socket, now, &placed, others.iter().map(|o| o.2)).await;
+            }
+            Some((.., address)) => {
+                let node = node.me.node.clone();
+                send_to(&socket, &Message::Load { node, placed }, [*address]).await;
+            }
+            None => {}
+        }
+    }
+}
+
+/// Tells the sum of this zone to the others, and each VM of it what all but itself have placed.
+async fn add_up(
+    node: &Node,
+    socket: &UdpSocket,
+    now: Time,
+    own: &[Placed],
+    others: impl Iterator<Item = SocketAddr>,
+) {
+    let reporters = node.tally.borrow_mut().reporters(now);
+    let sum = Message::Zone {
+        zone: node.me.zone.clone(),
+        placed: node.tally.borrow().sum(now, own),
+    };
+    send_to(socket, &sum, others).await;
+    for name in reporters {
+        let Some(address) = node.peers.borrow().address(&name) else {
+            continue;
+        };
+        let placed = node.tally.borrow().others(now, Some(&name), own);
+        send_to(socket, &Message::Others { placed }, [address]).await;
+    }
+    let placed = node.tally.borrow().others(now, None, own);
+    take_others(node, now, placed);
+}
+
+pub(crate) fn take_others(node: &Node, now: Time, placed: Vec<Placed>) {
+    *node.others.borrow_mut() = Some((now, placed));
+    apply(node, now);
+}
+
+/// Counts what the others have placed: their sum if it is fresh, and else what each of them tells.
+pub(crate) fn apply(node: &Node, now: Time) {
+    let peers = node.peers.borrow();
+    let all: Vec<(&News, Time)> = peers.news(now).collect();
+    let silent = all.iter().flat_map(|(n, heard)| {
+        let since = |age: u32| *heard - Duration::from_millis(u64::from(age));
+        n.silent
+            .iter()
+            .map(move |(id, age)| (id.as_str(), since(*age)))
+    });
+    let mut balance = node.balance.borrow_mut();
+    let others = node.others.borrow();
+    match &*others {
+        Some((heard, placed)) if now.since(*heard) < LOAD_FRESH => {
+            balance.take_peers(placed.iter().map(|p| (p, *heard)), silent);
+        }
+        _ => {
+            let news = all.iter();
+            let placed = news.flat_map(|(n, heard)| n.placed.iter().map(|p| (p, *heard)));
+            balance.take_peers(placed, silent);
+        }
+    }
+}
--- a/node/tests/site.rs
+++ b/node/tests/site.rs
@@ -1,13 +1,13 @@
 //! One entry VM as a real process before stand-ins for the platform.
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::caller::{self, Got};
+use hemlock_platform_standin::server::free_address;
 use hemlock_platform_standin::store::Store;
 use hemlock_platform_standin::texts;
 pub use hemlock_platform_standin::texts::{config, request, route};
@@ -29,32 +29,13 @@
     _dir: TempDir,
 }
 
-/// First port that tests take: below those that the system hands out to outgoing connections, which
-/// would take one that is free only for a moment.
-const FIRST_PORT: u16 = 20_000;
-const PORTS: u16 = 12_000;
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-fn free_port() -> SocketAddr {
-    let start = (std::process::id() % u32::from(PORTS)) as u16;
-    loop {
-        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start + next) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Site {
     /// Starts a store and an entry VM; nothing is configured or listed.
     pub fn bare() -> Self {
         let store = Store::spawn();
-        let (front, ready, directory) = (free_port(), free_port(), free_port());
-        let metrics = free_port();
-        let peer = free_port();
+        let (front, ready, directory) = (free_address(), free_address(), free_address());
+        let metrics = free_address();
+        let peer = free_address();
         let dir = tempfile::tempdir().expect("a directory");
         let path = dir.path().join("node.yaml");
         let text = format!(
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -1,12 +1,12 @@
 //! The processes and stand-ins of one run.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Instant;
 
+use hemlock_platform_standin::server::free_address;
 use hemlock_platform_standin::store::Store;
 use hemlock_platform_standin::texts;
 use hemlock_platform_standin::worker::Worker;
@@ -14,9 +14,6 @@
 
 use crate::proxy::Proxy;
 
-/// Ports that runs take: below those that the system hands out to outgoing connections.
-const FIRST_PORT: u16 = 12_000;
-const PORTS: u16 = 8_000;
 /// Events of a stream.
 pub const EVENTS: u64 = 30;
 /// Time in which an entry VM ends after SIGTERM, in seconds.
@@ -24,21 +21,6 @@
 /// Time in which requests may still reach an endpoint that drains, in milliseconds.
 pub const DRAIN_MS: u64 = 2_000;
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// Returns an address that is free now, for TCP and for datagrams.
-fn free_address() -> SocketAddr {
-    let start = (std::process::id() * 97 % u32::from(PORTS)) as u16;
-    loop {
-        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start + next) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// One entry VM.
 #[derive(Debug)]
 pub struct Node {
