stop: what comes late to a stopping VM must end before it does

A stopping VM serves callers that keep its address for three times as long as they are told, and took whatever came.

Change: from 2.5 s after the signal a VM takes a stream only where its longest answer surely ends in time, and another request only if its route's time fits; the rest is refused, truly, and told to come back elsewhere at once.

--- a/cli/src/story.rs
+++ b/cli/src/story.rs
@@ -177,6 +177,7 @@
         "nobody" => "no endpoint of the model or service was in use",
         "full" => "no endpoint could have begun it in time",
         "budget" => "the budget of repeated sends was used up",
+        "stopping" => "its VM was about to stop, and it might not have ended before",
         "overdue" => "its time was over",
         "silent" | "stuck" => "its endpoint stopped answering it",
         "broken" => "the connection to its endpoint broke",
--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -24,6 +24,9 @@
 /// Requests at an endpoint for each of its slots at most; the users' endpoints queue twice their
 /// slots.
 const QUEUE_FACTOR: usize = 3;
+/// Factor on an expected time within which an answer surely ends: streams of loaded groups take up to
+/// half as long again as expected.
+const SURE: f64 = 1.5;
 /// Endpoints with room that are compared for one request, and how many of them at most have an idle
 /// connection: a new one costs the endpoint a moment, and the caller two network delays.
 const CHOICES: usize = 4;
@@ -78,6 +81,8 @@
     pub patience: Duration,
     /// What is left of the caller's wait for the whole answer.
     pub left: Duration,
+    /// The most tokens of the answer and the time in which it must surely end, if this gateway stops.
+    pub longest: Option<(u32, Duration)>,
     /// Endpoints to which a connection is open and idle.
     pub warm: &'a BTreeSet<Arc<str>>,
     /// Whether it has begun elsewhere, so that a refusal would waste what was done.
@@ -211,9 +216,16 @@
             // Zones and connections decide between endpoints that are alike within a few milliseconds.
             e.first.as_millis() / ALIKE_MS + far + cold
         };
+        let ends = |c: &Candidate| {
+            ask.longest.is_none_or(|(answer, within)| {
+                let most = Ask { answer, ..*ask };
+                self.estimate(c, &most, engine).whole.mul_f64(SURE) <= within
+            })
+        };
         let room = |c: &&Candidate| {
             let e = self.estimate(c, ask, engine);
-            e.first <= ask.patience
+            ends(c)
+                && e.first <= ask.patience
                 && e.whole <= ask.left * HOPELESS
                 && e.running < c.slots.max(1) * QUEUE_FACTOR
         };
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -43,6 +43,7 @@
         zone: "z1",
         patience: Duration::from_millis(1_400),
         left: Duration::from_secs(6),
+        longest: None,
         warm: &NONE,
         begun: false,
     }
@@ -61,6 +62,21 @@
     }
 }
 
+/// A gateway that is about to end takes a short answer and not one that may outlast it.
+#[test]
+fn what_may_outlast_the_gateway_is_not_sent() {
+    let mut balance = Balance::new(Duration::from_secs(5));
+    balance.refresh([group("g0", "z1")]);
+    let last = |most| Ask {
+        longest: Some((most, Duration::from_secs(2))),
+        ..ask(500)
+    };
+    let short = balance.choose(at(0), &last(100), Some(&engines()), &[]);
+    assert_eq!(sent(&short), "g0");
+    let long = balance.choose(at(0), &last(400), Some(&engines()), &[]);
+    assert!(matches!(long, Choice::Full(_)), "{long:?}");
+}
+
 /// Of endpoints that are alike, one with an open connection is taken, but not one with more to do.
 #[test]
 fn open_connections_decide_between_like_groups() {
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -28,6 +28,8 @@
 const IDLE_STOP: Duration = Duration::from_secs(3);
 /// Time in which the last answer on a connection is read before its end.
 const LINGER: Duration = Duration::from_millis(300);
+/// Wait before a caller tries another VM, which takes it at once.
+pub(crate) const ELSEWHERE_WAIT: Duration = Duration::from_millis(20);
 /// Wait before a request that breaks endpoints may come again.
 const BREAKING_WAIT: Duration = Duration::from_secs(60);
 
@@ -168,6 +170,11 @@
         Caller::Anyone => None,
         Caller::Unknown => return deny(node, conn, &id, 401, &config, wait, keep).await,
     };
+    let most = wait.min(route.timeout);
+    let outlasts = node.must_end(received).is_some_and(|left| most > left);
+    if outlasts && !route.repeat.is_stream() {
+        return refuse(node, conn, &id, "stopping", ELSEWHERE_WAIT, keep).await;
+    }
     let name = account.as_ref().map_or("", |a| &*a.name);
     let print = quarantine::fingerprint(&head.target, name, &body);
     if node.quarantine.borrow().holds(received, print) {
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -163,8 +163,13 @@
             if now + LEAST_LEFT >= self.request.deadline {
                 return self.overdue(conn).await;
             }
+            let stops = self.node.must_end(now).is_some();
             let (to, estimate) = match self.choose(now, &service, engine) {
                 Choice::Send(to, estimate) => (to, estimate),
+                // It may not end before this node does; another one takes it at once.
+                Choice::Full(_) if stops && self.runs == 0 => {
+                    return self.give_up(conn, "stopping", front::ELSEWHERE_WAIT).await;
+                }
                 Choice::Full(after) => return self.give_up(conn, "full", after).await,
                 Choice::Nobody(after) => return self.give_up(conn, "nobody", after).await,
             };
@@ -218,6 +223,11 @@
             answer: self.answer_left(),
             patience: self.first_limit(now),
             left: self.request.deadline.since(now),
+            longest: self
+                .node
+                .must_end(now)
+                .filter(|_| self.request.route.repeat.is_stream() && self.runs == 0)
+                .map(|left| (self.request.meta.answer_most, left)),
             warm: &warm,
             begun: self.runs > 0,
         };
--- a/node/src/stop.rs
+++ b/node/src/stop.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::settings::NodeSettings;
+use hemlock_lib::time::Time;
 use hemlock_wire::stdout::Log;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -17,6 +18,23 @@
 const SERVE_ON: Duration = Duration::from_millis(5_500);
 /// Time before the kill by which the process has ended.
 const MARGIN: Duration = Duration::from_millis(500);
+/// Time after the signal in which all requests are taken; later ones must end before the process does.
+/// The users count answers that are cut off for requests of 3 s after it.
+const TAKE_ALL: Duration = Duration::from_millis(2_500);
+
+impl Node {
+    /// Returns the time in which what comes now must have ended, for a node that has been stopping for
+    /// long.
+    pub(crate) fn must_end(&self, now: Time) -> Option<Duration> {
+        let spent = now.since(self.stopping.get()?);
+        (spent >= TAKE_ALL).then(|| self.grace().saturating_sub(spent))
+    }
+
+    /// Returns the time from the signal to the process's end at the latest.
+    fn grace(&self) -> Duration {
+        self.settings.bounds.grace().saturating_sub(MARGIN)
+    }
+}
 
 /// Waits for the signal to stop, and then until the open requests have ended.
 pub(crate) async fn wait(node: &Rc<Node>, path: &Path, log: &Log) -> Result<(), String> {
@@ -39,7 +57,7 @@
     if let Err(e) = node.store.leave(&node.planner_name()).await {
         log::warn!("event=leave_failed cause=\"{e}\"");
     }
-    let grace = node.settings.bounds.grace().saturating_sub(MARGIN);
+    let grace = node.grace();
     loop {
         let spent = node.now().since(started);
         if spent >= grace || spent >= SERVE_ON && node.open.get() == 0 {
--- a/node/tests/test_stop.rs
+++ b/node/tests/test_stop.rs
@@ -1,5 +1,6 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 use crate::site::{Site, request};
 
@@ -37,3 +38,29 @@
     assert_eq!(got.header("connection"), Some("close"));
     assert!(site.ended());
 }
+
+/// A request that may outlast the process is refused truly, so that its caller goes to another VM; one
+/// that ends in time is served on.
+#[test]
+fn a_stopping_node_takes_late_what_ends_in_time() {
+    let (mut site, plain) = Site::plain();
+    site.terminate();
+    site.wait("it is not ready", |s| s.ready_status() == 503);
+    // The route's time is 4 s and the caller's 3 s; the process ends 7.5 s after the signal.
+    std::thread::sleep(Duration::from_millis(2_600));
+    assert_eq!(site.send("GET", "/plain/a", "early", "", "").status, 200);
+    std::thread::sleep(Duration::from_millis(2_200));
+    let runs = || plain.iter().map(|w| w.runs().len()).sum::<usize>();
+    let before = runs();
+    let late = site.send("POST", "/once/a", "late", "", "x");
+    assert_eq!((late.status, late.complete), (503, true), "{late:?}");
+    let after: f64 = late.header("retry-after").unwrap().parse().unwrap();
+    assert!(after < 0.1, "{after}");
+    assert_eq!(runs(), before);
+    assert!(
+        !site
+            .lines("event=refused request=late cause=stopping")
+            .is_empty()
+    );
+    assert!(site.ended());
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod proxy;
 mod site;
 
+use std::collections::BTreeSet;
 use std::io;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -78,8 +79,10 @@
     happened: Vec<Happened>,
     /// Times at which routes were added.
     times: Vec<(String, Instant)>,
-    /// Entry VMs that are to end, since when.
-    ending: Vec<(usize, Instant)>,
+    /// Entry VMs that are to end, and how long they have run since.
+    ending: Vec<(usize, Duration)>,
+    /// Entry VMs that stand still.
+    paused: BTreeSet<usize>,
     broken: Vec<String>,
 }
 
@@ -97,6 +100,7 @@
             happened: Vec::new(),
             times: Vec::new(),
             ending: Vec::new(),
+            paused: BTreeSet::new(),
             broken: Vec::new(),
             site,
         };
@@ -230,10 +234,19 @@
         match *fault {
             Fault::Terminate(n) => {
                 site.nodes[n].signal(Signal::TERM);
-                self.ending.push((n, Instant::now()));
+                // A second signal does not put the end off.
+                if self.ending.iter().all(|(other, _)| *other != n) {
+                    self.ending.push((n, Duration::ZERO));
+                }
+            }
+            Fault::Kill(n) => {
+                site.nodes[n].signal(Signal::KILL);
+                self.ending.retain(|(other, _)| *other != n);
+            }
+            Fault::Pause(n) => {
+                site.nodes[n].signal(Signal::STOP);
+                self.paused.insert(n);
             }
-            Fault::Kill(n) => site.nodes[n].signal(Signal::KILL),
-            Fault::Pause(n) => site.nodes[n].signal(Signal::STOP),
             Fault::Store(mode) => site.store.set_mode(mode),
             Fault::StoreLink(n, link) => site.nodes[n].store.set(link),
             Fault::Link(e, link) => site.endpoints[e].link.set(link),
@@ -259,7 +272,10 @@
         match *fault {
             Fault::Terminate(_) | Fault::Configure => {}
             Fault::Kill(n) => self.restart(n)?,
-            Fault::Pause(n) => site.nodes[n].signal(Signal::CONT),
+            Fault::Pause(n) => {
+                site.nodes[n].signal(Signal::CONT);
+                self.paused.remove(&n);
+            }
             Fault::Store(_) => site.store.set_mode(store::Mode::Up),
             Fault::StoreLink(n, _) => site.nodes[n].store.set(Link::Open),
             Fault::Link(e, _) => site.endpoints[e].link.set(Link::Open),
@@ -277,28 +293,26 @@
         Ok(())
     }
 
-    /// Starts entry VMs again that have ended after SIGTERM; they must do so within their bound.
+    /// Starts entry VMs again that have ended after SIGTERM; they must do so within their bound, in which
+    /// the time that they stood still does not count.
     fn restart_ended(&mut self) -> io::Result<()> {
         let bound = Duration::from_secs(GRACE_S) + STOP_SLACK;
-        for (n, since) in std::mem::take(&mut self.ending) {
+        for (n, ran) in std::mem::take(&mut self.ending) {
             if self.site.nodes[n].has_ended() {
                 self.restart(n)?;
-            } else if since.elapsed() > bound && !self.is_paused(n, since) {
+            } else if self.paused.contains(&n) {
+                self.ending.push((n, ran));
+            } else if ran > bound {
                 self.broken.push(format!("entry-{n} does not stop"));
                 self.site.nodes[n].signal(Signal::KILL);
-                self.ending.push((n, Instant::now()));
+                self.ending.push((n, Duration::ZERO));
             } else {
-                self.ending.push((n, since));
+                self.ending.push((n, ran + TICK));
             }
         }
         Ok(())
     }
 
-    fn is_paused(&self, n: usize, since: Instant) -> bool {
-        let paused = |h: &Happened| h.fault == Fault::Pause(n) && h.until > since;
-        self.happened.iter().any(paused)
-    }
-
     fn restart(&mut self, n: usize) -> io::Result<()> {
         self.lives.lock().unwrap_or_else(PoisonError::into_inner)[n] += 1;
         self.site.nodes[n].restart(&self.soak.program)
