planner: conversions in a file of their own, in steps; demo: what a gateway says that is waited for in vain

No behaviour changes. The demo's process test failed in 1 of 8 runs at another place, and prints more from now on.

--- a/demo/tests/test_processes.rs
+++ b/demo/tests/test_processes.rs
@@ -160,8 +160,16 @@
     daemons.wait_end(2, GATEWAY);
     caller.wait_answers(5);
     daemons.start(2, GATEWAY);
+    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
     wait("the new gateway answers", || {
-        once(daemons.gateway(2), Uuid::now_v7(), "claim 2") == CallEnd::Answered
+        let end = once(daemons.gateway(2), Uuid::now_v7(), "claim 2");
+        let count = ends.entry(format!("{end:?}")).or_default();
+        *count += 1;
+        // What a run that waits in vain got; KNOWN-RED.txt lists one.
+        if count.is_power_of_two() {
+            eprintln!("the new gateway: {end:?} {count} times");
+        }
+        end == CallEnd::Answered
     });
     assert_eq!(daemons.platform.services.runs()["claim 2"], 1);
 
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -5,6 +5,7 @@
 //! ready under its name and epoch, and no member joins another group before it has left its own or
 //! the head of that has given up.
 
+mod convert;
 mod deal;
 mod loads;
 mod tend;
--- a/lib/src/node/planner/tend.rs
+++ b/lib/src/node/planner/tend.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{
-    Action, DEAD_EVERY, FLUX_TIME, Formed, Mind, Output, Round, SHOW_TIME, Stage, group_name,
-};
+use super::{Action, DEAD_EVERY, FLUX_TIME, Formed, Output, Round, SHOW_TIME, Stage, group_name};
 use crate::node::endpoints::{Group, SeatState};
 
 /// Joins sent again before their group is given up, for each member.
@@ -35,19 +33,18 @@
             .collect();
         let (now, blind) = (self.now, self.scene.blind);
         for (id, mind) in &mut self.planner.minds {
-            let flux = |m: &Mind| m.ordered.is_some_and(|t| now.since(t) < FLUX_TIME);
-            let every = match () {
+            let in_flux = mind.ordered.is_some_and(|t| now.since(t) < FLUX_TIME);
+            let every = if silent.contains(id) {
+                // An engine that answered is slow rather than lost, and is asked again later.
+                mind.patience.max(PROBE_EVERY)
+            } else {
                 // What was learned of a group while it was silent says nothing of its next silence.
-                () if !silent.contains(id) => {
-                    mind.patience = Duration::ZERO;
-                    match (mind.dead, blind && flux(mind)) {
-                        (true, _) => DEAD_EVERY,
-                        (false, true) => FLUX_EVERY,
-                        (false, false) => continue,
-                    }
+                mind.patience = Duration::ZERO;
+                match (mind.dead, blind && in_flux) {
+                    (true, _) => DEAD_EVERY,
+                    (false, true) => FLUX_EVERY,
+                    (false, false) => continue,
                 }
-                // An engine that answered is slow rather than lost, and is asked again later.
-                () => mind.patience.max(PROBE_EVERY),
             };
             if mind.probing || mind.probed.is_some_and(|t| now.since(t) < every) {
                 continue;
