peers: who serves others reads the store itself, or from a VM that does

Ruled out: the store's own delay (one VM had the version 33 ms after it began to plan).

Change: VMs tell whether they read the store themselves. One that serves others takes only such a one as its source; followers go on reading from the first of their zone. A planner is no longer woken by each datagram to try a store that it lost.

--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -63,8 +63,10 @@
     pub ready: bool,
     /// Version of the configuration in force there.
     pub config: u64,
-    /// Whether the store answers it, so that it may plan.
+    /// Whether the store answers it or the VM that it reads through, so that it may plan.
     pub store: bool,
+    /// Whether it reads the store itself, so that others may read through it.
+    pub reads: bool,
     /// Whether it plans.
     pub leads: bool,
     /// Whether a caller has come to it.
@@ -196,6 +198,12 @@
         self.news(now).any(|(n, _)| n.store)
     }
 
+    /// Returns whether a peer reads the store itself.
+    pub fn reads_store(&self, now: Time, node: &str) -> bool {
+        self.news(now)
+            .any(|(n, _)| n.member.node == node && n.reads)
+    }
+
     /// Returns whether the store answers one peer, or the one that it reads it through.
     pub fn has_store(&self, now: Time, node: &str) -> bool {
         self.news(now)
@@ -231,25 +239,44 @@
         readers
     }
 
-    /// Lists where this VM reads what the store holds, best first; itself stands for the store. The
-    /// first VM of a zone serves the others of it; two of these VMs read the store, so that one that
-    /// lags is noticed, and serve the rest.
-    pub fn sources<'a>(&'a self, now: Time, me: &'a Member, ready: bool) -> Vec<&'a Member> {
+    /// Returns the peer at which this VM reads what the store holds, or `None` to read the store.
+    ///
+    /// The first VM of a zone serves the others of it; two of these VMs read the store, so that one that
+    /// lags is noticed, and serve the rest. Who serves others reads the store itself or from a VM that
+    /// does: two that have lost it must not read from each other. `avoided` have failed lately.
+    pub fn source(
+        &self,
+        now: Time,
+        me: &Member,
+        ready: bool,
+        avoided: &[SocketAddr],
+    ) -> Option<SocketAddr> {
         let readers = self.readers(now, me, ready);
-        if readers.first().is_none_or(|m| m.node != me.node) {
-            return readers;
-        }
-        let mut ranked = readers;
-        ranked.sort_by_key(|m| rank(m));
-        let place = ranked.iter().position(|m| m.node == me.node);
-        let own = place.map(|p| ranked.remove(p));
-        let at = if place.is_some_and(|p| p < STORE_READERS) {
-            0
-        } else {
-            STORE_READERS.min(ranked.len())
+        let serves = readers.first().is_none_or(|m| m.node == me.node);
+        let candidates = if serves { ranked(readers, me) } else { readers };
+        let useful = |m: &&Member| {
+            let own = m.node == me.node;
+            own || self.reads_store(now, &m.node) || !serves && self.has_store(now, &m.node)
+        };
+        let open = |m: &&Member| !avoided.contains(&m.peer);
+        let mut found = candidates.into_iter().filter(|m| open(m) && useful(m));
+        // Where those that serve others have lost the store, any VM that reads it serves.
+        let any = || {
+            let mut ready = self.ready(now);
+            ready.find(|m| open(m) && self.reads_store(now, &m.node))
         };
-        ranked.splice(at..at, own);
-        ranked
+        let first = found.next().or_else(any)?;
+        (first.node != me.node).then_some(first.peer)
+    }
+
+    /// Returns whether this VM is one of those that read the store for others.
+    pub fn should_read(&self, now: Time, me: &Member, ready: bool) -> bool {
+        let readers = self.readers(now, me, ready);
+        let serves = readers.first().is_none_or(|m| m.node == me.node);
+        serves
+            && ranked(readers, me)
+                .first()
+                .is_none_or(|m| m.node == me.node)
     }
 
     /// Returns where one peer takes datagrams.
@@ -294,6 +321,21 @@
     }
 }
 
+/// Orders the first VMs of all zones as sources for one of them, with itself in its place.
+fn ranked<'a>(mut readers: Vec<&'a Member>, me: &Member) -> Vec<&'a Member> {
+    readers.sort_by_key(|m| rank(m));
+    let place = readers.iter().position(|m| m.node == me.node);
+    let Some(place) = place else { return readers };
+    let own = readers.remove(place);
+    let at = if place < STORE_READERS {
+        0
+    } else {
+        STORE_READERS.min(readers.len())
+    };
+    readers.insert(at, own);
+    readers
+}
+
 /// Orders VMs for duties that one of them has: the largest first.
 fn rank(member: &Member) -> (u64, &str) {
     let size = (member.cores * 1_000.0) as u64;
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -34,6 +34,8 @@
     pub(crate) cache: RefCell<Cache>,
     /// Whether the store answers where this topic is read.
     pub(crate) up: Cell<bool>,
+    /// Whether it is read there by this VM itself.
+    pub(crate) direct: Cell<bool>,
     /// Wakes the readers that wait.
     pub(crate) news: Notify,
     /// Wakes the own reading when its source is stale.
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -109,6 +109,7 @@
             }
             Ok(Some(batch)) => {
                 wait = BACKOFF;
+                feed.direct.set(wanted.is_none());
                 if let (Some(peer), true) = (wanted, batch.away) {
                     avoided.push((peer, now + AVOID));
                 }
@@ -140,6 +141,7 @@
                 match wanted {
                     Some(peer) => avoided.push((peer, now + AVOID)),
                     None => {
+                        feed.direct.set(false);
                         node.store_answers(topic, false, &e);
                         // A store that only this VM does not reach is read through another one.
                         avoided.push((node.me.peer, now + AVOID));
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -107,6 +107,7 @@
         ready: node.is_ready(),
         config: node.config().map_or(0, |c| c.version),
         store: node.store_up() && node.unable.get().is_none_or(|t| t <= now),
+        reads: node.reads_store(),
         leads: node.leads.get(),
         called: node.called.get(),
         every_ms: every.as_millis() as u32,
@@ -156,7 +157,7 @@
         .news(now)
         .any(|(n, _)| n.member.node == news.member.node);
     let (name, run) = (news.member.node.clone(), news.member.run);
-    if news.store && !node.store_up() {
+    if news.reads && !node.store_up() && !node.leads.get() {
         node.found.notify_waiters();
     }
     if !node.peers.borrow_mut().hear(now, news) {
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// Returns whether this VM reads the store itself.
+    pub(crate) fn reads_store(&self) -> bool {
+        let direct = |f: &Feed| f.up.get() && f.direct.get();
+        direct(&self.config_feed) && direct(&self.endpoint_feed)
+    }
+
     /// Returns whether any topic of the store is read, here or at a peer.
     pub(crate) fn store_up(&self) -> bool {
         self.config_feed.up.get() || self.endpoint_feed.up.get()
@@ -338,20 +344,9 @@
         if self.leads.get() {
             return None;
         }
-        let avoids = |m: &&Member| avoided.iter().any(|(a, _)| *a == m.peer);
+        let avoided: Vec<SocketAddr> = avoided.iter().map(|(a, _)| *a).collect();
         let peers = self.peers.borrow();
-        let readers = peers.sources(now, &self.me, self.is_ready());
-        // Without a peer that reaches it, the store is asked on.
-        let useful = |m: &&Member| m.node == self.me.node || peers.has_store(now, &m.node);
-        let mut readers = readers.into_iter().filter(|m| !avoids(m) && useful(m));
-        // Where those that serve others have lost the store, any VM that reaches it serves.
-        let any = || {
-            peers
-                .ready(now)
-                .find(|m| !avoids(m) && peers.has_store(now, &m.node))
-        };
-        let first = readers.next().or_else(any)?;
-        (first.node != self.me.node).then_some(first.peer)
+        peers.source(now, &self.me, self.is_ready(), &avoided)
     }
 
     /// Returns the time between two tries to reach a store that nobody reaches. The VMs that read it for
@@ -359,9 +354,7 @@
     /// only lost to those.
     pub(crate) fn search_pause(&self, now: Time, starts: bool) -> Duration {
         let peers = self.peers.borrow();
-        let sources = peers.sources(now, &self.me, self.is_ready());
-        let reads = sources.first().is_none_or(|m| m.node == self.me.node);
-        match reads || starts {
+        match starts || peers.should_read(now, &self.me, self.is_ready()) {
             true => Duration::ZERO,
             false => SEARCH_EVERY * peers.machines(now) as u32,
         }
