--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -35,7 +35,7 @@
 const AHEAD: usize = 64 << 10;
 /// Times that a request stays at an endpoint that is silent for it, but answers others.
 const STAYS: u32 = 2;
-/// Part of the expected time to a first event beyond it, for which a request waits.
+/// Factor on the expected time to a first event, within which its endpoint is not doubted.
 const FIRST_SLACK: f64 = 1.5;
 /// Shortest gap after which callers abandon a stream.
 const GIVE_UP: Duration = Duration::from_secs(2);
