--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -208,8 +208,10 @@
         while !waiting.is_empty() || !active.is_empty() || !self.ending.is_empty() {
             let now = start.elapsed();
             for p in waiting.extract_if(.., |p| p.at <= now) {
+                // Taken before it begins: callers see a kill at once.
+                let from = Instant::now();
                 self.begin(&p.fault);
-                active.push((p, Instant::now()));
+                active.push((p, from));
             }
             for (p, from) in active
                 .extract_if(.., |(p, _)| p.until <= now)
