tests: ports of the gateway's and agent's tests come from below the system's own

The tests took a port that the system had given to a socket they closed, and the system gave it to an outgoing connection before they listened. Ruled out: two tests of one process. Change: ports below the range of outgoing connections, one function for both, with starts by process.

--- a/agent/tests/test_interface.rs
+++ b/agent/tests/test_interface.rs
@@ -1,6 +1,6 @@
 //! Contract of the agent's interfaces and of its use of the log, over loopback.
 
-use std::net::{TcpListener, UdpSocket};
+use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
 use hemlock_agent::AgentHandle;
@@ -14,6 +14,7 @@
 use hemlock_testutils::engine::EnginePace;
 use hemlock_testutils::log::LogFault;
 use hemlock_testutils::platform::Platform;
+use hemlock_testutils::ports::free_port;
 use hemlock_testutils::scenario::{self, Deployment};
 use hemlock_wire::agent;
 use hemlock_wire::caller::{self, CallError};
@@ -101,11 +102,6 @@
     }
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address").port()
-}
-
 #[test]
 fn faulty_calls_are_refused_and_harm_nothing() {
     let bench = Bench::spawn();
--- a/gateway/tests/site.rs
+++ b/gateway/tests/site.rs
@@ -208,7 +208,7 @@
 impl Site {
     /// Starts a gateway before one replica for each engine, and the VMs of one plain service.
     pub(crate) fn spawn(engines: &[&Endpoint], services: &[&Endpoint]) -> Self {
-        let port = free_port();
+        let port = hemlock_testutils::ports::free_port();
         let url = format!("http://127.0.0.1:{port}");
         let addresses =
             |all: &[&Endpoint]| -> Vec<String> { all.iter().map(|e| e.address.clone()).collect() };
@@ -411,8 +411,3 @@
     }
     (body, false)
 }
-
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("it is bound").port()
-}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod outage;
 pub mod pacer;
 pub mod platform;
+pub mod ports;
 pub mod scenario;
 pub mod schedule;
 pub mod service;
