--- a/node/src/info_server.rs
+++ b/node/src/info_server.rs
@@ -139,6 +139,7 @@
             Gauge::ConfigVersion,
             node.config().map_or(0.0, |c| c.version as f64),
         ),
+        (Gauge::StoreEra, node.store_era.get() as f64),
     ];
     node.metrics.render(&gauges)
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -95,10 +95,12 @@
     ServingEndpoints,
     /// Version of the configuration in force.
     ConfigVersion,
+    /// Number of times that the store came back from an older copy, as far as this VM knows.
+    StoreEra,
 }
 
 impl Gauge {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -106,6 +108,7 @@
         Self::EntryVms,
         Self::ServingEndpoints,
         Self::ConfigVersion,
+        Self::StoreEra,
     ];
 
     fn name(self) -> &'static str {
@@ -117,6 +120,7 @@
             Self::EntryVms => "hemlock_machines",
             Self::ServingEndpoints => "hemlock_serving_endpoints",
             Self::ConfigVersion => "hemlock_config_version",
+            Self::StoreEra => "hemlock_store_era",
         }
     }
 }
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -133,6 +133,20 @@
     }
 }
 
+/// Logs that a peer uses a newer configuration, once for each version.
+fn note_newer_config(node: &Node, heartbeat: &Heartbeat) {
+    let newest = node.config().map_or(0, |c| c.version);
+    let newest = newest.max(node.newest_peer_config.get());
+    if heartbeat.config_version > newest {
+        node.newest_peer_config.set(heartbeat.config_version);
+        log::info!(
+            "event=config_behind version={newest} peer={} newer={}",
+            heartbeat.member.node,
+            heartbeat.config_version
+        );
+    }
+}
+
 /// Handles a received datagram.
 fn handle_datagram(node: &Node, bytes: &[u8], from: SocketAddr) {
     let now = node.now();
@@ -165,6 +179,7 @@
             .borrow_mut()
             .record_crash(now, *crash, false);
     }
+    note_newer_config(node, &heartbeat);
     for (topic, offset) in TOPICS.into_iter().zip(heartbeat.read_offsets) {
         node.feed(topic).compare_with_peer(now, offset);
     }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -69,6 +69,10 @@
     pub(crate) stop_requested: Notify,
     /// Requests whose head was read and which have not ended.
     pub(crate) open_requests: Cell<usize>,
+    /// Newest version of the configuration that a peer was found to use before this VM.
+    pub(crate) newest_peer_config: Cell<u64>,
+    /// Highest era that the store has stated.
+    pub(crate) store_era: Cell<u64>,
     /// Whether no VM can read the store.
     outage: Cell<bool>,
     /// Reports of engines that this VM has queried as the planner since the store became
@@ -128,6 +132,8 @@
             stopping_since: Cell::default(),
             stop_requested: Notify::new(),
             open_requests: Cell::default(),
+            newest_peer_config: Cell::default(),
+            store_era: Cell::default(),
             outage: Cell::default(),
             engine_reports: RefCell::default(),
             lease_backoff_until: Cell::default(),
@@ -185,6 +191,16 @@
         self.send_now.notify_one();
     }
 
+    /// Records the era of a topic that was read, and logs a new one.
+    pub(crate) fn note_store_era(&self, topic: Topic, era: u64) {
+        let before = self.store_era.get();
+        if era <= before {
+            return;
+        }
+        self.store_era.set(era);
+        log::warn!("event=store_era topic={topic:?} era={era} before={before}");
+    }
+
     /// Returns whether no VM can read the store.
     pub(crate) fn is_outage(&self) -> bool {
         self.outage.get()
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -136,7 +136,8 @@
                 if is_snapshot {
                     let count = entries.len();
                     log::info!(
-                        "event=read topic={topic:?} records={count} next={next} from={source_addr:?}"
+                        "event=read topic={topic:?} records={count} next={next} era={} from={source_addr:?}",
+                        node.store_era.get()
                     );
                 }
                 if is_snapshot || !entries.is_empty() {
@@ -200,7 +201,9 @@
         Some(Reader::Peer(source)) => source.read(topic, from).await.map(Some),
         Some(Reader::Store(store)) => {
             node.metrics.count(Counter::StoreReads, topic.label());
-            read_store(store, topic, from).await
+            let read = read_store(store, topic, from).await;
+            node.note_store_era(topic, store.era());
+            read
         }
         None => Err("no connection to a source".to_owned()),
     }
@@ -252,8 +255,9 @@
         return;
     }
     log::info!(
-        "event=config version={} before={old} routes={} services={}",
+        "event=config version={} before={old} era={} routes={} services={}",
         config.version,
+        node.store_era.get(),
         config.route_count(),
         config.services.len()
     );
