node/tests: fail on changes missed after the store came back from an older copy

After a restore at offsets that are assigned again a direct reader and the readers behind a peer never serve the newest route, and a VM that starts while the store lacks a change refuses a route that its peers serve. Bound: the 2 s in which a change must be in force.

--- a/node/tests/node_process.rs
+++ b/node/tests/node_process.rs
@@ -33,14 +33,22 @@
 impl NodeProcess {
     /// Starts a store and a daemon; there is no configuration and no endpoint.
     pub fn unconfigured() -> Self {
-        let store = Store::spawn();
+        Self::spawn(Store::spawn(), "entry-1")
+    }
+
+    /// Starts a second daemon on the store of this one.
+    pub fn spawn_peer(&self, name: &str) -> Self {
+        Self::spawn(self.store.clone(), name)
+    }
+
+    fn spawn(store: Store, name: &str) -> Self {
         let (front, ready, directory) = (free_address(), free_address(), free_address());
         let metrics = free_address();
         let peer = free_address();
         let dir = tempfile::tempdir().expect("a temporary directory is created");
         let path = dir.path().join("node.yaml");
         let text = format!(
-            "node: entry-1\nzone: z1\nlisten:\n  front: {front}\n  ready: {ready}\n  \
+            "node: {name}\nzone: z1\nlisten:\n  front: {front}\n  ready: {ready}\n  \
              directory: {directory}\n  peer: {peer}\n  metrics: {metrics}\nstore:\n  address: {}\n  \
              read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: 2000\n  \
              grace_s: 8\n  stall_ms: 5000\n  advice_s: 5\n  repeat_ratio: 0.2\n  \
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_pages;
 mod test_refusals;
 mod test_relay;
+mod test_restored_store;
 mod test_soak;
 mod test_stop;
 mod test_streams;
