node: positions of the store's topics name the era

Cause: a VM's copy of a topic, the reads between VMs and the comparison of heartbeats were ordered by offset alone. A store that comes back from an older copy assigns offsets again. A VM that reads the store and finds its offset assigned again continues after it and never sees what was written before it; a VM that reads through a peer, whose copy starts again lower, is told that there is nothing new until the peer's end passes its own, and then gets only what follows.

A position is now the era and the offset, ordered in that way, and encoded as one number that equals the offset in the first era. A read of the store whose reply states another era than its position, and a peer's read from another era, get the whole topic. A reader keeps its copy until the new one is there, and refuses an older era than its own.

Ruled out: waiting for 410 alone, which does not come when the offset exists again; comparing the configuration's version only, which leaves the endpoints' topic as it is.

--- a/lib/src/node/cache.rs
+++ b/lib/src/node/cache.rs
@@ -10,6 +10,37 @@
 /// behind gets a snapshot.
 const MAX_RECENT_RECORDS: usize = 4_096;
 
+/// Number of low bits of an encoded position that hold the offset.
+const OFFSET_BITS: u32 = 40;
+
+/// Position in a topic of the store. Positions are ordered as the store came to them.
+///
+/// It is encoded as one number, so that positions of the first era are plain offsets.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "u64", into = "u64")]
+pub struct Position {
+    /// Number of times that the store came back from an older copy. Each time it lost its last
+    /// records and assigned their offsets again, so offsets of different eras don't compare.
+    pub era: u64,
+    /// Offset of the next record within the era.
+    pub offset: u64,
+}
+
+impl From<u64> for Position {
+    fn from(encoded: u64) -> Self {
+        Self {
+            era: encoded >> OFFSET_BITS,
+            offset: encoded & ((1 << OFFSET_BITS) - 1),
+        }
+    }
+}
+
+impl From<Position> for u64 {
+    fn from(position: Position) -> Self {
+        (position.era << OFFSET_BITS) + position.offset
+    }
+}
+
 /// One record of a keyed topic.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -22,12 +53,12 @@
 /// Records sent to a reader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
-    /// Records after the reader's offset, oldest first, or the newest record of each key.
+    /// Records after the reader's position, oldest first, or the newest record of each key.
     pub entries: Vec<Entry>,
-    /// Offset at which the next read starts.
-    pub next: u64,
+    /// Position at which the next read starts.
+    pub next: Position,
     /// Whether the batch holds the newest record of every key rather than only the records after
-    /// the reader's offset.
+    /// the reader's position.
     #[serde(rename = "whole")]
     pub is_snapshot: bool,
     /// Whether the store does not answer the VM that sent the batch.
@@ -40,13 +71,13 @@
 pub struct Cache {
     newest: BTreeMap<String, Bytes>,
     recent: VecDeque<Entry>,
-    next: Option<u64>,
+    next: Option<Position>,
 }
 
 impl Cache {
-    /// Returns the offset at which the next read of the topic starts, or `None` if nothing was read
+    /// Returns the position at which the next read of the topic starts, or `None` if nothing was read
     /// yet.
-    pub fn next(&self) -> Option<u64> {
+    pub fn next(&self) -> Option<Position> {
         self.next
     }
 
@@ -71,17 +102,17 @@
         self.next = Some(batch.next);
     }
 
-    /// Returns the records that a reader at offset `from` does not have yet; `None` if it is up to
-    /// date or nothing was read yet.
-    pub fn batch_after(&self, from: Option<u64>, store_down: bool) -> Option<Batch> {
+    /// Returns the records that a reader at the position `from` does not have yet; `None` if it is
+    /// up to date or nothing was read yet. A reader of an older era gets a snapshot.
+    pub fn batch_after(&self, from: Option<Position>, store_down: bool) -> Option<Batch> {
         let next = self.next?;
-        let first_recent = next - self.recent.len() as u64;
+        let first_recent = next.offset - self.recent.len() as u64;
         match from {
             Some(from) if from >= next => None,
-            Some(from) if from >= first_recent => Some(Batch {
+            Some(from) if from.era == next.era && from.offset >= first_recent => Some(Batch {
                 entries: self
                     .recent
-                    .range((from - first_recent) as usize..)
+                    .range((from.offset - first_recent) as usize..)
                     .cloned()
                     .collect(),
                 next,
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cache::Position;
 use super::capacity::Demand;
 use super::endpoints::EngineReport;
 use super::quarantine::Crash;
@@ -88,9 +89,9 @@
     /// Milliseconds until the sender's next heartbeat.
     #[serde(rename = "every_ms")]
     pub interval_ms: u32,
-    /// Offsets up to which the sender has read the configuration and the endpoint list.
+    /// Positions up to which the sender has read the configuration and the endpoint list.
     #[serde(rename = "read")]
-    pub read_offsets: [u64; 2],
+    pub read_positions: [Position; 2],
     /// Demand for each model, as measured by the sender.
     pub demand: BTreeMap<String, Demand>,
     /// Load that the sender has on endpoints.
--- a/lib/tests/test_node_cache.rs
+++ b/lib/tests/test_node_cache.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use hemlock_lib::node::cache::{Batch, Cache, Entry};
+use hemlock_lib::node::cache::{Batch, Cache, Entry, Position};
 use proptest::prelude::*;
 
 fn entry(key: u8, value: Option<u8>) -> Entry {
@@ -11,10 +11,10 @@
     }
 }
 
-fn batch(entries: Vec<Entry>, next: u64, is_snapshot: bool) -> Batch {
+fn batch(entries: Vec<Entry>, next: impl Into<Position>, is_snapshot: bool) -> Batch {
     Batch {
         entries,
-        next,
+        next: next.into(),
         is_snapshot,
         store_down: false,
     }
@@ -26,16 +26,16 @@
     assert_eq!(cache.batch_after(None, false), None);
     cache.apply(&batch(vec![entry(1, Some(1)), entry(2, Some(2))], 10, true));
     cache.apply(&batch(vec![entry(1, None), entry(3, Some(3))], 12, false));
-    assert_eq!(cache.batch_after(Some(12), false), None);
-    assert_eq!(cache.batch_after(Some(13), false), None);
-    let new_records = cache.batch_after(Some(11), false).unwrap();
+    assert_eq!(cache.batch_after(Some(12.into()), false), None);
+    assert_eq!(cache.batch_after(Some(13.into()), false), None);
+    let new_records = cache.batch_after(Some(11.into()), false).unwrap();
     assert_eq!(
         (
             new_records.entries.len(),
             new_records.next,
             new_records.is_snapshot
         ),
-        (1, 12, false)
+        (1, 12.into(), false)
     );
     let snapshot = cache.batch_after(None, true).unwrap();
     assert_eq!(
@@ -47,7 +47,38 @@
         (2, true, true)
     );
     // Records before the first recent one are not kept, so this reader gets a snapshot.
-    assert!(cache.batch_after(Some(9), false).unwrap().is_snapshot);
+    assert!(
+        cache
+            .batch_after(Some(9.into()), false)
+            .unwrap()
+            .is_snapshot
+    );
+}
+
+#[test]
+fn a_reader_of_an_earlier_era_gets_a_snapshot_whatever_its_offset() {
+    let mut cache = Cache::default();
+    let in_era = |offset| Position { era: 1, offset };
+    cache.apply(&batch(vec![entry(1, Some(1))], in_era(10), true));
+    cache.apply(&batch(vec![entry(1, Some(2))], in_era(11), false));
+    for offset in [0, 10, 11, 50] {
+        let snapshot = cache.batch_after(Some(offset.into()), false).unwrap();
+        assert!(snapshot.is_snapshot, "{offset}");
+        assert_eq!(snapshot.next, in_era(11));
+    }
+    assert_eq!(cache.batch_after(Some(in_era(11)), false), None);
+    // A reader of a later era has nothing to learn here.
+    let later = Position { era: 2, offset: 0 };
+    assert_eq!(cache.batch_after(Some(later), false), None);
+}
+
+#[test]
+fn positions_of_the_first_era_are_encoded_as_plain_offsets() {
+    let first = Position { era: 0, offset: 77 };
+    assert_eq!(u64::from(first), 77);
+    let later = Position { era: 3, offset: 5 };
+    assert_eq!(Position::from(u64::from(later)), later);
+    assert!(later > first);
 }
 
 proptest! {
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::budget::{Allowance, RetryBudget};
+use hemlock_lib::node::cache::Position;
 use hemlock_lib::node::capacity::{self, Demand, DemandMeter, RequestSize};
 use hemlock_lib::node::events::{EventPosition, EventSplitter, event_position};
 use hemlock_lib::node::peers::{Heartbeat, Member, Peers, addresses_for_caller};
@@ -156,7 +157,7 @@
         is_planner: false,
         has_traffic: false,
         interval_ms: 200,
-        read_offsets: [0, 0],
+        read_positions: [Position::default(); 2],
         demand: BTreeMap::new(),
         loads: Vec::new(),
         silent_endpoints: Vec::new(),
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hemlock_lib::node::cache::{Batch, Cache};
+use hemlock_lib::node::cache::{Batch, Cache, Position};
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
 use hemlock_wire::http1::{self, Conn};
@@ -49,15 +49,15 @@
 }
 
 impl Feed {
-    /// Returns the offset of the next record to read, or zero if nothing was read yet.
-    pub(crate) fn next_offset(&self) -> u64 {
+    /// Returns the position of the next record to read, or the first one if nothing was read yet.
+    pub(crate) fn next_position(&self) -> Position {
         self.cache.borrow().next().unwrap_or_default()
     }
 
-    /// Compares the next offset of a peer with that of this VM, and wakes this VM's own read if its
-    /// source lags for longer than [`MAX_LAG`].
-    pub(crate) fn compare_with_peer(&self, now: Time, peer_offset: u64) {
-        if peer_offset <= self.next_offset() {
+    /// Compares the next position of a peer with that of this VM, and wakes this VM's own read if
+    /// its source lags for longer than [`MAX_LAG`].
+    pub(crate) fn compare_with_peer(&self, now: Time, peer_position: Position) {
+        if peer_position <= self.next_position() {
             return;
         }
         let since = self.behind_since.get().unwrap_or(now);
@@ -125,7 +125,7 @@
 
 /// Returns the records after `from` as soon as there are any, or an empty batch after [`LONG_POLL`]
 /// if `from` is given.
-async fn next_batch(node: &Node, topic: Topic, from: Option<u64>) -> Option<Batch> {
+async fn next_batch(node: &Node, topic: Topic, from: Option<Position>) -> Option<Batch> {
     let feed = node.feed(topic);
     let missing = || feed.cache.borrow().batch_after(from, !feed.store_up.get());
     let wait = async {
@@ -148,13 +148,13 @@
     }
 }
 
-/// Parses a request target of the form `/TOPIC/OFFSET`; an offset that is no number asks for all
+/// Parses a request target of the form `/TOPIC/POSITION`; a position that is no number asks for all
 /// records.
-fn parse_target(target: &str) -> Option<(Topic, Option<u64>)> {
+fn parse_target(target: &str) -> Option<(Topic, Option<Position>)> {
     let (topic, from) = target.strip_prefix('/')?.split_once('/')?;
     let topics = [Topic::Config, Topic::Endpoints];
     let topic = topics.into_iter().find(|t| t.label() == topic)?;
-    Some((topic, from.parse().ok()))
+    Some((topic, from.parse().ok().map(u64::into)))
 }
 
 /// A connection to a peer that serves the topics.
@@ -170,10 +170,14 @@
         Ok(Self { address, conn })
     }
 
-    /// Reads the records from offset `from` on, or all if it is `None`. Fails if the connection
+    /// Reads the records from the position `from` on, or all if it is `None`. Fails if the connection
     /// breaks, the reply is late, too large or malformed, or the peer has not read the topic yet.
-    pub(crate) async fn read(&mut self, topic: Topic, from: Option<u64>) -> Result<Batch, String> {
-        let from = from.map_or_else(|| "all".to_owned(), |n| n.to_string());
+    pub(crate) async fn read(
+        &mut self,
+        topic: Topic,
+        from: Option<Position>,
+    ) -> Result<Batch, String> {
+        let from = from.map_or_else(|| "all".to_owned(), |p| u64::from(p).to_string());
         let text = format!("GET /{}/{from} HTTP/1.1\r\n\r\n", topic.label());
         let exchange = async {
             self.conn
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -117,7 +117,7 @@
         is_planner: node.is_planner.get(),
         has_traffic: node.has_traffic.get(),
         interval_ms: interval.as_millis() as u32,
-        read_offsets: TOPICS.map(|t| node.feed(t).next_offset()),
+        read_positions: TOPICS.map(|t| node.feed(t).next_position()),
         demand: demand
             .into_iter()
             .map(|(m, d)| (m.to_string(), d))
@@ -180,8 +180,8 @@
             .record_crash(now, *crash, false);
     }
     note_newer_config(node, &heartbeat);
-    for (topic, offset) in TOPICS.into_iter().zip(heartbeat.read_offsets) {
-        node.feed(topic).compare_with_peer(now, offset);
+    for (topic, position) in TOPICS.into_iter().zip(heartbeat.read_positions) {
+        node.feed(topic).compare_with_peer(now, position);
     }
     let is_known = node
         .peers
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::cache::{Batch, Cache, Entry};
+use hemlock_lib::node::cache::{Batch, Entry, Position};
 use hemlock_lib::node::peers::Member;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Record, Store, StoreError, Topic};
@@ -98,27 +98,45 @@
     let mut reader = None;
     let mut avoided: Vec<(SocketAddr, Time)> = Vec::new();
     let mut wait = MIN_BACKOFF;
+    // Whether the whole topic is to be read, since its next position does not exist any more.
+    let mut reads_all = false;
     loop {
         let now = node.now();
         avoided.retain(|(_, until)| *until > now);
         let source_addr = node.choose_source(now, &avoided);
-        let from = feed.cache.borrow().next();
+        let position = feed.cache.borrow().next();
+        let from = position.filter(|_| !reads_all);
         let read = tokio::select! {
             read = read_source(node, topic, source_addr, &mut reader, from) => read,
             () = feed.source_stale.notified() => Err("a peer is ahead of the source".to_owned()),
         };
+        let era = position.unwrap_or_default().era;
         match read {
             Ok(None) => {
-                feed.cache.replace(Cache::default());
+                reads_all = true;
                 log::info!("event=history_lost topic={topic:?} next={from:?}");
             }
+            Ok(Some(batch)) if batch.next.era < era => {
+                reader = None;
+                log::info!(
+                    "event=read_failed topic={topic:?} from={source_addr:?} cause=\"the source \
+                     reads an older era of the store: {} after {era}\"",
+                    batch.next.era
+                );
+                avoided.push((
+                    source_addr.unwrap_or(node.identity.peer_address),
+                    now + AVOID_TIME,
+                ));
+            }
             Ok(Some(batch)) => {
                 wait = MIN_BACKOFF;
+                reads_all = false;
+                node.note_store_era(topic, batch.next.era);
                 feed.direct.set(source_addr.is_none());
                 if let (Some(peer), true) = (source_addr, batch.store_down) {
                     avoided.push((peer, now + AVOID_TIME));
                 }
-                if batch.is_snapshot || !batch.entries.is_empty() || from.is_none() {
+                if batch.is_snapshot || !batch.entries.is_empty() {
                     feed.cache.borrow_mut().apply(&batch);
                 }
                 node.set_store_state(
@@ -136,8 +154,9 @@
                 if is_snapshot {
                     let count = entries.len();
                     log::info!(
-                        "event=read topic={topic:?} records={count} next={next} era={} from={source_addr:?}",
-                        node.store_era.get()
+                        "event=read topic={topic:?} records={count} next={} era={} from={source_addr:?}",
+                        next.offset,
+                        next.era
                     );
                 }
                 if is_snapshot || !entries.is_empty() {
@@ -156,12 +175,12 @@
                         // If only this VM does not reach the store, it reads through a peer.
                         avoided.push((node.identity.peer_address, now + AVOID_TIME));
                         let jitter = rand::rng().random_range(0.5..1.0);
-                        let pause = wait.max(node.store_search_pause(now, from.is_none()));
+                        let pause = wait.max(node.store_search_pause(now, position.is_none()));
                         tokio::select! {
                             () = tokio::time::sleep(pause.mul_f64(jitter)) => {}
                             () = node.store_found.notified() => {}
                         }
-                        let max_wait = if from.is_none() {
+                        let max_wait = if position.is_none() {
                             MAX_STARTUP_BACKOFF
                         } else {
                             MAX_BACKOFF
@@ -175,13 +194,13 @@
 }
 
 /// Reads a topic once, over the open connection if that leads to the wanted source. `None` means
-/// that the records asked for have been deleted.
+/// that `from` is no position of the topic any more.
 async fn read_source(
     node: &Node,
     topic: Topic,
     source_addr: Option<SocketAddr>,
     reader: &mut Option<Reader>,
-    from: Option<u64>,
+    from: Option<Position>,
 ) -> Result<Option<Batch>, String> {
     let is_connected = match (&*reader, source_addr) {
         (Some(Reader::Store(_)), None) => true,
@@ -201,9 +220,7 @@
         Some(Reader::Peer(source)) => source.read(topic, from).await.map(Some),
         Some(Reader::Store(store)) => {
             node.metrics.count(Counter::StoreReads, topic.label());
-            let read = read_store(store, topic, from).await;
-            node.note_store_era(topic, store.era());
-            read
+            read_store(store, topic, from).await
         }
         None => Err("no connection to a source".to_owned()),
     }
@@ -212,13 +229,13 @@
 async fn read_store(
     store: &Store,
     topic: Topic,
-    from: Option<u64>,
+    from: Option<Position>,
 ) -> Result<Option<Batch>, String> {
     let read = match from {
         None => store
             .read_snapshot(topic)
             .await
-            .map(|s| (s.records, s.next_offset)),
+            .map(|s| (s.records, s.next)),
         Some(from) => store.read(topic, from, LONG_POLL).await,
     };
     let entry = |r: Record| Entry {
@@ -232,7 +249,7 @@
             is_snapshot: from.is_none(),
             store_down: false,
         })),
-        Err(StoreError::Trimmed) => Ok(None),
+        Err(StoreError::Trimmed | StoreError::Restored) => Ok(None),
         Err(e) => Err(e.to_string()),
     }
 }
