node: an older copy of the store takes no endpoint back

What callers would see: requests go to an endpoint that has announced that it drains, or that has gone, once the store comes back from a copy taken before that.

Cause: the list was replaced by whatever the store returned. Endpoints::restore compares an entry of the copy with what is known by the start time and the sequence that the endpoint itself counts, which do not depend on the store; keeps the newer one; remembers for 30 s which entries ended; keeps what the copy lacks until endpoints have written again (2 s); and does not let a drain be taken back within one life of an endpoint.

An engine may look free in the copy although its group was opened since. The planner therefore gives no orders until the engines have written again.

--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -11,6 +11,9 @@
 /// Time after an outage of the store within which the platform is assumed to list lapsed entries
 /// again.
 const RELIST_TIME: Duration = Duration::from_secs(2);
+/// Time for which an entry that ended is remembered. The store may come back from a copy that is
+/// some seconds old, and then lists such entries again.
+const ENDED_RETENTION: Duration = Duration::from_secs(30);
 /// Entries that end together may merely have lapsed if there are at least [`MASS_END_MIN`] of them
 /// and they are more than one in [`MASS_END_INVERSE_FRACTION`] of the list. The loss of one failure
 /// domain ends fewer.
@@ -73,6 +76,8 @@
     /// Start time in Unix milliseconds. A different time means that the endpoint restarted and lost
     /// its state.
     pub started_ms: u64,
+    /// Number that the endpoint increases from entry to entry since its start.
+    pub sequence: u64,
     /// Name of the service.
     pub service: Arc<str>,
     /// Address as host and port.
@@ -153,6 +158,17 @@
     Recovered(Time),
 }
 
+/// The version of an entry, as the endpoint itself counts it.
+type EntryVersion = (u64, u64);
+
+impl Endpoint {
+    /// Returns the start time and sequence, by which an entry is older than another one of the same
+    /// endpoint, wherever the store keeps them.
+    fn entry_version(&self) -> EntryVersion {
+        (self.started_ms, self.sequence)
+    }
+}
+
 /// The endpoints that the platform lists.
 #[derive(Debug)]
 pub struct Endpoints {
@@ -162,7 +178,11 @@
     /// Entries that may have lapsed, with the times at which they are removed unless they are
     /// listed again.
     lapsed: BTreeMap<Arc<str>, Time>,
+    /// Entries that ended, with the times of that and their last versions.
+    ended: BTreeMap<Arc<str>, (Time, EntryVersion)>,
     store: StoreAvailability,
+    /// When the store came back from an older copy.
+    restored_at: Option<Time>,
     version: u64,
 }
 
@@ -173,7 +193,9 @@
             drain,
             listed: BTreeMap::new(),
             lapsed: BTreeMap::new(),
+            ended: BTreeMap::new(),
             store: StoreAvailability::default(),
+            restored_at: None,
             version: 0,
         }
     }
@@ -196,6 +218,7 @@
     /// Adds or replaces an entry.
     pub fn put(&mut self, endpoint: Endpoint) -> Change {
         self.lapsed.remove(&endpoint.id);
+        self.ended.remove(&endpoint.id);
         let old = self.listed.get(&endpoint.id);
         let change = match old {
             None => Change::Listed,
@@ -265,8 +288,7 @@
                     changes.push((id, Change::Lapsed));
                 }
                 None => {
-                    self.version += 1;
-                    self.listed.remove(&id);
+                    self.end(now, &id);
                     changes.push((id, Change::Gone));
                 }
             }
@@ -274,6 +296,14 @@
         changes
     }
 
+    fn end(&mut self, now: Time, id: &Arc<str>) {
+        self.version += 1;
+        if let Some(endpoint) = self.listed.remove(id) {
+            let version = endpoint.entry_version();
+            self.ended.insert(id.clone(), (now, version));
+        }
+    }
+
     /// Records that the store does not answer.
     pub fn store_lost(&mut self) {
         self.store = StoreAvailability::Unavailable;
@@ -301,12 +331,48 @@
             .collect();
         for id in &expired {
             self.lapsed.remove(id);
-            self.listed.remove(id);
-            self.version += 1;
+            self.end(now, id);
         }
+        self.ended
+            .retain(|_, (ended_at, _)| now.since(*ended_at) < ENDED_RETENTION);
         expired
     }
 
+    /// Replaces the list by that of a store that came back from an older copy, and returns the
+    /// change of each entry that ended or is in the new list.
+    ///
+    /// What is known of an endpoint stays if the copy has an older entry of it: an endpoint that
+    /// drains does not become available, and one that has gone is not listed again. Endpoints that
+    /// the copy does not have yet stay until the time by which they would be listed again.
+    pub fn restore(&mut self, now: Time, copy: Vec<Endpoint>) -> Vec<(Arc<str>, Change)> {
+        self.store_returned(now);
+        self.restored_at = Some(now);
+        let entries = copy.into_iter().filter_map(|e| self.newer_entry(e));
+        let entries = entries.collect();
+        self.replace(now, entries)
+    }
+
+    /// Returns the newer one of an entry of an older copy and what is known of its endpoint; `None`
+    /// if the endpoint has gone since.
+    fn newer_entry(&self, mut entry: Endpoint) -> Option<Endpoint> {
+        let Some(known) = self.listed.get(&entry.id) else {
+            let ended = self.ended.get(&entry.id);
+            let is_newer = ended.is_none_or(|(_, version)| entry.entry_version() > *version);
+            return is_newer.then_some(entry);
+        };
+        if entry.entry_version() < known.entry_version() {
+            return Some(known.clone());
+        }
+        entry.draining |= known.draining && known.started_ms == entry.started_ms;
+        Some(entry)
+    }
+
+    /// Returns whether the store came back from an older copy so recently that entries may still be
+    /// older than their endpoints' states.
+    pub fn is_settling(&self, now: Time) -> bool {
+        self.restored_at.is_some_and(|t| now < t + RELIST_TIME)
+    }
+
     /// Replaces the list with a fresh one, and returns the change of each entry that ended or is in
     /// the new list.
     pub fn replace(&mut self, now: Time, new_entries: Vec<Endpoint>) -> Vec<(Arc<str>, Change)> {
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -120,6 +120,7 @@
         let entry = Endpoint {
             id: Arc::from(id),
             started_ms: self.now.0,
+            sequence: 0,
             service: Arc::from(SERVICE),
             address: "10.0.0.1:80".to_owned(),
             zone: Arc::from("z"),
--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -12,6 +12,7 @@
     Endpoint {
         id: Arc::from(id),
         started_ms: 1,
+        sequence: 0,
         service: Arc::from("s"),
         address: "10.0.0.1:80".to_owned(),
         zone: Arc::from("z"),
@@ -131,3 +132,76 @@
     endpoints.expire(at(0) + Duration::from_secs(2));
     assert_eq!(endpoints.iter().count(), 0);
 }
+
+fn entry(id: &str, sequence: u64, draining: bool) -> Endpoint {
+    Endpoint {
+        sequence,
+        draining,
+        ..endpoint(id)
+    }
+}
+
+#[test]
+fn an_older_copy_of_the_store_makes_no_draining_endpoint_available() {
+    let mut endpoints = list_of(0);
+    endpoints.put(entry("counted", 7, true));
+    endpoints.put(entry("uncounted", 0, true));
+    let copy = vec![entry("counted", 6, false), entry("uncounted", 0, false)];
+    endpoints.restore(at(0), copy);
+    assert!(endpoints.iter().all(|e| e.draining));
+    // Its next life does not drain.
+    let restarted = Endpoint {
+        started_ms: 2,
+        ..endpoint("counted")
+    };
+    endpoints.put(restarted);
+    assert!(!endpoints.get("counted").unwrap().draining);
+}
+
+#[test]
+fn an_older_copy_of_the_store_lists_no_endpoint_that_has_gone() {
+    let mut endpoints = list_of(10);
+    endpoints.put(entry("gone", 4, false));
+    endpoints.remove(at(0), ["gone"]);
+    let copy = |sequence| {
+        let others = (0..10).map(|i| endpoint(&format!("e{i}")));
+        others.chain([entry("gone", sequence, false)]).collect()
+    };
+    endpoints.restore(at(3_000), copy(4));
+    assert!(endpoints.get("gone").is_none());
+    // It has written again, so it lives.
+    endpoints.restore(at(4_000), copy(5));
+    assert!(endpoints.get("gone").is_some());
+}
+
+#[test]
+fn endpoints_that_an_older_copy_lacks_stay_until_they_would_be_listed_again() {
+    let mut endpoints = list_of(10);
+    endpoints.restore(at(0), (0..9).map(|i| endpoint(&format!("e{i}"))).collect());
+    assert!(endpoints.get("e9").is_some() && endpoints.is_settling(at(1_900)));
+    assert!(endpoints.expire(at(1_900)).is_empty());
+    assert_eq!(endpoints.expire(at(2_000)), [Arc::from("e9")]);
+    assert!(!endpoints.is_settling(at(2_000)));
+}
+
+#[test]
+fn what_an_endpoint_wrote_after_the_copy_was_taken_is_kept() {
+    let mut endpoints = list_of(0);
+    let member = |epoch| {
+        Some(Membership {
+            group: Arc::from("g"),
+            epoch,
+            rank: 0,
+            state: MemberState::Open,
+        })
+    };
+    let of = |sequence, epoch| Endpoint {
+        membership: member(epoch),
+        ..entry("e", sequence, false)
+    };
+    endpoints.put(of(5, 50));
+    endpoints.restore(at(0), vec![of(4, 40)]);
+    assert_eq!(endpoints.get("e").unwrap().membership, member(50));
+    endpoints.restore(at(0), vec![of(6, 60)]);
+    assert_eq!(endpoints.get("e").unwrap().membership, member(60));
+}
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -199,6 +199,10 @@
         state.planners.values_mut().for_each(Planner::end_term);
         return;
     }
+    // An engine that looks free may serve by now, and its entry not be written again yet.
+    if node.endpoints.borrow().is_settling(now) {
+        return;
+    }
     let generation = state.generation;
     let state = &mut *state;
     let last_summary = &mut state.last_summary;
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -31,6 +31,17 @@
 /// Longest wait before a retry of a process that has read nothing yet, and so can't serve callers.
 const MAX_STARTUP_BACKOFF: Duration = Duration::from_millis(300);
 
+/// How records that were read relate to what was read before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Update {
+    /// They follow it.
+    Changes,
+    /// They are the whole topic.
+    Snapshot,
+    /// They are the whole topic of a store that came back from an older copy since.
+    Restored,
+}
+
 /// Watches the operators' configuration.
 pub(crate) async fn watch_config(node: Rc<Node>) {
     watch_topic(&node, Topic::Config, |node, records, _| {
@@ -43,11 +54,10 @@
 
 /// Watches the list of endpoints.
 pub(crate) async fn watch_endpoints(node: Rc<Node>) {
-    watch_topic(&node, Topic::Endpoints, |node, records, is_snapshot| {
-        if is_snapshot {
-            replace_endpoints(node, &records);
-        } else {
-            apply_endpoint_changes(node, &records);
+    watch_topic(&node, Topic::Endpoints, |node, records, update| {
+        match update {
+            Update::Changes => apply_endpoint_changes(node, &records),
+            Update::Snapshot | Update::Restored => replace_endpoints(node, &records, update),
         }
         node.refresh_candidates();
         node.endpoints_changed.notify_one();
@@ -92,8 +102,8 @@
 /// store if this VM is the planner or reads the store for its zone, and otherwise from the VM that
 /// does.
 ///
-/// `apply` is called with the records and with whether they are the complete topic.
-async fn watch_topic(node: &Rc<Node>, topic: Topic, apply: impl Fn(&Node, Vec<Entry>, bool)) {
+/// `apply` is called with the records and with how they relate to those before.
+async fn watch_topic(node: &Rc<Node>, topic: Topic, apply: impl Fn(&Node, Vec<Entry>, Update)) {
     let feed = node.feed(topic);
     let mut reader = None;
     let mut avoided: Vec<(SocketAddr, Time)> = Vec::new();
@@ -151,6 +161,11 @@
                     next,
                     ..
                 } = batch;
+                let update = match (is_snapshot, position.is_some() && next.era > era) {
+                    (false, _) => Update::Changes,
+                    (true, false) => Update::Snapshot,
+                    (true, true) => Update::Restored,
+                };
                 if is_snapshot {
                     let count = entries.len();
                     log::info!(
@@ -160,7 +175,7 @@
                     );
                 }
                 if is_snapshot || !entries.is_empty() {
-                    apply(node, entries, is_snapshot);
+                    apply(node, entries, update);
                     tokio::time::sleep(node.batching_delay(topic, source_addr)).await;
                 }
             }
@@ -283,10 +298,16 @@
 }
 
 /// Replaces the list of endpoints by a complete one.
-fn replace_endpoints(node: &Node, records: &[Entry]) {
+fn replace_endpoints(node: &Node, records: &[Entry], update: Update) {
     let decode = |r: &Entry| hemlock_platform::endpoints::decode(&r.key, r.value.as_deref()?);
-    let endpoints = records.iter().filter_map(decode).collect();
-    let changes = node.endpoints.borrow_mut().replace(node.now(), endpoints);
+    let list = records.iter().filter_map(decode).collect();
+    let now = node.now();
+    let mut endpoints = node.endpoints.borrow_mut();
+    let changes = match update {
+        Update::Restored => endpoints.restore(now, list),
+        Update::Snapshot | Update::Changes => endpoints.replace(now, list),
+    };
+    drop(endpoints);
     for (id, change) in changes {
         node.log_endpoint_change(&id, change);
     }
--- a/node/tests/test_restored_store.rs
+++ b/node/tests/test_restored_store.rs
@@ -92,3 +92,26 @@
     nodes[2].wait_until("the node is ready", |n| n.ready_status() == 200);
     assert_eq!(late_nodes(&nodes, "/v2/", Instant::now()), [0_usize; 0]);
 }
+
+#[test]
+fn draining_endpoint_gets_no_request_when_the_store_comes_back_older() {
+    let (nodes, endpoint) = spawn_nodes(&[]);
+    let node = &nodes[0];
+    let other = Endpoint::spawn(&node.store, "p2", "plain", None);
+    node.wait_until("both endpoints serve", |n| {
+        n.log_lines("event=serving").len() >= 2
+    });
+    let copy = node.store.copy();
+    endpoint.drain();
+    node.wait_until("the endpoint drains", |n| {
+        !n.log_lines("change=draining").is_empty()
+    });
+    node.store.restore(copy);
+    node.wait_until("the list is read again", |n| {
+        n.log_lines("event=read topic=Endpoints").len() >= 2
+    });
+    for i in 0..20 {
+        assert!(serves(node, &format!("/plain/{i}")));
+    }
+    assert_eq!((endpoint.runs().len(), other.runs().len()), (0, 20));
+}
