node: take a newer configuration from a peer

Cause: a VM that starts while the store lacks its last records takes the older configuration that the store has, and stays with it until the operators' change is written again, though its peers use the newer version and say so in each heartbeat. A peer that reads the topic from such a VM, or from one whose copy of the topic is the store's, gets the older one too.

A VM whose peers have had a newer version for 0.7 s, the time after which a source counts as lagging, reads it from one of them. The record of the configuration in force takes the place of an older one in what a VM passes on.

--- a/lib/src/node/cache.rs
+++ b/lib/src/node/cache.rs
@@ -102,6 +102,14 @@
         self.next = Some(batch.next);
     }
 
+    /// Puts the newest record of a key in place of an older one, which the store came back with.
+    /// Snapshots contain it; readers that are up to date don't get it.
+    pub fn keep(&mut self, entry: &Entry) {
+        if let Some(value) = &entry.value {
+            self.newest.insert(entry.key.clone(), value.clone());
+        }
+    }
+
     /// Returns the records that a reader at the position `from` does not have yet; `None` if it is
     /// up to date or nothing was read yet. A reader of an older era gets a snapshot.
     pub fn batch_after(&self, from: Option<Position>, store_down: bool) -> Option<Batch> {
--- a/lib/tests/test_node_cache.rs
+++ b/lib/tests/test_node_cache.rs
@@ -72,6 +72,16 @@
     assert_eq!(cache.batch_after(Some(later), false), None);
 }
 
+#[test]
+fn a_kept_record_replaces_the_older_one_of_a_snapshot() {
+    let mut cache = Cache::default();
+    cache.apply(&batch(vec![entry(1, Some(1))], 5, true));
+    cache.keep(&entry(1, Some(9)));
+    let snapshot = cache.batch_after(None, false).unwrap();
+    assert_eq!(snapshot.entries, [entry(1, Some(9))]);
+    assert_eq!(snapshot.next, 5.into());
+}
+
 #[test]
 fn positions_of_the_first_era_are_encoded_as_plain_offsets() {
     let first = Position { era: 0, offset: 77 };
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -29,7 +29,7 @@
 /// Maximum size in bytes of the body of a reply.
 const MAX_REPLY_BYTES: usize = 16 << 20;
 /// Time for which a peer may be ahead of this VM before the source of this VM counts as stale.
-const MAX_LAG: Duration = Duration::from_millis(700);
+pub(crate) const MAX_LAG: Duration = Duration::from_millis(700);
 
 /// One topic that this VM reads and serves to its peers.
 #[derive(Debug, Default)]
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -8,13 +8,16 @@
 
 use hemlock_lib::node::endpoints::EngineReport;
 use hemlock_lib::node::peers::{Heartbeat, Message};
+use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 
+use crate::feed::MAX_LAG;
 use crate::load_exchange;
 use crate::metrics::Counter;
 use crate::state::Node;
+use crate::store_watch;
 
 /// Topics whose offsets are reported.
 const TOPICS: [Topic; 2] = [Topic::Config, Topic::Endpoints];
@@ -133,22 +136,31 @@
     }
 }
 
-/// Logs that a peer uses a newer configuration, once for each version.
-fn note_newer_config(node: &Node, heartbeat: &Heartbeat) {
-    let newest = node.config().map_or(0, |c| c.version);
-    let newest = newest.max(node.newest_peer_config.get());
-    if heartbeat.config_version > newest {
-        node.newest_peer_config.set(heartbeat.config_version);
-        log::info!(
-            "event=config_behind version={newest} peer={} newer={}",
-            heartbeat.member.node,
-            heartbeat.config_version
-        );
+/// Reads the configuration from a peer if peers have had a newer one for longer than [`MAX_LAG`]:
+/// the store may have lost it.
+fn follow_newer_config(node: &Rc<Node>, now: Time, heartbeat: &Heartbeat) {
+    let version = node.config().map_or(0, |c| c.version);
+    if heartbeat.config_version <= version {
+        return;
+    }
+    let since = node.config_behind_since.get().unwrap_or(now);
+    node.config_behind_since.set(Some(since));
+    if now.since(since) < MAX_LAG {
+        return;
     }
+    // The next attempt waits again.
+    node.config_behind_since.set(None);
+    log::info!(
+        "event=config_behind version={version} peer={} newer={}",
+        heartbeat.member.node,
+        heartbeat.config_version
+    );
+    let address = heartbeat.member.peer_address;
+    spawn_local(store_watch::read_config_from_peer(node.clone(), address));
 }
 
 /// Handles a received datagram.
-fn handle_datagram(node: &Node, bytes: &[u8], from: SocketAddr) {
+fn handle_datagram(node: &Rc<Node>, bytes: &[u8], from: SocketAddr) {
     let now = node.now();
     let heartbeat: Heartbeat = match rmp_serde::from_slice(bytes) {
         Ok(Message::Heartbeat(heartbeat)) => *heartbeat,
@@ -179,7 +191,7 @@
             .borrow_mut()
             .record_crash(now, *crash, false);
     }
-    note_newer_config(node, &heartbeat);
+    follow_newer_config(node, now, &heartbeat);
     for (topic, position) in TOPICS.into_iter().zip(heartbeat.read_positions) {
         node.feed(topic).compare_with_peer(now, position);
     }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -9,6 +9,7 @@
 
 use hemlock_lib::node::balance::{Balancer, Candidate};
 use hemlock_lib::node::budget::{Allowance, RetryBudget};
+use hemlock_lib::node::cache::Entry;
 use hemlock_lib::node::capacity::DemandMeter;
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, EngineReport, MemberState};
@@ -69,8 +70,10 @@
     pub(crate) stop_requested: Notify,
     /// Requests whose head was read and which have not ended.
     pub(crate) open_requests: Cell<usize>,
-    /// Newest version of the configuration that a peer was found to use before this VM.
-    pub(crate) newest_peer_config: Cell<u64>,
+    /// Record of the configuration in force.
+    pub(crate) config_record: RefCell<Option<Entry>>,
+    /// Since when a peer has had a newer configuration.
+    pub(crate) config_behind_since: Cell<Option<Time>>,
     /// Highest era that the store has stated.
     pub(crate) store_era: Cell<u64>,
     /// Whether no VM can read the store.
@@ -132,7 +135,8 @@
             stopping_since: Cell::default(),
             stop_requested: Notify::new(),
             open_requests: Cell::default(),
-            newest_peer_config: Cell::default(),
+            config_record: RefCell::default(),
+            config_behind_since: Cell::default(),
             store_era: Cell::default(),
             outage: Cell::default(),
             engine_reports: RefCell::default(),
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -44,14 +44,34 @@
 
 /// Watches the operators' configuration.
 pub(crate) async fn watch_config(node: Rc<Node>) {
-    watch_topic(&node, Topic::Config, |node, records, _| {
+    watch_topic(&node, Topic::Config, |node, records, update| {
         for record in records {
             apply_config(node, &record);
         }
+        if update != Update::Changes {
+            keep_config(node);
+        }
     })
     .await;
 }
 
+/// Reads the configuration from a peer that has a newer one.
+pub(crate) async fn read_config_from_peer(node: Rc<Node>, peer: SocketAddr) {
+    let read = async {
+        let mut source = PeerSource::open(peer).await.map_err(|e| e.to_string())?;
+        source.read(Topic::Config, None).await
+    };
+    match read.await {
+        Ok(batch) => {
+            for record in &batch.entries {
+                apply_config(&node, record);
+            }
+            keep_config(&node);
+        }
+        Err(e) => log::info!("event=read_failed topic=Config from={peer} cause=\"{e}\""),
+    }
+}
+
 /// Watches the list of endpoints.
 pub(crate) async fn watch_endpoints(node: Rc<Node>) {
     watch_topic(&node, Topic::Endpoints, |node, records, update| {
@@ -294,9 +314,20 @@
         config.services.len()
     );
     *node.config.borrow_mut() = Some(Rc::new(config));
+    node.config_record.replace(Some(record.clone()));
+    node.config_behind_since.set(None);
     node.refresh_candidates();
 }
 
+/// Has peers that read the configuration from this VM get the one in force, if the store came back
+/// with an older one.
+fn keep_config(node: &Node) {
+    if let Some(record) = &*node.config_record.borrow() {
+        let feed = node.feed(Topic::Config);
+        feed.cache.borrow_mut().keep(record);
+    }
+}
+
 /// Replaces the list of endpoints by a complete one.
 fn replace_endpoints(node: &Node, records: &[Entry], update: Update) {
     let decode = |r: &Entry| hemlock_platform::endpoints::decode(&r.key, r.value.as_deref()?);
