node: fencing tokens name the store's era

Cause: the generation of the planners' group is the fencing token. A store that comes back from an older copy counts it from an earlier value, so the next lease has a lower token than engines have seen; they refuse each order with 412, the planner gives up its lease and gets the same generation again. Groups that lose a member are not formed again until the count has passed the old one.

The token is now the generation plus 2^20 for each era; tokens of the first era stay what they were, and an epoch, the token with 20 more bits, stays below 2^53 for 8,191 eras. A generation of an earlier era is not sent back to the store.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -37,6 +37,10 @@
 /// Bits of an epoch that are counted up within one term; the fencing token takes the others.
 const EPOCH_COUNTER_BITS: u32 = 20;
 
+/// Fencing tokens by which those of one era precede those of the next; more than the generations
+/// that the store may lose with its last seconds.
+const GENERATIONS_PER_ERA: u64 = 1 << 20;
+
 /// An order to an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -265,6 +269,12 @@
     pub models: Vec<ModelCount>,
 }
 
+/// Returns the fencing token of a lease. The store counts the lease's generations, but goes back to
+/// an earlier count when it comes back from an older copy, at the start of an era.
+pub fn fencing_token(era: u64, generation: u64) -> u64 {
+    era * GENERATIONS_PER_ERA + generation
+}
+
 /// Returns the name of a group. Later planners read the group's size and model from it.
 pub fn group_name(epoch: u64, group_size: usize, model: &str) -> Arc<str> {
     Arc::from(format!("g{epoch}-{group_size}-{model}"))
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -9,7 +9,7 @@
 
 use hemlock_lib::node::capacity::{self, Demand};
 use hemlock_lib::node::config::Config;
-use hemlock_lib::node::planner::{Output, Planner, PlannerInput, Summary};
+use hemlock_lib::node::planner::{self, Output, Planner, PlannerInput, Summary};
 use hemlock_lib::time::Time;
 use hemlock_platform::engines::{self, ReportOutcome};
 use tokio::task::spawn_local;
@@ -43,7 +43,9 @@
 struct Leadership {
     /// Planners by engine service.
     planners: BTreeMap<Arc<str>, Planner>,
-    /// Generation of the lease, which is the fencing token of the orders.
+    /// Era of the store that counts the generation of the lease.
+    era: u64,
+    /// Generation of the lease.
     generation: u64,
     /// Until when orders may be sent, if the lease is held.
     expires: Option<Time>,
@@ -56,6 +58,13 @@
     last_summary: Option<(Time, Summary)>,
 }
 
+impl Leadership {
+    /// Returns the fencing token of the orders.
+    fn fence(&self) -> u64 {
+        planner::fencing_token(self.era, self.generation)
+    }
+}
+
 /// Plans whenever this VM is the planner, until the process ends.
 pub(crate) async fn run(node: Rc<Node>) {
     let leadership = Rc::new(RefCell::new(Leadership::default()));
@@ -96,7 +105,7 @@
             }
         }
         if leadership.borrow().expires.is_none_or(|t| t <= node.now()) {
-            set_is_planner(&node, false, leadership.borrow().generation);
+            set_is_planner(&node, false, leadership.borrow().fence());
         }
         tokio::time::sleep(RENEW_INTERVAL).await;
     }
@@ -125,7 +134,7 @@
         leadership.without_store = continues;
         log::info!(
             "event=duty_alone stays={continues} fence={} outage={}",
-            leadership.generation,
+            leadership.fence(),
             node.is_outage()
         );
         if !continues {
@@ -138,7 +147,7 @@
     }
     leadership.expires = Some(now + lease);
     leadership.last_held = Some(now);
-    let fence = leadership.generation;
+    let fence = leadership.fence();
     drop(leadership);
     set_is_planner(node, true, fence);
     true
@@ -146,7 +155,14 @@
 
 /// Asks the store for the lease, or for its renewal, once.
 async fn request_lease(node: &Node, leadership: &RefCell<Leadership>, now: Time, lease: Duration) {
-    let generation = leadership.borrow().generation;
+    let before = leadership.borrow().fence();
+    // The store does not know a generation of an earlier era.
+    let is_current = leadership.borrow().era == node.store_era.get();
+    let generation = if is_current {
+        leadership.borrow().generation
+    } else {
+        0
+    };
     let name = node.planner_name();
     let joined = node.store.join_planners(&name, generation, lease).await;
     let term = match joined {
@@ -158,29 +174,30 @@
         }
     };
     node.lease_backoff_until.set(None);
-    if term.generation != generation {
+    let mut leadership = leadership.borrow_mut();
+    leadership.era = term.era;
+    leadership.generation = term.generation;
+    let fence = leadership.fence();
+    if fence != before {
         log::info!(
-            "event=duty_asked holds={} fence={} before={generation}",
-            term.is_held,
-            term.generation
+            "event=duty_asked holds={} fence={fence} before={before}",
+            term.is_held
         );
     }
-    let mut leadership = leadership.borrow_mut();
-    leadership.generation = term.generation;
     // The store counts the lease from the arrival of the call, which is later than `now`.
     leadership.expires = term.is_held.then(|| now + lease - LEASE_MARGIN);
     if !term.is_held {
         leadership.last_held = None;
     }
     drop(leadership);
-    set_is_planner(node, term.is_held, term.generation);
+    set_is_planner(node, term.is_held, fence);
 }
 
 /// Sets whether this VM is the planner, and announces a change.
-fn set_is_planner(node: &Node, is_planner: bool, generation: u64) {
+fn set_is_planner(node: &Node, is_planner: bool, fence: u64) {
     if node.is_planner.replace(is_planner) != is_planner {
         let change = if is_planner { "gained" } else { "lost" };
-        log::info!("event=duty change={change} fence={generation}");
+        log::info!("event=duty change={change} fence={fence}");
         node.metrics.count(Counter::LeaseChanges, change);
         node.send_now.notify_one();
     }
@@ -203,7 +220,7 @@
     if node.endpoints.borrow().is_settling(now) {
         return;
     }
-    let generation = state.generation;
+    let fence = state.fence();
     let state = &mut *state;
     let last_summary = &mut state.last_summary;
     for service in engine_services(&config) {
@@ -228,7 +245,7 @@
             list_frozen: node.is_outage(),
         };
         let planner = state.planners.entry(service.clone()).or_default();
-        planner.begin_term(generation);
+        planner.begin_term(fence);
         planner.step(now, &input, &mut outputs);
         log_summary(now, &service, planner, last_summary);
         for output in outputs {
