node: write the member's record again after the store lost it

Cause: a VM writes its record to the list of members once, when it starts. A store that comes back from a copy taken before that no longer lists it, so VMs that start later do not know it, nor it them, until one of them reads the list again, 60 s later. An older record of a VM that the copy brings back also replaced what its heartbeats had said of it.

A new era of the store wakes the task that writes the record; VMs spread this over a second. A record of the list does not replace a peer that is heard.

--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -158,10 +158,11 @@
 }
 
 impl Peers {
-    /// Adds or replaces a record of the member list.
+    /// Adds or replaces a record of the member list. A peer that sends heartbeats is known better
+    /// from these, since the list may be older.
     pub fn add_member(&mut self, now: Time, member: Member) {
         let old = self.peers.get(&member.node);
-        if old.is_some_and(|p| p.member.run == member.run && p.member == member) {
+        if old.is_some_and(|p| p.member == member || p.last_heard.is_some() && p.is_live(now)) {
             return;
         }
         let peer = Peer {
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -188,6 +188,25 @@
     assert_eq!(peers.live_vm_count(at(1_400)), 2);
 }
 
+#[test]
+fn an_older_member_record_does_not_replace_a_peer_that_is_heard() {
+    let mut peers = Peers::default();
+    let restarted = Heartbeat {
+        member: Member {
+            run: 2,
+            ..member("a")
+        },
+        ..heartbeat("a", 1)
+    };
+    peers.record_heartbeat(at(0), restarted);
+    peers.add_member(at(100), member("a"));
+    assert_eq!(peers.ready(at(100)).map(|m| m.run).collect::<Vec<_>>(), [2]);
+    // Once the peer is silent, a record may announce its next run.
+    peers.add_member(at(5_000), member("a"));
+    assert!(peers.heartbeats(at(5_000)).next().is_none());
+    assert_eq!(peers.live_vm_count(at(5_000)), 2);
+}
+
 #[test]
 fn only_the_first_ready_vm_asks_to_plan() {
     let mut peers = Peers::default();
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -90,6 +90,8 @@
     pub(crate) has_traffic: Cell<bool>,
     /// Wakes the planner after a change of the endpoints.
     pub(crate) endpoints_changed: Notify,
+    /// Wakes the task that keeps this VM listed as a member, when the store may have lost its record.
+    pub(crate) members_outdated: Notify,
     /// Wakes the reads of topics when a peer reaches a store that was lost.
     pub(crate) store_found: Notify,
     /// Wakes the sender of datagrams when a change can't wait for the next interval.
@@ -144,6 +146,7 @@
             is_planner: Cell::default(),
             has_traffic: Cell::default(),
             endpoints_changed: Notify::new(),
+            members_outdated: Notify::new(),
             store_found: Notify::new(),
             send_now: Notify::new(),
             candidates_version: Cell::default(),
@@ -203,6 +206,7 @@
         }
         self.store_era.set(era);
         log::warn!("event=store_era topic={topic:?} era={era} before={before}");
+        self.members_outdated.notify_one();
     }
 
     /// Returns whether no VM can read the store.
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -24,6 +24,9 @@
 const AVOID_TIME: Duration = Duration::from_secs(3);
 /// Interval between two reads of the members; datagrams announce new members at once.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(60);
+/// Time over which the VMs spread the writes of their records to a store that came back from an
+/// older copy.
+const MEMBER_REWRITE_TIME: Duration = Duration::from_secs(1);
 /// Wait before the first retry; it doubles with each further one.
 const MIN_BACKOFF: Duration = Duration::from_millis(60);
 /// Longest wait before a retry.
@@ -89,11 +92,16 @@
 ///
 /// Of two VMs that start at the same time, the one that writes last reads the other's record and
 /// announces itself to it by datagram. So one read after the write is enough; later ones make up
-/// for lost records.
+/// for lost records. A store that came back from an older copy may lack this VM's record.
 pub(crate) async fn watch_members(node: Rc<Node>) {
     write_member(&node).await;
+    let mut written_era = node.store.era();
     let mut wait = MIN_BACKOFF;
     loop {
+        if written_era < node.store_era.get() {
+            write_member(&node).await;
+            written_era = node.store.era();
+        }
         node.metrics
             .count(Counter::StoreReads, Topic::Members.label());
         match node.store.read_snapshot(Topic::Members).await {
@@ -108,7 +116,14 @@
                 wait = (wait * 2).min(MAX_BACKOFF);
             }
         }
-        tokio::time::sleep(wait).await;
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            () = node.members_outdated.notified() => {
+                // All VMs notice it at the same time.
+                let delay = MEMBER_REWRITE_TIME.mul_f64(rand::rng().random_range(0.0..1.0));
+                tokio::time::sleep(delay).await;
+            }
+        }
     }
 }
 
--- a/node/tests/test_restored_store.rs
+++ b/node/tests/test_restored_store.rs
@@ -115,3 +115,23 @@
     }
     assert_eq!((endpoint.runs().len(), other.runs().len()), (0, 20));
 }
+
+#[test]
+fn vm_whose_record_the_store_lost_is_known_to_vms_that_start_later() {
+    let (mut nodes, _endpoint) = spawn_nodes(&[]);
+    let copy = nodes[0].store.copy();
+    let second = nodes[0].spawn_peer("entry-2");
+    second.wait_until("the VMs hear from each other", |n| {
+        n.log_lines("event=peer_regained").len() == 1 && n.ready_status() == 200
+    });
+    nodes.push(second);
+    nodes[0].store.restore(copy);
+    nodes[1].wait_until("the restore is noticed", |n| {
+        !n.log_lines("event=store_era").is_empty()
+    });
+    std::thread::sleep(Duration::from_millis(1_500));
+    let third = nodes[0].spawn_peer("entry-3");
+    third.wait_until("the second VM is heard", |n| {
+        !n.log_lines("event=peer_regained node=entry-2").is_empty()
+    });
+}
