soak: bring the store back from an older copy

A run of the set All has one or two such returns, each with a copy 0.3 to 3 s old and an outage of up to 1 s; operators and endpoints write again 1.2 s later.

Seeds in seeds.txt keep their set of faults, so that they play what failed then; a line with "all" before its cause has all.

--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -1,7 +1,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use hemlock_soak::Soak;
+use hemlock_soak::{FaultSet, Soak};
 
 /// A short run with a fixed seed; longer ones are started by hand with `hemlock-soak`.
 #[test]
@@ -13,6 +13,7 @@
         callers: 4,
         fault_period: Duration::from_secs(6),
         seed: 1,
+        fault_set: FaultSet::All,
         dir: dir.path().to_owned(),
     };
     let outcome = soak.run().expect("the soak run starts");
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -165,7 +165,8 @@
         self.publish_config();
     }
 
-    fn publish_config(&self) {
+    /// Writes the newest version of the configuration to the store.
+    pub fn publish_config(&self) {
         let mut config = fixtures::config(self.version);
         if let Some(routes) = config["routes"].as_array_mut() {
             routes.extend(
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hemlock_platform_standin::{endpoint, store};
-use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::proxy::Link;
 
@@ -22,6 +22,8 @@
     Pause(usize),
     /// The store misbehaves towards all its clients.
     Store(store::Mode),
+    /// The store refuses all calls, and then comes back from a copy that was taken this long before.
+    Restore(Duration),
     /// The link between an entry VM and the store is disturbed.
     StoreLink(usize, Link),
     /// The links to an endpoint are disturbed.
@@ -44,7 +46,10 @@
 
     /// Returns whether this disturbs the store, or an entry VM's link to it.
     pub fn disturbs_store(&self) -> bool {
-        matches!(self, Self::Store(_) | Self::StoreLink(..))
+        matches!(
+            self,
+            Self::Store(_) | Self::StoreLink(..) | Self::Restore(_)
+        )
     }
 
     /// Returns whether this stops or suspends an entry VM's process.
@@ -61,17 +66,31 @@
     pub fault: Fault,
 }
 
+/// Kinds of faults in a run. Adding kinds to a set would change the faults of its seeds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultSet {
+    /// Faults that lose nothing of what the store has acknowledged.
+    Basic,
+    /// Also stores that come back from an older copy.
+    All,
+}
+
 /// Draws the faults of a run.
 pub fn draw_schedule(
-    rng: &mut SmallRng,
+    seed: u64,
+    fault_set: FaultSet,
     fault_period: Duration,
     nodes: usize,
     endpoints: usize,
 ) -> Vec<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed);
     let mut scheduled: Vec<ScheduledFault> = Vec::new();
+    if fault_set == FaultSet::All {
+        draw_restores(seed, fault_period, &mut scheduled);
+    }
     let mut at = Duration::from_secs(1);
     while at < fault_period.mul_f64(BEGIN_SHARE) {
-        let fault = draw_fault(rng, nodes, endpoints);
+        let fault = draw_fault(&mut rng, nodes, endpoints);
         let duration = Duration::from_millis(rng.random_range(300..2_500));
         // A target has at most one fault at a time, so a fault that would overlap is skipped.
         let overlaps = |p: &&ScheduledFault| have_same_target(&p.fault, &fault) && p.until > at;
@@ -87,11 +106,28 @@
     scheduled
 }
 
+/// Draws one or two times at which the store comes back from an older copy.
+fn draw_restores(seed: u64, fault_period: Duration, scheduled: &mut Vec<ScheduledFault>) {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut at = Duration::from_secs(1);
+    for _ in 0..rng.random_range(1..=2) {
+        at += fault_period.mul_f64(rng.random_range(0.05..0.3));
+        let outage = Duration::from_millis(rng.random_range(50..1_000));
+        let age = Duration::from_millis(rng.random_range(300..3_000));
+        scheduled.push(ScheduledFault {
+            at,
+            until: at + outage,
+            fault: Fault::Restore(age),
+        });
+        at += outage;
+    }
+}
+
 fn have_same_target(a: &Fault, b: &Fault) -> bool {
-    use Fault::{Crash, Drain, Endpoint, Kill, Link, Pause, Store, StoreLink, Terminate};
+    use Fault::{Crash, Drain, Endpoint, Kill, Link, Pause, Restore, Store, StoreLink, Terminate};
     match (a, b) {
         (Terminate(a) | Kill(a) | Pause(a), Terminate(b) | Kill(b) | Pause(b)) => a == b,
-        (Store(_), Store(_)) => true,
+        (Store(_) | Restore(_), Store(_) | Restore(_)) => true,
         (StoreLink(a, _), StoreLink(b, _)) => a == b,
         (
             Link(a, _) | Endpoint(a, _) | Crash(a) | Drain(a),
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,7 +9,7 @@
 mod faults;
 mod proxy;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::io;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,13 +18,12 @@
 use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::{caller, fixtures, store};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use rustix::process::Signal;
 
 use crate::callers::Callers;
 use crate::checks::{InjectedFault, Probe, Report};
 use crate::deployment::{Deployment, GRACE_S};
+pub use crate::faults::FaultSet;
 use crate::faults::{Fault, ScheduledFault};
 use crate::proxy::Link;
 
@@ -38,6 +37,11 @@
 const OBSERVATION_TIME: Duration = Duration::from_secs(2);
 /// Interval between two probes of the configuration.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between two copies of the store, and their number.
+const COPY_INTERVAL: Duration = Duration::from_millis(100);
+const MAX_COPIES: usize = 100;
+/// Time after which operators and endpoints have written again to a store that came back older.
+const REWRITE_TIME: Duration = Duration::from_millis(1_200);
 /// Time beyond its limit that a stopping process may take.
 const STOP_TOLERANCE: Duration = Duration::from_millis(1_500);
 
@@ -54,6 +58,8 @@
     pub fault_period: Duration,
     /// Seed of the faults and requests.
     pub seed: u64,
+    /// Kinds of faults.
+    pub fault_set: FaultSet,
     /// Directory for the settings and logs of the entry VMs.
     pub dir: PathBuf,
 }
@@ -85,6 +91,12 @@
     stopping: Vec<(usize, Duration)>,
     /// Entry VMs that are suspended.
     paused: BTreeSet<usize>,
+    /// Copies of the store, the oldest first, with the times at which they were taken.
+    copies: VecDeque<(Instant, store::Content)>,
+    /// When operators and endpoints write again after the store came back older.
+    rewrite_at: Option<Instant>,
+    /// Endpoints that have disappeared.
+    crashed: BTreeSet<usize>,
     broken: Vec<String>,
 }
 
@@ -103,14 +115,17 @@
             route_times: Vec::new(),
             stopping: Vec::new(),
             paused: BTreeSet::new(),
+            copies: VecDeque::new(),
+            rewrite_at: None,
+            crashed: BTreeSet::new(),
             broken: Vec::new(),
             deployment,
         };
         let (stop, probes) = (Arc::new(AtomicBool::new(false)), Arc::default());
         let prober = run.spawn_prober(&stop, &probes);
-        let mut rng = SmallRng::seed_from_u64(self.seed);
         let scheduled = faults::draw_schedule(
-            &mut rng,
+            self.seed,
+            self.fault_set,
             self.fault_period,
             self.nodes,
             run.deployment.endpoints.len(),
@@ -234,12 +249,58 @@
                 });
             }
             self.restart_exited()?;
+            self.copy_store();
+            self.rewrite_if_due();
             thread::sleep(POLL_INTERVAL);
         }
+        if self.rewrite_at.is_some() {
+            thread::sleep(REWRITE_TIME);
+            self.rewrite_if_due();
+        }
         thread::sleep(RECOVERY_TIME);
         Ok(())
     }
 
+    /// Takes a copy of the store if the last one is older than [`COPY_INTERVAL`].
+    fn copy_store(&mut self) {
+        let is_recent = |(taken_at, _): &(Instant, _)| taken_at.elapsed() < COPY_INTERVAL;
+        if self.copies.back().is_some_and(is_recent) {
+            return;
+        }
+        if self.copies.len() >= MAX_COPIES {
+            self.copies.pop_front();
+        }
+        let copy = self.deployment.store.copy();
+        self.copies.push_back((Instant::now(), copy));
+    }
+
+    /// Brings the store back from the newest copy that is at least this old.
+    fn restore_store(&mut self, age: Duration) {
+        let is_old_enough = |(taken_at, _): &&(Instant, _)| taken_at.elapsed() >= age;
+        if let Some((_, copy)) = self.copies.iter().rev().find(is_old_enough) {
+            self.deployment.store.restore(copy.clone());
+        }
+        // Copies of a store before it came back are not taken any more.
+        self.copies.clear();
+        self.rewrite_at = Some(Instant::now() + REWRITE_TIME);
+        self.deployment.store.set_mode(store::Mode::Up);
+    }
+
+    /// Has operators and endpoints write again when the time has come.
+    fn rewrite_if_due(&mut self) {
+        if self.rewrite_at.is_none_or(|t| t > Instant::now()) {
+            return;
+        }
+        self.rewrite_at = None;
+        self.deployment.publish_config();
+        for (index, proxied) in self.deployment.endpoints.iter().enumerate() {
+            match self.crashed.contains(&index) {
+                true => proxied.endpoint.remove_entry(),
+                false => proxied.endpoint.publish_entry(),
+            }
+        }
+    }
+
     fn begin_fault(&mut self, fault: &Fault) {
         let deployment = &mut self.deployment;
         match *fault {
@@ -259,10 +320,12 @@
                 self.paused.insert(n);
             }
             Fault::Store(mode) => deployment.store.set_mode(mode),
+            Fault::Restore(_) => deployment.store.set_mode(store::Mode::Refuse(503)),
             Fault::StoreLink(n, link) => deployment.nodes[n].store_link.set_link(link),
             Fault::Link(e, link) => deployment.endpoints[e].link.set_link(link),
             Fault::Endpoint(e, mode) => deployment.endpoints[e].endpoint.set_mode(mode),
             Fault::Crash(e) => {
+                self.crashed.insert(e);
                 deployment.endpoints[e].link.set_link(Link::Reset);
                 deployment.endpoints[e].endpoint.remove_entry();
             }
@@ -291,6 +354,7 @@
                 self.paused.remove(&n);
             }
             Fault::Store(_) => deployment.store.set_mode(store::Mode::Up),
+            Fault::Restore(age) => self.restore_store(age),
             Fault::StoreLink(n, _) => deployment.nodes[n].store_link.set_link(Link::Open),
             Fault::Link(e, _) => deployment.endpoints[e].link.set_link(Link::Open),
             Fault::Endpoint(e, _) => {
@@ -299,6 +363,7 @@
                     .set_mode(hemlock_platform_standin::endpoint::Mode::Good);
             }
             Fault::Crash(e) => {
+                self.crashed.remove(&e);
                 deployment.endpoints[e].link.set_link(Link::Open);
                 deployment.endpoints[e].endpoint.restart();
             }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use hemlock_soak::Soak;
+use hemlock_soak::{FaultSet, Soak};
 
 fn command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
@@ -68,6 +68,7 @@
         nodes: number("processes"),
         callers: number("callers"),
         seconds: number("seconds"),
+        fault_set: FaultSet::All,
     };
     let mut failed = Vec::new();
     if matches.get_flag("regressions") {
@@ -113,17 +114,25 @@
     nodes: u64,
     callers: u64,
     seconds: u64,
+    fault_set: FaultSet,
 }
 
 impl Case {
-    /// Parses a line of `seeds.txt`. Returns `None` for a comment.
+    /// Parses a line of `seeds.txt`, with an optional `all` before the cause if the run has all kinds
+    /// of faults. Returns `None` for a comment.
     fn parse(line: &str) -> Option<Self> {
         let mut numbers = line.split(' ').map_while(|n| n.parse().ok());
+        let has_all = line.split(' ').nth(4) == Some("all");
         Some(Self {
             seed: numbers.next()?,
             nodes: numbers.next()?,
             callers: numbers.next()?,
             seconds: numbers.next()?,
+            fault_set: if has_all {
+                FaultSet::All
+            } else {
+                FaultSet::Basic
+            },
         })
     }
 }
@@ -139,6 +148,7 @@
         callers: case.callers as usize,
         fault_period: Duration::from_secs(case.seconds),
         seed,
+        fault_set: case.fault_set,
         dir: dir.path().to_owned(),
     };
     let outcome = soak.run()?;
