--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -11,6 +11,9 @@
 /// Share of the fault period in which faults begin; the rest is left for them to end.
 const BEGIN_SHARE: f64 = 0.6;
 
+/// Interval between changes of the configuration around a return of the store.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A fault, with the index of the entry VM or endpoint that it affects.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
@@ -106,20 +109,33 @@
     scheduled
 }
 
-/// Draws one or two times at which the store comes back from an older copy.
+/// Draws one or two times at which the store comes back from an older copy. It loses some changes of
+/// the configuration, and others follow, which may end at the same offset.
 fn draw_restores(seed: u64, fault_period: Duration, scheduled: &mut Vec<ScheduledFault>) {
     let mut rng = SmallRng::seed_from_u64(!seed);
     let mut at = Duration::from_secs(1);
     for _ in 0..rng.random_range(1..=2) {
         at += fault_period.mul_f64(rng.random_range(0.05..0.3));
         let outage = Duration::from_millis(rng.random_range(50..1_000));
-        let age = Duration::from_millis(rng.random_range(300..3_000));
+        let age = outage + Duration::from_millis(rng.random_range(600..2_500));
+        let mut add_changes = |mut at: Duration, count: u32| {
+            for _ in 0..count {
+                scheduled.push(ScheduledFault {
+                    at,
+                    until: at + CHANGE_INTERVAL,
+                    fault: Fault::Configure,
+                });
+                at += CHANGE_INTERVAL;
+            }
+        };
+        add_changes(at - CHANGE_INTERVAL * 4, 3);
+        add_changes(at + outage + CHANGE_INTERVAL, rng.random_range(1..=3));
         scheduled.push(ScheduledFault {
             at,
             until: at + outage,
             fault: Fault::Restore(age),
         });
-        at += outage;
+        at += outage + age;
     }
 }
 
