--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -587,10 +587,14 @@
                 to.id
             );
         }
-        log::debug!(
-            "event=broken request={} id={} cause=\"{error}\"",
+        let parts = &self.request.meta.shared_parts;
+        let parts: Vec<String> = parts.iter().map(|p| format!("{p:x}")).collect();
+        log::info!(
+            "event=crash request={} id={} events={} parts={} cause=\"{error}\"",
             self.request_id(),
-            to.id
+            to.id,
+            self.delivered.events,
+            parts.join(",")
         );
         match error {
             HttpError::Malformed(_) | HttpError::HeadTooLarge => {
