node/tests: fail on different requests that share a part that crashes engines

The stand-in of an engine crashes when it begins to answer a request with a given part before the last of its prompt: it ends all its connections, one of them within an event, and is back with nothing after 0.3 s. It can also send streams that have neither a length nor chunks and end with their connection.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Compiles all integration tests of this crate into one binary.
 
 mod node_process;
+mod test_crashing_part;
 mod test_pages;
 mod test_refusals;
 mod test_relay;
