node/quarantine: refuse the part of a prompt that crashes engines

Cause: the quarantine knew a request by path, account and whole body. The requests that crash engines share one part of their prompt and nothing else that sound ones lack, so each was new to it. What it knew was lost at a restart, since crashes were repeated for two seconds only. An answer without length or chunks that ended within an event was no crash to it, and one that ended before any event was passed on as complete.

Why it works: an engine that crashes breaks off everything it runs, so each crash is evidence against all parts that were running and had not begun to be answered. Sound parts are answered all the time, which clears them here and at the other VMs; the crashing one never is. The part with most crashes is refused, its crashes no longer count against what ran beside it, and every heartbeat says so. Crashes of the same moment count once, and those that one request accounts for do not count against its parts. A request is checked again before it is sent again.

Ruled out: late news alone; in the tests with one VM nothing has to be told.

--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -11,7 +11,7 @@
 use super::cache::Position;
 use super::capacity::Demand;
 use super::endpoints::EngineReport;
-use super::quarantine::Crash;
+use super::quarantine::Report;
 use crate::time::Time;
 
 /// A peer counts as lost once this many heartbeats in a row are missing and the delay has passed as
@@ -100,9 +100,9 @@
     /// Endpoints that stopped answering the sender, with the milliseconds since then.
     #[serde(rename = "silent")]
     pub silent_endpoints: Vec<(String, u32)>,
-    /// Recent crashes of endpoints during requests of the sender.
+    /// What the sender knows of requests and parts of prompts that crash endpoints.
     #[serde(rename = "breaks")]
-    pub crashes: Vec<Crash>,
+    pub crash_reports: Vec<Report>,
 }
 
 /// A datagram between entry VMs.
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hemlock_lib::node::balance;
 use hemlock_lib::node::config::{Account, Caller, Config, Route};
-use hemlock_lib::node::quarantine;
+use hemlock_lib::node::quarantine::{Suspect, Suspects};
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, RequestMeta};
 use hemlock_platform::store::Topic;
@@ -32,8 +32,8 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// `Retry-After` of a request that another VM will accept at once.
 pub(crate) const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(20);
-/// `Retry-After` of a quarantined request, which crashes endpoints.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// `Retry-After` of a request that is quarantined, or has a quarantined part.
+pub(crate) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// A request that was read in full, with what is known of it.
 #[derive(Debug)]
@@ -47,8 +47,8 @@
     pub(crate) received: Time,
     /// When the caller stops waiting or the timeout of the route ends, whichever is earlier.
     pub(crate) deadline: Time,
-    /// Fingerprint by which the request is recognised when it is sent again.
-    pub(crate) fingerprint: u64,
+    /// What the request is recognised by if it crashes endpoints.
+    pub(crate) suspects: Suspects,
 }
 
 /// What to do with a caller's connection after a request.
@@ -199,12 +199,15 @@
         .await;
     }
     let account_name = account.as_ref().map_or("", |a| &*a.name);
-    let fingerprint = quarantine::fingerprint(&head.target, account_name, &body);
-    if node
-        .quarantine
-        .borrow()
-        .is_quarantined(received, fingerprint)
-    {
+    let suspects = Suspects {
+        request: Suspect::request(&head.target, account_name, &body),
+        parts: meta
+            .shared_parts
+            .iter()
+            .map(|p| Suspect::part(*p))
+            .collect(),
+    };
+    if node.is_quarantined(received, &id, &suspects) {
         return refuse(
             node,
             conn,
@@ -224,7 +227,7 @@
         account,
         config,
         received,
-        fingerprint,
+        suspects,
     };
     relay::relay(node, conn, &request, keep_alive).await
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -48,6 +48,7 @@
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
     Orders "orders" "Orders to engines, by action.";
     Probes "probes" "Probes of engines of silent groups, by outcome.";
+    Quarantined "quarantined" "Parts of prompts whose requests are refused because they crash endpoints.";
     Refused "refused" "Requests refused before they ran, by cause.";
     Retries "repeated" "Retries, by the cause of the preceding failure.";
     RetriesDenied "repeats_denied" "Retries that the retry budget did not allow, by the cause of the preceding failure.";
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -129,10 +129,7 @@
         silent_endpoints: silent
             .map(|(id, age)| (id.to_string(), age.as_millis() as u32))
             .collect(),
-        crashes: node
-            .quarantine
-            .borrow_mut()
-            .recent_crashes(now, CRASH_REPEAT_TIME),
+        crash_reports: node.quarantine.borrow_mut().reports(now, CRASH_REPEAT_TIME),
     }
 }
 
@@ -186,10 +183,8 @@
     if heartbeat.member.node == node.identity.node {
         return;
     }
-    for crash in &heartbeat.crashes {
-        node.quarantine
-            .borrow_mut()
-            .record_crash(now, *crash, false);
+    for report in &heartbeat.crash_reports {
+        node.quarantine.borrow_mut().record_report(now, *report);
     }
     follow_newer_config(node, now, &heartbeat);
     for (topic, position) in TOPICS.into_iter().zip(heartbeat.read_positions) {
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -17,6 +17,7 @@
 use hemlock_lib::node::capacity::RequestSize;
 use hemlock_lib::node::config::{Engine, RequestKind};
 use hemlock_lib::node::forecast::Estimate;
+use hemlock_lib::node::quarantine::EndpointRun;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, ForwardMeta};
 use hemlock_wire::http1::{self, Conn, Framing, HttpError, ResponseHead};
@@ -53,6 +54,9 @@
 const RETRY_DEADLINE_SHARE: f64 = 0.9;
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: u32 = 2;
+/// Events after which an endpoint has begun to answer. The first one may be written just before it
+/// crashes.
+const MIN_BEGUN_EVENTS: u32 = 2;
 /// Minimum time before the deadline at which sending a request is of use.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -81,6 +85,8 @@
     last_event: Option<u64>,
     /// Number of events forwarded.
     events: u32,
+    /// Number of events that the current endpoint has sent.
+    of_endpoint: u32,
     /// Time from the arrival of the request to its first event.
     first_event_after: Option<Duration>,
     last_event_at: Option<Time>,
@@ -196,6 +202,12 @@
                 Choice::Full(after) => return self.give_up(conn, "full", after).await,
                 Choice::Unavailable(after) => return self.give_up(conn, "nobody", after).await,
             };
+            let suspects = &self.request.suspects;
+            if !self.tried.is_empty() && self.node.is_quarantined(now, self.request_id(), suspects)
+            {
+                let after = front::QUARANTINE_RETRY_AFTER;
+                return self.give_up(conn, "breaks_endpoints", after).await;
+            }
             if !self.tried.is_empty() && !self.try_retry(now, &service, cause) {
                 let after = front::jittered_retry_after(self.request.deadline.since(now));
                 return self.give_up(conn, "budget", after).await;
@@ -301,6 +313,7 @@
             .borrow_mut()
             .record_send(now, &to.id, prompt);
         let mut stream_started = false;
+        self.delivered.of_endpoint = 0;
         let outcome = self
             .exchange(caller, &mut conn, to, prompt, &mut stream_started)
             .await;
@@ -571,15 +584,26 @@
         Some("silent")
     }
 
-    /// Records in the quarantine that a connection broke while its endpoint had the request.
+    /// Records that a connection broke while its endpoint had the request.
     fn connection_broken(&self, to: &Candidate, error: &HttpError) -> SendOutcome {
-        let now = self.node.now();
-        let endpoint_run = endpoint_run_hash(&to.id, to.incarnation.0);
+        self.record_crash(to, error);
+        match error {
+            HttpError::Malformed(_) | HttpError::HeadTooLarge => {
+                SendOutcome::MayHaveRun("malformed")
+            }
+            HttpError::Closed | HttpError::Broken(_) => SendOutcome::MayHaveRun("broken"),
+        }
+    }
+
+    /// Records in the quarantine that an endpoint has broken off its answer, and tells the peers.
+    fn record_crash(&self, to: &Candidate, cause: &dyn std::fmt::Display) {
         let count = self.node.quarantine.borrow_mut().record_crash(
-            now,
-            (self.request.fingerprint, endpoint_run),
-            true,
+            self.node.now(),
+            &self.request.suspects,
+            EndpointRun::new(&to.id, to.incarnation.0),
+            self.delivered.of_endpoint >= MIN_BEGUN_EVENTS,
         );
+        self.node.send_now.notify_one();
         if count > 1 {
             log::warn!(
                 "event=breaks request={} id={} endpoints={count}",
@@ -590,18 +614,12 @@
         let parts = &self.request.meta.shared_parts;
         let parts: Vec<String> = parts.iter().map(|p| format!("{p:x}")).collect();
         log::info!(
-            "event=crash request={} id={} events={} parts={} cause=\"{error}\"",
+            "event=crash request={} id={} events={} parts={} cause=\"{cause}\"",
             self.request_id(),
             to.id,
             self.delivered.events,
             parts.join(",")
         );
-        match error {
-            HttpError::Malformed(_) | HttpError::HeadTooLarge => {
-                SendOutcome::MayHaveRun("malformed")
-            }
-            HttpError::Closed | HttpError::Broken(_) => SendOutcome::MayHaveRun("broken"),
-        }
     }
 
     /// Reads a complete response that is no stream, and forwards it.
@@ -686,11 +704,6 @@
     }
 }
 
-/// Returns a hash that identifies one run of an endpoint.
-fn endpoint_run_hash(id: &str, started_ms: u64) -> u64 {
-    hemlock_lib::rendezvous::score(id.as_bytes(), &started_ms.to_le_bytes())
-}
-
 /// Waits until the caller sends something or disconnects; returns whether it disconnected.
 ///
 /// Never returns once more than [`MAX_PIPELINED_BYTES`] are buffered.
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -72,7 +72,7 @@
             .record(Latency::Whole, "answered", self.elapsed());
         if status < 300 {
             let mut quarantine = self.node.quarantine.borrow_mut();
-            quarantine.record_success(self.node.now(), self.request.fingerprint);
+            quarantine.record_success(self.node.now(), &self.request.suspects);
         }
         next
     }
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -6,9 +6,9 @@
 use hemlock_lib::node::events::{self, EventPosition, EventSplitter};
 use hemlock_lib::time::Time;
 use hemlock_platform::requests;
-use hemlock_wire::http1::{self, Conn, ResponseHead};
+use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
 
-use super::{Relay, SendOutcome, SilenceTimer, caller_disconnected};
+use super::{Delivered, Relay, SendOutcome, SilenceTimer, caller_disconnected};
 use crate::front::ConnectionAction;
 use crate::metrics::Latency;
 
@@ -26,6 +26,7 @@
     ) -> SendOutcome {
         let mut splitter = EventSplitter::default();
         let mut silence = SilenceTimer::new(self.node.now());
+        let framing = head.body_framing;
         loop {
             let now = self.node.now();
             let time_left = self.request.deadline.since(now);
@@ -67,15 +68,25 @@
                         Err(outcome) => return outcome,
                     }
                 }
-                Ok(None) if splitter.partial().is_empty() => {
-                    return self.finish_stream(caller, head).await;
+                Ok(None) if !splitter.partial().is_empty() || self.is_empty_answer(framing) => {
+                    self.record_crash(to, &"the stream ended too early");
+                    return SendOutcome::MayHaveRun("cut_event");
                 }
-                Ok(None) => return SendOutcome::MayHaveRun("cut_event"),
+                Ok(None) => return self.finish_stream(caller, head).await,
                 Err(e) => return self.connection_broken(to, &e),
             }
         }
     }
 
+    /// Returns whether a stream that has ended lacks its answer: one without a length ends with its
+    /// connection, also when its endpoint crashes before the first event.
+    fn is_empty_answer(&self, framing: Framing) -> bool {
+        let Delivered {
+            last_event, events, ..
+        } = self.delivered;
+        framing == Framing::UntilClose && last_event.is_none() && events == 0
+    }
+
     /// Records that the endpoint sent bytes of the stream, and the latency of the first ones.
     fn note_progress(&mut self, now: Time, to: &Candidate, prompt: u32, stream_started: &mut bool) {
         let mut balancer = self.node.balancer.borrow_mut();
@@ -139,6 +150,13 @@
             self.delivered.head = true;
             self.delivered.last_event = last_event;
             self.delivered.events += events;
+            self.delivered.of_endpoint += events;
+            let has_begun = |count: u32| count >= super::MIN_BEGUN_EVENTS;
+            let of_endpoint = self.delivered.of_endpoint;
+            if has_begun(of_endpoint) && !has_begun(of_endpoint - events) {
+                let mut quarantine = self.node.quarantine.borrow_mut();
+                quarantine.record_begun(now, &self.request.suspects);
+            }
             if let Some(before) = self.delivered.last_event_at.replace(now) {
                 let pause = now.since(before);
                 self.node
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -16,7 +16,7 @@
 use hemlock_lib::node::load_totals::LoadTotals;
 use hemlock_lib::node::peers::{EndpointLoad, Member, Peers};
 use hemlock_lib::node::planner::parse_group_name;
-use hemlock_lib::node::quarantine::Quarantine;
+use hemlock_lib::node::quarantine::{Quarantine, Suspects};
 use hemlock_lib::node::settings::NodeSettings;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Store, Topic};
@@ -281,6 +281,15 @@
         }
     }
 
+    /// Returns whether a request is to be refused because it crashes endpoints, and logs why.
+    pub(crate) fn is_quarantined(&self, now: Time, request_id: &str, suspects: &Suspects) -> bool {
+        let suspect = self.quarantine.borrow_mut().check(now, suspects);
+        if let Some(suspect) = suspect {
+            log::info!("event=quarantined request={request_id} suspect={suspect}");
+        }
+        suspect.is_some()
+    }
+
     /// Removes what has expired: endpoints, peers and idle connections.
     pub(crate) fn tick(&self) {
         let now = self.now();
@@ -291,6 +300,10 @@
         for name in self.peers.borrow_mut().newly_lost(now) {
             log::info!("event=peer_lost node={name}");
         }
+        for part in self.quarantine.borrow_mut().newly_refused() {
+            log::warn!("event=quarantine suspect={part}");
+            self.metrics.count(Counter::Quarantined, "part");
+        }
         self.check_outage();
         self.refresh_candidates();
         self.pool.expire(now);
