soak: requests that share a part that crashes engines

One seed in three of the set All has callers that send such requests for most of the run, no two alike, to all VMs in turn; other streams share the first part. Checked: at most three reach engines later than 3 s after the fifth crash.

--- a/node/tests/test_crashing_part.rs
+++ b/node/tests/test_crashing_part.rs
@@ -37,8 +37,8 @@
     node.send("POST", "/stream/a", &id, &headers, &body)
 }
 
-fn crashes(engines: &[Endpoint]) -> u64 {
-    engines.iter().map(Endpoint::crashes).sum()
+fn crashes(engines: &[Endpoint]) -> usize {
+    engines.iter().map(|e| e.crashes().len()).sum()
 }
 
 /// Returns how often requests with the crashing part reached engines.
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -18,6 +18,35 @@
 /// Share of the requests that are sent over an open connection, if there is one.
 const REUSE_SHARE: f64 = 0.8;
 
+/// Part of a prompt that crashes engines while requests with it are sent.
+pub const CRASHING_PART: &str = "bad0";
+/// Part of a prompt that all streams share, and one that those without the crashing part share.
+const SHARED_PARTS: [&str; 2] = ["a1", "c0de"];
+/// Start of the identifiers of requests with the crashing part.
+pub const CRASHING_PREFIX: &str = "crash-";
+/// Interval between two requests with the crashing part.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Sends requests with the crashing part to the entry VMs in turn, no two of them alike, until `stop`
+/// is set.
+pub fn spawn_crashing(fronts: Vec<SocketAddr>, stop: Arc<AtomicBool>) {
+    thread::spawn(move || {
+        let parts = |number| fixtures::prompt_parts(SHARED_PARTS[0], CRASHING_PART, number);
+        for (number, front) in (0..).zip(fronts.iter().cycle()) {
+            if stop.load(Ordering::Relaxed) {
+                return;
+            }
+            let headers = fixtures::stream_headers("m", 200, 150) + &parts(number);
+            let id = format!("{CRASHING_PREFIX}{number}");
+            let body = format!("tell {number}");
+            let text = fixtures::request("POST", "/stream/a", &id, &headers, &body);
+            let front = *front;
+            thread::spawn(move || caller::send(front, &text));
+            thread::sleep(CRASHING_INTERVAL);
+        }
+    });
+}
+
 /// How often a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
@@ -163,7 +192,8 @@
                 fixtures::request("POST", "/once/a", id, "", "pay"),
             ),
             _ => {
-                let headers = fixtures::stream_headers("m", 200, 150);
+                let headers = fixtures::stream_headers("m", 200, 150)
+                    + &fixtures::prompt_parts(SHARED_PARTS[0], SHARED_PARTS[1], self.count);
                 (
                     RequestKind::Stream,
                     fixtures::request("POST", "/stream/a", id, &headers, "tell"),
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -5,7 +5,7 @@
 
 use hemlock_platform_standin::fixtures;
 
-use crate::callers::{ObservedRequest, RequestKind};
+use crate::callers::{CRASHING_PREFIX, ObservedRequest, RequestKind};
 use crate::deployment::{DRAIN_MS, EVENTS_PER_STREAM};
 use crate::faults::Fault;
 
@@ -18,6 +18,11 @@
 /// Minimum share of the requests that are served once all faults have ended.
 const MIN_SERVED_SHARE: f64 = 0.75;
 
+/// Crashes of engines by one part, after which it must be refused in time.
+const FREE_CRASHES: usize = 5;
+/// Maximum number of requests with that part that reach engines later.
+const LATE_CRASH_LIMIT: usize = 3;
+
 /// A fault that was injected, and when.
 #[derive(Debug, Clone, Copy)]
 pub struct InjectedFault {
@@ -43,6 +48,8 @@
     pub requests: Vec<ObservedRequest>,
     /// Request, endpoint and start of each execution of a request.
     pub runs: Vec<(String, String, Instant)>,
+    /// When parts of prompts crashed engines, the earliest first.
+    pub crashes: Vec<Instant>,
     pub probes: Vec<Probe>,
     pub faults: Vec<InjectedFault>,
     /// When each route was added.
@@ -73,6 +80,7 @@
         }
         violations.extend(self.check_drains());
         violations.extend(self.check_configs());
+        violations.extend(self.check_crashing_part());
         violations.extend(self.check_recovery());
         violations
     }
@@ -167,6 +175,21 @@
         violations
     }
 
+    /// Checks that few requests with a crashing part reach engines some time after the fifth crash.
+    fn check_crashing_part(&self) -> Option<String> {
+        let fifth = self.crashes.get(FREE_CRASHES - 1)?;
+        let due = *fifth + FAULT_MARGIN + TIMING_TOLERANCE;
+        let is_late = |(id, _, time): &&(String, String, Instant)| {
+            id.starts_with(CRASHING_PREFIX)
+                && *time > due
+                && !self.is_excused(*time - FAULT_MARGIN, *time, Fault::stops_node)
+        };
+        let late = self.runs.iter().filter(is_late).count();
+        (late > LATE_CRASH_LIMIT).then(|| {
+            format!("{late} requests with a crashing part ran later than 3 s after the fifth crash")
+        })
+    }
+
     /// Checks that callers are served once all faults have ended.
     fn check_recovery(&self) -> Option<String> {
         let after_recovery: Vec<&ObservedRequest> = self
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -12,6 +12,7 @@
 use hemlock_platform_standin::store::Store;
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::callers;
 use crate::proxy::Proxy;
 
 /// Number of events of each stream.
@@ -178,6 +179,22 @@
         fixtures::publish_config(&self.store, &config);
     }
 
+    /// Sets whether requests with [`callers::CRASHING_PART`] crash engines.
+    pub fn set_crashing_part(&self, crashes: bool) {
+        for proxied in &self.endpoints {
+            let part = crashes.then_some(callers::CRASHING_PART);
+            proxied.endpoint.set_crashing_part(part);
+        }
+    }
+
+    /// Returns when parts of prompts crashed engines, the earliest first.
+    pub fn crashes(&self) -> Vec<Instant> {
+        let crashes = self.endpoints.iter().flat_map(|e| e.endpoint.crashes());
+        let mut crashes: Vec<Instant> = crashes.collect();
+        crashes.sort();
+        crashes
+    }
+
     /// Returns the request, endpoint and start of each execution of a request.
     pub fn runs(&self) -> Vec<(String, String, Instant)> {
         let runs_of = |e: &ProxiedEndpoint| {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -11,6 +11,10 @@
 /// Share of the fault period in which faults begin; the rest is left for them to end.
 const BEGIN_SHARE: f64 = 0.6;
 
+/// One seed in this many has requests with a crashing part, which excuse much else.
+const CRASHING_PART_SEEDS: u64 = 3;
+/// Share of the fault period after which requests with a crashing part end.
+const CRASHING_PART_SHARE: f64 = 0.8;
 /// Interval between changes of the configuration around a return of the store.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -37,6 +41,8 @@
     Crash(usize),
     /// An endpoint announces that it drains, and restarts at the end of the fault.
     Drain(usize),
+    /// Callers send requests with a part that crashes engines when they begin to answer.
+    CrashingPart,
     /// A new version of the configuration adds a route.
     Configure,
 }
@@ -74,7 +80,7 @@
 pub enum FaultSet {
     /// Faults that lose nothing of what the store has acknowledged.
     Basic,
-    /// Also stores that come back from an older copy.
+    /// Also stores that come back from an older copy, and parts of prompts that crash engines.
     All,
 }
 
@@ -90,6 +96,13 @@
     let mut scheduled: Vec<ScheduledFault> = Vec::new();
     if fault_set == FaultSet::All {
         draw_restores(seed, fault_period, &mut scheduled);
+        if seed.is_multiple_of(CRASHING_PART_SEEDS) {
+            scheduled.push(ScheduledFault {
+                at: Duration::from_secs(1),
+                until: fault_period.mul_f64(CRASHING_PART_SHARE),
+                fault: Fault::CrashingPart,
+            });
+        }
     }
     let mut at = Duration::from_secs(1);
     while at < fault_period.mul_f64(BEGIN_SHARE) {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -95,6 +95,8 @@
     copies: VecDeque<(Instant, store::Content)>,
     /// When operators and endpoints write again after the store came back older.
     rewrite_at: Option<Instant>,
+    /// Set to end the requests with the crashing part.
+    stop_crashing: Arc<AtomicBool>,
     /// Endpoints that have disappeared.
     crashed: BTreeSet<usize>,
     broken: Vec<String>,
@@ -117,6 +119,7 @@
             paused: BTreeSet::new(),
             copies: VecDeque::new(),
             rewrite_at: None,
+            stop_crashing: Arc::default(),
             crashed: BTreeSet::new(),
             broken: Vec::new(),
             deployment,
@@ -144,6 +147,7 @@
             .clone();
         let report = Report {
             runs: run.deployment.runs(),
+            crashes: run.deployment.crashes(),
             probes,
             faults: run.injected,
             routes_added_at: run.route_times.into_iter().collect(),
@@ -330,6 +334,11 @@
                 deployment.endpoints[e].endpoint.remove_entry();
             }
             Fault::Drain(e) => deployment.endpoints[e].endpoint.drain(),
+            Fault::CrashingPart => {
+                deployment.set_crashing_part(true);
+                let fronts = deployment.nodes.iter().map(|n| n.front).collect();
+                callers::spawn_crashing(fronts, self.stop_crashing.clone());
+            }
             Fault::Configure => {
                 deployment.add_route();
                 if let Some(path) = deployment.added_routes.last() {
@@ -348,6 +357,10 @@
         let deployment = &mut self.deployment;
         match *fault {
             Fault::Terminate(_) | Fault::Configure => {}
+            Fault::CrashingPart => {
+                self.stop_crashing.store(true, Ordering::Relaxed);
+                deployment.set_crashing_part(false);
+            }
             Fault::Kill(n) => self.restart(n)?,
             Fault::Pause(n) => {
                 deployment.nodes[n].signal(Signal::CONT);
