node: stop using an endpoint that says it leaves

Nothing read the header; only the store's list counted.

An endpoint that says so drains from then on, whatever the list says, until it has restarted. Status 421 is left out, which may come from another endpoint at the address.

Evidence: endpoint_that_says_it_leaves_gets_no_request_after_the_drain_time failed before (20 requests reached it) and passes.

--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -178,6 +178,8 @@
     /// Entries that may have lapsed, with the times at which they are removed unless they are
     /// listed again.
     lapsed: BTreeMap<Arc<str>, Time>,
+    /// Endpoints that said themselves that they are about to stop, with their start times.
+    leaving: BTreeMap<Arc<str>, u64>,
     /// Entries that ended, with the times of that and their last versions.
     ended: BTreeMap<Arc<str>, (Time, EntryVersion)>,
     store: StoreAvailability,
@@ -193,6 +195,7 @@
             drain,
             listed: BTreeMap::new(),
             lapsed: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             ended: BTreeMap::new(),
             store: StoreAvailability::default(),
             restored_at: None,
@@ -216,7 +219,8 @@
     }
 
     /// Adds or replaces an entry.
-    pub fn put(&mut self, endpoint: Endpoint) -> Change {
+    pub fn put(&mut self, mut endpoint: Endpoint) -> Change {
+        endpoint.draining |= self.leaving.get(&endpoint.id) == Some(&endpoint.started_ms);
         self.lapsed.remove(&endpoint.id);
         self.ended.remove(&endpoint.id);
         let old = self.listed.get(&endpoint.id);
@@ -258,6 +262,20 @@
         change
     }
 
+    /// Records that an endpoint which started at the given time says that it is about to stop.
+    pub fn mark_leaving(&mut self, id: &Arc<str>, started_ms: u64) -> Change {
+        let Some(known) = self.listed.get_mut(id) else {
+            return Change::None;
+        };
+        if known.draining || known.started_ms != started_ms {
+            return Change::None;
+        }
+        known.draining = true;
+        self.leaving.insert(id.clone(), started_ms);
+        self.version += 1;
+        Change::Draining
+    }
+
     /// Removes entries that have ended, and returns the change of each.
     ///
     /// During an outage of the store and shortly after it, an entry may merely have lapsed, and so
@@ -298,6 +316,7 @@
 
     fn end(&mut self, now: Time, id: &Arc<str>) {
         self.version += 1;
+        self.leaving.remove(id);
         if let Some(endpoint) = self.listed.remove(id) {
             let version = endpoint.entry_version();
             self.ended.insert(id.clone(), (now, version));
--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -205,3 +205,19 @@
     endpoints.restore(at(0), vec![of(6, 60)]);
     assert_eq!(endpoints.get("e").unwrap().membership, member(60));
 }
+
+#[test]
+fn endpoint_that_says_it_leaves_drains_until_it_has_restarted() {
+    let mut endpoints = list_of(10);
+    let id = Arc::from("e1");
+    assert_eq!(endpoints.mark_leaving(&id, 2), Change::None);
+    assert_eq!(endpoints.mark_leaving(&id, 1), Change::Draining);
+    assert_eq!(endpoints.mark_leaving(&id, 1), Change::None);
+    endpoints.put(entry("e1", 5, false));
+    assert!(endpoints.get("e1").unwrap().draining);
+    endpoints.put(Endpoint {
+        started_ms: 2,
+        ..endpoint("e1")
+    });
+    assert!(!endpoints.get("e1").unwrap().draining);
+}
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -375,6 +375,10 @@
                 Err(outcome) => return (outcome, None),
             };
             let meta = requests::read_response_meta(&head);
+            // Status 421 may come from another endpoint at this address.
+            if meta.leaving && head.status != 421 {
+                self.node.note_leaving(to);
+            }
             if meta.request_id == self.request_id() {
                 break (head, meta);
             }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -227,6 +227,17 @@
         }
     }
 
+    /// Stops sending requests to an endpoint that says in an answer that it is about to stop.
+    pub(crate) fn note_leaving(&self, endpoint: &Candidate) {
+        let (started_ms, _) = endpoint.incarnation;
+        let id = &endpoint.id;
+        let change = self.endpoints.borrow_mut().mark_leaving(id, started_ms);
+        if change != Change::None {
+            self.log_endpoint_change(id, change);
+            self.refresh_candidates();
+        }
+    }
+
     /// Returns whether this VM reads the store itself.
     pub(crate) fn reads_store(&self) -> bool {
         let reads_directly = |f: &Feed| f.store_up.get() && f.direct.get();
--- a/node/tests/test_refusals.rs
+++ b/node/tests/test_refusals.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use hemlock_platform_standin::caller;
 use hemlock_platform_standin::endpoint::{Endpoint, Mode};
 use hemlock_platform_standin::store::Mode as StoreMode;
@@ -99,6 +101,29 @@
     });
 }
 
+#[test]
+fn endpoint_that_says_it_leaves_gets_no_request_after_the_drain_time() {
+    let (node, plain) = NodeProcess::with_plain_endpoints();
+    plain[0].set_leaving(true);
+    let mut count = 0;
+    while plain[0].arrivals() == 0 {
+        count += 1;
+        node.send("GET", "/plain/a", &format!("r{count}"), "", "");
+    }
+    // The drain time of the fixture's settings.
+    std::thread::sleep(Duration::from_secs(2));
+    let before = plain[0].arrivals();
+    for i in 0..20 {
+        let response = node.send("GET", "/plain/a", &format!("late{i}"), "", "");
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    assert_eq!(plain[0].arrivals(), before);
+    // The store lists it as available, and it may write its entry again.
+    plain[0].publish_entry();
+    node.send("GET", "/plain/a", "r", "", "");
+    assert_eq!(plain[0].arrivals(), before);
+}
+
 #[test]
 fn addresses_are_served_only_by_a_ready_node() {
     let node = NodeProcess::unconfigured();
