node: leave an endpoint alone for the time that it asks for

The balancer leaves such an endpoint out until the time is over or the endpoint has restarted. If all endpoints of a service want no requests, callers are refused at once and told when the first takes them again.

Evidence: endpoint_that_asks_to_be_left_alone_gets_no_request_meanwhile failed before (5 requests in 3 s reached it), and so did caller_is_told_when_endpoints_that_asked_to_be_left_alone_take_requests_again; both pass.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -130,6 +130,8 @@
     silence_duration: Duration,
     candidates: BTreeMap<Arc<str>, Candidate>,
     loads: BTreeMap<Arc<str>, Load>,
+    /// Start times of endpoints that asked for no requests, and until when.
+    held_off: BTreeMap<Arc<str>, (u64, Time)>,
     forecast: Forecast,
     choice_count: u64,
 }
@@ -142,6 +144,7 @@
             silence_duration: stall + SILENCE_MARGIN,
             candidates: BTreeMap::new(),
             loads: BTreeMap::new(),
+            held_off: BTreeMap::new(),
             forecast: Forecast::default(),
             choice_count: 0,
         }
@@ -199,16 +202,22 @@
             self.forecast
                 .record_answer_length(&Arc::from(model), request.answer_tokens);
         }
-        let is_eligible = |candidate: &&Candidate| {
+        let serves = |candidate: &&Candidate| {
             &*candidate.service == request.service
                 && (engine.is_none() || candidate.model.as_deref() == request.model)
-                && !tried.contains(&candidate.id)
         };
+        let is_eligible =
+            |candidate: &&Candidate| serves(candidate) && !tried.contains(&candidate.id);
         let is_silent = |candidate: &&Candidate| {
             self.load(&candidate.id)
                 .is_some_and(|load| load.is_silent(now, self.silence_duration))
         };
         let eligible: Vec<&Candidate> = self.candidates.values().filter(is_eligible).collect();
+        let retry_after = || {
+            let all = self.candidates.values().filter(serves);
+            let hold = all.map(|c| self.hold_time(now, c)).min();
+            hold.unwrap_or_default().max(self.retry_after(request))
+        };
         let responsive = eligible
             .iter()
             .filter(|candidate| !is_silent(candidate))
@@ -222,8 +231,9 @@
             responsive.retain(|candidate| !is_avoided(candidate));
         }
         if responsive.is_empty() {
-            return Choice::Unavailable(self.retry_after(request));
+            return Choice::Unavailable(retry_after());
         }
+        responsive.retain(|candidate| self.hold_time(now, candidate).is_zero());
         // A few random endpoints are compared rather than all, because load data is as old as the
         // last datagrams, and all entry VMs would choose the same endpoint.
         let random_key = |candidate: &Candidate| {
@@ -277,8 +287,29 @@
             Some(candidate) => {
                 Choice::Send(candidate.clone(), self.estimate(candidate, request, engine))
             }
-            None => Choice::Full(self.retry_after(request)),
+            None => Choice::Full(retry_after()),
+        }
+    }
+
+    /// Returns for how long an endpoint still wants no requests; zero if it takes them.
+    fn hold_time(&self, now: Time, candidate: &Candidate) -> Duration {
+        match self.held_off.get(&candidate.id) {
+            Some((started_ms, until)) if *started_ms == candidate.incarnation.0 => until.since(now),
+            Some(_) | None => Duration::ZERO,
+        }
+    }
+
+    /// Records that an endpoint wants no requests from this entry VM for `time`. A restart of the
+    /// endpoint ends this.
+    pub fn hold_off(&mut self, now: Time, candidate: &Candidate, time: Duration) {
+        self.held_off.retain(|_, (_, until)| *until > now);
+        let (started_ms, _) = candidate.incarnation;
+        let held = self.held_off.entry(candidate.id.clone());
+        let (known_start, until) = held.or_insert((started_ms, now));
+        if *known_start != started_ms {
+            (*known_start, *until) = (started_ms, now);
         }
+        *until = (*until).max(now + time);
     }
 
     /// Returns the expected times of a request at an endpoint.
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -316,3 +316,34 @@
     }
     assert_eq!(chosen.len(), 2);
 }
+
+#[test]
+fn endpoint_that_wants_no_requests_gets_none_until_the_time_is_over_or_it_restarts() {
+    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let plain_request = RoutingRequest {
+        service: "plain",
+        model: None,
+        ..request(0)
+    };
+    balancer.set_candidates([plain("p0"), plain("p1")]);
+    balancer.hold_off(at(0), &plain("p0"), Duration::from_secs(3));
+    for i in 0..50 {
+        let choice = balancer.choose(at(i * 59), &plain_request, None, &[]);
+        assert_eq!(sent_to(&choice), "p1");
+    }
+    balancer.hold_off(at(1_000), &plain("p1"), Duration::from_secs(10));
+    // The caller may come back when the first of them takes requests.
+    match balancer.choose(at(1_000), &plain_request, None, &[]) {
+        Choice::Full(after) => assert_eq!(after, Duration::from_secs(2)),
+        other => panic!("not refused: {other:?}"),
+    }
+    let choice = balancer.choose(at(3_000), &plain_request, None, &[]);
+    assert_eq!(sent_to(&choice), "p0");
+    let restarted = Candidate {
+        incarnation: (2, 0),
+        ..plain("p1")
+    };
+    balancer.set_candidates([restarted]);
+    let choice = balancer.choose(at(3_000), &plain_request, None, &[]);
+    assert_eq!(sent_to(&choice), "p1");
+}
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -379,6 +379,9 @@
             if meta.leaving && head.status != 421 {
                 self.node.note_leaving(to);
             }
+            if let Some(time) = meta.retry_after {
+                self.hold_off(to, time);
+            }
             if meta.request_id == self.request_id() {
                 break (head, meta);
             }
@@ -426,6 +429,19 @@
         (outcome, reuse.then_some(meta.idle_timeout))
     }
 
+    /// Sends nothing to an endpoint for the time that it asked for.
+    fn hold_off(&self, to: &Candidate, time: Duration) {
+        let now = self.node.now();
+        log::info!(
+            "event=held_off id={} request={} ms={}",
+            to.id,
+            self.request_id(),
+            time.as_millis()
+        );
+        let mut balancer = self.node.balancer.borrow_mut();
+        balancer.hold_off(now, to, time);
+    }
+
     /// Returns the priority to send to the endpoint: a retried stream precedes others of the same
     /// priority.
     fn endpoint_priority(&self) -> Option<u8> {
--- a/node/tests/test_refusals.rs
+++ b/node/tests/test_refusals.rs
@@ -124,6 +124,39 @@
     assert_eq!(plain[0].arrivals(), before);
 }
 
+#[test]
+fn endpoint_that_asks_to_be_left_alone_gets_no_request_meanwhile() {
+    let (node, plain) = NodeProcess::with_plain_endpoints();
+    plain[0].set_mode(Mode::FullFor(4));
+    let mut count = 0;
+    while plain[0].arrivals() == 0 {
+        count += 1;
+        node.send("GET", "/plain/a", &format!("r{count}"), "", "");
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let before = plain[0].arrivals();
+    for i in 0..30 {
+        let response = node.send("GET", "/plain/a", &format!("late{i}"), "", "");
+        assert_eq!(response.status, 200, "{response:?}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let reached = plain[0].arrivals() - before;
+    assert!(reached <= 2, "{reached} requests reached the endpoint");
+}
+
+#[test]
+fn caller_is_told_when_endpoints_that_asked_to_be_left_alone_take_requests_again() {
+    let (node, plain) = NodeProcess::with_plain_endpoints();
+    plain.iter().for_each(|e| e.set_mode(Mode::FullFor(5)));
+    for id in ["r1", "r2"] {
+        let response = node.send("GET", "/plain/a", id, "", "");
+        assert_eq!(response.status, 503);
+        let retry_after: f64 = response.header("retry-after").unwrap().parse().unwrap();
+        assert!((4.0..6.0).contains(&retry_after), "{retry_after}");
+    }
+    assert!(plain.iter().all(|e| e.arrivals() == 1));
+}
+
 #[test]
 fn addresses_are_served_only_by_a_ready_node() {
     let node = NodeProcess::unconfigured();
