node/planner: send no join again to an engine that is back in another group

Trace: engine w0-9 leaves the damaged group g3145731 at 12.5 s and is told to join g9437185 at 13.45 s, an order without a reply. Then a join of g3145731 from 10.4 s, which had been delayed, is carried out, the list shows the engine as its member again, and resend_joins sends the join of g9437185 once more.

Such a join is not sent again while the engine is listed in a group that neither its head nor the planner has given up; it counts as a try, so that the new group is given up in the usual time.

--- a/lib/src/node/planner/groups.rs
+++ b/lib/src/node/planner/groups.rs
@@ -97,6 +97,7 @@
             for id in not_joined {
                 let lost = self.is_lost(&id) || self.input.endpoints.get(&id).is_none();
                 let idle = self.is_idle(&id);
+                let is_member_elsewhere = self.is_member_of_live_group(&id);
                 let Some(state) = self.planner.formed.get_mut(&epoch) else {
                     continue;
                 };
@@ -108,6 +109,10 @@
                     continue;
                 }
                 state.resends += 1;
+                // An earlier order may have been carried out late, after the engine had left.
+                if is_member_elsewhere {
+                    continue;
+                }
                 let action = Action::Join {
                     group: group_name(epoch, formed.members.len(), &formed.model),
                     epoch,
@@ -119,6 +124,23 @@
         }
     }
 
+    /// Returns whether an engine is listed as the member of a group that has not been given up.
+    fn is_member_of_live_group(&self, id: &str) -> bool {
+        let endpoint = self.input.endpoints.get(id);
+        let Some(membership) = endpoint.and_then(|e| e.membership.as_ref()) else {
+            return false;
+        };
+        let key = (membership.group.clone(), membership.epoch);
+        self.groups.get(&key).is_some_and(|g| !self.is_disbanded(g))
+    }
+
+    /// Returns whether the head or the planner has given a group up.
+    fn is_disbanded(&self, group: &Group) -> bool {
+        let is_broken = matches!(group.head(), Some((_, MemberState::Broken)));
+        let formed = self.planner.formed.get(&group.epoch);
+        is_broken || formed.is_some_and(|f| f.given_up && !f.opened)
+    }
+
     /// Determines the phase of each group, sends the orders that it calls for, and returns the
     /// phases.
     pub(super) fn update_groups(&mut self) -> BTreeMap<(Arc<str>, u64), GroupPhase> {
@@ -139,25 +161,21 @@
     fn phase(&mut self, group: &Group) -> GroupPhase {
         let key = (group.name.clone(), group.epoch);
         let size = self.group_size(group);
-        let formed = self.planner.formed.get(&group.epoch).cloned();
-        if let Some((_, MemberState::Broken)) = group.head() {
-            return GroupPhase::Disbanded;
-        }
-        if formed.as_ref().is_some_and(|f| f.given_up && !f.opened) {
+        if self.is_disbanded(group) {
             return GroupPhase::Disbanded;
         }
+        let formed_since = self.planner.formed.get(&group.epoch).map(|f| f.since);
         let lost = group.members.values().any(|(id, _)| self.is_lost(id));
         if lost {
             return GroupPhase::Damaged;
         }
         if !group.is_complete(size) {
-            let since = formed.as_ref().map(|f| f.since);
             let first_seen = *self.planner.unhealthy_since.entry(key).or_insert(self.now);
             let not_opened = group
                 .members
                 .values()
                 .all(|(_, s)| *s <= MemberState::Ready);
-            let since = since.unwrap_or(first_seen);
+            let since = formed_since.unwrap_or(first_seen);
             if not_opened && self.now.since(since) < LIST_DELAY * 2 {
                 return GroupPhase::Forming;
             }
