--- a/cli/src/timeline.rs
+++ b/cli/src/timeline.rs
@@ -190,7 +190,7 @@
         "config_may_be_old" => {
             "its VM did not reach the store, so that a new route or key may be unknown to it"
         }
-        "breaks_endpoints" => "the same request broke three endpoints",
+        "breaks_endpoints" => "it, or others with a part of its prompt, crashed several endpoints",
         "nobody" => "no endpoint of the model or service was in use",
         "full" => "no endpoint could have begun it in time",
         "budget" => "the budget of repeated sends was used up",
--- a/lib/src/node/cache.rs
+++ b/lib/src/node/cache.rs
@@ -15,7 +15,7 @@
 
 /// Position in a topic of the store. Positions are ordered as the store came to them.
 ///
-/// It is encoded as one number, so that positions of the first era are plain offsets.
+/// A position is encoded as one number, so that those of the first era are plain offsets.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(from = "u64", into = "u64")]
 pub struct Position {
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -100,7 +100,7 @@
     /// Endpoints that stopped answering the sender, with the milliseconds since then.
     #[serde(rename = "silent")]
     pub silent_endpoints: Vec<(String, u32)>,
-    /// What the sender knows of requests and parts of prompts that crash endpoints.
+    /// Reports about requests and parts of prompts that crash endpoints.
     #[serde(rename = "breaks")]
     pub crash_reports: Vec<Report>,
 }
--- a/lib/src/node/quarantine.rs
+++ b/lib/src/node/quarantine.rs
@@ -38,7 +38,7 @@
 /// Upper bound on the reports in one datagram.
 const MAX_REPORTS: usize = 200;
 
-/// What crashes may be put down to: a request, or a part that the prompts of requests share.
+/// A possible cause of crashes: a request, or a part that the prompts of requests share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Suspect(u64);
@@ -81,7 +81,7 @@
     pub parts: Vec<Suspect>,
 }
 
-/// What an entry VM tells the others about a suspect.
+/// An event that an entry VM reports to the others about a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "u64", into = "u64")]
 pub enum Event {
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -47,7 +47,7 @@
     pub(crate) received: Time,
     /// When the caller stops waiting or the timeout of the route ends, whichever is earlier.
     pub(crate) deadline: Time,
-    /// What the request is recognised by if it crashes endpoints.
+    /// The suspects of the request if it crashes endpoints.
     pub(crate) suspects: Suspects,
 }
 
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -37,11 +37,11 @@
 /// How records that were read relate to what was read before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Update {
-    /// They follow it.
+    /// The records follow what was read.
     Changes,
-    /// They are the whole topic.
+    /// The records are the whole topic.
     Snapshot,
-    /// They are the whole topic of a store that came back from an older copy since.
+    /// The records are the whole topic of a store that came back from an older copy since.
     Restored,
 }
 
--- a/node/tests/test_crashing_part.rs
+++ b/node/tests/test_crashing_part.rs
@@ -43,10 +43,8 @@
 
 /// Returns how often requests with the crashing part reached engines.
 fn crashing_runs(engines: &[Endpoint]) -> usize {
-    let has_part = |list: &String| list.contains(CRASHING_PART);
     let runs = engines.iter().flat_map(Endpoint::runs);
-    runs.filter(|r| r.headers.get("prompt-prefix").is_some_and(has_part))
-        .count()
+    runs.filter(|r| r.shares_part(CRASHING_PART)).count()
 }
 
 /// Sends requests with the crashing part until five engines have crashed and the stable window is
