node/store_watch: an older era of the source counts as a failed read

A store whose replies state a lower era than was seen, or none, would have been read again without a pause by a VM that has no other source. It is now handled as any failed read, with its backoff; found by reading the change.

--- a/lib/src/node/cache.rs
+++ b/lib/src/node/cache.rs
@@ -13,7 +13,7 @@
 /// Number of low bits of an encoded position that hold the offset.
 const OFFSET_BITS: u32 = 40;
 
-/// Position in a topic of the store. Positions are ordered as the store came to them.
+/// Position in a topic of the store. Positions are ordered by era, and then by offset.
 ///
 /// A position is encoded as one number, so that those of the first era are plain offsets.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -360,8 +360,9 @@
     /// Replaces the list by that of a store that came back from an older copy, and returns the
     /// change of each entry that ended or is in the new list.
     ///
-    /// An entry of the copy that is older than the known one is ignored: an endpoint that drains does not become available, and one that has gone is not listed again. Endpoints that
-    /// the copy does not have yet stay until the time by which they would be listed again.
+    /// An entry of the copy that is older than the known one is ignored: an endpoint that drains does
+    /// not become available, and one that has gone is not listed again. Endpoints that the copy does
+    /// not have yet stay until the time by which they would be listed again.
     pub fn restore(&mut self, now: Time, copy: Vec<Endpoint>) -> Vec<(Arc<str>, Change)> {
         self.store_returned(now);
         self.restored_at = Some(now);
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -19,7 +19,7 @@
 use crate::state::Node;
 use crate::store_watch;
 
-/// Topics whose offsets are reported.
+/// Topics whose positions are reported.
 const TOPICS: [Topic; 2] = [Topic::Config, Topic::Endpoints];
 /// Minimum interval between two heartbeats, unless there is something urgent.
 const MIN_INTERVAL: Duration = Duration::from_millis(200);
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -156,23 +156,18 @@
             () = feed.source_stale.notified() => Err("a peer is ahead of the source".to_owned()),
         };
         let era = position.unwrap_or_default().era;
+        let read = match read {
+            Ok(Some(batch)) if batch.next.era < era => Err(format!(
+                "the source reads an older era of the store: {} after {era}",
+                batch.next.era
+            )),
+            read => read,
+        };
         match read {
             Ok(None) => {
                 reads_all = true;
                 log::info!("event=history_lost topic={topic:?} next={from:?}");
             }
-            Ok(Some(batch)) if batch.next.era < era => {
-                reader = None;
-                log::info!(
-                    "event=read_failed topic={topic:?} from={source_addr:?} cause=\"the source \
-                     reads an older era of the store: {} after {era}\"",
-                    batch.next.era
-                );
-                avoided.push((
-                    source_addr.unwrap_or(node.identity.peer_address),
-                    now + AVOID_TIME,
-                ));
-            }
             Ok(Some(batch)) => {
                 wait = MIN_BACKOFF;
                 reads_all = false;
