node: tests of what callers get when a stopping node ends, which fail

Four tests with a real daemon: no request is accepted after the node has decided to end; none that an endpoint runs is cut off while callers go on sending; a request whose head is half read, or whose body is late, is answered.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -8,4 +8,5 @@
 mod test_restored_store;
 mod test_soak;
 mod test_stop;
+mod test_stop_end;
 mod test_streams;
