node: a stopping node takes no more work once it has decided to end

What callers saw: a request that reached a VM 5.545 s after its SIGTERM was passed on to an endpoint, and its connection closed 78 ms later without an answer (LOST). Requests whose head or body was still arriving were cut off in the same way.

Cause: from 5.5 s the node ended as soon as no request was open, but only a request whose head was read counted, and after the decision the node wrote its log for 100 ms while all that it had spawned went on accepting. Under steady load it never saw a moment without open requests, went on accepting to the limit of 7.5 s and cut off what was open then.

Now the stop has phases. The node serves for 5.5 s, as before. Then it closes its listeners, after what waits to be accepted, and idle connections without reading; requests of which a byte was read are answered, those whose rest does not arrive within 500 ms by a 503. The process ends with its last socket: every accepted connection and every listener is counted, and nothing can be accepted after that count is zero, so the log is written without any request. The time after the body was read decides whether a request ends in time, with 200 ms to send its answer; for that the process may last until 7.7 s. The caller has 1 s instead of 300 ms to read the last answer on a connection. Ready, directory, metrics and feed listeners go through the same code, which was there three times.

--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -10,18 +10,18 @@
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
 use hemlock_wire::http1::{self, Conn};
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
 
+use crate::connections::{self, HeadRead};
 use crate::state::Node;
 
 /// Time for which a peer holds a read when it has nothing new; its empty reply shows that it is
 /// alive.
 const LONG_POLL: Duration = Duration::from_millis(500);
-/// Time beyond [`LONG_POLL`] after which a read has failed. It is also the pause after a failed
-/// accept.
+/// Time beyond [`LONG_POLL`] after which a read has failed.
 const READ_GRACE: Duration = Duration::from_millis(400);
+/// Time after which a connection on which a peer reads nothing is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size in bytes of the head of a message.
@@ -75,26 +75,13 @@
     }
 }
 
-/// Accepts connections of peers and serves the topics to them, until the process ends.
-pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((io, _)) => {
-                if let Ok(conn) = Conn::new(io) {
-                    spawn_local(serve(node.clone(), conn));
-                }
-            }
-            Err(e) => {
-                log::warn!("event=accept_failed role=feed cause=\"{e}\"");
-                tokio::time::sleep(READ_GRACE).await;
-            }
-        }
-    }
-}
-
-async fn serve(node: Rc<Node>, mut conn: Conn) {
-    loop {
-        let Ok(head) = conn.read_request_head(MAX_HEAD_BYTES).await else {
+/// Serves the topics to a peer on one connection.
+pub(crate) async fn serve(node: Rc<Node>, mut conn: Conn) {
+    let mut is_new = true;
+    while connections::wait_for_request(&node, &mut conn, IDLE_TIMEOUT, is_new).await {
+        is_new = false;
+        let read = connections::read_head(&node, &mut conn, MAX_HEAD_BYTES, IDLE_TIMEOUT).await;
+        let HeadRead::Head(head) = read else {
             return;
         };
         let Some((topic, from)) = parse_target(&head.target) else {
@@ -137,15 +124,18 @@
             update.await;
         }
     };
-    match tokio::time::timeout(LONG_POLL, wait).await {
-        Ok(batch) => Some(batch),
-        Err(_) => from.map(|next| Batch {
-            entries: Vec::new(),
-            next,
-            is_snapshot: false,
-            store_down: !feed.store_up.get(),
-        }),
+    tokio::select! {
+        biased;
+        batch = wait => return Some(batch),
+        () = node.stop.closing() => {}
+        () = tokio::time::sleep(LONG_POLL) => {}
     }
+    from.map(|next| Batch {
+        entries: Vec::new(),
+        next,
+        is_snapshot: false,
+        store_down: !feed.store_up.get(),
+    })
 }
 
 /// Parses a request target of the form `/TOPIC/POSITION`; a position that is no number asks for all
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -14,22 +14,18 @@
 use hemlock_platform::store::Topic;
 use hemlock_wire::http1::{self, Conn, HttpError, RequestHead};
 use rand::Rng;
-use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 
+use crate::connections::{self, HeadRead};
 use crate::metrics::Counter;
 use crate::relay;
 use crate::state::Node;
+use crate::stop::CountGuard;
 
-/// Pause after a failed accept, which usually means a lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time that a caller is assumed to wait if its request has no deadline.
 const DEFAULT_WAIT: Duration = Duration::from_secs(30);
 /// Time for which a stopping node keeps an idle connection; in this time callers ask for addresses
 /// again.
 const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time that a caller has to read the last response before its connection is closed.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// `Retry-After` of a request that another VM will accept at once.
 pub(crate) const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(20);
 /// `Retry-After` of a request that is quarantined, or has a quarantined part.
@@ -62,74 +58,54 @@
     Abort,
 }
 
-/// Accepts connections of callers until the process ends.
-pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((io, _)) => match Conn::new(io) {
-                Ok(conn) => {
-                    spawn_local(serve(node.clone(), conn));
-                }
-                Err(e) => log::debug!("event=accept_failed cause=\"{e}\""),
-            },
-            Err(e) => {
-                log::warn!("event=accept_failed cause=\"{e}\"");
-                node.metrics.count(Counter::AcceptsFailed, "front");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Handles the requests on one connection.
-async fn serve(node: Rc<Node>, mut conn: Conn) {
-    loop {
-        if !conn.has_buffered_bytes() && !wait_for_request(&node, &mut conn).await {
-            return;
-        }
+pub(crate) async fn serve(node: Rc<Node>, mut conn: Conn) {
+    let mut is_new = true;
+    while wait_for_request(&node, &mut conn, is_new).await {
+        is_new = false;
+        let _open = CountGuard::request(&node);
         let limits = node.config().map(|c| c.limits).unwrap_or_default();
-        let read = conn.read_request_head(limits.head_bytes);
-        let head = match tokio::time::timeout(limits.head_timeout, read).await {
-            Ok(Ok(head)) => head,
-            Ok(Err(HttpError::HeadTooLarge)) => return reject(&mut conn, 431).await,
-            Ok(Err(HttpError::Malformed(cause))) => {
+        let read =
+            connections::read_head(&node, &mut conn, limits.head_bytes, limits.head_timeout).await;
+        let action = match read {
+            HeadRead::Head(head) => handle_request(&node, &mut conn, head).await,
+            HeadRead::Stopping => {
+                let after = RETRY_ELSEWHERE_AFTER;
+                refuse(&node, &mut conn, "", "stopping", after, false).await
+            }
+            HeadRead::TimedOut => respond(&mut conn, 408, "", None, false).await,
+            HeadRead::Failed(HttpError::HeadTooLarge) => {
+                respond(&mut conn, 431, "", None, false).await
+            }
+            HeadRead::Failed(HttpError::Malformed(cause)) => {
                 log::info!("event=malformed cause=\"{cause}\"");
-                return reject(&mut conn, 400).await;
+                respond(&mut conn, 400, "", None, false).await
             }
-            Ok(Err(_)) => return,
-            Err(_) => return reject(&mut conn, 408).await,
+            HeadRead::Failed(_) => ConnectionAction::Abort,
         };
-        node.open_requests.set(node.open_requests.get() + 1);
-        let action = handle_request(&node, &mut conn, head).await;
-        node.open_requests.set(node.open_requests.get() - 1);
         match action {
             ConnectionAction::KeepOpen => {}
-            ConnectionAction::Close => return linger(&mut conn).await,
+            ConnectionAction::Close => return connections::linger(&mut conn).await,
             ConnectionAction::Abort => return,
         }
     }
 }
 
-/// Waits for the first byte of a request; returns `false` if the connection should be closed
+/// Waits for the first bytes of a request; returns `false` if the connection should be closed
 /// instead.
-async fn wait_for_request(node: &Node, conn: &mut Conn) -> bool {
-    let idle_timeout = node
-        .config()
-        .map(|c| c.limits)
-        .unwrap_or_default()
-        .idle_timeout;
-    let idle_timeout = match node.stopping_since.get() {
-        Some(_) => STOPPING_IDLE_TIMEOUT.min(idle_timeout),
-        None => idle_timeout,
+async fn wait_for_request(node: &Node, conn: &mut Conn, is_new: bool) -> bool {
+    let limits = node.config().map(|c| c.limits).unwrap_or_default();
+    let idle_timeout = match node.stop.is_stopping() {
+        true => STOPPING_IDLE_TIMEOUT.min(limits.idle_timeout),
+        false => limits.idle_timeout,
     };
     let stopping = async {
-        if node.stopping_since.get().is_none() {
-            node.stop_requested.notified().await;
-        }
+        node.stop.stopping().await;
         tokio::time::sleep(STOPPING_IDLE_TIMEOUT).await;
     };
     tokio::select! {
-        read = tokio::time::timeout(idle_timeout, conn.fill()) => matches!(read, Ok(Ok(1..))),
+        biased;
+        arrived = connections::wait_for_request(node, conn, idle_timeout, is_new) => arrived,
         () = stopping => false,
     }
 }
@@ -145,25 +121,31 @@
         return ConnectionAction::Abort;
     }
     let mut framing = head.body_framing;
-    let read = conn.read_body(&mut framing, limits.body_bytes);
-    let body = match tokio::time::timeout(wait, read).await {
-        Ok(Ok(Some(body))) => body,
-        Ok(Ok(None)) => {
+    let read = tokio::select! {
+        biased;
+        body = conn.read_body(&mut framing, limits.body_bytes) => Some(body),
+        () = node.stop.rest_overdue() => None,
+        () = tokio::time::sleep(wait) => return ConnectionAction::Abort,
+    };
+    let body = match read {
+        Some(Ok(Some(body))) => body,
+        Some(Ok(None)) => {
             reject(conn, 413).await;
             return ConnectionAction::Abort;
         }
-        Ok(Err(HttpError::Malformed(cause))) => {
-            log::info!(
-                "event=malformed request={} cause=\"{cause}\"",
-                meta.request_id
-            );
+        Some(Err(HttpError::Malformed(cause))) => {
+            log::info!("event=malformed cause=\"{cause}\"");
             reject(conn, 400).await;
             return ConnectionAction::Abort;
         }
-        Ok(Err(_)) | Err(_) => return ConnectionAction::Abort,
+        Some(Err(_)) => return ConnectionAction::Abort,
+        None => {
+            let id = &meta.request_id;
+            return refuse(node, conn, id, "stopping", RETRY_ELSEWHERE_AFTER, false).await;
+        }
     };
     let id = meta.request_id.clone();
-    let keep_alive = head.keep_alive && node.stopping_since.get().is_none();
+    let keep_alive = head.keep_alive && !node.stop.is_stopping();
     let Some(config) = config else {
         return refuse(
             node,
@@ -183,10 +165,12 @@
         Caller::Anonymous => None,
         Caller::Unknown => return deny(node, conn, &id, 401, &config, wait, keep_alive).await,
     };
-    let max_duration = wait.min(route.timeout);
+    let deadline = received + wait.min(route.timeout);
+    let now = node.now();
     let may_outlast_node = node
-        .time_until_exit(received)
-        .is_some_and(|left| max_duration > left);
+        .stop
+        .time_left(now)
+        .is_some_and(|left| deadline.since(now) > left);
     if may_outlast_node && !route.request_kind.is_stream() {
         return refuse(
             node,
@@ -219,7 +203,7 @@
         .await;
     }
     let request = Request {
-        deadline: received + wait.min(route.timeout),
+        deadline,
         head,
         meta,
         body,
@@ -310,14 +294,5 @@
 /// Answers a request that can't be read, and closes the connection.
 async fn reject(conn: &mut Conn, status: u16) {
     let _ = respond(conn, status, "", None, false).await;
-    linger(conn).await;
-}
-
-/// Closes a connection in such a way that the caller can still read the last response.
-async fn linger(conn: &mut Conn) {
-    if conn.shutdown_write().await.is_err() {
-        return;
-    }
-    let drain = async { while matches!(conn.fill().await, Ok(1..)) {} };
-    let _ = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
+    connections::linger(conn).await;
 }
--- a/node/src/info_server.rs
+++ b/node/src/info_server.rs
@@ -7,8 +7,8 @@
 use hemlock_platform::directory;
 use hemlock_wire::http1::{self, Conn};
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 
+use crate::connections::{self, HeadRead};
 use crate::metrics::Gauge;
 use crate::state::Node;
 
@@ -16,8 +16,6 @@
 const MAX_REQUEST_BYTES: usize = 8 << 10;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Pause after a failed accept, which usually means a lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time in seconds for which callers may keep addresses; a new or lost VM becomes known to all
 /// within it.
 const ADDRESSES_TTL_S: f64 = 2.0;
@@ -30,35 +28,42 @@
     Metrics,
 }
 
-/// Accepts connections until the process ends.
-pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener, role: Role) {
-    loop {
-        match listener.accept().await {
-            Ok((io, _)) => {
-                if let Ok(conn) = Conn::new(io) {
-                    spawn_local(serve(node.clone(), conn, role));
-                }
-            }
-            Err(e) => {
-                log::warn!("event=accept_failed role={role:?} cause=\"{e}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
+impl Role {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Ready => "Ready",
+            Self::Directory => "Directory",
+            Self::Metrics => "Metrics",
         }
     }
 }
 
+/// Accepts connections and answers their requests until the node is closing.
+pub(crate) async fn run(node: Rc<Node>, listener: TcpListener, role: Role) {
+    let serve = |node, conn| serve(node, conn, role);
+    connections::accept(node, listener, role.label(), serve).await;
+}
+
 /// Handles the requests on one connection.
 async fn serve(node: Rc<Node>, mut conn: Conn, role: Role) {
-    loop {
-        let head =
-            tokio::time::timeout(IDLE_TIMEOUT, conn.read_request_head(MAX_REQUEST_BYTES)).await;
-        let Ok(Ok(mut head)) = head else { return };
-        if !matches!(
-            conn.read_body(&mut head.body_framing, MAX_REQUEST_BYTES)
-                .await,
-            Ok(Some(_))
-        ) {
-            return;
+    let mut is_new = true;
+    while connections::wait_for_request(&node, &mut conn, IDLE_TIMEOUT, is_new).await {
+        is_new = false;
+        let read = connections::read_head(&node, &mut conn, MAX_REQUEST_BYTES, IDLE_TIMEOUT).await;
+        let mut head = match read {
+            HeadRead::Head(head) => head,
+            HeadRead::Stopping => return connections::refuse_unread(&mut conn).await,
+            HeadRead::Failed(_) | HeadRead::TimedOut => return,
+        };
+        let body = tokio::select! {
+            biased;
+            body = conn.read_body(&mut head.body_framing, MAX_REQUEST_BYTES) => Some(body),
+            () = node.stop.rest_overdue() => None,
+        };
+        match body {
+            Some(Ok(Some(_))) => {}
+            Some(_) => return,
+            None => return connections::refuse_unread(&mut conn).await,
         }
         let (status, content_type, body) = match role {
             Role::Ready => readiness(&node, &head.target),
@@ -73,14 +78,18 @@
             "Content-Length",
             body.len().to_string().as_bytes(),
         );
-        if !head.keep_alive {
+        let keep_alive = head.keep_alive && !node.stop.is_closing();
+        if !keep_alive {
             http1::put_header(&mut out, "Connection", b"close");
         }
         out.extend_from_slice(b"\r\n");
         out.extend_from_slice(body.as_bytes());
-        if conn.write(&out).await.is_err() || !head.keep_alive {
+        if conn.write(&out).await.is_err() {
             return;
         }
+        if !keep_alive {
+            return connections::linger(&mut conn).await;
+        }
     }
 }
 
@@ -123,7 +132,7 @@
 fn metrics(node: &Node) -> String {
     let now = node.now();
     let gauges = [
-        (Gauge::OpenRequests, node.open_requests.get() as f64),
+        (Gauge::OpenRequests, node.stop.open_requests() as f64),
         (Gauge::Ready, f64::from(u8::from(node.is_ready()))),
         (Gauge::StoreUp, f64::from(u8::from(node.store_up()))),
         (Gauge::IsPlanner, f64::from(u8::from(node.is_planner.get()))),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,12 +1,13 @@
 //! The daemon of an entry VM on a hosted platform. It does the network I/O, on one thread, for the
 //! decisions that [`hemlock_lib::node`] makes.
 //!
-//! `front` accepts the requests of callers, and `relay` forwards them to endpoints over connections
+//! `front` reads the requests of callers, and `relay` forwards them to endpoints over connections
 //! of `pool`. Which endpoint is chosen depends on what `store_watch` has read from the store,
 //! directly or through another VM's `feed`, and on what `peer_datagrams` and `load_exchange` have
 //! received from the other entry VMs. `leadership` forms the groups of engines while this VM is the
 //! one that plans.
 
+mod connections;
 mod feed;
 mod front;
 mod info_server;
@@ -18,6 +19,7 @@
 mod relay;
 mod signals;
 mod state;
+mod stop;
 mod store_watch;
 
 use std::path::PathBuf;
@@ -76,19 +78,19 @@
     let front = bind(listen.front).map_err(|e| listen_error("front", &e))?;
     let ready = bind(listen.ready).map_err(|e| listen_error("ready", &e))?;
     let directory = bind(listen.directory).map_err(|e| listen_error("directory", &e))?;
-    spawn_local(info_server::accept(
+    spawn_local(info_server::run(
         node.clone(),
         ready,
         info_server::Role::Ready,
     ));
-    spawn_local(info_server::accept(
+    spawn_local(info_server::run(
         node.clone(),
         directory,
         info_server::Role::Directory,
     ));
     match bind(listen.metrics) {
         Ok(metrics) => {
-            spawn_local(info_server::accept(
+            spawn_local(info_server::run(
                 node.clone(),
                 metrics,
                 info_server::Role::Metrics,
@@ -96,9 +98,19 @@
         }
         Err(e) => log::warn!("event=metrics_unavailable cause=\"{e}\""),
     }
-    spawn_local(front::accept(node.clone(), front));
+    spawn_local(connections::accept(
+        node.clone(),
+        front,
+        "front",
+        front::serve,
+    ));
     let peer_listener = bind(listen.peer).map_err(|e| listen_error("peer", &e))?;
-    spawn_local(feed::accept(node.clone(), peer_listener));
+    spawn_local(connections::accept(
+        node.clone(),
+        peer_listener,
+        "feed",
+        feed::serve,
+    ));
     spawn_local(store_watch::watch_config(node.clone()));
     spawn_local(store_watch::watch_endpoints(node.clone()));
     spawn_local(store_watch::watch_members(node.clone()));
@@ -107,7 +119,7 @@
     spawn_local(tick(node.clone()));
     spawn_local(write_log(node.clone(), log.clone()));
     signals::run_until_stopped(&node, &path, &log).await?;
-    log::info!("event=stopped open={}", node.open_requests.get());
+    log::info!("event=stopped open={}", node.stop.open_requests());
     let dropped = log.flush_batch();
     if dropped > 0 {
         log::warn!("event=log_dropped lines={dropped}");
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -190,7 +190,7 @@
             if now + MIN_TIME_LEFT >= self.request.deadline {
                 return self.deadline_passed(conn).await;
             }
-            let must_end_soon = self.node.time_until_exit(now).is_some();
+            let must_end_soon = self.node.stop.time_left(now).is_some();
             let (to, estimate) = match self.choose_endpoint(now, &service, engine) {
                 Choice::Send(to, estimate) => (to, estimate),
                 // The request may outlast this node, but another VM accepts it at once.
@@ -261,7 +261,8 @@
             time_left: self.request.deadline.since(now),
             shutdown_limit: self
                 .node
-                .time_until_exit(now)
+                .stop
+                .time_left(now)
                 .filter(|_| self.request.route.request_kind.is_stream() && self.possible_runs == 0)
                 .map(|time_left| (self.request.meta.max_answer_tokens, time_left)),
             connected: &connected,
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -27,6 +27,7 @@
 use crate::feed::Feed;
 use crate::metrics::{Counter, Metrics};
 use crate::pool::Pool;
+use crate::stop::Stop;
 
 /// Number of topics that a VM reads continuously.
 const TOPICS: usize = 2;
@@ -64,12 +65,7 @@
     pub(crate) demand_meter: RefCell<DemandMeter>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
-    /// When the signal to stop arrived.
-    pub(crate) stopping_since: Cell<Option<Time>>,
-    /// Wakes the connections that are idle when the signal to stop arrives.
-    pub(crate) stop_requested: Notify,
-    /// Requests whose head was read and which have not ended.
-    pub(crate) open_requests: Cell<usize>,
+    pub(crate) stop: Stop,
     /// Record of the configuration in force.
     pub(crate) config_record: RefCell<Option<Entry>>,
     /// Since when a peer has had a newer configuration.
@@ -134,9 +130,7 @@
             demand_meter: RefCell::default(),
             pool: Pool::default(),
             metrics: Metrics::default(),
-            stopping_since: Cell::default(),
-            stop_requested: Notify::new(),
-            open_requests: Cell::default(),
+            stop: Stop::default(),
             config_record: RefCell::default(),
             config_behind_since: Cell::default(),
             store_era: Cell::default(),
@@ -172,9 +166,7 @@
     /// Returns whether this VM accepts callers: it has a configuration and a list of endpoints, and
     /// is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
-        self.stopping_since.get().is_none()
-            && self.config.borrow().is_some()
-            && self.endpoints_listed.get()
+        !self.stop.is_stopping() && self.config.borrow().is_some() && self.endpoints_listed.get()
     }
 
     /// Sets whether the store answers reads of a topic, and logs a change.
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -409,7 +409,7 @@
         }
     };
     let mut wait = MIN_BACKOFF;
-    while node.stopping_since.get().is_none() {
+    while !node.stop.is_stopping() {
         let key = &node.identity.node;
         match node.store.put(Topic::Members, key, Some(&value)).await {
             Ok(()) => return,
--- a/node/tests/test_stop_end.rs
+++ b/node/tests/test_stop_end.rs
@@ -108,10 +108,10 @@
 /// Opens connections one after the other until the node ends, and sends the first part of `text` on
 /// each. Later parts follow only after the end was decided. Returns what was read from each
 /// connection whose first part was sent at least 100 ms before the process refused new ones.
-fn send_in_two_parts(node: &mut NodeProcess, text: &str, split: usize) -> Vec<String> {
+fn send_in_two_parts(address: SocketAddr, text: &str, split: usize) -> Vec<String> {
     let (first, second) = text.split_at(split);
     let mut halves = Vec::new();
-    while let Ok(mut io) = TcpStream::connect(node.front) {
+    while let Ok(mut io) = TcpStream::connect(address) {
         if io.write_all(first.as_bytes()).is_err() {
             break;
         }
@@ -151,7 +151,20 @@
     node.wait_until("the node is not ready", |n| n.ready_status() == 503);
     std::thread::sleep(LATE);
     let text = short_request("r1");
-    let answers = send_in_two_parts(&mut node, &text, 40);
+    let answers = send_in_two_parts(node.front, &text, 40);
+    assert_all_answered(&answers);
+    assert!(node.wait_for_exit());
+}
+
+/// Callers ask a stopping node for addresses until its end.
+#[test]
+fn question_for_addresses_that_is_half_read_when_a_stopping_node_ends_is_answered() {
+    let (mut node, _endpoints) = NodeProcess::with_plain_endpoints();
+    node.terminate();
+    node.wait_until("the node is not ready", |n| n.ready_status() == 503);
+    std::thread::sleep(LATE);
+    let text = "GET /v1/resolve?name=a&zone=z1 HTTP/1.1\r\nHost: a\r\n\r\n";
+    let answers = send_in_two_parts(node.directory, text, 20);
     assert_all_answered(&answers);
     assert!(node.wait_for_exit());
 }
@@ -168,7 +181,7 @@
     // The caller waits longer than the node runs, and sends no more than a part of the body.
     let mut io = TcpStream::connect(node.front).unwrap();
     io.write_all(&text.as_bytes()[..text.len() - 50]).unwrap();
-    let answers = send_in_two_parts(&mut node, &text, text.len() - 50);
+    let answers = send_in_two_parts(node.front, &text, text.len() - 50);
     assert_all_answered(&answers);
     let mut bytes = Vec::new();
     let _ = io.read_to_end(&mut bytes);
