platform/standin: links of single VMs can be cut

A partition of some VMs from all endpoints could not be played: the endpoints' addresses come from one list that the VMs forward to each other, so a proxy in front of an endpoint can't tell VMs apart by address.

The proxy of the soak moves to the stand-ins, so that the node's tests share it.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -13,7 +13,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::callers;
-use crate::proxy::Proxy;
+use hemlock_platform_standin::proxy::Proxy;
 
 /// Number of events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 30;
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::proxy::Link;
+use hemlock_platform_standin::proxy::Link;
 
 /// Share of the fault period in which faults begin; the rest is left for them to end.
 const BEGIN_SHARE: f64 = 0.6;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,7 +7,6 @@
 mod checks;
 mod deployment;
 mod faults;
-mod proxy;
 
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
@@ -25,7 +24,7 @@
 use crate::deployment::{Deployment, GRACE_S};
 pub use crate::faults::FaultSet;
 use crate::faults::{Fault, ScheduledFault};
-use crate::proxy::Link;
+use hemlock_platform_standin::proxy::Link;
 
 /// Interval at which due faults and exited processes are checked for.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
