gateway: a stop answers requests that were read in part when it ends

What callers saw: a request whose body was still arriving when the graceful stop had found nothing open, or its limit was over, was cut off without an answer, as at a stopping node. The gateway went on accepting until its server was stopped.

The end was decided, and the server, which still read requests, was stopped 200 ms later without regard to what it had read meanwhile.

Now the server accepts nothing more once the end is decided; what is still being read is refused in full, for at most 11 s, and then the server is stopped. The test fails on the code before (a connection closed without an answer), and passes now.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -40,6 +40,9 @@
 const STOP_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Time left for the last bytes of the last answer to be sent before the server stops.
 const FLUSH_DELAY: Duration = Duration::from_millis(200);
+/// Time that requests which were read in part have to be refused before the server stops; longer
+/// than the time in which a body must arrive.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(11);
 /// Time that the agent has to accept the announcement that this entry VM is leaving.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -105,6 +108,13 @@
             }
             std::thread::sleep(STOP_CHECK_INTERVAL);
         }
+        self.server.pause();
+        let _ = self.events.send(Event::Stop);
+        // Without the event loop, a request whose rest arrives now is refused.
+        let since = clock::now();
+        while self.pending_responses.count() > 0 && clock::now().since(since) < REFUSAL_TIMEOUT {
+            std::thread::sleep(STOP_CHECK_INTERVAL);
+        }
         std::thread::sleep(FLUSH_DELAY);
         self.stop();
     }
--- a/gateway/tests/test_stop.rs
+++ b/gateway/tests/test_stop.rs
@@ -1,10 +1,12 @@
 //! Graceful stop of the gateway.
 
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use hemlock_testutils::engine::expected_answer;
 
-use crate::harness::{Behaviour, Endpoint, Harness};
+use crate::harness::{AUTH, Behaviour, Endpoint, Harness, chat_body, request};
 
 /// A graceful stop must not cut answers off. The gateway first serves new requests as well, for as
 /// long as callers keep its address, then refuses them, completes the open ones and stops.
@@ -38,3 +40,50 @@
     });
     assert!(std::net::TcpStream::connect(&harness.url[7..]).is_err());
 }
+
+/// Requests that the gateway had read in part when it had decided to end were cut off.
+#[test]
+fn request_that_is_half_read_when_a_stopping_gateway_ends_is_answered() {
+    let engine = Endpoint::spawn(&[Behaviour::Answer; 1]);
+    let mut harness = Harness::spawn(&[&engine], &[]);
+    let gateway = harness.gateway.take().expect("it runs");
+    let address = harness.url[7..].to_owned();
+    let body = chat_body(false, 20, "hello");
+    let text = request("POST", "/v1/chat/completions", &[AUTH], body.as_bytes());
+    let (first, second) = text.split_at(text.len() - body.len() / 2);
+    let stop = std::thread::spawn(move || {
+        gateway.stop_gracefully(Duration::ZERO, Duration::from_millis(500));
+    });
+    let mut halves = Vec::new();
+    let started = Instant::now();
+    while let Ok(mut stream) = TcpStream::connect(&address) {
+        stream.write_all(first).expect("the connection is open");
+        halves.push(stream);
+        std::thread::sleep(Duration::from_millis(20));
+        if started.elapsed() > Duration::from_millis(1_500) {
+            break;
+        }
+    }
+    std::thread::sleep(Duration::from_millis(600));
+    let mut answered = 0;
+    for mut stream in halves {
+        stream.set_nonblocking(true).expect("the mode can be set");
+        let state = stream.peek(&mut [0]).map_err(|e| e.kind());
+        stream.set_nonblocking(false).expect("the mode can be set");
+        let mut bytes = Vec::new();
+        let _ = stream.write_all(second);
+        let read = stream.read_to_end(&mut bytes).map_err(|e| e.kind());
+        // A reset of an open connection says that the gateway has not read the request.
+        if [state.err(), read.err()].contains(&Some(ErrorKind::ConnectionReset)) {
+            continue;
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(
+            text.starts_with("HTTP/1.1 503 "),
+            "read and not answered: {state:?} {text}"
+        );
+        answered += 1;
+    }
+    assert!(answered > 0);
+    stop.join().expect("the gateway stops");
+}
--- a/wire/src/server.rs
+++ b/wire/src/server.rs
@@ -10,20 +10,31 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
-    stop_requests: async_channel::Sender<bool>,
+    commands: async_channel::Sender<Command>,
     thread: JoinHandle<()>,
 }
 
+#[derive(Debug)]
+enum Command {
+    Pause,
+    Stop { graceful: bool },
+}
+
 impl Server {
     /// Returns the address that the server listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Accepts no more connections; those that are open are still served.
+    pub fn pause(&self) {
+        let _ = self.commands.send_blocking(Command::Pause);
+    }
+
     /// Stops the server and waits for its end. With `graceful`, open requests have 60 s to end
     /// first.
     pub fn stop(self, graceful: bool) {
-        let _ = self.stop_requests.send_blocking(graceful);
+        let _ = self.commands.send_blocking(Command::Stop { graceful });
         let _ = self.thread.join();
     }
 }
@@ -50,7 +61,7 @@
     routes: fn(&mut ServiceConfig),
 ) -> io::Result<Server> {
     let address = listener.local_addr()?;
-    let (stop_requests, stop_request) = async_channel::bounded(1);
+    let (commands, received_commands) = async_channel::bounded(1);
     let (start_results, start_result) = crossbeam_channel::bounded(1);
     let name = name.to_owned();
     let thread = std::thread::Builder::new()
@@ -75,7 +86,13 @@
                     Ok(server) => {
                         let server = server.run();
                         drop(start_results.send(Ok(())));
-                        let graceful = stop_request.recv().await.unwrap_or(false);
+                        let graceful = loop {
+                            match received_commands.recv().await {
+                                Ok(Command::Pause) => server.pause().await,
+                                Ok(Command::Stop { graceful }) => break graceful,
+                                Err(_) => break false,
+                            }
+                        };
                         server.stop(graceful).await;
                     }
                 }
@@ -84,7 +101,7 @@
     start_result.recv().map_err(io::Error::other)??;
     Ok(Server {
         address,
-        stop_requests,
+        commands,
         thread,
     })
 }
