node: a peer's read that is half read at the end of a node gets an answer

A node that ends closed the connection of another VM that reads the store's topics from it without a word, also with a part of the read in hand; the reader took that for a broken connection. It is refused like others now, so that the reader goes to another source at once.

--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -81,8 +81,10 @@
     while connections::wait_for_request(&node, &mut conn, IDLE_TIMEOUT, is_new).await {
         is_new = false;
         let read = connections::read_head(&node, &mut conn, MAX_HEAD_BYTES, IDLE_TIMEOUT).await;
-        let HeadRead::Head(head) = read else {
-            return;
+        let head = match read {
+            HeadRead::Head(head) => head,
+            HeadRead::Stopping => return connections::refuse_unread(&mut conn).await,
+            HeadRead::Failed(_) | HeadRead::TimedOut => return,
         };
         let Some((topic, from)) = parse_target(&head.target) else {
             return;
--- a/node/tests/test_stop_end.rs
+++ b/node/tests/test_stop_end.rs
@@ -106,7 +106,7 @@
 }
 
 /// Opens connections one after the other until the node ends, and sends the first part of `text` on
-/// each. Later parts follow only after the end was decided. Returns what was read from each
+/// each. The rest follows only after the end was decided, on every other connection. Returns what was read from each
 /// connection whose first part was sent at least 100 ms before the process refused new ones.
 fn send_in_two_parts(address: SocketAddr, text: &str, split: usize) -> Vec<String> {
     let (first, second) = text.split_at(split);
@@ -121,7 +121,7 @@
     let end = Instant::now();
     halves.retain(|(sent, _)| end - *sent > Duration::from_millis(100));
     let mut answers = Vec::new();
-    for (_, io) in &mut halves {
+    for (_, io) in halves.iter_mut().step_by(2) {
         let _ = io.write_all(second.as_bytes());
     }
     for (_, mut io) in halves {
@@ -169,6 +169,18 @@
     assert!(node.wait_for_exit());
 }
 
+/// Another VM that reads the store's topics from this one had its reads cut off.
+#[test]
+fn read_of_a_peer_that_is_half_read_when_a_stopping_node_ends_is_answered() {
+    let (mut node, _endpoints) = NodeProcess::with_plain_endpoints();
+    node.terminate();
+    node.wait_until("the node is not ready", |n| n.ready_status() == 503);
+    std::thread::sleep(LATE);
+    let answers = send_in_two_parts(node.peer, "GET /config/all HTTP/1.1\r\n\r\n", 10);
+    assert_all_answered(&answers);
+    assert!(node.wait_for_exit());
+}
+
 /// A request whose body was awaited kept the node until the last moment, and was then cut off.
 #[test]
 fn request_whose_body_is_late_when_a_stopping_node_ends_is_answered() {
