node: a listener that fails to accept ends with its node too

Found on reading the change before: while accepting failed, as for want of file descriptors, the loop did not look at whether the node is closing, and kept the process until the limit. Not reproduced by a test.

--- a/node/src/connections.rs
+++ b/node/src/connections.rs
@@ -60,6 +60,9 @@
             Err(e) => {
                 log::warn!("event=accept_failed role={role} cause=\"{e}\"");
                 node.metrics.count(Counter::AcceptsFailed, role);
+                if node.stop.is_closing() {
+                    return;
+                }
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
