soak: cuts of VMs from all endpoints, and series of SIGTERMs over all VMs

No run cut single VMs from the endpoints, so none showed that their callers were served far worse than the others. The new set of faults cuts a VM, a zone or nearly all, silently, one way, with resets or for new connections, twice or more in a run, and in two seeds of five sends SIGTERM to all VMs at four a second meanwhile. Half of its seeds have the faults of `all`, the others those of `basic`: a store that comes back from a copy excuses all VMs for seconds. The faults of seeds of `basic` and `all` are as before.

Callers note which VM they sent to, and others send to each VM at a fixed rate. From 3 s after a cut began, first tries at cut VMs must be served two thirds as often as those at the others, or at most 10 and 1 in 50 of all fail there. Left out are VMs that were killed, stopped, frozen or without the store in the last 3 s, and moments when no VM with a path is left. A cut does not excuse that a request gets no answer.

--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -3,9 +3,8 @@
 
 use hemlock_soak::{FaultSet, Soak};
 
-/// A short run with a fixed seed; longer ones are started by hand with `hemlock-soak`.
-#[test]
-fn short_soak_run_keeps_all_guarantees() {
+/// Short runs with a fixed seed; longer ones are started by hand with `hemlock-soak`.
+fn check_short_run(fault_set: FaultSet) {
     let dir = tempfile::tempdir().expect("a temporary directory is created");
     let soak = Soak {
         program: PathBuf::from(env!("CARGO_BIN_EXE_hemlock-node")),
@@ -13,10 +12,20 @@
         callers: 4,
         fault_period: Duration::from_secs(6),
         seed: 1,
-        fault_set: FaultSet::All,
+        fault_set,
         dir: dir.path().to_owned(),
     };
     let outcome = soak.run().expect("the soak run starts");
     assert!(outcome.broken.is_empty(), "{outcome:#?}");
     assert!(outcome.served > 0, "{outcome:#?}");
 }
+
+#[test]
+fn short_soak_run_keeps_all_guarantees() {
+    check_short_run(FaultSet::All);
+}
+
+#[test]
+fn short_soak_run_with_cut_vms_keeps_all_guarantees() {
+    check_short_run(FaultSet::Cuts);
+}
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -13,6 +13,8 @@
 
 /// Pause between two requests of a caller.
 const REQUEST_PAUSE: Duration = Duration::from_millis(15);
+/// Interval between two requests of a steady caller.
+const STEADY_INTERVAL: Duration = Duration::from_millis(60);
 /// Time for which a caller caches the addresses that a directory returned.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
 /// Share of the requests that are sent over an open connection, if there is one.
@@ -63,6 +65,8 @@
 pub struct ObservedRequest {
     pub id: String,
     pub kind: RequestKind,
+    /// Address of the entry VM.
+    pub front: SocketAddr,
     pub sent_at: Instant,
     pub done_at: Instant,
     pub response: Response,
@@ -111,6 +115,37 @@
         }
     }
 
+    /// Starts a caller of each entry VM that sends at a fixed rate over new connections, however long
+    /// the responses take.
+    pub fn spawn_steady(&mut self, fronts: &[SocketAddr]) {
+        for (index, front) in fronts.iter().copied().enumerate() {
+            let (stop, observed) = (self.stop.clone(), self.observed.clone());
+            self.threads.push(thread::spawn(move || {
+                let mut sent = Vec::new();
+                for number in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let observed = observed.clone();
+                    sent.push(thread::spawn(move || {
+                        let id = format!("steady{index}-{number}");
+                        let request = send_once(front, &id, number);
+                        observed
+                            .lock()
+                            .unwrap_or_else(PoisonError::into_inner)
+                            .push(request);
+                    }));
+                    thread::sleep(STEADY_INTERVAL);
+                }
+                for thread in sent {
+                    if thread.join().is_err() {
+                        eprintln!("a steady caller panicked");
+                    }
+                }
+            }));
+        }
+    }
+
     /// Stops the callers and returns their requests.
     pub fn finish(self) -> Vec<ObservedRequest> {
         self.stop.store(true, Ordering::Relaxed);
@@ -126,6 +161,21 @@
     }
 }
 
+/// Sends a request over a new connection. The number chooses its kind; no two have the same path.
+fn send_once(front: SocketAddr, id: &str, number: u64) -> ObservedRequest {
+    let (kind, text) = build_request(id, id, (number % 3) as i32, number);
+    let sent_at = Instant::now();
+    let response = caller::send(front, &text);
+    ObservedRequest {
+        id: id.to_owned(),
+        kind,
+        front,
+        sent_at,
+        done_at: Instant::now(),
+        response,
+    }
+}
+
 struct Caller {
     index: usize,
     rng: SmallRng,
@@ -151,7 +201,8 @@
         };
         self.count += 1;
         let id = format!("c{}-{}", self.index, self.count);
-        let (kind, text) = self.build_request(&id);
+        let kind = self.rng.random_range(0..3_i32);
+        let (kind, text) = build_request(&id, "a", kind, self.count);
         let sent_at = Instant::now();
         let response = caller::exchange(&mut io, &text);
         let closes = response
@@ -163,6 +214,7 @@
         Some(ObservedRequest {
             id,
             kind,
+            front: address,
             sent_at,
             done_at: Instant::now(),
             response,
@@ -180,25 +232,27 @@
         let cached = &self.addresses.1;
         (!cached.is_empty()).then(|| cached[self.rng.random_range(0..cached.len())])
     }
+}
 
-    fn build_request(&mut self, id: &str) -> (RequestKind, String) {
-        match self.rng.random_range(0..3) {
-            0 => (
-                RequestKind::Idempotent,
-                fixtures::request("GET", "/plain/a", id, "", ""),
-            ),
-            1 => (
-                RequestKind::NonIdempotent,
-                fixtures::request("POST", "/once/a", id, "", "pay"),
-            ),
-            _ => {
-                let headers = fixtures::stream_headers("m", 200, 150)
-                    + &fixtures::prompt_parts(SHARED_PARTS[0], SHARED_PARTS[1], self.count);
-                (
-                    RequestKind::Stream,
-                    fixtures::request("POST", "/stream/a", id, &headers, "tell"),
-                )
-            }
+/// Returns a request of the kind that a number chooses, with a part of its prompt that no other
+/// request with the same start of its identifier has.
+fn build_request(id: &str, page: &str, kind: i32, part: u64) -> (RequestKind, String) {
+    match kind {
+        0 => (
+            RequestKind::Idempotent,
+            fixtures::request("GET", &format!("/plain/{page}"), id, "", ""),
+        ),
+        1 => (
+            RequestKind::NonIdempotent,
+            fixtures::request("POST", &format!("/once/{page}"), id, "", "pay"),
+        ),
+        _ => {
+            let headers = fixtures::stream_headers("m", 200, 150)
+                + &fixtures::prompt_parts(SHARED_PARTS[0], SHARED_PARTS[1], part);
+            (
+                RequestKind::Stream,
+                fixtures::request("POST", &format!("/stream/{page}"), id, &headers, "tell"),
+            )
         }
     }
 }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! Checks of the guarantees, from the records of callers and endpoints.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::fixtures;
@@ -18,6 +19,13 @@
 /// Minimum share of the requests that are served once all faults have ended.
 const MIN_SERVED_SHARE: f64 = 0.75;
 
+/// Time after the start of a cut, or after a disturbance of an entry VM, from which its callers must
+/// be served.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Requests that may fail at cut entry VMs, beside one in [`FREE_FAILURE_RATIO`] of all.
+const FREE_FAILURES: usize = 10;
+const FREE_FAILURE_RATIO: usize = 50;
+
 /// Crashes of engines by one part, after which it must be refused in time.
 const FREE_CRASHES: usize = 5;
 /// Maximum number of requests with that part that reach engines later.
@@ -52,6 +60,10 @@
     pub crashes: Vec<Instant>,
     pub probes: Vec<Probe>,
     pub faults: Vec<InjectedFault>,
+    /// Addresses of the entry VMs.
+    pub fronts: Vec<SocketAddr>,
+    /// Entry VMs that were restarted, and when.
+    pub restarts: Vec<(usize, Instant)>,
     /// When each route was added.
     pub routes_added_at: BTreeMap<String, Instant>,
     /// Identifiers of the endpoints, in the order of the faults.
@@ -81,6 +93,7 @@
         violations.extend(self.check_drains());
         violations.extend(self.check_configs());
         violations.extend(self.check_crashing_part());
+        violations.extend(self.check_cuts());
         violations.extend(self.check_recovery());
         violations
     }
@@ -97,10 +110,13 @@
     }
 
     /// Checks that a request that reached an endpoint gets its response, unless there was a fault
-    /// other than maintenance.
+    /// other than maintenance. A cut from the endpoints is no reason to give no answer at all.
     fn check_response_arrived(&self, request: &ObservedRequest) -> Option<String> {
-        let is_excused = self.is_excused(request.sent_at, request.done_at, |f| !f.is_maintenance());
-        let is_lost = request.response.status == 0 || !request.response.complete;
+        let is_unanswered = request.response.status == 0;
+        let is_excused = self.is_excused(request.sent_at, request.done_at, |f| {
+            !(f.is_maintenance() || is_unanswered && matches!(f, Fault::Cut(..)))
+        });
+        let is_lost = is_unanswered || !request.response.complete;
         (is_lost && !is_excused).then(|| {
             format!(
                 "response to {} lost without a fault other than maintenance",
@@ -175,6 +191,79 @@
         violations
     }
 
+    /// Returns whether nothing but a cut from the endpoints has disturbed an entry VM or the store in
+    /// the [`STABLE_WINDOW`] before `time`.
+    fn is_in_touch(&self, node: usize, time: Instant) -> bool {
+        let is_recent =
+            |from: Instant, until: Instant| from <= time && time < until + STABLE_WINDOW;
+        let is_stopped = |injected: &InjectedFault| {
+            // A process that got SIGTERM is disturbed until the next one is up.
+            let restarts = self.restarts.iter();
+            let next = restarts.filter(|(n, at)| *n == node && *at >= injected.from);
+            let until = next.map(|(_, at)| *at).min();
+            is_recent(injected.from, until.unwrap_or(time).max(injected.until))
+        };
+        !self.faults.iter().any(|injected| match injected.fault {
+            Fault::Terminate(n) | Fault::Kill(n) => n == node && is_stopped(injected),
+            Fault::Pause(n) | Fault::StoreLink(n, _) => {
+                n == node && is_recent(injected.from, injected.until)
+            }
+            Fault::Store(_) | Fault::Restore(_) => is_recent(injected.from, injected.until),
+            _ => false,
+        })
+    }
+
+    /// Checks of each cut that callers of the entry VMs in touch are served there at least two thirds
+    /// as often as at the others, or that few requests fail there.
+    fn check_cuts(&self) -> Vec<String> {
+        let is_cut = |i: &&InjectedFault| matches!(i.fault, Fault::Cut(..));
+        let mut cuts: Vec<&InjectedFault> = self.faults.iter().filter(is_cut).collect();
+        cuts.sort_by_key(|i| i.from);
+        let same_cut = |a: &&InjectedFault, b: &&InjectedFault| b.from < a.until;
+        let checked = cuts.chunk_by(same_cut).map(|cut| self.check_cut(cut));
+        checked.flatten().collect()
+    }
+
+    /// Checks one cut, which affects one or more entry VMs at the same time.
+    fn check_cut(&self, cut: &[&InjectedFault]) -> Option<String> {
+        let from = cut.iter().map(|i| i.from).max()? + STABLE_WINDOW;
+        let until = cut.iter().map(|i| i.until).min()?;
+        let is_cut = |node| {
+            cut.iter()
+                .any(|i| matches!(i.fault, Fault::Cut(n, _) if n == node))
+        };
+        let nodes = 0..self.fronts.len();
+        // Served and all requests, at cut entry VMs and at the others.
+        let (mut at_cut, mut at_others) = ((0, 0), (0, 0));
+        for request in &self.requests {
+            let time = request.sent_at;
+            let in_touch = |node: &usize| self.is_in_touch(*node, time);
+            let node = self.fronts.iter().position(|f| *f == request.front)?;
+            let mut others = nodes.clone().filter(|n| !is_cut(*n));
+            if time < from || time >= until || !in_touch(&node) || !others.any(|n| in_touch(&n)) {
+                continue;
+            }
+            let count = if is_cut(node) {
+                &mut at_cut
+            } else {
+                &mut at_others
+            };
+            let served = request.response.status == 200 && request.response.complete;
+            count.0 += usize::from(served);
+            count.1 += 1;
+        }
+        let ((cut_served, cut_all), (served, all)) = (at_cut, at_others);
+        let as_often = cut_served * all * 3 >= served * cut_all * 2;
+        let few = cut_all - cut_served <= FREE_FAILURES + (cut_all + all) / FREE_FAILURE_RATIO;
+        let faults: Vec<_> = cut.iter().map(|i| i.fault).collect();
+        (!as_often && !few).then(|| {
+            format!(
+                "{cut_served} of {cut_all} requests served at cut entry VMs and {served} of {all} \
+                 at the others: {faults:?}"
+            )
+        })
+    }
+
     /// Checks that few requests with a crashing part reach engines some time after the fifth crash.
     fn check_crashing_part(&self) -> Option<String> {
         let fifth = self.crashes.get(FREE_CRASHES - 1)?;
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command};
 use std::time::Instant;
 
+use hemlock_platform_standin::client_processes::ClientProcesses;
 use hemlock_platform_standin::endpoint::Endpoint;
 use hemlock_platform_standin::fixtures;
 use hemlock_platform_standin::server::free_address;
@@ -13,7 +14,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::callers;
-use hemlock_platform_standin::proxy::Proxy;
+use crate::faults::zone_of;
+use hemlock_platform_standin::proxy::{Link, Proxy};
 
 /// Number of events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 30;
@@ -36,7 +38,7 @@
 
 impl Node {
     fn spawn(index: usize, program: &Path, store: &Store, dir: &Path) -> std::io::Result<Self> {
-        let name = format!("entry-{index}");
+        let name = client_name(index);
         let (front, directory) = (free_address(), free_address());
         let (ready, peer, metrics) = (free_address(), free_address(), free_address());
         let proxy = Proxy::spawn(store.address())?;
@@ -47,7 +49,7 @@
              read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: {DRAIN_MS}\n  \
              grace_s: {GRACE_S}\n  stall_ms: 5000\n  advice_s: 1\n  repeat_ratio: 0.2\n  \
              repeat_extra: 100\n  repeat_s: 10\ncores: 0.25\n",
-            index % 2 + 1,
+            zone_of(index),
             proxy.address()
         );
         std::fs::write(&settings, text)?;
@@ -71,13 +73,18 @@
         }
     }
 
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
     /// Starts a new process with the same settings.
-    pub fn restart(&mut self, program: &Path) -> std::io::Result<()> {
+    fn restart(&mut self, program: &Path) -> std::io::Result<()> {
         self.child = start_process(program, &self.settings, &self.log)?;
         Ok(())
     }
@@ -110,18 +117,23 @@
 impl ProxiedEndpoint {
     fn spawn(
         store: &Store,
+        clients: &ClientProcesses,
         id: &str,
         service: &str,
         domain: Option<&str>,
     ) -> std::io::Result<Self> {
         let endpoint = Endpoint::spawn(store, id, service, domain);
         endpoint.set_event_count(EVENTS_PER_STREAM);
-        let link = Proxy::spawn(endpoint.address())?;
+        let link = Proxy::spawn_for(endpoint.address(), clients)?;
         endpoint.publish_entry_at(link.address());
         Ok(Self { endpoint, link })
     }
 }
 
+fn client_name(index: usize) -> String {
+    format!("entry-{index}")
+}
+
 /// The store, endpoints and entry VMs of a run.
 #[derive(Debug)]
 pub struct Deployment {
@@ -130,6 +142,8 @@
     pub endpoints: Vec<ProxiedEndpoint>,
     /// Path prefixes of the routes that versions of the configuration have added, the newest last.
     pub added_routes: Vec<String>,
+    /// Processes of the entry VMs, whose links to the endpoints can be cut.
+    clients: ClientProcesses,
     version: u64,
 }
 
@@ -137,11 +151,14 @@
     /// Starts the stand-ins, and `nodes` entry VMs that run `program` and keep their settings and
     /// logs in `dir`.
     pub fn spawn(program: &Path, nodes: usize, dir: &Path) -> std::io::Result<Self> {
-        let store = Store::spawn();
-        let plain = (0..3).map(|i| ProxiedEndpoint::spawn(&store, &format!("p{i}"), "plain", None));
+        let (store, clients) = (Store::spawn(), ClientProcesses::default());
+        let spawn = |id: &str, service: &str, domain: Option<&str>| {
+            ProxiedEndpoint::spawn(&store, &clients, id, service, domain)
+        };
+        let plain = (0..3).map(|i| spawn(&format!("p{i}"), "plain", None));
         let engine = |i: usize| {
             let domain = format!("d{}", i / 5);
-            ProxiedEndpoint::spawn(&store, &format!("e{i}"), "models", Some(&domain))
+            spawn(&format!("e{i}"), "models", Some(&domain))
         };
         let endpoints = plain.chain((0..10).map(engine)).collect::<Result<_, _>>()?;
         let mut deployment = Self {
@@ -149,16 +166,31 @@
             nodes: Vec::new(),
             endpoints,
             added_routes: Vec::new(),
+            clients,
             version: 1,
         };
         deployment.publish_config();
         for index in 0..nodes {
             let node = Node::spawn(index, program, &deployment.store, dir)?;
+            deployment.clients.register(&client_name(index), node.pid());
             deployment.nodes.push(node);
         }
         Ok(deployment)
     }
 
+    /// Starts a new process of an entry VM, whose links stay as they are.
+    pub fn restart(&mut self, index: usize, program: &Path) -> std::io::Result<()> {
+        self.nodes[index].restart(program)?;
+        let pid = self.nodes[index].pid();
+        self.clients.register(&client_name(index), pid);
+        Ok(())
+    }
+
+    /// Sets the link between an entry VM and all endpoints.
+    pub fn set_endpoint_links(&self, index: usize, link: Link) {
+        self.clients.set_link(&client_name(index), link);
+    }
+
     /// Publishes a version of the configuration that adds a route.
     pub fn add_route(&mut self) {
         self.version += 1;
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -15,6 +15,12 @@
 const CRASHING_PART_SEEDS: u64 = 3;
 /// Share of the fault period after which requests with a crashing part end.
 const CRASHING_PART_SHARE: f64 = 0.8;
+/// Share of the fault period after which the last cut begins.
+const LAST_CUT_SHARE: f64 = 0.8;
+/// Share of the seeds with a series of signals that stops all entry VMs.
+const TERMINATION_SERIES_SHARE: f64 = 0.4;
+/// Interval between the signals of a series that stops all entry VMs.
+const TERMINATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between changes of the configuration around a return of the store.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -35,6 +41,8 @@
     StoreLink(usize, Link),
     /// The links to an endpoint are disturbed.
     Link(usize, Link),
+    /// The links between an entry VM and all endpoints are cut.
+    Cut(usize, Link),
     /// An endpoint misbehaves.
     Endpoint(usize, endpoint::Mode),
     /// An endpoint disappears, and restarts without its state at the end of the fault.
@@ -82,6 +90,8 @@
     Basic,
     /// Also stores that come back from an older copy, and parts of prompts that crash engines.
     All,
+    /// Also cuts of entry VMs from all endpoints, and series of SIGTERMs over all entry VMs.
+    Cuts,
 }
 
 /// Draws the faults of a run.
@@ -94,7 +104,13 @@
 ) -> Vec<ScheduledFault> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut scheduled: Vec<ScheduledFault> = Vec::new();
-    if fault_set == FaultSet::All {
+    // A store that comes back excuses all VMs for seconds, so half of the seeds with cuts have none.
+    let loses_records = match fault_set {
+        FaultSet::Basic => false,
+        FaultSet::All => true,
+        FaultSet::Cuts => seed.is_multiple_of(2),
+    };
+    if loses_records {
         draw_restores(seed, fault_period, &mut scheduled);
         if seed.is_multiple_of(CRASHING_PART_SEEDS) {
             scheduled.push(ScheduledFault {
@@ -104,6 +120,9 @@
             });
         }
     }
+    if fault_set == FaultSet::Cuts {
+        draw_cuts(seed, fault_period, nodes, &mut scheduled);
+    }
     let mut at = Duration::from_secs(1);
     while at < fault_period.mul_f64(BEGIN_SHARE) {
         let fault = draw_fault(&mut rng, nodes, endpoints);
@@ -152,6 +171,65 @@
     }
 }
 
+/// Draws cuts of one entry VM, of a zone or of nearly all, one after the other, the last one when
+/// most other faults have ended. Some seeds have a series of SIGTERMs over all entry VMs.
+fn draw_cuts(seed: u64, fault_period: Duration, nodes: usize, scheduled: &mut Vec<ScheduledFault>) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let mut at = Duration::from_millis(rng.random_range(500..2_000));
+    while at < fault_period.mul_f64(BEGIN_SHARE) {
+        let until = at + Duration::from_millis(rng.random_range(4_500..7_000));
+        scheduled.extend(draw_cut(&mut rng, at, until, nodes));
+        at = until + Duration::from_millis(rng.random_range(300..2_000));
+    }
+    at = at.max(fault_period.mul_f64(LAST_CUT_SHARE));
+    let until = at + Duration::from_millis(rng.random_range(5_500..7_500));
+    scheduled.extend(draw_cut(&mut rng, at, until, nodes));
+    if rng.random_bool(TERMINATION_SERIES_SHARE) {
+        let begin = fault_period.mul_f64(rng.random_range(0.1..0.4));
+        scheduled.extend((0..nodes).map(|node| {
+            let at = begin + TERMINATION_INTERVAL * node as u32;
+            ScheduledFault {
+                at,
+                until: at + TERMINATION_INTERVAL,
+                fault: Fault::Terminate(node),
+            }
+        }));
+    }
+}
+
+/// Draws which entry VMs are cut, and how.
+fn draw_cut(
+    rng: &mut SmallRng,
+    at: Duration,
+    until: Duration,
+    nodes: usize,
+) -> impl Iterator<Item = ScheduledFault> + use<> {
+    let node = rng.random_range(0..nodes);
+    let link = match rng.random_range(0..5) {
+        0 => Link::CutForth,
+        1 => Link::CutBack,
+        2 => Link::Silent,
+        3 => Link::Reset,
+        _ => Link::RefuseNew,
+    };
+    let is_cut: fn(usize, usize) -> bool = match rng.random_range(0..3) {
+        0 => |n, node| n == node,
+        1 => |n, node| zone_of(n) == zone_of(node),
+        _ => |n, node| n != node,
+    };
+    let cut = (0..nodes).filter(move |n| is_cut(*n, node));
+    cut.map(move |n| ScheduledFault {
+        at,
+        until,
+        fault: Fault::Cut(n, link),
+    })
+}
+
+/// Returns the number of the zone of an entry VM.
+pub fn zone_of(node: usize) -> usize {
+    node % 2 + 1
+}
+
 fn have_same_target(a: &Fault, b: &Fault) -> bool {
     use Fault::{Crash, Drain, Endpoint, Kill, Link, Pause, Restore, Store, StoreLink, Terminate};
     match (a, b) {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -88,6 +88,8 @@
     route_times: Vec<(String, Instant)>,
     /// Entry VMs that got SIGTERM, and how long they have run since.
     stopping: Vec<(usize, Duration)>,
+    /// Entry VMs that were restarted, and when.
+    restarts: Vec<(usize, Instant)>,
     /// Entry VMs that are suspended.
     paused: BTreeSet<usize>,
     /// Copies of the store, the oldest first, with the times at which they were taken.
@@ -107,7 +109,11 @@
         let deployment = Deployment::spawn(&self.program, self.nodes, &self.dir)?;
         thread::sleep(STARTUP_TIME);
         let directories: Vec<_> = deployment.nodes.iter().map(|n| n.directory).collect();
-        let callers = Callers::spawn(self.callers, &directories, self.seed);
+        let fronts: Vec<_> = deployment.nodes.iter().map(|n| n.front).collect();
+        let mut callers = Callers::spawn(self.callers, &directories, self.seed);
+        if self.fault_set == FaultSet::Cuts {
+            callers.spawn_steady(&fronts);
+        }
         let mut run = SoakRun {
             soak: self,
             incarnations: Arc::new(Mutex::new(vec![0; self.nodes])),
@@ -115,6 +121,7 @@
             injected: Vec::new(),
             route_times: Vec::new(),
             stopping: Vec::new(),
+            restarts: Vec::new(),
             paused: BTreeSet::new(),
             copies: VecDeque::new(),
             rewrite_at: None,
@@ -149,6 +156,8 @@
             crashes: run.deployment.crashes(),
             probes,
             faults: run.injected,
+            fronts,
+            restarts: run.restarts,
             routes_added_at: run.route_times.into_iter().collect(),
             endpoints: run
                 .deployment
@@ -326,6 +335,7 @@
             Fault::Restore(_) => deployment.store.set_mode(store::Mode::Refuse(503)),
             Fault::StoreLink(n, link) => deployment.nodes[n].store_link.set_link(link),
             Fault::Link(e, link) => deployment.endpoints[e].link.set_link(link),
+            Fault::Cut(n, link) => deployment.set_endpoint_links(n, link),
             Fault::Endpoint(e, mode) => deployment.endpoints[e].endpoint.set_mode(mode),
             Fault::Crash(e) => {
                 self.crashed.insert(e);
@@ -369,6 +379,7 @@
             Fault::Restore(age) => self.restore_store(age),
             Fault::StoreLink(n, _) => deployment.nodes[n].store_link.set_link(Link::Open),
             Fault::Link(e, _) => deployment.endpoints[e].link.set_link(Link::Open),
+            Fault::Cut(n, _) => deployment.set_endpoint_links(n, Link::Open),
             Fault::Endpoint(e, _) => {
                 deployment.endpoints[e]
                     .endpoint
@@ -409,6 +420,7 @@
         self.incarnations
             .lock()
             .unwrap_or_else(PoisonError::into_inner)[n] += 1;
-        self.deployment.nodes[n].restart(&self.soak.program)
+        self.restarts.push((n, Instant::now()));
+        self.deployment.restart(n, &self.soak.program)
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -35,6 +35,12 @@
                 "10",
                 "Length of the fault period of each run, in seconds",
             ),
+            Arg::new("faults")
+                .long("faults")
+                .value_name("SET")
+                .default_value("cuts")
+                .value_parser(["basic", "all", "cuts"])
+                .help("Kinds of faults, each with those of the one before it"),
             Arg::new("regressions")
                 .long("regressions")
                 .action(ArgAction::SetTrue)
@@ -68,7 +74,11 @@
         nodes: number("processes"),
         callers: number("callers"),
         seconds: number("seconds"),
-        fault_set: FaultSet::All,
+        fault_set: match matches.get_one::<String>("faults").map(String::as_str) {
+            Some("basic") => FaultSet::Basic,
+            Some("all") => FaultSet::All,
+            _ => FaultSet::Cuts,
+        },
     };
     let mut failed = Vec::new();
     if matches.get_flag("regressions") {
@@ -118,20 +128,19 @@
 }
 
 impl Case {
-    /// Parses a line of `seeds.txt`, with an optional `all` before the cause if the run has all kinds
-    /// of faults. Returns `None` for a comment.
+    /// Parses a line of `seeds.txt`, with an optional `all` or `cuts` before the cause for the kinds of
+    /// faults. Returns `None` for a comment.
     fn parse(line: &str) -> Option<Self> {
         let mut numbers = line.split(' ').map_while(|n| n.parse().ok());
-        let has_all = line.split(' ').nth(4) == Some("all");
         Some(Self {
             seed: numbers.next()?,
             nodes: numbers.next()?,
             callers: numbers.next()?,
             seconds: numbers.next()?,
-            fault_set: if has_all {
-                FaultSet::All
-            } else {
-                FaultSet::Basic
+            fault_set: match line.split(' ').nth(4) {
+                Some("all") => FaultSet::All,
+                Some("cuts") => FaultSet::Cuts,
+                _ => FaultSet::Basic,
             },
         })
     }
