--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -134,7 +134,10 @@
             return ConnectionAction::Abort;
         }
         Some(Err(HttpError::Malformed(cause))) => {
-            log::info!("event=malformed cause=\"{cause}\"");
+            log::info!(
+                "event=malformed request={} cause=\"{cause}\"",
+                meta.request_id
+            );
             reject(conn, 400).await;
             return ConnectionAction::Abort;
         }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,11 +1,11 @@
 //! The daemon of an entry VM on a hosted platform. It does the network I/O, on one thread, for the
 //! decisions that [`hemlock_lib::node`] makes.
 //!
-//! `front` reads the requests of callers, and `relay` forwards them to endpoints over connections
-//! of `pool`. Which endpoint is chosen depends on what `store_watch` has read from the store,
-//! directly or through another VM's `feed`, and on what `peer_datagrams` and `load_exchange` have
-//! received from the other entry VMs. `leadership` forms the groups of engines while this VM is the
-//! one that plans.
+//! `connections` accepts and `front` reads the requests of callers, and `relay` forwards them to
+//! endpoints over connections of `pool`. Which endpoint is chosen depends on what `store_watch` has
+//! read from the store, directly or through another VM's `feed`, and on what `peer_datagrams` and
+//! `load_exchange` have received from the other entry VMs. `leadership` forms the groups of engines
+//! while this VM is the one that plans. `stop` says when the process may end.
 
 mod connections;
 mod feed;
