node/tests: answers of endpoints that never end

An endpoint may send bytes without end, in a head or a body, until its caller closes the connection.

--- a/node/tests/node_process.rs
+++ b/node/tests/node_process.rs
@@ -146,6 +146,15 @@
         }
     }
 
+    /// Returns the daemon's peak resident memory in MB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the daemon runs");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kb = peak.and_then(|p| p.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        kb.expect("a peak in kB") / 1_024
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         let pid = self.child.id().to_string();
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod node_process;
 mod test_crashing_part;
+mod test_endless;
 mod test_pages;
 mod test_refusals;
 mod test_relay;
