wire/http1: bound interim responses together with the final head

An endpoint that sends interim (1xx) responses without end held a request up to the silence timeout, half of the route's timeout, or to its deadline: the limit held for each head by itself, and the loop that skips interim ones had none.

--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -247,18 +247,20 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`HttpError::HeadTooLarge`] if the head is longer than `limit` bytes.
-    /// See [`HttpError`] for the other errors.
+    /// Fails with [`HttpError::HeadTooLarge`] if the head is longer than `limit` bytes together
+    /// with the interim ones. See [`HttpError`] for the other errors.
     pub async fn read_response_head(&mut self, limit: usize) -> Result<ResponseHead, HttpError> {
+        let mut bytes_left = limit;
         loop {
-            match parse_response(&self.buffer, limit)? {
+            match parse_response(&self.buffer, bytes_left)? {
                 Some((head, length)) => {
                     self.buffer.advance(length);
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    bytes_left -= length;
                 }
-                None => self.fill_head(limit).await?,
+                None => self.fill_head(bytes_left).await?,
             }
         }
     }
