wire/http1: bound the lines of a chunked body against its data

Trailers without end, or tiny chunks with long extensions, add little or nothing to a body, so its limit did not end them: the request was read for until its deadline and failed with 504, though another endpoint was free. Lines are now counted against an allowance of 16 bytes and twice the data for each chunk, and the body is malformed once they exceed it by 16 KB. Chunks of one byte stay within the allowance.

--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -19,6 +19,10 @@
 const READ_BYTES: usize = 16 << 10;
 /// Maximum length in bytes of a line with a chunk's size and extensions, or of a trailer.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Overhead in bytes that each chunk may have, beside twice its data.
+const CHUNK_OVERHEAD_BYTES: usize = 16;
+/// Maximum excess in bytes of the lines of a chunked body over the overhead of its chunks.
+const MAX_CHUNK_EXCESS_BYTES: usize = 16 << 10;
 
 /// The reason why a message can't be read.
 #[derive(Debug)]
@@ -131,7 +135,12 @@
     /// The body has a known length; this many bytes are unread.
     Length(u64),
     /// The body uses chunked transfer coding.
-    Chunked(ChunkState),
+    Chunked {
+        /// What the parser expects next.
+        state: ChunkState,
+        /// Bytes of lines so far beyond the overhead that the chunks may have.
+        excess: usize,
+    },
     /// The body ends when the connection is closed.
     UntilClose,
     /// The body has been read in full, or there is none.
@@ -357,7 +366,7 @@
                     buffer.split_to(available as usize).freeze(),
                 ));
             }
-            Framing::Chunked(state) => match split_chunk_part(buffer, state)? {
+            Framing::Chunked { state, excess } => match split_chunk_part(buffer, state, excess)? {
                 Some(part) => {
                     if matches!(part, BodyPart::End) {
                         *framing = Framing::Done;
@@ -374,6 +383,7 @@
 fn split_chunk_part(
     buffer: &mut BytesMut,
     state: &mut ChunkState,
+    excess: &mut usize,
 ) -> Result<Option<BodyPart>, HttpError> {
     match *state {
         ChunkState::Data(remaining) => {
@@ -402,7 +412,9 @@
                 return Ok(Some(BodyPart::NeedMore));
             };
             let digits = line.split(|b| *b == b';').next().unwrap_or_default();
-            *state = match chunk_size(digits)? {
+            let size = chunk_size(digits)?;
+            count_excess(excess, line.len(), size)?;
+            *state = match size {
                 0 => ChunkState::Trailers,
                 size => ChunkState::Data(size),
             };
@@ -411,11 +423,26 @@
         ChunkState::Trailers => match split_line(buffer)? {
             None => Ok(Some(BodyPart::NeedMore)),
             Some(line) if line.is_empty() => Ok(Some(BodyPart::End)),
-            Some(_) => Ok(None),
+            Some(line) => {
+                count_excess(excess, line.len() + CHUNK_OVERHEAD_BYTES, 0)?;
+                Ok(None)
+            }
         },
     }
 }
 
+/// Counts a line of a chunked body that belongs to `size` bytes of data. Lines without data, such as
+/// long extensions of tiny chunks, could otherwise go on without end.
+fn count_excess(excess: &mut usize, line: usize, size: u64) -> Result<(), HttpError> {
+    let size = usize::try_from(size).unwrap_or(usize::MAX);
+    let allowed = size.saturating_mul(2).saturating_add(CHUNK_OVERHEAD_BYTES);
+    *excess = (*excess + line).saturating_sub(allowed);
+    match *excess > MAX_CHUNK_EXCESS_BYTES {
+        true => Err(HttpError::Malformed("too little data in the chunks")),
+        false => Ok(()),
+    }
+}
+
 /// Splits a line off the buffer, without its line end; `None` means that it is incomplete.
 fn split_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
     let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") else {
@@ -527,7 +554,10 @@
             if !coding.eq_ignore_ascii_case("chunked") {
                 return Err(HttpError::Malformed("unsupported transfer coding"));
             }
-            Ok(Framing::Chunked(ChunkState::Size))
+            Ok(Framing::Chunked {
+                state: ChunkState::Size,
+                excess: 0,
+            })
         }
         _ => Err(HttpError::Malformed(
             "more than one Content-Length or Transfer-Encoding",
