wire/http1: yield between the pieces of a body that are buffered

Pieces that are in the buffer already are returned without a wait and without use of the task's budget. An endpoint that sends chunks of one byte without end so kept the only thread: 2,000 pieces went by without a turn of any other task, and beside 30 such answers other requests took up to 1.47 s. Each piece now uses the budget, so that the reader yields after some of them.

test_http1::reader_of_buffered_pieces_yields_to_other_tasks counted no turn; test_endless::tiny_pieces_without_end_leave_time_for_other_requests needed 1.47 s with a bound of 0.5 s, and passes.

--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -288,7 +288,8 @@
 
     /// Reads the next bytes of a body, as they arrive; `None` means that the body is complete.
     ///
-    /// Cancel-safe: bytes that were received when the future is dropped stay in the buffer.
+    /// Cancel-safe: bytes that were received when the future is dropped stay in the buffer. Yields
+    /// to other tasks after some pieces, also if all of them are buffered.
     ///
     /// # Errors
     ///
@@ -297,6 +298,7 @@
         &mut self,
         framing: &mut Framing,
     ) -> Result<Option<Bytes>, HttpError> {
+        tokio::task::coop::consume_budget().await;
         loop {
             match split_body_part(&mut self.buffer, framing)? {
                 BodyPart::Bytes(bytes) => return Ok(Some(bytes)),
