node/relay: end a stream at its deadline while bytes keep arriving

The timer of a stream was made anew after each piece, so it never fired while an endpoint had bytes ready; and tokio's budget, once the reader had used it up, kept the timer and the caller's connection from being looked at. The deadline has one timer for the whole stream, and timers and the caller are polled without a budget, also for the other reads from endpoints.

test_endless::stream_of_endless_events_is_cut_off first blamed 19 s partly on its own caller, which parses all bytes again after each read. It now reads them from the socket, with the same bound of 3.5 s, and passes.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -22,6 +22,7 @@
 use hemlock_platform::requests::{self, ForwardMeta};
 use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
 use rand::Rng;
+use tokio::task::coop::unconstrained;
 
 use crate::front::{self, ConnectionAction, Request};
 use crate::metrics::Counter;
@@ -506,10 +507,10 @@
             tokio::select! {
                 biased;
                 head = read => return head.map_err(|e| self.connection_broken(to, &e)),
-                disconnected = caller_disconnected(caller) => {
+                disconnected = unconstrained(caller_disconnected(caller)) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
                 }
-                () = tokio::time::sleep(wait) => {
+                () = unconstrained(tokio::time::sleep(wait)) => {
                     let now = self.node.now();
                     if now >= self.request.deadline {
                         return Err(SendOutcome::DeadlinePassed);
@@ -541,10 +542,10 @@
                 tokio::select! {
                     biased;
                     body = &mut read => break body,
-                    disconnected = caller_disconnected(caller) => {
+                    disconnected = unconstrained(caller_disconnected(caller)) => {
                         if disconnected { return SendOutcome::CallerLeft }
                     }
-                    () = &mut deadline => return SendOutcome::DeadlinePassed,
+                    () = unconstrained(&mut deadline) => return SendOutcome::DeadlinePassed,
                 }
             }
         };
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -7,6 +7,7 @@
 use hemlock_lib::time::Time;
 use hemlock_platform::requests;
 use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
+use tokio::task::coop::unconstrained;
 
 use super::{Delivered, Relay, SendOutcome, SilenceTimer, caller_disconnected};
 use crate::front::ConnectionAction;
@@ -27,24 +28,21 @@
         let mut splitter = EventSplitter::default();
         let mut silence = SilenceTimer::new(self.node.now());
         let framing = head.body_framing;
+        let time_left = self.request.deadline.since(self.node.now());
+        let mut deadline = std::pin::pin!(tokio::time::sleep(time_left));
         loop {
             let now = self.node.now();
-            let time_left = self.request.deadline.since(now);
-            let wait = self
-                .silence_wait(now, silence.since, !*stream_started)
-                .min(time_left);
+            let wait = self.silence_wait(now, silence.since, !*stream_started);
             let piece = tokio::select! {
                 biased;
                 piece = conn.read_body_piece(&mut head.body_framing) => piece,
-                disconnected = caller_disconnected(caller) => {
+                disconnected = unconstrained(caller_disconnected(caller)) => {
                     if disconnected { return SendOutcome::CallerLeft }
                     continue;
                 }
+                () = unconstrained(&mut deadline) => return SendOutcome::DeadlinePassed,
                 () = tokio::time::sleep(wait) => {
                     let now = self.node.now();
-                    if now >= self.request.deadline {
-                        return SendOutcome::DeadlinePassed;
-                    }
                     if let Some(cause) =
                         self.check_silence(now, &mut silence, to, !*stream_started)
                     {
--- a/node/tests/test_endless.rs
+++ b/node/tests/test_endless.rs
@@ -1,12 +1,15 @@
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::caller::Response;
 use hemlock_platform_standin::endless::{Endless, Pace};
 use hemlock_platform_standin::endpoint::{Endpoint, Mode};
 use hemlock_platform_standin::fixtures;
+use hemlock_wire::http1::LAST_CHUNK;
 use serde_json::json;
 
-use crate::node_process::{NodeProcess, config, route};
+use crate::node_process::{NodeProcess, config, request, route};
 
 /// Memory in MB that a daemon may use.
 const MEMORY_LIMIT_MB: u64 = 260;
@@ -192,9 +195,17 @@
     let flood = Mode::Endless(Endless::Events, Pace::Fast);
     engines.iter().for_each(|e| e.set_mode(flood));
     let sent = Instant::now();
-    let response = node.send("POST", "/stream/a", "r1", MODEL_HEADERS, "p");
-    assert!(!response.complete);
-    assert!(sent.elapsed() < LATE, "{:?}", sent.elapsed());
+    let mut io = TcpStream::connect(node.front).unwrap();
+    let text = request("POST", "/stream/a", "r1", MODEL_HEADERS, "p");
+    io.write_all(text.as_bytes()).unwrap();
+    let (mut buffer, mut end) = (vec![0; 64 << 10], Vec::new());
+    // A reset also shows that the stream is incomplete.
+    while let Ok(length @ 1..) = io.read(&mut buffer) {
+        assert!(sent.elapsed() < LATE, "{:?}", sent.elapsed());
+        end.extend_from_slice(&buffer[..length]);
+        end.drain(..end.len().saturating_sub(LAST_CHUNK.len()));
+    }
+    assert_ne!(end, LAST_CHUNK);
     node.wait_until("the endless connection is closed", |_| {
         engines
             .iter()
