node/relay: bound the size of an event

The bytes of an event are kept until its end, without a bound. With 30 streams whose event never ends the daemon grew to 1,017 MB within three seconds, where all requests together may use 260 MB, and the streams did not go on elsewhere. An event over 64 KB now ends the send, and another endpoint continues.

test_endless::endless_events_of_many_streams_fit_into_memory measured 1,017 MB and now 7 MB; ::stream_whose_event_never_ends_continues_at_another_endpoint got no event at all and passes.

--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -13,6 +13,9 @@
 use crate::front::ConnectionAction;
 use crate::metrics::Latency;
 
+/// Maximum size in bytes of an event of a stream; usual ones hold a few tokens.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
 impl Relay<'_> {
     /// Forwards a stream event by event. Sets `stream_started` when the endpoint sends its first
     /// bytes.
@@ -65,6 +68,9 @@
                         Ok(()) => {}
                         Err(outcome) => return outcome,
                     }
+                    if splitter.partial().len() > MAX_EVENT_BYTES {
+                        return SendOutcome::MayHaveRun("too_large");
+                    }
                 }
                 Ok(None) if !splitter.partial().is_empty() || self.is_empty_answer(framing) => {
                     self.record_crash(to, &"the stream ended too early");
