node/relay: count complete events, not bytes, as signs of life of a stream

Each byte of a stream reset the timer for its silence. An endpoint that sends one byte every 100 ms and never ends its event so held the stream until the deadline, and the caller got no event though another endpoint was free. The timer now starts anew with the first bytes and then with each complete event.

--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -57,7 +57,6 @@
             let now = self.node.now();
             match piece {
                 Ok(Some(bytes)) => {
-                    silence = SilenceTimer::new(now);
                     let is_first_piece = !*stream_started;
                     self.note_progress(now, to, prompt, stream_started);
                     splitter.push(&bytes);
@@ -65,7 +64,14 @@
                         .forward_events(caller, head, &mut splitter, to, is_first_piece)
                         .await
                     {
-                        Ok(()) => {}
+                        Ok(has_event) if has_event || is_first_piece => {
+                            silence = SilenceTimer::new(now);
+                        }
+                        Ok(_) => {
+                            if let Some(cause) = self.check_silence(now, &mut silence, to, false) {
+                                return SendOutcome::MayHaveRun(cause);
+                            }
+                        }
                         Err(outcome) => return outcome,
                     }
                     if splitter.partial().len() > MAX_EVENT_BYTES {
@@ -112,7 +118,7 @@
     }
 
     /// Forwards the complete events that are new to the caller, and stops at a gap in their
-    /// numbers.
+    /// numbers. Returns whether there was a complete event, new or not.
     ///
     /// `is_first_piece` means that these are the first bytes from this endpoint, so that the pause
     /// before them says nothing about its pace.
@@ -123,13 +129,15 @@
         splitter: &mut EventSplitter,
         to: &Candidate,
         is_first_piece: bool,
-    ) -> Result<(), SendOutcome> {
+    ) -> Result<bool, SendOutcome> {
         let now = self.node.now();
         let mut out = Vec::new();
+        let mut has_event = false;
         let mut last_event = self.delivered.last_event;
         let mut events = 0;
         let mut has_gap = false;
         while let Some(event) = splitter.next_event() {
+            has_event = true;
             match events::event_position(last_event, event.id) {
                 EventPosition::AlreadySent => continue,
                 EventPosition::Gap => {
@@ -175,7 +183,7 @@
         if has_gap {
             return Err(SendOutcome::MayHaveRun("missing_event"));
         }
-        Ok(())
+        Ok(has_event)
     }
 
     /// Encodes the head of the response to the caller.
