node/relay: bound the time for bodies that are not forwarded

The bodies of refusals, of status 421 and of answers to other requests were read to their end without a deadline, and without looking at the caller. An endpoint that sends such a body one byte at a time held the request for good: the caller had no answer after 10 s, with a deadline of 3 s, nor was its disconnect noticed. A refusal now has 50 ms and 64 KB to end, else only its connection is closed; one with status 421, whose connection is never reused, is not read at all. An answer to another request is skipped, without being kept, within the limits for the head of the request's own.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -34,6 +34,10 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum size in bytes of the body of a response that is no stream.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// Maximum size in bytes of the body of a refusal after which its connection is reused.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// Time after the head of a refusal in which its body must end for its connection to be reused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 /// Bytes that are buffered of what a caller sends before its current request has ended.
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
 /// Number of times that the silence timeout is extended for an endpoint that answers other requests
@@ -393,21 +397,28 @@
                 meta.request_id
             );
             self.node.metrics.count(Counter::ForeignAnswers, "skipped");
-            skipped += 1;
-            let mut framing = head.body_framing;
-            let body = conn.read_body(&mut framing, MAX_BODY_BYTES).await;
             // Status 421 comes from another endpoint, which need not repeat the request's
             // identifier.
             if head.status == 421 {
                 return (SendOutcome::NotRun("other_endpoint"), None);
             }
-            if skipped > MAX_SKIPPED_RESPONSES || !head.keep_alive || !matches!(body, Ok(Some(_))) {
+            skipped += 1;
+            if skipped > MAX_SKIPPED_RESPONSES || !head.keep_alive {
                 return (SendOutcome::MayHaveRun("foreign_answer"), None);
             }
+            let mut framing = head.body_framing;
+            let skip = conn.skip_body(&mut framing, MAX_BODY_BYTES);
+            match self.await_endpoint(caller, skip, to).await {
+                Ok(Ok(true)) => {}
+                Ok(Ok(false) | Err(_)) => {
+                    return (SendOutcome::MayHaveRun("foreign_answer"), None);
+                }
+                Err(outcome) => return (outcome, None),
+            }
         };
         if meta.not_run {
-            let body = conn.read_body(&mut head.body_framing, MAX_BODY_BYTES).await;
-            let reuse = head.keep_alive && skipped == 0 && matches!(body, Ok(Some(_)));
+            let may_reuse = head.keep_alive && skipped == 0;
+            let reuse = may_reuse && skip_refusal(conn, &mut head.body_framing).await;
             let outcome = SendOutcome::NotRun(if head.status == 421 {
                 "other_endpoint"
             } else {
@@ -498,15 +509,28 @@
         conn: &mut Conn,
         to: &Candidate,
     ) -> Result<ResponseHead, SendOutcome> {
+        let read = conn.read_response_head(MAX_HEAD_BYTES);
+        let head = self.await_endpoint(caller, read, to).await?;
+        head.map_err(|e| self.connection_broken(to, &e))
+    }
+
+    /// Waits for a read from the endpoint, unless that takes longer than the endpoint may be
+    /// silent, the deadline passes or the caller disconnects.
+    async fn await_endpoint<T>(
+        &self,
+        caller: &mut Conn,
+        read: impl Future<Output = T>,
+        to: &Candidate,
+    ) -> Result<T, SendOutcome> {
         let mut silence = SilenceTimer::new(self.node.now());
+        let mut read = std::pin::pin!(read);
         loop {
             let now = self.node.now();
             let time_left = self.request.deadline.since(now);
             let wait = self.silence_wait(now, silence.since, true).min(time_left);
-            let read = conn.read_response_head(MAX_HEAD_BYTES);
             tokio::select! {
                 biased;
-                head = read => return head.map_err(|e| self.connection_broken(to, &e)),
+                done = &mut read => return Ok(done),
                 disconnected = unconstrained(caller_disconnected(caller)) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
                 }
@@ -605,6 +629,15 @@
     }
 }
 
+/// Reads the rest of a refusal; returns whether it ended soon, so that the connection may be reused.
+async fn skip_refusal(conn: &mut Conn, framing: &mut Framing) -> bool {
+    let skip = conn.skip_body(framing, MAX_REFUSAL_BYTES);
+    matches!(
+        tokio::time::timeout(REFUSAL_TIMEOUT, skip).await,
+        Ok(Ok(true))
+    )
+}
+
 /// Waits until the caller sends something or disconnects; returns whether it disconnected.
 ///
 /// Never returns once more than [`MAX_PIPELINED_BYTES`] are buffered.
--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -341,6 +341,26 @@
         }
         Ok(Some(body.freeze()))
     }
+
+    /// Reads a whole body and discards it; returns `false` if it is larger than `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks within the body or the chunked coding is malformed.
+    pub async fn skip_body(
+        &mut self,
+        framing: &mut Framing,
+        limit: usize,
+    ) -> Result<bool, HttpError> {
+        let mut bytes_left = limit;
+        while let Some(piece) = self.read_body_piece(framing).await? {
+            match bytes_left.checked_sub(piece.len()) {
+                Some(left) => bytes_left = left,
+                None => return Ok(false),
+            }
+        }
+        Ok(true)
+    }
 }
 
 /// What the buffered bytes hold of a body.
--- a/wire/tests/test_http1.rs
+++ b/wire/tests/test_http1.rs
@@ -103,6 +103,16 @@
     assert_eq!(read_endless_body("", &chunk).unwrap(), None);
 }
 
+#[test]
+fn endless_body_is_skipped_to_its_limit_only() {
+    let skipped = run(|| async {
+        let mut conn = receive("HTTP/1.1 200 OK\r\n\r\n", "x");
+        let mut head = conn.read_response_head(HEAD_LIMIT).await.unwrap();
+        conn.skip_body(&mut head.body_framing, BODY_LIMIT).await
+    });
+    assert!(!skipped.unwrap());
+}
+
 /// Pieces that are buffered are returned without a wait, and must not hold up the other tasks.
 #[test]
 fn reader_of_buffered_pieces_yields_to_other_tasks() {
