node/pool: close idle connections that have received bytes

Bytes without end after a complete answer stayed unread on the idle connection until its keep-alive time, which the endpoint states, or the next request to that endpoint: the endpoint went on to send.

test_endless::endless_bytes_after_an_answer_close_its_connection found the connection open after 1 s and passes.

--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -85,11 +85,12 @@
         self.idle.borrow_mut().remove(endpoint);
     }
 
-    /// Closes the connections whose keep-alive time is over.
+    /// Closes the connections whose keep-alive time is over, and those that were closed or have
+    /// received bytes, which belong to no request.
     pub(crate) fn expire(&self, now: Time) {
         let mut idle = self.idle.borrow_mut();
         for conns in idle.values_mut() {
-            conns.retain(|c| c.expires > now);
+            conns.retain_mut(|c| c.expires > now && c.conn.is_idle());
         }
         idle.retain(|_, conns| !conns.is_empty());
     }
