node/relay: share a bounded memory between answers that are read whole

Such answers now share 48 MB. An answer may grow only while it is smaller than what is left, so that answers without end share the memory evenly and leave room for short ones; the bytes are counted until the caller has them. The buffer is freed before the copy for the caller is sent.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -7,6 +7,7 @@
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, and [`load_totals`] adds up the
 //! load that they have on endpoints.
 
+pub mod answer_memory;
 pub mod balance;
 pub mod budget;
 pub mod cache;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_lease;
 mod test_log_limiter;
 mod test_model;
+mod test_node_answer_memory;
 mod test_node_balance;
 mod test_node_cache;
 mod test_node_endpoints;
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -5,6 +5,7 @@
 //! is read completely before any of it is forwarded. A stream is forwarded event by event, and
 //! continues at another endpoint after the last forwarded event if its endpoint fails.
 
+mod answer_body;
 mod endpoint_signs;
 mod outcome;
 mod stream;
@@ -560,7 +561,8 @@
         }
         let body = {
             let time_left = self.request.deadline.since(self.node.now());
-            let mut read = std::pin::pin!(conn.read_body(&mut head.body_framing, MAX_BODY_BYTES));
+            let read = answer_body::read(&self.node.answer_memory, conn, &mut head.body_framing);
+            let mut read = std::pin::pin!(read);
             let mut deadline = std::pin::pin!(tokio::time::sleep(time_left));
             loop {
                 tokio::select! {
@@ -573,7 +575,7 @@
                 }
             }
         };
-        let body = match body {
+        let mut body = match body {
             Ok(Some(body)) => body,
             Ok(None) => return SendOutcome::MayHaveRun("too_large"),
             Err(e) => return self.connection_broken(to, &e),
@@ -601,13 +603,14 @@
         http1::put_header(
             &mut out,
             "Content-Length",
-            body.len().to_string().as_bytes(),
+            body.bytes().len().to_string().as_bytes(),
         );
         if !self.keep_alive {
             http1::put_header(&mut out, "Connection", b"close");
         }
         out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(&body);
+        out.extend_from_slice(body.bytes());
+        body.free_bytes();
         match self.write_to_caller(caller, &out).await {
             true => SendOutcome::Answered {
                 status: head.status,
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hemlock_lib::node::answer_memory::AnswerMemory;
 use hemlock_lib::node::balance::{Balancer, Candidate};
 use hemlock_lib::node::budget::{Allowance, RetryBudget};
 use hemlock_lib::node::cache::Entry;
@@ -33,6 +34,8 @@
 /// Mean interval between the attempts of all VMs together to reach a store that the store readers
 /// have lost.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
+/// Memory in bytes for answers that are read whole; their buffers may take twice as much.
+const ANSWER_MEMORY_BYTES: usize = 48 << 20;
 /// Share of the store's rate that reads of topics may use.
 const READ_RATE_SHARE: f64 = 0.25;
 /// Pause after new endpoint records from the store, on the planner.
@@ -63,6 +66,7 @@
     pub(crate) other_loads: RefCell<Option<(Time, Vec<EndpointLoad>)>>,
     pub(crate) demand_meter: RefCell<DemandMeter>,
     pub(crate) pool: Pool,
+    pub(crate) answer_memory: RefCell<AnswerMemory>,
     pub(crate) metrics: Metrics,
     /// When the signal to stop arrived.
     pub(crate) stopping_since: Cell<Option<Time>>,
@@ -133,6 +137,7 @@
             other_loads: RefCell::default(),
             demand_meter: RefCell::default(),
             pool: Pool::default(),
+            answer_memory: RefCell::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)),
             metrics: Metrics::default(),
             stopping_since: Cell::default(),
             stop_requested: Notify::new(),
