--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -7,11 +7,15 @@
 use hemlock_lib::time::Time;
 use hemlock_platform::requests;
 use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
+use tokio::task::coop::unconstrained;
 
 use super::{Delivered, Relay, SendOutcome, SilenceTimer, caller_disconnected};
 use crate::front::ConnectionAction;
 use crate::metrics::Latency;
 
+/// Maximum size in bytes of an event of a stream; usual ones hold a few tokens.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
 impl Relay<'_> {
     /// Forwards a stream event by event. Sets `stream_started` when the endpoint sends its first
     /// bytes.
@@ -27,24 +31,21 @@
         let mut splitter = EventSplitter::default();
         let mut silence = SilenceTimer::new(self.node.now());
         let framing = head.body_framing;
+        let time_left = self.request.deadline.since(self.node.now());
+        let mut deadline = std::pin::pin!(tokio::time::sleep(time_left));
         loop {
             let now = self.node.now();
-            let time_left = self.request.deadline.since(now);
-            let wait = self
-                .silence_wait(now, silence.since, !*stream_started)
-                .min(time_left);
+            let wait = self.silence_wait(now, silence.since, !*stream_started);
             let piece = tokio::select! {
                 biased;
                 piece = conn.read_body_piece(&mut head.body_framing) => piece,
-                disconnected = caller_disconnected(caller) => {
+                disconnected = unconstrained(caller_disconnected(caller)) => {
                     if disconnected { return SendOutcome::CallerLeft }
                     continue;
                 }
+                () = unconstrained(&mut deadline) => return SendOutcome::DeadlinePassed,
                 () = tokio::time::sleep(wait) => {
                     let now = self.node.now();
-                    if now >= self.request.deadline {
-                        return SendOutcome::DeadlinePassed;
-                    }
                     if let Some(cause) =
                         self.check_silence(now, &mut silence, to, !*stream_started)
                     {
@@ -56,7 +57,6 @@
             let now = self.node.now();
             match piece {
                 Ok(Some(bytes)) => {
-                    silence = SilenceTimer::new(now);
                     let is_first_piece = !*stream_started;
                     self.note_progress(now, to, prompt, stream_started);
                     splitter.push(&bytes);
@@ -64,9 +64,19 @@
                         .forward_events(caller, head, &mut splitter, to, is_first_piece)
                         .await
                     {
-                        Ok(()) => {}
+                        Ok(has_event) if has_event || is_first_piece => {
+                            silence = SilenceTimer::new(now);
+                        }
+                        Ok(_) => {
+                            if let Some(cause) = self.check_silence(now, &mut silence, to, false) {
+                                return SendOutcome::MayHaveRun(cause);
+                            }
+                        }
                         Err(outcome) => return outcome,
                     }
+                    if splitter.partial().len() > MAX_EVENT_BYTES {
+                        return SendOutcome::MayHaveRun("too_large");
+                    }
                 }
                 Ok(None) if !splitter.partial().is_empty() || self.is_empty_answer(framing) => {
                     self.record_crash(to, &"the stream ended too early");
@@ -108,7 +118,7 @@
     }
 
     /// Forwards the complete events that are new to the caller, and stops at a gap in their
-    /// numbers.
+    /// numbers. Returns whether there was a complete event, new or not.
     ///
     /// `is_first_piece` means that these are the first bytes from this endpoint, so that the pause
     /// before them says nothing about its pace.
@@ -119,13 +129,15 @@
         splitter: &mut EventSplitter,
         to: &Candidate,
         is_first_piece: bool,
-    ) -> Result<(), SendOutcome> {
+    ) -> Result<bool, SendOutcome> {
         let now = self.node.now();
         let mut out = Vec::new();
+        let mut has_event = false;
         let mut last_event = self.delivered.last_event;
         let mut events = 0;
         let mut has_gap = false;
         while let Some(event) = splitter.next_event() {
+            has_event = true;
             match events::event_position(last_event, event.id) {
                 EventPosition::AlreadySent => continue,
                 EventPosition::Gap => {
@@ -171,7 +183,7 @@
         if has_gap {
             return Err(SendOutcome::MayHaveRun("missing_event"));
         }
-        Ok(())
+        Ok(has_event)
     }
 
     /// Encodes the head of the response to the caller.
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -4,6 +4,7 @@
 mod node_process;
 mod test_crashing_part;
 mod test_cut;
+mod test_endless;
 mod test_pages;
 mod test_refusals;
 mod test_relay;
--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -19,6 +19,10 @@
 const READ_BYTES: usize = 16 << 10;
 /// Maximum length in bytes of a line with a chunk's size and extensions, or of a trailer.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Overhead in bytes that each chunk may have, beside twice its data.
+const CHUNK_OVERHEAD_BYTES: usize = 16;
+/// Maximum excess in bytes of the lines of a chunked body over the overhead of its chunks.
+const MAX_CHUNK_EXCESS_BYTES: usize = 16 << 10;
 
 /// The reason why a message can't be read.
 #[derive(Debug)]
@@ -131,7 +135,12 @@
     /// The body has a known length; this many bytes are unread.
     Length(u64),
     /// The body uses chunked transfer coding.
-    Chunked(ChunkState),
+    Chunked {
+        /// What the parser expects next.
+        state: ChunkState,
+        /// Bytes of lines so far beyond the overhead that the chunks may have.
+        excess: usize,
+    },
     /// The body ends when the connection is closed.
     UntilClose,
     /// The body has been read in full, or there is none.
@@ -247,18 +256,20 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`HttpError::HeadTooLarge`] if the head is longer than `limit` bytes.
-    /// See [`HttpError`] for the other errors.
+    /// Fails with [`HttpError::HeadTooLarge`] if the head is longer than `limit` bytes together
+    /// with the interim ones. See [`HttpError`] for the other errors.
     pub async fn read_response_head(&mut self, limit: usize) -> Result<ResponseHead, HttpError> {
+        let mut bytes_left = limit;
         loop {
-            match parse_response(&self.buffer, limit)? {
+            match parse_response(&self.buffer, bytes_left)? {
                 Some((head, length)) => {
                     self.buffer.advance(length);
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    bytes_left -= length;
                 }
-                None => self.fill_head(limit).await?,
+                None => self.fill_head(bytes_left).await?,
             }
         }
     }
@@ -277,7 +288,8 @@
 
     /// Reads the next bytes of a body, as they arrive; `None` means that the body is complete.
     ///
-    /// Cancel-safe: bytes that were received when the future is dropped stay in the buffer.
+    /// Cancel-safe: bytes that were received when the future is dropped stay in the buffer. Yields
+    /// to other tasks after some pieces, also if all of them are buffered.
     ///
     /// # Errors
     ///
@@ -286,6 +298,7 @@
         &mut self,
         framing: &mut Framing,
     ) -> Result<Option<Bytes>, HttpError> {
+        tokio::task::coop::consume_budget().await;
         loop {
             match split_body_part(&mut self.buffer, framing)? {
                 BodyPart::Bytes(bytes) => return Ok(Some(bytes)),
@@ -328,6 +341,26 @@
         }
         Ok(Some(body.freeze()))
     }
+
+    /// Reads a whole body and discards it; returns `false` if it is larger than `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks within the body or the chunked coding is malformed.
+    pub async fn skip_body(
+        &mut self,
+        framing: &mut Framing,
+        limit: usize,
+    ) -> Result<bool, HttpError> {
+        let mut bytes_left = limit;
+        while let Some(piece) = self.read_body_piece(framing).await? {
+            match bytes_left.checked_sub(piece.len()) {
+                Some(left) => bytes_left = left,
+                None => return Ok(false),
+            }
+        }
+        Ok(true)
+    }
 }
 
 /// What the buffered bytes hold of a body.
@@ -355,7 +388,7 @@
                     buffer.split_to(available as usize).freeze(),
                 ));
             }
-            Framing::Chunked(state) => match split_chunk_part(buffer, state)? {
+            Framing::Chunked { state, excess } => match split_chunk_part(buffer, state, excess)? {
                 Some(part) => {
                     if matches!(part, BodyPart::End) {
                         *framing = Framing::Done;
@@ -372,6 +405,7 @@
 fn split_chunk_part(
     buffer: &mut BytesMut,
     state: &mut ChunkState,
+    excess: &mut usize,
 ) -> Result<Option<BodyPart>, HttpError> {
     match *state {
         ChunkState::Data(remaining) => {
@@ -400,7 +434,9 @@
                 return Ok(Some(BodyPart::NeedMore));
             };
             let digits = line.split(|b| *b == b';').next().unwrap_or_default();
-            *state = match chunk_size(digits)? {
+            let size = chunk_size(digits)?;
+            count_excess(excess, line.len(), size)?;
+            *state = match size {
                 0 => ChunkState::Trailers,
                 size => ChunkState::Data(size),
             };
@@ -409,11 +445,26 @@
         ChunkState::Trailers => match split_line(buffer)? {
             None => Ok(Some(BodyPart::NeedMore)),
             Some(line) if line.is_empty() => Ok(Some(BodyPart::End)),
-            Some(_) => Ok(None),
+            Some(line) => {
+                count_excess(excess, line.len() + CHUNK_OVERHEAD_BYTES, 0)?;
+                Ok(None)
+            }
         },
     }
 }
 
+/// Counts a line of a chunked body that belongs to `size` bytes of data. Lines without data, such as
+/// long extensions of tiny chunks, could otherwise go on without end.
+fn count_excess(excess: &mut usize, line: usize, size: u64) -> Result<(), HttpError> {
+    let size = usize::try_from(size).unwrap_or(usize::MAX);
+    let allowed = size.saturating_mul(2).saturating_add(CHUNK_OVERHEAD_BYTES);
+    *excess = (*excess + line).saturating_sub(allowed);
+    match *excess > MAX_CHUNK_EXCESS_BYTES {
+        true => Err(HttpError::Malformed("too little data in the chunks")),
+        false => Ok(()),
+    }
+}
+
 /// Splits a line off the buffer, without its line end; `None` means that it is incomplete.
 fn split_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
     let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") else {
@@ -525,7 +576,10 @@
             if !coding.eq_ignore_ascii_case("chunked") {
                 return Err(HttpError::Malformed("unsupported transfer coding"));
             }
-            Ok(Framing::Chunked(ChunkState::Size))
+            Ok(Framing::Chunked {
+                state: ChunkState::Size,
+                excess: 0,
+            })
         }
         _ => Err(HttpError::Malformed(
             "more than one Content-Length or Transfer-Encoding",
