node/relay: bound the time for sending a request to an endpoint

The write of a request had no deadline, and nobody looked at the caller meanwhile. An endpoint that reads no more of a body, for instance since it sends an answer without end first, held the request for good: the caller had no answer after 10 s, with a deadline of 3 s. The write now has the limits of the wait for the answer's head: the endpoint's silence, the deadline and the caller's disconnect.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -372,8 +372,10 @@
         let mut out =
             requests::encode_request(&self.request.head, &passed, self.request.body.len());
         out.extend_from_slice(&self.request.body);
-        if conn.write(&out).await.is_err() {
-            return (SendOutcome::MayHaveRun("write"), None);
+        match self.await_endpoint(caller, conn.write(&out), to).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return (SendOutcome::MayHaveRun("write"), None),
+            Err(outcome) => return (outcome, None),
         }
         let mut skipped = 0;
         let (mut head, meta) = loop {
@@ -516,23 +518,23 @@
         head.map_err(|e| self.connection_broken(to, &e))
     }
 
-    /// Waits for a read from the endpoint, unless that takes longer than the endpoint may be
-    /// silent, the deadline passes or the caller disconnects.
+    /// Waits for a read from the endpoint or a write to it, unless that takes longer than the
+    /// endpoint may be silent, the deadline passes or the caller disconnects.
     async fn await_endpoint<T>(
         &self,
         caller: &mut Conn,
-        read: impl Future<Output = T>,
+        transfer: impl Future<Output = T>,
         to: &Candidate,
     ) -> Result<T, SendOutcome> {
         let mut silence = SilenceTimer::new(self.node.now());
-        let mut read = std::pin::pin!(read);
+        let mut transfer = std::pin::pin!(transfer);
         loop {
             let now = self.node.now();
             let time_left = self.request.deadline.since(now);
             let wait = self.silence_wait(now, silence.since, true).min(time_left);
             tokio::select! {
                 biased;
-                done = &mut read => return Ok(done),
+                done = &mut transfer => return Ok(done),
                 disconnected = unconstrained(caller_disconnected(caller)) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
                 }
--- a/node/tests/test_endless.rs
+++ b/node/tests/test_endless.rs
@@ -141,6 +141,24 @@
     }
 }
 
+#[test]
+fn endpoint_that_answers_without_end_and_reads_no_body_is_given_up_by_the_deadline() {
+    let (node, plain) = NodeProcess::with_plain_endpoints();
+    let mut long_bodies = config(2);
+    long_bodies["limits"]["maxBodyBytes"] = json!(64 << 20);
+    fixtures::publish_config(&node.store, &long_bodies);
+    node.wait_until("the limits are known", |n| {
+        !n.log_lines("event=config version=2").is_empty()
+    });
+    let early = Mode::Endless(Endless::Early, Pace::Fast);
+    plain.iter().for_each(|e| e.set_mode(early));
+    let sent = Instant::now();
+    // More than the buffers of the connection to the endpoint hold.
+    let response = node.send("POST", "/once/a", "r1", "", &"x".repeat(32 << 20));
+    assert!(matches!(response.status, 502 | 504), "{}", response.status);
+    assert!(sent.elapsed() < LATE, "{:?}", sent.elapsed());
+}
+
 #[test]
 fn slow_endless_answer_to_another_request_ends_by_the_deadline() {
     let (response, elapsed) = send_once(Endless::Foreign, Pace::Slow);
