node: types for the path of a VM to its endpoints

A VM that is cut off from the endpoints needs to know that, and which peers are not. No behaviour changes: each VM counts as having a path.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -5,7 +5,8 @@
 //! [`forecast`] estimates, [`budget`] and [`quarantine`] limit its retries, and [`events`] keeps
 //! its event stream free of gaps and duplicates. [`planner`] forms the engine groups that
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, and [`load_totals`] adds up the
-//! load that they have on endpoints.
+//! load that they have on endpoints. [`reach`] tells whether this VM itself is cut off from the
+//! endpoints, and [`peer_paths`] which peers are not.
 
 pub mod balance;
 pub mod budget;
@@ -16,7 +17,9 @@
 pub mod events;
 pub mod forecast;
 pub mod load_totals;
+pub mod peer_paths;
 pub mod peers;
 pub mod planner;
 pub mod quarantine;
+pub mod reach;
 pub mod settings;
--- /dev/null
+++ b/lib/src/node/peer_paths.rs
@@ -0,0 +1,93 @@
+//! What the peers of this VM report of their own paths to endpoints.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::Time;
+
+/// Time for which a reply is used.
+const REPLY_RETENTION: Duration = Duration::from_millis(1_500);
+
+/// A question to a peer whether it reaches endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PathQuery {
+    /// Name of the sender.
+    pub node: String,
+    /// Random number that identifies the run of the sender.
+    pub run: u64,
+    /// Number of the query, which its reply repeats.
+    pub number: u64,
+    /// Identifiers of the endpoints in question.
+    pub endpoints: Vec<String>,
+}
+
+/// The reply to a [`PathQuery`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PathReply {
+    /// Name of the sender.
+    pub node: String,
+    /// Random number that identifies the run of the sender.
+    pub run: u64,
+    /// Number of the query.
+    pub number: u64,
+    /// Those endpoints of the query that the sender reaches.
+    pub reached: Vec<String>,
+    /// Whether the sender reaches endpoints at all, and so can relay requests of the receiver.
+    pub has_path: bool,
+    /// Whether the sender is stopping.
+    pub stopping: bool,
+    /// Requests that the sender has open.
+    pub open_requests: u32,
+    /// Fraction of a CPU core available to the sender.
+    pub cores: f64,
+    /// Address for requests that are passed on to the sender.
+    pub address: SocketAddr,
+}
+
+/// A peer that reaches endpoints.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PeerPath {
+    /// Name of the peer.
+    pub node: String,
+    /// Random number that identifies the run of the peer.
+    pub run: u64,
+    /// Address for requests that are passed on to the peer.
+    pub address: SocketAddr,
+    /// Requests that the peer had open when it replied.
+    pub open_requests: u32,
+    /// Fraction of a CPU core available to the peer.
+    pub cores: f64,
+}
+
+/// The latest replies of peers.
+#[derive(Debug, Default)]
+pub struct PeerPaths {
+    replies: BTreeMap<String, (Time, PathReply)>,
+}
+
+impl PeerPaths {
+    /// Records the reply of a peer.
+    pub fn record_reply(&mut self, now: Time, reply: PathReply) {
+        self.replies.insert(reply.node.clone(), (now, reply));
+    }
+
+    /// Lists the peers that replied recently that they reach endpoints and are not stopping.
+    pub fn with_path(&self, now: Time) -> Vec<PeerPath> {
+        let is_recent = |received: Time| now.since(received) < REPLY_RETENTION;
+        let usable = |reply: &PathReply| reply.has_path && !reply.stopping;
+        let replies = self.replies.values();
+        let usable = replies.filter(|(received, reply)| is_recent(*received) && usable(reply));
+        usable
+            .map(|(_, reply)| PeerPath {
+                node: reply.node.clone(),
+                run: reply.run,
+                address: reply.address,
+                open_requests: reply.open_requests,
+                cores: reply.cores,
+            })
+            .collect()
+    }
+}
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -11,6 +11,7 @@
 use super::cache::Position;
 use super::capacity::Demand;
 use super::endpoints::EngineReport;
+use super::peer_paths::{PathQuery, PathReply};
 use super::quarantine::Report;
 use crate::time::Time;
 
@@ -139,6 +140,10 @@
         #[serde(rename = "placed")]
         loads: Vec<EndpointLoad>,
     },
+    /// Asks whether the receiver reaches endpoints. Builds without this kind of datagram ignore it.
+    PathQuery(PathQuery),
+    /// The reply to a path query.
+    PathReply(PathReply),
 }
 
 #[derive(Debug)]
--- a/node/src/info_server.rs
+++ b/node/src/info_server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::peers;
+use hemlock_lib::node::reach::PathState;
 use hemlock_platform::directory;
 use hemlock_wire::http1::{self, Conn};
 use tokio::net::TcpListener;
@@ -140,6 +141,16 @@
             node.config().map_or(0.0, |c| c.version as f64),
         ),
         (Gauge::StoreEra, node.store_era.get() as f64),
+        (Gauge::PathUp, path_value(node.path_state(now))),
+        (Gauge::PeersWithPath, node.peers_with_path(now).len() as f64),
     ];
     node.metrics.render(&gauges)
 }
+
+fn path_value(state: PathState) -> f64 {
+    match state {
+        PathState::Direct => 1.0,
+        PathState::Doubtful => 0.5,
+        PathState::Cut => 0.0,
+    }
+}
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -98,10 +98,14 @@
     ConfigVersion,
     /// Number of times that the store came back from an older copy, as far as this VM knows.
     StoreEra,
+    /// Whether this VM reaches endpoints: 1 if it does, 0.5 if that is doubtful, 0 if it is cut off.
+    PathUp,
+    /// Peers that said recently that they reach endpoints.
+    PeersWithPath,
 }
 
 impl Gauge {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 10] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -110,6 +114,8 @@
         Self::ServingEndpoints,
         Self::ConfigVersion,
         Self::StoreEra,
+        Self::PathUp,
+        Self::PeersWithPath,
     ];
 
     fn name(self) -> &'static str {
@@ -122,6 +128,8 @@
             Self::ServingEndpoints => "hemlock_serving_endpoints",
             Self::ConfigVersion => "hemlock_config_version",
             Self::StoreEra => "hemlock_store_era",
+            Self::PathUp => "hemlock_path_up",
+            Self::PeersWithPath => "hemlock_peers_with_path",
         }
     }
 }
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -174,6 +174,12 @@
             return load_exchange::set_other_loads(node, now, loads);
         }
         Ok(Message::EngineReports(list)) => return list.iter().for_each(|r| node.apply_report(r)),
+        Ok(Message::PathQuery(query)) => {
+            return log::debug!("event=path_query from={}", query.node);
+        }
+        Ok(Message::PathReply(reply)) => {
+            return node.peer_paths.borrow_mut().record_reply(now, reply);
+        }
         Err(e) => {
             log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
             node.metrics.count(Counter::DatagramsRefused, "malformed");
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -14,9 +14,11 @@
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, EngineReport, MemberState};
 use hemlock_lib::node::load_totals::LoadTotals;
+use hemlock_lib::node::peer_paths::{PeerPath, PeerPaths};
 use hemlock_lib::node::peers::{EndpointLoad, Member, Peers};
 use hemlock_lib::node::planner::parse_group_name;
 use hemlock_lib::node::quarantine::{Quarantine, Suspects};
+use hemlock_lib::node::reach::{PathState, Reach};
 use hemlock_lib::node::settings::NodeSettings;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Store, Topic};
@@ -58,6 +60,10 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) peers: RefCell<Peers>,
+    /// Evidence of whether this VM reaches endpoints.
+    pub(crate) reach: RefCell<Reach>,
+    /// What peers report of their own paths to endpoints.
+    pub(crate) peer_paths: RefCell<PeerPaths>,
     pub(crate) load_totals: RefCell<LoadTotals>,
     /// Load that all other VMs have on endpoints, as last reported, and the time of that report.
     pub(crate) other_loads: RefCell<Option<(Time, Vec<EndpointLoad>)>>,
@@ -129,6 +135,8 @@
             retry_budget: RefCell::new(RetryBudget::new(allowance)),
             quarantine: RefCell::default(),
             peers: RefCell::default(),
+            reach: RefCell::default(),
+            peer_paths: RefCell::default(),
             load_totals: RefCell::default(),
             other_loads: RefCell::default(),
             demand_meter: RefCell::default(),
@@ -238,6 +246,16 @@
         }
     }
 
+    /// Returns whether this VM reaches endpoints.
+    pub(crate) fn path_state(&self, now: Time) -> PathState {
+        self.reach.borrow().state(now)
+    }
+
+    /// Returns the peers that said recently that they reach endpoints.
+    pub(crate) fn peers_with_path(&self, now: Time) -> Vec<PeerPath> {
+        self.peer_paths.borrow().with_path(now)
+    }
+
     /// Returns whether this VM reads the store itself.
     pub(crate) fn reads_store(&self) -> bool {
         let reads_directly = |f: &Feed| f.store_up.get() && f.direct.get();
