lib: tell a cut of this VM's own path from sick endpoints

reach keeps two kinds of evidence: connections that opened or failed, and bytes that arrived or did not. Failures of three endpoints (or of all, if fewer are listed) without a success put the path in doubt; probes are chosen of different services. It counts as cut once a peer reaches at least half of what failed here, and as healed when probes of several endpoints have succeeded for a second, which doubles with each relapse. Nothing is sent while nothing has failed.

Evidence: 13 tests in virtual time with up to 76 VMs, in which connects hang, are refused, open without a byte, or fail while old ones live on. All VMs notice within a second; silence of an endpoint, of a service or of all but one, lost endpoints and a cut of all VMs are not taken for a cut.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -22,6 +22,9 @@
 /// Time without an event on any stream of a group after which its members are probed. A probe is
 /// harmless, so this is shorter than [`SILENCE_TIMEOUT`].
 const SUSPECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time without a byte from an endpoint with requests in flight after which this VM checks whether
+/// it reaches endpoints.
+const QUIET_TIMEOUT: Duration = Duration::from_millis(400);
 /// Upper bound on the requests at an endpoint per slot. Assumes endpoints that queue up to twice
 /// their slots.
 const MAX_REQUESTS_PER_SLOT: usize = 3;
@@ -454,6 +457,17 @@
         quiet.map(|(id, _)| id)
     }
 
+    /// Lists the endpoints that have sent this entry VM nothing for some time, though it has requests
+    /// in flight there.
+    pub fn quiet_endpoints(&self, now: Time) -> Vec<Arc<str>> {
+        let is_quiet = |load: &Load| {
+            let progress = load.last_own_progress;
+            load.requests > 0 && progress.is_some_and(|t| now.since(t) >= QUIET_TIMEOUT)
+        };
+        let quiet = self.loads.iter().filter(|(_, load)| is_quiet(load));
+        quiet.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Lists the endpoints that this entry VM has marked as silent, with the time since then.
     pub fn silent_endpoints(&self, now: Time) -> Vec<(Arc<str>, Duration)> {
         let with_age = |(id, load): (&Arc<str>, &Load)| {
--- a/lib/src/node/peer_paths.rs
+++ b/lib/src/node/peer_paths.rs
@@ -20,8 +20,10 @@
     pub run: u64,
     /// Number of the query, which its reply repeats.
     pub number: u64,
-    /// Identifiers of the endpoints in question.
-    pub endpoints: Vec<String>,
+    /// Identifiers of endpoints to which the sender can't open connections.
+    pub unreachable: Vec<String>,
+    /// Identifiers of endpoints that send the sender nothing.
+    pub silent: Vec<String>,
 }
 
 /// The reply to a [`PathQuery`].
@@ -33,8 +35,10 @@
     pub run: u64,
     /// Number of the query.
     pub number: u64,
-    /// Those endpoints of the query that the sender reaches.
-    pub reached: Vec<String>,
+    /// Those unreachable endpoints of the query to which the sender could open connections.
+    pub connected: Vec<String>,
+    /// Those silent endpoints of the query that sent bytes to the sender.
+    pub answered: Vec<String>,
     /// Whether the sender reaches endpoints at all, and so can relay requests of the receiver.
     pub has_path: bool,
     /// Whether the sender is stopping.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_node_parts;
 mod test_node_planner;
 mod test_node_quarantine;
+mod test_node_reach;
 mod test_outcomes;
 mod test_plan;
 mod test_planner;
