--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -10,6 +10,7 @@
 use hemlock_lib::node::capacity::{self, Demand};
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::planner::{self, Output, Planner, PlannerInput, Summary};
+use hemlock_lib::node::reach::PathFailure;
 use hemlock_lib::time::Time;
 use hemlock_platform::engines::{self, ReportOutcome};
 use tokio::task::spawn_local;
@@ -356,6 +357,11 @@
         Output::Probe { endpoint, address } => {
             let report = engines::fetch_report(&endpoint, &address).await;
             let answered = report != ReportOutcome::NoReply;
+            if answered {
+                node.note_heard(&endpoint);
+            } else {
+                node.note_path_failure(&endpoint, PathFailure::Quiet);
+            }
             log::info!("event=probe id={endpoint} answered={answered}");
             if let ReportOutcome::Received(engine_report) = report
                 && node.is_outage()
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -47,6 +47,9 @@
     Left "left" "Requests whose caller disconnected before the end of the answer.";
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
     Orders "orders" "Orders to engines, by action.";
+    PathChanges "path_changes" "Times that the path of this VM to the endpoints changed its state, by the new state.";
+    PathProbes "path_probes" "Probes of endpoints to learn whether this VM reaches them, by outcome.";
+    PathQueries "path_queries" "Queries between entry VMs whether they reach endpoints, sent and received.";
     Probes "probes" "Probes of engines of silent groups, by outcome.";
     Quarantined "quarantined" "Parts of prompts whose requests are refused because they crash endpoints.";
     Refused "refused" "Requests refused before they ran, by cause.";
--- /dev/null
+++ b/node/src/path_watch.rs
@@ -0,0 +1,222 @@
+//! Watches whether this VM reaches endpoints. While something speaks against it, endpoints are
+//! probed and peers are asked whether they reach them; otherwise nothing is sent.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::node::peer_paths::{PathQuery, PathReply};
+use hemlock_lib::node::peers::{Member, Message};
+use hemlock_lib::node::reach::{
+    FailedEndpoints, PathChange, PathFailure, PathState, ProbeKind, Target,
+};
+use hemlock_lib::time::Time;
+use hemlock_platform::engines::{self, ReportOutcome};
+use hemlock_wire::http1::Conn;
+use rand::seq::IteratorRandom;
+use tokio::net::UdpSocket;
+use tokio::task::{JoinSet, spawn_local};
+
+use crate::metrics::Counter;
+use crate::peer_datagrams::send_to;
+use crate::state::Node;
+
+/// Interval between two decisions while something speaks against the path.
+const STEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Timeout of connecting to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time within which probes on behalf of a peer must end to be part of the reply.
+const REPLY_TIME: Duration = Duration::from_millis(200);
+/// Peers that are asked at a time, in this VM's zone and in the others.
+const PEERS_PER_QUERY: usize = 2;
+
+/// Decides whether this VM reaches endpoints, until the process ends.
+pub(crate) async fn run(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut number = 0;
+    loop {
+        let changed = node.path_evidence.notified();
+        let is_calm = node.reach.borrow().is_calm();
+        if is_calm {
+            changed.await;
+        } else {
+            let _ = tokio::time::timeout(STEP_INTERVAL, changed).await;
+        }
+        let now = node.now();
+        update(&node, now);
+        let probes = with_targets(&node, |targets| {
+            node.reach.borrow_mut().next_probes(now, targets)
+        });
+        for (id, kind) in probes {
+            spawn_local(probe(node.clone(), id, kind));
+        }
+        let query = node.reach.borrow_mut().next_query(now);
+        if let Some(failed) = query {
+            number += 1;
+            send_query(&node, &socket, now, number, &failed).await;
+        }
+    }
+}
+
+fn update(node: &Node, now: Time) {
+    let peers = node.peers_with_path(now).len();
+    let listed = node
+        .endpoints
+        .borrow()
+        .iter()
+        .filter(|e| !e.draining)
+        .count();
+    let change = node.reach.borrow_mut().update(now, listed, peers);
+    let Some(change) = change else { return };
+    let PathChange {
+        before,
+        state,
+        after,
+        unreachable,
+        silent,
+        asked,
+        reached,
+        peers,
+    } = change;
+    log::warn!(
+        "event=path state={} before={} after_ms={} unreachable={unreachable} silent={silent} \
+         asked={asked} reached={reached} peers={peers} listed={listed}",
+        state.label(),
+        before.label(),
+        after.as_millis()
+    );
+    node.metrics.count(Counter::PathChanges, state.label());
+    if state == PathState::Cut || before == PathState::Cut {
+        node.send_now.notify_one();
+    }
+}
+
+/// Calls `f` with the endpoints that may be probed.
+fn with_targets<T>(node: &Node, f: impl FnOnce(&[Target<'_>]) -> T) -> T {
+    let endpoints = node.endpoints.borrow();
+    let listed = endpoints.iter().filter(|e| !e.draining);
+    let targets: Vec<Target<'_>> = listed
+        .map(|e| Target {
+            id: &e.id,
+            service: &e.service,
+            is_engine: !e.domain.is_empty(),
+        })
+        .collect();
+    f(&targets)
+}
+
+/// Probes an endpoint and records the outcome. A connection to an endpoint that takes requests is
+/// kept for them.
+async fn probe(node: Rc<Node>, id: Arc<str>, kind: ProbeKind) {
+    let endpoint = node
+        .endpoints
+        .borrow()
+        .get(&id)
+        .map(|e| (e.address.clone(), !e.domain.is_empty()));
+    let Some((address, is_engine)) = endpoint else {
+        return;
+    };
+    let Ok(socket_address) = address.parse::<SocketAddr>() else {
+        return;
+    };
+    node.metrics.count(Counter::Connects, "probe");
+    let mut conn = match Conn::connect(socket_address, CONNECT_TIMEOUT).await {
+        Ok(conn) => conn,
+        Err(e) => {
+            log::info!("event=path_probe id={id} outcome=unreachable cause=\"{e}\"");
+            node.metrics.count(Counter::PathProbes, "unreachable");
+            node.note_path_failure(&id, PathFailure::Connect);
+            return;
+        }
+    };
+    node.note_connected(&id);
+    let mut outcome = "connected";
+    if kind == ProbeKind::Answer && is_engine {
+        let report = engines::query_report(&mut conn, &id, socket_address).await;
+        if report == ReportOutcome::NoReply {
+            outcome = "silent";
+            node.note_path_failure(&id, PathFailure::Quiet);
+        } else {
+            outcome = "answered";
+            node.note_heard(&id);
+        }
+    }
+    log::info!("event=path_probe id={id} outcome={outcome}");
+    node.metrics.count(Counter::PathProbes, outcome);
+    let takes_requests = node.balancer.borrow().candidate(&id).is_some();
+    if takes_requests && outcome != "silent" {
+        node.pool.put(node.now(), &id, conn, None);
+    }
+    node.path_evidence.notify_one();
+}
+
+async fn send_query(
+    node: &Node,
+    socket: &UdpSocket,
+    now: Time,
+    number: u64,
+    failed: &FailedEndpoints,
+) {
+    let names = |ids: &[Arc<str>]| ids.iter().map(|id| id.to_string()).collect();
+    let message = Message::PathQuery(PathQuery {
+        node: node.identity.node.clone(),
+        run: node.identity.run,
+        number,
+        unreachable: names(&failed.unreachable),
+        silent: names(&failed.silent),
+    });
+    let addresses = choose_peers(node, now);
+    node.metrics
+        .add(Counter::PathQueries, "sent", addresses.len() as u64);
+    send_to(socket, &message, addresses).await;
+}
+
+/// Chooses some peers of this VM's zone and some of others, since a zone may be cut off as a whole.
+fn choose_peers(node: &Node, now: Time) -> Vec<SocketAddr> {
+    let peers = node.peers.borrow();
+    let ready = peers.ready(now).filter(|m| m.node != node.identity.node);
+    let (near, far): (Vec<&Member>, Vec<&Member>) =
+        ready.partition(|m| m.zone == node.identity.zone);
+    let mut rng = rand::rng();
+    let mut chosen = near.into_iter().choose_multiple(&mut rng, PEERS_PER_QUERY);
+    chosen.extend(far.into_iter().choose_multiple(&mut rng, PEERS_PER_QUERY));
+    chosen.iter().map(|m| m.peer_address).collect()
+}
+
+/// Answers the query of a peer, after probes of the endpoints for which there is no fresh evidence.
+pub(crate) async fn answer_query(
+    node: Rc<Node>,
+    socket: Rc<UdpSocket>,
+    query: PathQuery,
+    from: SocketAddr,
+) {
+    node.metrics.count(Counter::PathQueries, "received");
+    let now = node.now();
+    let probes = with_targets(&node, |targets| {
+        node.reach.borrow_mut().probes_for(now, &query, targets)
+    });
+    let mut running = JoinSet::new();
+    for (id, kind) in probes {
+        running.spawn_local(probe(node.clone(), id, kind));
+    }
+    let ended = async { while running.join_next().await.is_some() {} };
+    // Those that last longer go on, for the next query.
+    if tokio::time::timeout(REPLY_TIME, ended).await.is_err() {
+        running.detach_all();
+    }
+    let now = node.now();
+    let (connected, answered) = node.reach.borrow().evidence_for(now, &query);
+    let message = Message::PathReply(PathReply {
+        node: node.identity.node.clone(),
+        run: node.identity.run,
+        number: query.number,
+        connected,
+        answered,
+        has_path: node.reach.borrow().has_path(now),
+        stopping: node.stopping_since.get().is_some(),
+        open_requests: node.open_requests.get().min(u32::MAX as usize) as u32,
+        cores: node.identity.cores,
+        address: node.identity.peer_address,
+    });
+    send_to(&socket, &message, [from]).await;
+}
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -16,6 +16,7 @@
 use crate::feed::MAX_LAG;
 use crate::load_exchange;
 use crate::metrics::Counter;
+use crate::path_watch;
 use crate::state::Node;
 use crate::store_watch;
 
@@ -48,10 +49,11 @@
     let socket = Rc::new(socket);
     spawn_local(send_heartbeats(node.clone(), socket.clone()));
     spawn_local(load_exchange::run(node.clone(), socket.clone()));
+    spawn_local(path_watch::run(node.clone(), socket.clone()));
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => handle_datagram(&node, &buffer[..length], from),
+            Ok((length, from)) => handle_datagram(&node, &socket, &buffer[..length], from),
             Err(e) => {
                 // If a peer does not listen, the error of an earlier send is reported here.
                 log::debug!("event=datagram_failed cause=\"{e}\"");
@@ -157,7 +159,7 @@
 }
 
 /// Handles a received datagram.
-fn handle_datagram(node: &Rc<Node>, bytes: &[u8], from: SocketAddr) {
+fn handle_datagram(node: &Rc<Node>, socket: &Rc<UdpSocket>, bytes: &[u8], from: SocketAddr) {
     let now = node.now();
     let heartbeat: Heartbeat = match rmp_serde::from_slice(bytes) {
         Ok(Message::Heartbeat(heartbeat)) => *heartbeat,
@@ -175,10 +177,14 @@
         }
         Ok(Message::EngineReports(list)) => return list.iter().for_each(|r| node.apply_report(r)),
         Ok(Message::PathQuery(query)) => {
-            return log::debug!("event=path_query from={}", query.node);
+            let answer = path_watch::answer_query(node.clone(), socket.clone(), query, from);
+            spawn_local(answer);
+            return;
         }
         Ok(Message::PathReply(reply)) => {
-            return node.peer_paths.borrow_mut().record_reply(now, reply);
+            node.reach.borrow_mut().record_reply(now, &reply);
+            node.peer_paths.borrow_mut().record_reply(now, reply);
+            return node.path_evidence.notify_one();
         }
         Err(e) => {
             log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -18,6 +18,7 @@
 use hemlock_lib::node::capacity::RequestSize;
 use hemlock_lib::node::config::{Engine, RequestKind};
 use hemlock_lib::node::forecast::Estimate;
+use hemlock_lib::node::reach::PathFailure;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, ForwardMeta};
 use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
@@ -297,7 +298,7 @@
         let now = self.node.now();
         let mut conn = match self.node.pool.take(now, &to.id) {
             Some(conn) => conn,
-            None => match self.connect(caller, address).await {
+            None => match self.connect(caller, to, address).await {
                 Ok(conn) => conn,
                 Err(outcome) => return outcome,
             },
@@ -329,12 +330,23 @@
     }
 
     /// Connects to an endpoint, unless the caller disconnects first.
-    async fn connect(&self, caller: &mut Conn, address: SocketAddr) -> Result<Conn, SendOutcome> {
+    async fn connect(
+        &self,
+        caller: &mut Conn,
+        to: &Candidate,
+        address: SocketAddr,
+    ) -> Result<Conn, SendOutcome> {
         self.node.metrics.count(Counter::Connects, "endpoint");
         let mut connect = std::pin::pin!(Conn::connect(address, CONNECT_TIMEOUT));
         loop {
             tokio::select! {
-                conn = &mut connect => return conn.map_err(|_| SendOutcome::NotRun("connect")),
+                conn = &mut connect => {
+                    match conn {
+                        Ok(_) => self.node.note_connected(&to.id),
+                        Err(_) => self.node.note_path_failure(&to.id, PathFailure::Connect),
+                    }
+                    return conn.map_err(|_| SendOutcome::NotRun("connect"));
+                }
                 disconnected = caller_disconnected(caller) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
                 }
@@ -366,6 +378,7 @@
             requests::encode_request(&self.request.head, &passed, self.request.body.len());
         out.extend_from_slice(&self.request.body);
         if conn.write(&out).await.is_err() {
+            self.node.note_path_failure(&to.id, PathFailure::Broken);
             return (SendOutcome::MayHaveRun("write"), None);
         }
         let mut skipped = 0;
@@ -374,6 +387,7 @@
                 Ok(head) => head,
                 Err(outcome) => return (outcome, None),
             };
+            self.node.note_heard(&to.id);
             let meta = requests::read_response_meta(&head);
             // Status 421 may come from another endpoint at this address.
             if meta.leaving && head.status != 421 {
@@ -553,6 +567,7 @@
             Ok(None) => return SendOutcome::MayHaveRun("too_large"),
             Err(e) => return self.connection_broken(to, &e),
         };
+        self.node.note_heard(&to.id);
         self.node
             .balancer
             .borrow_mut()
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -6,6 +6,7 @@
 use hemlock_lib::node::balance::{Candidate, SILENCE_TIMEOUT};
 use hemlock_lib::node::config::RequestKind;
 use hemlock_lib::node::quarantine::EndpointRun;
+use hemlock_lib::node::reach::PathFailure;
 use hemlock_lib::time::Time;
 use hemlock_wire::http1::HttpError;
 
@@ -96,7 +97,10 @@
             HttpError::Malformed(_) | HttpError::HeadTooLarge => {
                 SendOutcome::MayHaveRun("malformed")
             }
-            HttpError::Closed | HttpError::Broken(_) => SendOutcome::MayHaveRun("broken"),
+            HttpError::Closed | HttpError::Broken(_) => {
+                self.node.note_path_failure(&to.id, PathFailure::Broken);
+                SendOutcome::MayHaveRun("broken")
+            }
         }
     }
 
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -57,6 +57,7 @@
             match piece {
                 Ok(Some(bytes)) => {
                     silence = SilenceTimer::new(now);
+                    self.node.note_heard(&to.id);
                     let is_first_piece = !*stream_started;
                     self.note_progress(now, to, prompt, stream_started);
                     splitter.push(&bytes);
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -18,7 +18,7 @@
 use hemlock_lib::node::peers::{EndpointLoad, Member, Peers};
 use hemlock_lib::node::planner::parse_group_name;
 use hemlock_lib::node::quarantine::{Quarantine, Suspects};
-use hemlock_lib::node::reach::{PathState, Reach};
+use hemlock_lib::node::reach::{PathFailure, PathState, Reach};
 use hemlock_lib::node::settings::NodeSettings;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Store, Topic};
@@ -100,11 +100,15 @@
     pub(crate) members_outdated: Notify,
     /// Wakes the reads of topics when a peer reaches a store that was lost.
     pub(crate) store_found: Notify,
+    /// Wakes the watch of the path when an endpoint fails or a probe has ended.
+    pub(crate) path_evidence: Notify,
     /// Wakes the sender of datagrams when a change can't wait for the next interval.
     pub(crate) send_now: Notify,
     /// Versions of the list of endpoints and of the configuration from which the candidates were
     /// computed.
     candidates_version: Cell<(u64, u64)>,
+    /// Version of the list of endpoints for which evidence of the path is kept.
+    listed_version: Cell<u64>,
 }
 
 impl Node {
@@ -156,8 +160,10 @@
             endpoints_changed: Notify::new(),
             members_outdated: Notify::new(),
             store_found: Notify::new(),
+            path_evidence: Notify::new(),
             send_now: Notify::new(),
             candidates_version: Cell::default(),
+            listed_version: Cell::default(),
             settings,
         })
     }
@@ -251,6 +257,24 @@
         self.reach.borrow().state(now)
     }
 
+    /// Records that bytes arrived from an endpoint.
+    pub(crate) fn note_heard(&self, endpoint: &Arc<str>) {
+        self.reach.borrow_mut().record_heard(self.now(), endpoint);
+    }
+
+    /// Records that a connection to an endpoint was opened.
+    pub(crate) fn note_connected(&self, endpoint: &Arc<str>) {
+        let mut reach = self.reach.borrow_mut();
+        reach.record_connected(self.now(), endpoint);
+    }
+
+    /// Records that an endpoint failed to answer, and has the path checked.
+    pub(crate) fn note_path_failure(&self, endpoint: &Arc<str>, failure: PathFailure) {
+        let mut reach = self.reach.borrow_mut();
+        reach.record_failure(self.now(), endpoint, failure);
+        self.path_evidence.notify_one();
+    }
+
     /// Returns the peers that said recently that they reach endpoints.
     pub(crate) fn peers_with_path(&self, now: Time) -> Vec<PeerPath> {
         self.peer_paths.borrow().with_path(now)
@@ -336,6 +360,15 @@
         self.check_outage();
         self.refresh_candidates();
         self.pool.expire(now);
+        let quiet = self.balancer.borrow().quiet_endpoints(now);
+        for id in &quiet {
+            self.note_path_failure(id, PathFailure::Quiet);
+        }
+        let endpoints = self.endpoints.borrow();
+        if self.listed_version.replace(endpoints.version()) != endpoints.version() {
+            let is_listed = |id: &str| endpoints.get(id).is_some();
+            self.reach.borrow_mut().retain_listed(is_listed);
+        }
     }
 
     /// Computes which endpoints accept requests, if the list of endpoints or the configuration has
