relay: a connect that fails draws no retry budget

Callers of VMs that had lost their links to the endpoints got 503 with cause=budget after a few refused requests in a second. Each attempt beyond the first drew from the retry budget, although a connect that fails brings nothing to an endpoint; the budget was gone within the first requests, and each of them waited for one connect timeout after the other until its deadline.

A send counts as a repeat only after one that had a connection. Since the budget then no longer bounds failed connects, a request is refused after three of them, with cause=no_path and a short Retry-After: another VM may accept it.

Test: connects_that_fail_draw_no_retry_budget_and_are_few.

--- a/cli/src/timeline.rs
+++ b/cli/src/timeline.rs
@@ -194,6 +194,7 @@
         "nobody" => "no endpoint of the model or service was in use",
         "full" => "no endpoint could have begun it in time",
         "budget" => "the budget of repeated sends was used up",
+        "no_path" => "its VM could not connect to several endpoints",
         "stopping" => "its VM was about to stop, and it might not have ended before",
         "overdue" => "its time was over",
         "silent" | "stuck" => "its endpoint stopped answering it",
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -58,6 +58,10 @@
 /// Events after which an endpoint has begun to answer. The first one may be written just before it
 /// crashes.
 const MIN_BEGUN_EVENTS: u32 = 2;
+/// Cause of a send that failed since no connection to the endpoint could be established.
+const FAILED_CONNECT: &str = "connect";
+/// Number of endpoints to which one request fails to connect before it is refused.
+const MAX_FAILED_CONNECTS: u32 = 3;
 /// Minimum time before the deadline at which sending a request is of use.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -119,6 +123,10 @@
     service: Option<Arc<str>>,
     /// Endpoints to which the request was sent.
     tried: Vec<Arc<str>>,
+    /// Number of sends that may have reached an endpoint.
+    reached: u32,
+    /// Number of endpoints to which no connection could be established for the request.
+    failed_connects: u32,
     /// Number of sends with which the request may have run.
     possible_runs: u32,
     delivered: Delivered,
@@ -150,6 +158,8 @@
         keep_alive,
         service: None,
         tried: Vec::new(),
+        reached: 0,
+        failed_connects: 0,
         possible_runs: 0,
         delivered: Delivered {
             last_event: request.meta.last_event,
@@ -191,6 +201,11 @@
             if now + MIN_TIME_LEFT >= self.request.deadline {
                 return self.deadline_passed(conn).await;
             }
+            if self.failed_connects >= MAX_FAILED_CONNECTS {
+                return self
+                    .give_up(conn, "no_path", front::RETRY_ELSEWHERE_AFTER)
+                    .await;
+            }
             let must_end_soon = self.node.time_until_exit(now).is_some();
             let (to, estimate) = match self.choose_endpoint(now, &service, engine) {
                 Choice::Send(to, estimate) => (to, estimate),
@@ -209,7 +224,7 @@
                 let after = front::QUARANTINE_RETRY_AFTER;
                 return self.give_up(conn, "breaks_endpoints", after).await;
             }
-            if !self.tried.is_empty() && !self.try_retry(now, &service, cause) {
+            if self.reached > 0 && !self.try_retry(now, &service, cause) {
                 let after = front::jittered_retry_after(self.request.deadline.since(now));
                 return self.give_up(conn, "budget", after).await;
             }
@@ -230,6 +245,7 @@
                         .balancer
                         .borrow_mut()
                         .record_failure(self.node.now(), &to.id);
+                    self.failed_connects += u32::from(reason == FAILED_CONNECT);
                     cause = reason;
                 }
                 SendOutcome::MayHaveRun(reason) => {
@@ -303,6 +319,7 @@
                 Err(outcome) => return outcome,
             },
         };
+        self.reached += 1;
         let prompt = if engine {
             self.request.meta.prompt_tokens
         } else {
@@ -345,7 +362,7 @@
                         Ok(_) => self.node.note_connected(&to.id),
                         Err(_) => self.node.note_path_failure(&to.id, PathFailure::Connect),
                     }
-                    return conn.map_err(|_| SendOutcome::NotRun("connect"));
+                    return conn.map_err(|_| SendOutcome::NotRun(FAILED_CONNECT));
                 }
                 disconnected = caller_disconnected(caller) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
--- a/node/tests/test_refusals.rs
+++ b/node/tests/test_refusals.rs
@@ -2,6 +2,7 @@
 
 use hemlock_platform_standin::caller;
 use hemlock_platform_standin::endpoint::{Endpoint, Mode};
+use hemlock_platform_standin::server::free_address;
 use hemlock_platform_standin::store::Mode as StoreMode;
 
 use crate::node_process::{NodeProcess, config, request, route};
@@ -191,3 +192,29 @@
         response.body
     );
 }
+
+/// Only what may have arrived at an endpoint is repeated by the next send.
+#[test]
+fn connects_that_fail_draw_no_retry_budget_and_are_few() {
+    let node = NodeProcess::unconfigured();
+    for name in ["p1", "p2", "p3", "p4", "p5"] {
+        Endpoint::spawn(&node.store, name, "plain", None).publish_entry_at(free_address());
+    }
+    node.configure(&config(1));
+    node.wait_until("five endpoints serve", |n| {
+        n.log_lines("event=serving").len() >= 5
+    });
+    let response = node.send("POST", "/once/a", "r1", "", "x");
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.header("retry-after").is_some(), "{response:?}");
+    let metrics = caller::send(node.metrics, "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(
+        metrics.body.contains("hemlock_refused_total"),
+        "{metrics:?}"
+    );
+    assert!(!metrics.body.contains("hemlock_repeat"), "{metrics:?}");
+    node.wait_until("the refusal is logged", |n| {
+        !n.log_lines("event=refused request=r1").is_empty()
+    });
+    assert!(node.log_lines("event=sent request=r1").len() <= 3);
+}
