wire: heads of interim responses, removal of headers by prefix

A VM that passes a request on waits for the peer's 100 before it sends the body, and takes 102 as a sign of life, so it must see interim responses. Headers between entry VMs share a prefix, by which they are dropped from what others send.

--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -57,6 +57,12 @@
         found.next().and_then(|(_, v)| std::str::from_utf8(v).ok())
     }
 
+    /// Removes all headers whose names begin with `prefix`, which is in lower case.
+    pub fn remove_prefixed(&mut self, prefix: &str) {
+        self.0
+            .retain(|(name, _)| !name.to_ascii_lowercase().starts_with(prefix));
+    }
+
     /// Returns the number of header lines called `name`.
     pub fn count(&self, name: &str) -> usize {
         let same = |(n, _): &&(String, Bytes)| n.eq_ignore_ascii_case(name);
@@ -251,18 +257,31 @@
     /// See [`HttpError`] for the other errors.
     pub async fn read_response_head(&mut self, limit: usize) -> Result<ResponseHead, HttpError> {
         loop {
-            match parse_response(&self.buffer, limit)? {
-                Some((head, length)) => {
-                    self.buffer.advance(length);
-                    if head.status >= 200 {
-                        return Ok(head);
-                    }
-                }
-                None => self.fill_head(limit).await?,
+            let head = self.read_any_response_head(limit).await?;
+            if head.status >= 200 {
+                return Ok(head);
             }
         }
     }
 
+    /// Reads the head of the next response, which may be an interim (1xx) one.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Conn::read_response_head`].
+    pub async fn read_any_response_head(
+        &mut self,
+        limit: usize,
+    ) -> Result<ResponseHead, HttpError> {
+        loop {
+            if let Some((head, length)) = parse_response(&self.buffer, limit)? {
+                self.buffer.advance(length);
+                return Ok(head);
+            }
+            self.fill_head(limit).await?;
+        }
+    }
+
     async fn fill_head(&mut self, limit: usize) -> Result<(), HttpError> {
         if self.buffer.len() > limit {
             return Err(HttpError::HeadTooLarge);
@@ -563,12 +582,18 @@
 /// The end of a complete chunked body: the last chunk, without trailers.
 pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
+/// The interim response that asks for the body of a request.
+pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// The interim response that shows that a request is being processed.
+pub const PROCESSING: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+
 /// Returns the standard reason phrase of a status code.
 pub fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
         400 => "Bad Request",
         401 => "Unauthorized",
+        403 => "Forbidden",
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
