lib: decisions on passing requests on to a peer

Which VM sends a request, which peer is asked, what both tell each other of the sends so far, and the secret by which a peer knows a member. Tests: test_node_passing.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -6,7 +6,7 @@
 //! its event stream free of gaps and duplicates. [`planner`] forms the engine groups that
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, and [`load_totals`] adds up the
 //! load that they have on endpoints. [`reach`] tells whether this VM itself is cut off from the
-//! endpoints, and [`peer_paths`] which peers are not.
+//! endpoints, and [`peer_paths`] which peers are not; [`passing`] has one of these send a request.
 
 pub mod balance;
 pub mod budget;
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod forecast;
 pub mod load_totals;
+pub mod passing;
 pub mod peer_paths;
 pub mod peers;
 pub mod planner;
