--- a/cli/src/timeline.rs
+++ b/cli/src/timeline.rs
@@ -13,7 +13,7 @@
 /// Time after the last line of a request until which lines on the state of VMs are shown, in milliseconds.
 const CONTEXT_AFTER_MS: u64 = 500;
 /// Events on the state of an entry VM that are shown, besides those on the request's endpoints.
-const VM_STATE_EVENTS: [&str; 8] = [
+const VM_STATE_EVENTS: [&str; 9] = [
     "outage",
     "store_lost",
     "store_regained",
@@ -22,15 +22,20 @@
     "config",
     "stopping",
     "log_dropped",
+    "path",
 ];
 /// Events that end a request, with their meaning.
-const END_EVENTS: [(&str, &str); 6] = [
+const END_EVENTS: [(&str, &str); 7] = [
     ("answered", "it was answered"),
     ("refused", "it was refused before it ran"),
     ("denied", "no configuration in force there allows it"),
     ("failed", "it may have run, and could not be sent again"),
     ("broken_off", "its stream ended unfinished"),
     ("left", "its caller left"),
+    (
+        "handed_back",
+        "a peer that had it passed on gave it back; the log of the VM of its caller is not here",
+    ),
 ];
 
 /// Parsed line of a log.
@@ -150,10 +155,14 @@
 /// Describes how the request ended, and the cause.
 fn verdict(request_lines: &[&LogLine], shown: &[&LogLine]) -> String {
     let ends: BTreeMap<&str, &str> = END_EVENTS.into_iter().collect();
-    let end = request_lines
-        .iter()
-        .rev()
-        .find_map(|l| Some((l, ends.get(l.event.as_str())?)));
+    let end_of = |is_wanted: &dyn Fn(&LogLine) -> bool| {
+        let wanted = request_lines.iter().rev().filter(|l| is_wanted(l));
+        wanted
+            .filter_map(|l| Some((*l, ends.get(l.event.as_str())?)))
+            .next()
+    };
+    // Lines of a peer that had the request passed on name the VM of its caller, whose line counts.
+    let end = end_of(&|l| field(&l.text, "for").is_none()).or_else(|| end_of(&|_| true));
     let Some((line, meaning)) = end else {
         return "its end is in none of the files: its VM stopped, or the lines were dropped"
             .to_owned();
@@ -161,7 +170,7 @@
     let cause = field(&line.text, "cause");
     let failures: Vec<&str> = request_lines
         .iter()
-        .filter(|l| l.event == "send_failed")
+        .filter(|l| matches!(l.event.as_str(), "send_failed" | "pass_failed"))
         .filter_map(|l| field(&l.text, "cause"))
         .collect();
     let mut parts = vec![(*meaning).to_owned()];
@@ -174,6 +183,15 @@
             .iter()
             .any(|l| l.event == event && l.text.contains(word))
     };
+    let peers = request_lines.iter().filter(|l| l.event == "passed_on");
+    let peers: Vec<&str> = peers.filter_map(|l| field(&l.text, "via")).collect();
+    if !peers.is_empty() {
+        let names = peers.iter().map(|p| p.trim_start_matches("peer:"));
+        parts.push(format!(
+            "passed on to {}",
+            names.collect::<Vec<_>>().join(", ")
+        ));
+    }
     if has("outage", "of_all=true") {
         parts.push("no VM reached the store".to_owned());
     }
@@ -194,7 +212,12 @@
         "nobody" => "no endpoint of the model or service was in use",
         "full" => "no endpoint could have begun it in time",
         "budget" => "the budget of repeated sends was used up",
-        "no_path" => "its VM could not connect to several endpoints",
+        "no_path" => "its VM reached no endpoint, and no peer that does took it",
+        "peer_refused" => "the peer that it was passed on to refused it",
+        "peer_failed" => "the peer that it was passed on to got no answer",
+        "peer_silent" | "peer_lost" | "peer_broken" | "peer_write" => {
+            "the peer that it was passed on to was lost"
+        }
         "stopping" => "its VM was about to stop, and it might not have ended before",
         "overdue" => "its time was over",
         "silent" | "stuck" => "its endpoint stopped answering it",
--- a/cli/tests/test_explain.rs
+++ b/cli/tests/test_explain.rs
@@ -84,7 +84,14 @@
   1.5 entry-3 time_ms=1500 level=INFO event=probe id=i-1 answered=false\n\
   1.6 entry-3 time_ms=1600 level=INFO event=plan service=m usable=50 free=2\n\
   1.7 entry-1 time_ms=1700 level=INFO event=broken_off request=r1 cause=budget ms=700 events=3 attempts=1\n\
-  1.8 entry-1 time_ms=1800 level=INFO event=refused request=r2 cause=full after_ms=900 list=7\n";
+  1.8 entry-1 time_ms=1800 level=INFO event=refused request=r2 cause=full after_ms=900 list=7\n\
+  1.9 entry-1 time_ms=3000 level=INFO event=path state=cut failed=5\n\
+  1.9 entry-1 time_ms=3010 level=INFO event=passed_on request=r4 via=peer:entry-2 after=connect sends=0\n\
+  1.9 entry-2 time_ms=3020 level=INFO event=taken_over request=r4 for=entry-1 sends=0 left_ms=900\n\
+  1.9 entry-2 time_ms=3030 level=INFO event=handed_back request=r4 cause=stopping may_have_run=false ms=20 for=entry-1\n\
+  1.9 entry-1 time_ms=3040 level=INFO event=passed_on request=r4 via=peer:entry-3 after=peer_declined sends=0\n\
+  1.9 entry-1 time_ms=3090 level=INFO event=answered request=r4 id=i-1 status=200 ms=90 via=peer:entry-3\n\
+  1.9 entry-3 time_ms=3095 level=INFO event=left request=r4 id=i-1 ms=80 via=direct for=entry-1\n";
 
 /// Runs `explain REQUEST --logs` on a file that holds [`LOGS`].
 fn explain_logs(request: &str) -> (Exit, String) {
@@ -150,3 +157,22 @@
         "{text}"
     );
 }
+
+/// The end at the VM of the caller counts, whatever a peer logs later.
+#[test]
+fn explain_logs_shows_by_which_peers_a_request_was_passed_on() {
+    let (exit, text) = explain_logs("r4");
+    assert_eq!(exit, Exit::Done, "{text}");
+    let verdict = text.lines().next().unwrap_or_default();
+    assert!(
+        verdict.contains("it was answered; passed on to entry-2, entry-3"),
+        "{text}"
+    );
+    for part in [
+        "event=path state=cut",
+        "event=taken_over",
+        "event=handed_back",
+    ] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+}
--- a/lib/tests/test_node_reach.rs
+++ b/lib/tests/test_node_reach.rs
@@ -81,7 +81,11 @@
             changes: Vec::new(),
         };
         let endpoint = |i: usize| {
-            let service = if i.is_multiple_of(3) { "plain" } else { "models" };
+            let service = if i.is_multiple_of(3) {
+                "plain"
+            } else {
+                "models"
+            };
             (
                 Arc::from(format!("e{i}")),
                 Arc::from(service),
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -14,6 +14,8 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
+use crate::front::{self, ConnectionAction};
+use crate::peer_requests;
 use crate::state::Node;
 
 /// Time for which a peer holds a read when it has nothing new; its empty reply shows that it is
@@ -24,8 +26,10 @@
 const READ_GRACE: Duration = Duration::from_millis(400);
 /// Timeout of connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum size in bytes of the head of a message.
-const MAX_HEAD_BYTES: usize = 4 << 10;
+/// Maximum size in bytes of the head of a message, beyond the head of a caller's request.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+/// Time for which a connection of a peer is kept that sends nothing.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum size in bytes of the body of a reply.
 const MAX_REPLY_BYTES: usize = 16 << 20;
 /// Time for which a peer may be ahead of this VM before the source of this VM counts as stale.
@@ -75,7 +79,8 @@
     }
 }
 
-/// Accepts connections of peers and serves the topics to them, until the process ends.
+/// Accepts connections of peers, and serves the topics and the requests that they pass on to them,
+/// until the process ends.
 pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
@@ -94,9 +99,18 @@
 
 async fn serve(node: Rc<Node>, mut conn: Conn) {
     loop {
-        let Ok(head) = conn.read_request_head(MAX_HEAD_BYTES).await else {
+        let limits = node.config().map(|c| c.limits).unwrap_or_default();
+        let read = conn.read_request_head(limits.head_bytes + MAX_HEAD_BYTES);
+        let Ok(Ok(head)) = tokio::time::timeout(IDLE_TIMEOUT, read).await else {
             return;
         };
+        if peer_requests::is_passed_on(&head) {
+            match peer_requests::handle(&node, &mut conn, head).await {
+                ConnectionAction::KeepOpen => continue,
+                ConnectionAction::Close => return front::linger(&mut conn).await,
+                ConnectionAction::Abort => return,
+            }
+        }
         let Some((topic, from)) = parse_target(&head.target) else {
             return;
         };
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hemlock_lib::node::balance;
 use hemlock_lib::node::config::{Account, Caller, Config, Route};
+use hemlock_lib::node::passing::{self, PassedRequest};
 use hemlock_lib::node::quarantine::{Suspect, Suspects};
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, RequestMeta};
@@ -49,6 +50,8 @@
     pub(crate) deadline: Time,
     /// The suspects of the request if it crashes endpoints.
     pub(crate) suspects: Suspects,
+    /// The message of the peer that passed the request on.
+    pub(crate) passed: Option<PassedRequest>,
 }
 
 /// What to do with a caller's connection after a request.
@@ -89,7 +92,7 @@
         }
         let limits = node.config().map(|c| c.limits).unwrap_or_default();
         let read = conn.read_request_head(limits.head_bytes);
-        let head = match tokio::time::timeout(limits.head_timeout, read).await {
+        let mut head = match tokio::time::timeout(limits.head_timeout, read).await {
             Ok(Ok(head)) => head,
             Ok(Err(HttpError::HeadTooLarge)) => return reject(&mut conn, 431).await,
             Ok(Err(HttpError::Malformed(cause))) => {
@@ -99,6 +102,8 @@
             Ok(Err(_)) => return,
             Err(_) => return reject(&mut conn, 408).await,
         };
+        // Only entry VMs speak to each other by these headers.
+        head.headers.remove_prefixed(passing::HEADER_PREFIX);
         node.open_requests.set(node.open_requests.get() + 1);
         let action = handle_request(&node, &mut conn, head).await;
         node.open_requests.set(node.open_requests.get() - 1);
@@ -141,7 +146,7 @@
     let wait = meta.max_wait.unwrap_or(DEFAULT_WAIT);
     let config = node.config();
     let limits = config.as_ref().map(|c| c.limits).unwrap_or_default();
-    if meta.expects_continue && conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+    if meta.expects_continue && conn.write(http1::CONTINUE).await.is_err() {
         return ConnectionAction::Abort;
     }
     let mut framing = head.body_framing;
@@ -198,15 +203,7 @@
         )
         .await;
     }
-    let account_name = account.as_ref().map_or("", |a| &*a.name);
-    let suspects = Suspects {
-        request: Suspect::request(&head.target, account_name, &body),
-        parts: meta
-            .shared_parts
-            .iter()
-            .map(|p| Suspect::part(*p))
-            .collect(),
-    };
+    let suspects = suspects(&head, account.as_deref(), &meta, &body);
     if node.is_quarantined(received, &id, &suspects) {
         return refuse(
             node,
@@ -228,10 +225,26 @@
         config,
         received,
         suspects,
+        passed: None,
     };
     relay::relay(node, conn, &request, keep_alive).await
 }
 
+/// Returns the suspects of a request if it crashes endpoints.
+pub(crate) fn suspects(
+    head: &RequestHead,
+    account: Option<&Account>,
+    meta: &RequestMeta,
+    body: &[u8],
+) -> Suspects {
+    let account_name = account.map_or("", |a| &*a.name);
+    let parts = meta.shared_parts.iter();
+    Suspects {
+        request: Suspect::request(&head.target, account_name, body),
+        parts: parts.map(|p| Suspect::part(*p)).collect(),
+    }
+}
+
 /// Denies a request that the configuration in force does not allow. While the store is unreachable,
 /// a newer configuration may allow it, so the request is refused instead.
 async fn deny(
@@ -314,7 +327,7 @@
 }
 
 /// Closes a connection in such a way that the caller can still read the last response.
-async fn linger(conn: &mut Conn) {
+pub(crate) async fn linger(conn: &mut Conn) {
     if conn.shutdown_write().await.is_err() {
         return;
     }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,7 +4,9 @@
 //! `front` accepts the requests of callers, and `relay` forwards them to endpoints over connections
 //! of `pool`. Which endpoint is chosen depends on what `store_watch` has read from the store,
 //! directly or through another VM's `feed`, and on what `peer_datagrams` and `load_exchange` have
-//! received from the other entry VMs. `path_watch` notices when this VM is cut off from the endpoints. `leadership` forms the groups of engines while this VM is the
+//! received from the other entry VMs. `path_watch` notices when this VM is cut off from the endpoints;
+//! then it passes requests on to another one, where `peer_requests` takes them. `leadership` forms
+//! the groups of engines while this VM is the
 //! one that plans.
 
 mod feed;
@@ -15,6 +17,7 @@
 mod metrics;
 mod path_watch;
 mod peer_datagrams;
+mod peer_requests;
 mod pool;
 mod relay;
 mod signals;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -47,6 +47,7 @@
     Left "left" "Requests whose caller disconnected before the end of the answer.";
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
     Orders "orders" "Orders to engines, by action.";
+    PassedOn "passed_on" "Requests that this VM passed on to peers, by outcome.";
     PathChanges "path_changes" "Times that the path of this VM to the endpoints changed its state, by the new state.";
     PathProbes "path_probes" "Probes of endpoints to learn whether this VM reaches them, by outcome.";
     PathQueries "path_queries" "Queries between entry VMs whether they reach endpoints, sent and received.";
@@ -55,6 +56,8 @@
     Refused "refused" "Requests refused before they ran, by cause.";
     Retries "repeated" "Retries, by the cause of the preceding failure.";
     RetriesDenied "repeats_denied" "Retries that the retry budget did not allow, by the cause of the preceding failure.";
+    StrangersDenied "strangers_denied" "Requests at the peer listener that did not come from an entry VM.";
+    TakenOver "taken_over" "Requests that peers passed on to this VM, by outcome.";
     SendsFailed "sends_failed" "Sends that ended without an answer, by cause.";
     Silent "silent" "Times that an endpoint was found to send nothing for too long.";
     StoreChanges "store_changes" "Times that the store was lost or regained.";
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -7,8 +7,11 @@
 
 mod endpoint_signs;
 mod outcome;
+mod pass_on;
+mod report;
 mod stream;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,11 +21,12 @@
 use hemlock_lib::node::capacity::RequestSize;
 use hemlock_lib::node::config::{Engine, RequestKind};
 use hemlock_lib::node::forecast::Estimate;
+use hemlock_lib::node::passing::{self, Sends, Step};
+use hemlock_lib::node::peer_paths::PeerPath;
 use hemlock_lib::node::reach::PathFailure;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, ForwardMeta};
 use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
-use rand::Rng;
 
 use crate::front::{self, ConnectionAction, Request};
 use crate::metrics::Counter;
@@ -60,8 +64,6 @@
 const MIN_BEGUN_EVENTS: u32 = 2;
 /// Cause of a send that failed since no connection to the endpoint could be established.
 const FAILED_CONNECT: &str = "connect";
-/// Number of endpoints to which one request fails to connect before it is refused.
-const MAX_FAILED_CONNECTS: u32 = 3;
 /// Minimum time before the deadline at which sending a request is of use.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -72,15 +74,29 @@
     Answered { status: u16, next: ConnectionAction },
     /// The request did not run, for this cause.
     NotRun(&'static str),
+    /// A peer did not run the request, and others would refuse it as well; the caller may retry
+    /// after this time.
+    Refused(Duration),
     /// The request may have run and did not complete, for this cause. Of a stream, only whole
     /// events were forwarded.
     MayHaveRun(&'static str),
+    /// The peer that had the request was lost, for this cause. The request may have run as often as
+    /// the peer was allowed.
+    PeerLost(&'static str),
     /// The caller disconnected.
     CallerLeft,
     /// The deadline passed.
     DeadlinePassed,
 }
 
+/// What a request is sent to.
+#[derive(Debug, Clone, Copy)]
+enum Upstream<'a> {
+    Endpoint(&'a Candidate),
+    /// A peer, which sends the request to an endpoint.
+    Peer(&'a PeerPath),
+}
+
 /// What was forwarded to the caller so far.
 #[derive(Debug, Default)]
 struct Delivered {
@@ -121,14 +137,20 @@
     /// Whether the caller's connection is kept open after the response.
     keep_alive: bool,
     service: Option<Arc<str>>,
-    /// Endpoints to which the request was sent.
-    tried: Vec<Arc<str>>,
-    /// Number of sends that may have reached an endpoint.
-    reached: u32,
-    /// Number of endpoints to which no connection could be established for the request.
+    /// The sends so far, here and at peers.
+    sends: Sends,
+    /// Number of endpoints to which this VM could not connect for the request.
     failed_connects: u32,
-    /// Number of sends with which the request may have run.
-    possible_runs: u32,
+    /// Peers to which the request was passed on.
+    peers_tried: Vec<String>,
+    /// Identifier and start time of the endpoint that has the request, or had it last.
+    endpoint: Option<(Arc<str>, u64)>,
+    /// Peer that has the request, or had it last; `None` if this VM sent it to an endpoint since.
+    peer: Option<String>,
+    /// Endpoints that said that they are about to stop.
+    leaving: Vec<(Arc<str>, u64)>,
+    /// When the peer that passed on the request must see next that this VM is at work on it.
+    sign_due: Cell<Time>,
     delivered: Delivered,
     /// Estimate for the current send, and the time of that send.
     current_estimate: Option<(Estimate, Time)>,
@@ -142,7 +164,10 @@
     keep_alive: bool,
 ) -> ConnectionAction {
     node.has_traffic.set(true);
-    if let Some(model) = &request.meta.model {
+    // A request that a peer passed on was counted there.
+    if let Some(model) = &request.meta.model
+        && request.passed.is_none()
+    {
         let size = RequestSize {
             prompt_tokens: request.meta.prompt_tokens,
             answer_tokens: request.meta.answer_tokens,
@@ -152,117 +177,162 @@
             .borrow_mut()
             .count(request.received, model, &size);
     }
-    let mut relay = Relay {
-        node,
-        request,
-        keep_alive,
-        service: None,
-        tried: Vec::new(),
-        reached: 0,
-        failed_connects: 0,
-        possible_runs: 0,
-        delivered: Delivered {
-            last_event: request.meta.last_event,
-            ..Delivered::default()
-        },
-        current_estimate: None,
-    };
+    let mut relay = Relay::new(node, request, keep_alive);
     relay.run(conn).await
 }
 
-impl Relay<'_> {
+impl<'a> Relay<'a> {
+    /// Prepares the relaying of a request, with the sends that a peer has made before.
+    fn new(node: &'a Rc<Node>, request: &'a Request, keep_alive: bool) -> Self {
+        let now = node.now();
+        let passed = request.passed.as_ref();
+        let ago = |ms: u64| now - Duration::from_millis(ms);
+        Self {
+            node,
+            request,
+            keep_alive,
+            service: None,
+            sends: passed.map(|p| p.sends.clone()).unwrap_or_default(),
+            failed_connects: 0,
+            peers_tried: Vec::new(),
+            endpoint: None,
+            peer: None,
+            leaving: Vec::new(),
+            sign_due: Cell::new(now + passing::SIGN_INTERVAL),
+            delivered: Delivered {
+                last_event: passed.map_or(request.meta.last_event, |p| p.last_event),
+                events: passed.map_or(0, |p| p.events),
+                last_event_at: passed.and_then(|p| p.pause_ms).map(ago),
+                ..Delivered::default()
+            },
+            current_estimate: None,
+        }
+    }
+
     fn request_id(&self) -> &str {
         &self.request.meta.request_id
     }
 
-    /// Sends the request to one endpoint after the other until the outcome is final.
+    /// Sends the request to one endpoint after the other, or passes it on, until the outcome is
+    /// final.
     async fn run(&mut self, conn: &mut Conn) -> ConnectionAction {
-        let draw = rand::rng().random_range(0.0..1.0);
-        let Some(service) = self.request.route.service(draw).cloned() else {
+        let Some(service) = self.choose_service() else {
             let time_left = self.request.deadline.since(self.node.now());
             return self
                 .give_up(conn, "no_service", front::jittered_retry_after(time_left))
                 .await;
         };
         self.service = Some(service.clone());
-        let now = self.node.now();
-        self.node
-            .retry_budget
-            .borrow_mut()
-            .record_request(now, &service);
-        let config = self.request.config.clone();
-        let engine = config
-            .services
-            .get(&service)
-            .and_then(|s| s.engine.as_ref());
+        if self.request.passed.is_none() {
+            let mut budget = self.node.retry_budget.borrow_mut();
+            budget.record_request(self.node.now(), &service);
+        }
         let mut cause = "";
         loop {
             let now = self.node.now();
             if now + MIN_TIME_LEFT >= self.request.deadline {
                 return self.deadline_passed(conn).await;
             }
-            if self.failed_connects >= MAX_FAILED_CONNECTS {
-                return self
-                    .give_up(conn, "no_path", front::RETRY_ELSEWHERE_AFTER)
-                    .await;
+            if self.has_been_sent() && self.is_quarantined(now) {
+                let after = front::QUARANTINE_RETRY_AFTER;
+                return self.give_up(conn, "breaks_endpoints", after).await;
             }
-            let must_end_soon = self.node.time_until_exit(now).is_some();
-            let (to, estimate) = match self.choose_endpoint(now, &service, engine) {
-                Choice::Send(to, estimate) => (to, estimate),
-                // The request may outlast this node, but another VM accepts it at once.
-                Choice::Full(_) if must_end_soon && self.possible_runs == 0 => {
+            let path = self.node.path_state(now);
+            let peer = self.choose_peer(now);
+            let outcome = match (
+                passing::next_step(path, peer.is_some(), self.failed_connects),
+                &peer,
+            ) {
+                (Step::PassOn, Some(peer)) => self.pass_on(conn, peer, cause).await,
+                (Step::Send, _) => match self.send_direct(conn, now, &service, cause).await {
+                    Ok(outcome) => outcome,
+                    Err((cause, after)) => return self.give_up(conn, cause, after).await,
+                },
+                (Step::Refuse | Step::PassOn, _) => {
                     return self
-                        .give_up(conn, "stopping", front::RETRY_ELSEWHERE_AFTER)
+                        .give_up(conn, "no_path", self.retry_elsewhere_after(path))
                         .await;
                 }
-                Choice::Full(after) => return self.give_up(conn, "full", after).await,
-                Choice::Unavailable(after) => return self.give_up(conn, "nobody", after).await,
             };
-            let suspects = &self.request.suspects;
-            if !self.tried.is_empty() && self.node.is_quarantined(now, self.request_id(), suspects)
-            {
-                let after = front::QUARANTINE_RETRY_AFTER;
-                return self.give_up(conn, "breaks_endpoints", after).await;
-            }
-            if self.reached > 0 && !self.try_retry(now, &service, cause) {
-                let after = front::jittered_retry_after(self.request.deadline.since(now));
-                return self.give_up(conn, "budget", after).await;
-            }
-            self.log_send(&to, estimate, cause);
-            self.tried.push(to.id.clone());
-            self.current_estimate = Some((estimate, now));
-            let outcome = self.send(conn, &to, engine.is_some()).await;
-            match outcome {
-                SendOutcome::Answered { status, next } => return self.answered(&to, status, next),
-                SendOutcome::CallerLeft => return self.caller_left(&to),
+            cause = match outcome {
+                SendOutcome::Answered { status, next } => return self.answered(status, next),
+                SendOutcome::CallerLeft => return self.caller_left(),
                 SendOutcome::DeadlinePassed => {
-                    self.possible_runs += 1;
+                    self.sends.possible_runs += 1;
                     return self.deadline_passed(conn).await;
                 }
-                SendOutcome::NotRun(reason) => {
-                    self.log_failed(&to, reason, false);
-                    self.node
-                        .balancer
-                        .borrow_mut()
-                        .record_failure(self.node.now(), &to.id);
-                    self.failed_connects += u32::from(reason == FAILED_CONNECT);
-                    cause = reason;
+                SendOutcome::Refused(after) => {
+                    return self.give_up(conn, "peer_refused", after).await;
                 }
-                SendOutcome::MayHaveRun(reason) => {
-                    self.possible_runs += 1;
-                    self.log_failed(&to, reason, true);
-                    self.node
-                        .balancer
-                        .borrow_mut()
-                        .record_failure(self.node.now(), &to.id);
-                    cause = reason;
+                SendOutcome::NotRun(reason) => reason,
+                SendOutcome::MayHaveRun(reason) | SendOutcome::PeerLost(reason) => {
                     let may_retry = self.request.route.request_kind.may_retry();
-                    if !may_retry || self.possible_runs >= self.request.route.max_attempts {
+                    if !may_retry || self.sends.possible_runs >= self.max_attempts() {
                         return self.give_up(conn, reason, Duration::ZERO).await;
                     }
+                    reason
                 }
+            };
+        }
+    }
+
+    /// Sends the request to an endpoint. Fails with the cause, and the time after which the caller
+    /// may retry, if the request must not be sent.
+    async fn send_direct(
+        &mut self,
+        conn: &mut Conn,
+        now: Time,
+        service: &Arc<str>,
+        cause: &'static str,
+    ) -> Result<SendOutcome, (&'static str, Duration)> {
+        let config = self.request.config.clone();
+        let engine = config.services.get(service).and_then(|s| s.engine.as_ref());
+        let must_end_soon = self.time_until_exit(now).is_some();
+        let (to, estimate) = match self.choose_endpoint(now, service, engine) {
+            Choice::Send(to, estimate) => (to, estimate),
+            // The request may outlast this node, but another VM accepts it at once.
+            Choice::Full(_) if must_end_soon && self.sends.possible_runs == 0 => {
+                return Err(("stopping", front::RETRY_ELSEWHERE_AFTER));
+            }
+            Choice::Full(after) => return Err(("full", after)),
+            Choice::Unavailable(after) => return Err(("nobody", after)),
+        };
+        if self.sends.next_is_repeat() && !self.try_retry(now, service, cause) {
+            let after = front::jittered_retry_after(self.request.deadline.since(now));
+            return Err(("budget", after));
+        }
+        self.log_send(&to, estimate, cause);
+        self.sends.tried.push(to.id.clone());
+        self.endpoint = Some((to.id.clone(), to.incarnation.0));
+        self.peer = None;
+        self.current_estimate = Some((estimate, now));
+        let outcome = self.send(conn, &to, engine.is_some()).await;
+        match outcome {
+            SendOutcome::NotRun(reason) => {
+                self.log_failed(&to, reason, false);
+                let mut balancer = self.node.balancer.borrow_mut();
+                balancer.record_failure(self.node.now(), &to.id);
+                self.failed_connects += u32::from(reason == FAILED_CONNECT);
             }
+            SendOutcome::MayHaveRun(reason) => {
+                self.sends.possible_runs += 1;
+                self.log_failed(&to, reason, true);
+                let mut balancer = self.node.balancer.borrow_mut();
+                balancer.record_failure(self.node.now(), &to.id);
+            }
+            _ => {}
         }
+        Ok(outcome)
+    }
+
+    /// Returns whether the request was sent to an endpoint, or an attempt was made.
+    fn has_been_sent(&self) -> bool {
+        !self.sends.tried.is_empty()
+    }
+
+    fn is_quarantined(&self, now: Time) -> bool {
+        self.node
+            .is_quarantined(now, self.request_id(), &self.request.suspects)
     }
 
     /// Chooses the endpoint for the next send.
@@ -277,15 +347,16 @@
             first_event_limit: self.first_event_limit(now),
             time_left: self.request.deadline.since(now),
             shutdown_limit: self
-                .node
                 .time_until_exit(now)
-                .filter(|_| self.request.route.request_kind.is_stream() && self.possible_runs == 0)
+                .filter(|_| {
+                    self.request.route.request_kind.is_stream() && self.sends.possible_runs == 0
+                })
                 .map(|time_left| (self.request.meta.max_answer_tokens, time_left)),
             connected: &connected,
-            has_started: self.possible_runs > 0,
+            has_started: self.sends.possible_runs > 0,
         };
         let mut balancer = self.node.balancer.borrow_mut();
-        balancer.choose(now, &routing_request, engine, &self.tried)
+        balancer.choose(now, &routing_request, engine, &self.excluded_endpoints())
     }
 
     /// Takes one retry from the service's retry budget and counts it; returns whether the budget
@@ -314,12 +385,12 @@
         let now = self.node.now();
         let mut conn = match self.node.pool.take(now, &to.id) {
             Some(conn) => conn,
-            None => match self.connect(caller, to, address).await {
+            None => match self.connect(caller, address, Some(to)).await {
                 Ok(conn) => conn,
                 Err(outcome) => return outcome,
             },
         };
-        self.reached += 1;
+        self.sends.reached += 1;
         let prompt = if engine {
             self.request.meta.prompt_tokens
         } else {
@@ -346,25 +417,30 @@
         outcome
     }
 
-    /// Connects to an endpoint, unless the caller disconnects first.
+    /// Connects to an endpoint, or to a peer if `endpoint` is `None`, unless the caller disconnects
+    /// first.
     async fn connect(
         &self,
         caller: &mut Conn,
-        to: &Candidate,
         address: SocketAddr,
+        endpoint: Option<&Candidate>,
     ) -> Result<Conn, SendOutcome> {
-        self.node.metrics.count(Counter::Connects, "endpoint");
+        let kind = endpoint.map_or("peer", |_| "endpoint");
+        self.node.metrics.count(Counter::Connects, kind);
         let mut connect = std::pin::pin!(Conn::connect(address, CONNECT_TIMEOUT));
         loop {
             tokio::select! {
                 conn = &mut connect => {
-                    match conn {
-                        Ok(_) => self.node.note_connected(&to.id),
-                        Err(_) => self.node.note_path_failure(&to.id, PathFailure::Connect),
+                    match (&conn, endpoint) {
+                        (Ok(_), Some(to)) => self.node.note_connected(&to.id),
+                        (Err(_), Some(to)) => {
+                            self.node.note_path_failure(&to.id, PathFailure::Connect);
+                        }
+                        (_, None) => {}
                     }
                     return conn.map_err(|_| SendOutcome::NotRun(FAILED_CONNECT));
                 }
-                disconnected = caller_disconnected(caller) => {
+                disconnected = self.caller_disconnected(caller) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
                 }
             }
@@ -400,15 +476,19 @@
         }
         let mut skipped = 0;
         let (mut head, meta) = loop {
-            let head = match self.await_response_head(caller, conn, to).await {
+            let mut head = match self.await_response_head(caller, conn, to).await {
                 Ok(head) => head,
                 Err(outcome) => return (outcome, None),
             };
             self.node.note_heard(&to.id);
+            // An endpoint can't speak for an entry VM.
+            head.headers.remove_prefixed(passing::HEADER_PREFIX);
             let meta = requests::read_response_meta(&head);
             // Status 421 may come from another endpoint at this address.
             if meta.leaving && head.status != 421 {
-                self.node.note_leaving(to);
+                let (started_ms, _) = to.incarnation;
+                self.node.note_leaving(&to.id, started_ms);
+                self.leaving.push((to.id.clone(), started_ms));
             }
             if let Some(time) = meta.retry_after {
                 self.hold_off(to, time);
@@ -449,11 +529,12 @@
         if success && !meta.signed {
             return (SendOutcome::MayHaveRun("unsigned"), None);
         }
+        let upstream = Upstream::Endpoint(to);
         let outcome = if success && self.request.route.request_kind.is_stream() {
-            self.relay_stream(caller, conn, &mut head, to, prompt, stream_started)
+            self.relay_stream(caller, conn, &mut head, upstream, prompt, stream_started)
                 .await
         } else {
-            self.relay_buffered(caller, conn, &mut head, to).await
+            self.relay_buffered(caller, conn, &mut head, upstream).await
         };
         let reuse =
             matches!(outcome, SendOutcome::Answered { .. }) && head.keep_alive && skipped == 0;
@@ -517,7 +598,8 @@
     /// Returns whether another endpoint may continue the request if this one sends nothing.
     fn may_switch_endpoint(&self) -> bool {
         let route = &self.request.route;
-        route.request_kind.may_retry() && self.possible_runs + 1 < route.max_attempts
+        // A peer that has no sends left hands the request back, to be sent through another one.
+        route.request_kind.may_retry() && self.sends.possible_runs + 1 < route.max_attempts
     }
 
     /// Reads the head of the response, unless the endpoint is silent for too long, the deadline
@@ -536,8 +618,10 @@
             let read = conn.read_response_head(MAX_HEAD_BYTES);
             tokio::select! {
                 biased;
-                head = read => return head.map_err(|e| self.connection_broken(to, &e)),
-                disconnected = caller_disconnected(caller) => {
+                head = read => {
+                    return head.map_err(|e| self.connection_broken(Upstream::Endpoint(to), &e));
+                }
+                disconnected = self.caller_disconnected(caller) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
                 }
                 () = tokio::time::sleep(wait) => {
@@ -559,7 +643,7 @@
         caller: &mut Conn,
         conn: &mut Conn,
         head: &mut ResponseHead,
-        to: &Candidate,
+        upstream: Upstream<'_>,
     ) -> SendOutcome {
         if self.request.head.method == "HEAD" {
             head.body_framing = Framing::Done;
@@ -572,7 +656,7 @@
                 tokio::select! {
                     biased;
                     body = &mut read => break body,
-                    disconnected = caller_disconnected(caller) => {
+                    disconnected = self.caller_disconnected(caller) => {
                         if disconnected { return SendOutcome::CallerLeft }
                     }
                     () = &mut deadline => return SendOutcome::DeadlinePassed,
@@ -582,13 +666,13 @@
         let body = match body {
             Ok(Some(body)) => body,
             Ok(None) => return SendOutcome::MayHaveRun("too_large"),
-            Err(e) => return self.connection_broken(to, &e),
+            Err(e) => return self.connection_broken(upstream, &e),
         };
-        self.node.note_heard(&to.id);
-        self.node
-            .balancer
-            .borrow_mut()
-            .record_progress(self.node.now(), &to.id);
+        if let Upstream::Endpoint(to) = upstream {
+            self.node.note_heard(&to.id);
+            let mut balancer = self.node.balancer.borrow_mut();
+            balancer.record_progress(self.node.now(), &to.id);
+        }
         // A failure of the endpoint itself is retried if the request may be repeated.
         if head.status >= 500
             && self.request.route.request_kind == RequestKind::Idempotent
@@ -605,6 +689,7 @@
             return SendOutcome::MayHaveRun("refused_to_go_on");
         }
         let mut out = requests::encode_response(head);
+        self.put_report(&mut out);
         http1::put_header(
             &mut out,
             "Content-Length",
@@ -635,13 +720,3 @@
         matches!(write.await, Ok(Ok(())))
     }
 }
-
-/// Waits until the caller sends something or disconnects; returns whether it disconnected.
-///
-/// Never returns once more than [`MAX_PIPELINED_BYTES`] are buffered.
-async fn caller_disconnected(caller: &mut Conn) -> bool {
-    if caller.buffered_len() > MAX_PIPELINED_BYTES {
-        return std::future::pending().await;
-    }
-    !matches!(caller.fill().await, Ok(1..))
-}
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -11,13 +11,13 @@
 use hemlock_wire::http1::HttpError;
 
 use super::{
-    FIRST_EVENT_SLACK, MAX_EXTENSIONS, MIN_BEGUN_EVENTS, Relay, SendOutcome, SilenceTimer,
+    FIRST_EVENT_SLACK, MAX_EXTENSIONS, MIN_BEGUN_EVENTS, Relay, SendOutcome, SilenceTimer, Upstream,
 };
 use crate::metrics::Counter;
 
 impl Relay<'_> {
     /// Returns for how long the endpoint may send nothing before another one is tried.
-    fn silence_timeout(&self, awaits_first_event: bool) -> Duration {
+    pub(super) fn silence_timeout(&self, awaits_first_event: bool) -> Duration {
         let route = &self.request.route;
         match (route.request_kind, awaits_first_event) {
             (RequestKind::Idempotent, _) => route.timeout / 2,
@@ -90,8 +90,15 @@
         Some("silent")
     }
 
-    /// Records that a connection broke while its endpoint had the request.
-    pub(super) fn connection_broken(&self, to: &Candidate, error: &HttpError) -> SendOutcome {
+    /// Records that a connection broke while the request was open on it.
+    pub(super) fn connection_broken(
+        &self,
+        upstream: Upstream<'_>,
+        error: &HttpError,
+    ) -> SendOutcome {
+        let Upstream::Endpoint(to) = upstream else {
+            return SendOutcome::PeerLost("peer_broken");
+        };
         self.record_crash(to, error);
         match error {
             HttpError::Malformed(_) | HttpError::HeadTooLarge => {
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -16,10 +16,10 @@
     pub(super) fn log_send(&self, to: &Candidate, estimate: Estimate, cause: &str) {
         log::info!(
             "event=sent request={} id={} attempt={} after={cause} prompt={} answer={} running={} \
-             unread={} slowness={:.2} first_ms={} from={:?} config={}",
+             unread={} slowness={:.2} first_ms={} from={:?} config={} via=direct{}",
             self.request_id(),
             to.id,
-            self.tried.len() + 1,
+            self.sends.tried.len() + 1,
             self.request.meta.prompt_tokens,
             self.request.meta.answer_tokens,
             estimate.running,
@@ -27,7 +27,8 @@
             estimate.slowness,
             estimate.first_event.as_millis(),
             self.delivered.last_event,
-            self.request.config.version
+            self.request.config.version,
+            self.for_peer()
         );
     }
 
@@ -48,21 +49,27 @@
     }
 
     /// Logs and counts a request whose response was forwarded.
-    pub(super) fn answered(
-        &self,
-        to: &Candidate,
-        status: u16,
-        next: ConnectionAction,
-    ) -> ConnectionAction {
+    pub(super) fn answered(&self, status: u16, next: ConnectionAction) -> ConnectionAction {
         log::info!(
-            "event=answered request={} id={} status={status} ms={} first_ms={:?} events={} attempts={}",
+            "event=answered request={} id={} status={status} ms={} first_ms={:?} events={} \
+             attempts={} via={}{}",
             self.request_id(),
-            to.id,
+            self.endpoint_id(),
             self.elapsed().as_millis(),
             self.delivered.first_event_after.map(|t| t.as_millis()),
             self.delivered.events,
-            self.tried.len()
+            self.sends.tried.len(),
+            self.via(),
+            self.for_peer()
         );
+        if status < 300 {
+            let mut quarantine = self.node.quarantine.borrow_mut();
+            quarantine.record_success(self.node.now(), &self.request.suspects);
+        }
+        if self.request.passed.is_some() {
+            self.node.metrics.count(Counter::TakenOver, "answered");
+            return next;
+        }
         self.node.metrics.count(
             Counter::Answered,
             if status < 300 { "success" } else { "failure" },
@@ -70,22 +77,24 @@
         self.node
             .metrics
             .record(Latency::Whole, "answered", self.elapsed());
-        if status < 300 {
-            let mut quarantine = self.node.quarantine.borrow_mut();
-            quarantine.record_success(self.node.now(), &self.request.suspects);
-        }
         next
     }
 
     /// Logs and counts a request whose caller disconnected.
-    pub(super) fn caller_left(&self, to: &Candidate) -> ConnectionAction {
+    pub(super) fn caller_left(&self) -> ConnectionAction {
         log::info!(
-            "event=left request={} id={} ms={} events={}",
+            "event=left request={} id={} ms={} events={} via={}{}",
             self.request_id(),
-            to.id,
+            self.endpoint_id(),
             self.elapsed().as_millis(),
-            self.delivered.events
+            self.delivered.events,
+            self.via(),
+            self.for_peer()
         );
+        if self.request.passed.is_some() {
+            self.node.metrics.count(Counter::TakenOver, "left");
+            return ConnectionAction::Abort;
+        }
         self.node.metrics.count(Counter::Left, "caller");
         self.node
             .metrics
@@ -93,6 +102,11 @@
         ConnectionAction::Abort
     }
 
+    /// Returns the identifier of the endpoint that has the request, or had it last.
+    fn endpoint_id(&self) -> &str {
+        self.endpoint.as_ref().map_or("", |(id, _)| id)
+    }
+
     /// Ends a request that is not sent to any more endpoints. Refuses it with 503 if it did not
     /// run, fails it with 502 if it may have run, and cuts off a stream that has begun.
     pub(super) async fn give_up(
@@ -101,19 +115,22 @@
         cause: &'static str,
         retry_after: Duration,
     ) -> ConnectionAction {
+        if self.request.passed.is_some() {
+            return self.hand_back(conn, cause, retry_after).await;
+        }
         if self.delivered.head {
             log::info!(
                 "event=broken_off request={} cause={cause} ms={} events={} attempts={}",
                 self.request_id(),
                 self.elapsed().as_millis(),
                 self.delivered.events,
-                self.tried.len()
+                self.sends.tried.len()
             );
             self.node.metrics.count(Counter::BrokenOff, cause);
             return ConnectionAction::Abort;
         }
         // A resumable stream could be sent again, but this attempt of the caller may have run.
-        if self.possible_runs == 0 {
+        if self.sends.possible_runs == 0 {
             return front::refuse(
                 self.node,
                 conn,
@@ -129,7 +146,8 @@
 
     /// Ends a request whose deadline has passed: with 504 if it may have run.
     pub(super) async fn deadline_passed(&self, conn: &mut Conn) -> ConnectionAction {
-        if self.delivered.head || self.possible_runs == 0 {
+        let is_passed = self.request.passed.is_some();
+        if is_passed || self.delivered.head || self.sends.possible_runs == 0 {
             return self.give_up(conn, "overdue", Duration::ZERO).await;
         }
         self.fail(conn, 504, "overdue").await
@@ -141,7 +159,7 @@
             "event=failed request={} status={status} cause={cause} ms={} attempts={}",
             self.request_id(),
             self.elapsed().as_millis(),
-            self.tried.len()
+            self.sends.tried.len()
         );
         self.node.metrics.count(Counter::Failed, cause);
         self.node
--- /dev/null
+++ b/node/src/relay/pass_on.rs
@@ -0,0 +1,431 @@
+//! Passing a request on to a peer that reaches endpoints, and relaying the response.
+//!
+//! The peer gets the head of the request first, and the body only after it has accepted the request.
+//! Until then it can't run it, so that a peer that refuses, is lost or has an older build may be
+//! replaced by another one whatever the request is.
+
+use std::time::Duration;
+
+use hemlock_lib::node::passing::{self, Origin, PassedRequest, PeerReport};
+use hemlock_lib::node::peer_paths::PeerPath;
+use hemlock_lib::node::reach::PathState;
+use hemlock_lib::time::Time;
+use hemlock_platform::requests;
+use hemlock_wire::http1::{self, Conn, HttpError, ResponseHead};
+use rand::Rng;
+
+use super::{FAILED_CONNECT, MAX_BODY_BYTES, MAX_HEAD_BYTES, Relay, SendOutcome, Upstream};
+use crate::front;
+use crate::metrics::Counter;
+
+/// Time within which a peer accepts or refuses a request.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which a peer that sends nothing is checked.
+pub(super) const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without any byte of a stream after which a peer is lost if its heartbeats are missing too.
+const PEER_LOST_AFTER: Duration = Duration::from_millis(500);
+/// Factor on the silence timeout of endpoints for a stream through a peer, which changes the endpoint
+/// itself if that is silent.
+const PEER_SILENCE_FACTOR: u32 = 4;
+/// Upper bound on the endpoints that a peer is told not to use.
+const MAX_LEAVING: usize = 32;
+
+/// Why a peer did not accept a request.
+enum Declined {
+    /// The peer sent this final response.
+    Response(Box<ResponseHead>),
+    /// The connection was closed or broke.
+    Broken(HttpError),
+    /// The request has ended with this outcome.
+    Outcome(SendOutcome),
+}
+
+impl Relay<'_> {
+    /// Chooses a peer for the request, if it may be passed on and one can take it.
+    pub(super) fn choose_peer(&self, now: Time) -> Option<PeerPath> {
+        // One hop: a request that a peer passed on goes to an endpoint or back.
+        if self.request.passed.is_some() || self.peers_tried.len() >= passing::MAX_PEERS_TRIED {
+            return None;
+        }
+        let loads = self.node.peer_loads.borrow();
+        let secrets = self.node.secrets.borrow();
+        let mut peers = self.node.peers_with_path(now);
+        if peers.iter().any(|p| secrets.get(&p.node, p.run).is_none()) {
+            self.node.secrets_missing.notify_one();
+        }
+        peers.retain(|p| {
+            !self.peers_tried.contains(&p.node)
+                && !loads.is_avoided(now, &p.node)
+                && secrets.get(&p.node, p.run).is_some()
+        });
+        let mut rng = rand::rng();
+        let draws = [rng.random_range(0.0..1.0), rng.random_range(0.0..1.0)];
+        loads.choose(&peers, draws).cloned()
+    }
+
+    /// Returns the time after which the caller of a request may retry that this VM can't send. While a
+    /// cut is only suspected, no VM may have a path.
+    pub(super) fn retry_elsewhere_after(&self, path: PathState) -> Duration {
+        match path {
+            PathState::Doubtful => {
+                front::jittered_retry_after(self.request.deadline.since(self.node.now()))
+            }
+            PathState::Direct | PathState::Cut => front::RETRY_ELSEWHERE_AFTER,
+        }
+    }
+
+    /// Passes the request on to a peer and relays the response; `cause` is that of the failure of the
+    /// last send.
+    pub(super) async fn pass_on(
+        &mut self,
+        caller: &mut Conn,
+        peer: &PeerPath,
+        cause: &'static str,
+    ) -> SendOutcome {
+        let now = self.node.now();
+        log::info!(
+            "event=passed_on request={} via=peer:{} address={} after={cause} sends={} left_ms={} from={:?}",
+            self.request_id(),
+            peer.node,
+            peer.address,
+            self.sends.reached,
+            self.request.deadline.since(now).as_millis(),
+            self.delivered.last_event
+        );
+        self.peers_tried.push(peer.node.clone());
+        self.node.peer_loads.borrow_mut().record_start(&peer.node);
+        self.delivered.of_endpoint = 0;
+        let max_runs = passing::max_runs_of_peer(
+            self.sends.possible_runs,
+            self.max_attempts(),
+            self.request.route.request_kind.may_retry(),
+        );
+        self.peer = Some(peer.node.clone());
+        let outcome = self.exchange_with_peer(caller, peer, max_runs).await;
+        let now = self.node.now();
+        let mut loads = self.node.peer_loads.borrow_mut();
+        loads.record_end(&peer.node);
+        let kind = match &outcome {
+            SendOutcome::Answered { .. } => "answered",
+            SendOutcome::CallerLeft => "left",
+            SendOutcome::DeadlinePassed => "overdue",
+            SendOutcome::Refused(_) => "refused",
+            SendOutcome::MayHaveRun(cause) => cause,
+            SendOutcome::NotRun(cause) => {
+                loads.avoid(now, &peer.node);
+                self.node.peer_pool.drop_endpoint(&peer.node);
+                cause
+            }
+            SendOutcome::PeerLost(cause) => {
+                loads.avoid(now, &peer.node);
+                self.node.peer_pool.drop_endpoint(&peer.node);
+                self.sends.record_lost_peer(max_runs);
+                cause
+            }
+        };
+        self.node.metrics.count(Counter::PassedOn, kind);
+        if let SendOutcome::NotRun(cause)
+        | SendOutcome::MayHaveRun(cause)
+        | SendOutcome::PeerLost(cause) = &outcome
+        {
+            log::info!(
+                "event=pass_failed request={} via=peer:{} cause={cause} may_have_run={} events={}",
+                self.request_id(),
+                peer.node,
+                !matches!(outcome, SendOutcome::NotRun(_)),
+                self.delivered.events
+            );
+        }
+        outcome
+    }
+
+    /// Passes the request on over a connection to the peer, over a new one if a kept connection was
+    /// closed meanwhile.
+    async fn exchange_with_peer(
+        &mut self,
+        caller: &mut Conn,
+        peer: &PeerPath,
+        max_runs: u32,
+    ) -> SendOutcome {
+        let key = std::sync::Arc::from(peer.node.as_str());
+        loop {
+            let kept = self.node.peer_pool.take(self.node.now(), &key);
+            let is_kept = kept.is_some();
+            let mut conn = match kept {
+                Some(conn) => conn,
+                None => match self.connect(caller, peer.address, None).await {
+                    Ok(conn) => conn,
+                    Err(SendOutcome::NotRun(FAILED_CONNECT)) => {
+                        return SendOutcome::NotRun("peer_connect");
+                    }
+                    Err(outcome) => return outcome,
+                },
+            };
+            let Some(out) = self.encode_for_peer(peer, max_runs) else {
+                return SendOutcome::NotRun("peer_secret");
+            };
+            if conn.write(&out).await.is_err() {
+                if is_kept {
+                    continue;
+                }
+                return SendOutcome::NotRun("peer_broken");
+            }
+            match self.await_acceptance(caller, &mut conn).await {
+                Ok(()) => {}
+                Err(Declined::Broken(_)) if is_kept => continue,
+                Err(Declined::Broken(error)) => {
+                    log::debug!("event=peer_declined node={} cause=\"{error}\"", peer.node);
+                    return SendOutcome::NotRun("peer_broken");
+                }
+                Err(Declined::Outcome(outcome)) => return outcome,
+                Err(Declined::Response(head)) => {
+                    return self.declined(&head, peer);
+                }
+            }
+            let (outcome, is_reusable) = self.finish_exchange(caller, &mut conn, peer).await;
+            if is_reusable {
+                let now = self.node.now();
+                self.node.peer_pool.put(now, &key, conn, None);
+            }
+            return outcome;
+        }
+    }
+
+    /// Encodes the head of the request for a peer; `None` if the peer's secret is not known.
+    fn encode_for_peer(&self, peer: &PeerPath, max_runs: u32) -> Option<Vec<u8>> {
+        let now = self.node.now();
+        let millis = |time: Duration| time.as_millis() as u64;
+        let leaving = self.node.endpoints.borrow();
+        let leaving = leaving.iter().filter(|e| e.draining).map(|e| e.id.clone());
+        let message = PassedRequest {
+            secret: self
+                .node
+                .secrets
+                .borrow()
+                .get(&peer.node, peer.run)?
+                .to_owned(),
+            from: self.node.identity.node.clone(),
+            config: self.request.config.version,
+            service: self.service.clone()?,
+            left_ms: millis(self.request.deadline.since(now)),
+            age_ms: millis(self.elapsed()),
+            exit_ms: self.time_until_exit(now).map(millis),
+            pause_ms: self.delivered.last_event_at.map(|at| millis(now.since(at))),
+            last_event: self.delivered.last_event,
+            events: self.delivered.events,
+            sends: self.sends.clone(),
+            max_runs,
+            leaving: leaving.take(MAX_LEAVING).collect(),
+        };
+        let message = match passing::encode(&message) {
+            Ok(message) => message,
+            Err(e) => {
+                log::error!("event=pass_failed cause=\"{e}\"");
+                return None;
+            }
+        };
+        let head = &self.request.head;
+        let target = format!("{}{}", passing::TARGET_PREFIX, head.target);
+        let mut out = format!("{} {target} HTTP/1.1\r\n", head.method).into_bytes();
+        for (name, value) in head.headers.iter() {
+            let is_framing = ["content-length", "expect"]
+                .iter()
+                .any(|n| name.eq_ignore_ascii_case(n));
+            if !is_framing && !head.headers.is_hop_by_hop(name) {
+                http1::put_header(&mut out, name, value);
+            }
+        }
+        http1::put_header(&mut out, "Expect", b"100-continue");
+        http1::put_header(&mut out, "Transfer-Encoding", b"chunked");
+        http1::put_header(&mut out, passing::REQUEST_HEADER, message.as_bytes());
+        out.extend_from_slice(b"\r\n");
+        Some(out)
+    }
+
+    /// Waits until the peer accepts the request.
+    async fn await_acceptance(&self, caller: &mut Conn, conn: &mut Conn) -> Result<(), Declined> {
+        let time_left = self.request.deadline.since(self.node.now());
+        let mut timeout = std::pin::pin!(tokio::time::sleep(ACCEPT_TIMEOUT.min(time_left)));
+        loop {
+            tokio::select! {
+                biased;
+                head = conn.read_any_response_head(MAX_HEAD_BYTES) => return match head {
+                    Ok(head) if head.status == 100 => Ok(()),
+                    Ok(head) if head.status < 200 => continue,
+                    Ok(head) => Err(Declined::Response(Box::new(head))),
+                    Err(e) => Err(Declined::Broken(e)),
+                },
+                disconnected = self.caller_disconnected(caller) => {
+                    if disconnected { return Err(Declined::Outcome(SendOutcome::CallerLeft)) }
+                }
+                () = &mut timeout => {
+                    return Err(Declined::Outcome(SendOutcome::NotRun("peer_silent")));
+                }
+            }
+        }
+    }
+
+    /// Returns the outcome of a request that a peer refused before it had read it.
+    fn declined(&mut self, head: &ResponseHead, peer: &PeerPath) -> SendOutcome {
+        if head.status == 403 {
+            // The peer has started again since its secret was read.
+            self.node.secrets_missing.notify_one();
+            return SendOutcome::NotRun("peer_secret");
+        }
+        match self.read_report(head, peer) {
+            Some(Origin::Refused { after_ms, .. }) => {
+                SendOutcome::Refused(Duration::from_millis(after_ms))
+            }
+            _ => SendOutcome::NotRun("peer_declined"),
+        }
+    }
+
+    /// Sends the body to a peer that has accepted the request, and relays the response. Returns also
+    /// whether the connection can be used again.
+    async fn finish_exchange(
+        &mut self,
+        caller: &mut Conn,
+        conn: &mut Conn,
+        peer: &PeerPath,
+    ) -> (SendOutcome, bool) {
+        let mut out = Vec::with_capacity(self.request.body.len() + 32);
+        if !self.request.body.is_empty() {
+            http1::put_chunk(&mut out, &self.request.body);
+        }
+        out.extend_from_slice(http1::LAST_CHUNK);
+        if conn.write(&out).await.is_err() {
+            return (SendOutcome::PeerLost("peer_write"), false);
+        }
+        let mut head = match self.await_peer_head(caller, conn).await {
+            Ok(head) => head,
+            Err(outcome) => return (outcome, false),
+        };
+        let origin = self.read_report(&head, peer);
+        let Some(origin) = origin else {
+            return (SendOutcome::PeerLost("peer_malformed"), false);
+        };
+        let (id, started_ms) = match origin {
+            Origin::Endpoint { id, started_ms } => (id, started_ms),
+            Origin::Elsewhere { .. } | Origin::Refused { .. } | Origin::Failed { .. } => {
+                let body = conn.read_body(&mut head.body_framing, MAX_BODY_BYTES).await;
+                let is_reusable = head.keep_alive && matches!(body, Ok(Some(_)));
+                let outcome = match origin {
+                    Origin::Refused { after_ms, .. } => {
+                        SendOutcome::Refused(Duration::from_millis(after_ms))
+                    }
+                    Origin::Failed { .. } => SendOutcome::MayHaveRun("peer_failed"),
+                    _ => SendOutcome::NotRun("peer_declined"),
+                };
+                return (outcome, is_reusable);
+            }
+        };
+        self.endpoint = Some((id, started_ms));
+        let meta = requests::read_response_meta(&head);
+        if meta.request_id != self.request_id() {
+            return (SendOutcome::PeerLost("foreign_answer"), false);
+        }
+        let success = (200..300).contains(&head.status);
+        if success && !meta.signed {
+            return (SendOutcome::MayHaveRun("unsigned"), false);
+        }
+        head.headers.remove_prefixed(passing::HEADER_PREFIX);
+        let upstream = Upstream::Peer(peer);
+        let mut stream_started = false;
+        let outcome = if success && self.request.route.request_kind.is_stream() {
+            self.relay_stream(caller, conn, &mut head, upstream, 0, &mut stream_started)
+                .await
+        } else {
+            self.relay_buffered(caller, conn, &mut head, upstream).await
+        };
+        let is_reusable = matches!(outcome, SendOutcome::Answered { .. }) && head.keep_alive;
+        (outcome, is_reusable)
+    }
+
+    /// Reads the head of the response from a peer, which shows at intervals that it is at work.
+    async fn await_peer_head(
+        &self,
+        caller: &mut Conn,
+        conn: &mut Conn,
+    ) -> Result<ResponseHead, SendOutcome> {
+        let mut heard = self.node.now();
+        loop {
+            let now = self.node.now();
+            if now >= self.request.deadline {
+                return Err(SendOutcome::DeadlinePassed);
+            }
+            let quiet_left = passing::PEER_SILENCE.saturating_sub(now.since(heard));
+            if quiet_left.is_zero() {
+                return Err(SendOutcome::PeerLost("peer_silent"));
+            }
+            let wait = quiet_left.min(self.request.deadline.since(now));
+            tokio::select! {
+                biased;
+                head = conn.read_any_response_head(MAX_HEAD_BYTES) => match head {
+                    Ok(head) if head.status >= 200 => return Ok(head),
+                    Ok(_) => heard = self.node.now(),
+                    Err(_) => return Err(SendOutcome::PeerLost("peer_broken")),
+                },
+                disconnected = self.caller_disconnected(caller) => {
+                    if disconnected { return Err(SendOutcome::CallerLeft) }
+                }
+                () = tokio::time::sleep(wait) => {}
+            }
+        }
+    }
+
+    /// Returns the cause for which to give up a peer that has sent nothing of a stream since `since`.
+    pub(super) fn check_peer(
+        &self,
+        now: Time,
+        since: Time,
+        peer: &PeerPath,
+    ) -> Option<&'static str> {
+        let quiet = now.since(since);
+        if quiet < PEER_LOST_AFTER {
+            return None;
+        }
+        let peers = self.node.peers.borrow();
+        let is_live = peers
+            .heartbeats(now)
+            .any(|(h, _)| h.member.node == peer.node && h.member.run == peer.run);
+        if !is_live {
+            return Some("peer_lost");
+        }
+        let limit = self.silence_timeout(false) * PEER_SILENCE_FACTOR;
+        (self.may_switch_endpoint() && quiet >= limit).then_some("peer_silent")
+    }
+
+    /// Reads what a peer reports of its sends. `None` if the report is missing or malformed.
+    fn read_report(&mut self, head: &ResponseHead, peer: &PeerPath) -> Option<Origin> {
+        let report: PeerReport = match passing::decode(head.headers.get(passing::REPORT_HEADER)?) {
+            Ok(report) => report,
+            Err(e) => {
+                log::warn!("event=report_refused node={} cause=\"{e}\"", peer.node);
+                return None;
+            }
+        };
+        self.sends.merge(&report.sends);
+        for (id, started_ms) in &report.leaving {
+            self.node.note_leaving(id, *started_ms);
+        }
+        if let Origin::Elsewhere { cause }
+        | Origin::Refused { cause, .. }
+        | Origin::Failed { cause } = &report.origin
+        {
+            log::info!(
+                "event=peer_refused request={} via=peer:{} cause={cause}",
+                self.request_id(),
+                peer.node
+            );
+        }
+        Some(report.origin)
+    }
+
+    /// Returns how the request was sent last, for the log.
+    pub(super) fn via(&self) -> String {
+        match &self.peer {
+            Some(peer) => format!("peer:{peer}"),
+            None => "direct".to_owned(),
+        }
+    }
+}
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -2,13 +2,13 @@
 //! complete event.
 
 use bytes::Bytes;
-use hemlock_lib::node::balance::Candidate;
 use hemlock_lib::node::events::{self, EventPosition, EventSplitter};
 use hemlock_lib::time::Time;
 use hemlock_platform::requests;
 use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
 
-use super::{Delivered, Relay, SendOutcome, SilenceTimer, caller_disconnected};
+use super::pass_on::PEER_CHECK_INTERVAL;
+use super::{Delivered, Relay, SendOutcome, SilenceTimer, Upstream};
 use crate::front::ConnectionAction;
 use crate::metrics::Latency;
 
@@ -20,7 +20,7 @@
         caller: &mut Conn,
         conn: &mut Conn,
         head: &mut ResponseHead,
-        to: &Candidate,
+        upstream: Upstream<'_>,
         prompt: u32,
         stream_started: &mut bool,
     ) -> SendOutcome {
@@ -30,13 +30,15 @@
         loop {
             let now = self.node.now();
             let time_left = self.request.deadline.since(now);
-            let wait = self
-                .silence_wait(now, silence.since, !*stream_started)
-                .min(time_left);
+            let wait = match upstream {
+                Upstream::Endpoint(_) => self.silence_wait(now, silence.since, !*stream_started),
+                Upstream::Peer(_) => PEER_CHECK_INTERVAL,
+            };
+            let wait = wait.min(time_left);
             let piece = tokio::select! {
                 biased;
                 piece = conn.read_body_piece(&mut head.body_framing) => piece,
-                disconnected = caller_disconnected(caller) => {
+                disconnected = self.caller_disconnected(caller) => {
                     if disconnected { return SendOutcome::CallerLeft }
                     continue;
                 }
@@ -45,10 +47,18 @@
                     if now >= self.request.deadline {
                         return SendOutcome::DeadlinePassed;
                     }
-                    if let Some(cause) =
-                        self.check_silence(now, &mut silence, to, !*stream_started)
-                    {
-                        return SendOutcome::MayHaveRun(cause);
+                    match upstream {
+                        Upstream::Endpoint(to) => {
+                            let cause = self.check_silence(now, &mut silence, to, !*stream_started);
+                            if let Some(cause) = cause {
+                                return SendOutcome::MayHaveRun(cause);
+                            }
+                        }
+                        Upstream::Peer(peer) => {
+                            if let Some(cause) = self.check_peer(now, silence.since, peer) {
+                                return SendOutcome::PeerLost(cause);
+                            }
+                        }
                     }
                     continue;
                 }
@@ -57,12 +67,11 @@
             match piece {
                 Ok(Some(bytes)) => {
                     silence = SilenceTimer::new(now);
-                    self.node.note_heard(&to.id);
                     let is_first_piece = !*stream_started;
-                    self.note_progress(now, to, prompt, stream_started);
+                    self.note_progress(now, upstream, prompt, stream_started);
                     splitter.push(&bytes);
                     match self
-                        .forward_events(caller, head, &mut splitter, to, is_first_piece)
+                        .forward_events(caller, head, &mut splitter, upstream, is_first_piece)
                         .await
                     {
                         Ok(()) => {}
@@ -70,11 +79,16 @@
                     }
                 }
                 Ok(None) if !splitter.partial().is_empty() || self.is_empty_answer(framing) => {
-                    self.record_crash(to, &"the stream ended too early");
-                    return SendOutcome::MayHaveRun("cut_event");
+                    return match upstream {
+                        Upstream::Endpoint(to) => {
+                            self.record_crash(to, &"the stream ended too early");
+                            SendOutcome::MayHaveRun("cut_event")
+                        }
+                        Upstream::Peer(_) => SendOutcome::PeerLost("cut_event"),
+                    };
                 }
                 Ok(None) => return self.finish_stream(caller, head).await,
-                Err(e) => return self.connection_broken(to, &e),
+                Err(e) => return self.connection_broken(upstream, &e),
             }
         }
     }
@@ -88,23 +102,34 @@
         framing == Framing::UntilClose && last_event.is_none() && events == 0
     }
 
-    /// Records that the endpoint sent bytes of the stream, and the latency of the first ones.
-    fn note_progress(&mut self, now: Time, to: &Candidate, prompt: u32, stream_started: &mut bool) {
-        let mut balancer = self.node.balancer.borrow_mut();
-        if *stream_started {
-            return balancer.record_progress(now, &to.id);
-        }
-        *stream_started = true;
-        balancer.record_first_event(now, &to.id, prompt);
-        if let Some((expected, sent)) = &self.current_estimate {
-            balancer.record_first_event_time(to, expected, now.since(*sent));
+    /// Records that bytes of the stream arrived, and the latency of the first ones.
+    fn note_progress(
+        &mut self,
+        now: Time,
+        upstream: Upstream<'_>,
+        prompt: u32,
+        stream_started: &mut bool,
+    ) {
+        let is_first = !std::mem::replace(stream_started, true);
+        if let Upstream::Endpoint(to) = upstream {
+            self.node.note_heard(&to.id);
+            let mut balancer = self.node.balancer.borrow_mut();
+            if !is_first {
+                return balancer.record_progress(now, &to.id);
+            }
+            balancer.record_first_event(now, &to.id, prompt);
+            if let Some((expected, sent)) = &self.current_estimate {
+                balancer.record_first_event_time(to, expected, now.since(*sent));
+            }
         }
-        if self.delivered.events == 0 {
+        if is_first && self.delivered.events == 0 {
             let time = now.since(self.request.received);
             self.delivered.first_event_after = Some(time);
-            self.node
-                .metrics
-                .record(Latency::FirstEvent, "answered", time);
+            if self.request.passed.is_none() {
+                self.node
+                    .metrics
+                    .record(Latency::FirstEvent, "answered", time);
+            }
         }
     }
 
@@ -118,7 +143,7 @@
         caller: &mut Conn,
         head: &ResponseHead,
         splitter: &mut EventSplitter,
-        to: &Candidate,
+        upstream: Upstream<'_>,
         is_first_piece: bool,
     ) -> Result<(), SendOutcome> {
         let now = self.node.now();
@@ -163,7 +188,10 @@
                 self.node
                     .metrics
                     .record(Latency::EventGap, "answered", pause);
-                if !is_first_piece && let Some(engine) = self.engine() {
+                if let Upstream::Endpoint(to) = upstream
+                    && !is_first_piece
+                    && let Some(engine) = self.engine()
+                {
                     let mut balancer = self.node.balancer.borrow_mut();
                     balancer.record_event_gap(&to.id, pause, engine);
                 }
@@ -178,6 +206,7 @@
     /// Encodes the head of the response to the caller.
     fn stream_head(&self, head: &ResponseHead) -> Vec<u8> {
         let mut out = requests::encode_response(head);
+        self.put_report(&mut out);
         http1::put_header(&mut out, "Transfer-Encoding", b"chunked");
         if !self.keep_alive {
             http1::put_header(&mut out, "Connection", b"close");
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -14,6 +14,7 @@
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, EngineReport, MemberState};
 use hemlock_lib::node::load_totals::LoadTotals;
+use hemlock_lib::node::passing::{PeerLoads, Secret, Secrets};
 use hemlock_lib::node::peer_paths::{PeerPath, PeerPaths};
 use hemlock_lib::node::peers::{EndpointLoad, Member, Peers};
 use hemlock_lib::node::planner::parse_group_name;
@@ -69,6 +70,16 @@
     pub(crate) other_loads: RefCell<Option<(Time, Vec<EndpointLoad>)>>,
     pub(crate) demand_meter: RefCell<DemandMeter>,
     pub(crate) pool: Pool,
+    /// Idle connections to peers that take requests of this VM, by the names of the peers.
+    pub(crate) peer_pool: Pool,
+    /// Requests that this VM has passed on to peers.
+    pub(crate) peer_loads: RefCell<PeerLoads>,
+    /// Secret that peers must present to pass requests on to this VM.
+    pub(crate) own_secret: Secret,
+    /// Secrets of the peers.
+    pub(crate) secrets: RefCell<Secrets>,
+    /// Wakes the task that reads the members when the secret of a peer is missing.
+    pub(crate) secrets_missing: Notify,
     pub(crate) metrics: Metrics,
     /// When the signal to stop arrived.
     pub(crate) stopping_since: Cell<Option<Time>>,
@@ -145,6 +156,11 @@
             other_loads: RefCell::default(),
             demand_meter: RefCell::default(),
             pool: Pool::default(),
+            peer_pool: Pool::default(),
+            peer_loads: RefCell::default(),
+            own_secret: Secret::random(),
+            secrets: RefCell::default(),
+            secrets_missing: Notify::new(),
             metrics: Metrics::default(),
             stopping_since: Cell::default(),
             stop_requested: Notify::new(),
@@ -242,9 +258,7 @@
     }
 
     /// Stops sending requests to an endpoint that says in an answer that it is about to stop.
-    pub(crate) fn note_leaving(&self, endpoint: &Candidate) {
-        let (started_ms, _) = endpoint.incarnation;
-        let id = &endpoint.id;
+    pub(crate) fn note_leaving(&self, id: &Arc<str>, started_ms: u64) {
         let change = self.endpoints.borrow_mut().mark_leaving(id, started_ms);
         if change != Change::None {
             self.log_endpoint_change(id, change);
@@ -360,6 +374,7 @@
         self.check_outage();
         self.refresh_candidates();
         self.pool.expire(now);
+        self.peer_pool.expire(now);
         let quiet = self.balancer.borrow().quiet_endpoints(now);
         for id in &quiet {
             self.note_path_failure(id, PathFailure::Quiet);
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::cache::{Batch, Entry, Position};
+use hemlock_lib::node::passing::{SECRET_KEY_PREFIX, SecretRecord};
 use hemlock_lib::node::peers::Member;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Record, Store, StoreError, Topic};
@@ -24,6 +25,11 @@
 const AVOID_TIME: Duration = Duration::from_secs(3);
 /// Interval between two reads of the members; datagrams announce new members at once.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(60);
+/// Time after the first read of the members until the second, which finds the secrets of VMs that
+/// started at the same time; datagrams don't carry these.
+const SECOND_READ_DELAY: Duration = Duration::from_secs(3);
+/// Minimum time between two reads of the members for secrets that are missing.
+const SECRETS_PAUSE: Duration = Duration::from_secs(1);
 /// Time over which the VMs spread the writes of their records to a store that came back from an
 /// older copy.
 const MEMBER_REWRITE_TIME: Duration = Duration::from_secs(1);
@@ -97,6 +103,7 @@
     write_member(&node).await;
     let mut written_era = node.store.era();
     let mut wait = MIN_BACKOFF;
+    let mut is_first = true;
     loop {
         if written_era < node.store_era.get() {
             write_member(&node).await;
@@ -109,7 +116,10 @@
                 for record in &snapshot.records {
                     apply_member(&node, record);
                 }
-                wait = MEMBERS_INTERVAL;
+                wait = match std::mem::take(&mut is_first) {
+                    true => SECOND_READ_DELAY,
+                    false => MEMBERS_INTERVAL,
+                };
             }
             Err(e) => {
                 log::info!("event=read_failed topic=Members cause=\"{e}\"");
@@ -118,6 +128,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
+            () = missing_secrets(&node) => {}
             () = node.members_outdated.notified() => {
                 // All VMs notice it at the same time.
                 let delay = MEMBER_REWRITE_TIME.mul_f64(rand::rng().random_range(0.0..1.0));
@@ -383,6 +394,9 @@
     if record.key == node.identity.node {
         return;
     }
+    if record.key.starts_with(SECRET_KEY_PREFIX) {
+        return apply_secret(node, record);
+    }
     let mut peers = node.peers.borrow_mut();
     let Some(value) = &record.value else {
         peers.remove_member(&record.key);
@@ -398,20 +412,57 @@
     }
 }
 
-/// Writes this VM's record to the list of members, with retries until it succeeds or the VM is
+/// Keeps the secret of a peer.
+fn apply_secret(node: &Node, record: &Record) {
+    let Some(value) = &record.value else { return };
+    match rmp_serde::from_slice::<SecretRecord>(value) {
+        Ok(secret) if record.key.strip_prefix(SECRET_KEY_PREFIX) == Some(&secret.node) => {
+            node.secrets.borrow_mut().record(secret);
+        }
+        Ok(_) => log::warn!(
+            "event=member_refused node={} cause=\"the record names another node\"",
+            record.key
+        ),
+        Err(e) => log::warn!("event=member_refused node={} cause=\"{e}\"", record.key),
+    }
+}
+
+/// Waits until a secret is missing and the members may be read again.
+async fn missing_secrets(node: &Node) {
+    let pause = SECRETS_PAUSE.max(node.min_store_interval());
+    tokio::time::sleep(pause).await;
+    node.secrets_missing.notified().await;
+}
+
+/// Writes this VM's record and its secret to the list of members, with retries until it succeeds or the VM is
 /// stopping.
 async fn write_member(node: &Rc<Node>) {
-    let value = match rmp_serde::to_vec(&node.identity) {
-        Ok(value) => value,
-        Err(e) => {
-            log::error!("event=member_unwritten cause=\"{e}\"");
-            return;
-        }
+    let identity = &node.identity;
+    let secret = SecretRecord {
+        node: identity.node.clone(),
+        run: identity.run,
+        secret: node.own_secret.to_hex(),
     };
+    let records = [
+        (identity.node.clone(), rmp_serde::to_vec(identity)),
+        (
+            format!("{SECRET_KEY_PREFIX}{}", identity.node),
+            rmp_serde::to_vec(&secret),
+        ),
+    ];
+    for (key, value) in records {
+        match value {
+            Ok(value) => write_record(node, &key, &value).await,
+            Err(e) => log::error!("event=member_unwritten cause=\"{e}\""),
+        }
+    }
+}
+
+/// Writes a record to the list of members, with retries until it succeeds or the VM is stopping.
+async fn write_record(node: &Node, key: &str, value: &[u8]) {
     let mut wait = MIN_BACKOFF;
     while node.stopping_since.get().is_none() {
-        let key = &node.identity.node;
-        match node.store.put(Topic::Members, key, Some(&value)).await {
+        match node.store.put(Topic::Members, key, Some(value)).await {
             Ok(()) => return,
             Err(e) => {
                 log::info!("event=member_unwritten cause=\"{e}\"");
--- a/node/tests/node_process.rs
+++ b/node/tests/node_process.rs
@@ -25,6 +25,8 @@
     pub ready: SocketAddr,
     pub directory: SocketAddr,
     pub metrics: SocketAddr,
+    /// Address at which other daemons connect and send datagrams.
+    pub peer: SocketAddr,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
     _dir: TempDir,
@@ -79,6 +81,7 @@
             ready,
             directory,
             metrics,
+            peer,
             child,
             log,
             _dir: dir,
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,8 +1,10 @@
 //! Compiles all integration tests of this crate into one binary.
 
+mod fake_peer;
 mod node_process;
 mod test_crashing_part;
 mod test_pages;
+mod test_passing_on;
 mod test_refusals;
 mod test_relay;
 mod test_restored_store;
