--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -6,6 +6,7 @@
 //! continues at another endpoint after the last forwarded event if its endpoint fails.
 
 mod endpoint_signs;
+mod limits;
 mod outcome;
 mod pass_on;
 mod report;
@@ -46,17 +47,6 @@
 /// Factor on the expected time to the first event, before which the endpoint does not count as
 /// silent.
 const FIRST_EVENT_SLACK: f64 = 1.5;
-/// Shortest gap between events after which callers abandon a stream.
-const MIN_ABANDON_GAP: Duration = Duration::from_secs(2);
-/// Share of the gap after which callers abandon a stream that the expected first event may take;
-/// the rest allows for errors of the estimate.
-const FIRST_EVENT_SHARE: f64 = 0.7;
-/// Share of the gap after which callers abandon a stream that the expected first event may take if
-/// the caller retries after a refusal, and will not retry again.
-const RETRY_FIRST_EVENT_SHARE: f64 = 0.9;
-/// Share of the route's timeout below which a caller's deadline shows that this is a retry after a
-/// refusal.
-const RETRY_DEADLINE_SHARE: f64 = 0.9;
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: u32 = 2;
 /// Events after which an endpoint has begun to answer. The first one may be written just before it
@@ -541,67 +531,6 @@
         (outcome, reuse.then_some(meta.idle_timeout))
     }
 
-    /// Returns the priority to send to the endpoint: a retried stream precedes others of the same
-    /// priority.
-    fn endpoint_priority(&self) -> Option<u8> {
-        let own_priority = self.request.account.as_ref().and_then(|a| a.priority);
-        let priority = own_priority.unwrap_or(self.request.route.priority);
-        Some(priority.saturating_sub(u8::from(self.is_retry_after_refusal())))
-    }
-
-    /// Returns whether the caller sends this stream again after a refusal: its deadline is then
-    /// shorter.
-    fn is_retry_after_refusal(&self) -> bool {
-        let Request { route, meta, .. } = self.request;
-        let is_short = |wait: Duration| wait < route.timeout.mul_f64(RETRY_DEADLINE_SHARE);
-        route.request_kind.is_stream() && meta.max_wait.is_some_and(is_short)
-    }
-
-    /// Returns the number of tokens that the answer is expected to need still.
-    fn tokens_left(&self) -> u32 {
-        let steps_per_pass = self.engine().map_or(1, |e| e.steps_per_pass);
-        self.request
-            .meta
-            .answer_tokens
-            .saturating_sub(self.delivered.events * steps_per_pass)
-    }
-
-    /// Returns the engine settings of the service, if its endpoints are engines.
-    fn engine(&self) -> Option<&Engine> {
-        let service = self.service.as_ref()?;
-        self.request.config.services.get(service)?.engine.as_ref()
-    }
-
-    /// Returns the longest expected time to the first event with which a send is of use. Callers
-    /// abandon a stream after a gap of 2 s, four times the latency goal or eight times the target
-    /// pause between events, whichever is longest.
-    fn first_event_limit(&self, now: Time) -> Duration {
-        let route = &self.request.route;
-        let time_left = self.request.deadline.since(now);
-        if !route.request_kind.is_stream() {
-            return time_left;
-        }
-        let gap = MIN_ABANDON_GAP
-            .max(route.latency_goal * 4)
-            .max(route.event_gap_goal * 8);
-        let elapsed = self
-            .delivered
-            .last_event_at
-            .map_or_else(|| self.elapsed(), |t| now.since(t));
-        let share = match self.is_retry_after_refusal() {
-            true => RETRY_FIRST_EVENT_SHARE,
-            false => FIRST_EVENT_SHARE,
-        };
-        gap.mul_f64(share).saturating_sub(elapsed).min(time_left)
-    }
-
-    /// Returns whether another endpoint may continue the request if this one sends nothing.
-    fn may_switch_endpoint(&self) -> bool {
-        let route = &self.request.route;
-        // A peer that has no sends left hands the request back, to be sent through another one.
-        route.request_kind.may_retry() && self.sends.possible_runs + 1 < route.max_attempts
-    }
-
     /// Reads the head of the response, unless the endpoint is silent for too long, the deadline
     /// passes or the caller disconnects.
     async fn await_response_head(
