--- a/node/tests/node_process.rs
+++ b/node/tests/node_process.rs
@@ -43,7 +43,8 @@
         Self::spawn(self.store.clone(), name)
     }
 
-    fn spawn(store: Store, name: &str) -> Self {
+    /// Starts a daemon that uses `store`.
+    pub fn spawn(store: Store, name: &str) -> Self {
         let (front, ready, directory) = (free_address(), free_address(), free_address());
         let metrics = free_address();
         let peer = free_address();
@@ -149,6 +150,19 @@
         }
     }
 
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the daemon is killed");
+        self.child
+            .wait()
+            .expect("the daemon's exit status is known");
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         let pid = self.child.id().to_string();
