relay: what may have run waits for a path instead of breaking off

A stream that broke with all connections of its VM used its last send on the same lost path. It now waits for up to a second until the path or a peer is known; one whose endpoint alone failed goes on at once. Idle connections that broke at the same time are evidence. Where no VM has a path, requests are refused at once. The peer's address comes from the store, since datagrams may be forged.

--- a/lib/src/node/passing.rs
+++ b/lib/src/node/passing.rs
@@ -6,6 +6,7 @@
 //! limits on sends hold across both VMs.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +40,11 @@
 pub const MAX_PEERS_TRIED: usize = 3;
 /// Number of endpoints to which one request fails to connect before it is refused.
 pub const MAX_FAILED_CONNECTS: u32 = 3;
+/// Longest time for which a request that may have run waits for a path.
+const MAX_PATH_WAIT: Duration = Duration::from_secs(1);
+/// Number of endpoints that failed at about the same time from which this VM's own path may be the
+/// cause.
+const MIN_SUSPICIOUS: usize = 2;
 /// Time for which a peer that failed or took no request gets none.
 const AVOID_TIME: Duration = Duration::from_millis(1_000);
 
@@ -81,6 +87,9 @@
     pub run: u64,
     /// The secret as hexadecimal digits.
     pub secret: String,
+    /// Address at which the entry VM takes requests of peers. Datagrams may be forged, and what they
+    /// say must not decide who gets the secret.
+    pub address: SocketAddr,
 }
 
 impl std::fmt::Debug for SecretRecord {
@@ -103,9 +112,8 @@
     }
 
     /// Returns the secret of a peer if it is that of the given start of its process.
-    pub fn get(&self, node: &str, run: u64) -> Option<&str> {
-        let record = self.records.get(node).filter(|r| r.run == run);
-        record.map(|r| r.secret.as_str())
+    pub fn get(&self, node: &str, run: u64) -> Option<&SecretRecord> {
+        self.records.get(node).filter(|r| r.run == run)
     }
 }
 
@@ -285,23 +293,66 @@
     Send,
     /// A peer sends it.
     PassOn,
+    /// It waits until more is known of the paths.
+    Wait,
     /// It is refused.
     Refuse,
 }
 
-/// Decides who sends a request. `has_peer` says whether a peer that reaches endpoints can take it,
-/// and `failed_connects` to how many endpoints this VM failed to connect for it.
-pub fn next_step(path: PathState, has_peer: bool, failed_connects: u32) -> Step {
+/// What is known of a request that is to be sent, and of the ways to send it.
+#[derive(Debug, Clone, Copy)]
+pub struct Situation {
+    /// Whether this VM reaches endpoints.
+    pub path: PathState,
+    /// Whether a peer that reaches endpoints can take the request.
+    pub has_peer: bool,
+    /// Whether all peers that were asked reach no endpoint either.
+    pub nobody_has_path: bool,
+    /// Number of endpoints to which this VM failed to connect for the request.
+    pub failed_connects: u32,
+    /// How long ago the last send failed with which the request may have run.
+    pub since_failure: Option<Duration>,
+    /// Number of endpoints that failed lately, for any request.
+    pub failed_endpoints: usize,
+    /// Whether any endpoint sent something after that failure.
+    pub heard_since: bool,
+}
+
+/// Decides who sends a request.
+pub fn next_step(situation: &Situation) -> Step {
+    let Situation {
+        path,
+        has_peer,
+        failed_connects,
+        ..
+    } = *situation;
     match (path, has_peer) {
         (PathState::Cut | PathState::Doubtful, true) => Step::PassOn,
         (PathState::Direct, true) if failed_connects > 0 => Step::PassOn,
+        _ if should_wait(situation) => Step::Wait,
         (PathState::Cut, false) => Step::Refuse,
-        (PathState::Doubtful, false) if failed_connects > 0 => Step::Refuse,
+        (PathState::Doubtful, false) if failed_connects > 0 || situation.nobody_has_path => {
+            Step::Refuse
+        }
         _ if failed_connects >= MAX_FAILED_CONNECTS => Step::Refuse,
         _ => Step::Send,
     }
 }
 
+/// Returns whether a request that may have run, and so can't be refused any more, should wait rather
+/// than use up its sends on a path that may be lost.
+fn should_wait(situation: &Situation) -> bool {
+    let Some(since_failure) = situation.since_failure else {
+        return false;
+    };
+    let is_suspicious = match situation.path {
+        PathState::Direct => situation.failed_endpoints >= MIN_SUSPICIOUS && !situation.heard_since,
+        PathState::Doubtful => !situation.heard_since,
+        PathState::Cut => true,
+    };
+    is_suspicious && since_failure < MAX_PATH_WAIT
+}
+
 /// Requests that this VM has passed on to each peer, and the peers that get none for now.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
--- a/lib/src/node/peer_paths.rs
+++ b/lib/src/node/peer_paths.rs
@@ -80,12 +80,10 @@
 
     /// Lists the peers that replied recently that they reach endpoints and are not stopping.
     pub fn with_path(&self, now: Time) -> Vec<PeerPath> {
-        let is_recent = |received: Time| now.since(received) < REPLY_RETENTION;
-        let usable = |reply: &PathReply| reply.has_path && !reply.stopping;
-        let replies = self.replies.values();
-        let usable = replies.filter(|(received, reply)| is_recent(*received) && usable(reply));
-        usable
-            .map(|(_, reply)| PeerPath {
+        let usable = |reply: &&PathReply| reply.has_path && !reply.stopping;
+        self.recent(now)
+            .filter(usable)
+            .map(|reply| PeerPath {
                 node: reply.node.clone(),
                 run: reply.run,
                 address: reply.address,
@@ -94,4 +92,19 @@
             })
             .collect()
     }
+
+    /// Returns whether all peers that replied recently said that they reach no endpoints; false if
+    /// none replied.
+    pub fn nobody_has_path(&self, now: Time) -> bool {
+        let mut replies = self.recent(now).peekable();
+        replies.peek().is_some() && replies.all(|reply| !reply.has_path)
+    }
+
+    fn recent(&self, now: Time) -> impl Iterator<Item = &PathReply> {
+        let is_recent = move |received: Time| now.since(received) < REPLY_RETENTION;
+        let replies = self.replies.values();
+        replies
+            .filter(move |(received, _)| is_recent(*received))
+            .map(|(_, reply)| reply)
+    }
 }
--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -425,7 +425,7 @@
     }
 
     /// Returns the number of endpoints that failed, in either way.
-    fn failed_count(&self) -> usize {
+    pub fn failed_count(&self) -> usize {
         let silent = self.silent.keys();
         let only_silent = silent.filter(|id| !self.unreachable.contains_key(*id));
         self.unreachable.len() + only_silent.count()
--- a/lib/tests/test_node_passing.rs
+++ b/lib/tests/test_node_passing.rs
@@ -4,7 +4,7 @@
 use hemlock_lib::node::budget::{Allowance, RetryBudget};
 use hemlock_lib::node::passing::{
     self, MAX_FAILED_CONNECTS, Origin, PeerLoads, PeerReport, Secret, SecretRecord, Secrets, Sends,
-    Step, max_runs_of_peer, next_step, refusal,
+    Situation, Step, max_runs_of_peer, next_step, refusal,
 };
 use hemlock_lib::node::peer_paths::PeerPath;
 use hemlock_lib::node::peers::Member;
@@ -29,32 +29,84 @@
     }
 }
 
+/// A request that was not sent yet.
+fn fresh(path: PathState, has_peer: bool, failed_connects: u32) -> Situation {
+    Situation {
+        path,
+        has_peer,
+        nobody_has_path: false,
+        failed_connects,
+        since_failure: None,
+        failed_endpoints: 0,
+        heard_since: false,
+    }
+}
+
+/// A request whose endpoint failed so many milliseconds ago, with others.
+fn broken(path: PathState, ms: u64, failed_endpoints: usize) -> Situation {
+    Situation {
+        since_failure: Some(Duration::from_millis(ms)),
+        failed_endpoints,
+        ..fresh(path, false, 0)
+    }
+}
+
 #[test]
 fn cut_vm_passes_requests_on_at_once_and_refuses_them_without_a_peer() {
-    assert_eq!(next_step(PathState::Cut, true, 0), Step::PassOn);
-    assert_eq!(next_step(PathState::Cut, false, 0), Step::Refuse);
+    assert_eq!(next_step(&fresh(PathState::Cut, true, 0)), Step::PassOn);
+    assert_eq!(next_step(&fresh(PathState::Cut, false, 0)), Step::Refuse);
 }
 
 #[test]
 fn vm_that_doubts_its_path_makes_no_second_blind_attempt() {
-    assert_eq!(next_step(PathState::Doubtful, true, 0), Step::PassOn);
-    assert_eq!(next_step(PathState::Doubtful, false, 0), Step::Send);
-    assert_eq!(next_step(PathState::Doubtful, false, 1), Step::Refuse);
+    let step = |has_peer, failed| next_step(&fresh(PathState::Doubtful, has_peer, failed));
+    assert_eq!(step(true, 0), Step::PassOn);
+    assert_eq!(step(false, 0), Step::Send);
+    assert_eq!(step(false, 1), Step::Refuse);
+}
+
+#[test]
+fn requests_are_refused_at_once_when_no_vm_has_a_path() {
+    let situation = Situation {
+        nobody_has_path: true,
+        ..fresh(PathState::Doubtful, false, 0)
+    };
+    assert_eq!(next_step(&situation), Step::Refuse);
+    let path = PathState::Direct;
+    assert_eq!(next_step(&Situation { path, ..situation }), Step::Send);
 }
 
 /// Connects that time out one after the other must not use up the time that the request has.
 #[test]
 fn failed_connects_of_one_request_are_limited() {
-    assert_eq!(next_step(PathState::Direct, true, 0), Step::Send);
-    assert_eq!(next_step(PathState::Direct, true, 1), Step::PassOn);
-    assert_eq!(
-        next_step(PathState::Direct, false, MAX_FAILED_CONNECTS - 1),
-        Step::Send
-    );
-    assert_eq!(
-        next_step(PathState::Direct, false, MAX_FAILED_CONNECTS),
-        Step::Refuse
-    );
+    let step = |has_peer, failed| next_step(&fresh(PathState::Direct, has_peer, failed));
+    assert_eq!(step(true, 0), Step::Send);
+    assert_eq!(step(true, 1), Step::PassOn);
+    assert_eq!(step(false, MAX_FAILED_CONNECTS - 1), Step::Send);
+    assert_eq!(step(false, MAX_FAILED_CONNECTS), Step::Refuse);
+}
+
+/// A stream that broke with others must not use its last send on a path that is lost.
+#[test]
+fn request_that_broke_with_others_waits_until_the_path_is_known() {
+    assert_eq!(next_step(&broken(PathState::Direct, 10, 2)), Step::Wait);
+    assert_eq!(next_step(&broken(PathState::Doubtful, 300, 5)), Step::Wait);
+    assert_eq!(next_step(&broken(PathState::Cut, 500, 5)), Step::Wait);
+    assert_eq!(next_step(&broken(PathState::Cut, 1_000, 5)), Step::Refuse);
+    let has_peer = true;
+    let known = broken(PathState::Cut, 400, 5);
+    assert_eq!(next_step(&Situation { has_peer, ..known }), Step::PassOn);
+}
+
+/// An endpoint that crashes by itself costs the request no time.
+#[test]
+fn request_goes_on_at_once_when_only_its_endpoint_failed() {
+    assert_eq!(next_step(&broken(PathState::Direct, 0, 1)), Step::Send);
+    let heard = Situation {
+        heard_since: true,
+        ..broken(PathState::Direct, 10, 4)
+    };
+    assert_eq!(next_step(&heard), Step::Send);
 }
 
 #[test]
@@ -164,8 +216,9 @@
         node: "a".to_owned(),
         run: 7,
         secret: "s7".to_owned(),
+        address: "10.0.0.1:7000".parse().unwrap(),
     });
-    assert_eq!(secrets.get("a", 7), Some("s7"));
+    assert_eq!(secrets.get("a", 7).unwrap().secret, "s7");
     assert_eq!(secrets.get("a", 8), None);
     assert_eq!(secrets.get("b", 7), None);
 }
@@ -177,6 +230,7 @@
         node: "a".to_owned(),
         run: 7,
         secret: secret.to_hex(),
+        address: "10.0.0.1:7000".parse().unwrap(),
     };
     let text = format!("{secret:?} {record:?}");
     assert!(!text.contains(&secret.to_hex()), "{text}");
@@ -189,6 +243,7 @@
         node: "a".to_owned(),
         run: 7,
         secret: Secret::random().to_hex(),
+        address: "10.0.0.1:7000".parse().unwrap(),
     };
     let bytes = rmp_serde::to_vec(&record).unwrap();
     assert!(rmp_serde::from_slice::<Member>(&bytes).is_err());
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -80,6 +80,23 @@
         }
     }
 
+    /// Removes the connections that were closed or broken before their keep-alive time was over;
+    /// returns the endpoints of which none is left.
+    pub(crate) fn remove_closed(&self, now: Time) -> Vec<Arc<str>> {
+        let mut idle = self.idle.borrow_mut();
+        let mut lost = Vec::new();
+        for (id, conns) in idle.iter_mut() {
+            conns.retain(|c| c.expires > now);
+            let had_conns = !conns.is_empty();
+            conns.retain_mut(|c| c.conn.is_idle());
+            if had_conns && conns.is_empty() {
+                lost.push(id.clone());
+            }
+        }
+        idle.retain(|_, conns| !conns.is_empty());
+        lost
+    }
+
     /// Closes the connections to an endpoint that accepts no more requests.
     pub(crate) fn drop_endpoint(&self, endpoint: &str) {
         self.idle.borrow_mut().remove(endpoint);
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -131,6 +131,8 @@
     sends: Sends,
     /// Number of endpoints to which this VM could not connect for the request.
     failed_connects: u32,
+    /// When the last send failed with which the request may have run.
+    failed_at: Option<Time>,
     /// Peers to which the request was passed on.
     peers_tried: Vec<String>,
     /// Identifier and start time of the endpoint that has the request, or had it last.
@@ -184,6 +186,7 @@
             service: None,
             sends: passed.map(|p| p.sends.clone()).unwrap_or_default(),
             failed_connects: 0,
+            failed_at: None,
             peers_tried: Vec::new(),
             endpoint: None,
             peer: None,
@@ -229,15 +232,17 @@
             }
             let path = self.node.path_state(now);
             let peer = self.choose_peer(now);
-            let outcome = match (
-                passing::next_step(path, peer.is_some(), self.failed_connects),
-                &peer,
-            ) {
+            let situation = self.situation(now, path, peer.is_some());
+            let outcome = match (passing::next_step(&situation), &peer) {
                 (Step::PassOn, Some(peer)) => self.pass_on(conn, peer, cause).await,
                 (Step::Send, _) => match self.send_direct(conn, now, &service, cause).await {
                     Ok(outcome) => outcome,
                     Err((cause, after)) => return self.give_up(conn, cause, after).await,
                 },
+                (Step::Wait, _) => match self.wait_for_path(conn).await {
+                    true => return self.caller_left(),
+                    false => continue,
+                },
                 (Step::Refuse | Step::PassOn, _) => {
                     return self
                         .give_up(conn, "no_path", self.retry_elsewhere_after(path))
@@ -256,6 +261,7 @@
                 }
                 SendOutcome::NotRun(reason) => reason,
                 SendOutcome::MayHaveRun(reason) | SendOutcome::PeerLost(reason) => {
+                    self.failed_at = Some(self.node.now());
                     let may_retry = self.request.route.request_kind.may_retry();
                     if !may_retry || self.sends.possible_runs >= self.max_attempts() {
                         return self.give_up(conn, reason, Duration::ZERO).await;
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -106,6 +106,10 @@
             }
             HttpError::Closed | HttpError::Broken(_) => {
                 self.node.note_path_failure(&to.id, PathFailure::Broken);
+                // If the path is lost, idle connections have broken at the same time.
+                for id in self.node.pool.remove_closed(self.node.now()) {
+                    self.node.note_path_failure(&id, PathFailure::Broken);
+                }
                 SendOutcome::MayHaveRun("broken")
             }
         }
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use hemlock_lib::node::passing::{self, Origin, PassedRequest, PeerReport};
+use hemlock_lib::node::passing::{self, Origin, PassedRequest, PeerReport, Situation};
 use hemlock_lib::node::peer_paths::PeerPath;
 use hemlock_lib::node::reach::PathState;
 use hemlock_lib::time::Time;
@@ -27,6 +27,10 @@
 /// Factor on the silence timeout of endpoints for a stream through a peer, which changes the endpoint
 /// itself if that is silent.
 const PEER_SILENCE_FACTOR: u32 = 4;
+/// Interval at which a request that waits for a path looks for one.
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after a failure in which bytes that arrive may have been sent before the path was lost.
+const PATH_SETTLE_TIME: Duration = Duration::from_millis(5);
 /// Upper bound on the endpoints that a peer is told not to use.
 const MAX_LEAVING: usize = 32;
 
@@ -53,16 +57,41 @@
         if peers.iter().any(|p| secrets.get(&p.node, p.run).is_none()) {
             self.node.secrets_missing.notify_one();
         }
-        peers.retain(|p| {
-            !self.peers_tried.contains(&p.node)
-                && !loads.is_avoided(now, &p.node)
-                && secrets.get(&p.node, p.run).is_some()
+        peers.retain_mut(|p| {
+            let Some(record) = secrets.get(&p.node, p.run) else {
+                return false;
+            };
+            p.address = record.address;
+            !self.peers_tried.contains(&p.node) && !loads.is_avoided(now, &p.node)
         });
         let mut rng = rand::rng();
         let draws = [rng.random_range(0.0..1.0), rng.random_range(0.0..1.0)];
         loads.choose(&peers, draws).cloned()
     }
 
+    /// Returns what decides how the request is sent next.
+    pub(super) fn situation(&self, now: Time, path: PathState, has_peer: bool) -> Situation {
+        let reach = self.node.reach.borrow();
+        let failed_at = self.failed_at;
+        Situation {
+            path,
+            has_peer,
+            nobody_has_path: self.node.peer_paths.borrow().nobody_has_path(now),
+            failed_connects: self.failed_connects,
+            since_failure: failed_at.map(|at| now.since(at)),
+            failed_endpoints: reach.failed_count(),
+            heard_since: failed_at.is_some_and(|at| reach.has_heard_since(at + PATH_SETTLE_TIME)),
+        }
+    }
+
+    /// Waits until more is known of the path; returns whether the caller has disconnected.
+    pub(super) async fn wait_for_path(&self, caller: &mut Conn) -> bool {
+        tokio::select! {
+            disconnected = self.caller_disconnected(caller) => disconnected,
+            () = tokio::time::sleep(PATH_CHECK_INTERVAL) => false,
+        }
+    }
+
     /// Returns the time after which the caller of a request may retry that this VM can't send. While a
     /// cut is only suspected, no VM may have a path.
     pub(super) fn retry_elsewhere_after(&self, path: PathState) -> Duration {
@@ -203,7 +232,8 @@
                 .secrets
                 .borrow()
                 .get(&peer.node, peer.run)?
-                .to_owned(),
+                .secret
+                .clone(),
             from: self.node.identity.node.clone(),
             config: self.request.config.version,
             service: self.service.clone()?,
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -442,6 +442,7 @@
         node: identity.node.clone(),
         run: identity.run,
         secret: node.own_secret.to_hex(),
+        address: identity.peer_address,
     };
     let records = [
         (identity.node.clone(), rmp_serde::to_vec(identity)),
--- a/node/tests/fake_peer.rs
+++ b/node/tests/fake_peer.rs
@@ -49,6 +49,7 @@
             node: name.to_owned(),
             run: 7,
             secret: "5".repeat(32),
+            address,
         };
         let bytes = rmp_serde::to_vec(&secret).expect("the record is encoded");
         node.store
