node: only probes end a cut

Bytes on connections that outlive a cut counted as healing: in a trial before real daemons the VM counted as having a path again while new connections were still refused. Now only the outcomes of probes count, each over a new connection that is still open 20 ms later, since a middlebox may accept a connection and then close it.

--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -105,6 +105,31 @@
     Answer,
 }
 
+/// Outcome of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// No connection was opened, or it was closed at once.
+    Unreachable,
+    /// A connection was opened, and the endpoint was not queried.
+    Connected,
+    /// The endpoint answered a query.
+    Answered,
+    /// A connection was opened, and the endpoint did not answer a query.
+    Silent,
+}
+
+impl ProbeOutcome {
+    /// Returns the name of the outcome in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Connected => "connected",
+            Self::Answered => "answered",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// An endpoint that may be probed.
 #[derive(Debug, Clone, Copy)]
 pub struct Target<'a> {
@@ -234,37 +259,50 @@
             self.silent.clear();
             self.silent_since = None;
         }
-        if self.state == PathState::Cut && self.lacks_bytes {
-            self.healing.record(now, endpoint, true);
-        }
     }
 
     /// Records that a connection to an endpoint was opened.
     pub fn record_connected(&mut self, now: Time, endpoint: &Arc<str>) {
         self.connected.insert(endpoint.clone(), now);
         self.unreachable.clear();
-        if self.state == PathState::Cut {
-            let evidence = match self.lacks_bytes {
-                true => &mut self.trial,
-                false => &mut self.healing,
-            };
-            evidence.record(now, endpoint, true);
-        }
     }
 
     /// Records that an endpoint failed to answer.
     pub fn record_failure(&mut self, now: Time, endpoint: &Arc<str>, failure: PathFailure) {
-        let is_connect = failure == PathFailure::Connect;
-        if is_connect {
+        if failure == PathFailure::Connect {
             self.unreachable.insert(endpoint.clone(), now);
         } else if failure == PathFailure::Broken || self.is_quiet(now) {
             self.silent.insert(endpoint.clone(), now);
             self.silent_since.get_or_insert(now);
         }
-        if self.state == PathState::Cut {
-            self.trial = Healing::default();
-            if is_connect || self.lacks_bytes {
+    }
+
+    /// Records the outcome of a probe. Only probes show that a cut has healed, since old connections
+    /// may live on in it.
+    pub fn record_probe(&mut self, now: Time, endpoint: &Arc<str>, outcome: ProbeOutcome) {
+        match outcome {
+            ProbeOutcome::Unreachable => self.record_failure(now, endpoint, PathFailure::Connect),
+            ProbeOutcome::Connected => self.record_connected(now, endpoint),
+            ProbeOutcome::Answered => {
+                self.record_connected(now, endpoint);
+                self.record_heard(now, endpoint);
+            }
+            ProbeOutcome::Silent => {
+                self.record_connected(now, endpoint);
+                self.record_failure(now, endpoint, PathFailure::Quiet);
+            }
+        }
+        if self.state != PathState::Cut {
+            return;
+        }
+        match outcome {
+            ProbeOutcome::Unreachable | ProbeOutcome::Silent => {
                 self.healing.record(now, endpoint, false);
+                self.trial = Healing::default();
+            }
+            ProbeOutcome::Connected if self.lacks_bytes => self.trial.record(now, endpoint, true),
+            ProbeOutcome::Connected | ProbeOutcome::Answered => {
+                self.healing.record(now, endpoint, true);
             }
         }
     }
@@ -472,7 +510,7 @@
             };
             self.probed_endpoints.insert(target.id.clone(), now);
             self.probed_services.insert(target.service.clone(), now);
-            let kind = match needs_bytes {
+            let kind = match needs_bytes || self.state == PathState::Cut {
                 true => ProbeKind::Answer,
                 false => ProbeKind::Connect,
             };
--- a/lib/tests/test_node_reach.rs
+++ b/lib/tests/test_node_reach.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use hemlock_lib::node::peer_paths::{PathQuery, PathReply, PeerPaths};
-use hemlock_lib::node::reach::{PathFailure, PathState, ProbeKind, Reach, Target};
+use hemlock_lib::node::reach::{PathFailure, PathState, ProbeKind, ProbeOutcome, Reach, Target};
 use hemlock_lib::time::Time;
 
 const STEP_MS: u64 = 10;
 const NETWORK_MS: u64 = 5;
 const CONNECT_TIMEOUT_MS: u64 = 250;
+const QUERY_TIMEOUT_MS: u64 = 110;
 const QUIET_MS: u64 = 400;
 /// Time within which a cut is to be detected.
 const DETECTION_MS: u64 = 1_000;
@@ -35,6 +36,7 @@
     Heard,
     Quiet,
     Broken,
+    Probed(ProbeOutcome),
 }
 
 #[derive(Debug)]
@@ -81,7 +83,11 @@
             changes: Vec::new(),
         };
         let endpoint = |i: usize| {
-            let service = if i.is_multiple_of(3) { "plain" } else { "models" };
+            let service = if i.is_multiple_of(3) {
+                "plain"
+            } else {
+                "models"
+            };
             (
                 Arc::from(format!("e{i}")),
                 Arc::from(service),
@@ -225,6 +231,7 @@
                 Event::ConnectFailed => state.reach.record_failure(now, id, PathFailure::Connect),
                 Event::Quiet => state.reach.record_failure(now, id, PathFailure::Quiet),
                 Event::Broken => state.reach.record_failure(now, id, PathFailure::Broken),
+                Event::Probed(outcome) => state.reach.record_probe(now, id, outcome),
             }
         }
     }
@@ -233,8 +240,16 @@
         for (id, kind) in probes {
             let index = self.endpoints.iter().position(|e| e.0 == id);
             let endpoint = index.expect("a listed endpoint");
-            let is_engine = self.endpoints[endpoint].2;
-            self.connect(vm, endpoint, kind == ProbeKind::Answer && is_engine);
+            let is_queried = kind == ProbeKind::Answer && self.endpoints[endpoint].2;
+            let (after, outcome) = match (self.link(vm, endpoint), is_queried) {
+                (Link::Hang, _) => (CONNECT_TIMEOUT_MS, ProbeOutcome::Unreachable),
+                (Link::Reset | Link::OldOnly, _) => (2 * NETWORK_MS, ProbeOutcome::Unreachable),
+                (Link::Good, true) => (4 * NETWORK_MS, ProbeOutcome::Answered),
+                (Link::Mute, true) => (QUERY_TIMEOUT_MS, ProbeOutcome::Silent),
+                (Link::Good | Link::Mute, false) => (2 * NETWORK_MS, ProbeOutcome::Connected),
+            };
+            let probed = (self.now_ms + after, endpoint, Event::Probed(outcome));
+            self.vms[vm].pending.push(probed);
         }
     }
 
@@ -464,6 +479,25 @@
     }
 }
 
+/// Streams on old connections go on, and say nothing of new ones.
+#[test]
+fn bytes_on_old_connections_do_not_end_a_cut() {
+    let mut world = World::new(5, 20, 20);
+    world.vms[0].is_pooled = false;
+    let start = world.now_ms;
+    world.cut(0, Link::OldOnly);
+    for _ in 0..60 {
+        world.run(100);
+        let endpoint = world.random(20);
+        world.exchange(0, endpoint);
+    }
+    world.assert_detected(0, start, "old connections");
+    assert_eq!(
+        world.entered(0, PathState::Direct, start + DETECTION_MS),
+        None
+    );
+}
+
 #[test]
 fn one_dead_endpoint_does_not_keep_a_healed_vm_cut_off() {
     let mut world = World::new(5, 6, 20);
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -9,7 +9,7 @@
 use hemlock_lib::node::peer_paths::{PathQuery, PathReply};
 use hemlock_lib::node::peers::{Member, Message};
 use hemlock_lib::node::reach::{
-    FailedEndpoints, PathChange, PathFailure, PathState, ProbeKind, Target,
+    FailedEndpoints, PathChange, PathState, ProbeKind, ProbeOutcome, Target,
 };
 use hemlock_lib::time::Time;
 use hemlock_platform::engines::{self, ReportOutcome};
@@ -26,6 +26,9 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which a connection counts as open. A middlebox may accept it first and close it if it
+/// can't open one to the endpoint.
+const CLOSE_WAIT: Duration = Duration::from_millis(20);
 /// Time within which probes on behalf of a peer must end to be part of the reply.
 const REPLY_TIME: Duration = Duration::from_millis(200);
 /// Peers that are asked at a time, in this VM's zone and in the others.
@@ -120,36 +123,40 @@
         return;
     };
     node.metrics.count(Counter::Connects, "probe");
-    let mut conn = match Conn::connect(socket_address, CONNECT_TIMEOUT).await {
-        Ok(conn) => conn,
-        Err(e) => {
-            log::info!("event=path_probe id={id} outcome=unreachable cause=\"{e}\"");
-            node.metrics.count(Counter::PathProbes, "unreachable");
-            node.note_path_failure(&id, PathFailure::Connect);
-            return;
+    let conn = Conn::connect(socket_address, CONNECT_TIMEOUT).await;
+    let (outcome, conn) = match conn {
+        Err(_) => (ProbeOutcome::Unreachable, None),
+        Ok(conn) if kind == ProbeKind::Answer && is_engine => {
+            query(conn, &id, socket_address).await
         }
-    };
-    node.note_connected(&id);
-    let mut outcome = "connected";
-    if kind == ProbeKind::Answer && is_engine {
-        let report = engines::query_report(&mut conn, &id, socket_address).await;
-        if report == ReportOutcome::NoReply {
-            outcome = "silent";
-            node.note_path_failure(&id, PathFailure::Quiet);
-        } else {
-            outcome = "answered";
-            node.note_heard(&id);
+        Ok(mut conn) => {
+            tokio::time::sleep(CLOSE_WAIT).await;
+            match conn.is_idle() {
+                true => (ProbeOutcome::Connected, Some(conn)),
+                false => (ProbeOutcome::Unreachable, None),
+            }
         }
-    }
-    log::info!("event=path_probe id={id} outcome={outcome}");
-    node.metrics.count(Counter::PathProbes, outcome);
+    };
+    log::info!("event=path_probe id={id} outcome={}", outcome.label());
+    node.metrics.count(Counter::PathProbes, outcome.label());
+    let now = node.now();
+    node.reach.borrow_mut().record_probe(now, &id, outcome);
     let takes_requests = node.balancer.borrow().candidate(&id).is_some();
-    if takes_requests && outcome != "silent" {
-        node.pool.put(node.now(), &id, conn, None);
+    if let Some(conn) = conn.filter(|_| takes_requests) {
+        node.pool.put(now, &id, conn, None);
     }
     node.path_evidence.notify_one();
 }
 
+/// Queries an engine on a new connection; returns the connection if it can be used again.
+async fn query(mut conn: Conn, id: &str, address: SocketAddr) -> (ProbeOutcome, Option<Conn>) {
+    match engines::query_report(&mut conn, id, address).await {
+        ReportOutcome::NoReply if !conn.is_idle() => (ProbeOutcome::Unreachable, None),
+        ReportOutcome::NoReply => (ProbeOutcome::Silent, None),
+        ReportOutcome::Invalid | ReportOutcome::Received(_) => (ProbeOutcome::Answered, Some(conn)),
+    }
+}
+
 async fn send_query(
     node: &Node,
     socket: &UdpSocket,
