node: a VM that hears no endpoint reports none as silent

Now an endpoint is marked only if another one was heard since and just now, and a VM that finds itself cut off takes its marks back.

Evidence: a test in virtual time, which allows no judgement from the first moment of a cut on and still allows it of one endpoint that is silent alone.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -430,6 +430,13 @@
         self.loads.entry(id.clone()).or_default().silent_since = Some(now);
     }
 
+    /// Forgets which endpoints this entry VM has marked as silent, since it did not reach any.
+    pub fn clear_silent(&mut self) {
+        for load in self.loads.values_mut() {
+            load.silent_since = None;
+        }
+    }
+
     /// Records a failure of an endpoint: a connection reset, a malformed answer or a refusal.
     pub fn record_failure(&mut self, now: Time, id: &Arc<str>) {
         let load = self.loads.entry(id.clone()).or_default();
--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -331,10 +331,11 @@
         self.state == PathState::Direct && self.unreachable.is_empty() && self.silent.is_empty()
     }
 
-    /// Returns whether bytes have arrived from any endpoint after `time`, which shows that silence
-    /// since then is the endpoint's and not this VM's.
-    pub fn has_heard_since(&self, time: Time) -> bool {
-        self.last_heard.is_some_and(|heard| heard > time)
+    /// Returns whether the silence of an endpoint since `time` is its own fault: this VM is not cut
+    /// off, and bytes have arrived from another endpoint meanwhile and just now.
+    pub fn may_judge(&self, now: Time, time: Time) -> bool {
+        let is_heard = self.last_heard.is_some_and(|heard| heard > time);
+        is_heard && !self.is_quiet(now) && self.state(now) != PathState::Cut
     }
 
     /// Returns whether the path was in doubt or cut at any moment from `time` on.
--- a/lib/tests/test_node_reach.rs
+++ b/lib/tests/test_node_reach.rs
@@ -12,6 +12,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 250;
 const QUERY_TIMEOUT_MS: u64 = 110;
 const QUIET_MS: u64 = 400;
+/// Time without a byte after which an endpoint is reported as silent.
+const SILENCE_MS: u64 = 450;
 /// Time within which a cut is to be detected.
 const DETECTION_MS: u64 = 1_000;
 
@@ -598,3 +600,24 @@
     paths.record_reply(now, reply("good", true, false));
     assert!(names(&paths, now + Duration::from_secs(3)).is_empty());
 }
+
+/// A VM that hears no endpoint would otherwise report all of them as silent.
+#[test]
+fn silence_of_an_endpoint_is_judged_only_while_others_are_heard() {
+    let mut world = World::new(5, 20, 20);
+    let since = Time::from_millis(world.now_ms);
+    world.cut(0, Link::Hang);
+    // Answers that were under way at the moment of the cut still arrive.
+    world.run(SILENCE_MS);
+    for _ in 0..40 {
+        let now = Time::from_millis(world.now_ms);
+        assert!(!world.vms[0].reach.may_judge(now, since));
+        world.run(50);
+    }
+    let mut world = World::new(5, 20, 20);
+    let since = Time::from_millis(world.now_ms);
+    world.frozen = vec![3];
+    world.run(SILENCE_MS);
+    let now = Time::from_millis(world.now_ms);
+    assert!(world.vms[0].reach.may_judge(now, since));
+}
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -89,6 +89,9 @@
         after.as_millis()
     );
     node.metrics.count(Counter::PathChanges, state.label());
+    if state == PathState::Cut {
+        node.balancer.borrow_mut().clear_silent();
+    }
     if state == PathState::Cut || before == PathState::Cut {
         node.send_now.notify_one();
     }
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -77,9 +77,13 @@
             silence.extensions += 1;
             return None;
         }
-        balancer.mark_silent(now, &to.id);
+        // If no other endpoint was heard since, the silence may be this VM's.
+        let is_marked = self.node.reach.borrow().may_judge(now, progress);
+        if is_marked {
+            balancer.mark_silent(now, &to.id);
+        }
         log::warn!(
-            "event=silent id={} request={} progress_age_ms={}",
+            "event=silent id={} request={} progress_age_ms={} marked={is_marked}",
             to.id,
             self.request_id(),
             now.since(progress).as_millis()
