node: connections broken by a cut are no crashes of endpoints

A cut that resets connections looked like a crash of several endpoints under each request in flight.

A crash counts at once where it is seen, as before. Peers are told when another endpoint has been heard since and fewer than three broke within half a second, or after that half second; the check runs every 100 ms, so a report of a real crash is late by about that. A VM that finds itself cut off forgets the crashes of that cut, and connections that were open during it count for nothing when they break later.

--- a/lib/src/node/quarantine.rs
+++ b/lib/src/node/quarantine.rs
@@ -166,6 +166,9 @@
     /// Whether a part has enough crashes to be examined.
     examination_due: bool,
     own_reports: Vec<(Time, Report)>,
+    /// Until when this VM's own crashes are confirmed, if they have to be: a VM that loses its path to
+    /// the endpoints sees connections break as well.
+    confirmed_until: Option<Time>,
     /// Parts that were quarantined since [`Quarantine::newly_refused`] was last called.
     newly_refused: Vec<Suspect>,
 }
@@ -256,6 +259,34 @@
         is_refused.then_some(suspects.request)
     }
 
+    /// Confirms that the crashes that this VM saw up to `until` were crashes, so that they are
+    /// reported; later ones are held back. Returns whether any report became due.
+    pub fn confirm_crashes(&mut self, until: Time) -> bool {
+        let before = self.confirmed_until.replace(until).unwrap_or_default();
+        let mut own = self.own_reports.iter();
+        own.any(|(at, (_, event))| {
+            matches!(event, Event::Crashed(_)) && *at > before && *at <= until
+        })
+    }
+
+    /// Forgets the crashes that this VM saw from `since` on: it had lost its path to the endpoints.
+    /// Returns their number.
+    pub fn retract_crashes(&mut self, since: Time) -> usize {
+        let (retracted, kept) = std::mem::take(&mut self.own_reports)
+            .into_iter()
+            .partition(|(at, (_, event))| *at >= since && matches!(event, Event::Crashed(_)));
+        self.own_reports = kept;
+        let retracted: Vec<(Time, Report)> = retracted;
+        for (_, (suspect, event)) in &retracted {
+            let Event::Crashed(run) = event else { continue };
+            if let Some(evidence) = self.evidence.get_mut(suspect) {
+                evidence.crashes.remove(run);
+            }
+        }
+        self.evidence.retain(|_, e| !e.crashes.is_empty());
+        retracted.len()
+    }
+
     /// Returns the reports to send: this VM's own ones that are younger than `age`, which are
     /// repeated since datagrams may be lost, and all parts that are refused, for VMs that start.
     pub fn reports(&mut self, now: Time, age: Duration) -> Vec<Report> {
@@ -266,7 +297,13 @@
             .refused
             .iter()
             .map(|(part, last)| (*part, Event::Quarantined(now.since(*last).as_secs())));
-        let newest = self.own_reports.iter().rev().map(|(_, report)| *report);
+        let confirmed_until = self.confirmed_until;
+        let is_held = |at: Time, event: &Event| {
+            matches!(event, Event::Crashed(_)) && confirmed_until.is_some_and(|until| at > until)
+        };
+        let newest = self.own_reports.iter().rev();
+        let newest = newest.filter(|(at, (_, event))| !is_held(*at, event));
+        let newest = newest.map(|(_, report)| *report);
         refused.chain(newest).take(MAX_REPORTS).collect()
     }
 
--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -47,6 +47,9 @@
 const CUT_QUERY_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of endpoints in one query.
 const MAX_ASKED: usize = 6;
+/// Time after which a broken connection is put down to its endpoint, if the path is not in doubt by
+/// then.
+const JUDGEMENT_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of probes because of peers' queries in a window.
 const MAX_PEER_PROBES: usize = 10;
 const PEER_PROBE_WINDOW: Duration = Duration::from_secs(1);
@@ -209,8 +212,12 @@
     /// When the state last changed.
     since: Time,
     last_update: Time,
-    /// When the path was last in doubt or cut, unless it is now.
-    disturbed_until: Option<Time>,
+    /// When the path was last in doubt after it was not.
+    doubted_since: Time,
+    /// When this VM was last cut off, unless it is now.
+    cut_until: Option<Time>,
+    /// When connections to endpoints last broke.
+    broken: BTreeMap<Arc<str>, Time>,
     /// When bytes last arrived from any endpoint.
     last_heard: Option<Time>,
     heard: BTreeMap<Arc<str>, Time>,
@@ -269,6 +276,9 @@
 
     /// Records that an endpoint failed to answer.
     pub fn record_failure(&mut self, now: Time, endpoint: &Arc<str>, failure: PathFailure) {
+        if failure == PathFailure::Broken {
+            self.broken.insert(endpoint.clone(), now);
+        }
         if failure == PathFailure::Connect {
             self.unreachable.insert(endpoint.clone(), now);
         } else if failure == PathFailure::Broken || self.is_quiet(now) {
@@ -338,9 +348,29 @@
         is_heard && !self.is_quiet(now) && self.state(now) != PathState::Cut
     }
 
-    /// Returns whether the path was in doubt or cut at any moment from `time` on.
-    pub fn is_disturbed_since(&self, time: Time) -> bool {
-        self.state != PathState::Direct || self.disturbed_until.is_some_and(|t| t >= time)
+    /// Returns whether this VM was cut off at any moment from `time` on.
+    pub fn was_cut_since(&self, time: Time) -> bool {
+        self.state == PathState::Cut || self.cut_until.is_some_and(|t| t >= time)
+    }
+
+    /// Returns the time up to which broken connections may be put down to endpoints. A cut breaks
+    /// those to several at the same time, and nothing is heard afterwards.
+    pub fn crashes_confirmed_until(&self, now: Time) -> Time {
+        if self.state != PathState::Direct {
+            return self.since - JUDGEMENT_TIME;
+        }
+        let latest = now - JUDGEMENT_TIME;
+        let recently = self.broken.values().filter(|at| **at > latest);
+        match self.last_heard {
+            Some(heard) if recently.count() < MIN_FAILED => heard.max(latest),
+            Some(_) | None => latest,
+        }
+    }
+
+    /// Returns the time from which broken connections are not put down to endpoints, while this VM is
+    /// cut off.
+    pub fn crashes_doubted_since(&self) -> Time {
+        self.doubted_since - JUDGEMENT_TIME
     }
 
     /// Returns whether a connection to the endpoint was opened just now.
@@ -438,8 +468,11 @@
             }
             (PathState::Direct | PathState::Doubtful | PathState::Cut, _) => {}
         }
-        if self.state != PathState::Direct {
-            self.disturbed_until = Some(now);
+        if self.state == PathState::Cut {
+            self.cut_until = Some(now);
+        }
+        if self.state == PathState::Direct {
+            self.doubted_since = now;
         }
         self.asked.clear();
         self.reached.clear();
@@ -651,6 +684,7 @@
         self.connected.retain(|id, _| is_listed(id));
         self.unreachable.retain(|id, _| is_listed(id));
         self.silent.retain(|id, _| is_listed(id));
+        self.broken.retain(|id, _| is_listed(id));
         self.probed_endpoints.retain(|id, _| is_listed(id));
         self.healing.outcomes.retain(|id, _| is_listed(id));
     }
--- a/lib/tests/test_node_quarantine.rs
+++ b/lib/tests/test_node_quarantine.rs
@@ -227,3 +227,42 @@
     }
     assert_eq!(u64::from(Event::Answered), 0);
 }
+
+/// A cut resets the connections to all endpoints at one moment, also those of equal requests.
+#[test]
+fn connections_reset_by_a_cut_have_no_request_refused_anywhere() {
+    let suspects = request(1, &[5]);
+    let mut vms = [Quarantine::default(), Quarantine::default()];
+    vms[0].confirm_crashes(at(0));
+    for endpoint in 1..=6 {
+        vms[0].record_crash(at(10 + endpoint), &suspects, run(endpoint), false);
+    }
+    exchange(50, &mut vms);
+    assert!(!is_refused(&mut vms[1], 60, &suspects));
+    let crashing = request(2, &[]);
+    vms[0].retract_crashes(at(10));
+    for ms in [400, 2_000] {
+        exchange(ms, &mut vms);
+        assert!(vms.iter_mut().all(|q| !is_refused(q, ms + 10, &suspects)));
+    }
+    for endpoint in 7..=9 {
+        vms[0].record_crash(at(3_000 + endpoint), &crashing, run(endpoint), false);
+    }
+    assert!(is_refused(&mut vms[0], 3_010, &crashing));
+    assert!(vms[0].confirm_crashes(at(3_010)));
+    assert!(!vms[0].confirm_crashes(at(3_020)));
+    exchange(3_020, &mut vms);
+    assert!(is_refused(&mut vms[1], 3_030, &crashing));
+}
+
+#[test]
+fn crashes_before_a_cut_are_not_retracted_with_those_of_the_cut() {
+    let suspects = request(1, &[]);
+    let mut vm = Quarantine::default();
+    for endpoint in 1..=3 {
+        vm.record_crash(at(endpoint * 100), &suspects, run(endpoint), false);
+    }
+    assert_eq!(vm.retract_crashes(at(300)), 1);
+    vm.record_crash(at(2_000), &suspects, run(4), false);
+    assert!(is_refused(&mut vm, 2_010, &suspects));
+}
--- a/lib/tests/test_node_reach.rs
+++ b/lib/tests/test_node_reach.rs
@@ -621,3 +621,39 @@
     let now = Time::from_millis(world.now_ms);
     assert!(world.vms[0].reach.may_judge(now, since));
 }
+
+#[test]
+fn crash_of_one_endpoint_is_confirmed_as_soon_as_another_is_heard() {
+    let mut world = World::new(5, 20, 20);
+    let crash = Time::from_millis(world.now_ms);
+    let id = world.endpoints[3].0.clone();
+    world.dead = vec![3];
+    world.vms[0]
+        .reach
+        .record_failure(crash, &id, PathFailure::Broken);
+    world.run(100);
+    let now = Time::from_millis(world.now_ms);
+    assert!(world.vms[0].reach.crashes_confirmed_until(now) >= crash);
+}
+
+#[test]
+fn connections_reset_by_a_cut_are_never_confirmed_as_crashes() {
+    let mut world = World::new(5, 20, 100);
+    let start = Time::from_millis(world.now_ms);
+    world.cut(0, Link::Reset);
+    for _ in 0..300 {
+        world.run(10);
+        let now = Time::from_millis(world.now_ms);
+        let reach = &world.vms[0].reach;
+        assert!(reach.crashes_confirmed_until(now) < start, "{now:?}");
+        if world.state(0) == PathState::Cut {
+            assert!(reach.crashes_doubted_since() <= start);
+        }
+    }
+    world.heal(0);
+    world.run(3_000);
+    assert_eq!(world.state(0), PathState::Direct);
+    let reach = &world.vms[0].reach;
+    assert!(reach.was_cut_since(start));
+    assert!(!reach.was_cut_since(Time::from_millis(world.now_ms)));
+}
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -91,6 +91,9 @@
     node.metrics.count(Counter::PathChanges, state.label());
     if state == PathState::Cut {
         node.balancer.borrow_mut().clear_silent();
+        let since = node.reach.borrow().crashes_doubted_since();
+        let retracted = node.quarantine.borrow_mut().retract_crashes(since);
+        log::info!("event=crashes_retracted reports={retracted}");
     }
     if state == PathState::Cut || before == PathState::Cut {
         node.send_now.notify_one();
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -109,6 +109,7 @@
 /// Returns this VM's heartbeat with the given sequence number.
 fn own_heartbeat(node: &Node, sequence: u64, interval: Duration) -> Heartbeat {
     let now = node.now();
+    node.confirm_crashes(now);
     let balancer = node.balancer.borrow();
     let silent = balancer.silent_endpoints(now).into_iter();
     let demand = node.demand_meter.borrow().demand(now);
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -108,15 +108,27 @@
         }
     }
 
-    /// Records in the quarantine that an endpoint has broken off its answer, and tells the peers.
+    /// Records in the quarantine that an endpoint has broken off its answer. Peers are told once it is
+    /// clear that this VM has not lost its path.
+    ///
+    /// A connection that was open while this VM was cut off says nothing about its endpoint.
     pub(super) fn record_crash(&self, to: &Candidate, cause: &dyn std::fmt::Display) {
+        let now = self.node.now();
+        let sent_at = self.current_estimate.map_or(now, |(_, sent)| sent);
+        if self.node.reach.borrow().was_cut_since(sent_at) {
+            log::info!(
+                "event=broken_by_cut request={} id={} cause=\"{cause}\"",
+                self.request_id(),
+                to.id
+            );
+            return;
+        }
         let count = self.node.quarantine.borrow_mut().record_crash(
-            self.node.now(),
+            now,
             &self.request.suspects,
             EndpointRun::new(&to.id, to.incarnation.0),
             self.delivered.of_endpoint >= MIN_BEGUN_EVENTS,
         );
-        self.node.send_now.notify_one();
         if count > 1 {
             log::warn!(
                 "event=breaks request={} id={} endpoints={count}",
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -280,6 +280,13 @@
         self.peer_paths.borrow().with_path(now)
     }
 
+    /// Confirms the crashes of endpoints that are not due to a cut of this VM; returns whether there
+    /// is something new to report.
+    pub(crate) fn confirm_crashes(&self, now: Time) -> bool {
+        let until = self.reach.borrow().crashes_confirmed_until(now);
+        self.quarantine.borrow_mut().confirm_crashes(until)
+    }
+
     /// Returns whether this VM reads the store itself.
     pub(crate) fn reads_store(&self) -> bool {
         let reads_directly = |f: &Feed| f.store_up.get() && f.direct.get();
@@ -360,6 +367,9 @@
         self.check_outage();
         self.refresh_candidates();
         self.pool.expire(now);
+        if self.confirm_crashes(now) {
+            self.send_now.notify_one();
+        }
         let quiet = self.balancer.borrow().quiet_endpoints(now);
         for id in &quiet {
             self.note_path_failure(id, PathFailure::Quiet);
