--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -9,7 +9,7 @@
 //! may fail while old ones live on, and a middlebox may accept connections to endpoints from which
 //! no byte arrives.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,6 +47,9 @@
 const CUT_QUERY_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of endpoints in one query.
 const MAX_ASKED: usize = 6;
+/// Time after which a broken connection is put down to its endpoint, if the path is not in doubt by
+/// then.
+const JUDGEMENT_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of probes because of peers' queries in a window.
 const MAX_PEER_PROBES: usize = 10;
 const PEER_PROBE_WINDOW: Duration = Duration::from_secs(1);
@@ -105,6 +108,31 @@
     Answer,
 }
 
+/// Outcome of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// No connection was opened, or it was closed at once.
+    Unreachable,
+    /// A connection was opened, and the endpoint was not queried.
+    Connected,
+    /// The endpoint answered a query.
+    Answered,
+    /// A connection was opened, and the endpoint did not answer a query.
+    Silent,
+}
+
+impl ProbeOutcome {
+    /// Returns the name of the outcome in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Connected => "connected",
+            Self::Answered => "answered",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// An endpoint that may be probed.
 #[derive(Debug, Clone, Copy)]
 pub struct Target<'a> {
@@ -184,8 +212,12 @@
     /// When the state last changed.
     since: Time,
     last_update: Time,
-    /// When the path was last in doubt or cut, unless it is now.
-    disturbed_until: Option<Time>,
+    /// When the path was last in doubt after it was not.
+    doubted_since: Time,
+    /// When this VM was last cut off, unless it is now.
+    cut_until: Option<Time>,
+    /// When connections to endpoints last broke.
+    broken: BTreeMap<Arc<str>, Time>,
     /// When bytes last arrived from any endpoint.
     last_heard: Option<Time>,
     heard: BTreeMap<Arc<str>, Time>,
@@ -234,37 +266,53 @@
             self.silent.clear();
             self.silent_since = None;
         }
-        if self.state == PathState::Cut && self.lacks_bytes {
-            self.healing.record(now, endpoint, true);
-        }
     }
 
     /// Records that a connection to an endpoint was opened.
     pub fn record_connected(&mut self, now: Time, endpoint: &Arc<str>) {
         self.connected.insert(endpoint.clone(), now);
         self.unreachable.clear();
-        if self.state == PathState::Cut {
-            let evidence = match self.lacks_bytes {
-                true => &mut self.trial,
-                false => &mut self.healing,
-            };
-            evidence.record(now, endpoint, true);
-        }
     }
 
     /// Records that an endpoint failed to answer.
     pub fn record_failure(&mut self, now: Time, endpoint: &Arc<str>, failure: PathFailure) {
-        let is_connect = failure == PathFailure::Connect;
-        if is_connect {
+        if failure == PathFailure::Broken {
+            self.broken.insert(endpoint.clone(), now);
+        }
+        if failure == PathFailure::Connect {
             self.unreachable.insert(endpoint.clone(), now);
         } else if failure == PathFailure::Broken || self.is_quiet(now) {
             self.silent.insert(endpoint.clone(), now);
             self.silent_since.get_or_insert(now);
         }
-        if self.state == PathState::Cut {
-            self.trial = Healing::default();
-            if is_connect || self.lacks_bytes {
+    }
+
+    /// Records the outcome of a probe. Only probes show that a cut has healed, since old connections
+    /// may live on in it.
+    pub fn record_probe(&mut self, now: Time, endpoint: &Arc<str>, outcome: ProbeOutcome) {
+        match outcome {
+            ProbeOutcome::Unreachable => self.record_failure(now, endpoint, PathFailure::Connect),
+            ProbeOutcome::Connected => self.record_connected(now, endpoint),
+            ProbeOutcome::Answered => {
+                self.record_connected(now, endpoint);
+                self.record_heard(now, endpoint);
+            }
+            ProbeOutcome::Silent => {
+                self.record_connected(now, endpoint);
+                self.record_failure(now, endpoint, PathFailure::Quiet);
+            }
+        }
+        if self.state != PathState::Cut {
+            return;
+        }
+        match outcome {
+            ProbeOutcome::Unreachable | ProbeOutcome::Silent => {
                 self.healing.record(now, endpoint, false);
+                self.trial = Healing::default();
+            }
+            ProbeOutcome::Connected if self.lacks_bytes => self.trial.record(now, endpoint, true),
+            ProbeOutcome::Connected | ProbeOutcome::Answered => {
+                self.healing.record(now, endpoint, true);
             }
         }
     }
@@ -293,15 +341,51 @@
         self.state == PathState::Direct && self.unreachable.is_empty() && self.silent.is_empty()
     }
 
-    /// Returns whether bytes have arrived from any endpoint after `time`, which shows that silence
-    /// since then is the endpoint's and not this VM's.
+    /// Returns whether the silence of an endpoint since `time` is its own fault: this VM is not cut
+    /// off, and bytes have arrived from another endpoint meanwhile and just now.
+    pub fn may_judge(&self, now: Time, time: Time) -> bool {
+        let is_heard = self.last_heard.is_some_and(|heard| heard > time);
+        is_heard && !self.is_quiet(now) && self.state(now) != PathState::Cut
+    }
+
+    /// Returns whether bytes have arrived from any endpoint after `time`.
     pub fn has_heard_since(&self, time: Time) -> bool {
         self.last_heard.is_some_and(|heard| heard > time)
     }
 
-    /// Returns whether the path was in doubt or cut at any moment from `time` on.
-    pub fn is_disturbed_since(&self, time: Time) -> bool {
-        self.state != PathState::Direct || self.disturbed_until.is_some_and(|t| t >= time)
+    /// Returns the number of endpoints that failed lately, in any way.
+    pub fn failing_endpoints(&self, now: Time) -> usize {
+        let broken = self.broken.iter();
+        let broken = broken.filter(|(_, at)| now.since(**at) < JUDGEMENT_TIME);
+        let mut failing: BTreeSet<&Arc<str>> = broken.map(|(id, _)| id).collect();
+        failing.extend(self.unreachable.keys());
+        failing.extend(self.silent.keys());
+        failing.len()
+    }
+
+    /// Returns whether this VM was cut off at any moment from `time` on.
+    pub fn was_cut_since(&self, time: Time) -> bool {
+        self.state == PathState::Cut || self.cut_until.is_some_and(|t| t >= time)
+    }
+
+    /// Returns the time up to which broken connections may be put down to endpoints. A cut breaks
+    /// those to several at the same time, and nothing is heard afterwards.
+    pub fn crashes_confirmed_until(&self, now: Time) -> Time {
+        if self.state != PathState::Direct {
+            return self.since - JUDGEMENT_TIME;
+        }
+        let latest = now - JUDGEMENT_TIME;
+        let recently = self.broken.values().filter(|at| **at > latest);
+        match self.last_heard {
+            Some(heard) if recently.count() < MIN_FAILED => heard.max(latest),
+            Some(_) | None => latest,
+        }
+    }
+
+    /// Returns the time from which broken connections are not put down to endpoints, while this VM is
+    /// cut off.
+    pub fn crashes_doubted_since(&self) -> Time {
+        self.doubted_since - JUDGEMENT_TIME
     }
 
     /// Returns whether a connection to the endpoint was opened just now.
@@ -399,8 +483,11 @@
             }
             (PathState::Direct | PathState::Doubtful | PathState::Cut, _) => {}
         }
-        if self.state != PathState::Direct {
-            self.disturbed_until = Some(now);
+        if self.state == PathState::Cut {
+            self.cut_until = Some(now);
+        }
+        if self.state == PathState::Direct {
+            self.doubted_since = now;
         }
         self.asked.clear();
         self.reached.clear();
@@ -425,7 +512,7 @@
     }
 
     /// Returns the number of endpoints that failed, in either way.
-    pub fn failed_count(&self) -> usize {
+    fn failed_count(&self) -> usize {
         let silent = self.silent.keys();
         let only_silent = silent.filter(|id| !self.unreachable.contains_key(*id));
         self.unreachable.len() + only_silent.count()
@@ -472,7 +559,7 @@
             };
             self.probed_endpoints.insert(target.id.clone(), now);
             self.probed_services.insert(target.service.clone(), now);
-            let kind = match needs_bytes {
+            let kind = match needs_bytes || self.state == PathState::Cut {
                 true => ProbeKind::Answer,
                 false => ProbeKind::Connect,
             };
@@ -612,6 +699,7 @@
         self.connected.retain(|id, _| is_listed(id));
         self.unreachable.retain(|id, _| is_listed(id));
         self.silent.retain(|id, _| is_listed(id));
+        self.broken.retain(|id, _| is_listed(id));
         self.probed_endpoints.retain(|id, _| is_listed(id));
         self.healing.outcomes.retain(|id, _| is_listed(id));
     }
--- a/lib/tests/test_node_reach.rs
+++ b/lib/tests/test_node_reach.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use hemlock_lib::node::peer_paths::{PathQuery, PathReply, PeerPaths};
-use hemlock_lib::node::reach::{PathFailure, PathState, ProbeKind, Reach, Target};
+use hemlock_lib::node::reach::{PathFailure, PathState, ProbeKind, ProbeOutcome, Reach, Target};
 use hemlock_lib::time::Time;
 
 const STEP_MS: u64 = 10;
 const NETWORK_MS: u64 = 5;
 const CONNECT_TIMEOUT_MS: u64 = 250;
+const QUERY_TIMEOUT_MS: u64 = 110;
 const QUIET_MS: u64 = 400;
+/// Time without a byte after which an endpoint is reported as silent.
+const SILENCE_MS: u64 = 450;
 /// Time within which a cut is to be detected.
 const DETECTION_MS: u64 = 1_000;
 
@@ -35,6 +38,7 @@
     Heard,
     Quiet,
     Broken,
+    Probed(ProbeOutcome),
 }
 
 #[derive(Debug)]
@@ -229,6 +233,7 @@
                 Event::ConnectFailed => state.reach.record_failure(now, id, PathFailure::Connect),
                 Event::Quiet => state.reach.record_failure(now, id, PathFailure::Quiet),
                 Event::Broken => state.reach.record_failure(now, id, PathFailure::Broken),
+                Event::Probed(outcome) => state.reach.record_probe(now, id, outcome),
             }
         }
     }
@@ -237,8 +242,16 @@
         for (id, kind) in probes {
             let index = self.endpoints.iter().position(|e| e.0 == id);
             let endpoint = index.expect("a listed endpoint");
-            let is_engine = self.endpoints[endpoint].2;
-            self.connect(vm, endpoint, kind == ProbeKind::Answer && is_engine);
+            let is_queried = kind == ProbeKind::Answer && self.endpoints[endpoint].2;
+            let (after, outcome) = match (self.link(vm, endpoint), is_queried) {
+                (Link::Hang, _) => (CONNECT_TIMEOUT_MS, ProbeOutcome::Unreachable),
+                (Link::Reset | Link::OldOnly, _) => (2 * NETWORK_MS, ProbeOutcome::Unreachable),
+                (Link::Good, true) => (4 * NETWORK_MS, ProbeOutcome::Answered),
+                (Link::Mute, true) => (QUERY_TIMEOUT_MS, ProbeOutcome::Silent),
+                (Link::Good | Link::Mute, false) => (2 * NETWORK_MS, ProbeOutcome::Connected),
+            };
+            let probed = (self.now_ms + after, endpoint, Event::Probed(outcome));
+            self.vms[vm].pending.push(probed);
         }
     }
 
@@ -468,6 +481,25 @@
     }
 }
 
+/// Streams on old connections go on, and say nothing of new ones.
+#[test]
+fn bytes_on_old_connections_do_not_end_a_cut() {
+    let mut world = World::new(5, 20, 20);
+    world.vms[0].is_pooled = false;
+    let start = world.now_ms;
+    world.cut(0, Link::OldOnly);
+    for _ in 0..60 {
+        world.run(100);
+        let endpoint = world.random(20);
+        world.exchange(0, endpoint);
+    }
+    world.assert_detected(0, start, "old connections");
+    assert_eq!(
+        world.entered(0, PathState::Direct, start + DETECTION_MS),
+        None
+    );
+}
+
 #[test]
 fn one_dead_endpoint_does_not_keep_a_healed_vm_cut_off() {
     let mut world = World::new(5, 6, 20);
@@ -568,3 +600,60 @@
     paths.record_reply(now, reply("good", true, false));
     assert!(names(&paths, now + Duration::from_secs(3)).is_empty());
 }
+
+/// A VM that hears no endpoint would otherwise report all of them as silent.
+#[test]
+fn silence_of_an_endpoint_is_judged_only_while_others_are_heard() {
+    let mut world = World::new(5, 20, 20);
+    let since = Time::from_millis(world.now_ms);
+    world.cut(0, Link::Hang);
+    // Answers that were under way at the moment of the cut still arrive.
+    world.run(SILENCE_MS);
+    for _ in 0..40 {
+        let now = Time::from_millis(world.now_ms);
+        assert!(!world.vms[0].reach.may_judge(now, since));
+        world.run(50);
+    }
+    let mut world = World::new(5, 20, 20);
+    let since = Time::from_millis(world.now_ms);
+    world.frozen = vec![3];
+    world.run(SILENCE_MS);
+    let now = Time::from_millis(world.now_ms);
+    assert!(world.vms[0].reach.may_judge(now, since));
+}
+
+#[test]
+fn crash_of_one_endpoint_is_confirmed_as_soon_as_another_is_heard() {
+    let mut world = World::new(5, 20, 20);
+    let crash = Time::from_millis(world.now_ms);
+    let id = world.endpoints[3].0.clone();
+    world.dead = vec![3];
+    world.vms[0]
+        .reach
+        .record_failure(crash, &id, PathFailure::Broken);
+    world.run(100);
+    let now = Time::from_millis(world.now_ms);
+    assert!(world.vms[0].reach.crashes_confirmed_until(now) >= crash);
+}
+
+#[test]
+fn connections_reset_by_a_cut_are_never_confirmed_as_crashes() {
+    let mut world = World::new(5, 20, 100);
+    let start = Time::from_millis(world.now_ms);
+    world.cut(0, Link::Reset);
+    for _ in 0..300 {
+        world.run(10);
+        let now = Time::from_millis(world.now_ms);
+        let reach = &world.vms[0].reach;
+        assert!(reach.crashes_confirmed_until(now) < start, "{now:?}");
+        if world.state(0) == PathState::Cut {
+            assert!(reach.crashes_doubted_since() <= start);
+        }
+    }
+    world.heal(0);
+    world.run(3_000);
+    assert_eq!(world.state(0), PathState::Direct);
+    let reach = &world.vms[0].reach;
+    assert!(reach.was_cut_since(start));
+    assert!(!reach.was_cut_since(Time::from_millis(world.now_ms)));
+}
