--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -13,6 +13,8 @@
 use tokio::sync::Notify;
 
 use crate::connections::{self, HeadRead};
+use crate::front::ConnectionAction;
+use crate::peer_requests;
 use crate::state::Node;
 
 /// Time for which a peer holds a read when it has nothing new; its empty reply shows that it is
@@ -24,8 +26,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum size in bytes of the head of a message.
-const MAX_HEAD_BYTES: usize = 4 << 10;
+/// Maximum size in bytes of the head of a message, beyond the head of a caller's request.
+const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Maximum size in bytes of the body of a reply.
 const MAX_REPLY_BYTES: usize = 16 << 20;
 /// Time for which a peer may be ahead of this VM before the source of this VM counts as stale.
@@ -75,17 +77,26 @@
     }
 }
 
-/// Serves the topics to a peer on one connection.
+/// Serves the topics to a peer on one connection, and takes the requests that it passes on.
 pub(crate) async fn serve(node: Rc<Node>, mut conn: Conn) {
     let mut is_new = true;
     while connections::wait_for_request(&node, &mut conn, IDLE_TIMEOUT, is_new).await {
         is_new = false;
-        let read = connections::read_head(&node, &mut conn, MAX_HEAD_BYTES, IDLE_TIMEOUT).await;
+        let limits = node.config().map(|c| c.limits).unwrap_or_default();
+        let max_head = limits.head_bytes + MAX_HEAD_BYTES;
+        let read = connections::read_head(&node, &mut conn, max_head, IDLE_TIMEOUT).await;
         let head = match read {
             HeadRead::Head(head) => head,
             HeadRead::Stopping => return connections::refuse_unread(&mut conn).await,
             HeadRead::Failed(_) | HeadRead::TimedOut => return,
         };
+        if peer_requests::is_passed_on(&head) {
+            match peer_requests::handle(&node, &mut conn, head).await {
+                ConnectionAction::KeepOpen => continue,
+                ConnectionAction::Close => return connections::linger(&mut conn).await,
+                ConnectionAction::Abort => return,
+            }
+        }
         let Some((topic, from)) = parse_target(&head.target) else {
             return;
         };
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,8 +4,10 @@
 //! `connections` accepts and `front` reads the requests of callers, and `relay` forwards them to
 //! endpoints over connections of `pool`. Which endpoint is chosen depends on what `store_watch` has
 //! read from the store, directly or through another VM's `feed`, and on what `peer_datagrams` and
-//! `load_exchange` have received from the other entry VMs. `leadership` forms the groups of engines
-//! while this VM is the one that plans. `stop` says when the process may end.
+//! `load_exchange` have received from the other entry VMs. `path_watch` notices when this VM is cut
+//! off from the endpoints; then it passes requests on to another one, where `peer_requests` takes
+//! them. `leadership` forms the groups of engines while this VM is the one that plans. `stop` says
+//! when the process may end.
 
 mod connections;
 mod feed;
@@ -14,7 +16,9 @@
 mod leadership;
 mod load_exchange;
 mod metrics;
+mod path_watch;
 mod peer_datagrams;
+mod peer_requests;
 mod pool;
 mod relay;
 mod signals;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -47,11 +47,17 @@
     Left "left" "Requests whose caller disconnected before the end of the answer.";
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
     Orders "orders" "Orders to engines, by action.";
+    PassedOn "passed_on" "Requests that this VM passed on to peers, by outcome.";
+    PathChanges "path_changes" "Times that the path of this VM to the endpoints changed its state, by the new state.";
+    PathProbes "path_probes" "Probes of endpoints to learn whether this VM reaches them, by outcome.";
+    PathQueries "path_queries" "Queries between entry VMs whether they reach endpoints, sent and received.";
     Probes "probes" "Probes of engines of silent groups, by outcome.";
     Quarantined "quarantined" "Parts of prompts whose requests are refused because they crash endpoints.";
     Refused "refused" "Requests refused before they ran, by cause.";
     Retries "repeated" "Retries, by the cause of the preceding failure.";
     RetriesDenied "repeats_denied" "Retries that the retry budget did not allow, by the cause of the preceding failure.";
+    StrangersDenied "strangers_denied" "Requests at the peer listener that did not come from an entry VM.";
+    TakenOver "taken_over" "Requests that peers passed on to this VM, by outcome.";
     SendsFailed "sends_failed" "Sends that ended without an answer, by cause.";
     Silent "silent" "Times that an endpoint was found to send nothing for too long.";
     StoreChanges "store_changes" "Times that the store was lost or regained.";
@@ -98,10 +104,14 @@
     ConfigVersion,
     /// Number of times that the store came back from an older copy, as far as this VM knows.
     StoreEra,
+    /// Whether this VM reaches endpoints: 1 if it does, 0.5 if that is doubtful, 0 if it is cut off.
+    PathUp,
+    /// Peers that said recently that they reach endpoints.
+    PeersWithPath,
 }
 
 impl Gauge {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 10] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -110,6 +120,8 @@
         Self::ServingEndpoints,
         Self::ConfigVersion,
         Self::StoreEra,
+        Self::PathUp,
+        Self::PeersWithPath,
     ];
 
     fn name(self) -> &'static str {
@@ -122,6 +134,8 @@
             Self::ServingEndpoints => "hemlock_serving_endpoints",
             Self::ConfigVersion => "hemlock_config_version",
             Self::StoreEra => "hemlock_store_era",
+            Self::PathUp => "hemlock_path_up",
+            Self::PeersWithPath => "hemlock_peers_with_path",
         }
     }
 }
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -16,6 +16,7 @@
 use crate::feed::MAX_LAG;
 use crate::load_exchange;
 use crate::metrics::Counter;
+use crate::path_watch;
 use crate::state::Node;
 use crate::store_watch;
 
@@ -48,10 +49,11 @@
     let socket = Rc::new(socket);
     spawn_local(send_heartbeats(node.clone(), socket.clone()));
     spawn_local(load_exchange::run(node.clone(), socket.clone()));
+    spawn_local(path_watch::run(node.clone(), socket.clone()));
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => handle_datagram(&node, &buffer[..length], from),
+            Ok((length, from)) => handle_datagram(&node, &socket, &buffer[..length], from),
             Err(e) => {
                 // If a peer does not listen, the error of an earlier send is reported here.
                 log::debug!("event=datagram_failed cause=\"{e}\"");
@@ -107,6 +109,7 @@
 /// Returns this VM's heartbeat with the given sequence number.
 fn own_heartbeat(node: &Node, sequence: u64, interval: Duration) -> Heartbeat {
     let now = node.now();
+    node.confirm_crashes(now);
     let balancer = node.balancer.borrow();
     let silent = balancer.silent_endpoints(now).into_iter();
     let demand = node.demand_meter.borrow().demand(now);
@@ -157,7 +160,7 @@
 }
 
 /// Handles a received datagram.
-fn handle_datagram(node: &Rc<Node>, bytes: &[u8], from: SocketAddr) {
+fn handle_datagram(node: &Rc<Node>, socket: &Rc<UdpSocket>, bytes: &[u8], from: SocketAddr) {
     let now = node.now();
     let heartbeat: Heartbeat = match rmp_serde::from_slice(bytes) {
         Ok(Message::Heartbeat(heartbeat)) => *heartbeat,
@@ -174,6 +177,16 @@
             return load_exchange::set_other_loads(node, now, loads);
         }
         Ok(Message::EngineReports(list)) => return list.iter().for_each(|r| node.apply_report(r)),
+        Ok(Message::PathQuery(query)) => {
+            let answer = path_watch::answer_query(node.clone(), socket.clone(), query, from);
+            spawn_local(answer);
+            return;
+        }
+        Ok(Message::PathReply(reply)) => {
+            node.reach.borrow_mut().record_reply(now, &reply);
+            node.peer_paths.borrow_mut().record_reply(now, reply);
+            return node.path_evidence.notify_one();
+        }
         Err(e) => {
             log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
             node.metrics.count(Counter::DatagramsRefused, "malformed");
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -7,9 +7,13 @@
 
 mod answer_body;
 mod endpoint_signs;
+mod limits;
 mod outcome;
+mod pass_on;
+mod report;
 mod stream;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,10 +23,12 @@
 use hemlock_lib::node::capacity::RequestSize;
 use hemlock_lib::node::config::{Engine, RequestKind};
 use hemlock_lib::node::forecast::Estimate;
+use hemlock_lib::node::passing::{self, Sends, Step};
+use hemlock_lib::node::peer_paths::PeerPath;
+use hemlock_lib::node::reach::PathFailure;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, ForwardMeta};
 use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
-use rand::Rng;
 use tokio::task::coop::unconstrained;
 
 use crate::front::{self, ConnectionAction, Request};
@@ -47,22 +53,13 @@
 /// Factor on the expected time to the first event, before which the endpoint does not count as
 /// silent.
 const FIRST_EVENT_SLACK: f64 = 1.5;
-/// Shortest gap between events after which callers abandon a stream.
-const MIN_ABANDON_GAP: Duration = Duration::from_secs(2);
-/// Share of the gap after which callers abandon a stream that the expected first event may take;
-/// the rest allows for errors of the estimate.
-const FIRST_EVENT_SHARE: f64 = 0.7;
-/// Share of the gap after which callers abandon a stream that the expected first event may take if
-/// the caller retries after a refusal, and will not retry again.
-const RETRY_FIRST_EVENT_SHARE: f64 = 0.9;
-/// Share of the route's timeout below which a caller's deadline shows that this is a retry after a
-/// refusal.
-const RETRY_DEADLINE_SHARE: f64 = 0.9;
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: u32 = 2;
 /// Events after which an endpoint has begun to answer. The first one may be written just before it
 /// crashes.
 const MIN_BEGUN_EVENTS: u32 = 2;
+/// Cause of a send that failed since no connection to the endpoint could be established.
+const FAILED_CONNECT: &str = "connect";
 /// Minimum time before the deadline at which sending a request is of use.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -73,15 +70,29 @@
     Answered { status: u16, next: ConnectionAction },
     /// The request did not run, for this cause.
     NotRun(&'static str),
+    /// A peer did not run the request, and others would refuse it as well; the caller may retry
+    /// after this time.
+    Refused(Duration),
     /// The request may have run and did not complete, for this cause. Of a stream, only whole
     /// events were forwarded.
     MayHaveRun(&'static str),
+    /// The peer that had the request was lost, for this cause. The request may have run as often as
+    /// the peer was allowed.
+    PeerLost(&'static str),
     /// The caller disconnected.
     CallerLeft,
     /// The deadline passed.
     DeadlinePassed,
 }
 
+/// What a request is sent to.
+#[derive(Debug, Clone, Copy)]
+enum Upstream<'a> {
+    Endpoint(&'a Candidate),
+    /// A peer, which sends the request to an endpoint.
+    Peer(&'a PeerPath),
+}
+
 /// What was forwarded to the caller so far.
 #[derive(Debug, Default)]
 struct Delivered {
@@ -122,10 +133,22 @@
     /// Whether the caller's connection is kept open after the response.
     keep_alive: bool,
     service: Option<Arc<str>>,
-    /// Endpoints to which the request was sent.
-    tried: Vec<Arc<str>>,
-    /// Number of sends with which the request may have run.
-    possible_runs: u32,
+    /// The sends so far, here and at peers.
+    sends: Sends,
+    /// Number of endpoints to which this VM could not connect for the request.
+    failed_connects: u32,
+    /// When the last send failed with which the request may have run.
+    failed_at: Option<Time>,
+    /// Peers to which the request was passed on.
+    peers_tried: Vec<String>,
+    /// Identifier and start time of the endpoint that has the request, or had it last.
+    endpoint: Option<(Arc<str>, u64)>,
+    /// Peer that has the request, or had it last; `None` if this VM sent it to an endpoint since.
+    peer: Option<String>,
+    /// Endpoints that said that they are about to stop.
+    leaving: Vec<(Arc<str>, u64)>,
+    /// When the peer that passed on the request must see next that this VM is at work on it.
+    sign_due: Cell<Time>,
     delivered: Delivered,
     /// Estimate for the current send, and the time of that send.
     current_estimate: Option<(Estimate, Time)>,
@@ -139,7 +162,10 @@
     keep_alive: bool,
 ) -> ConnectionAction {
     node.has_traffic.set(true);
-    if let Some(model) = &request.meta.model {
+    // A request that a peer passed on was counted there.
+    if let Some(model) = &request.meta.model
+        && request.passed.is_none()
+    {
         let size = RequestSize {
             prompt_tokens: request.meta.prompt_tokens,
             answer_tokens: request.meta.answer_tokens,
@@ -149,109 +175,166 @@
             .borrow_mut()
             .count(request.received, model, &size);
     }
-    let mut relay = Relay {
-        node,
-        request,
-        keep_alive,
-        service: None,
-        tried: Vec::new(),
-        possible_runs: 0,
-        delivered: Delivered {
-            last_event: request.meta.last_event,
-            ..Delivered::default()
-        },
-        current_estimate: None,
-    };
+    let mut relay = Relay::new(node, request, keep_alive);
     relay.run(conn).await
 }
 
-impl Relay<'_> {
+impl<'a> Relay<'a> {
+    /// Prepares the relaying of a request, with the sends that a peer has made before.
+    fn new(node: &'a Rc<Node>, request: &'a Request, keep_alive: bool) -> Self {
+        let now = node.now();
+        let passed = request.passed.as_ref();
+        let ago = |ms: u64| now - Duration::from_millis(ms);
+        Self {
+            node,
+            request,
+            keep_alive,
+            service: None,
+            sends: passed.map(|p| p.sends.clone()).unwrap_or_default(),
+            failed_connects: 0,
+            failed_at: None,
+            peers_tried: Vec::new(),
+            endpoint: None,
+            peer: None,
+            leaving: Vec::new(),
+            sign_due: Cell::new(now + passing::SIGN_INTERVAL),
+            delivered: Delivered {
+                last_event: passed.map_or(request.meta.last_event, |p| p.last_event),
+                events: passed.map_or(0, |p| p.events),
+                last_event_at: passed.and_then(|p| p.pause_ms).map(ago),
+                ..Delivered::default()
+            },
+            current_estimate: None,
+        }
+    }
+
     fn request_id(&self) -> &str {
         &self.request.meta.request_id
     }
 
-    /// Sends the request to one endpoint after the other until the outcome is final.
+    /// Sends the request to one endpoint after the other, or passes it on, until the outcome is
+    /// final.
     async fn run(&mut self, conn: &mut Conn) -> ConnectionAction {
-        let draw = rand::rng().random_range(0.0..1.0);
-        let Some(service) = self.request.route.service(draw).cloned() else {
+        let Some(service) = self.choose_service() else {
             let time_left = self.request.deadline.since(self.node.now());
             return self
                 .give_up(conn, "no_service", front::jittered_retry_after(time_left))
                 .await;
         };
         self.service = Some(service.clone());
-        let now = self.node.now();
-        self.node
-            .retry_budget
-            .borrow_mut()
-            .record_request(now, &service);
-        let config = self.request.config.clone();
-        let engine = config
-            .services
-            .get(&service)
-            .and_then(|s| s.engine.as_ref());
+        if self.request.passed.is_none() {
+            let mut budget = self.node.retry_budget.borrow_mut();
+            budget.record_request(self.node.now(), &service);
+        }
         let mut cause = "";
         loop {
             let now = self.node.now();
             if now + MIN_TIME_LEFT >= self.request.deadline {
                 return self.deadline_passed(conn).await;
             }
-            let must_end_soon = self.node.stop.time_left(now).is_some();
-            let (to, estimate) = match self.choose_endpoint(now, &service, engine) {
-                Choice::Send(to, estimate) => (to, estimate),
-                // The request may outlast this node, but another VM accepts it at once.
-                Choice::Full(_) if must_end_soon && self.possible_runs == 0 => {
+            if self.has_been_sent() && self.is_quarantined(now) {
+                let after = front::QUARANTINE_RETRY_AFTER;
+                return self.give_up(conn, "breaks_endpoints", after).await;
+            }
+            let path = self.node.path_state(now);
+            let peer = self.choose_peer(now);
+            let situation = self.situation(now, path, peer.is_some());
+            let outcome = match (passing::next_step(&situation), &peer) {
+                (Step::PassOn, Some(peer)) => self.pass_on(conn, peer, cause).await,
+                (Step::Send, _) => match self.send_direct(conn, now, &service, cause).await {
+                    Ok(outcome) => outcome,
+                    Err((cause, after)) => return self.give_up(conn, cause, after).await,
+                },
+                (Step::Wait, _) => match self.wait_for_path(conn).await {
+                    true => return self.caller_left(),
+                    false => continue,
+                },
+                (Step::Refuse | Step::PassOn, _) => {
                     return self
-                        .give_up(conn, "stopping", front::RETRY_ELSEWHERE_AFTER)
+                        .give_up(conn, "no_path", self.retry_elsewhere_after(path))
                         .await;
                 }
-                Choice::Full(after) => return self.give_up(conn, "full", after).await,
-                Choice::Unavailable(after) => return self.give_up(conn, "nobody", after).await,
             };
-            let suspects = &self.request.suspects;
-            if !self.tried.is_empty() && self.node.is_quarantined(now, self.request_id(), suspects)
-            {
-                let after = front::QUARANTINE_RETRY_AFTER;
-                return self.give_up(conn, "breaks_endpoints", after).await;
-            }
-            if !self.tried.is_empty() && !self.try_retry(now, &service, cause) {
-                let after = front::jittered_retry_after(self.request.deadline.since(now));
-                return self.give_up(conn, "budget", after).await;
-            }
-            self.log_send(&to, estimate, cause);
-            self.tried.push(to.id.clone());
-            self.current_estimate = Some((estimate, now));
-            let outcome = self.send(conn, &to, engine.is_some()).await;
-            match outcome {
-                SendOutcome::Answered { status, next } => return self.answered(&to, status, next),
-                SendOutcome::CallerLeft => return self.caller_left(&to),
+            cause = match outcome {
+                SendOutcome::Answered { status, next } => return self.answered(status, next),
+                SendOutcome::CallerLeft => return self.caller_left(),
                 SendOutcome::DeadlinePassed => {
-                    self.possible_runs += 1;
+                    self.sends.possible_runs += 1;
                     return self.deadline_passed(conn).await;
                 }
-                SendOutcome::NotRun(reason) => {
-                    self.log_failed(&to, reason, false);
-                    self.node
-                        .balancer
-                        .borrow_mut()
-                        .record_failure(self.node.now(), &to.id);
-                    cause = reason;
+                SendOutcome::Refused(after) => {
+                    return self.give_up(conn, "peer_refused", after).await;
                 }
-                SendOutcome::MayHaveRun(reason) => {
-                    self.possible_runs += 1;
-                    self.log_failed(&to, reason, true);
-                    self.node
-                        .balancer
-                        .borrow_mut()
-                        .record_failure(self.node.now(), &to.id);
-                    cause = reason;
+                SendOutcome::NotRun(reason) => reason,
+                SendOutcome::MayHaveRun(reason) | SendOutcome::PeerLost(reason) => {
+                    self.failed_at = Some(self.node.now());
                     let may_retry = self.request.route.request_kind.may_retry();
-                    if !may_retry || self.possible_runs >= self.request.route.max_attempts {
+                    if !may_retry || self.sends.possible_runs >= self.max_attempts() {
                         return self.give_up(conn, reason, Duration::ZERO).await;
                     }
+                    reason
                 }
+            };
+        }
+    }
+
+    /// Sends the request to an endpoint. Fails with the cause, and the time after which the caller
+    /// may retry, if the request must not be sent.
+    async fn send_direct(
+        &mut self,
+        conn: &mut Conn,
+        now: Time,
+        service: &Arc<str>,
+        cause: &'static str,
+    ) -> Result<SendOutcome, (&'static str, Duration)> {
+        let config = self.request.config.clone();
+        let engine = config.services.get(service).and_then(|s| s.engine.as_ref());
+        let must_end_soon = self.time_until_exit(now).is_some();
+        let (to, estimate) = match self.choose_endpoint(now, service, engine) {
+            Choice::Send(to, estimate) => (to, estimate),
+            // The request may outlast this node, but another VM accepts it at once.
+            Choice::Full(_) if must_end_soon && self.sends.possible_runs == 0 => {
+                return Err(("stopping", front::RETRY_ELSEWHERE_AFTER));
+            }
+            Choice::Full(after) => return Err(("full", after)),
+            Choice::Unavailable(after) => return Err(("nobody", after)),
+        };
+        if self.sends.next_is_repeat() && !self.try_retry(now, service, cause) {
+            let after = front::jittered_retry_after(self.request.deadline.since(now));
+            return Err(("budget", after));
+        }
+        self.log_send(&to, estimate, cause);
+        self.sends.tried.push(to.id.clone());
+        self.endpoint = Some((to.id.clone(), to.incarnation.0));
+        self.peer = None;
+        self.current_estimate = Some((estimate, now));
+        let outcome = self.send(conn, &to, engine.is_some()).await;
+        match outcome {
+            SendOutcome::NotRun(reason) => {
+                self.log_failed(&to, reason, false);
+                let mut balancer = self.node.balancer.borrow_mut();
+                balancer.record_failure(self.node.now(), &to.id);
+                self.failed_connects += u32::from(reason == FAILED_CONNECT);
+            }
+            SendOutcome::MayHaveRun(reason) => {
+                self.sends.possible_runs += 1;
+                self.log_failed(&to, reason, true);
+                let mut balancer = self.node.balancer.borrow_mut();
+                balancer.record_failure(self.node.now(), &to.id);
             }
+            _ => {}
         }
+        Ok(outcome)
+    }
+
+    /// Returns whether the request was sent to an endpoint, or an attempt was made.
+    fn has_been_sent(&self) -> bool {
+        !self.sends.tried.is_empty()
+    }
+
+    fn is_quarantined(&self, now: Time) -> bool {
+        self.node
+            .is_quarantined(now, self.request_id(), &self.request.suspects)
     }
 
     /// Chooses the endpoint for the next send.
@@ -269,13 +352,15 @@
                 .node
                 .stop
                 .time_left(now)
-                .filter(|_| self.request.route.request_kind.is_stream() && self.possible_runs == 0)
+                .filter(|_| {
+                    self.request.route.request_kind.is_stream() && self.sends.possible_runs == 0
+                })
                 .map(|time_left| (self.request.meta.max_answer_tokens, time_left)),
             connected: &connected,
-            has_started: self.possible_runs > 0,
+            has_started: self.sends.possible_runs > 0,
         };
         let mut balancer = self.node.balancer.borrow_mut();
-        balancer.choose(now, &routing_request, engine, &self.tried)
+        balancer.choose(now, &routing_request, engine, &self.excluded_endpoints())
     }
 
     /// Takes one retry from the service's retry budget and counts it; returns whether the budget
@@ -304,11 +389,12 @@
         let now = self.node.now();
         let mut conn = match self.node.pool.take(now, &to.id) {
             Some(conn) => conn,
-            None => match self.connect(caller, address).await {
+            None => match self.connect(caller, address, Some(to)).await {
                 Ok(conn) => conn,
                 Err(outcome) => return outcome,
             },
         };
+        self.sends.reached += 1;
         let prompt = if engine {
             self.request.meta.prompt_tokens
         } else {
@@ -335,14 +421,30 @@
         outcome
     }
 
-    /// Connects to an endpoint, unless the caller disconnects first.
-    async fn connect(&self, caller: &mut Conn, address: SocketAddr) -> Result<Conn, SendOutcome> {
-        self.node.metrics.count(Counter::Connects, "endpoint");
+    /// Connects to an endpoint, or to a peer if `endpoint` is `None`, unless the caller disconnects
+    /// first.
+    async fn connect(
+        &self,
+        caller: &mut Conn,
+        address: SocketAddr,
+        endpoint: Option<&Candidate>,
+    ) -> Result<Conn, SendOutcome> {
+        let kind = endpoint.map_or("peer", |_| "endpoint");
+        self.node.metrics.count(Counter::Connects, kind);
         let mut connect = std::pin::pin!(Conn::connect(address, CONNECT_TIMEOUT));
         loop {
             tokio::select! {
-                conn = &mut connect => return conn.map_err(|_| SendOutcome::NotRun("connect")),
-                disconnected = caller_disconnected(caller) => {
+                conn = &mut connect => {
+                    match (&conn, endpoint) {
+                        (Ok(_), Some(to)) => self.node.note_connected(&to.id),
+                        (Err(_), Some(to)) => {
+                            self.node.note_path_failure(&to.id, PathFailure::Connect);
+                        }
+                        (_, None) => {}
+                    }
+                    return conn.map_err(|_| SendOutcome::NotRun(FAILED_CONNECT));
+                }
+                disconnected = self.caller_disconnected(caller) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
                 }
             }
@@ -374,19 +476,27 @@
         out.extend_from_slice(&self.request.body);
         match self.await_endpoint(caller, conn.write(&out), to).await {
             Ok(Ok(())) => {}
-            Ok(Err(_)) => return (SendOutcome::MayHaveRun("write"), None),
+            Ok(Err(_)) => {
+                self.node.note_path_failure(&to.id, PathFailure::Broken);
+                return (SendOutcome::MayHaveRun("write"), None);
+            }
             Err(outcome) => return (outcome, None),
         }
         let mut skipped = 0;
         let (mut head, meta) = loop {
-            let head = match self.await_response_head(caller, conn, to).await {
+            let mut head = match self.await_response_head(caller, conn, to).await {
                 Ok(head) => head,
                 Err(outcome) => return (outcome, None),
             };
+            self.node.note_heard(&to.id);
+            // An endpoint can't speak for an entry VM.
+            head.headers.remove_prefixed(passing::HEADER_PREFIX);
             let meta = requests::read_response_meta(&head);
             // Status 421 may come from another endpoint at this address.
             if meta.leaving && head.status != 421 {
-                self.node.note_leaving(to);
+                let (started_ms, _) = to.incarnation;
+                self.node.note_leaving(&to.id, started_ms);
+                self.leaving.push((to.id.clone(), started_ms));
             }
             if let Some(time) = meta.retry_after {
                 self.hold_off(to, time);
@@ -434,77 +544,18 @@
         if success && !meta.signed {
             return (SendOutcome::MayHaveRun("unsigned"), None);
         }
+        let upstream = Upstream::Endpoint(to);
         let outcome = if success && self.request.route.request_kind.is_stream() {
-            self.relay_stream(caller, conn, &mut head, to, prompt, stream_started)
+            self.relay_stream(caller, conn, &mut head, upstream, prompt, stream_started)
                 .await
         } else {
-            self.relay_buffered(caller, conn, &mut head, to).await
+            self.relay_buffered(caller, conn, &mut head, upstream).await
         };
         let reuse =
             matches!(outcome, SendOutcome::Answered { .. }) && head.keep_alive && skipped == 0;
         (outcome, reuse.then_some(meta.idle_timeout))
     }
 
-    /// Returns the priority to send to the endpoint: a retried stream precedes others of the same
-    /// priority.
-    fn endpoint_priority(&self) -> Option<u8> {
-        let own_priority = self.request.account.as_ref().and_then(|a| a.priority);
-        let priority = own_priority.unwrap_or(self.request.route.priority);
-        Some(priority.saturating_sub(u8::from(self.is_retry_after_refusal())))
-    }
-
-    /// Returns whether the caller sends this stream again after a refusal: its deadline is then
-    /// shorter.
-    fn is_retry_after_refusal(&self) -> bool {
-        let Request { route, meta, .. } = self.request;
-        let is_short = |wait: Duration| wait < route.timeout.mul_f64(RETRY_DEADLINE_SHARE);
-        route.request_kind.is_stream() && meta.max_wait.is_some_and(is_short)
-    }
-
-    /// Returns the number of tokens that the answer is expected to need still.
-    fn tokens_left(&self) -> u32 {
-        let steps_per_pass = self.engine().map_or(1, |e| e.steps_per_pass);
-        self.request
-            .meta
-            .answer_tokens
-            .saturating_sub(self.delivered.events * steps_per_pass)
-    }
-
-    /// Returns the engine settings of the service, if its endpoints are engines.
-    fn engine(&self) -> Option<&Engine> {
-        let service = self.service.as_ref()?;
-        self.request.config.services.get(service)?.engine.as_ref()
-    }
-
-    /// Returns the longest expected time to the first event with which a send is of use. Callers
-    /// abandon a stream after a gap of 2 s, four times the latency goal or eight times the target
-    /// pause between events, whichever is longest.
-    fn first_event_limit(&self, now: Time) -> Duration {
-        let route = &self.request.route;
-        let time_left = self.request.deadline.since(now);
-        if !route.request_kind.is_stream() {
-            return time_left;
-        }
-        let gap = MIN_ABANDON_GAP
-            .max(route.latency_goal * 4)
-            .max(route.event_gap_goal * 8);
-        let elapsed = self
-            .delivered
-            .last_event_at
-            .map_or_else(|| self.elapsed(), |t| now.since(t));
-        let share = match self.is_retry_after_refusal() {
-            true => RETRY_FIRST_EVENT_SHARE,
-            false => FIRST_EVENT_SHARE,
-        };
-        gap.mul_f64(share).saturating_sub(elapsed).min(time_left)
-    }
-
-    /// Returns whether another endpoint may continue the request if this one sends nothing.
-    fn may_switch_endpoint(&self) -> bool {
-        let route = &self.request.route;
-        route.request_kind.may_retry() && self.possible_runs + 1 < route.max_attempts
-    }
-
     /// Reads the head of the response, unless the endpoint is silent for too long, the deadline
     /// passes or the caller disconnects.
     async fn await_response_head(
@@ -515,7 +566,7 @@
     ) -> Result<ResponseHead, SendOutcome> {
         let read = conn.read_response_head(MAX_HEAD_BYTES);
         let head = self.await_endpoint(caller, read, to).await?;
-        head.map_err(|e| self.connection_broken(to, &e))
+        head.map_err(|e| self.connection_broken(Upstream::Endpoint(to), &e))
     }
 
     /// Waits for a read from the endpoint or a write to it, unless that takes longer than the
@@ -535,7 +586,7 @@
             tokio::select! {
                 biased;
                 done = &mut transfer => return Ok(done),
-                disconnected = unconstrained(caller_disconnected(caller)) => {
+                disconnected = unconstrained(self.caller_disconnected(caller)) => {
                     if disconnected { return Err(SendOutcome::CallerLeft) }
                 }
                 () = unconstrained(tokio::time::sleep(wait)) => {
@@ -557,7 +608,7 @@
         caller: &mut Conn,
         conn: &mut Conn,
         head: &mut ResponseHead,
-        to: &Candidate,
+        upstream: Upstream<'_>,
     ) -> SendOutcome {
         if self.request.head.method == "HEAD" {
             head.body_framing = Framing::Done;
@@ -571,7 +622,7 @@
                 tokio::select! {
                     biased;
                     body = &mut read => break body,
-                    disconnected = unconstrained(caller_disconnected(caller)) => {
+                    disconnected = unconstrained(self.caller_disconnected(caller)) => {
                         if disconnected { return SendOutcome::CallerLeft }
                     }
                     () = unconstrained(&mut deadline) => return SendOutcome::DeadlinePassed,
@@ -581,12 +632,13 @@
         let mut body = match body {
             Ok(Some(body)) => body,
             Ok(None) => return SendOutcome::MayHaveRun("too_large"),
-            Err(e) => return self.connection_broken(to, &e),
+            Err(e) => return self.connection_broken(upstream, &e),
         };
-        self.node
-            .balancer
-            .borrow_mut()
-            .record_progress(self.node.now(), &to.id);
+        if let Upstream::Endpoint(to) = upstream {
+            self.node.note_heard(&to.id);
+            let mut balancer = self.node.balancer.borrow_mut();
+            balancer.record_progress(self.node.now(), &to.id);
+        }
         // A failure of the endpoint itself is retried if the request may be repeated.
         if head.status >= 500
             && self.request.route.request_kind == RequestKind::Idempotent
@@ -603,6 +655,7 @@
             return SendOutcome::MayHaveRun("refused_to_go_on");
         }
         let mut out = requests::encode_response(head);
+        self.put_report(&mut out);
         http1::put_header(
             &mut out,
             "Content-Length",
@@ -643,13 +696,3 @@
         Ok(Ok(true))
     )
 }
-
-/// Waits until the caller sends something or disconnects; returns whether it disconnected.
-///
-/// Never returns once more than [`MAX_PIPELINED_BYTES`] are buffered.
-async fn caller_disconnected(caller: &mut Conn) -> bool {
-    if caller.buffered_len() > MAX_PIPELINED_BYTES {
-        return std::future::pending().await;
-    }
-    !matches!(caller.fill().await, Ok(1..))
-}
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -6,17 +6,18 @@
 use hemlock_lib::node::balance::{Candidate, SILENCE_TIMEOUT};
 use hemlock_lib::node::config::RequestKind;
 use hemlock_lib::node::quarantine::EndpointRun;
+use hemlock_lib::node::reach::PathFailure;
 use hemlock_lib::time::Time;
 use hemlock_wire::http1::HttpError;
 
 use super::{
-    FIRST_EVENT_SLACK, MAX_EXTENSIONS, MIN_BEGUN_EVENTS, Relay, SendOutcome, SilenceTimer,
+    FIRST_EVENT_SLACK, MAX_EXTENSIONS, MIN_BEGUN_EVENTS, Relay, SendOutcome, SilenceTimer, Upstream,
 };
 use crate::metrics::Counter;
 
 impl Relay<'_> {
     /// Returns for how long the endpoint may send nothing before another one is tried.
-    fn silence_timeout(&self, awaits_first_event: bool) -> Duration {
+    pub(super) fn silence_timeout(&self, awaits_first_event: bool) -> Duration {
         let route = &self.request.route;
         match (route.request_kind, awaits_first_event) {
             (RequestKind::Idempotent, _) => route.timeout / 2,
@@ -76,9 +77,13 @@
             silence.extensions += 1;
             return None;
         }
-        balancer.mark_silent(now, &to.id);
+        // If no other endpoint was heard since, the silence may be this VM's.
+        let is_marked = self.node.reach.borrow().may_judge(now, progress);
+        if is_marked {
+            balancer.mark_silent(now, &to.id);
+        }
         log::warn!(
-            "event=silent id={} request={} progress_age_ms={}",
+            "event=silent id={} request={} progress_age_ms={} marked={is_marked}",
             to.id,
             self.request_id(),
             now.since(progress).as_millis()
@@ -89,26 +94,52 @@
         Some("silent")
     }
 
-    /// Records that a connection broke while its endpoint had the request.
-    pub(super) fn connection_broken(&self, to: &Candidate, error: &HttpError) -> SendOutcome {
+    /// Records that a connection broke while the request was open on it.
+    pub(super) fn connection_broken(
+        &self,
+        upstream: Upstream<'_>,
+        error: &HttpError,
+    ) -> SendOutcome {
+        let Upstream::Endpoint(to) = upstream else {
+            return SendOutcome::PeerLost("peer_broken");
+        };
         self.record_crash(to, error);
         match error {
             HttpError::Malformed(_) | HttpError::HeadTooLarge => {
                 SendOutcome::MayHaveRun("malformed")
             }
-            HttpError::Closed | HttpError::Broken(_) => SendOutcome::MayHaveRun("broken"),
+            HttpError::Closed | HttpError::Broken(_) => {
+                self.node.note_path_failure(&to.id, PathFailure::Broken);
+                // If the path is lost, idle connections have broken at the same time.
+                for id in self.node.pool.remove_closed(self.node.now()) {
+                    self.node.note_path_failure(&id, PathFailure::Broken);
+                }
+                SendOutcome::MayHaveRun("broken")
+            }
         }
     }
 
-    /// Records in the quarantine that an endpoint has broken off its answer, and tells the peers.
+    /// Records in the quarantine that an endpoint has broken off its answer. Peers are told once it is
+    /// clear that this VM has not lost its path.
+    ///
+    /// A connection that was open while this VM was cut off says nothing about its endpoint.
     pub(super) fn record_crash(&self, to: &Candidate, cause: &dyn std::fmt::Display) {
+        let now = self.node.now();
+        let sent_at = self.current_estimate.map_or(now, |(_, sent)| sent);
+        if self.node.reach.borrow().was_cut_since(sent_at) {
+            log::info!(
+                "event=broken_by_cut request={} id={} cause=\"{cause}\"",
+                self.request_id(),
+                to.id
+            );
+            return;
+        }
         let count = self.node.quarantine.borrow_mut().record_crash(
-            self.node.now(),
+            now,
             &self.request.suspects,
             EndpointRun::new(&to.id, to.incarnation.0),
             self.delivered.of_endpoint >= MIN_BEGUN_EVENTS,
         );
-        self.node.send_now.notify_one();
         if count > 1 {
             log::warn!(
                 "event=breaks request={} id={} endpoints={count}",
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -15,9 +15,12 @@
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, EngineReport, MemberState};
 use hemlock_lib::node::load_totals::LoadTotals;
+use hemlock_lib::node::passing::{PeerLoads, Secret, Secrets};
+use hemlock_lib::node::peer_paths::{PeerPath, PeerPaths};
 use hemlock_lib::node::peers::{EndpointLoad, Member, Peers};
 use hemlock_lib::node::planner::parse_group_name;
 use hemlock_lib::node::quarantine::{Quarantine, Suspects};
+use hemlock_lib::node::reach::{PathFailure, PathState, Reach};
 use hemlock_lib::node::settings::NodeSettings;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Store, Topic};
@@ -62,12 +65,26 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) peers: RefCell<Peers>,
+    /// Evidence of whether this VM reaches endpoints.
+    pub(crate) reach: RefCell<Reach>,
+    /// What peers report of their own paths to endpoints.
+    pub(crate) peer_paths: RefCell<PeerPaths>,
     pub(crate) load_totals: RefCell<LoadTotals>,
     /// Load that all other VMs have on endpoints, as last reported, and the time of that report.
     pub(crate) other_loads: RefCell<Option<(Time, Vec<EndpointLoad>)>>,
     pub(crate) demand_meter: RefCell<DemandMeter>,
     pub(crate) pool: Pool,
     pub(crate) answer_memory: RefCell<AnswerMemory>,
+    /// Idle connections to peers that take requests of this VM, by the names of the peers.
+    pub(crate) peer_pool: Pool,
+    /// Requests that this VM has passed on to peers.
+    pub(crate) peer_loads: RefCell<PeerLoads>,
+    /// Secret that peers must present to pass requests on to this VM.
+    pub(crate) own_secret: Secret,
+    /// Secrets of the peers.
+    pub(crate) secrets: RefCell<Secrets>,
+    /// Wakes the task that reads the members when the secret of a peer is missing.
+    pub(crate) secrets_missing: Notify,
     pub(crate) metrics: Metrics,
     pub(crate) stop: Stop,
     /// Record of the configuration in force.
@@ -94,11 +111,15 @@
     pub(crate) members_outdated: Notify,
     /// Wakes the reads of topics when a peer reaches a store that was lost.
     pub(crate) store_found: Notify,
+    /// Wakes the watch of the path when an endpoint fails or a probe has ended.
+    pub(crate) path_evidence: Notify,
     /// Wakes the sender of datagrams when a change can't wait for the next interval.
     pub(crate) send_now: Notify,
     /// Versions of the list of endpoints and of the configuration from which the candidates were
     /// computed.
     candidates_version: Cell<(u64, u64)>,
+    /// Version of the list of endpoints for which evidence of the path is kept.
+    listed_version: Cell<u64>,
 }
 
 impl Node {
@@ -129,11 +150,18 @@
             retry_budget: RefCell::new(RetryBudget::new(allowance)),
             quarantine: RefCell::default(),
             peers: RefCell::default(),
+            reach: RefCell::default(),
+            peer_paths: RefCell::default(),
             load_totals: RefCell::default(),
             other_loads: RefCell::default(),
             demand_meter: RefCell::default(),
             pool: Pool::default(),
             answer_memory: RefCell::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)),
+            peer_pool: Pool::default(),
+            peer_loads: RefCell::default(),
+            own_secret: Secret::random(),
+            secrets: RefCell::default(),
+            secrets_missing: Notify::new(),
             metrics: Metrics::default(),
             stop: Stop::default(),
             config_record: RefCell::default(),
@@ -147,8 +175,10 @@
             endpoints_changed: Notify::new(),
             members_outdated: Notify::new(),
             store_found: Notify::new(),
+            path_evidence: Notify::new(),
             send_now: Notify::new(),
             candidates_version: Cell::default(),
+            listed_version: Cell::default(),
             settings,
         })
     }
@@ -225,9 +255,7 @@
     }
 
     /// Stops sending requests to an endpoint that says in an answer that it is about to stop.
-    pub(crate) fn note_leaving(&self, endpoint: &Candidate) {
-        let (started_ms, _) = endpoint.incarnation;
-        let id = &endpoint.id;
+    pub(crate) fn note_leaving(&self, id: &Arc<str>, started_ms: u64) {
         let change = self.endpoints.borrow_mut().mark_leaving(id, started_ms);
         if change != Change::None {
             self.log_endpoint_change(id, change);
@@ -235,6 +263,41 @@
         }
     }
 
+    /// Returns whether this VM reaches endpoints.
+    pub(crate) fn path_state(&self, now: Time) -> PathState {
+        self.reach.borrow().state(now)
+    }
+
+    /// Records that bytes arrived from an endpoint.
+    pub(crate) fn note_heard(&self, endpoint: &Arc<str>) {
+        self.reach.borrow_mut().record_heard(self.now(), endpoint);
+    }
+
+    /// Records that a connection to an endpoint was opened.
+    pub(crate) fn note_connected(&self, endpoint: &Arc<str>) {
+        let mut reach = self.reach.borrow_mut();
+        reach.record_connected(self.now(), endpoint);
+    }
+
+    /// Records that an endpoint failed to answer, and has the path checked.
+    pub(crate) fn note_path_failure(&self, endpoint: &Arc<str>, failure: PathFailure) {
+        let mut reach = self.reach.borrow_mut();
+        reach.record_failure(self.now(), endpoint, failure);
+        self.path_evidence.notify_one();
+    }
+
+    /// Returns the peers that said recently that they reach endpoints.
+    pub(crate) fn peers_with_path(&self, now: Time) -> Vec<PeerPath> {
+        self.peer_paths.borrow().with_path(now)
+    }
+
+    /// Confirms the crashes of endpoints that are not due to a cut of this VM; returns whether there
+    /// is something new to report.
+    pub(crate) fn confirm_crashes(&self, now: Time) -> bool {
+        let until = self.reach.borrow().crashes_confirmed_until(now);
+        self.quarantine.borrow_mut().confirm_crashes(until)
+    }
+
     /// Returns whether this VM reads the store itself.
     pub(crate) fn reads_store(&self) -> bool {
         let reads_directly = |f: &Feed| f.store_up.get() && f.direct.get();
@@ -315,6 +378,19 @@
         self.check_outage();
         self.refresh_candidates();
         self.pool.expire(now);
+        self.peer_pool.expire(now);
+        if self.confirm_crashes(now) {
+            self.send_now.notify_one();
+        }
+        let quiet = self.balancer.borrow().quiet_endpoints(now);
+        for id in &quiet {
+            self.note_path_failure(id, PathFailure::Quiet);
+        }
+        let endpoints = self.endpoints.borrow();
+        if self.listed_version.replace(endpoints.version()) != endpoints.version() {
+            let is_listed = |id: &str| endpoints.get(id).is_some();
+            self.reach.borrow_mut().retain_listed(is_listed);
+        }
     }
 
     /// Computes which endpoints accept requests, if the list of endpoints or the configuration has
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,11 +1,13 @@
 //! Compiles all integration tests of this crate into one binary.
 
 mod cluster;
+mod fake_peer;
 mod node_process;
 mod test_crashing_part;
 mod test_cut;
 mod test_endless;
 mod test_pages;
+mod test_passing_on;
 mod test_refusals;
 mod test_relay;
 mod test_restored_store;
