--- a/lib/src/node/passing.rs
+++ b/lib/src/node/passing.rs
@@ -42,6 +42,8 @@
 pub const MAX_FAILED_CONNECTS: u32 = 3;
 /// Longest time for which a request that may have run waits for a path.
 const MAX_PATH_WAIT: Duration = Duration::from_secs(1);
+/// Longest time for which it waits if nothing tells the path from the endpoint that failed.
+const MAX_BLIND_WAIT: Duration = Duration::from_millis(150);
 /// Number of endpoints that failed at about the same time from which this VM's own path may be the
 /// cause.
 const MIN_SUSPICIOUS: usize = 2;
@@ -316,6 +318,8 @@
     pub failed_endpoints: usize,
     /// Whether any endpoint sent something after that failure.
     pub heard_since: bool,
+    /// Whether an idle connection to an endpoint is left after that failure.
+    pub has_idle_conn: bool,
 }
 
 /// Decides who sends a request.
@@ -345,12 +349,21 @@
     let Some(since_failure) = situation.since_failure else {
         return false;
     };
-    let is_suspicious = match situation.path {
-        PathState::Direct => situation.failed_endpoints >= MIN_SUSPICIOUS && !situation.heard_since,
-        PathState::Doubtful => !situation.heard_since,
-        PathState::Cut => true,
+    let Situation {
+        failed_endpoints,
+        heard_since,
+        has_idle_conn,
+        ..
+    } = *situation;
+    let longest = match situation.path {
+        PathState::Cut => MAX_PATH_WAIT,
+        PathState::Direct | PathState::Doubtful if heard_since => Duration::ZERO,
+        PathState::Doubtful => MAX_PATH_WAIT,
+        PathState::Direct if failed_endpoints >= MIN_SUSPICIOUS => MAX_PATH_WAIT,
+        PathState::Direct if has_idle_conn => Duration::ZERO,
+        PathState::Direct => MAX_BLIND_WAIT,
     };
-    is_suspicious && since_failure < MAX_PATH_WAIT
+    since_failure < longest
 }
 
 /// Requests that this VM has passed on to each peer, and the peers that get none for now.
--- a/lib/tests/test_node_passing.rs
+++ b/lib/tests/test_node_passing.rs
@@ -39,6 +39,7 @@
         since_failure: None,
         failed_endpoints: 0,
         heard_since: false,
+        has_idle_conn: true,
     }
 }
 
@@ -109,6 +110,18 @@
     assert_eq!(next_step(&heard), Step::Send);
 }
 
+/// A VM with little traffic may have no other connection that breaks, or lives on.
+#[test]
+fn request_waits_a_moment_when_nothing_tells_the_path_from_its_endpoint() {
+    let has_idle_conn = false;
+    let situation = |ms| Situation {
+        has_idle_conn,
+        ..broken(PathState::Direct, ms, 1)
+    };
+    assert_eq!(next_step(&situation(100)), Step::Wait);
+    assert_eq!(next_step(&situation(150)), Step::Send);
+}
+
 #[test]
 fn request_that_reached_no_endpoint_is_no_repeat() {
     let mut all = sends(&["a", "b"], 0, 0);
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Returns whether there is an idle connection to any endpoint.
+    pub(crate) fn has_idle(&self, now: Time) -> bool {
+        let idle = self.idle.borrow();
+        idle.values().flatten().any(|c| c.expires > now)
+    }
+
     /// Removes the connections that were closed or broken before their keep-alive time was over;
     /// returns the endpoints of which none is left.
     pub(crate) fn remove_closed(&self, now: Time) -> Vec<Arc<str>> {
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -79,6 +79,7 @@
             nobody_has_path: self.node.peer_paths.borrow().nobody_has_path(now),
             failed_connects: self.failed_connects,
             since_failure: failed_at.map(|at| now.since(at)),
+            has_idle_conn: failed_at.is_some() && self.node.pool.has_idle(now),
             failed_endpoints: reach.failing_endpoints(now),
             heard_since: failed_at.is_some_and(|at| reach.has_heard_since(at + PATH_SETTLE_TIME)),
         }
