leadership: a planner that hears no engine counts no probe as unanswered

A planner that loses its path to the engines gets no answer to its probes. After three in a row it took each engine of a quiet group for lost and ended the group, though it served the other VMs. An unanswered probe now counts only if any endpoint was heard within 250 ms; otherwise it is forgotten.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -365,6 +365,13 @@
         reply == Reply::Outdated
     }
 
+    /// Ends a probe whose result says nothing, since this VM did not reach other engines either.
+    pub fn forget_probe(&mut self, endpoint: &str) {
+        if let Some(state) = self.engine_states.get_mut(endpoint) {
+            state.probe_pending = false;
+        }
+    }
+
     /// Handles the result of a probe.
     pub fn handle_probe_result(&mut self, endpoint: &str, answered: bool) {
         let Some(state) = self.engine_states.get_mut(endpoint) else {
--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -344,8 +344,16 @@
     /// Returns whether the silence of an endpoint since `time` is its own fault: this VM is not cut
     /// off, and bytes have arrived from another endpoint meanwhile and just now.
     pub fn may_judge(&self, now: Time, time: Time) -> bool {
-        let is_heard = self.last_heard.is_some_and(|heard| heard > time);
-        is_heard && !self.is_quiet(now) && self.state(now) != PathState::Cut
+        self.hears_others(now) && self.last_heard.is_some_and(|heard| heard > time)
+    }
+
+    /// Returns whether this VM is not cut off and has just heard from an endpoint, so that one that
+    /// leaves a probe unanswered may be lost.
+    pub fn hears_others(&self, now: Time) -> bool {
+        let is_heard = self
+            .last_heard
+            .is_some_and(|t| now.since(t) < SUCCESS_RETENTION);
+        is_heard && self.state(now) != PathState::Cut
     }
 
     /// Returns whether this VM was cut off at any moment from `time` on.
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -78,6 +78,8 @@
     pub before_traffic: bool,
     /// Whether the list is not being updated; the state of an engine shows only when it is probed.
     pub list_frozen: bool,
+    /// Whether no engine answers the planner, and all groups look silent to it.
+    pub is_cut_off: bool,
     pub load_starts: Vec<Time>,
     pub orders: Vec<(Time, Arc<str>, Action)>,
     /// Fraction of the orders that get no reply and are carried out seconds later.
@@ -99,6 +101,7 @@
             demand: BTreeMap::new(),
             before_traffic: true,
             list_frozen: false,
+            is_cut_off: false,
             load_starts: Vec::new(),
             orders: Vec::new(),
             delayed_share: 0.0,
@@ -215,6 +218,11 @@
 
     fn plan(&mut self) {
         let mut out = Vec::new();
+        if self.is_cut_off {
+            let groups = self.endpoints.groups();
+            let heads = groups.values().filter_map(|g| Some(g.head()?.0.clone()));
+            self.silent = heads.collect();
+        }
         let input = PlannerInput {
             service: SERVICE,
             engine: &self.engine,
@@ -233,6 +241,9 @@
                     action,
                     ..
                 } => self.receive_order(endpoint, fence, action),
+                Output::Probe { endpoint, .. } if self.is_cut_off => {
+                    self.planner.forget_probe(&endpoint);
+                }
                 Output::Probe { endpoint, .. } => {
                     let alive = self
                         .engines
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -353,3 +353,20 @@
         }
     }
 }
+
+/// A planner that has lost its own path to the engines gets no answer from any of them.
+#[test]
+fn planner_that_hears_no_engine_leaves_groups_alone() {
+    let mut simulation = Simulation::new(two_models(), &[10; 6], 1);
+    simulation.run(Duration::from_secs(8));
+    simulation.before_traffic = false;
+    let before = simulation.serving();
+    let orders = simulation.orders.len();
+    simulation.is_cut_off = true;
+    simulation.run(Duration::from_secs(8));
+    assert_eq!(simulation.orders.len(), orders);
+    simulation.is_cut_off = false;
+    simulation.silent.clear();
+    simulation.run(Duration::from_secs(2));
+    assert_eq!(simulation.serving(), before);
+}
--- a/lib/tests/test_node_reach.rs
+++ b/lib/tests/test_node_reach.rs
@@ -657,3 +657,20 @@
     assert!(reach.was_cut_since(start));
     assert!(!reach.was_cut_since(Time::from_millis(world.now_ms)));
 }
+
+/// Three unanswered probes in a row of the planner, which begin 250 ms after an engine was last
+/// heard and take 100 ms each, have an engine replaced.
+#[test]
+fn cut_vm_counts_no_probe_as_unanswered() {
+    for link in [Link::Hang, Link::Reset, Link::Mute] {
+        let mut world = World::new(5, 20, 20);
+        world.cut(0, link);
+        world.run(350);
+        for _ in 0..80 {
+            let now = Time::from_millis(world.now_ms);
+            assert!(!world.vms[0].reach.hears_others(now), "{link:?}");
+            assert!(world.vms[1].reach.hears_others(now), "{link:?}");
+            world.run(50);
+        }
+    }
+}
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -379,8 +379,11 @@
                 if answered { "answered" } else { "unanswered" },
             );
             let mut leadership = leadership.borrow_mut();
-            if let Some(planner) = leadership.planners.get_mut(&service) {
-                planner.handle_probe_result(&endpoint, answered);
+            let is_conclusive = answered || node.reach.borrow().hears_others(node.now());
+            match leadership.planners.get_mut(&service) {
+                Some(planner) if is_conclusive => planner.handle_probe_result(&endpoint, answered),
+                Some(planner) => planner.forget_probe(&endpoint),
+                None => {}
             }
         }
     }
