leadership: a planner that is cut off hands the lease to a peer with a path

A planner that has lost its path to the engines kept the lease, since the store and its peers still reached it, and its orders were lost as long as the cut lasted. It now gives the lease back, says in its heartbeats that it can't plan, as after a failed renewal, and asks again only when no peer plans. While its path is only doubtful, also because no VM has one, the lease stays. Since the flag for that says that the store is not reached, a peer that reads the store directly now counts as reaching it in the check for an outage. The layout of heartbeats is unchanged, and older builds take over as well.

--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -13,6 +13,7 @@
 use super::endpoints::EngineReport;
 use super::peer_paths::{PathQuery, PathReply};
 use super::quarantine::Report;
+use super::reach::PathState;
 use crate::time::Time;
 
 /// A peer counts as lost once this many heartbeats in a row are missing and the delay has passed as
@@ -74,8 +75,8 @@
     /// Version of the configuration that the sender uses.
     #[serde(rename = "config")]
     pub config_version: u64,
-    /// Whether the store answers the sender, or the VM through which it reads the store. Only then
-    /// may the sender become the planner.
+    /// Whether the store answers the sender, or the VM through which it reads the store, and the
+    /// sender may become the planner: it is not cut off from the endpoints.
     #[serde(rename = "store")]
     pub reaches_store: bool,
     /// Whether the sender reads the store directly, so that others may read through it.
@@ -235,10 +236,11 @@
             && !heartbeats.any(|(heartbeat, _)| heartbeat.is_planner)
     }
 
-    /// Returns whether any peer reaches the store.
+    /// Returns whether any peer reaches the store. One that reads it may say that it does not reach
+    /// it, because it can't be the planner.
     pub fn any_reaches_store(&self, now: Time) -> bool {
         self.heartbeats(now)
-            .any(|(heartbeat, _)| heartbeat.reaches_store)
+            .any(|(heartbeat, _)| heartbeat.reaches_store || heartbeat.reads_store)
     }
 
     /// Returns whether the given peer reads the store directly.
@@ -259,6 +261,18 @@
             .any(|(heartbeat, _)| heartbeat.has_traffic)
     }
 
+    /// Returns whether this VM should ask for the planner's lease, or for its renewal if it holds it. A
+    /// VM that is cut off from the engines leaves it to others.
+    pub fn should_hold_lease(
+        &self,
+        now: Time,
+        this_vm: &Member,
+        holds: bool,
+        path: PathState,
+    ) -> bool {
+        path != PathState::Cut && (holds || self.should_plan(now, this_vm))
+    }
+
     /// Returns whether this VM should ask to become the planner: no live peer is the planner, and
     /// none that is ready and reaches the store ranks before this VM.
     pub fn should_plan(&self, now: Time, this_vm: &Member) -> bool {
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -8,6 +8,7 @@
 use hemlock_lib::node::capacity::{self, Demand, DemandMeter, RequestSize};
 use hemlock_lib::node::events::{EventPosition, EventSplitter, event_position};
 use hemlock_lib::node::peers::{Heartbeat, Member, Peers, addresses_for_caller};
+use hemlock_lib::node::reach::PathState;
 
 use hemlock_lib::node::settings::NodeSettings;
 use hemlock_lib::time::Time;
@@ -184,6 +185,37 @@
     assert!(!peers.should_plan(at(0), &member("b")));
 }
 
+/// The VM that ranks first can't give orders to engines that it does not reach.
+#[test]
+fn planner_that_is_cut_off_leaves_the_lease_to_a_peer_with_a_path() {
+    let mut at_first = Peers::default();
+    at_first.record_heartbeat(at(0), heartbeat("b", 1));
+    let holds = |path, held| at_first.should_hold_lease(at(0), &member("a"), held, path);
+    // Nobody has a path while it is only doubtful.
+    for path in [PathState::Direct, PathState::Doubtful] {
+        assert!(holds(path, true) && holds(path, false));
+    }
+    assert!(!holds(PathState::Cut, true) && !holds(PathState::Cut, false));
+    let mut at_second = Peers::default();
+    let cut = Heartbeat {
+        reaches_store: false,
+        reads_store: true,
+        ..heartbeat("a", 1)
+    };
+    at_second.record_heartbeat(at(0), cut);
+    let this_vm = member("b");
+    assert!(at_second.should_hold_lease(at(0), &this_vm, false, PathState::Direct));
+    // That a peer can't plan is no outage of the store.
+    assert!(at_second.any_reaches_store(at(0)));
+    // The first VM does not take the lease back when its path has healed.
+    let planner = Heartbeat {
+        is_planner: true,
+        ..heartbeat("b", 2)
+    };
+    at_first.record_heartbeat(at(0), planner);
+    assert!(!at_first.should_hold_lease(at(0), &member("a"), false, PathState::Direct));
+}
+
 /// Regression test (qcl-sfax, scenario store-and-workers, seed 14): a VM whose source was cut off
 /// from the store treated that as an outage, and kept a removed endpoint in use for 2 s too long.
 #[test]
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -10,7 +10,7 @@
 use hemlock_lib::node::capacity::{self, Demand};
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::planner::{self, Output, Planner, PlannerInput, Summary};
-use hemlock_lib::node::reach::PathFailure;
+use hemlock_lib::node::reach::{PathFailure, PathState};
 use hemlock_lib::time::Time;
 use hemlock_platform::engines::{self, ReportOutcome};
 use tokio::task::spawn_local;
@@ -91,15 +91,23 @@
         }
         let held = leadership.borrow().expires.is_some_and(|t| t > now);
         let is_backing_off = node.lease_backoff_until.get().is_some_and(|t| t > now);
-        let is_first_choice =
-            !is_backing_off && node.peers.borrow().should_plan(now, &node.identity);
-        let wants_lease = held || is_first_choice;
+        let path = node.path_state(now);
+        let wants_lease = (held || !is_backing_off)
+            && node
+                .peers
+                .borrow()
+                .should_hold_lease(now, &node.identity, held, path);
         if wants_lease && node.is_ready() {
             is_in_planner_group = true;
             request_lease(&node, &leadership, now, lease).await;
         } else if is_in_planner_group {
             // The store may grant the lease to any VM in its group of planners, so a VM that should
             // not be the planner leaves the group.
+            if path == PathState::Cut {
+                // Peers that can give orders take over.
+                let mut leadership = leadership.borrow_mut();
+                (leadership.expires, leadership.last_held) = (None, None);
+            }
             match node.store.leave_planners(&node.planner_name()).await {
                 Ok(()) => is_in_planner_group = false,
                 Err(e) => log::warn!("event=duty_unreturned cause=\"{e}\""),
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -8,6 +8,7 @@
 
 use hemlock_lib::node::endpoints::EngineReport;
 use hemlock_lib::node::peers::{Heartbeat, Message};
+use hemlock_lib::node::reach::PathState;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
 use tokio::net::UdpSocket;
@@ -118,7 +119,7 @@
         sequence,
         ready: node.is_ready(),
         config_version: node.config().map_or(0, |c| c.version),
-        reaches_store: node.store_up() && node.lease_backoff_until.get().is_none_or(|t| t <= now),
+        reaches_store: may_plan(node, now),
         reads_store: node.reads_store(),
         is_planner: node.is_planner.get(),
         has_traffic: node.has_traffic.get(),
@@ -136,6 +137,12 @@
     }
 }
 
+/// Returns whether this VM may become the planner.
+fn may_plan(node: &Node, now: Time) -> bool {
+    let is_backing_off = node.lease_backoff_until.get().is_some_and(|t| t > now);
+    node.store_up() && !is_backing_off && node.path_state(now) != PathState::Cut
+}
+
 /// Reads the configuration from a peer if peers have had a newer one for longer than [`MAX_LAG`]:
 /// the store may have lost it.
 fn follow_newer_config(node: &Rc<Node>, now: Time, heartbeat: &Heartbeat) {
