--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -10,26 +10,24 @@
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
 use hemlock_wire::http1::{self, Conn};
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
 
-use crate::front::{self, ConnectionAction};
+use crate::connections::{self, HeadRead};
+use crate::front::ConnectionAction;
 use crate::peer_requests;
 use crate::state::Node;
 
 /// Time for which a peer holds a read when it has nothing new; its empty reply shows that it is
 /// alive.
 const LONG_POLL: Duration = Duration::from_millis(500);
-/// Time beyond [`LONG_POLL`] after which a read has failed. It is also the pause after a failed
-/// accept.
+/// Time beyond [`LONG_POLL`] after which a read has failed.
 const READ_GRACE: Duration = Duration::from_millis(400);
+/// Time after which a connection on which a peer reads nothing is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size in bytes of the head of a message, beyond the head of a caller's request.
 const MAX_HEAD_BYTES: usize = 8 << 10;
-/// Time for which a connection of a peer is kept that sends nothing.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum size in bytes of the body of a reply.
 const MAX_REPLY_BYTES: usize = 16 << 20;
 /// Time for which a peer may be ahead of this VM before the source of this VM counts as stale.
@@ -79,35 +77,23 @@
     }
 }
 
-/// Accepts connections of peers, and serves the topics and the requests that they pass on to them,
-/// until the process ends.
-pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((io, _)) => {
-                if let Ok(conn) = Conn::new(io) {
-                    spawn_local(serve(node.clone(), conn));
-                }
-            }
-            Err(e) => {
-                log::warn!("event=accept_failed role=feed cause=\"{e}\"");
-                tokio::time::sleep(READ_GRACE).await;
-            }
-        }
-    }
-}
-
-async fn serve(node: Rc<Node>, mut conn: Conn) {
-    loop {
+/// Serves the topics to a peer on one connection, and the requests that it passes on.
+pub(crate) async fn serve(node: Rc<Node>, mut conn: Conn) {
+    let mut is_new = true;
+    while connections::wait_for_request(&node, &mut conn, IDLE_TIMEOUT, is_new).await {
+        is_new = false;
         let limits = node.config().map(|c| c.limits).unwrap_or_default();
-        let read = conn.read_request_head(limits.head_bytes + MAX_HEAD_BYTES);
-        let Ok(Ok(head)) = tokio::time::timeout(IDLE_TIMEOUT, read).await else {
-            return;
+        let max_bytes = limits.head_bytes + MAX_HEAD_BYTES;
+        let read = connections::read_head(&node, &mut conn, max_bytes, IDLE_TIMEOUT).await;
+        let head = match read {
+            HeadRead::Head(head) => head,
+            HeadRead::Stopping => return connections::refuse_unread(&mut conn).await,
+            HeadRead::Failed(_) | HeadRead::TimedOut => return,
         };
         if peer_requests::is_passed_on(&head) {
             match peer_requests::handle(&node, &mut conn, head).await {
                 ConnectionAction::KeepOpen => continue,
-                ConnectionAction::Close => return front::linger(&mut conn).await,
+                ConnectionAction::Close => return connections::linger(&mut conn).await,
                 ConnectionAction::Abort => return,
             }
         }
@@ -151,15 +137,18 @@
             update.await;
         }
     };
-    match tokio::time::timeout(LONG_POLL, wait).await {
-        Ok(batch) => Some(batch),
-        Err(_) => from.map(|next| Batch {
-            entries: Vec::new(),
-            next,
-            is_snapshot: false,
-            store_down: !feed.store_up.get(),
-        }),
+    tokio::select! {
+        biased;
+        batch = wait => return Some(batch),
+        () = node.stop.closing() => {}
+        () = tokio::time::sleep(LONG_POLL) => {}
     }
+    from.map(|next| Batch {
+        entries: Vec::new(),
+        next,
+        is_snapshot: false,
+        store_down: !feed.store_up.get(),
+    })
 }
 
 /// Parses a request target of the form `/TOPIC/POSITION`; a position that is no number asks for all
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -226,8 +226,8 @@
         connected,
         answered,
         has_path: node.reach.borrow().has_path(now),
-        stopping: node.stopping_since.get().is_some(),
-        open_requests: node.open_requests.get().min(u32::MAX as usize) as u32,
+        stopping: node.stop.is_stopping(),
+        open_requests: node.stop.open_requests().min(u32::MAX as usize) as u32,
         cores: node.identity.cores,
         address: node.identity.peer_address,
     });
--- a/node/src/peer_requests.rs
+++ b/node/src/peer_requests.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Counter;
 use crate::relay;
 use crate::state::Node;
+use crate::stop::CountGuard;
 
 /// Time in which a peer sends the body of a request after it was accepted.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -43,10 +44,8 @@
     };
     head.target.drain(..passing::TARGET_PREFIX.len());
     head.headers.remove_prefixed(passing::HEADER_PREFIX);
-    node.open_requests.set(node.open_requests.get() + 1);
-    let action = take_over(node, conn, head, passed).await;
-    node.open_requests.set(node.open_requests.get() - 1);
-    action
+    let _open = CountGuard::request(node);
+    take_over(node, conn, head, passed).await
 }
 
 /// Reads the message of a peer. Fails unless it has the secret of this VM.
@@ -120,7 +119,7 @@
         suspects,
         passed: Some(passed),
     };
-    let keep_alive = node.stopping_since.get().is_none();
+    let keep_alive = !node.stop.is_stopping();
     relay::relay(node, conn, &request, keep_alive).await
 }
 
@@ -140,7 +139,7 @@
     now: Time,
     passed: &PassedRequest,
 ) -> Result<Rc<hemlock_lib::node::config::Config>, &'static str> {
-    if node.stopping_since.get().is_some() {
+    if node.stop.is_stopping() {
         return Err("stopping");
     }
     if node.path_state(now) == PathState::Cut {
--- a/node/src/relay/report.rs
+++ b/node/src/relay/report.rs
@@ -39,7 +39,7 @@
     pub(super) fn time_until_exit(&self, now: Time) -> Option<Duration> {
         let passed = self.request.passed.as_ref();
         let peer_exit = passed.and_then(|p| p.exit_ms).map(Duration::from_millis);
-        let own_exit = self.node.time_until_exit(now);
+        let own_exit = self.node.stop.time_left(now);
         own_exit.into_iter().chain(peer_exit).min()
     }
 
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -462,7 +462,7 @@
 /// Writes a record to the list of members, with retries until it succeeds or the VM is stopping.
 async fn write_record(node: &Node, key: &str, value: &[u8]) {
     let mut wait = MIN_BACKOFF;
-    while node.stopping_since.get().is_none() {
+    while !node.stop.is_stopping() {
         match node.store.put(Topic::Members, key, Some(value)).await {
             Ok(()) => return,
             Err(e) => {
