--- a/lib/tests/test_node_reach.rs
+++ b/lib/tests/test_node_reach.rs
@@ -371,7 +371,7 @@
         for is_pooled in [true, false] {
             let mut world = World::new(5, 20, 20);
             world.vms[0].is_pooled = is_pooled;
-            // Requests on old connections say nothing of new ones.
+            // Requests on old connections go on, and nothing has to be passed on.
             if link == Link::OldOnly && is_pooled {
                 continue;
             }
@@ -549,6 +549,22 @@
     }
 }
 
+/// A request that takes long is the only one of its VM.
+#[test]
+fn slow_requests_of_a_vm_with_little_traffic_cost_few_probes() {
+    let mut world = World::new(5, 20, 0);
+    for _ in 0..10 {
+        let start = world.now_ms;
+        for ms in (QUIET_MS..3_000).step_by(100) {
+            world.vms[0].pending.push((start + ms, 0, Event::Quiet));
+        }
+        world.run(3_000);
+    }
+    assert!(!world.ever_cut());
+    let probes = world.vms[0].probes;
+    assert!(probes <= 30, "{probes} probes in 30 s");
+}
+
 #[test]
 fn probes_and_queries_in_a_cut_are_bounded() {
     let mut world = World::new(76, 60, 15);
@@ -657,3 +673,20 @@
     assert!(reach.was_cut_since(start));
     assert!(!reach.was_cut_since(Time::from_millis(world.now_ms)));
 }
+
+/// Three unanswered probes in a row of the planner, which begin 250 ms after an engine was last
+/// heard and take 100 ms each, have an engine replaced.
+#[test]
+fn cut_vm_counts_no_probe_as_unanswered() {
+    for link in [Link::Hang, Link::Reset, Link::Mute] {
+        let mut world = World::new(5, 20, 20);
+        world.cut(0, link);
+        world.run(350);
+        for _ in 0..80 {
+            let now = Time::from_millis(world.now_ms);
+            assert!(!world.vms[0].reach.hears_others(now), "{link:?}");
+            assert!(world.vms[1].reach.hears_others(now), "{link:?}");
+            world.run(50);
+        }
+    }
+}
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -77,14 +77,14 @@
     }
 }
 
-/// Serves the topics to a peer on one connection, and takes the requests that it passes on.
+/// Serves the topics to a peer on one connection, and the requests that it passes on.
 pub(crate) async fn serve(node: Rc<Node>, mut conn: Conn) {
     let mut is_new = true;
     while connections::wait_for_request(&node, &mut conn, IDLE_TIMEOUT, is_new).await {
         is_new = false;
         let limits = node.config().map(|c| c.limits).unwrap_or_default();
-        let max_head = limits.head_bytes + MAX_HEAD_BYTES;
-        let read = connections::read_head(&node, &mut conn, max_head, IDLE_TIMEOUT).await;
+        let max_bytes = limits.head_bytes + MAX_HEAD_BYTES;
+        let read = connections::read_head(&node, &mut conn, max_bytes, IDLE_TIMEOUT).await;
         let head = match read {
             HeadRead::Head(head) => head,
             HeadRead::Stopping => return connections::refuse_unread(&mut conn).await,
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -349,9 +349,7 @@
             first_event_limit: self.first_event_limit(now),
             time_left: self.request.deadline.since(now),
             shutdown_limit: self
-                .node
-                .stop
-                .time_left(now)
+                .time_until_exit(now)
                 .filter(|_| {
                     self.request.route.request_kind.is_stream() && self.sends.possible_runs == 0
                 })
