--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -11,5 +11,6 @@
 mod test_restored_store;
 mod test_soak;
 mod test_stop;
+mod test_stop_edges;
 mod test_stop_end;
 mod test_streams;
--- /dev/null
+++ b/node/tests/test_stop_edges.rs
@@ -0,0 +1,93 @@
+//! Requests at the edges of a graceful stop: behind others, at endpoints that stand still, at a
+//! daemon that was suspended, and signals that come at a bad time.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use hemlock_platform_standin::caller;
+use hemlock_platform_standin::endpoint::Endpoint;
+
+use crate::node_process::{NodeProcess, config, request};
+
+/// Time after the signal at which the node is about to close.
+const LATE: Duration = Duration::from_millis(5_000);
+
+fn short_request(id: &str) -> String {
+    request("POST", "/once/a", id, "", "x").replace("-Ms: 3000", "-Ms: 500")
+}
+
+fn terminate(node: &NodeProcess) -> Instant {
+    node.terminate();
+    let since = Instant::now();
+    node.wait_until("the node is not ready", |n| n.ready_status() == 503);
+    since
+}
+
+/// Starts an endpoint that sends `answer` to each connection and never reads.
+fn spawn_unreading_endpoint(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut open = Vec::new();
+        for mut io in listener.incoming().map_while(Result::ok) {
+            let _ = io.write_all(answer.as_bytes());
+            open.push(io);
+        }
+    });
+    address
+}
+
+/// Sends a request to a stopping node whose only endpoint is at `address`, and returns the answer and
+/// the time that it took.
+fn send_late(address: SocketAddr, text: &str) -> (caller::Response, Duration) {
+    let mut node = NodeProcess::unconfigured();
+    let endpoint = Endpoint::spawn(&node.store, "p1", "plain", None);
+    endpoint.publish_entry_at(address);
+    let mut settings = config(1);
+    settings["limits"]["maxBodyBytes"] = serde_json::json!(32 << 20);
+    node.configure(&settings);
+    node.wait_until("the endpoint serves", |n| {
+        !n.log_lines("event=serving").is_empty()
+    });
+    terminate(&node);
+    std::thread::sleep(LATE);
+    let sent = Instant::now();
+    let response = caller::send(node.front, text);
+    let elapsed = sent.elapsed();
+    assert!(node.wait_for_exit());
+    (response, elapsed)
+}
+
+/// The end of a request's time did not end the sending of its body to an endpoint that stands still.
+#[test]
+fn request_with_a_long_body_for_a_silent_endpoint_is_answered_before_a_stopping_node_ends() {
+    let address = spawn_unreading_endpoint("");
+    let body = "x".repeat(24 << 20);
+    let text = request("POST", "/once/a", "r1", "", &body).replace("-Ms: 3000", "-Ms: 1000");
+    let (response, elapsed) = send_late(address, &text);
+    assert_eq!((response.status, response.complete), (504, true));
+    assert!(elapsed < Duration::from_millis(1_500), "{elapsed:?}");
+}
+
+/// The end of a request's time did not end the reading of a refusal that stops half-way.
+#[test]
+fn request_whose_refusal_stops_half_way_is_answered_before_a_stopping_node_ends() {
+    let address = spawn_unreading_endpoint(
+        "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nhalf",
+    );
+    let (response, elapsed) = send_late(address, &short_request("r1"));
+    assert_eq!((response.status, response.complete), (503, true));
+    assert!(elapsed < Duration::from_millis(1_000), "{elapsed:?}");
+}
+
+/// As above, with an answer that names another request.
+#[test]
+fn request_whose_foreign_answer_stops_half_way_is_answered_before_a_stopping_node_ends() {
+    let address = spawn_unreading_endpoint(
+        "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Stamp: a\r\nContent-Length: 9\r\n\r\nhalf",
+    );
+    let (response, elapsed) = send_late(address, &short_request("r1"));
+    assert_eq!((response.status, response.complete), (504, true));
+    assert!(elapsed < Duration::from_millis(1_000), "{elapsed:?}");
+}
