node: a stopping node answers requests that it has read behind another

From SIGTERM on, each answer closed its connection, and what the caller had sent behind the request was read and thrown away: a whole request that was read and never answered. The connection is now kept until nothing that was read is left.

Callers that wait for an answer before they send again never met this; not seen in a report.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -148,7 +148,7 @@
         }
     };
     let id = meta.request_id.clone();
-    let keep_alive = head.keep_alive && !node.stop.is_stopping();
+    let keep_alive = head.keep_alive && (!node.stop.is_stopping() || conn.has_buffered_bytes());
     let Some(config) = config else {
         return refuse(
             node,
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -602,6 +602,7 @@
         if self.delivered.head {
             return SendOutcome::MayHaveRun("refused_to_go_on");
         }
+        self.note_pipelined(caller);
         let mut out = requests::encode_response(head);
         http1::put_header(
             &mut out,
@@ -627,6 +628,11 @@
         }
     }
 
+    /// Keeps the caller's connection open if the next request was already read in part.
+    fn note_pipelined(&mut self, caller: &Conn) {
+        self.keep_alive |= self.request.head.keep_alive && caller.has_buffered_bytes();
+    }
+
     /// Writes to the caller until the deadline; returns whether all was written.
     async fn write_to_caller(&self, caller: &mut Conn, bytes: &[u8]) -> bool {
         let time_left = self.request.deadline.since(self.node.now());
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -96,7 +96,7 @@
     /// Ends a request that is not sent to any more endpoints. Refuses it with 503 if it did not
     /// run, fails it with 502 if it may have run, and cuts off a stream that has begun.
     pub(super) async fn give_up(
-        &self,
+        &mut self,
         conn: &mut Conn,
         cause: &'static str,
         retry_after: Duration,
@@ -114,6 +114,7 @@
         }
         // A resumable stream could be sent again, but this attempt of the caller may have run.
         if self.possible_runs == 0 {
+            self.note_pipelined(conn);
             return front::refuse(
                 self.node,
                 conn,
@@ -128,7 +129,7 @@
     }
 
     /// Ends a request whose deadline has passed: with 504 if it may have run.
-    pub(super) async fn deadline_passed(&self, conn: &mut Conn) -> ConnectionAction {
+    pub(super) async fn deadline_passed(&mut self, conn: &mut Conn) -> ConnectionAction {
         if self.delivered.head || self.possible_runs == 0 {
             return self.give_up(conn, "overdue", Duration::ZERO).await;
         }
@@ -136,7 +137,13 @@
     }
 
     /// Answers a request that may have run with an error status.
-    async fn fail(&self, conn: &mut Conn, status: u16, cause: &'static str) -> ConnectionAction {
+    async fn fail(
+        &mut self,
+        conn: &mut Conn,
+        status: u16,
+        cause: &'static str,
+    ) -> ConnectionAction {
+        self.note_pipelined(conn);
         log::info!(
             "event=failed request={} status={status} cause={cause} ms={} attempts={}",
             self.request_id(),
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -153,6 +153,7 @@
         if events > 0 {
             let mut message = Vec::new();
             if !self.delivered.head {
+                self.note_pipelined(caller);
                 message = self.stream_head(head);
             }
             message.extend_from_slice(&out);
@@ -201,6 +202,7 @@
     async fn finish_stream(&mut self, caller: &mut Conn, head: &ResponseHead) -> SendOutcome {
         let mut out = Vec::new();
         if !self.delivered.head {
+            self.note_pipelined(caller);
             out = self.stream_head(head);
         }
         out.extend_from_slice(http1::LAST_CHUNK);
--- a/node/tests/test_stop_edges.rs
+++ b/node/tests/test_stop_edges.rs
@@ -1,8 +1,8 @@
 //! Requests at the edges of a graceful stop: behind others, at endpoints that stand still, at a
 //! daemon that was suspended, and signals that come at a bad time.
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::caller;
@@ -17,6 +17,13 @@
     request("POST", "/once/a", id, "", "x").replace("-Ms: 3000", "-Ms: 500")
 }
 
+fn read_all(io: &mut TcpStream) -> (String, Option<ErrorKind>) {
+    let _ = io.set_read_timeout(Some(Duration::from_secs(10)));
+    let mut bytes = Vec::new();
+    let error = io.read_to_end(&mut bytes).err().map(|e| e.kind());
+    (String::from_utf8_lossy(&bytes).into_owned(), error)
+}
+
 fn terminate(node: &NodeProcess) -> Instant {
     node.terminate();
     let since = Instant::now();
@@ -24,6 +31,42 @@
     since
 }
 
+/// A request that came together with another one was read and thrown away.
+#[test]
+fn request_that_a_stopping_node_has_read_behind_another_is_answered() {
+    let (mut node, _endpoints) = NodeProcess::with_plain_endpoints();
+    terminate(&node);
+    let mut io = TcpStream::connect(node.front).unwrap();
+    let both = short_request("r1") + &short_request("r2");
+    io.write_all(both.as_bytes()).unwrap();
+    let (text, _) = read_all(&mut io);
+    for id in ["r1", "r2"] {
+        assert!(text.contains(&format!("Request-Id: {id}\r\n")), "{text}");
+    }
+    assert!(node.wait_for_exit());
+}
+
+/// A request that came while the one before it ran was read and thrown away.
+#[test]
+fn request_that_a_stopping_node_has_read_while_another_ran_is_answered() {
+    let (mut node, endpoints) = NodeProcess::with_plain_endpoints();
+    endpoints
+        .iter()
+        .for_each(|e| e.set_run_time(Duration::from_millis(300)));
+    terminate(&node);
+    std::thread::sleep(LATE);
+    let mut io = TcpStream::connect(node.front).unwrap();
+    io.write_all(short_request("r1").as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(150));
+    io.write_all(short_request("r2").as_bytes()).unwrap();
+    let (text, _) = read_all(&mut io);
+    for id in ["r1", "r2"] {
+        assert!(text.contains(&format!("Request-Id: {id}\r\n")), "{text}");
+    }
+    assert!(text.contains("Connection: close"), "{text}");
+    assert!(node.wait_for_exit());
+}
+
 /// Starts an endpoint that sends `answer` to each connection and never reads.
 fn spawn_unreading_endpoint(answer: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
