--- a/node/tests/node_process.rs
+++ b/node/tests/node_process.rs
@@ -174,8 +174,15 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends the signal called `name`, without the prefix `SIG`.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &pid]).status();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
         assert!(status.expect("kill runs").success());
     }
 
--- a/node/tests/test_stop_edges.rs
+++ b/node/tests/test_stop_edges.rs
@@ -7,11 +7,14 @@
 
 use hemlock_platform_standin::caller;
 use hemlock_platform_standin::endpoint::Endpoint;
+use hemlock_platform_standin::store;
 
 use crate::node_process::{NodeProcess, config, request};
 
 /// Time after the signal at which the node is about to close.
 const LATE: Duration = Duration::from_millis(5_000);
+/// Time after the signal by which the platform ends a process.
+const GRACE: Duration = Duration::from_secs(8);
 
 fn short_request(id: &str) -> String {
     request("POST", "/once/a", id, "", "x").replace("-Ms: 3000", "-Ms: 500")
@@ -24,6 +27,11 @@
     (String::from_utf8_lossy(&bytes).into_owned(), error)
 }
 
+fn runs(endpoints: &[Endpoint]) -> Vec<String> {
+    let runs = endpoints.iter().flat_map(Endpoint::runs);
+    runs.map(|run| run.request_id).collect()
+}
+
 fn terminate(node: &NodeProcess) -> Instant {
     node.terminate();
     let since = Instant::now();
@@ -134,3 +142,104 @@
     assert_eq!((response.status, response.complete), (504, true));
     assert!(elapsed < Duration::from_millis(1_000), "{elapsed:?}");
 }
+
+#[test]
+fn further_signals_and_a_silent_store_do_not_change_a_stop() {
+    let (mut node, endpoints) = NodeProcess::with_plain_endpoints();
+    node.store.set_mode(store::Mode::Silent);
+    let since = terminate(&node);
+    node.signal("TERM");
+    node.signal("INT");
+    node.signal("HUP");
+    std::thread::sleep(LATE);
+    assert_eq!(caller::send(node.front, &short_request("r1")).status, 200);
+    node.wait_until("the node closes", |n| {
+        !n.log_lines("event=closing").is_empty()
+    });
+    node.signal("TERM");
+    node.signal("HUP");
+    assert!(node.wait_for_exit());
+    assert!(since.elapsed() < GRACE);
+    assert_eq!(runs(&endpoints), ["r1"]);
+}
+
+#[test]
+fn node_without_configuration_refuses_until_it_ends() {
+    let mut node = NodeProcess::unconfigured();
+    node.wait_until("the node answers", |n| n.ready_status() == 503);
+    node.terminate();
+    std::thread::sleep(LATE);
+    let response = caller::send(node.front, &short_request("r1"));
+    assert_eq!((response.status, response.complete), (503, true));
+    assert!(node.wait_for_exit());
+}
+
+/// A request whose body is awaited after an interim response is read in full or refused.
+#[test]
+fn caller_that_awaits_an_interim_response_is_answered_when_a_stopping_node_closes() {
+    let (mut node, _endpoints) = NodeProcess::with_plain_endpoints();
+    terminate(&node);
+    std::thread::sleep(LATE);
+    let text = request("POST", "/once/a", "r1", "Expect: 100-continue\r\n", "body");
+    let (head, body) = text.split_at(text.len() - 4);
+    let mut callers: Vec<TcpStream> = ["1000", "3000"]
+        .iter()
+        .map(|deadline| {
+            let head = head.replace("-Ms: 3000", &format!("-Ms: {deadline}"));
+            let mut io = TcpStream::connect(node.front).unwrap();
+            io.write_all(head.as_bytes()).unwrap();
+            io
+        })
+        .collect();
+    node.wait_until("the node closes", |n| {
+        !n.log_lines("event=closing").is_empty()
+    });
+    callers[0].write_all(body.as_bytes()).unwrap();
+    for (io, status) in callers.iter_mut().zip(["200", "503"]) {
+        let (text, error) = read_all(io);
+        assert!(text.starts_with("HTTP/1.1 100 "), "{text} {error:?}");
+        assert!(text.contains(&format!("HTTP/1.1 {status} ")), "{text}");
+    }
+    assert!(node.wait_for_exit());
+}
+
+/// Suspends a stopping node until `suspended_until` after the signal, while callers send to it.
+fn check_suspended_stop(suspended_until: Duration) {
+    let (mut node, endpoints) = NodeProcess::with_plain_endpoints();
+    endpoints
+        .iter()
+        .for_each(|e| e.set_run_time(Duration::from_millis(150)));
+    let since = terminate(&node);
+    std::thread::sleep(Duration::from_millis(500));
+    node.signal("STOP");
+    let mut callers: Vec<TcpStream> = (0..10)
+        .map(|i| {
+            let mut io = TcpStream::connect(node.front).unwrap();
+            let text = short_request(&format!("r{i}"));
+            io.write_all(text.as_bytes()).unwrap();
+            io
+        })
+        .collect();
+    std::thread::sleep(suspended_until.saturating_sub(since.elapsed()));
+    node.signal("CONT");
+    let answers: Vec<_> = callers.iter_mut().map(read_all).collect();
+    assert!(node.wait_for_exit());
+    let ran = runs(&endpoints);
+    for (i, (text, error)) in answers.iter().enumerate() {
+        let has_run = ran.contains(&format!("r{i}"));
+        assert!(
+            !has_run || text.starts_with("HTTP/1.1 200 "),
+            "r{i} after {suspended_until:?}: {text} {error:?}"
+        );
+    }
+}
+
+/// The time for which a process is suspended counts, so that it may wake when its end is due.
+#[test]
+fn node_that_wakes_when_its_end_is_due_runs_nothing_that_it_does_not_answer() {
+    std::thread::scope(|scope| {
+        for ms in [6_000, 7_650, 9_000] {
+            scope.spawn(move || check_suspended_stop(Duration::from_millis(ms)));
+        }
+    });
+}
