gateway: a caller that does not read its answer no longer delays the end of a stop

Since a gateway that had reached the end of `drain_s` waited up to 11 s more for all pending requests, also for those whose caller had stopped reading: with a caller that reads one byte of an endless answer, a stop with a limit of 0.5 s took 12.1 s.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -112,7 +112,9 @@
         let _ = self.events.send(Event::Stop);
         // Without the event loop, a request whose rest arrives now is refused.
         let since = clock::now();
-        while self.pending_responses.count() > 0 && clock::now().since(since) < REFUSAL_TIMEOUT {
+        while self.pending_responses.count_unread_bodies() > 0
+            && clock::now().since(since) < REFUSAL_TIMEOUT
+        {
             std::thread::sleep(STOP_CHECK_INTERVAL);
         }
         std::thread::sleep(FLUSH_DELAY);
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -19,31 +19,60 @@
 /// Maximum number of decisions queued for one request. Only one is outstanding at a time.
 const DECISION_QUEUE_LIMIT: usize = 4;
 
-/// Counter of the requests whose response has not been returned or, if it is streamed, not been
+/// Counters of the requests whose response has not been returned or, if it is streamed, not been
 /// read to its end; shared by all clones.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct PendingResponses(Arc<AtomicUsize>);
+pub(crate) struct PendingResponses(Arc<PendingCounts>);
+
+#[derive(Debug, Default)]
+struct PendingCounts {
+    requests: AtomicUsize,
+    /// Requests among them whose body has not been read in full.
+    unread_bodies: AtomicUsize,
+}
 
 /// Counts one request until it is dropped.
 #[derive(Debug)]
-pub(crate) struct PendingResponseGuard(PendingResponses);
+pub(crate) struct PendingResponseGuard {
+    counts: Arc<PendingCounts>,
+    is_body_unread: bool,
+}
 
 impl PendingResponses {
-    /// Counts a request until the returned guard is dropped.
+    /// Counts a request, whose body is unread, until the returned guard is dropped.
     pub(crate) fn track(&self) -> PendingResponseGuard {
-        self.0.fetch_add(1, Ordering::SeqCst);
-        PendingResponseGuard(self.clone())
+        self.0.requests.fetch_add(1, Ordering::SeqCst);
+        self.0.unread_bodies.fetch_add(1, Ordering::SeqCst);
+        PendingResponseGuard {
+            counts: self.0.clone(),
+            is_body_unread: true,
+        }
     }
 
     /// Returns the number of requests that are counted now.
     pub(crate) fn count(&self) -> usize {
-        self.0.load(Ordering::SeqCst)
+        self.0.requests.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of requests whose body has not been read in full.
+    pub(crate) fn count_unread_bodies(&self) -> usize {
+        self.0.unread_bodies.load(Ordering::SeqCst)
+    }
+}
+
+impl PendingResponseGuard {
+    /// Records that the body of the request was read.
+    pub(crate) fn note_body_read(&mut self) {
+        if std::mem::take(&mut self.is_body_unread) {
+            self.counts.unread_bodies.fetch_sub(1, Ordering::SeqCst);
+        }
     }
 }
 
 impl Drop for PendingResponseGuard {
     fn drop(&mut self) {
-        self.0.0.fetch_sub(1, Ordering::SeqCst);
+        self.note_body_read();
+        self.counts.requests.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -188,11 +188,12 @@
     if request.method() != Method::POST {
         return refuse(Code::WrongMethod);
     }
-    let pending_guard = state.pending_responses.track();
+    let mut pending_guard = state.pending_responses.track();
     let payload = match read_body(payload, state.max_body_bytes).await {
         Ok(payload) => payload,
         Err(code) => return refuse(code),
     };
+    pending_guard.note_body_read();
     let Ok(call) = serde_json::from_slice::<ChatCall>(&payload) else {
         return refuse(Code::BadBody);
     };
@@ -360,11 +361,12 @@
     path: types::Path<(String, String)>,
     payload: types::Payload,
 ) -> HttpResponse {
-    let _pending_guard = state.pending_responses.track();
+    let mut pending_guard = state.pending_responses.track();
     let payload = match read_body(payload, state.max_body_bytes).await {
         Ok(payload) => payload,
         Err(code) => return refuse(code),
     };
+    pending_guard.note_body_read();
     let (service, path) = path.into_inner();
     let claim_key = match service_idempotency_key(&request) {
         Ok(claim_key) => claim_key,
--- a/gateway/tests/test_stop.rs
+++ b/gateway/tests/test_stop.rs
@@ -87,3 +87,25 @@
     assert!(answered > 0);
     stop.join().expect("the gateway stops");
 }
+
+/// A caller that did not read its answer kept the gateway for 11 s beyond the stated end.
+#[test]
+fn gateway_stops_at_the_stated_end_while_a_caller_does_not_read_its_answer() {
+    let engine = Endpoint::spawn(&[Behaviour::Endless; 1]);
+    let mut harness = Harness::spawn(&[&engine], &[]);
+    let gateway = harness.gateway.take().expect("it runs");
+    let body = chat_body(true, 4_000_000, "hello");
+    let text = request("POST", "/v1/chat/completions", &[AUTH], body.as_bytes());
+    let mut stream = TcpStream::connect(&harness.url[7..]).expect("it listens");
+    stream.write_all(&text).expect("the connection is open");
+    let mut first = [0];
+    stream.read_exact(&mut first).expect("the answer begins");
+    std::thread::sleep(Duration::from_secs(2));
+    let started = Instant::now();
+    gateway.stop_gracefully(Duration::ZERO, Duration::from_millis(500));
+    assert!(
+        started.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        started.elapsed()
+    );
+}
