soak: stops of all VMs in series, and callers that use a VM to its end

The soak missed requests lost at the end of a stopping VM: its callers kept addresses for 1 s, their deadlines were so long that a VM refuses them from 4.5 s after SIGTERM on, endpoints answered at once, and other faults excused most stops. Schedules of other runs are unchanged.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -15,6 +15,11 @@
 const REQUEST_PAUSE: Duration = Duration::from_millis(15);
 /// Time for which a caller caches the addresses that a directory returned.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
+/// One caller in this many uses entry VMs to their end: it caches addresses for
+/// [`LONG_ADDRESS_TTL`], and its requests but streams are so short that a stopping VM takes them.
+const LATE_CALLERS: usize = 3;
+/// Time for which a late caller caches addresses.
+const LONG_ADDRESS_TTL: Duration = Duration::from_secs(6);
 /// Share of the requests that are sent over an open connection, if there is one.
 const REUSE_SHARE: f64 = 0.8;
 
@@ -151,7 +156,10 @@
         };
         self.count += 1;
         let id = format!("c{}-{}", self.index, self.count);
-        let (kind, text) = self.build_request(&id);
+        let (kind, mut text) = self.build_request(&id);
+        if self.is_late() && kind != RequestKind::Stream {
+            text = text.replace("Deadline-Ms: 3000", "Deadline-Ms: 500");
+        }
         let sent_at = Instant::now();
         let response = caller::exchange(&mut io, &text);
         let closes = response
@@ -169,8 +177,16 @@
         })
     }
 
+    fn is_late(&self) -> bool {
+        self.index.is_multiple_of(LATE_CALLERS)
+    }
+
     fn choose_address(&mut self) -> Option<SocketAddr> {
-        if self.addresses.1.is_empty() || self.addresses.0.elapsed() > ADDRESS_TTL {
+        let ttl = match self.is_late() {
+            true => LONG_ADDRESS_TTL,
+            false => ADDRESS_TTL,
+        };
+        if self.addresses.1.is_empty() || self.addresses.0.elapsed() > ttl {
             let position = self.rng.random_range(0..self.directories.len());
             let resolved = fixtures::resolve_addresses(self.directories[position], "z1");
             if !resolved.is_empty() {
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::endpoint::Endpoint;
 use hemlock_platform_standin::fixtures;
@@ -17,6 +17,8 @@
 
 /// Number of events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 30;
+/// Time for which an endpoint runs a request without a stream.
+const RUN_TIME: Duration = Duration::from_millis(30);
 /// Time limit within which an entry VM exits after SIGTERM, in seconds.
 pub const GRACE_S: u64 = 8;
 /// Time for which requests may still reach an endpoint after it began to drain, in milliseconds.
@@ -116,6 +118,7 @@
     ) -> std::io::Result<Self> {
         let endpoint = Endpoint::spawn(store, id, service, domain);
         endpoint.set_event_count(EVENTS_PER_STREAM);
+        endpoint.set_run_time(RUN_TIME);
         let link = Proxy::spawn(endpoint.address())?;
         endpoint.publish_entry_at(link.address());
         Ok(Self { endpoint, link })
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -15,6 +15,8 @@
 const CRASHING_PART_SEEDS: u64 = 3;
 /// Share of the fault period after which requests with a crashing part end.
 const CRASHING_PART_SHARE: f64 = 0.8;
+/// Time between two series of stops, longer than a stop takes.
+const SERIES_INTERVAL: Duration = Duration::from_millis(8_500);
 /// Interval between changes of the configuration around a return of the store.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -82,6 +84,9 @@
     Basic,
     /// Also stores that come back from an older copy, and parts of prompts that crash engines.
     All,
+    /// All entry VMs are stopped one after the other, again and again, and nothing else happens, so
+    /// that no lost response is excused.
+    Stops,
 }
 
 /// Draws the faults of a run.
@@ -92,6 +97,9 @@
     nodes: usize,
     endpoints: usize,
 ) -> Vec<ScheduledFault> {
+    if fault_set == FaultSet::Stops {
+        return draw_stops(seed, fault_period, nodes);
+    }
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut scheduled: Vec<ScheduledFault> = Vec::new();
     if fault_set == FaultSet::All {
@@ -122,6 +130,25 @@
     scheduled
 }
 
+/// Draws the times of stops of all entry VMs in series.
+fn draw_stops(seed: u64, fault_period: Duration, nodes: usize) -> Vec<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut at = Duration::from_secs(1);
+    let mut scheduled = Vec::new();
+    while at < fault_period.mul_f64(BEGIN_SHARE) {
+        for node in 0..nodes {
+            scheduled.push(ScheduledFault {
+                at,
+                until: at,
+                fault: Fault::Terminate(node),
+            });
+            at += Duration::from_millis(rng.random_range(50..500));
+        }
+        at += SERIES_INTERVAL;
+    }
+    scheduled
+}
+
 /// Draws one or two times at which the store comes back from an older copy. It loses some changes of
 /// the configuration, and others follow, which may end at the same offset.
 fn draw_restores(seed: u64, fault_period: Duration, scheduled: &mut Vec<ScheduledFault>) {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -35,6 +35,12 @@
                 "10",
                 "Length of the fault period of each run, in seconds",
             ),
+            Arg::new("stops")
+                .long("stops")
+                .action(ArgAction::SetTrue)
+                .help(
+                    "Stop all entry VMs one after the other, again and again, without other faults",
+                ),
             Arg::new("regressions")
                 .long("regressions")
                 .action(ArgAction::SetTrue)
@@ -68,7 +74,10 @@
         nodes: number("processes"),
         callers: number("callers"),
         seconds: number("seconds"),
-        fault_set: FaultSet::All,
+        fault_set: match matches.get_flag("stops") {
+            true => FaultSet::Stops,
+            false => FaultSet::All,
+        },
     };
     let mut failed = Vec::new();
     if matches.get_flag("regressions") {
