node: a stopping node sends no more orders to engines

The planner, which had got SIGTERM in an outage of the store, sent joins 0.56 s and an open 0.59 s later; its successor got the lease 0.3 s after that, had not read these orders from the list yet, and had the same engines join a group of its own.

Cause: on SIGTERM the node gives the lease back, but it planned on until the lease would have expired. Now it stops planning with the signal, unless no VM reaches the store, when there can be no successor.

The test failed before: 13 orders instead of 7, after engines had restarted.

--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -211,7 +211,11 @@
     let mut state = leadership.borrow_mut();
     // Planning without the store ends when the store is reachable again.
     let confirmed = !state.without_store || node.is_outage();
-    let may_plan = state.expires.is_some_and(|t| t > now) && node.is_planner.get() && confirmed;
+    // A stopping node gives up the lease, so that a successor may plan already. While no node reaches
+    // the store, there is none.
+    let gives_up = node.stop.is_stopping() && !node.is_outage();
+    let is_planner = state.expires.is_some_and(|t| t > now) && node.is_planner.get();
+    let may_plan = is_planner && confirmed && !gives_up;
     if !may_plan {
         state.planners.values_mut().for_each(Planner::end_term);
         return;
--- a/node/tests/test_stop.rs
+++ b/node/tests/test_stop.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hemlock_platform_standin::caller;
+use hemlock_platform_standin::endpoint::Endpoint;
 
 use crate::node_process::{NodeProcess, request};
 
@@ -68,3 +69,19 @@
     });
     assert!(node.wait_for_exit());
 }
+
+/// A node that had given up the planner's lease went on with orders until the lease would have
+/// expired, beside its successor.
+#[test]
+fn stopping_node_sends_no_more_orders_to_engines() {
+    let (mut node, engines) = NodeProcess::with_engines();
+    let orders = || engines.iter().map(|e| e.orders().len()).sum::<usize>();
+    node.terminate();
+    node.wait_until("the node is not ready", |n| n.ready_status() == 503);
+    std::thread::sleep(Duration::from_millis(100));
+    let before = orders();
+    engines.iter().for_each(Endpoint::restart);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(orders(), before);
+    assert!(node.wait_for_exit());
+}
