--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -21,6 +21,8 @@
 const TERMINATION_SERIES_SHARE: f64 = 0.4;
 /// Interval between the signals of a series that stops all entry VMs.
 const TERMINATION_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two series of stops, longer than a stop takes.
+const SERIES_INTERVAL: Duration = Duration::from_millis(8_500);
 /// Interval between changes of the configuration around a return of the store.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -92,6 +94,9 @@
     All,
     /// Also cuts of entry VMs from all endpoints, and series of SIGTERMs over all entry VMs.
     Cuts,
+    /// All entry VMs are stopped one after the other, again and again, and nothing else happens, so
+    /// that no lost response is excused.
+    Stops,
 }
 
 /// Draws the faults of a run.
@@ -102,11 +107,14 @@
     nodes: usize,
     endpoints: usize,
 ) -> Vec<ScheduledFault> {
+    if fault_set == FaultSet::Stops {
+        return draw_stops(seed, fault_period, nodes);
+    }
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut scheduled: Vec<ScheduledFault> = Vec::new();
     // A store that comes back excuses all VMs for seconds, so half of the seeds with cuts have none.
     let loses_records = match fault_set {
-        FaultSet::Basic => false,
+        FaultSet::Basic | FaultSet::Stops => false,
         FaultSet::All => true,
         FaultSet::Cuts => seed.is_multiple_of(2),
     };
@@ -141,6 +149,25 @@
     scheduled
 }
 
+/// Draws the times of stops of all entry VMs in series.
+fn draw_stops(seed: u64, fault_period: Duration, nodes: usize) -> Vec<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut at = Duration::from_secs(1);
+    let mut scheduled = Vec::new();
+    while at < fault_period.mul_f64(BEGIN_SHARE) {
+        for node in 0..nodes {
+            scheduled.push(ScheduledFault {
+                at,
+                until: at,
+                fault: Fault::Terminate(node),
+            });
+            at += Duration::from_millis(rng.random_range(50..500));
+        }
+        at += SERIES_INTERVAL;
+    }
+    scheduled
+}
+
 /// Draws one or two times at which the store comes back from an older copy. It loses some changes of
 /// the configuration, and others follow, which may end at the same offset.
 fn draw_restores(seed: u64, fault_period: Duration, scheduled: &mut Vec<ScheduledFault>) {
