demo/tests: reserve the ports of the daemons for the whole test

Each test process took the first free ports from 20,000 on, checked them and let them go. And any other test may take the port of a gateway while it is down, since the others draw from 12,000 to 32,000: with a process that does so, the gateway said "can't listen on 127.0.0.1:20006: Address already in use", and the test "waited 40s until the new gateway answers" after 512 calls that were lost.

--- a/demo/tests/daemons.rs
+++ b/demo/tests/daemons.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -23,6 +24,10 @@
 
 /// Time limit of [`wait`].
 const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
+/// Ports from which tests reserve their blocks.
+const BLOCK_PORTS: Range<u16> = 6_000..12_000;
+/// Number of ports in a block, whose last one is its guard.
+const BLOCK_SIZE: u16 = 100;
 /// Number of ports that one entry VM uses.
 const PORTS_PER_ENTRY: usize = 3;
 
@@ -30,8 +35,7 @@
 pub struct Daemons {
     pub platform: Platform,
     pub deployment: Deployment,
-    /// First port of the first entry VM.
-    base_port: u16,
+    ports: PortBlock,
     dir: tempfile::TempDir,
     children: BTreeMap<(usize, &'static str), Child>,
 }
@@ -43,17 +47,17 @@
             Platform::spawn("127.0.0.1:0", &deployment.vms(), EngineConfig::default()).unwrap();
         let dir = tempfile::tempdir().unwrap();
         fs::write(dir.path().join("gossip.key"), "test secret").unwrap();
-        let base_port = free_ports(entries * PORTS_PER_ENTRY);
+        let ports = PortBlock::reserve((entries * PORTS_PER_ENTRY) as u16);
         let mut daemons = Self {
             platform,
             deployment,
-            base_port,
+            ports,
             dir,
             children: BTreeMap::new(),
         };
         for i in 0..entries {
             let (log, vms) = (daemons.platform.log_url(), daemons.platform.vms_url());
-            let settings = deployment.settings(i, base_port, &log, &vms);
+            let settings = deployment.settings(i, daemons.ports.base, &log, &vms);
             fs::write(daemons.settings_path(i), settings).unwrap();
             for program in [AGENT, PLANNER, GATEWAY] {
                 daemons.start(i, program);
@@ -66,7 +70,7 @@
     pub fn gateway(&self, i: usize) -> String {
         format!(
             "http://127.0.0.1:{}",
-            self.base_port + (i * PORTS_PER_ENTRY) as u16
+            self.ports.base + (i * PORTS_PER_ENTRY) as u16
         )
     }
 
@@ -74,7 +78,7 @@
     pub fn agent(&self, i: usize) -> String {
         format!(
             "http://127.0.0.1:{}",
-            self.base_port + (i * PORTS_PER_ENTRY) as u16 + 1
+            self.ports.base + (i * PORTS_PER_ENTRY) as u16 + 1
         )
     }
 
@@ -164,13 +168,35 @@
     Path::new(env!("CARGO_BIN_EXE_hemlock-demo")).with_file_name(program)
 }
 
-/// Returns the first of `count` consecutive free ports, below the range of the ephemeral ports.
-fn free_ports(count: usize) -> u16 {
-    let free = |base_port: &u16| {
-        (*base_port..base_port + count as u16).all(|p| TcpListener::bind(("127.0.0.1", p)).is_ok())
-    };
-    (20_000..30_000)
-        .step_by(100)
-        .find(free)
-        .expect("enough consecutive ports are free")
+/// Consecutive ports that no other test uses until this is dropped, also while the daemon that
+/// listens on one of them is down.
+pub struct PortBlock {
+    /// First port of the block.
+    pub base: u16,
+    /// Listens on the last port of the block, which keeps it from other test processes.
+    _guard: TcpListener,
+}
+
+impl PortBlock {
+    /// Reserves a block with `count` free ports. The blocks lie below the ports of the other tests
+    /// (`hemlock_testutils::ports`).
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such block.
+    pub fn reserve(count: u16) -> Self {
+        let is_free = |port: u16| {
+            let tcp = TcpListener::bind(("127.0.0.1", port));
+            tcp.is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok()
+        };
+        let mut blocks = BLOCK_PORTS.step_by(usize::from(BLOCK_SIZE));
+        let reserved = blocks.find_map(|base| {
+            let guard = TcpListener::bind(("127.0.0.1", base + BLOCK_SIZE - 1)).ok()?;
+            (base..base + count).all(is_free).then_some(Self {
+                base,
+                _guard: guard,
+            })
+        });
+        reserved.expect("a block of ports is free")
+    }
 }
