--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,8 +39,11 @@
                 .long("faults")
                 .value_name("SET")
                 .default_value("cuts")
-                .value_parser(["basic", "all", "cuts"])
-                .help("Kinds of faults, each with those of the one before it"),
+                .value_parser(["basic", "all", "cuts", "stops"])
+                .help(
+                    "Kinds of faults: basic, all and cuts each with those of the one before it; \
+                     stops are stops of all entry VMs one after the other, again and again",
+                ),
             Arg::new("regressions")
                 .long("regressions")
                 .action(ArgAction::SetTrue)
@@ -77,6 +80,7 @@
         fault_set: match matches.get_one::<String>("faults").map(String::as_str) {
             Some("basic") => FaultSet::Basic,
             Some("all") => FaultSet::All,
+            Some("stops") => FaultSet::Stops,
             _ => FaultSet::Cuts,
         },
     };
