--- a/lib/src/node/passing.rs
+++ b/lib/src/node/passing.rs
@@ -254,8 +254,9 @@
 }
 
 /// Causes of refusals that hold for one VM, so that another one may accept the request.
-const LOCAL_CAUSES: [&str; 7] = [
+const LOCAL_CAUSES: [&str; 8] = [
     "stopping",
+    "budget",
     "no_path",
     "no_config",
     "older_config",
--- a/lib/tests/test_node_passing.rs
+++ b/lib/tests/test_node_passing.rs
@@ -271,6 +271,9 @@
             cause: "stopping".to_owned()
         }
     );
+    // Each VM has a part of the retry budget for itself.
+    let budget = refusal("budget", false, after);
+    assert!(matches!(budget, Origin::Elsewhere { .. }), "{budget:?}");
     assert_eq!(
         refusal("full", false, after),
         Origin::Refused {
