lib/tests: layouts of heartbeats and members stay as older builds read them

Queries about paths are kinds of datagram of their own, so that a build without them refuses just these. The test compares the lengths of the arrays and reads a heartbeat, and refuses a query, as an older build does.

--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -7,7 +7,8 @@
 use hemlock_lib::node::cache::Position;
 use hemlock_lib::node::capacity::{self, Demand, DemandMeter, RequestSize};
 use hemlock_lib::node::events::{EventPosition, EventSplitter, event_position};
-use hemlock_lib::node::peers::{Heartbeat, Member, Peers, addresses_for_caller};
+use hemlock_lib::node::peer_paths::PathQuery;
+use hemlock_lib::node::peers::{Heartbeat, Member, Message, Peers, addresses_for_caller};
 use hemlock_lib::node::reach::PathState;
 
 use hemlock_lib::node::settings::NodeSettings;
@@ -468,3 +469,30 @@
     // VMs that have fallen silent are not representatives.
     assert_eq!(names(&peers, at(5_000)), ["b"]);
 }
+
+/// Builds without the new datagrams run in the same fleet, and refuse arrays of another length.
+#[test]
+fn layouts_of_heartbeats_and_members_stay_as_older_builds_read_them() {
+    let encoded = |value: &Heartbeat| rmp_serde::to_vec(value).expect("a heartbeat is encoded");
+    let fixed_array = |length: u8| 0x90 | length;
+    let bytes = encoded(&heartbeat("a", 1));
+    assert_eq!(bytes[..2], [fixed_array(14), fixed_array(6)]);
+    // A datagram of an unknown kind is refused as a whole.
+    #[derive(Debug, serde::Deserialize)]
+    enum OlderMessage {
+        News(Heartbeat),
+    }
+    let query = Message::PathQuery(PathQuery {
+        node: "a".to_owned(),
+        run: 1,
+        number: 1,
+        unreachable: vec!["e1".to_owned()],
+        silent: Vec::new(),
+    });
+    let query = rmp_serde::to_vec(&query).expect("a query is encoded");
+    assert!(rmp_serde::from_slice::<OlderMessage>(&query).is_err());
+    let news = Message::Heartbeat(Box::new(heartbeat("a", 1)));
+    let news = rmp_serde::to_vec(&news).expect("a heartbeat is encoded");
+    let OlderMessage::News(read) = rmp_serde::from_slice(&news).expect("an older build reads it");
+    assert_eq!(read, heartbeat("a", 1));
+}
