--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -272,7 +272,9 @@
     pub(crate) fn note_path_failure(&self, endpoint: &Arc<str>, failure: PathFailure) {
         let mut reach = self.reach.borrow_mut();
         reach.record_failure(self.now(), endpoint, failure);
-        self.path_evidence.notify_one();
+        if !reach.is_calm() {
+            self.path_evidence.notify_one();
+        }
     }
 
     /// Returns the peers that said recently that they reach endpoints.
