--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -16,6 +16,7 @@
 pub mod endpoints;
 pub mod events;
 pub mod forecast;
+mod healing;
 pub mod load_totals;
 pub mod peer_paths;
 pub mod peers;
--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -13,12 +13,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::healing::Healing;
 use super::peer_paths::{PathQuery, PathReply};
 use crate::time::Time;
 
 /// Endpoints that must fail without a success before the path is in doubt, or all that are listed
 /// if there are fewer.
-const MIN_FAILED: usize = 3;
+pub(super) const MIN_FAILED: usize = 3;
 /// Time for which a failure counts as evidence.
 const FAILURE_RETENTION: Duration = Duration::from_secs(3);
 /// Time for which a success shows that an endpoint is reached. It is shorter than the time after
@@ -177,37 +178,6 @@
     pub silent: Vec<Arc<str>>,
 }
 
-/// Outcomes of probes since the first success in a cut.
-#[derive(Debug, Default)]
-struct Healing {
-    since: Option<Time>,
-    outcomes: BTreeMap<Arc<str>, bool>,
-}
-
-impl Healing {
-    fn record(&mut self, now: Time, endpoint: &Arc<str>, success: bool) {
-        self.outcomes.insert(endpoint.clone(), success);
-        let succeeded = self.succeeded();
-        if succeeded == 0 || self.outcomes.len() > 2 * succeeded {
-            *self = Self::default();
-            return;
-        }
-        self.since.get_or_insert(now);
-    }
-
-    /// Returns whether most probes have succeeded for the given time, at enough endpoints.
-    fn lasts(&self, now: Time, listed: usize, time: Duration) -> bool {
-        let tried = self.outcomes.len();
-        let is_most = self.succeeded() * 2 > tried || listed < MIN_FAILED;
-        let is_long = self.since.is_some_and(|since| now.since(since) >= time);
-        is_long && is_most && tried >= MIN_FAILED.min(listed)
-    }
-
-    fn succeeded(&self) -> usize {
-        self.outcomes.values().filter(|success| **success).count()
-    }
-}
-
 /// Evidence of whether this VM reaches endpoints.
 #[derive(Debug, Default)]
 pub struct Reach {
