--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -17,6 +17,7 @@
 pub mod endpoints;
 pub mod events;
 pub mod forecast;
+mod healing;
 pub mod load_totals;
 pub mod passing;
 pub mod peer_paths;
