passing: a peer that can't take one request still gets others

A cut VM that knew of one peer with a path refused all requests for a second after that peer had handed one back for want of an endpoint or of its retry budget. Test: peer_that_can_not_take_one_request_still_gets_others.

--- a/lib/src/node/passing.rs
+++ b/lib/src/node/passing.rs
@@ -265,6 +265,12 @@
     "nobody",
 ];
 
+/// Returns whether a peer that refused a request for `cause` would refuse others too, so that it is
+/// avoided for a while.
+pub fn refuses_all(cause: &str) -> bool {
+    matches!(cause, "stopping" | "no_path" | "no_config")
+}
+
 /// Returns what a peer reports of a request that it gives up for `cause`.
 pub fn refusal(cause: &str, may_have_run: bool, retry_after: Duration) -> Origin {
     let is_local = LOCAL_CAUSES.contains(&cause);
--- a/lib/tests/test_node_passing.rs
+++ b/lib/tests/test_node_passing.rs
@@ -289,6 +289,17 @@
     );
 }
 
+/// With one peer left, a request that it can't take must not stop the others for a second.
+#[test]
+fn peer_that_can_not_take_one_request_still_gets_others() {
+    for cause in ["nobody", "budget", "denied", "older_config", "no_service"] {
+        assert!(!passing::refuses_all(cause), "{cause}");
+        let origin = refusal(cause, false, Duration::ZERO);
+        assert!(matches!(origin, Origin::Elsewhere { .. }), "{cause}");
+    }
+    assert!(passing::refuses_all("stopping") && passing::refuses_all("no_path"));
+}
+
 #[test]
 fn reports_survive_encoding() {
     let report = PeerReport {
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -34,6 +34,17 @@
 /// Upper bound on the endpoints that a peer is told not to use.
 const MAX_LEAVING: usize = 32;
 
+/// Cause of a send that a peer refused for the request, so that others may go to it.
+const PEER_UNABLE: &str = "peer_unable";
+
+/// Returns the cause of a send that a peer did not carry out.
+fn cause_of_decline(origin: &Origin) -> &'static str {
+    match origin {
+        Origin::Elsewhere { cause } if !passing::refuses_all(cause) => PEER_UNABLE,
+        _ => "peer_declined",
+    }
+}
+
 /// Why a peer did not accept a request.
 enum Declined {
     /// The peer sent this final response.
@@ -141,6 +152,7 @@
             SendOutcome::DeadlinePassed => "overdue",
             SendOutcome::Refused(_) => "refused",
             SendOutcome::MayHaveRun(cause) => cause,
+            SendOutcome::NotRun(PEER_UNABLE) => PEER_UNABLE,
             SendOutcome::NotRun(cause) => {
                 loads.avoid(now, &peer.node);
                 self.node.peer_pool.drop_endpoint(&peer.node);
@@ -307,7 +319,8 @@
             Some(Origin::Refused { after_ms, .. }) => {
                 SendOutcome::Refused(Duration::from_millis(after_ms))
             }
-            _ => SendOutcome::NotRun("peer_declined"),
+            Some(origin) => SendOutcome::NotRun(cause_of_decline(&origin)),
+            None => SendOutcome::NotRun("peer_declined"),
         }
     }
 
@@ -345,7 +358,7 @@
                         SendOutcome::Refused(Duration::from_millis(after_ms))
                     }
                     Origin::Failed { .. } => SendOutcome::MayHaveRun("peer_failed"),
-                    _ => SendOutcome::NotRun("peer_declined"),
+                    _ => SendOutcome::NotRun(cause_of_decline(&origin)),
                 };
                 return (outcome, is_reusable);
             }
