--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -193,7 +193,14 @@
     let mut rng = rand::rng();
     let mut chosen = near.into_iter().choose_multiple(&mut rng, PEERS_PER_QUERY);
     chosen.extend(far.into_iter().choose_multiple(&mut rng, PEERS_PER_QUERY));
-    chosen.iter().map(|m| m.peer_address).collect()
+    let mut addresses: Vec<SocketAddr> = chosen.iter().map(|m| m.peer_address).collect();
+    // Those with a path are asked again, before their last replies are too old.
+    let known = node.peers_with_path(now);
+    for peer in known.iter().choose_multiple(&mut rng, PEERS_PER_QUERY) {
+        let address = peers.address(&peer.node);
+        addresses.extend(address.filter(|a| !addresses.contains(a)));
+    }
+    addresses
 }
 
 /// Answers the query of a peer, after probes of the endpoints for which there is no fresh evidence.
