reach: test silent endpoints again before they count as reached by peers only

A service that was silent for 1.5 s was taken for a cut at two VMs of three, which passed on requests that they could have sent themselves.

Cause: while all engines were silent, the VM probed plain endpoints only, since failed ones come last. The first VM that heard an engine again confirmed that it is reached, and the other two had no probe of their own under way that could have shown the same within the 0.26 s for which they wait.

It prints the path's lines now when it fails.

--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -588,13 +588,14 @@
     }
 
     /// Returns the target of the service and with the identifier that were probed the longest ago.
-    /// Endpoints that have just failed come last, and those whose probes can't show that bytes
-    /// arrive come late if that is in question.
+    /// Endpoints that have just failed come last, unless they are tested again, and those whose
+    /// probes can't show that bytes arrive come late if that is in question.
     fn next_target<'a>(&self, targets: &[Target<'a>], needs_bytes: bool) -> Option<Target<'a>> {
+        let tests_again = self.state == PathState::Cut || self.confirmed_since.is_some();
         let key = |t: &&Target<'_>| {
             let is_failed = self.unreachable.contains_key(t.id) || self.silent.contains_key(t.id);
             (
-                is_failed && self.state != PathState::Cut,
+                is_failed && !tests_again,
                 needs_bytes && !t.is_engine,
                 self.probed_services.get(t.service).copied(),
                 self.probed_endpoints.get(t.id).copied(),
--- a/node/tests/test_cut.rs
+++ b/node/tests/test_cut.rs
@@ -294,7 +294,16 @@
     cluster.send_for("silent", silence);
     set(Link::Open);
     cluster.send_for("after", Duration::from_secs(1));
-    assert_eq!(cuts_found(&cluster.nodes), 0);
+    assert_eq!(
+        cuts_found(&cluster.nodes),
+        0,
+        "{:?}",
+        cluster
+            .nodes
+            .iter()
+            .map(|n| n.log_lines("event=path"))
+            .collect::<Vec<_>>()
+    );
 }
 
 #[test]
@@ -321,7 +330,16 @@
     cluster.send_for("silent", Duration::from_millis(1_500));
     set(Link::Open);
     cluster.send_for("after", Duration::from_secs(1));
-    assert_eq!(cuts_found(&cluster.nodes), 0);
+    assert_eq!(
+        cuts_found(&cluster.nodes),
+        0,
+        "{:?}",
+        cluster
+            .nodes
+            .iter()
+            .map(|n| n.log_lines("event=path"))
+            .collect::<Vec<_>>()
+    );
 }
 
 #[test]
