relay: a peer that accepts a request and does not read its body is given up

A VM that is cut off sent the body of a request to its peer without a limit: with a peer that had accepted it and then stood still, the caller had its answer after 10 s, when the peer's connection ended, with a deadline of 3 s. The body is now sent within the time in which a silent peer counts as lost, the deadline, and until the caller leaves. A peer does not run a request that it has not got in full, so another one may be asked. The rest of a peer's refusal is skipped like that of an endpoint.

test_passing_on::request_whose_peer_does_not_read_its_body_ends_by_the_deadline failed with 502 after 10.04 s.

--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -14,7 +14,7 @@
 use hemlock_wire::http1::{self, Conn, HttpError, ResponseHead};
 use rand::Rng;
 
-use super::{FAILED_CONNECT, MAX_BODY_BYTES, MAX_HEAD_BYTES, Relay, SendOutcome, Upstream};
+use super::{FAILED_CONNECT, MAX_HEAD_BYTES, Relay, SendOutcome, Upstream, skip_refusal};
 use crate::front;
 use crate::metrics::Counter;
 
@@ -324,6 +324,31 @@
         }
     }
 
+    /// Sends the body to a peer, unless that takes too long or the caller disconnects. A peer does not
+    /// run a request whose body it has not got in full.
+    async fn write_to_peer(
+        &self,
+        caller: &mut Conn,
+        conn: &mut Conn,
+        body: &[u8],
+    ) -> Result<(), SendOutcome> {
+        let time_left = self.request.deadline.since(self.node.now());
+        let mut timeout = std::pin::pin!(tokio::time::sleep(passing::PEER_SILENCE.min(time_left)));
+        let mut write = std::pin::pin!(conn.write(body));
+        loop {
+            tokio::select! {
+                biased;
+                written = &mut write => {
+                    return written.map_err(|_| SendOutcome::NotRun("peer_write"));
+                }
+                disconnected = self.caller_disconnected(caller) => {
+                    if disconnected { return Err(SendOutcome::CallerLeft) }
+                }
+                () = &mut timeout => return Err(SendOutcome::NotRun("peer_write")),
+            }
+        }
+    }
+
     /// Sends the body to a peer that has accepted the request, and relays the response. Returns also
     /// whether the connection can be used again.
     async fn finish_exchange(
@@ -337,8 +362,8 @@
             http1::put_chunk(&mut out, &self.request.body);
         }
         out.extend_from_slice(http1::LAST_CHUNK);
-        if conn.write(&out).await.is_err() {
-            return (SendOutcome::PeerLost("peer_write"), false);
+        if let Err(outcome) = self.write_to_peer(caller, conn, &out).await {
+            return (outcome, false);
         }
         let mut head = match self.await_peer_head(caller, conn).await {
             Ok(head) => head,
@@ -351,8 +376,8 @@
         let (id, started_ms) = match origin {
             Origin::Endpoint { id, started_ms } => (id, started_ms),
             Origin::Elsewhere { .. } | Origin::Refused { .. } | Origin::Failed { .. } => {
-                let body = conn.read_body(&mut head.body_framing, MAX_BODY_BYTES).await;
-                let is_reusable = head.keep_alive && matches!(body, Ok(Some(_)));
+                let is_reusable =
+                    head.keep_alive && skip_refusal(conn, &mut head.body_framing).await;
                 let outcome = match origin {
                     Origin::Refused { after_ms, .. } => {
                         SendOutcome::Refused(Duration::from_millis(after_ms))
--- a/node/tests/fake_peer.rs
+++ b/node/tests/fake_peer.rs
@@ -29,6 +29,8 @@
     Accept(String),
     /// It accepts the request and then sends nothing.
     AcceptAndMute,
+    /// It accepts the request and then reads nothing for this time.
+    AcceptUnread(Duration),
 }
 
 /// A running peer, which is stopped when this is dropped.
@@ -192,6 +194,11 @@
                 accepted.fetch_add(1, Ordering::Relaxed);
             }
         }
+        Answer::AcceptUnread(time) => {
+            let _ = io.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            std::thread::sleep(*time);
+            return;
+        }
     }
     if let Answer::Accept(text) = answer {
         let _ = io.write_all(text.as_bytes());
--- a/node/tests/test_passing_on.rs
+++ b/node/tests/test_passing_on.rs
@@ -205,11 +205,20 @@
 
 /// Sends requests until one was passed on, and returns the response to that one.
 fn send_until_passed_on(node: &NodeProcess, method: &str, path: &str) -> (Response, Duration) {
+    send_body_until_passed_on(node, method, path, "x")
+}
+
+fn send_body_until_passed_on(
+    node: &NodeProcess,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> (Response, Duration) {
     let begin = Instant::now();
     for i in 0.. {
         let id = format!("r{i}");
         let started = Instant::now();
-        let response = node.send(method, path, &id, "", "x");
+        let response = node.send(method, path, &id, "", body);
         let time = started.elapsed();
         // Lines are written every 100 ms.
         std::thread::sleep(Duration::from_millis(250));
@@ -253,6 +262,24 @@
     assert_eq!(peers.iter().map(FakePeer::accepted).sum::<usize>(), 1);
 }
 
+/// A peer that accepts a long request and stands still held it beyond its deadline of 3 s.
+#[test]
+fn request_whose_peer_does_not_read_its_body_ends_by_the_deadline() {
+    let node = cut_node();
+    let mut long_bodies = config(2);
+    long_bodies["limits"]["maxBodyBytes"] = serde_json::json!(32 << 20);
+    node.configure(&long_bodies);
+    node.wait_until("the limits are known", |n| {
+        !n.log_lines("event=config version=2").is_empty()
+    });
+    let unread = Answer::AcceptUnread(Duration::from_secs(10));
+    let _peer = FakePeer::spawn(&node, "entry-8", unread);
+    let body = "x".repeat(16 << 20);
+    let (response, time) = send_body_until_passed_on(&node, "POST", "/once/a", &body);
+    assert_eq!(response.status, 503, "{time:?} {response:?}");
+    assert!(time < Duration::from_millis(3_500), "{time:?}");
+}
+
 /// A status of the peer itself is no answer of an endpoint, signed or not.
 #[test]
 fn failure_of_a_peer_is_not_taken_for_an_answer() {
