--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -209,7 +209,7 @@
         let kind = self.rng.random_range(0..3_i32);
         let (kind, mut text) = build_request(&id, "a", kind, self.count);
         if self.is_late() && kind != RequestKind::Stream {
-            text = text.replace("Deadline-Ms: 3000", "Deadline-Ms: 500");
+            text = text.replace("-Ms: 3000", "-Ms: 500");
         }
         let sent_at = Instant::now();
         let response = caller::exchange(&mut io, &text);
