--- a/lib/src/node/passing.rs
+++ b/lib/src/node/passing.rs
@@ -119,7 +119,7 @@
     }
 }
 
-/// What a peer needs to know of a request that is passed on to it.
+/// Message to a peer with a request that is passed on to it.
 #[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub struct PassedRequest {
     /// The secret of the peer, as hexadecimal digits.
@@ -212,7 +212,7 @@
     }
 }
 
-/// What a peer says of a request that was passed on to it.
+/// Message of a peer with its response to a request that was passed on to it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerReport {
     /// Where the response comes from.
@@ -295,20 +295,20 @@
     serde_json::from_str(text)
 }
 
-/// What to do with a request that is to be sent.
+/// Next step with a request that is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
     /// This VM sends it to an endpoint.
     Send,
     /// A peer sends it.
     PassOn,
-    /// It waits until more is known of the paths.
+    /// The request waits until more is known of the paths.
     Wait,
-    /// It is refused.
+    /// The request is refused.
     Refuse,
 }
 
-/// What is known of a request that is to be sent, and of the ways to send it.
+/// State of a request that is to be sent, and of the ways to send it.
 #[derive(Debug, Clone, Copy)]
 pub struct Situation {
     /// Whether this VM reaches endpoints.
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -85,7 +85,7 @@
     DeadlinePassed,
 }
 
-/// What a request is sent to.
+/// Receiver of a request: an endpoint, or a peer that passes it on.
 #[derive(Debug, Clone, Copy)]
 enum Upstream<'a> {
     Endpoint(&'a Candidate),
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -67,7 +67,7 @@
     pub(crate) peers: RefCell<Peers>,
     /// Evidence of whether this VM reaches endpoints.
     pub(crate) reach: RefCell<Reach>,
-    /// What peers report of their own paths to endpoints.
+    /// Reports of peers on their own paths to endpoints.
     pub(crate) peer_paths: RefCell<PeerPaths>,
     pub(crate) load_totals: RefCell<LoadTotals>,
     /// Load that all other VMs have on endpoints, as last reported, and the time of that report.
--- a/node/tests/fake_peer.rs
+++ b/node/tests/fake_peer.rs
@@ -21,15 +21,15 @@
 /// How a peer answers a request that is passed on to it.
 #[derive(Debug, Clone)]
 pub enum Answer {
-    /// It closes the connection, as a build that knows no such requests.
+    /// The peer closes the connection, as a build that knows no such requests.
     Close,
-    /// It sends nothing.
+    /// The peer sends nothing.
     Mute,
-    /// It accepts the request, reads it and sends these bytes, and closes the connection.
+    /// The peer accepts the request, reads it and sends these bytes, and closes the connection.
     Accept(String),
-    /// It accepts the request and then sends nothing.
+    /// The peer accepts the request and then sends nothing.
     AcceptAndMute,
-    /// It accepts the request and then reads nothing for this time.
+    /// The peer accepts the request and then reads nothing for this time.
     AcceptUnread(Duration),
 }
 
--- a/node/tests/test_cut.rs
+++ b/node/tests/test_cut.rs
@@ -282,8 +282,7 @@
 }
 
 /// Checks that endpoints that fall silent for all daemons are not taken for a cut.
-fn check_no_cut(silent_prefixes: &[&str], silence: Duration) {
-    let cluster = Cluster::spawn();
+fn check_no_cut(cluster: &Cluster, silent_prefixes: &[&str], silence: Duration) {
     cluster.send_for("before", Duration::from_millis(500));
     let set = |link| {
         silent_prefixes
@@ -294,21 +293,14 @@
     cluster.send_for("silent", silence);
     set(Link::Open);
     cluster.send_for("after", Duration::from_secs(1));
-    assert_eq!(
-        cuts_found(&cluster.nodes),
-        0,
-        "{:?}",
-        cluster
-            .nodes
-            .iter()
-            .map(|n| n.log_lines("event=path"))
-            .collect::<Vec<_>>()
-    );
+    let path_lines = cluster.nodes.iter().map(|n| n.log_lines("event=path"));
+    let path_lines: Vec<_> = path_lines.collect();
+    assert_eq!(cuts_found(&cluster.nodes), 0, "{path_lines:?}");
 }
 
 #[test]
 fn silence_of_one_endpoint_is_no_cut() {
-    check_no_cut(&["p1"], Duration::from_millis(1_500));
+    check_no_cut(&Cluster::spawn(), &["p1"], Duration::from_millis(1_500));
 }
 
 #[test]
@@ -320,32 +312,14 @@
         .map(|h| h.id().to_owned())
         .collect();
     let members = cluster.group_members(&heads[0]);
-    cluster.send_for("before", Duration::from_millis(500));
-    let set = |link| {
-        members
-            .iter()
-            .for_each(|m| cluster.set_endpoint_links(m, link));
-    };
-    set(Link::Silent);
-    cluster.send_for("silent", Duration::from_millis(1_500));
-    set(Link::Open);
-    cluster.send_for("after", Duration::from_secs(1));
-    assert_eq!(
-        cuts_found(&cluster.nodes),
-        0,
-        "{:?}",
-        cluster
-            .nodes
-            .iter()
-            .map(|n| n.log_lines("event=path"))
-            .collect::<Vec<_>>()
-    );
+    let members: Vec<&str> = members.iter().map(String::as_str).collect();
+    check_no_cut(&cluster, &members, Duration::from_millis(1_500));
 }
 
 #[test]
 fn silence_of_one_service_is_no_cut() {
-    check_no_cut(&["p"], Duration::from_millis(1_000));
-    check_no_cut(&["e"], Duration::from_millis(1_500));
+    check_no_cut(&Cluster::spawn(), &["p"], Duration::from_millis(1_000));
+    check_no_cut(&Cluster::spawn(), &["e"], Duration::from_millis(1_500));
 }
 
 /// With its peers gone, a daemon that still passed requests on would serve none of them.
