lib/quarantine: what was concluded in a cut is forgotten however long the doubt lasted

Cause: while all other VMs were starting as well, its doubt lasted 3 s. The crashes of that time were to be retracted once it knew of the cut, but were looked up among the reports to peers, which are kept for 2 s only, and a part that it had concluded to refuse meanwhile stayed refused and was told to others.

Own crashes are kept as long as other evidence, parts that were concluded in the doubt are freed with them, and are not told to peers before. The new test failed at the first request after the retraction, and passes with the 12 others.

--- a/lib/src/node/quarantine.rs
+++ b/lib/src/node/quarantine.rs
@@ -166,6 +166,10 @@
     /// Whether a part has enough crashes to be examined.
     examination_due: bool,
     own_reports: Vec<(Time, Report)>,
+    /// Crashes that this VM saw itself.
+    own_crashes: Vec<(Time, Suspect, EndpointRun)>,
+    /// Parts that this VM has concluded to refuse itself, and when.
+    concluded: BTreeMap<Suspect, Time>,
     /// Until when this VM's own crashes are confirmed, if they have to be: a VM that loses its path to
     /// the endpoints sees connections break as well.
     confirmed_until: Option<Time>,
@@ -198,6 +202,7 @@
     fn add_own_crash(&mut self, now: Time, suspect: Suspect, run: EndpointRun, depth: usize) {
         if self.add_crash(now, suspect, run) {
             self.own_reports.push((now, (suspect, Event::Crashed(run))));
+            self.own_crashes.push((now, suspect, run));
         }
         if let Some(evidence) = self.evidence.get_mut(&suspect) {
             evidence.depth = evidence.depth.max(depth);
@@ -230,6 +235,7 @@
                 let last = now - Duration::from_secs(seconds);
                 if !self.refused.contains_key(&suspect) {
                     self.quarantine(now, suspect);
+                    self.concluded.remove(&suspect);
                     self.refused.insert(suspect, last);
                 }
             }
@@ -269,21 +275,27 @@
         })
     }
 
-    /// Forgets the crashes that this VM saw from `since` on: it had lost its path to the endpoints.
-    /// Returns their number.
+    /// Forgets the crashes that this VM saw from `since` on, and what it concluded since: it had lost
+    /// its path to the endpoints. Returns the number of crashes.
     pub fn retract_crashes(&mut self, since: Time) -> usize {
-        let (retracted, kept) = std::mem::take(&mut self.own_reports)
+        let (retracted, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.own_crashes)
             .into_iter()
-            .partition(|(at, (_, event))| *at >= since && matches!(event, Event::Crashed(_)));
-        self.own_reports = kept;
-        let retracted: Vec<(Time, Report)> = retracted;
-        for (_, (suspect, event)) in &retracted {
-            let Event::Crashed(run) = event else { continue };
+            .partition(|(at, ..)| *at >= since);
+        self.own_crashes = kept;
+        for (_, suspect, run) in &retracted {
             if let Some(evidence) = self.evidence.get_mut(suspect) {
                 evidence.crashes.remove(run);
             }
         }
         self.evidence.retain(|_, e| !e.crashes.is_empty());
+        self.own_reports
+            .retain(|(at, (_, event))| *at < since || !matches!(event, Event::Crashed(_)));
+        self.explained.retain(|_, at| *at < since);
+        let concluded = std::mem::take(&mut self.concluded);
+        let (doubted, kept): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            concluded.into_iter().partition(|(_, at)| *at >= since);
+        self.concluded = kept;
+        self.refused.retain(|part, _| !doubted.contains_key(part));
         retracted.len()
     }
 
@@ -293,14 +305,17 @@
         self.forget_old(now);
         self.own_reports
             .retain(|(recorded, _)| now.since(*recorded) < age);
+        let confirmed_until = self.confirmed_until;
+        let is_doubted = |at: Time| confirmed_until.is_some_and(|until| at > until);
+        let concluded = &self.concluded;
+        let is_told = |part: &Suspect| !concluded.get(part).is_some_and(|at| is_doubted(*at));
         let refused = self
             .refused
             .iter()
+            .filter(|(part, _)| is_told(part))
             .map(|(part, last)| (*part, Event::Quarantined(now.since(*last).as_secs())));
-        let confirmed_until = self.confirmed_until;
-        let is_held = |at: Time, event: &Event| {
-            matches!(event, Event::Crashed(_)) && confirmed_until.is_some_and(|until| at > until)
-        };
+        let is_held =
+            |at: Time, event: &Event| matches!(event, Event::Crashed(_)) && is_doubted(at);
         let newest = self.own_reports.iter().rev();
         let newest = newest.filter(|(at, (_, event))| !is_held(*at, event));
         let newest = newest.map(|(_, report)| *report);
@@ -319,6 +334,10 @@
             .retain(|_, at| now.since(*at) < CRASH_RETENTION);
         self.refused
             .retain(|_, last| now.since(*last) < PART_RETENTION);
+        self.own_crashes
+            .retain(|(at, ..)| now.since(*at) < CRASH_RETENTION);
+        let refused = &self.refused;
+        self.concluded.retain(|part, _| refused.contains_key(part));
     }
 
     fn is_sound(&self, now: Time, suspect: Suspect) -> bool {
@@ -434,6 +453,7 @@
             self.explain(now, *run);
         }
         self.refused.insert(part, now);
+        self.concluded.insert(part, now);
         self.newly_refused.push(part);
     }
 }
--- a/lib/tests/test_node_quarantine.rs
+++ b/lib/tests/test_node_quarantine.rs
@@ -266,3 +266,26 @@
     vm.record_crash(at(2_000), &suspects, run(4), false);
     assert!(is_refused(&mut vm, 2_010, &suspects));
 }
+
+/// A VM that starts in a cut is not sure of it for seconds, longer than it repeats what it saw.
+#[test]
+fn what_was_concluded_in_a_long_doubt_is_retracted_when_it_was_a_cut() {
+    let mut vms = [Quarantine::default(), Quarantine::default()];
+    let (repeated, sharing) = (request(99, &[]), request(100, &[7]));
+    vms[0].confirm_crashes(at(0));
+    for n in 1..=6 {
+        let ms = n * 400;
+        vms[0].record_crash(at(ms), &request(n, &[7]), run(n), false);
+        vms[0].record_crash(at(ms + 200), &repeated, run(10 + n), false);
+        exchange(ms + 210, &mut vms);
+    }
+    assert!(is_refused(&mut vms[0], 2_900, &repeated));
+    assert!(is_refused(&mut vms[0], 2_900, &sharing));
+    vms[0].retract_crashes(at(100));
+    for ms in [3_000, 9_000] {
+        exchange(ms, &mut vms);
+        for suspects in [&repeated, &sharing] {
+            assert!(vms.iter_mut().all(|q| !is_refused(q, ms, suspects)));
+        }
+    }
+}
