relay: logs and metrics that tell when a caller left

Of a request that was sent on after its caller had left, the log said neither whether it had been sent before the close was noticed, nor that the process had not been run meanwhile. event=left has attempts=, hemlock_left_total tells requests that were never sent, and a standstill of 500 ms or more is logged as event=stood_still and counted.

--- a/node/src/load_exchange.rs
+++ b/node/src/load_exchange.rs
@@ -8,6 +8,7 @@
 use hemlock_lib::time::Time;
 use tokio::net::UdpSocket;
 
+use crate::metrics::Counter;
 use crate::peer_datagrams::send_to;
 use crate::state::Node;
 
@@ -18,11 +19,16 @@
 /// are used instead.
 const MAX_TOTAL_AGE: Duration = Duration::from_millis(400);
 
+/// Delay of a report beyond its interval from which the process counts as not having been run.
+const STANDSTILL_TIME: Duration = Duration::from_millis(500);
+
 /// Reports this VM's load to the representative of its zone, or adds up the zone's load if this VM
 /// is the representative, until the process ends.
 pub(crate) async fn run(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
+        let slept_from = node.now();
         tokio::time::sleep(REPORT_INTERVAL).await;
+        note_standstill(&node, node.now().since(slept_from + REPORT_INTERVAL));
         if !node.has_traffic.get() && !node.peers.borrow().any_has_traffic(node.now()) {
             continue;
         }
@@ -49,6 +55,14 @@
     }
 }
 
+/// Logs and counts a delay of this process in which it handled nothing that arrived.
+fn note_standstill(node: &Node, delay: Duration) {
+    if delay >= STANDSTILL_TIME {
+        log::warn!("event=stood_still ms={}", delay.as_millis());
+        node.metrics.count(Counter::Standstills, "process");
+    }
+}
+
 /// Sends the total load of this zone to the representatives of the other zones, and the load of all
 /// other VMs to each VM of this zone.
 async fn aggregate(
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -44,7 +44,7 @@
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
     ForeignAnswers "foreign_answers" "Responses to other requests, which were skipped.";
-    Left "left" "Requests whose caller disconnected before the end of the answer.";
+    Left "left" "Requests whose caller disconnected before the end of the answer, by whether they were sent before.";
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
     Orders "orders" "Orders to engines, by action.";
     PassedOn "passed_on" "Requests that this VM passed on to peers, by outcome.";
@@ -60,6 +60,7 @@
     TakenOver "taken_over" "Requests that peers passed on to this VM, by outcome.";
     SendsFailed "sends_failed" "Sends that ended without an answer, by cause.";
     Silent "silent" "Times that an endpoint was found to send nothing for too long.";
+    Standstills "standstills" "Times that this process was not run for half a second or longer.";
     StoreChanges "store_changes" "Times that the store was lost or regained.";
     StoreReads "store_reads" "Reads of the store, by topic.";
 }
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -83,11 +83,12 @@
     /// Logs and counts a request whose caller disconnected.
     pub(super) fn caller_left(&self) -> ConnectionAction {
         log::info!(
-            "event=left request={} id={} ms={} events={} via={}{}",
+            "event=left request={} id={} ms={} events={} attempts={} via={}{}",
             self.request_id(),
             self.endpoint_id(),
             self.elapsed().as_millis(),
             self.delivered.events,
+            self.sends.tried.len(),
             self.via(),
             self.for_peer()
         );
@@ -95,7 +96,9 @@
             self.node.metrics.count(Counter::TakenOver, "left");
             return ConnectionAction::Abort;
         }
-        self.node.metrics.count(Counter::Left, "caller");
+        let was_sent = self.has_been_sent() || !self.peers_tried.is_empty();
+        let kind = if was_sent { "caller" } else { "unsent" };
+        self.node.metrics.count(Counter::Left, kind);
         self.node
             .metrics
             .record(Latency::Whole, "left", self.elapsed());
