relay: a request whose caller has closed is not sent

Callers had left, and their requests still reached endpoints up to seconds later (GONE).

Cause: the relay noticed a close only while it waited for something. A process that gets no processor time for a while finds the request and the close behind it in one socket; a kept connection to an endpoint, or to a peer, takes the request without any wait. Class of fault: work is begun without looking whether it is still wanted.

The socket itself is asked before each step that does not wait, since the runtime learns of a close only when it polls the next time: before an endpoint or a peer is chosen, after a new connection has opened, and before the head and the body are sent to a peer. Whatever the order in which a late process handles its sockets, the answer is current.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -228,6 +228,9 @@
         }
         let mut cause = "";
         loop {
+            if caller_has_left(conn) {
+                return self.caller_left();
+            }
             let now = self.node.now();
             if now + MIN_TIME_LEFT >= self.request.deadline {
                 return self.deadline_passed(conn).await;
@@ -388,6 +391,8 @@
         let mut conn = match self.node.pool.take(now, &to.id) {
             Some(conn) => conn,
             None => match self.connect(caller, address, Some(to)).await {
+                // A task that is not run for a while finds both the connection and the caller's close.
+                Ok(_) if caller_has_left(caller) => return SendOutcome::CallerLeft,
                 Ok(conn) => conn,
                 Err(outcome) => return outcome,
             },
@@ -692,6 +697,12 @@
     }
 }
 
+/// Returns whether the caller has closed its connection. Needed before each step that does not wait:
+/// a close that arrived while this process stood still is noticed only by a wait.
+fn caller_has_left(caller: &mut Conn) -> bool {
+    caller.is_closed(MAX_PIPELINED_BYTES)
+}
+
 /// Reads the rest of a refusal; returns whether it ended soon, so that the connection may be reused.
 async fn skip_refusal(conn: &mut Conn, framing: &mut Framing) -> bool {
     let skip = conn.skip_body(framing, MAX_REFUSAL_BYTES);
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -14,7 +14,9 @@
 use hemlock_wire::http1::{self, Conn, HttpError, ResponseHead};
 use rand::Rng;
 
-use super::{FAILED_CONNECT, MAX_HEAD_BYTES, Relay, SendOutcome, Upstream, skip_refusal};
+use super::{
+    FAILED_CONNECT, MAX_HEAD_BYTES, Relay, SendOutcome, Upstream, caller_has_left, skip_refusal,
+};
 use crate::front;
 use crate::metrics::Counter;
 
@@ -206,11 +208,11 @@
             let Some(out) = self.encode_for_peer(peer, max_runs) else {
                 return SendOutcome::NotRun("peer_secret");
             };
-            if conn.write(&out).await.is_err() {
-                if is_kept {
-                    continue;
-                }
-                return SendOutcome::NotRun("peer_broken");
+            match self.write_to_peer(caller, &mut conn, &out).await {
+                Ok(()) => {}
+                Err(SendOutcome::NotRun(_)) if is_kept => continue,
+                Err(SendOutcome::NotRun(_)) => return SendOutcome::NotRun("peer_broken"),
+                Err(outcome) => return outcome,
             }
             match self.await_acceptance(caller, &mut conn).await {
                 Ok(()) => {}
@@ -324,17 +326,20 @@
         }
     }
 
-    /// Sends the body to a peer, unless that takes too long or the caller disconnects. A peer does not
-    /// run a request whose body it has not got in full.
+    /// Sends a part of the request to a peer, unless that takes too long or the caller disconnects. A
+    /// peer does not run a request whose body it has not got in full.
     async fn write_to_peer(
         &self,
         caller: &mut Conn,
         conn: &mut Conn,
-        body: &[u8],
+        part: &[u8],
     ) -> Result<(), SendOutcome> {
+        if caller_has_left(caller) {
+            return Err(SendOutcome::CallerLeft);
+        }
         let time_left = self.request.deadline.since(self.node.now());
         let mut timeout = std::pin::pin!(tokio::time::sleep(passing::PEER_SILENCE.min(time_left)));
-        let mut write = std::pin::pin!(conn.write(body));
+        let mut write = std::pin::pin!(conn.write(part));
         loop {
             tokio::select! {
                 biased;
--- /dev/null
+++ b/node/tests/test_left_callers.rs
@@ -0,0 +1,100 @@
+//! Requests whose callers have left: they reach no endpoint, and the work on them ends.
+
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+use hemlock_platform_standin::endpoint::Endpoint;
+use hemlock_platform_standin::proxy::Link;
+
+use crate::cluster::{Cluster, MODEL_HEADERS};
+use crate::node_process::request;
+
+/// Requests of each kind that are sent while the node stands still.
+const CALLERS: usize = 6;
+/// Time within which an endpoint sees that a request is not wanted any more.
+const END_LIMIT: Duration = Duration::from_millis(500);
+/// Time in which a request that is still sent on reaches an endpoint.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// How a caller leaves.
+#[derive(Debug, Clone, Copy)]
+enum Leave {
+    Close,
+    Reset,
+    HalfClose,
+}
+
+/// Leaves; returns the connection if it is only half closed.
+fn leave(io: TcpStream, how: Leave) -> Option<TcpStream> {
+    match how {
+        Leave::Close => None,
+        Leave::Reset => {
+            let socket = socket2::SockRef::from(&io);
+            socket
+                .set_linger(Some(Duration::ZERO))
+                .expect("the linger time is set");
+            None
+        }
+        Leave::HalfClose => {
+            io.shutdown(Shutdown::Write).expect("half of it is closed");
+            Some(io)
+        }
+    }
+}
+
+fn text_of(kind: &str, id: &str) -> String {
+    match kind {
+        "plain" => request("GET", "/plain/a", id, "", ""),
+        "once" => request("POST", "/once/a", id, "", "x"),
+        _ => request("POST", "/stream/a", id, MODEL_HEADERS, "x"),
+    }
+}
+
+/// Sends requests of all kinds to a node that stands still, and leaves.
+fn send_and_leave(front: SocketAddr, how: Leave) -> Vec<TcpStream> {
+    let kinds = ["plain", "once", "stream"];
+    let numbered = (0..CALLERS).flat_map(|n| kinds.map(|kind| (kind, n)));
+    let connections = numbered.map(|(kind, n)| {
+        let mut io = TcpStream::connect(front).expect("the backlog takes the connection");
+        let text = text_of(kind, &format!("left-{how:?}-{kind}-{n}"));
+        io.write_all(text.as_bytes()).expect("the request is sent");
+        leave(io, how)
+    });
+    connections.flatten().collect()
+}
+
+/// Lists the requests of callers that left which ran at any endpoint.
+fn runs_of_left(endpoints: &[Endpoint]) -> Vec<String> {
+    let runs = endpoints.iter().flat_map(Endpoint::runs);
+    let ids = runs.map(|run| run.request_id);
+    ids.filter(|id| id.starts_with("left")).collect()
+}
+
+#[test]
+fn request_of_a_caller_that_left_while_the_vm_stood_still_reaches_no_endpoint() {
+    let cluster = Cluster::spawn();
+    cluster.send_for("warm", Duration::from_millis(400));
+    for how in [Leave::Close, Leave::Reset, Leave::HalfClose] {
+        cluster.nodes[0].signal("STOP");
+        let half_closed = send_and_leave(cluster.nodes[0].front, how);
+        std::thread::sleep(END_LIMIT);
+        cluster.nodes[0].signal("CONT");
+        std::thread::sleep(SETTLE_TIME);
+        assert_eq!(runs_of_left(&cluster.endpoints), [""; 0], "{how:?}");
+        drop(half_closed);
+    }
+}
+
+#[test]
+fn request_of_a_caller_that_left_is_not_passed_on() {
+    let cluster = Cluster::spawn();
+    cluster.set_link(0, Link::Silent);
+    cluster.send_for("cut", Duration::from_secs(2));
+    cluster.nodes[0].signal("STOP");
+    send_and_leave(cluster.nodes[0].front, Leave::Close);
+    std::thread::sleep(END_LIMIT);
+    cluster.nodes[0].signal("CONT");
+    std::thread::sleep(SETTLE_TIME);
+    assert_eq!(runs_of_left(&cluster.endpoints), [""; 0]);
+}
--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -5,11 +5,12 @@
 //! response. So message framing is implemented here, on top of the parser of `httparse`. Servers
 //! and calls that need none of this use `ntex`.
 
-use std::io;
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -17,6 +18,8 @@
 const MAX_HEADERS: usize = 96;
 /// Buffer space in bytes that is reserved for each read.
 const READ_BYTES: usize = 16 << 10;
+/// Bytes that are read at once where usually nothing has arrived.
+const CHECK_BYTES: usize = 1 << 10;
 /// Maximum length in bytes of a line with a chunk's size and extensions, or of a trailer.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Overhead in bytes of each piece of a body in limits on the work of reading it.
@@ -229,6 +232,20 @@
         }
     }
 
+    /// Returns whether the other side has closed the connection, also if the runtime has not noticed
+    /// it yet. Buffers what arrived before the close, up to about `limit` bytes.
+    pub fn is_closed(&mut self, limit: usize) -> bool {
+        while self.buffer.len() <= limit {
+            let mut bytes = [0; CHECK_BYTES];
+            match (&*SockRef::from(&self.io)).read(&mut bytes) {
+                Ok(0) => return true,
+                Ok(length) => self.buffer.extend_from_slice(&bytes[..length]),
+                Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
+            }
+        }
+        false
+    }
+
     /// Writes all of `bytes`.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.io.write_all(bytes).await
