http1: a connection that is given up takes its unsent bytes with it

Requests that had been sent into a silent link reached endpoints seconds after their callers had left (GONE), when the link was back.

Cause: after the caller's close the connection to the endpoint was dropped, but an orderly close leaves the bytes to the kernel, which goes on sending them. Class of fault: something was decided to end and lived on in a socket. Orders to engines, calls to the store and requests to peers that were given up after a time-out had it too.

A connection that this process opened is reset when it is dropped while nothing has been received since the last write. One with a response is closed in an orderly way as before, so that the close itself is sent again until the endpoint sees it and ends its work.

--- a/node/tests/test_left_callers.rs
+++ b/node/tests/test_left_callers.rs
@@ -98,3 +98,35 @@
     std::thread::sleep(SETTLE_TIME);
     assert_eq!(runs_of_left(&cluster.endpoints), [""; 0]);
 }
+
+#[test]
+fn request_given_up_in_a_silent_cut_does_not_reach_its_endpoint_when_the_link_is_back() {
+    let cluster = Cluster::spawn();
+    cluster.send_for("warm", Duration::from_millis(400));
+    cluster
+        .nodes
+        .iter()
+        .enumerate()
+        .for_each(|(i, _)| cluster.set_link(i, Link::Silent));
+    let front = cluster.nodes[0].front;
+    let callers: Vec<TcpStream> = ["plain", "once", "stream"]
+        .into_iter()
+        .flat_map(|kind| (0..2).map(move |n| (kind, n)))
+        .map(|(kind, n)| {
+            let mut io = TcpStream::connect(front).expect("a connection opens");
+            let text = text_of(kind, &format!("left-{kind}-{n}"));
+            io.write_all(text.as_bytes()).expect("the request is sent");
+            io
+        })
+        .collect();
+    std::thread::sleep(END_LIMIT);
+    drop(callers);
+    std::thread::sleep(SETTLE_TIME);
+    cluster
+        .nodes
+        .iter()
+        .enumerate()
+        .for_each(|(i, _)| cluster.set_link(i, Link::Open));
+    std::thread::sleep(SETTLE_TIME);
+    assert_eq!(runs_of_left(&cluster.endpoints), [""; 0]);
+}
--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -172,10 +172,27 @@
 }
 
 /// A TCP connection with the bytes that were received and not yet parsed.
+///
+/// If a connection that this process opened is dropped while what was sent on it has no response, it
+/// is reset: an orderly close would leave the unsent bytes to the kernel, which delivers them
+/// whenever the other side can be reached again.
 #[derive(Debug)]
 pub struct Conn {
     io: TcpStream,
     buffer: BytesMut,
+    /// Whether this process opened the connection.
+    is_outgoing: bool,
+    /// Whether nothing was received since the last write.
+    is_unanswered: bool,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        if self.is_outgoing && self.is_unanswered {
+            // If it fails, the connection has ended already.
+            let _ = SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl Conn {
@@ -190,7 +207,9 @@
             Ok(io) => io?,
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
-        Self::new(io)
+        let mut conn = Self::new(io)?;
+        conn.is_outgoing = true;
+        Ok(conn)
     }
 
     /// Wraps an open socket and turns Nagle's algorithm off for it.
@@ -199,6 +218,8 @@
         Ok(Self {
             io,
             buffer: BytesMut::new(),
+            is_outgoing: false,
+            is_unanswered: false,
         })
     }
 
@@ -216,7 +237,9 @@
     /// the connection.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_BYTES);
-        self.io.read_buf(&mut self.buffer).await
+        let length = self.io.read_buf(&mut self.buffer).await?;
+        self.is_unanswered &= length == 0;
+        Ok(length)
     }
 
     /// Returns whether the connection is open and has received nothing, so that a request may use
@@ -248,6 +271,7 @@
 
     /// Writes all of `bytes`.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.is_unanswered = true;
         self.io.write_all(bytes).await
     }
 
