relay: every wait for or write to a caller sees its close

An endpoint worked on until the deadline for a caller that had left behind more than 64 KB of pipelined bytes, or that had closed its direction and did not read a stream.

Cause: beyond MAX_PIPELINED_BYTES the wait for the caller's close never returned, and a write to a caller watched nothing but the deadline. The wait goes on without reading, by the end of the caller's direction that the kernel reports, and a write that can't go on reads or watches beside it.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -689,10 +689,12 @@
         self.keep_alive |= self.request.head.keep_alive && caller.has_buffered_bytes();
     }
 
-    /// Writes to the caller until the deadline; returns whether all was written.
+    /// Writes to the caller until the deadline, unless it disconnects; returns whether all was
+    /// written.
     async fn write_to_caller(&self, caller: &mut Conn, bytes: &[u8]) -> bool {
         let time_left = self.request.deadline.since(self.node.now());
-        let write = tokio::time::timeout(time_left.max(MIN_TIME_LEFT), caller.write(bytes));
+        let write = caller.write_while_open(bytes, MAX_PIPELINED_BYTES);
+        let write = tokio::time::timeout(time_left.max(MIN_TIME_LEFT), write);
         matches!(write.await, Ok(Ok(())))
     }
 }
--- a/node/src/relay/report.rs
+++ b/node/src/relay/report.rs
@@ -104,10 +104,11 @@
     /// Waits until the caller sends something or disconnects; returns whether it disconnected. A
     /// caller that is a peer sees meanwhile that this VM is at work.
     ///
-    /// Never returns once more than [`MAX_PIPELINED_BYTES`] are buffered.
+    /// Reads nothing more once more than [`MAX_PIPELINED_BYTES`] are buffered.
     pub(super) async fn caller_disconnected(&self, caller: &mut Conn) -> bool {
         if caller.buffered_len() > MAX_PIPELINED_BYTES {
-            return std::future::pending().await;
+            caller.closed().await;
+            return true;
         }
         if self.request.passed.is_none() || self.delivered.head {
             return !matches!(caller.fill().await, Ok(1..));
--- a/node/tests/test_left_callers.rs
+++ b/node/tests/test_left_callers.rs
@@ -1,14 +1,15 @@
 //! Requests whose callers have left: they reach no endpoint, and the work on them ends.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
-use hemlock_platform_standin::endpoint::Endpoint;
+use hemlock_platform_standin::endless::{Endless, Pace};
+use hemlock_platform_standin::endpoint::{Endpoint, Mode};
 use hemlock_platform_standin::proxy::Link;
 
 use crate::cluster::{Cluster, MODEL_HEADERS};
-use crate::node_process::request;
+use crate::node_process::{NodeProcess, request};
 
 /// Requests of each kind that are sent while the node stands still.
 const CALLERS: usize = 6;
@@ -71,6 +72,12 @@
     ids.filter(|id| id.starts_with("left")).collect()
 }
 
+fn wait_for_ends(endpoints: &[Endpoint], count: usize) {
+    std::thread::sleep(END_LIMIT);
+    let ended: usize = endpoints.iter().map(Endpoint::abandoned_requests).sum();
+    assert_eq!(ended, count, "requests whose end the endpoints have seen");
+}
+
 #[test]
 fn request_of_a_caller_that_left_while_the_vm_stood_still_reaches_no_endpoint() {
     let cluster = Cluster::spawn();
@@ -99,6 +106,38 @@
     assert_eq!(runs_of_left(&cluster.endpoints), [""; 0]);
 }
 
+#[test]
+fn work_ends_when_a_caller_leaves_behind_pipelined_bytes() {
+    let (node, plain) = NodeProcess::with_plain_endpoints();
+    plain.iter().for_each(|e| e.set_mode(Mode::Mute));
+    let mut io = TcpStream::connect(node.front).expect("a connection opens");
+    let text = text_of("once", "r1") + &text_of("once", "r2").repeat(1_200);
+    io.write_all(text.as_bytes())
+        .expect("the requests are sent");
+    node.wait_until("the request runs", |_| {
+        plain.iter().any(|e| !e.runs().is_empty())
+    });
+    drop(io);
+    wait_for_ends(&plain, 1);
+}
+
+#[test]
+fn work_ends_when_a_caller_that_does_not_read_leaves() {
+    let (node, engines) = NodeProcess::with_engines();
+    let endless = Mode::Endless(Endless::Events, Pace::Fast);
+    engines.iter().for_each(|e| e.set_mode(endless));
+    let mut io = TcpStream::connect(node.front).expect("a connection opens");
+    io.write_all(text_of("stream", "r1").as_bytes())
+        .expect("the request is sent");
+    let mut first = [0; 64];
+    io.read_exact(&mut first).expect("the stream begins");
+    // Until all buffers on the way are full.
+    std::thread::sleep(SETTLE_TIME);
+    let io = leave(io, Leave::HalfClose);
+    wait_for_ends(&engines, 1);
+    drop(io);
+}
+
 #[test]
 fn request_given_up_in_a_silent_cut_does_not_reach_its_endpoint_when_the_link_is_back() {
     let cluster = Cluster::spawn();
--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use futures_util::FutureExt;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 
 /// Maximum number of header lines of a message.
@@ -20,6 +21,8 @@
 const READ_BYTES: usize = 16 << 10;
 /// Bytes that are read at once where usually nothing has arrived.
 const CHECK_BYTES: usize = 1 << 10;
+/// Interval at which a connection that is not read is checked for its end.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum length in bytes of a line with a chunk's size and extensions, or of a trailer.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Overhead in bytes of each piece of a body in limits on the work of reading it.
@@ -266,7 +269,18 @@
                 Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
             }
         }
-        false
+        let ready = self.io.ready(Interest::READABLE);
+        matches!(ready.now_or_never(), Some(Ok(ready)) if ready.is_read_closed())
+    }
+
+    /// Waits until the other side has closed the connection, without reading what it sent before.
+    pub async fn closed(&self) {
+        while let Ok(ready) = self.io.ready(Interest::READABLE).await {
+            if ready.is_read_closed() {
+                return;
+            }
+            tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        }
     }
 
     /// Writes all of `bytes`.
@@ -275,6 +289,53 @@
         self.io.write_all(bytes).await
     }
 
+    /// Writes all of `bytes`, unless the other side closes the connection before it has read them.
+    /// Buffers what it sends meanwhile, up to about `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`io::ErrorKind::BrokenPipe`] if the other side has closed its direction.
+    pub async fn write_while_open(&mut self, bytes: &[u8], limit: usize) -> io::Result<()> {
+        self.is_unanswered = true;
+        let mut rest = bytes;
+        loop {
+            match self.io.try_write(rest) {
+                Ok(length) if length == rest.len() => return Ok(()),
+                Ok(length) => rest = &rest[length..],
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if self.writable_or_closed(limit).await? {
+                        return Err(io::ErrorKind::BrokenPipe.into());
+                    }
+                }
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Waits until bytes can be written or the other side has closed the connection; returns whether
+    /// it has.
+    async fn writable_or_closed(&mut self, limit: usize) -> io::Result<bool> {
+        loop {
+            if self.buffer.len() > limit {
+                return tokio::select! {
+                    ready = self.io.writable() => ready.map(|()| false),
+                    () = self.closed() => Ok(true),
+                };
+            }
+            self.buffer.reserve(READ_BYTES);
+            tokio::select! {
+                ready = self.io.writable() => return ready.map(|()| false),
+                ready = self.io.readable() => ready?,
+            }
+            match self.io.try_read_buf(&mut self.buffer) {
+                Ok(0) => return Ok(true),
+                Ok(_) => self.is_unanswered = false,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     /// Shuts down the writing side, so that the peer sees the end after all bytes that were
     /// written.
     pub async fn shutdown_write(&mut self) -> io::Result<()> {
