balance: limits that endpoints announce hold for all entry VMs together

Cause: nothing read the limit. Class of fault: what an endpoint says of itself is forwarded to callers and not acted on.

rate_limits keeps the limit of each endpoint from any answer, tells the other VMs, and has a few owners among the live VMs, by rendezvous hashing, that each send at an equal share of the rate. The shares need neither the store nor any agreement: VMs that stop, freeze or are cut off lose theirs to others, and an endpoint that is not heard of gets further owners until one asks it again. The balancer takes a share that is used up as lack of capacity, so that work moves to others; where all are held back it refuses at once with the cause "limited", and leaves the last request of a share to the most urgent ones. Values that are no positive decimal number change nothing and are logged once.

In virtual time the limit holds and at least half of it is used with 7 and 81 VMs at 0.3 to 40 requests a second.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -11,6 +11,7 @@
 use super::config::Engine;
 use super::forecast::{CurrentLoad, Estimate, Forecast};
 use super::peers::EndpointLoad;
+use super::rate_limits::RateLimits;
 use crate::time::Time;
 
 /// Time for which a silent endpoint gets no requests, beyond the time after which the head of a
@@ -96,6 +97,9 @@
     /// Whether the request has started at another endpoint, so that a refusal would waste that
     /// work.
     pub has_started: bool,
+    /// Whether no other kind of request to the service is worth more, so that this one may use what
+    /// is reserved of a limited endpoint.
+    pub is_urgent: bool,
 }
 
 /// Decision about a request.
@@ -105,6 +109,9 @@
     Send(Candidate, Estimate),
     /// All endpoints are at capacity; the caller may retry after this time.
     Full(Duration),
+    /// All endpoints that could serve the request have announced limits, of which this VM has no
+    /// share left; the caller may retry after this time.
+    Limited(Duration),
     /// No endpoint serves the request now; the caller may retry after this time.
     Unavailable(Duration),
 }
@@ -135,19 +142,21 @@
     loads: BTreeMap<Arc<str>, Load>,
     /// Start times of endpoints that asked for no requests, and until when.
     held_off: BTreeMap<Arc<str>, (u64, Time)>,
+    limits: RateLimits,
     forecast: Forecast,
     choice_count: u64,
 }
 
 impl Balancer {
-    /// Creates a balancer without endpoints. The head of a group with a lost member gives up after
-    /// `stall`.
-    pub fn new(stall: Duration) -> Self {
+    /// Creates a balancer without endpoints for the entry VM `this_vm`. The head of a group with a
+    /// lost member gives up after `stall`.
+    pub fn new(this_vm: &str, stall: Duration) -> Self {
         Self {
             silence_duration: stall + SILENCE_MARGIN,
             candidates: BTreeMap::new(),
             loads: BTreeMap::new(),
             held_off: BTreeMap::new(),
+            limits: RateLimits::new(this_vm),
             forecast: Forecast::default(),
             choice_count: 0,
         }
@@ -178,6 +187,16 @@
         self.candidates = new_candidates;
     }
 
+    /// Returns the limits that endpoints have announced.
+    pub fn limits(&self) -> &RateLimits {
+        &self.limits
+    }
+
+    /// Returns the limits that endpoints have announced, to record what is heard of them.
+    pub fn limits_mut(&mut self) -> &mut RateLimits {
+        &mut self.limits
+    }
+
     /// Returns the endpoint with the given identifier, if it takes requests.
     pub fn candidate(&self, id: &str) -> Option<&Candidate> {
         self.candidates.get(id)
@@ -237,6 +256,17 @@
             return Choice::Unavailable(retry_after());
         }
         responsive.retain(|candidate| self.hold_time(now, candidate).is_zero());
+        let is_urgent = request.is_urgent || request.has_started;
+        let is_within_limit = |candidate: &&Candidate| {
+            let started_ms = candidate.incarnation.0;
+            let limits = &self.limits;
+            limits.may_send(now, &candidate.id, started_ms, is_urgent)
+        };
+        let had_responsive = !responsive.is_empty();
+        responsive.retain(is_within_limit);
+        if had_responsive && responsive.is_empty() {
+            return Choice::Limited(retry_after());
+        }
         // A few random endpoints are compared rather than all, because load data is as old as the
         // last datagrams, and all entry VMs would choose the same endpoint.
         let random_key = |candidate: &Candidate| {
@@ -288,7 +318,10 @@
         });
         match best {
             Some(candidate) => {
-                Choice::Send(candidate.clone(), self.estimate(candidate, request, engine))
+                let candidate = candidate.clone();
+                let estimate = self.estimate(&candidate, request, engine);
+                self.limits.record_send(now, &candidate.id);
+                Choice::Send(candidate, estimate)
             }
             None => Choice::Full(retry_after()),
         }
--- a/lib/src/node/config.rs
+++ b/lib/src/node/config.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// Iterates over all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten().map(|r| &**r)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/lib/src/node/passing.rs
+++ b/lib/src/node/passing.rs
@@ -254,7 +254,7 @@
 }
 
 /// Causes of refusals that hold for one VM, so that another one may accept the request.
-const LOCAL_CAUSES: [&str; 8] = [
+const LOCAL_CAUSES: [&str; 9] = [
     "stopping",
     "budget",
     "no_path",
@@ -263,6 +263,7 @@
     "denied",
     "no_service",
     "nobody",
+    "limited",
 ];
 
 /// Returns whether a peer that refused a request for `cause` would refuse others too, so that it is
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -13,6 +13,7 @@
 use super::endpoints::EngineReport;
 use super::peer_paths::{PathQuery, PathReply};
 use super::quarantine::Report;
+use super::rate_limits::LimitNews;
 use super::reach::PathState;
 use crate::time::Time;
 
@@ -145,6 +146,8 @@
     PathQuery(PathQuery),
     /// The reply to a path query.
     PathReply(PathReply),
+    /// What the sender heard of limits of endpoints. Builds without this kind of datagram ignore it.
+    Limits(LimitNews),
 }
 
 #[derive(Debug)]
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_node_passing;
 mod test_node_planner;
 mod test_node_quarantine;
+mod test_node_rate_limits;
 mod test_node_reach;
 mod test_outcomes;
 mod test_plan;
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -46,6 +46,7 @@
         shutdown_limit: None,
         connected: &NO_CONNECTIONS,
         has_started: false,
+        is_urgent: true,
     }
 }
 
@@ -66,7 +67,7 @@
 /// may outlast the VM.
 #[test]
 fn an_answer_that_may_outlast_the_entry_vm_is_refused() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("g0", "z1")]);
     let before_shutdown = |max_tokens| RoutingRequest {
         shutdown_limit: Some((max_tokens, Duration::from_secs(2))),
@@ -92,7 +93,7 @@
 /// more load.
 #[test]
 fn an_idle_connection_decides_between_equal_groups() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates((0..20).map(|i| group(&format!("g{i:02}"), "z1")));
     let connected = BTreeSet::from([Arc::from("g07")]);
     let with_connection = RoutingRequest {
@@ -114,7 +115,7 @@
 /// learns from its peers that the group answers others.
 #[test]
 fn a_group_that_answers_peers_is_not_silent() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     balancer.record_send(at(0), &id, 500);
@@ -137,7 +138,7 @@
 /// Requests of one size are spread evenly over equal groups.
 #[test]
 fn load_is_spread_evenly_over_equal_groups() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates((0..4).map(|i| group(&format!("g{i}"), "z1")));
     let mut counts = std::collections::BTreeMap::new();
     for _ in 0..40 {
@@ -151,7 +152,7 @@
 
 #[test]
 fn the_load_of_peers_counts() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("g0", "z1"), group("g1", "z1")]);
     let load = EndpointLoad {
         endpoint: "g0".to_owned(),
@@ -169,7 +170,7 @@
 
 #[test]
 fn a_silent_group_gets_no_requests_until_it_answers() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     balancer.record_send(at(0), &id, 500);
@@ -185,7 +186,7 @@
 
 #[test]
 fn a_new_incarnation_of_a_group_is_not_silent() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     balancer.record_send(at(0), &id, 500);
@@ -203,7 +204,7 @@
 /// A peer's report that a group is silent is ignored if the group has answered this entry VM since.
 #[test]
 fn an_answer_overrides_an_older_silence_report_of_a_peer() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     balancer.record_send(at(0), &id, 500);
@@ -222,7 +223,7 @@
 /// delays are spread, and callers accept them.
 #[test]
 fn overload_is_refused_at_once_with_spread_delays() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("g0", "z1")]);
     let id: Arc<str> = Arc::from("g0");
     let mut delays = std::collections::BTreeSet::new();
@@ -237,7 +238,9 @@
                 assert!((Duration::from_millis(300)..Duration::from_secs(2)).contains(&after));
                 delays.insert(after);
             }
-            Choice::Unavailable(_) => panic!("the group must not count as silent"),
+            Choice::Limited(_) | Choice::Unavailable(_) => {
+                panic!("the group must not count as silent")
+            }
         }
     }
     assert!((17..=51).contains(&sends), "{sends}");
@@ -248,7 +251,7 @@
 /// refused.
 #[test]
 fn long_answers_avoid_slow_groups() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("slow", "z1"), group("good", "z1")]);
     for id in ["slow", "good"] {
         balancer.record_send(at(0), &Arc::from(id), 10);
@@ -274,7 +277,7 @@
 /// caller has already received.
 #[test]
 fn a_started_stream_is_not_refused() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([group("g0", "z1")]);
     for _ in 0..60 {
         balancer.record_send(at(0), &Arc::from("g0"), 700);
@@ -293,7 +296,7 @@
 
 #[test]
 fn a_failing_plain_endpoint_is_avoided_unless_it_is_the_only_one() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     balancer.set_candidates([plain("p0"), plain("p1")]);
     let request = RoutingRequest {
         service: "plain",
@@ -319,7 +322,7 @@
 
 #[test]
 fn endpoint_that_wants_no_requests_gets_none_until_the_time_is_over_or_it_restarts() {
-    let mut balancer = Balancer::new(Duration::from_secs(5));
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
     let plain_request = RoutingRequest {
         service: "plain",
         model: None,
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -367,7 +367,9 @@
             }
         }
         Output::Probe { endpoint, address } => {
-            let report = engines::fetch_report(&endpoint, &address).await;
+            let query = engines::fetch_report(&endpoint, &address).await;
+            node.note_queried(&endpoint, query.limit);
+            let report = query.outcome;
             let answered = report != ReportOutcome::NoReply;
             if answered {
                 node.note_heard(&endpoint);
--- a/node/src/load_exchange.rs
+++ b/node/src/load_exchange.rs
@@ -110,6 +110,11 @@
             .map(move |(id, age)| (id.as_str(), since(*age)))
     });
     let mut balancer = node.balancer.borrow_mut();
+    if balancer.limits().any() {
+        let live = peers.ready(now).map(|m| m.node.as_str());
+        let others = live.filter(|name| *name != node.identity.node);
+        balancer.limits_mut().set_other_vms(now, others);
+    }
     let others = node.other_loads.borrow();
     match &*others {
         Some((received, loads)) if now.since(*received) < MAX_TOTAL_AGE => {
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -45,6 +45,7 @@
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
     ForeignAnswers "foreign_answers" "Responses to other requests, which were skipped.";
     Left "left" "Requests whose caller disconnected before the end of the answer, by whether they were sent before.";
+    LimitChanges "limit_changes" "Changes of the limits that endpoints announce, by kind.";
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
     Orders "orders" "Orders to engines, by action.";
     PassedOn "passed_on" "Requests that this VM passed on to peers, by outcome.";
@@ -109,10 +110,12 @@
     PathUp,
     /// Peers that said recently that they reach endpoints.
     PeersWithPath,
+    /// Endpoints with a limit on their requests that holds.
+    LimitedEndpoints,
 }
 
 impl Gauge {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 11] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -123,6 +126,7 @@
         Self::StoreEra,
         Self::PathUp,
         Self::PeersWithPath,
+        Self::LimitedEndpoints,
     ];
 
     fn name(self) -> &'static str {
@@ -137,6 +141,7 @@
             Self::StoreEra => "hemlock_store_era",
             Self::PathUp => "hemlock_path_up",
             Self::PeersWithPath => "hemlock_peers_with_path",
+            Self::LimitedEndpoints => "hemlock_limited_endpoints",
         }
     }
 }
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -133,7 +133,7 @@
     let (outcome, conn) = match conn {
         Err(_) => (ProbeOutcome::Unreachable, None),
         Ok(conn) if kind == ProbeKind::Answer && is_engine => {
-            query(conn, &id, socket_address).await
+            query(&node, conn, &id, socket_address).await
         }
         Ok(mut conn) => {
             tokio::time::sleep(CLOSE_WAIT).await;
@@ -155,8 +155,15 @@
 }
 
 /// Queries an engine on a new connection; returns the connection if it can be used again.
-async fn query(mut conn: Conn, id: &str, address: SocketAddr) -> (ProbeOutcome, Option<Conn>) {
-    match engines::query_report(&mut conn, id, address).await {
+async fn query(
+    node: &Node,
+    mut conn: Conn,
+    id: &Arc<str>,
+    address: SocketAddr,
+) -> (ProbeOutcome, Option<Conn>) {
+    let query = engines::query_report(&mut conn, id, address).await;
+    node.note_queried(id, query.limit);
+    match query.outcome {
         ReportOutcome::NoReply if !conn.is_idle() => (ProbeOutcome::Unreachable, None),
         ReportOutcome::NoReply => (ProbeOutcome::Silent, None),
         ReportOutcome::Invalid | ReportOutcome::Received(_) => (ProbeOutcome::Answered, Some(conn)),
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -8,6 +8,7 @@
 
 use hemlock_lib::node::endpoints::EngineReport;
 use hemlock_lib::node::peers::{Heartbeat, Message};
+use hemlock_lib::node::rate_limits::LimitNews;
 use hemlock_lib::node::reach::PathState;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
@@ -72,6 +73,7 @@
         let message = Message::Heartbeat(Box::new(own_heartbeat(&node, sequence, interval)));
         let addresses = node.peers.borrow().addresses();
         send_to(&socket, &message, addresses.iter().copied()).await;
+        send_limits(&node, &socket, &addresses).await;
         let reports: Vec<EngineReport> = node.engine_reports.borrow().values().cloned().collect();
         // Repeated with each heartbeat, since datagrams may be lost; in parts that fit into one.
         for part in reports.chunks(MAX_REPORTS) {
@@ -84,6 +86,44 @@
     }
 }
 
+/// Tells peers what this VM heard of limits of endpoints, as long as any holds.
+async fn send_limits(node: &Node, socket: &UdpSocket, addresses: &[SocketAddr]) {
+    let now = node.now();
+    let reports = node.balancer.borrow().limits().reports(now);
+    if reports.is_empty() && !node.balancer.borrow().limits().any() {
+        return;
+    }
+    let mut parts = reports.chunks(MAX_REPORTS);
+    let first = parts.next().unwrap_or_default();
+    for part in std::iter::once(first).chain(parts) {
+        let message = Message::Limits(LimitNews {
+            node: node.identity.node.clone(),
+            cut: node.path_state(now) == PathState::Cut,
+            reports: part.to_vec(),
+        });
+        send_to(socket, &message, addresses.iter().copied()).await;
+    }
+}
+
+/// Applies what a peer heard of limits of endpoints.
+fn apply_limits(node: &Node, now: Time, news: &LimitNews) {
+    if news.node == node.identity.node {
+        return;
+    }
+    let mut balancer = node.balancer.borrow_mut();
+    let limits = balancer.limits_mut();
+    limits.set_cut(now, &news.node, news.cut);
+    let listed = node.endpoints.borrow();
+    for report in news
+        .reports
+        .iter()
+        .filter(|r| listed.get(&r.endpoint).is_some())
+    {
+        let change = limits.record_report(now, report);
+        node.log_limit(&report.endpoint, change, &news.node);
+    }
+}
+
 /// Sends a message to each address. Failures are only logged.
 pub(crate) async fn send_to(
     socket: &UdpSocket,
@@ -194,6 +234,7 @@
             node.peer_paths.borrow_mut().record_reply(now, reply);
             return node.path_evidence.notify_one();
         }
+        Ok(Message::Limits(news)) => return apply_limits(node, now, &news),
         Err(e) => {
             log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
             node.metrics.count(Counter::DatagramsRefused, "malformed");
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -300,6 +300,7 @@
                 return Err(("stopping", front::RETRY_ELSEWHERE_AFTER));
             }
             Choice::Full(after) => return Err(("full", after)),
+            Choice::Limited(after) => return Err(("limited", after)),
             Choice::Unavailable(after) => return Err(("nobody", after)),
         };
         if self.sends.next_is_repeat() && !self.try_retry(now, service, cause) {
@@ -359,6 +360,7 @@
                 .map(|time_left| (self.request.meta.max_answer_tokens, time_left)),
             connected: &connected,
             has_started: self.sends.possible_runs > 0,
+            is_urgent: self.is_most_urgent(service),
         };
         let mut balancer = self.node.balancer.borrow_mut();
         balancer.choose(now, &routing_request, engine, &self.excluded_endpoints())
@@ -501,6 +503,9 @@
                 self.node.note_leaving(&to.id, started_ms);
                 self.leaving.push((to.id.clone(), started_ms));
             }
+            if head.status != 421 {
+                self.node.note_limit(&to.id, to.incarnation.0, meta.limit);
+            }
             if let Some(time) = meta.retry_after {
                 self.hold_off(to, time);
             }
--- a/node/src/relay/limits.rs
+++ b/node/src/relay/limits.rs
@@ -29,6 +29,21 @@
         Some(priority.saturating_sub(u8::from(self.is_retry_after_refusal())))
     }
 
+    /// Returns whether no route to the service has a higher priority than the request. Only looked up
+    /// while endpoints have limits.
+    pub(super) fn is_most_urgent(&self, service: &str) -> bool {
+        if !self.node.balancer.borrow().limits().any() {
+            return true;
+        }
+        let own = self.request.account.as_ref().and_then(|a| a.priority);
+        let own = own.unwrap_or(self.request.route.priority);
+        let routes = self.request.config.routes();
+        let of_service = routes.filter(|r| r.services.iter().any(|(name, _)| **name == *service));
+        of_service
+            .map(|r| r.priority)
+            .all(|priority| own <= priority)
+    }
+
     /// Returns whether the caller sends this stream again after a refusal: its deadline is then
     /// shorter.
     pub(super) fn is_retry_after_refusal(&self) -> bool {
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -20,6 +20,7 @@
 use hemlock_lib::node::peers::{EndpointLoad, Member, Peers};
 use hemlock_lib::node::planner::parse_group_name;
 use hemlock_lib::node::quarantine::{Quarantine, Suspects};
+use hemlock_lib::node::rate_limits::{Announced, LimitChange};
 use hemlock_lib::node::reach::{PathFailure, PathState, Reach};
 use hemlock_lib::node::settings::NodeSettings;
 use hemlock_lib::time::Time;
@@ -146,7 +147,7 @@
             endpoint_feed: Feed::default(),
             endpoints: RefCell::new(Endpoints::new(bounds.drain())),
             endpoints_listed: Cell::default(),
-            balancer: RefCell::new(Balancer::new(bounds.stall())),
+            balancer: RefCell::new(Balancer::new(&settings.node, bounds.stall())),
             retry_budget: RefCell::new(RetryBudget::new(allowance)),
             quarantine: RefCell::default(),
             peers: RefCell::default(),
@@ -263,6 +264,50 @@
         }
     }
 
+    /// Records what an endpoint announces in an answer about the requests that it takes.
+    pub(crate) fn note_limit(&self, id: &Arc<str>, started_ms: u64, announced: Announced) {
+        let now = self.now();
+        let mut balancer = self.balancer.borrow_mut();
+        let limits = balancer.limits_mut();
+        let change = limits.record_answer(now, id, started_ms, announced);
+        self.log_limit(id, change, &self.identity.node);
+    }
+
+    /// Records a query of an endpoint, and the limit that its reply announces. Only answers to
+    /// requests tell that a limit has ended, since a query may be answered by another part of it.
+    pub(crate) fn note_queried(&self, id: &Arc<str>, announced: Option<Announced>) {
+        self.balancer
+            .borrow_mut()
+            .limits_mut()
+            .record_send(self.now(), id);
+        let started_ms = self.endpoints.borrow().get(id).map(|e| e.started_ms);
+        if let (Some(announced), Some(started_ms)) = (announced, started_ms)
+            && announced != Announced::Nothing
+        {
+            self.note_limit(id, started_ms, announced);
+        }
+    }
+
+    /// Logs and counts a change of what is known of an endpoint's limit, heard by the VM `from`.
+    pub(crate) fn log_limit(&self, id: &str, change: LimitChange, from: &str) {
+        let kind = match change {
+            LimitChange::None => return,
+            LimitChange::Set(rate) => {
+                log::info!("event=limit id={id} per_s={rate} from={from}");
+                "set"
+            }
+            LimitChange::Ended => {
+                log::info!("event=limit_ended id={id} from={from}");
+                "ended"
+            }
+            LimitChange::Malformed => {
+                log::warn!("event=limit_malformed id={id} from={from}");
+                "malformed"
+            }
+        };
+        self.metrics.count(Counter::LimitChanges, kind);
+    }
+
     /// Returns whether this VM reaches endpoints.
     pub(crate) fn path_state(&self, now: Time) -> PathState {
         self.reach.borrow().state(now)
@@ -451,6 +496,10 @@
         drop(endpoints);
         let before: Vec<Arc<str>> = self.serving_endpoints();
         self.balancer.borrow_mut().set_candidates(candidates);
+        let endpoints = self.endpoints.borrow();
+        let is_listed = |id: &str| endpoints.get(id).is_some();
+        self.balancer.borrow_mut().limits_mut().retain(is_listed);
+        drop(endpoints);
         let after = self.serving_endpoints();
         for id in after.iter().filter(|id| !before.contains(id)) {
             log::info!(
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_cut;
 mod test_endless;
 mod test_left_callers;
+mod test_limits;
 mod test_pages;
 mod test_passing_on;
 mod test_refusals;
