--- a/lib/src/node/rate_limits.rs
+++ b/lib/src/node/rate_limits.rs
@@ -291,6 +291,14 @@
         }
     }
 
+    /// Takes back the count of a request that did not reach the endpoint.
+    pub fn record_not_sent(&mut self, now: Time, id: &str) {
+        self.fill(now, id);
+        if let Some(limit) = self.limits.get_mut(id) {
+            limit.tokens += 1.0;
+        }
+    }
+
     /// Returns the limit of this start of an endpoint, with its rate, if one holds.
     fn in_force(&self, id: &str, started_ms: u64) -> Option<(&Limit, f64)> {
         let limit = self.limits.get(id)?;
--- a/lib/tests/test_node_rate_limits.rs
+++ b/lib/tests/test_node_rate_limits.rs
@@ -259,6 +259,17 @@
     assert!(limits.may_send(at(1_500), &id, 1, false));
 }
 
+#[test]
+fn request_that_could_not_be_sent_uses_no_share() {
+    let id: Arc<str> = Arc::from("e1");
+    let mut limits = RateLimits::new("entry-1");
+    limits.record_answer(at(0), &id, 1, Announced::Rate(1.0));
+    limits.record_send(at(1_000), &id);
+    assert!(!limits.may_send(at(1_010), &id, 1, true));
+    limits.record_not_sent(at(1_020), &id);
+    assert!(limits.may_send(at(1_030), &id, 1, true));
+}
+
 #[test]
 fn shares_of_vms_that_are_cut_off_go_to_others() {
     let id: Arc<str> = Arc::from("e1");
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -318,7 +318,11 @@
                 self.log_failed(&to, reason, false);
                 let mut balancer = self.node.balancer.borrow_mut();
                 balancer.record_failure(self.node.now(), &to.id);
-                self.failed_connects += u32::from(reason == FAILED_CONNECT);
+                if reason == FAILED_CONNECT {
+                    self.failed_connects += 1;
+                    let now = self.node.now();
+                    balancer.limits_mut().record_not_sent(now, &to.id);
+                }
             }
             SendOutcome::MayHaveRun(reason) => {
                 self.sends.possible_runs += 1;
