soak: callers that leave and endpoints with limits

--faults limits adds both to the faults of cuts. Checked are: no request reaches an endpoint later than 500 ms after its caller has left, unless a process was killed that had sent it; and no endpoint with a limit gets more than it tolerates.

--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -25,6 +25,11 @@
     check_short_run(FaultSet::All);
 }
 
+#[test]
+fn short_soak_run_with_limits_and_callers_that_leave_keeps_all_guarantees() {
+    check_short_run(FaultSet::Limits);
+}
+
 #[test]
 fn short_soak_run_with_cut_vms_keeps_all_guarantees() {
     check_short_run(FaultSet::Cuts);
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers, which resolve addresses, reuse connections, and record the responses they get.
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -15,6 +16,8 @@
 const REQUEST_PAUSE: Duration = Duration::from_millis(15);
 /// Interval between two requests of a steady caller.
 const STEADY_INTERVAL: Duration = Duration::from_millis(60);
+/// Longest time in milliseconds for which a caller that leaves waits for its response.
+const MAX_STAY_MS: u64 = 250;
 /// Time for which a caller caches the addresses that a directory returned.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
 /// One caller in this many uses entry VMs to their end: it caches addresses for
@@ -77,11 +80,19 @@
     pub response: Response,
 }
 
+/// A request whose caller closed its connection without waiting for the response.
+#[derive(Debug, Clone)]
+pub struct LeftRequest {
+    pub id: String,
+    pub left_at: Instant,
+}
+
 /// Running callers.
 #[derive(Debug)]
 pub struct Callers {
     stop: Arc<AtomicBool>,
     observed: Arc<Mutex<Vec<ObservedRequest>>>,
+    left: Arc<Mutex<Vec<LeftRequest>>>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -116,10 +127,34 @@
         Self {
             stop,
             observed,
+            left: Arc::default(),
             threads,
         }
     }
 
+    /// Starts a caller of each entry VM that leaves soon after each of its requests.
+    pub fn spawn_leaving(&mut self, fronts: &[SocketAddr], seed: u64) {
+        for (index, front) in fronts.iter().copied().enumerate() {
+            let (stop, left) = (self.stop.clone(), self.left.clone());
+            let mut rng = SmallRng::seed_from_u64(seed ^ (index as u64) << 24);
+            self.threads.push(thread::spawn(move || {
+                for number in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let id = format!("left{index}-{number}");
+                    let stay = Duration::from_millis(rng.random_range(0..MAX_STAY_MS));
+                    if let Some(request) = send_and_leave(front, id, number, stay) {
+                        left.lock()
+                            .unwrap_or_else(PoisonError::into_inner)
+                            .push(request);
+                    }
+                    thread::sleep(STEADY_INTERVAL);
+                }
+            }));
+        }
+    }
+
     /// Starts a caller of each entry VM that sends at a fixed rate over new connections, however long
     /// the responses take.
     pub fn spawn_steady(&mut self, fronts: &[SocketAddr]) {
@@ -151,21 +186,42 @@
         }
     }
 
-    /// Stops the callers and returns their requests.
-    pub fn finish(self) -> Vec<ObservedRequest> {
+    /// Stops the callers; returns their requests, and those whose callers left.
+    pub fn finish(self) -> (Vec<ObservedRequest>, Vec<LeftRequest>) {
         self.stop.store(true, Ordering::Relaxed);
         for thread in self.threads {
             if thread.join().is_err() {
                 eprintln!("a caller panicked");
             }
         }
-        self.observed
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        let observed = self.observed.lock();
+        let left = self.left.lock();
+        (
+            observed.unwrap_or_else(PoisonError::into_inner).clone(),
+            left.unwrap_or_else(PoisonError::into_inner).clone(),
+        )
     }
 }
 
+/// Sends a request over a new connection and closes it after `stay`, whether or not there is a
+/// response. Returns `None` if the connection fails.
+fn send_and_leave(
+    front: SocketAddr,
+    id: String,
+    number: u64,
+    stay: Duration,
+) -> Option<LeftRequest> {
+    let (_, text) = build_request(&id, &id, (number % 3) as i32, number);
+    let mut io = TcpStream::connect(front).ok()?;
+    io.write_all(text.as_bytes()).ok()?;
+    thread::sleep(stay);
+    drop(io);
+    Some(LeftRequest {
+        id,
+        left_at: Instant::now(),
+    })
+}
+
 /// Sends a request over a new connection. The number chooses its kind; no two have the same path.
 fn send_once(front: SocketAddr, id: &str, number: u64) -> ObservedRequest {
     let (kind, text) = build_request(id, id, (number % 3) as i32, number);
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -6,7 +6,7 @@
 
 use hemlock_platform_standin::fixtures;
 
-use crate::callers::{CRASHING_PREFIX, ObservedRequest, RequestKind};
+use crate::callers::{CRASHING_PREFIX, LeftRequest, ObservedRequest, RequestKind};
 use crate::deployment::{DRAIN_MS, EVENTS_PER_STREAM};
 use crate::faults::Fault;
 
@@ -31,6 +31,14 @@
 /// Maximum number of requests with that part that reach engines later.
 const LATE_CRASH_LIMIT: usize = 3;
 
+/// Time after a caller has left from which its request may not reach an endpoint any more.
+const LEFT_LIMIT: Duration = Duration::from_millis(500);
+/// Span over which arrivals at an endpoint with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Factor on a limit, and number of requests beyond that, that an endpoint tolerates in the span.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_EXTRA: f64 = 5.0;
+
 /// A fault that was injected, and when.
 #[derive(Debug, Clone, Copy)]
 pub struct InjectedFault {
@@ -58,6 +66,10 @@
     pub runs: Vec<(String, String, Instant)>,
     /// When parts of prompts crashed engines, the earliest first.
     pub crashes: Vec<Instant>,
+    /// When requests reached each endpoint, in the order of the faults.
+    pub arrivals: Vec<Vec<Instant>>,
+    /// Requests whose callers left without waiting for their responses.
+    pub left: Vec<LeftRequest>,
     pub probes: Vec<Probe>,
     pub faults: Vec<InjectedFault>,
     /// Addresses of the entry VMs.
@@ -94,6 +106,8 @@
         violations.extend(self.check_configs());
         violations.extend(self.check_crashing_part());
         violations.extend(self.check_cuts());
+        violations.extend(self.check_limits());
+        violations.extend(self.check_left());
         violations.extend(self.check_recovery());
         violations
     }
@@ -264,6 +278,55 @@
         })
     }
 
+    /// Checks of each endpoint with a limit that all entry VMs together keep to it. A link that holds
+    /// requests up may deliver them at once.
+    fn check_limits(&self) -> Vec<String> {
+        let check = |injected: &InjectedFault| {
+            let Fault::Limit(endpoint, tenths) = injected.fault else {
+                return None;
+            };
+            let allowed = f64::from(tenths) / 10.0 * LIMIT_WINDOW.as_secs_f64() * LIMIT_FACTOR;
+            let settled = injected.from + STABLE_WINDOW;
+            let times = &self.arrivals[endpoint];
+            let counts = times.iter().filter(|t| **t >= settled).map(|begin| {
+                let end = (*begin + LIMIT_WINDOW).min(injected.until);
+                let count = times.iter().filter(|t| *begin <= **t && **t < end);
+                (count.count(), *begin)
+            });
+            let (count, begin) = counts.max()?;
+            let is_excused = self.is_excused(begin, begin + LIMIT_WINDOW, |f| match f {
+                Fault::Link(e, _) => *e == endpoint,
+                Fault::Cut(..) => true,
+                _ => false,
+            });
+            (!is_excused && count as f64 > allowed + LIMIT_EXTRA).then(|| {
+                let name = &self.endpoints[endpoint];
+                format!("{name} got {count} requests in 4 s, allowed {allowed:.1} + 5")
+            })
+        };
+        self.faults.iter().filter_map(check).collect()
+    }
+
+    /// Checks that no request reaches an endpoint after its caller has left. What a killed process
+    /// had sent is in the hands of the kernel.
+    fn check_left(&self) -> Vec<String> {
+        let left: BTreeMap<&str, Instant> = self
+            .left
+            .iter()
+            .map(|l| (l.id.as_str(), l.left_at))
+            .collect();
+        let check = |(id, endpoint, started): &(String, String, Instant)| {
+            let left_at = *left.get(id.as_str())?;
+            let late = started.checked_duration_since(left_at + LEFT_LIMIT)?;
+            let is_kill = |f: &Fault| matches!(f, Fault::Kill(_));
+            (!self.is_excused(left_at, *started, is_kill)).then(|| {
+                let late = late + LEFT_LIMIT;
+                format!("{id} reached {endpoint} {late:?} after its caller had left")
+            })
+        };
+        self.runs.iter().filter_map(check).collect()
+    }
+
     /// Checks that few requests with a crashing part reach engines some time after the fifth crash.
     fn check_crashing_part(&self) -> Option<String> {
         let fifth = self.crashes.get(FREE_CRASHES - 1)?;
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -230,6 +230,12 @@
         crashes
     }
 
+    /// Returns when requests reached each endpoint, in their order.
+    pub fn arrivals(&self) -> Vec<Vec<Instant>> {
+        let endpoints = self.endpoints.iter();
+        endpoints.map(|e| e.endpoint.arrival_times()).collect()
+    }
+
     /// Returns the request, endpoint and start of each execution of a request.
     pub fn runs(&self) -> Vec<(String, String, Instant)> {
         let runs_of = |e: &ProxiedEndpoint| {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -19,6 +19,8 @@
 const LAST_CUT_SHARE: f64 = 0.8;
 /// Share of the seeds with a series of signals that stops all entry VMs.
 const TERMINATION_SERIES_SHARE: f64 = 0.4;
+/// Share of the endpoints that announce a limit at some time.
+const LIMITED_SHARE: f64 = 0.6;
 /// Interval between the signals of a series that stops all entry VMs.
 const TERMINATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two series of stops, longer than a stop takes.
@@ -47,6 +49,8 @@
     Cut(usize, Link),
     /// An endpoint misbehaves.
     Endpoint(usize, endpoint::Mode),
+    /// An endpoint announces a limit, in tenths of a request a second.
+    Limit(usize, u32),
     /// An endpoint disappears, and restarts without its state at the end of the fault.
     Crash(usize),
     /// An endpoint announces that it drains, and restarts at the end of the fault.
@@ -94,6 +98,8 @@
     All,
     /// Also cuts of entry VMs from all endpoints, and series of SIGTERMs over all entry VMs.
     Cuts,
+    /// Also endpoints that announce limits, and callers that leave before they have their responses.
+    Limits,
     /// All entry VMs are stopped one after the other, again and again, and nothing else happens, so
     /// that no lost response is excused.
     Stops,
@@ -116,7 +122,7 @@
     let loses_records = match fault_set {
         FaultSet::Basic | FaultSet::Stops => false,
         FaultSet::All => true,
-        FaultSet::Cuts => seed.is_multiple_of(2),
+        FaultSet::Cuts | FaultSet::Limits => seed.is_multiple_of(2),
     };
     if loses_records {
         draw_restores(seed, fault_period, &mut scheduled);
@@ -128,9 +134,12 @@
             });
         }
     }
-    if fault_set == FaultSet::Cuts {
+    if matches!(fault_set, FaultSet::Cuts | FaultSet::Limits) {
         draw_cuts(seed, fault_period, nodes, &mut scheduled);
     }
+    if fault_set == FaultSet::Limits {
+        draw_limits(seed, fault_period, endpoints, &mut scheduled);
+    }
     let mut at = Duration::from_secs(1);
     while at < fault_period.mul_f64(BEGIN_SHARE) {
         let fault = draw_fault(&mut rng, nodes, endpoints);
@@ -224,6 +233,27 @@
     }
 }
 
+/// Draws limits of endpoints, one after the other for each, so that they overlap.
+fn draw_limits(
+    seed: u64,
+    fault_period: Duration,
+    endpoints: usize,
+    scheduled: &mut Vec<ScheduledFault>,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(16));
+    for endpoint in 0..endpoints {
+        if !rng.random_bool(LIMITED_SHARE) {
+            continue;
+        }
+        let at = fault_period.mul_f64(rng.random_range(0.0..BEGIN_SHARE));
+        scheduled.push(ScheduledFault {
+            at,
+            until: at + Duration::from_millis(rng.random_range(5_000..10_000)),
+            fault: Fault::Limit(endpoint, rng.random_range(2..60)),
+        });
+    }
+}
+
 /// Draws which entry VMs are cut, and how.
 fn draw_cut(
     rng: &mut SmallRng,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -111,9 +111,12 @@
         let directories: Vec<_> = deployment.nodes.iter().map(|n| n.directory).collect();
         let fronts: Vec<_> = deployment.nodes.iter().map(|n| n.front).collect();
         let mut callers = Callers::spawn(self.callers, &directories, self.seed);
-        if self.fault_set == FaultSet::Cuts {
+        if matches!(self.fault_set, FaultSet::Cuts | FaultSet::Limits) {
             callers.spawn_steady(&fronts);
         }
+        if self.fault_set == FaultSet::Limits {
+            callers.spawn_leaving(&fronts, self.seed);
+        }
         let mut run = SoakRun {
             soak: self,
             incarnations: Arc::new(Mutex::new(vec![0; self.nodes])),
@@ -146,7 +149,7 @@
         if prober.join().is_err() {
             run.broken.push("the prober panicked".to_owned());
         }
-        let requests = callers.finish();
+        let (requests, left) = callers.finish();
         let probes = probes
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -154,6 +157,8 @@
         let report = Report {
             runs: run.deployment.runs(),
             crashes: run.deployment.crashes(),
+            arrivals: run.deployment.arrivals(),
+            left,
             probes,
             faults: run.injected,
             fronts,
@@ -337,6 +342,10 @@
             Fault::Link(e, link) => deployment.endpoints[e].link.set_link(link),
             Fault::Cut(n, link) => deployment.set_endpoint_links(n, link),
             Fault::Endpoint(e, mode) => deployment.endpoints[e].endpoint.set_mode(mode),
+            Fault::Limit(e, tenths) => {
+                let limit = format!("{}", f64::from(tenths) / 10.0);
+                deployment.endpoints[e].endpoint.set_limit(Some(&limit));
+            }
             Fault::Crash(e) => {
                 self.crashed.insert(e);
                 deployment.endpoints[e].link.set_link(Link::Reset);
@@ -385,6 +394,7 @@
                     .endpoint
                     .set_mode(hemlock_platform_standin::endpoint::Mode::Good);
             }
+            Fault::Limit(e, _) => deployment.endpoints[e].endpoint.set_limit(None),
             Fault::Crash(e) => {
                 self.crashed.remove(&e);
                 deployment.endpoints[e].link.set_link(Link::Open);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,9 +39,9 @@
                 .long("faults")
                 .value_name("SET")
                 .default_value("cuts")
-                .value_parser(["basic", "all", "cuts", "stops"])
+                .value_parser(["basic", "all", "cuts", "limits", "stops"])
                 .help(
-                    "Kinds of faults: basic, all and cuts each with those of the one before it; \
+                    "Kinds of faults: basic, all, cuts and limits each with those of the one before it; \
                      stops are stops of all entry VMs one after the other, again and again",
                 ),
             Arg::new("regressions")
@@ -80,6 +80,7 @@
         fault_set: match matches.get_one::<String>("faults").map(String::as_str) {
             Some("basic") => FaultSet::Basic,
             Some("all") => FaultSet::All,
+            Some("limits") => FaultSet::Limits,
             Some("stops") => FaultSet::Stops,
             _ => FaultSet::Cuts,
         },
@@ -132,7 +133,7 @@
 }
 
 impl Case {
-    /// Parses a line of `seeds.txt`, with an optional `all` or `cuts` before the cause for the kinds of
+    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts` or `limits` before the cause for the kinds of
     /// faults. Returns `None` for a comment.
     fn parse(line: &str) -> Option<Self> {
         let mut numbers = line.split(' ').map_while(|n| n.parse().ok());
@@ -144,6 +145,7 @@
             fault_set: match line.split(' ').nth(4) {
                 Some("all") => FaultSet::All,
                 Some("cuts") => FaultSet::Cuts,
+                Some("limits") => FaultSet::Limits,
                 _ => FaultSet::Basic,
             },
         })
