reach: a new connection that breaks at once was not established

Cause: where a middlebox accepts connections and then resets them, each new one counted as opened, which cleared the failures before it, and bytes on old connections cleared what broke. Class of fault: a step that is not yet confirmed taken as evidence.

--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -1,6 +1,7 @@
 //! Watches whether this VM reaches endpoints. While something speaks against it, endpoints are
 //! probed and peers are asked whether they reach them; otherwise nothing is sent.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -170,6 +171,20 @@
     }
 }
 
+/// Counts a connection to an endpoint as opened once it has lasted for a moment; returns the flag to
+/// set if it breaks before.
+pub(crate) fn confirm_connected(node: &Rc<Node>, id: &Arc<str>) -> Rc<Cell<bool>> {
+    let is_broken = Rc::new(Cell::new(false));
+    let (node, id, flag) = (node.clone(), id.clone(), is_broken.clone());
+    spawn_local(async move {
+        tokio::time::sleep(CLOSE_WAIT).await;
+        if !flag.get() {
+            node.note_connected(&id);
+        }
+    });
+    is_broken
+}
+
 async fn send_query(
     node: &Node,
     socket: &UdpSocket,
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -33,6 +33,7 @@
 
 use crate::front::{self, ConnectionAction, Request};
 use crate::metrics::Counter;
+use crate::path_watch;
 use crate::state::Node;
 
 /// Timeout of connecting to an endpoint; a live one needs a few network delays for the handshake.
@@ -152,6 +153,8 @@
     delivered: Delivered,
     /// Estimate for the current send, and the time of that send.
     current_estimate: Option<(Estimate, Time)>,
+    /// Set if the current connection to an endpoint breaks, while it is new and has brought nothing.
+    new_conn: Option<Rc<Cell<bool>>>,
 }
 
 /// Relays a request and returns what to do with the caller's connection.
@@ -205,6 +208,7 @@
                 ..Delivered::default()
             },
             current_estimate: None,
+            new_conn: None,
         }
     }
 
@@ -394,6 +398,7 @@
             return SendOutcome::NotRun("bad_address");
         };
         let now = self.node.now();
+        self.new_conn = None;
         let mut conn = match self.node.pool.take(now, &to.id) {
             Some(conn) => conn,
             None => match self.connect(caller, address, Some(to)).await {
@@ -433,7 +438,7 @@
     /// Connects to an endpoint, or to a peer if `endpoint` is `None`, unless the caller disconnects
     /// first.
     async fn connect(
-        &self,
+        &mut self,
         caller: &mut Conn,
         address: SocketAddr,
         endpoint: Option<&Candidate>,
@@ -445,7 +450,9 @@
             tokio::select! {
                 conn = &mut connect => {
                     match (&conn, endpoint) {
-                        (Ok(_), Some(to)) => self.node.note_connected(&to.id),
+                        (Ok(_), Some(to)) => {
+                            self.new_conn = Some(path_watch::confirm_connected(self.node, &to.id));
+                        }
                         (Err(_), Some(to)) => {
                             self.node.note_path_failure(&to.id, PathFailure::Connect);
                         }
@@ -486,7 +493,7 @@
         match self.await_endpoint(caller, conn.write(&out), to).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => {
-                self.node.note_path_failure(&to.id, PathFailure::Broken);
+                self.note_broken(to);
                 return (SendOutcome::MayHaveRun("write"), None);
             }
             Err(outcome) => return (outcome, None),
@@ -498,6 +505,7 @@
                 Err(outcome) => return (outcome, None),
             };
             self.node.note_heard(&to.id);
+            self.new_conn = None;
             // An endpoint can't speak for an entry VM.
             head.headers.remove_prefixed(passing::HEADER_PREFIX);
             let meta = requests::read_response_meta(&head);
@@ -571,7 +579,7 @@
     /// Reads the head of the response, unless the endpoint is silent for too long, the deadline
     /// passes or the caller disconnects.
     async fn await_response_head(
-        &self,
+        &mut self,
         caller: &mut Conn,
         conn: &mut Conn,
         to: &Candidate,
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -96,7 +96,7 @@
 
     /// Records that a connection broke while the request was open on it.
     pub(super) fn connection_broken(
-        &self,
+        &mut self,
         upstream: Upstream<'_>,
         error: &HttpError,
     ) -> SendOutcome {
@@ -109,7 +109,7 @@
                 SendOutcome::MayHaveRun("malformed")
             }
             HttpError::Closed | HttpError::Broken(_) => {
-                self.node.note_path_failure(&to.id, PathFailure::Broken);
+                self.note_broken(to);
                 // If the path is lost, idle connections have broken at the same time.
                 for id in self.node.pool.remove_closed(self.node.now()) {
                     self.node.note_path_failure(&id, PathFailure::Broken);
@@ -119,6 +119,16 @@
         }
     }
 
+    /// Records that the connection to an endpoint broke. A new one that has brought nothing counts as
+    /// not established, since a middlebox may open connections and then reset them.
+    pub(super) fn note_broken(&mut self, to: &Candidate) {
+        self.node.note_path_failure(&to.id, PathFailure::Broken);
+        if let Some(is_broken) = self.new_conn.take() {
+            is_broken.set(true);
+            self.node.note_path_failure(&to.id, PathFailure::Connect);
+        }
+    }
+
     /// Records in the quarantine that an endpoint has broken off its answer. Peers are told once it is
     /// clear that this VM has not lost its path.
     ///
--- a/node/tests/test_cut.rs
+++ b/node/tests/test_cut.rs
@@ -70,6 +70,42 @@
     check_served_through_peers(Link::CutBack);
 }
 
+/// Bytes on old connections hid from the daemon that none of its new ones lived.
+#[test]
+fn streams_of_a_vm_that_can_open_no_connection_are_served_while_old_ones_go_on() {
+    let cluster = Cluster::spawn();
+    let engines = cluster.endpoints.iter().filter(|e| e.id().starts_with('e'));
+    engines.for_each(|e| e.set_connection_limit(1));
+    // Fewer engines than failures at which a daemon doubts its path.
+    for head in cluster.group_heads().into_iter().skip(2) {
+        head.remove_entry();
+    }
+    let fronts: Vec<_> = cluster.nodes.iter().map(|n| n.front).collect();
+    let plain = |prefix: &str, time| {
+        send_at_rate(&fronts, time, |node, number| {
+            let id = format!("{prefix}-plain-{node}-{number}");
+            let text = request("GET", &format!("/plain/{id}"), &id, "", "");
+            (id, text)
+        })
+    };
+    let streams = |prefix: &str, time| {
+        send_at_rate(&fronts, time, |node, number| {
+            let id = format!("{prefix}-stream-{node}-{number}");
+            let text = request("POST", &format!("/stream/{id}"), &id, MODEL_HEADERS, &id);
+            (id, text)
+        })
+    };
+    plain("warm", Duration::from_millis(500));
+    cluster.set_link(0, Link::RefuseNew);
+    let observed = thread::scope(|scope| {
+        scope.spawn(|| plain("old", STABLE_WINDOW + OBSERVED));
+        streams("early", STABLE_WINDOW);
+        streams("late", OBSERVED)
+    });
+    check_target(&observed, &[0]);
+    check_others_serve(&observed, &[0]);
+}
+
 /// Two of three daemons are cut: the one with a path serves for both.
 #[test]
 fn callers_of_two_cut_vms_are_served_through_the_third() {
