planner: a join of an engine that may have changed is checked by the engine

Cause: the planner decides by the list, which does not show an order that is carried out late while the store is away. Such an order brought the engine back into a group that it had left, and the next one took it out. Class of fault: an order by a state that may be outdated, without a precondition.

While the list is frozen, within 15 s of an order without a reply, and in the first 15 s of a term, since the planner before may have lost orders, a join names the group that the engine is expected to be in. The VM asks the engine, sends the join only if that holds, and names the number of orders that the engine had begun as its precondition, so that the engine refuses it if another one came in between, however late either is carried out.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -34,6 +34,8 @@
 const LOST_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after an order for which the engine is polled for its state while the list is frozen.
 const POLL_DURATION: Duration = Duration::from_secs(4);
+/// Time in which an order without a reply may still be carried out.
+const LATE_ORDER_TIME: Duration = Duration::from_secs(15);
 /// Bits of an epoch that are counted up within one term; the fencing token takes the others.
 const EPOCH_COUNTER_BITS: u32 = 20;
 
@@ -120,6 +122,9 @@
         fence: u64,
         /// The order to send.
         action: Action,
+        /// The group that the engine must be in, which the list may not show. The engine is asked
+        /// before, and the order names the answer as its precondition.
+        expected: Option<ExpectedGroup>,
     },
     /// Query an engine for its report, to see whether it is alive.
     Probe {
@@ -130,6 +135,35 @@
     },
 }
 
+/// The group that an engine must be in for an order to be carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExpectedGroup {
+    /// Name and epoch of the group; `None` if the engine must be in no group.
+    pub current: Option<(Arc<str>, u64)>,
+}
+
+impl ExpectedGroup {
+    /// Returns the reply to a join of `group` by an engine with this membership, unless the order
+    /// must be sent.
+    pub fn check(
+        &self,
+        membership: Option<&Membership>,
+        group: &str,
+        epoch: u64,
+    ) -> Result<(), Reply> {
+        let current = membership.map(|m| (&*m.group, m.epoch));
+        let expected = self
+            .current
+            .as_ref()
+            .map(|(group, epoch)| (&**group, *epoch));
+        match current {
+            current if current == Some((group, epoch)) => Err(Reply::Done),
+            current if current == expected => Ok(()),
+            _ => Err(Reply::Conflict),
+        }
+    }
+}
+
 /// Result of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
@@ -198,6 +232,8 @@
     lost: bool,
     /// When the last order was sent.
     last_order: Option<Time>,
+    /// When an order last got no reply, so that it may be carried out later.
+    lost_order: Option<Time>,
     /// Model of the last group.
     last_model: Option<Arc<str>>,
     /// Model whose weights are being loaded onto the host, and since when.
@@ -212,6 +248,8 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     fence: Option<u64>,
+    /// When the first plan of the term was made.
+    term_since: Option<Time>,
     /// Highest epoch that was seen or issued.
     epoch: u64,
     formed: BTreeMap<u64, FormedGroup>,
@@ -341,6 +379,9 @@
             return false;
         };
         state.order_sent = None;
+        if reply == Reply::Lost {
+            state.lost_order = Some(now);
+        }
         state.next_order_after = match reply {
             Reply::Begun | Reply::Done => Some(now + LIST_DELAY),
             Reply::Conflict | Reply::Elsewhere | Reply::Lost | Reply::Outdated => {
@@ -395,6 +436,7 @@
     /// Makes one plan and appends the resulting orders and probes to `out`.
     pub fn step(&mut self, now: Time, input: &PlannerInput<'_>, out: &mut Vec<Output>) {
         let Some(fence) = self.fence else { return };
+        self.term_since.get_or_insert(now);
         self.update_states(input);
         let mut round = PlanningRound {
             now,
@@ -493,11 +535,29 @@
             state.order_sent = Some(self.now);
             state.last_order = Some(self.now);
         }
+        let is_join = matches!(action, Action::Join { .. });
+        let expected = (is_join && self.may_have_changed(id)).then(|| ExpectedGroup {
+            current: endpoint
+                .membership
+                .as_ref()
+                .map(|m| (m.group.clone(), m.epoch)),
+        });
         self.out.push(Output::Order {
             endpoint: id.clone(),
             address: endpoint.address.clone(),
             fence: self.fence,
             action,
+            expected,
         });
     }
+
+    /// Returns whether an engine may be in another group than the list shows: the list is not
+    /// updated, or an order of this planner or of the one before it may be carried out late.
+    fn may_have_changed(&self, id: &str) -> bool {
+        let is_recent = |t: Option<Time>| t.is_some_and(|t| self.now.since(t) < LATE_ORDER_TIME);
+        let state = self.planner.engine_states.get(id);
+        self.input.list_frozen
+            || state.is_some_and(|s| is_recent(s.lost_order))
+            || !self.input.before_traffic && is_recent(self.planner.term_since)
+    }
 }
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -10,7 +10,7 @@
 use hemlock_lib::node::capacity::Demand;
 use hemlock_lib::node::config::{Engine, Model};
 use hemlock_lib::node::endpoints::{Endpoint, Endpoints, EngineReport, MemberState, Membership};
-use hemlock_lib::node::planner::{Action, Output, Planner, PlannerInput, Reply};
+use hemlock_lib::node::planner::{Action, ExpectedGroup, Output, Planner, PlannerInput, Reply};
 use hemlock_lib::time::Time;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -59,6 +59,8 @@
     /// When the head of an open group first missed a member.
     member_missing_since: Option<Time>,
     highest_fence: u64,
+    /// Number of orders begun so far.
+    begun: u64,
 }
 
 impl SimulatedEngine {
@@ -68,6 +70,15 @@
     }
 }
 
+/// An order as an engine gets it.
+#[derive(Debug, Clone)]
+struct SentOrder {
+    fence: u64,
+    action: Action,
+    /// Number of orders that the engine must have begun before.
+    precondition: Option<u64>,
+}
+
 pub struct Simulation {
     pub now: Time,
     pub engine: Engine,
@@ -84,7 +95,7 @@
     pub orders: Vec<(Time, Arc<str>, Action)>,
     /// Fraction of the orders that get no reply and are carried out seconds later.
     pub delayed_share: f64,
-    delayed_orders: Vec<(Time, Arc<str>, u64, Action)>,
+    delayed_orders: Vec<(Time, Arc<str>, SentOrder)>,
     engines: BTreeMap<Arc<str>, SimulatedEngine>,
     ready_members: BTreeSet<(Arc<str>, u64)>,
     rng: SmallRng,
@@ -144,6 +155,7 @@
             closing: None,
             member_missing_since: None,
             highest_fence: 0,
+            begun: 0,
         };
         self.engines.insert(Arc::from(id), simulated);
     }
@@ -239,8 +251,9 @@
                     endpoint,
                     fence,
                     action,
+                    expected,
                     ..
-                } => self.receive_order(endpoint, fence, action),
+                } => self.receive_order(endpoint, fence, action, expected),
                 Output::Probe { endpoint, .. } if self.is_cut_off => {
                     self.planner.forget_probe(&endpoint);
                 }
@@ -249,15 +262,8 @@
                         .engines
                         .get(&endpoint)
                         .is_some_and(|e| e.crashed_at.is_none());
-                    if alive && self.list_frozen {
-                        let e = &self.engines[&endpoint].entry;
-                        self.endpoints.observe(&EngineReport {
-                            id: e.id.clone(),
-                            started_ms: e.started_ms,
-                            staged: e.staged.clone(),
-                            model: e.model.clone(),
-                            membership: e.membership.clone(),
-                        });
+                    if alive {
+                        self.observe(&endpoint);
                     }
                     self.planner.handle_probe_result(&endpoint, alive);
                 }
@@ -265,24 +271,71 @@
         }
     }
 
-    fn receive_order(&mut self, id: Arc<str>, fence: u64, action: Action) {
+    /// Applies the report of an engine to the list while that is not being updated.
+    fn observe(&mut self, id: &str) {
+        if !self.list_frozen {
+            return;
+        }
+        let e = &self.engines[id].entry;
+        self.endpoints.observe(&EngineReport {
+            id: e.id.clone(),
+            started_ms: e.started_ms,
+            staged: e.staged.clone(),
+            model: e.model.clone(),
+            membership: e.membership.clone(),
+        });
+    }
+
+    fn receive_order(
+        &mut self,
+        id: Arc<str>,
+        fence: u64,
+        action: Action,
+        expected: Option<ExpectedGroup>,
+    ) {
         self.orders.push((self.now, id.clone(), action.clone()));
         let crashed = self.engines[&id].crashed_at.is_some();
+        let precondition = expected.is_some().then(|| self.engines[&id].begun);
+        if let (Some(expected), Action::Join { group, epoch, .. }) = (expected, &action)
+            && !crashed
+        {
+            self.observe(&id);
+            let membership = self.engines[&id].entry.membership.as_ref();
+            if let Err(reply) = expected.check(membership, group, *epoch) {
+                self.planner.handle_reply(self.now, &id, &action, reply);
+                return;
+            }
+        }
         if !crashed && self.rng.random_bool(self.delayed_share) {
             let at = self.now + Duration::from_millis(self.rng.random_range(2_000..12_000));
-            self.delayed_orders
-                .push((at, id.clone(), fence, action.clone()));
+            let order = SentOrder {
+                fence,
+                action: action.clone(),
+                precondition,
+            };
+            self.delayed_orders.push((at, id.clone(), order));
             self.planner
                 .handle_reply(self.now, &id, &action, Reply::Lost);
             return;
         }
         let reply = match crashed {
             true => Reply::Lost,
-            false => self.carry_out(&id, fence, &action),
+            false => self.begin(&id, fence, &action),
         };
         self.planner.handle_reply(self.now, &id, &action, reply);
     }
 
+    /// Carries out an order, and counts it if it has begun something.
+    fn begin(&mut self, id: &Arc<str>, fence: u64, action: &Action) -> Reply {
+        let reply = self.carry_out(id, fence, action);
+        if reply == Reply::Begun
+            && let Some(simulated) = self.engines.get_mut(id)
+        {
+            simulated.begun += 1;
+        }
+        reply
+    }
+
     fn carry_out(&mut self, id: &Arc<str>, fence: u64, action: &Action) -> Reply {
         let now = self.now;
         let speedup = if self.before_traffic { 10 } else { 1 };
@@ -419,9 +472,11 @@
             .delayed_orders
             .extract_if(.., |(at, ..)| *at <= now)
             .collect();
-        for (_, id, fence, action) in due_orders {
-            if self.engines[&id].crashed_at.is_none() {
-                self.carry_out(&id, fence, &action);
+        for (_, id, order) in due_orders {
+            let simulated = &self.engines[&id];
+            let fits = order.precondition.is_none_or(|n| n == simulated.begun);
+            if simulated.crashed_at.is_none() && fits {
+                self.begin(&id, order.fence, &order.action);
             }
         }
         let active = self.engines.values().filter(|e| e.is_loading()).count();
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -324,6 +324,31 @@
     assert_eq!(forming, 0);
 }
 
+/// Has engines crash, drain and arrive late, and planners be replaced; the simulation checks each
+/// order.
+fn disturb(seed: u64) {
+    let mut simulation = Simulation::new(two_models(), &[10, 7, 4], seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    simulation.run(Duration::from_secs(3));
+    simulation.before_traffic = false;
+    simulation.delayed_share = 0.2;
+    for i in 0..12 {
+        let ids: Vec<_> = simulation.endpoints.iter().map(|e| e.id.clone()).collect();
+        if ids.is_empty() {
+            break;
+        }
+        let id = ids[rng.random_range(0..ids.len())].clone();
+        simulation.list_frozen = rng.random_bool(0.3);
+        match rng.random_range(0..4) {
+            0 | 1 => simulation.crash(&id),
+            2 => simulation.drain(&id),
+            _ => simulation.replace_planner(i + 2),
+        }
+        simulation.add(&format!("new{i}"), "d1");
+        simulation.run(Duration::from_millis(rng.random_range(100..2_500)));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
 
@@ -331,26 +356,20 @@
     /// each order.
     #[test]
     fn opened_groups_are_complete_and_never_share_an_engine(seed in any::<u64>()) {
-        let mut simulation = Simulation::new(two_models(), &[10, 7, 4], seed);
-        let mut rng = SmallRng::seed_from_u64(seed);
-        simulation.run(Duration::from_secs(3));
-        simulation.before_traffic = false;
-        simulation.delayed_share = 0.2;
-        for i in 0..12 {
-            let ids: Vec<_> = simulation.endpoints.iter().map(|e| e.id.clone()).collect();
-            if ids.is_empty() {
-                break;
-            }
-            let id = ids[rng.random_range(0..ids.len())].clone();
-            simulation.list_frozen = rng.random_bool(0.3);
-            match rng.random_range(0..4) {
-                0 | 1 => simulation.crash(&id),
-                2 => simulation.drain(&id),
-                _ => simulation.replace_planner(i + 2),
-            }
-            simulation.add(&format!("new{i}"), "d1");
-            simulation.run(Duration::from_millis(rng.random_range(100..2_500)));
-        }
+        disturb(seed);
+    }
+}
+
+/// These orders were carried out while the list was frozen, 5 to 11 s after they had been sent.
+#[test]
+fn an_engine_that_joined_late_is_not_taken_out_of_its_open_group() {
+    for seed in [
+        5_968_974_812_941_601_266,
+        15_058_286_138_135_921_555,
+        2_841_606_432_267_370_447,
+        2_435_651_580_729_526_954,
+    ] {
+        disturb(seed);
     }
 }
 
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -9,7 +9,10 @@
 
 use hemlock_lib::node::capacity::{self, Demand};
 use hemlock_lib::node::config::Config;
-use hemlock_lib::node::planner::{self, Output, Planner, PlannerInput, Summary};
+use hemlock_lib::node::endpoints::EngineReport;
+use hemlock_lib::node::planner::{
+    self, Action, ExpectedGroup, Output, Planner, PlannerInput, Reply, Summary,
+};
 use hemlock_lib::node::reach::{PathFailure, PathState};
 use hemlock_lib::time::Time;
 use hemlock_platform::engines::{self, ReportOutcome};
@@ -39,6 +42,11 @@
 /// the lease.
 const STARTUP_DELAY: Duration = Duration::from_millis(700);
 
+/// Time by which the report of an engine may be older than its last order.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Number of times that an engine is asked for its group before an order is given up.
+const MAX_CHECKS: u32 = 3;
+
 /// The lease, and the planners that run while it is held.
 #[derive(Debug, Default)]
 struct Leadership {
@@ -331,6 +339,60 @@
     silent.chain(balancer.suspects(now)).cloned().collect()
 }
 
+/// Applies the report of an engine that this VM has queried, and tells peers, if no VM can read the
+/// store.
+fn keep_report(node: &Node, report: EngineReport) {
+    if !node.is_outage() {
+        return;
+    }
+    node.apply_report(&report);
+    let mut observed = node.engine_reports.borrow_mut();
+    if observed.insert(report.id.clone(), report.clone()) != Some(report) {
+        node.send_now.notify_one();
+    }
+}
+
+/// Sends an order to an engine if it is in the group that is expected. An order that is carried out
+/// late between the engine's report and this order makes the engine refuse it.
+async fn send_checked(
+    node: &Node,
+    id: &Arc<str>,
+    address: &str,
+    fence: u64,
+    action: &Action,
+    expected: &ExpectedGroup,
+) -> Reply {
+    let Action::Join { group, epoch, .. } = action else {
+        return engines::send_order(address, fence, action, None).await;
+    };
+    let mut reply = Reply::Lost;
+    for attempt in 0..MAX_CHECKS {
+        if attempt > 0 {
+            tokio::time::sleep(REPORT_LAG).await;
+        }
+        let query = engines::fetch_report(id, address).await;
+        node.note_queried(id, query.limit);
+        let ReportOutcome::Received(report) = query.outcome else {
+            return Reply::Lost;
+        };
+        let checked = expected.check(report.membership.as_ref(), group, *epoch);
+        keep_report(node, report);
+        // The lease may have ended meanwhile.
+        if !node.is_planner.get() || node.stop.is_stopping() && !node.is_outage() {
+            return Reply::Conflict;
+        }
+        reply = match checked {
+            Ok(()) => engines::send_order(address, fence, action, query.orders).await,
+            Err(reply) => reply,
+        };
+        // The report may be older than the engine's last order, as may be the list.
+        if reply != Reply::Conflict {
+            break;
+        }
+    }
+    reply
+}
+
 /// Executes one output of the planner and reports the result to it.
 async fn execute(
     node: Rc<Node>,
@@ -344,8 +406,14 @@
             address,
             fence,
             action,
+            expected,
         } => {
-            let reply = engines::send_order(&address, fence, &action).await;
+            let reply = match &expected {
+                Some(expected) => {
+                    send_checked(&node, &endpoint, &address, fence, &action, expected).await
+                }
+                None => engines::send_order(&address, fence, &action, None).await,
+            };
             let now = node.now();
             log::info!(
                 "event=order action={} subject={} id={endpoint} fence={fence} reply={reply:?}",
@@ -369,24 +437,15 @@
         Output::Probe { endpoint, address } => {
             let query = engines::fetch_report(&endpoint, &address).await;
             node.note_queried(&endpoint, query.limit);
-            let report = query.outcome;
-            let answered = report != ReportOutcome::NoReply;
+            let answered = query.outcome != ReportOutcome::NoReply;
             if answered {
                 node.note_heard(&endpoint);
             } else {
                 node.note_path_failure(&endpoint, PathFailure::Quiet);
             }
             log::info!("event=probe id={endpoint} answered={answered}");
-            if let ReportOutcome::Received(engine_report) = report
-                && node.is_outage()
-            {
-                node.apply_report(&engine_report);
-                let mut observed = node.engine_reports.borrow_mut();
-                if observed.insert(engine_report.id.clone(), engine_report.clone())
-                    != Some(engine_report)
-                {
-                    node.send_now.notify_one();
-                }
+            if let ReportOutcome::Received(report) = query.outcome {
+                keep_report(&node, report);
             }
             node.metrics.count(
                 Counter::Probes,
