pass_on: a peer that breaks off a stream is not avoided for others

Cause: a stream that its endpoint leaves unfinished is cut off by the peer, which has no other way to hand it back. The VM took that for a peer that is lost, and passed nothing on to it for a second; in the log of entry-0 peer_broken at 885.084 s is followed by refusals from 885.141 s on. Class of fault: the failure of one request taken for that of its carrier. Test: of the requests that are no streams, 8 were served at two cut daemons and 92 were not while streams broke off; now nine tenths or more are (the bound of the test).

An orderly end within the response counts as before for the request, which may have run as often as the peer was allowed, but says nothing of the peer. One that has died refuses the next connection, and is avoided then.

--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -1,6 +1,7 @@
 //! What the behaviour of an endpoint says about it: silence, broken connections, and requests to be
 //! left alone.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use hemlock_lib::node::balance::{Candidate, SILENCE_TIMEOUT};
@@ -10,6 +11,7 @@
 use hemlock_lib::time::Time;
 use hemlock_wire::http1::HttpError;
 
+use super::pass_on::PEER_BROKE_OFF;
 use super::{
     FIRST_EVENT_SLACK, MAX_EXTENSIONS, MIN_BEGUN_EVENTS, Relay, SendOutcome, SilenceTimer, Upstream,
 };
@@ -101,7 +103,11 @@
         error: &HttpError,
     ) -> SendOutcome {
         let Upstream::Endpoint(to) = upstream else {
-            return SendOutcome::PeerLost("peer_broken");
+            let cause = match error {
+                HttpError::Broken(e) if e.kind() == ErrorKind::UnexpectedEof => PEER_BROKE_OFF,
+                _ => "peer_broken",
+            };
+            return SendOutcome::PeerLost(cause);
         };
         self.record_crash(to, error);
         match error {
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -36,6 +36,9 @@
 /// Upper bound on the endpoints that a peer is told not to use.
 const MAX_LEAVING: usize = 32;
 
+/// Cause of a send that a peer ended in an orderly way before its response was complete, as it does
+/// when the endpoint fails after the response has begun. It may still serve others.
+pub(super) const PEER_BROKE_OFF: &str = "peer_broke_off";
 /// Cause of a send that a peer refused for the request, so that others may go to it.
 const PEER_UNABLE: &str = "peer_unable";
 
@@ -160,6 +163,10 @@
                 self.node.peer_pool.drop_endpoint(&peer.node);
                 cause
             }
+            SendOutcome::PeerLost(PEER_BROKE_OFF) => {
+                self.sends.record_lost_peer(max_runs);
+                PEER_BROKE_OFF
+            }
             SendOutcome::PeerLost(cause) => {
                 loads.avoid(now, &peer.node);
                 self.node.peer_pool.drop_endpoint(&peer.node);
--- a/node/tests/test_cut.rs
+++ b/node/tests/test_cut.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::caller;
+use hemlock_platform_standin::endpoint::Mode;
 use hemlock_platform_standin::proxy::Link;
 
 use crate::cluster::{
@@ -106,6 +107,30 @@
     check_others_serve(&observed, &[0]);
 }
 
+/// A stream that its endpoint left unfinished had the only peer with a path avoided for a second.
+#[test]
+fn peer_whose_endpoint_fails_within_a_stream_goes_on_serving_other_requests() {
+    let cluster = Cluster::spawn();
+    for head in cluster.group_heads() {
+        head.set_mode(Mode::Cut(2));
+    }
+    cluster.set_link(0, Link::Silent);
+    cluster.set_link(1, Link::Silent);
+    cluster.send_for("early", STABLE_WINDOW);
+    let observed = cluster.send_for("late", OBSERVED);
+    let of_cut = observed.iter().filter(|t| t.node < 2);
+    let (served, failed): (Vec<_>, Vec<_>) = of_cut
+        .filter(|t| !t.id.contains("stream"))
+        .partition(|t| t.is_served());
+    assert!(
+        served.len() >= failed.len() * 9,
+        "{} served, {} not",
+        served.len(),
+        failed.len()
+    );
+    check_runs(&cluster, &observed);
+}
+
 /// Two of three daemons are cut: the one with a path serves for both.
 #[test]
 fn callers_of_two_cut_vms_are_served_through_the_third() {
