--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -8,6 +8,7 @@
     let dir = tempfile::tempdir().expect("a temporary directory is created");
     let soak = Soak {
         program: PathBuf::from(env!("CARGO_BIN_EXE_hemlock-node")),
+        older: None,
         nodes: 3,
         callers: 4,
         fault_period: Duration::from_secs(6),
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -151,9 +151,9 @@
 }
 
 impl Deployment {
-    /// Starts the stand-ins, and `nodes` entry VMs that run `program` and keep their settings and
-    /// logs in `dir`.
-    pub fn spawn(program: &Path, nodes: usize, dir: &Path) -> std::io::Result<Self> {
+    /// Starts the stand-ins, and an entry VM for each of `programs`, which runs it. They keep their
+    /// settings and logs in `dir`.
+    pub fn spawn(programs: &[&Path], dir: &Path) -> std::io::Result<Self> {
         let (store, clients) = (Store::spawn(), ClientProcesses::default());
         let spawn = |id: &str, service: &str, domain: Option<&str>| {
             ProxiedEndpoint::spawn(&store, &clients, id, service, domain)
@@ -173,7 +173,7 @@
             version: 1,
         };
         deployment.publish_config();
-        for index in 0..nodes {
+        for (index, program) in programs.iter().enumerate() {
             let node = Node::spawn(index, program, &deployment.store, dir)?;
             deployment.clients.register(&client_name(index), node.pid());
             deployment.nodes.push(node);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,7 +10,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -49,6 +49,8 @@
 pub struct Soak {
     /// Path of the `hemlock-node` program.
     pub program: PathBuf,
+    /// Path of an older `hemlock-node`, which every second entry VM runs until it is restarted.
+    pub older: Option<PathBuf>,
     /// Number of entry VMs.
     pub nodes: usize,
     /// Number of callers.
@@ -106,7 +108,13 @@
 impl Soak {
     /// Runs the test once and returns its outcome. Fails if a file or process cannot be created.
     pub fn run(&self) -> io::Result<Outcome> {
-        let deployment = Deployment::spawn(&self.program, self.nodes, &self.dir)?;
+        let programs: Vec<&Path> = (0..self.nodes)
+            .map(|n| match &self.older {
+                Some(older) if !n.is_multiple_of(2) => older.as_path(),
+                Some(_) | None => self.program.as_path(),
+            })
+            .collect();
+        let deployment = Deployment::spawn(&programs, &self.dir)?;
         thread::sleep(STARTUP_TIME);
         let directories: Vec<_> = deployment.nodes.iter().map(|n| n.directory).collect();
         let fronts: Vec<_> = deployment.nodes.iter().map(|n| n.front).collect();
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,6 +1,6 @@
 //! `hemlock-soak`: runs the daemon under faults and prints violations of its guarantees.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -53,6 +53,11 @@
                 .value_name("FILE")
                 .value_parser(value_parser!(PathBuf))
                 .help("Path of hemlock-node; by default the one in the directory of this program"),
+            Arg::new("older")
+                .long("older")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Path of an older hemlock-node that every second entry VM runs until it is restarted"),
         ])
 }
 
@@ -72,6 +77,8 @@
         eprintln!("can't determine the path of hemlock-node; set it with --program");
         return ExitCode::from(2);
     };
+    let older = matches.get_one::<PathBuf>("older").cloned();
+    let programs = Programs { program, older };
     let requested = Case {
         seed: number("first"),
         nodes: number("processes"),
@@ -88,7 +95,7 @@
     let mut failed = Vec::new();
     if matches.get_flag("regressions") {
         for case in SEEDS.lines().filter_map(Case::parse) {
-            match run_case(&program, &case) {
+            match run_case(&programs, &case) {
                 Ok(true) => {}
                 Ok(false) => failed.push(case.seed),
                 Err(e) => return report_error(&e),
@@ -100,7 +107,7 @@
             if seed >= requested.seed + number("seeds") && Instant::now() >= end {
                 break;
             }
-            match run_case(&program, &Case { seed, ..requested }) {
+            match run_case(&programs, &Case { seed, ..requested }) {
                 Ok(true) => {}
                 Ok(false) => failed.push(seed),
                 Err(e) => return report_error(&e),
@@ -122,6 +129,14 @@
 /// Runs that failed at some time, which are repeated as regression tests.
 const SEEDS: &str = include_str!("../seeds.txt");
 
+/// The programs that entry VMs run.
+#[derive(Debug)]
+struct Programs {
+    program: PathBuf,
+    /// Program that every second entry VM runs until it is restarted.
+    older: Option<PathBuf>,
+}
+
 /// Parameters of a run that are set on the command line or in `seeds.txt`.
 #[derive(Debug, Clone, Copy)]
 struct Case {
@@ -154,11 +169,12 @@
 
 /// Runs one case, prints its outcome and returns whether there was no violation. The logs of a
 /// failure are kept.
-fn run_case(program: &Path, case: &Case) -> std::io::Result<bool> {
+fn run_case(programs: &Programs, case: &Case) -> std::io::Result<bool> {
     let seed = case.seed;
     let dir = tempfile::Builder::new().prefix("hemlock-soak-").tempdir()?;
     let soak = Soak {
-        program: program.to_owned(),
+        program: programs.program.clone(),
+        older: programs.older.clone(),
         nodes: case.nodes.max(1) as usize,
         callers: case.callers as usize,
         fault_period: Duration::from_secs(case.seconds),
