--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -146,7 +146,7 @@
     PathQuery(PathQuery),
     /// The reply to a path query.
     PathReply(PathReply),
-    /// What the sender heard of limits of endpoints. Builds without this kind of datagram ignore it.
+    /// Limits of endpoints that the sender heard. Builds without this kind of datagram ignore it.
     Limits(LimitNews),
 }
 
--- a/lib/src/node/rate_limits.rs
+++ b/lib/src/node/rate_limits.rs
@@ -41,7 +41,7 @@
 /// Time for which the end of a limit is remembered, so that older reports don't renew it.
 const END_RETENTION: Duration = Duration::from_secs(10);
 
-/// What an endpoint announces in an answer.
+/// Announcement of an endpoint in an answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Announced {
     /// No limit.
@@ -52,7 +52,7 @@
     Malformed,
 }
 
-/// What an answer changed.
+/// Change that an answer or a report made.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitChange {
     /// Nothing, or what is known by now.
@@ -65,7 +65,7 @@
     Malformed,
 }
 
-/// What an entry VM heard of the limit of an endpoint, for its peers.
+/// Limit of an endpoint as heard by an entry VM, for its peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
     /// Identifier of the endpoint.
@@ -85,7 +85,7 @@
     pub node: String,
     /// Whether the sender is cut off from the endpoints, so that it can't use its shares.
     pub cut: bool,
-    /// What the sender heard itself.
+    /// Limits that the sender heard itself.
     pub reports: Vec<LimitReport>,
 }
 
--- a/lib/tests/test_node_rate_limits.rs
+++ b/lib/tests/test_node_rate_limits.rs
@@ -23,7 +23,7 @@
     vms: Vec<RateLimits>,
     endpoint: Arc<str>,
     started_ms: u64,
-    /// What the endpoint announces.
+    /// Announcement in the answers of the endpoint.
     announced: Announced,
     /// Whether a VM runs and reaches the endpoint and its peers.
     is_up: Vec<bool>,
