relay: a retry that the budget denies uses no share of a limit

By reading: the share was counted when the endpoint was chosen, before the retry budget was asked. The share gets it back, as with a connect that failed; the test of that holds the arithmetic.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -309,6 +309,8 @@
             Choice::Unavailable(after) => return Err(("nobody", after)),
         };
         if self.sends.next_is_repeat() && !self.try_retry(now, service, cause) {
+            let mut balancer = self.node.balancer.borrow_mut();
+            balancer.limits_mut().record_not_sent(now, &to.id);
             let after = front::jittered_retry_after(self.request.deadline.since(now));
             return Err(("budget", after));
         }
