rate_limits: malformed values don't free an endpoint whose limit holds

By reading: an endpoint that named a limit and then only malformed values counted as not heard, and got one more owner each second, until all VMs sent to it. In virtual time with 81 VMs it got 18 requests in 4 s where 15.8 are tolerated, 3 s after the values had changed. A malformed value counts as heard now, and what is known holds on; the test passes.

--- a/lib/src/node/rate_limits.rs
+++ b/lib/src/node/rate_limits.rs
@@ -189,6 +189,7 @@
             Announced::Nothing => None,
             Announced::Rate(rate) => Some(rate.max(MIN_RATE)),
             Announced::Malformed => {
+                self.confirm(now, id, started_ms);
                 return match self.malformed.insert((id.clone(), started_ms)) {
                     true => LimitChange::Malformed,
                     false => LimitChange::None,
@@ -202,6 +203,16 @@
         change
     }
 
+    /// Records that an endpoint was heard, and that what is known of it holds on.
+    fn confirm(&mut self, now: Time, id: &str, started_ms: u64) {
+        self.fill(now, id);
+        if let Some(limit) = self.limits.get_mut(id)
+            && limit.started_ms == started_ms
+        {
+            (limit.heard_at, limit.own_heard_at) = (now, Some(now));
+        }
+    }
+
     /// Records what a peer heard. A report that is older than what is known changes nothing.
     pub fn record_report(&mut self, now: Time, report: &LimitReport) -> LimitChange {
         let rate = report.rate.filter(|r| r.is_finite() && *r > 0.0);
--- a/lib/tests/test_node_rate_limits.rs
+++ b/lib/tests/test_node_rate_limits.rs
@@ -239,6 +239,16 @@
     assert!(limits.any());
 }
 
+#[test]
+fn limit_holds_while_the_endpoint_goes_on_with_malformed_values() {
+    let mut fleet = Fleet::new(81, 8.0, 1.8);
+    fleet.run_for(6_000);
+    fleet.announced = Announced::Malformed;
+    fleet.run_for(60_000);
+    fleet.assert_held(1.8);
+    assert!(fleet.vms.iter().all(RateLimits::any));
+}
+
 #[test]
 fn restarted_endpoint_has_no_limit_until_it_says_so() {
     let id: Arc<str> = Arc::from("e1");
