testutils: concurrent test processes never get the same port

Ports now come from blocks that a process reserves by a listener, which moves here from the demo's tests. Two pools that start alike hand out 250 ports each without a common one; the former function would give both the same.

--- a/demo/tests/daemons.rs
+++ b/demo/tests/daemons.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::{TcpListener, UdpSocket};
-use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -12,6 +10,7 @@
 use hemlock_testutils::deployments::Deployment;
 use hemlock_testutils::engine::EngineConfig;
 use hemlock_testutils::platform::Platform;
+use hemlock_testutils::ports::PortBlock;
 use hemlock_wire::{agent_client, http_client};
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -24,10 +23,6 @@
 
 /// Time limit of [`wait`].
 const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
-/// Ports from which tests reserve their blocks.
-const BLOCK_PORTS: Range<u16> = 6_000..12_000;
-/// Number of ports in a block, whose last one is its guard.
-const BLOCK_SIZE: u16 = 100;
 /// Number of ports that one entry VM uses.
 const PORTS_PER_ENTRY: usize = 3;
 
@@ -167,36 +162,3 @@
 fn program_path(program: &str) -> PathBuf {
     Path::new(env!("CARGO_BIN_EXE_hemlock-demo")).with_file_name(program)
 }
-
-/// Consecutive ports that no other test uses until this is dropped, also while the daemon that
-/// listens on one of them is down.
-pub struct PortBlock {
-    /// First port of the block.
-    pub base: u16,
-    /// Listens on the last port of the block, which keeps it from other test processes.
-    _guard: TcpListener,
-}
-
-impl PortBlock {
-    /// Reserves a block with `count` free ports. The blocks lie below the ports of the other tests
-    /// (`hemlock_testutils::ports`).
-    ///
-    /// # Panics
-    ///
-    /// Panics if there is no such block.
-    pub fn reserve(count: u16) -> Self {
-        let is_free = |port: u16| {
-            let tcp = TcpListener::bind(("127.0.0.1", port));
-            tcp.is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok()
-        };
-        let mut blocks = BLOCK_PORTS.step_by(usize::from(BLOCK_SIZE));
-        let reserved = blocks.find_map(|base| {
-            let guard = TcpListener::bind(("127.0.0.1", base + BLOCK_SIZE - 1)).ok()?;
-            (base..base + count).all(is_free).then_some(Self {
-                base,
-                _guard: guard,
-            })
-        });
-        reserved.expect("a block of ports is free")
-    }
-}
--- a/demo/tests/test_processes.rs
+++ b/demo/tests/test_processes.rs
@@ -14,7 +14,7 @@
 use rustix::process::Signal;
 use uuid::Uuid;
 
-use crate::daemons::{AGENT, Daemons, GATEWAY, PLANNER, PortBlock, wait};
+use crate::daemons::{AGENT, Daemons, GATEWAY, PLANNER, wait};
 
 const DEPLOYMENT: Deployment = Deployment::TallowCreek;
 /// Tokens of a chat answer.
@@ -121,14 +121,6 @@
     }
 }
 
-/// A gateway that was killed could not start again on a port that another test had taken meanwhile.
-#[test]
-fn concurrent_tests_get_different_ports() {
-    let first = PortBlock::reserve(9);
-    let second = PortBlock::reserve(9);
-    assert_ne!(first.base, second.base);
-}
-
 /// Guards against requests that are lost or run twice while a planner and an agent are paused, a gateway is
 /// killed and restarted, and an entry VM stops gracefully.
 #[test]
--- a/testutils/tests/runner.rs
+++ b/testutils/tests/runner.rs
@@ -2,3 +2,4 @@
 
 mod test_engine;
 mod test_invariants;
+mod test_ports;
