--- a/lib/src/node/planner/groups.rs
+++ b/lib/src/node/planner/groups.rs
@@ -19,11 +19,14 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two queries for the state of an engine; its reports are about 200 ms old.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two queries for an engine whose load onto the host is due. Loads take longer than
+/// expected where many run.
+const LOAD_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 impl PlanningRound<'_, '_> {
     /// Probes engines: members of groups that entry VMs find silent, to learn which one is lost;
     /// lost engines, to learn whether they are back; and, while the list is frozen, engines that
-    /// have recently been sent orders.
+    /// have recently been sent orders or whose weights are due.
     pub(super) fn probe(&mut self) {
         let is_silent = |g: &Group| {
             g.head()
@@ -35,7 +38,7 @@
             .filter(|g| is_silent(g))
             .flat_map(|g| g.members.values().map(|(id, _)| id.clone()))
             .collect();
-        let (now, list_frozen) = (self.now, self.input.list_frozen);
+        let (now, list_frozen, engine) = (self.now, self.input.list_frozen, self.input.engine);
         for (id, state) in &mut self.planner.engine_states {
             let recently_ordered = state
                 .last_order
@@ -46,10 +49,15 @@
             } else {
                 // The backoff of one silent period does not apply to the next.
                 state.probe_backoff = Duration::ZERO;
-                match (state.lost, list_frozen && recently_ordered) {
-                    (true, _) => LOST_PROBE_INTERVAL,
-                    (false, true) => POLL_INTERVAL,
-                    (false, false) => continue,
+                let has_due_load = state.staging.as_ref().is_some_and(|(model, since)| {
+                    let load_time = engine.model(model).map(|m| m.load_time);
+                    now.since(*since) >= load_time.unwrap_or_default()
+                });
+                match state.lost {
+                    true => LOST_PROBE_INTERVAL,
+                    false if list_frozen && recently_ordered => POLL_INTERVAL,
+                    false if list_frozen && has_due_load => LOAD_POLL_INTERVAL,
+                    false => continue,
                 }
             };
             if state.probe_pending || state.last_probe.is_some_and(|t| now.since(t) < interval) {
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -324,6 +324,18 @@
     assert_eq!(forming, 0);
 }
 
+/// Loads take longer than the store is away for, and the planner of an outage sees no list.
+#[test]
+fn engines_that_were_loading_when_the_store_went_down_serve_once_they_are_loaded() {
+    let mut simulation = Simulation::new(engine(&[SMALL]), &[4], 1);
+    simulation.before_traffic = false;
+    simulation.run(Duration::from_secs(3));
+    simulation.list_frozen = true;
+    // A load takes 12 s, a start from the host 1 s; the rest is for queries and orders.
+    simulation.run(Duration::from_secs(13));
+    assert_eq!(simulation.serving().get("small"), Some(&2));
+}
+
 /// Has engines crash, drain and arrive late, and planners be replaced; the simulation checks each
 /// order.
 fn disturb(seed: u64) {
