planner: loads that are ordered in one pass count against the limit of the weight store

A load counted only once its engine had replied, so that one pass could order as many as a second allows beside those that ran. It counts from its order now.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -388,11 +388,12 @@
                 Some(now + RESEND_INTERVAL)
             }
         };
-        if let Action::Stage { model } = action
-            && matches!(reply, Reply::Begun | Reply::Lost)
-        {
-            state.staging = Some((model.clone(), now));
-            state.next_order_after = None;
+        if let Action::Stage { model } = action {
+            let may_run = matches!(reply, Reply::Begun | Reply::Lost);
+            state.staging = may_run.then(|| (model.clone(), now));
+            if may_run {
+                state.next_order_after = None;
+            }
         }
         if let Action::Join { epoch, .. } = action
             && matches!(reply, Reply::Conflict | Reply::Elsewhere | Reply::Outdated)
@@ -534,6 +535,10 @@
         if let Some(state) = self.planner.engine_states.get_mut(id) {
             state.order_sent = Some(self.now);
             state.last_order = Some(self.now);
+            // Counts against the limit of the weight store before the engine replies.
+            if let Action::Stage { model } = &action {
+                state.staging = Some((model.clone(), self.now));
+            }
         }
         let is_join = matches!(action, Action::Join { .. });
         let expected = (is_join && self.may_have_changed(id)).then(|| ExpectedGroup {
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -336,6 +336,15 @@
     assert_eq!(simulation.serving().get("small"), Some(&2));
 }
 
+/// Loads beyond what the weight store bears slow each other down, so that no group is completed soon.
+#[test]
+fn loads_ordered_in_one_pass_keep_to_the_limit_of_the_weight_store() {
+    let mut simulation = Simulation::new(two_models(), &[10; 2], 1);
+    simulation.before_traffic = false;
+    simulation.run(Duration::from_secs(4));
+    assert_eq!(simulation.load_starts.len(), simulation.engine.load_limit);
+}
+
 /// Has engines crash, drain and arrive late, and planners be replaced; the simulation checks each
 /// order.
 fn disturb(seed: u64) {
