planner: loads in progress are remembered between two terms

The list does not show loads onto hosts that are in progress. Of an earlier term it keeps just these. A planner at another VM still does not know them.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -348,10 +348,25 @@
         self.fence
     }
 
-    /// Begins a term, or continues it with a fencing token that is at least as high.
+    /// Begins a term, or continues it with a fencing token that is at least as high. Of an earlier
+    /// term only the loads in progress are kept, since the list does not show them.
     pub fn begin_term(&mut self, fence: u64) {
         if self.fence.is_none() {
-            *self = Self::default();
+            let states = std::mem::take(&mut self.engine_states).into_iter();
+            let loading = states.filter(|(_, state)| state.staging.is_some());
+            let only_load = |(id, state): (Arc<str>, EngineState)| {
+                let load = EngineState {
+                    staging: state.staging,
+                    started_ms: state.started_ms,
+                    ..EngineState::default()
+                };
+                (id, load)
+            };
+            *self = Self {
+                engine_states: loading.map(only_load).collect(),
+                load_starts: std::mem::take(&mut self.load_starts),
+                ..Self::default()
+            };
         }
         self.fence = Some(self.fence.map_or(fence, |f| f.max(fence)));
     }
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -345,6 +345,20 @@
     assert_eq!(simulation.load_starts.len(), simulation.engine.load_limit);
 }
 
+/// A planner that gets its lease back after an outage ordered loads in progress again, and more
+/// beside them than the weight store bears.
+#[test]
+fn loads_in_progress_outlast_a_pause_between_terms() {
+    let mut simulation = Simulation::new(two_models(), &[10; 2], 1);
+    simulation.before_traffic = false;
+    simulation.run(Duration::from_secs(4));
+    let started = simulation.load_starts.len();
+    simulation.planner.end_term();
+    simulation.planner.begin_term(2);
+    simulation.run(Duration::from_secs(4));
+    assert_eq!(simulation.load_starts.len(), started);
+}
+
 /// Has engines crash, drain and arrive late, and planners be replaced; the simulation checks each
 /// order.
 fn disturb(seed: u64) {
