peers: callers are not sent to a VM that has been silent for seconds

Heartbeats of 195 VMs are 2.3 s apart, and a peer counts as lost after four of them and 0.3 s, 9.7 s in all; the other VMs noticed the loss at 11.2 to 12.6 s. A VM is now named only if it was heard within 4 s, or within one interval where that is longer (4.9 s at 380 VMs), unless this VM hears less than half of the others. Where heartbeats are up to 0.9 s apart nothing changes. Test: callers_are_not_sent_to_a_silent_vm_of_a_large_fleet.

--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -24,6 +24,9 @@
 /// Time for which a listed member that has sent no heartbeat yet counts as live, because it may be
 /// starting.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
+/// Time without a heartbeat after which callers are not sent to a VM, unless its heartbeats are further
+/// apart than that. Callers keep an address for seconds more.
+const ADVISED_SILENCE: Duration = Duration::from_secs(4);
 /// Number of entry VMs that read the store on behalf of all others.
 const STORE_READERS: usize = 2;
 /// Time after which the record of a silent peer is removed.
@@ -392,6 +395,20 @@
         live.filter(ready).map(|p| &p.member)
     }
 
+    /// Iterates over the members to which callers may be sent: those that accept callers and were
+    /// heard lately. With many VMs heartbeats are seconds apart, and a VM is gone long before it counts
+    /// as lost. While most of them are not heard, the silence may be this VM's, and all are returned.
+    pub fn advised(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let live = || self.peers.values().filter(move |p| p.is_live(now));
+        let heard = live().filter(|p| p.was_heard_lately(now)).count();
+        let may_judge = heard * 2 > live().count();
+        let is_advised = move |m: &&Member| {
+            let peer = self.peers.get(&m.node);
+            !may_judge || peer.is_some_and(|p| p.was_heard_lately(now))
+        };
+        self.ready(now).filter(is_advised)
+    }
+
     /// Iterates over the latest heartbeats of live peers, with their arrival times.
     pub fn heartbeats(&self, now: Time) -> impl Iterator<Item = (&Heartbeat, Time)> {
         let live = self.peers.values().filter(move |p| p.is_live(now));
@@ -403,16 +420,23 @@
     fn is_live(&self, now: Time) -> bool {
         match self.last_heard {
             Some(last_heard) => {
-                let interval = self
-                    .heartbeat
-                    .as_ref()
-                    .map_or(0, |heartbeat| heartbeat.interval_ms);
-                let interval = Duration::from_millis(u64::from(interval));
-                now.since(last_heard) < interval * MAX_MISSED_HEARTBEATS + MAX_HEARTBEAT_DELAY
+                now.since(last_heard)
+                    < self.interval() * MAX_MISSED_HEARTBEATS + MAX_HEARTBEAT_DELAY
             }
             None => now.since(self.listed_since) < STARTUP_TIME,
         }
     }
+
+    fn was_heard_lately(&self, now: Time) -> bool {
+        let silence = ADVISED_SILENCE.max(self.interval() + MAX_HEARTBEAT_DELAY);
+        self.last_heard.is_some_and(|t| now.since(t) < silence)
+    }
+
+    /// Returns the time between two heartbeats of the peer.
+    fn interval(&self) -> Duration {
+        let interval_ms = self.heartbeat.as_ref().map_or(0, |h| h.interval_ms);
+        Duration::from_millis(u64::from(interval_ms))
+    }
 }
 
 /// Orders the representatives of all zones as sources for one of them. `this_vm` moves to the front
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -121,6 +121,32 @@
     }
 }
 
+/// With 195 VMs a peer counts as lost after 9.7 s, and callers keep addresses for 5 s more.
+#[test]
+fn callers_are_not_sent_to_a_silent_vm_of_a_large_fleet() {
+    let mut peers = Peers::default();
+    let names: Vec<String> = (0..195).map(|i| format!("entry-{i:03}")).collect();
+    let hear = |peers: &mut Peers, ms: u64, names: &[String]| {
+        for name in names {
+            let heard = Heartbeat {
+                interval_ms: 2_340,
+                ..heartbeat(name, ms)
+            };
+            peers.record_heartbeat(at(ms), heard);
+        }
+    };
+    hear(&mut peers, 1, &names);
+    hear(&mut peers, 2_341, &names[1..]);
+    assert_eq!(peers.advised(at(3_900)).count(), 195);
+    hear(&mut peers, 4_681, &names[1..]);
+    assert_eq!(peers.ready(at(5_000)).count(), 195);
+    let advised: Vec<&str> = peers.advised(at(5_000)).map(|m| &*m.node).collect();
+    assert_eq!(advised.len(), 194);
+    assert!(!advised.contains(&"entry-000"));
+    // A VM that hears nobody sends callers to all that it knows.
+    assert_eq!(peers.advised(at(9_800)).count(), 194);
+}
+
 #[test]
 fn silent_peers_are_lost_and_not_ready() {
     let mut peers = Peers::default();
--- a/node/src/info_server.rs
+++ b/node/src/info_server.rs
@@ -112,10 +112,10 @@
     let now = node.now();
     let peers = node.peers.borrow();
     let this_node = node.is_ready().then_some(&node.identity);
-    let ready_peers = peers.ready(now).filter(|m| m.node != node.identity.node);
+    let advised_peers = peers.advised(now).filter(|m| m.node != node.identity.node);
     let found = peers::addresses_for_caller(
         &zone,
-        ready_peers.chain(this_node),
+        advised_peers.chain(this_node),
         directory::MAX_ADDRESSES,
     );
     if found.is_empty() {
