balance: short queues at the groups while most of them have no free slot

At the median the best of four groups had 26 to 30 requests on 17 slots: a request could wait until shortly before its caller leaves, so under more load than the groups can do each waited behind the others, and the groups answered as many as they could, nearly all too late. While requests wait for a slot at more than half of a model's groups, each may now wait for others for half of its latency goal at most; the rest is refused at once. Streams that have begun go on wherever they can.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -49,6 +49,9 @@
 /// because an answer that misses its latency goal counts as late however long the delay was.
 const MAX_RETRY_DELAY_FRACTION: f64 = 1.0 / 3.0;
 const RETRY_SPREAD_START: f64 = 0.5;
+/// Share of its latency goal that a request may wait for others while most groups have no free slot;
+/// it needs the rest itself.
+const QUEUE_SHARE: f64 = 0.5;
 
 /// An endpoint that takes requests: a plain endpoint, or the head of a group.
 #[derive(Debug, Clone, PartialEq)]
@@ -87,6 +90,8 @@
     pub answer_tokens: u32,
     /// Longest time to the first event that is of use to the caller.
     pub first_event_limit: Duration,
+    /// Longest time that the request may wait for others while most groups have no free slot.
+    pub queue_limit: Duration,
     /// Time left until the caller's deadline for the whole answer.
     pub time_left: Duration,
     /// Longest possible answer in tokens and the time in which it must be sure to end, if this
@@ -295,10 +300,12 @@
                         <= within
                 })
         };
+        let is_saturated = engine.is_some() && self.is_saturated(&responsive);
         let has_capacity = |candidate: &&Candidate| {
             let estimate = self.estimate(candidate, request, engine);
             ends_in_time(candidate)
                 && estimate.first_event <= request.first_event_limit
+                && (!is_saturated || estimate.queue_time <= request.queue_limit)
                 && estimate.whole_answer <= request.time_left * MAX_OVERRUN
                 && estimate.running < candidate.slots.max(1) * MAX_REQUESTS_PER_SLOT
         };
@@ -327,6 +334,18 @@
         }
     }
 
+    /// Returns whether requests wait for a slot at more than half of the groups.
+    ///
+    /// Groups then have more work than they can do. Requests that wait their turn miss their latency
+    /// goal one like the other, while short queues let the groups do as much work in time.
+    fn is_saturated(&self, groups: &[&Candidate]) -> bool {
+        let is_queueing = |group: &&&Candidate| {
+            self.load(&group.id)
+                .is_some_and(|load| load.running() > group.slots)
+        };
+        groups.iter().filter(is_queueing).count() * 2 > groups.len()
+    }
+
     /// Returns for how long an endpoint still wants no requests; zero if it takes them.
     fn hold_time(&self, now: Time, candidate: &Candidate) -> Duration {
         match self.held_off.get(&candidate.id) {
@@ -582,6 +601,13 @@
     time_left.mul_f64(MAX_RETRY_DELAY_FRACTION * fraction)
 }
 
+/// Returns the longest time that a request may wait for others while most groups have no free slot. It
+/// is the same for one that returns after a refusal: a longer one would let those that are late
+/// already make the others late, a shorter one would refuse it again.
+pub fn queue_limit(latency_goal: Duration) -> Duration {
+    latency_goal.mul_f64(QUEUE_SHARE)
+}
+
 /// Weight of one observation in a group's slowness; a group yields about 20 observations per
 /// second.
 const SLOWNESS_WEIGHT: f64 = 0.1;
--- a/lib/src/node/forecast.rs
+++ b/lib/src/node/forecast.rs
@@ -46,6 +46,8 @@
 pub struct Estimate {
     /// Expected time to the first event.
     pub first_event: Duration,
+    /// Part of this in which the request waits for others: for a slot, and for their prompts.
+    pub queue_time: Duration,
     /// Expected time to the end of the answer.
     pub whole_answer: Duration,
     /// Requests in flight at the endpoint.
@@ -126,15 +128,15 @@
             time_factor,
         } = *load;
         let slots = slots.max(1);
-        let (first_event, whole_answer) = match engine {
+        let (first_event, queue_time, whole_answer) = match engine {
             None => {
                 let first_event = PLAIN_TIME_PER_REQUEST * running as u32 / slots as u32;
-                (first_event, first_event)
+                (first_event, Duration::ZERO, first_event)
             }
             Some(engine) => {
                 let averages = self.averages(model);
                 let prefill =
-                    f64::from(pending_prompt_tokens + prompt_tokens) / engine.prefill_rate.max(1.0);
+                    |tokens: u32| f64::from(tokens) / engine.prefill_rate.max(1.0) * time_factor;
                 let batch = running.min(slots) as f64;
                 let step = engine.step_time.as_secs_f64()
                     + engine.step_time_per_request.as_secs_f64() * batch;
@@ -142,19 +144,22 @@
                 // A slot becomes free each time a request of the batch ends: every `step * answer /
                 // slots` on average.
                 let queued = (running + 1).saturating_sub(slots) as f64;
-                let queue_time = queued * step * averages.answer_tokens / slots as f64;
+                let slot_time = queued * step * averages.answer_tokens / slots as f64;
+                let queue_time = slot_time + prefill(pending_prompt_tokens);
                 let pass_time = step * f64::from(engine.steps_per_pass) * PASSES_TO_FIRST_EVENT;
                 let first_event =
-                    averages.overhead_s + prefill * time_factor + pass_time + queue_time;
+                    averages.overhead_s + prefill(prompt_tokens) + pass_time + queue_time;
                 let whole_answer = first_event + step * f64::from(answer_tokens);
                 (
                     Duration::from_secs_f64(first_event),
+                    Duration::from_secs_f64(queue_time),
                     Duration::from_secs_f64(whole_answer),
                 )
             }
         };
         Estimate {
             first_event,
+            queue_time,
             whole_answer,
             running,
             pending_prompt_tokens,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_node_cache;
 mod test_node_endpoints;
 mod test_node_load_totals;
+mod test_node_overload;
 mod test_node_parts;
 mod test_node_passing;
 mod test_node_planner;
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -42,6 +42,7 @@
         answer_tokens: 150,
         zone: "z1",
         first_event_limit: Duration::from_millis(1_400),
+        queue_limit: Duration::MAX,
         time_left: Duration::from_secs(6),
         shutdown_limit: None,
         connected: &NO_CONNECTIONS,
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -362,6 +362,7 @@
             zone: &self.node.identity.zone,
             answer_tokens: self.tokens_left(),
             first_event_limit: self.first_event_limit(now),
+            queue_limit: self.queue_limit(),
             time_left: self.request.deadline.since(now),
             shutdown_limit: self
                 .time_until_exit(now)
--- a/node/src/relay/limits.rs
+++ b/node/src/relay/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hemlock_lib::node::balance;
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::time::Time;
 
@@ -90,6 +91,17 @@
         gap.mul_f64(share).saturating_sub(elapsed).min(time_left)
     }
 
+    /// Returns the longest time that the request may wait for others while most groups have no free
+    /// slot. A stream that has begun waits as long as it must.
+    pub(super) fn queue_limit(&self) -> Duration {
+        let route = &self.request.route;
+        let has_begun = self.sends.possible_runs > 0 || self.delivered.last_event.is_some();
+        if has_begun || !route.request_kind.is_stream() {
+            return Duration::MAX;
+        }
+        balance::queue_limit(route.latency_goal)
+    }
+
     /// Returns whether another endpoint may continue the request if this one sends nothing.
     pub(super) fn may_switch_endpoint(&self) -> bool {
         let route = &self.request.route;
