--- a/lib/tests/test_node_overload.rs
+++ b/lib/tests/test_node_overload.rs
@@ -243,10 +243,7 @@
         world.outcomes = Outcomes::default();
         world.play(1.25, Duration::from_secs(15));
         let outcomes = &world.outcomes;
-        assert!(
-            outcomes.on_time_share() >= 0.4,
-            "seed {seed}: {outcomes:?}"
-        );
+        assert!(outcomes.on_time_share() >= 0.4, "seed {seed}: {outcomes:?}");
         assert!(outcomes.served_share() >= 0.8, "seed {seed}: {outcomes:?}");
         assert_eq!(outcomes.abandoned, 0, "seed {seed}");
     }
