node: reads of topics between VMs are logged with their bytes and times

Neither logs nor metrics told whether a VM read old versions first, gave up transfers that made progress, or had a source that lagged.

Each read of the configuration is logged with its bytes, its time and its source, and a read that failed with the bytes that had arrived; hemlock_feed_bytes_total counts what is sent to other VMs, hemlock_feed_reads_failed_total the reads that failed. No decision is changed.

--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hemlock_lib::node::cache::{Batch, Cache, Position};
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
@@ -14,6 +15,7 @@
 
 use crate::connections::{self, HeadRead};
 use crate::front::ConnectionAction;
+use crate::metrics::Counter;
 use crate::peer_requests;
 use crate::state::Node;
 
@@ -120,6 +122,8 @@
         if conn.write(&out).await.is_err() {
             return;
         }
+        let metrics = &node.metrics;
+        metrics.add(Counter::FeedBytes, topic.label(), out.len() as u64);
     }
 }
 
@@ -165,12 +169,24 @@
 pub(crate) struct PeerSource {
     pub(crate) address: SocketAddr,
     conn: Conn,
+    /// Bytes received of the body of the last reply.
+    received: usize,
 }
 
 impl PeerSource {
     pub(crate) async fn open(address: SocketAddr) -> std::io::Result<Self> {
         let conn = Conn::connect(address, CONNECT_TIMEOUT).await?;
-        Ok(Self { address, conn })
+        Ok(Self {
+            address,
+            conn,
+            received: 0,
+        })
+    }
+
+    /// Returns the number of bytes that were received of the last reply, also of one that is not
+    /// complete.
+    pub(crate) fn received(&self) -> usize {
+        self.received
     }
 
     /// Reads the records from the position `from` on, or all if it is `None`. Fails if the connection
@@ -182,6 +198,7 @@
     ) -> Result<Batch, String> {
         let from = from.map_or_else(|| "all".to_owned(), |p| u64::from(p).to_string());
         let text = format!("GET /{}/{from} HTTP/1.1\r\n\r\n", topic.label());
+        self.received = 0;
         let exchange = async {
             self.conn
                 .write(text.as_bytes())
@@ -189,12 +206,21 @@
                 .map_err(|e| e.to_string())?;
             let head = self.conn.read_response_head(MAX_HEAD_BYTES).await;
             let mut head = head.map_err(|e| e.to_string())?;
-            let body = self
+            let mut body = BytesMut::new();
+            let framing = &mut head.body_framing;
+            while let Some(piece) = self
                 .conn
-                .read_body(&mut head.body_framing, MAX_REPLY_BYTES)
-                .await;
-            body.map_err(|e| e.to_string())?
-                .ok_or_else(|| "the reply is too large".to_owned())
+                .read_body_piece(framing)
+                .await
+                .map_err(|e| e.to_string())?
+            {
+                self.received += piece.len();
+                if self.received > MAX_REPLY_BYTES {
+                    return Err("the reply is too large".to_owned());
+                }
+                body.extend_from_slice(&piece);
+            }
+            Ok(body)
         };
         let body = tokio::time::timeout(LONG_POLL + READ_GRACE, exchange).await;
         let body = body.map_err(|_| "the reply timed out".to_owned())??;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -43,6 +43,8 @@
     Denied "denied" "Requests that the configuration does not allow, by whether the route or the key is unknown.";
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
+    FeedBytes "feed_bytes" "Bytes of records sent to peers that read through this VM, by topic.";
+    FeedReadsFailed "feed_reads_failed" "Reads of a topic that failed, by what was read.";
     ForeignAnswers "foreign_answers" "Responses to other requests, which were skipped.";
     Left "left" "Requests whose caller disconnected before the end of the answer, by whether they were sent before.";
     LimitChanges "limit_changes" "Changes of the limits that endpoints announce, by kind.";
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -144,6 +144,21 @@
     Peer(PeerSource),
 }
 
+impl Reader {
+    /// Returns the number of bytes received of the reply of a peer, also if it is not complete.
+    fn received(&self) -> usize {
+        match self {
+            Self::Store(_) => 0,
+            Self::Peer(source) => source.received(),
+        }
+    }
+}
+
+fn value_bytes(entries: &[Entry]) -> usize {
+    let values = entries.iter().filter_map(|e| e.value.as_ref());
+    values.map(|v| v.len()).sum()
+}
+
 /// Reads the newest records of a topic and then each new one, until the process ends: from the
 /// store if this VM is the planner or reads the store for its zone, and otherwise from the VM that
 /// does.
@@ -207,10 +222,12 @@
                     (true, false) => Update::Snapshot,
                     (true, true) => Update::Restored,
                 };
-                if is_snapshot {
-                    let count = entries.len();
+                if is_snapshot || topic == Topic::Config && !entries.is_empty() {
                     log::info!(
-                        "event=read topic={topic:?} records={count} next={} era={} from={source_addr:?}",
+                        "event=read topic={topic:?} records={} bytes={} ms={} next={} era={} from={source_addr:?}",
+                        entries.len(),
+                        value_bytes(&entries),
+                        node.now().since(now).as_millis(),
                         next.offset,
                         next.era
                     );
@@ -221,8 +238,14 @@
                 }
             }
             Err(e) => {
+                log::info!(
+                    "event=read_failed topic={topic:?} from={source_addr:?} received={} ms={} cause=\"{e}\"",
+                    reader.as_ref().map_or(0, Reader::received),
+                    node.now().since(now).as_millis()
+                );
+                let source = source_addr.map_or("store", |_| "peer");
+                node.metrics.count(Counter::FeedReadsFailed, source);
                 reader = None;
-                log::info!("event=read_failed topic={topic:?} from={source_addr:?} cause=\"{e}\"");
                 match source_addr {
                     Some(peer) => avoided.push((peer, now + AVOID_TIME)),
                     None => {
