--- a/node/tests/fake_peer.rs
+++ b/node/tests/fake_peer.rs
@@ -16,7 +16,7 @@
 use crate::node_process::NodeProcess;
 
 /// Interval between two heartbeats.
-const INTERVAL: Duration = Duration::from_millis(50);
+pub const INTERVAL: Duration = Duration::from_millis(50);
 
 /// How a peer answers a request that is passed on to it.
 #[derive(Debug, Clone)]
@@ -151,12 +151,14 @@
     }
 }
 
-fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
+/// Sends a datagram.
+pub fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
     let bytes = rmp_serde::to_vec(message).expect("the datagram is encoded");
     let _ = socket.send_to(&bytes, to);
 }
 
-fn heartbeat(member: &Member, sequence: u64) -> Box<Heartbeat> {
+/// Returns a heartbeat of a ready member that reads through another one.
+pub fn heartbeat(member: &Member, sequence: u64) -> Box<Heartbeat> {
     Box::new(Heartbeat {
         member: member.clone(),
         sequence,
@@ -208,7 +210,8 @@
     let _ = io.read(&mut [0; 1]);
 }
 
-fn read_until(io: &mut TcpStream, end: &str) -> String {
+/// Reads until `end`; returns nothing if the connection ends before.
+pub fn read_until(io: &mut TcpStream, end: &str) -> String {
     let mut text = String::new();
     let mut byte = [0];
     while !text.ends_with(end) {
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -2,10 +2,12 @@
 
 mod cluster;
 mod fake_peer;
+mod fake_source;
 mod node_process;
 mod test_crashing_part;
 mod test_cut;
 mod test_endless;
+mod test_late_config;
 mod test_left_callers;
 mod test_limits;
 mod test_pages;
