cache: a VM that is behind gets only the newest record of each key

Cause: a copy of a topic kept the last 4,096 records, and sent a reader each of them since its position. Each record of the configuration is the whole of it: 25 changes of 0.3 MB are 7.5 MB for each of 40 readers of one link, of which 0.3 MB matter, and as much memory. There was no bound in bytes.

A copy now keeps the newest record of each key, with deletions, and answers any position with the newest of the keys that changed since. A reader of a compacted batch takes the batch's end as the offset of its records, so that its own readers lack nothing (`readers_of_a_reader_lack_nothing_of_a_compacted_batch`).

`a_reader_that_is_behind_gets_only_the_newest_record_of_each_key` asks for what the old code did not do: it sent 25 records.

--- a/lib/src/node/cache.rs
+++ b/lib/src/node/cache.rs
@@ -1,14 +1,14 @@
 //! An entry VM's copy of a store topic, from which other entry VMs read instead of calling the
 //! store.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// Recent records kept in addition to the newest record of each key. A reader that is further
-/// behind gets a snapshot.
-const MAX_RECENT_RECORDS: usize = 4_096;
+/// Deleted keys that are remembered for readers that are behind. One that may have missed more gets a
+/// snapshot.
+const MAX_DELETED_KEYS: usize = 4_096;
 
 /// Number of low bits of an encoded position that hold the offset.
 const OFFSET_BITS: u32 = 40;
@@ -53,12 +53,13 @@
 /// Records sent to a reader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
-    /// Records after the reader's position, oldest first, or the newest record of each key.
+    /// The newest record of each key that changed after the reader's position, oldest first, or that
+    /// of every key.
     pub entries: Vec<Entry>,
     /// Position at which the next read starts.
     pub next: Position,
-    /// Whether the batch holds the newest record of every key rather than only the records after
-    /// the reader's position.
+    /// Whether the batch holds the newest record of every key rather than only of those that changed
+    /// after the reader's position.
     #[serde(rename = "whole")]
     pub is_snapshot: bool,
     /// Whether the store does not answer the VM that sent the batch.
@@ -66,12 +67,45 @@
     pub store_down: bool,
 }
 
-/// A copy of one topic.
+/// The newest record of a key.
+#[derive(Debug)]
+struct Newest {
+    /// Value of the record; `None` if it deleted the key.
+    value: Option<Bytes>,
+    /// Upper bound on the record's offset.
+    offset: u64,
+    /// Number of the record in the order of arrival.
+    arrival: u64,
+}
+
+/// What a reader lacks of a topic. Readers for which it is equal get the same records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Missing {
+    revision: u64,
+    /// Arrival of the oldest record that the reader lacks; `None` if it gets a snapshot.
+    first: Option<u64>,
+}
+
+impl Missing {
+    /// Returns whether no change of the topic lies between the two.
+    pub fn is_as_recent_as(&self, other: &Self) -> bool {
+        self.revision == other.revision
+    }
+}
+
+/// A copy of one topic, compacted: only the newest record of each key is kept, however many were
+/// read.
 #[derive(Debug, Default)]
 pub struct Cache {
-    newest: BTreeMap<String, Bytes>,
-    recent: VecDeque<Entry>,
+    records: BTreeMap<String, Newest>,
     next: Option<Position>,
+    /// Offset from which on all changes are known.
+    complete_from: u64,
+    /// Number of keys of `records` that are deleted.
+    deleted: usize,
+    arrivals: u64,
+    /// Number of changes of this copy.
+    revision: u64,
 }
 
 impl Cache {
@@ -83,62 +117,106 @@
 
     /// Applies records that were read from the store or a peer.
     pub fn apply(&mut self, batch: &Batch) {
+        self.revision += 1;
         if batch.is_snapshot {
-            self.newest.clear();
-            self.recent.clear();
+            self.records.clear();
+            self.deleted = 0;
+            self.complete_from = batch.next.offset;
         }
-        for entry in &batch.entries {
-            match &entry.value {
-                Some(value) => self.newest.insert(entry.key.clone(), value.clone()),
-                None => self.newest.remove(&entry.key),
-            };
-            if !batch.is_snapshot {
-                self.recent.push_back(entry.clone());
-            }
+        let before = self.next.map_or(0, |p| p.offset);
+        let last = batch.next.offset.saturating_sub(1);
+        // The records of a peer's batch may have gaps between their offsets.
+        let has_all =
+            !batch.is_snapshot && before + batch.entries.len() as u64 == batch.next.offset;
+        for (i, entry) in batch.entries.iter().enumerate() {
+            let offset = if has_all { before + i as u64 } else { last };
+            self.insert(entry, offset);
         }
-        while self.recent.len() > MAX_RECENT_RECORDS {
-            self.recent.pop_front();
+        if self.deleted > MAX_DELETED_KEYS {
+            self.forget_deleted();
         }
         self.next = Some(batch.next);
     }
 
+    fn insert(&mut self, entry: &Entry, offset: u64) {
+        self.arrivals += 1;
+        let newest = Newest {
+            value: entry.value.clone(),
+            offset,
+            arrival: self.arrivals,
+        };
+        let old = self.records.insert(entry.key.clone(), newest);
+        self.deleted += usize::from(entry.value.is_none());
+        self.deleted -= usize::from(old.is_some_and(|old| old.value.is_none()));
+    }
+
+    /// Forgets all deleted keys. Readers that may have missed one get a snapshot.
+    fn forget_deleted(&mut self) {
+        for newest in self.records.values().filter(|r| r.value.is_none()) {
+            self.complete_from = self.complete_from.max(newest.offset + 1);
+        }
+        self.records.retain(|_, newest| newest.value.is_some());
+        self.deleted = 0;
+    }
+
     /// Puts the newest record of a key in place of an older one, which the store came back with.
     /// Snapshots contain it; readers that are up to date don't get it.
     pub fn keep(&mut self, entry: &Entry) {
-        if let Some(value) = &entry.value {
-            self.newest.insert(entry.key.clone(), value.clone());
+        let Some(value) = &entry.value else { return };
+        self.revision += 1;
+        match self.records.get_mut(&entry.key) {
+            Some(newest) => {
+                self.deleted -= usize::from(newest.value.is_none());
+                newest.value = Some(value.clone());
+            }
+            None => self.insert(entry, 0),
         }
     }
 
-    /// Returns the records that a reader at the position `from` does not have yet; `None` if it is
-    /// up to date or nothing was read yet. A reader of an older era gets a snapshot.
-    pub fn batch_after(&self, from: Option<Position>, store_down: bool) -> Option<Batch> {
+    /// Returns what a reader at the position `from` lacks; `None` if it is up to date or nothing was
+    /// read yet. A reader of an older era lacks everything.
+    pub fn missing(&self, from: Option<Position>) -> Option<Missing> {
         let next = self.next?;
-        let first_recent = next.offset - self.recent.len() as u64;
-        match from {
-            Some(from) if from >= next => None,
-            Some(from) if from.era == next.era && from.offset >= first_recent => Some(Batch {
-                entries: self
-                    .recent
-                    .range((from.offset - first_recent) as usize..)
-                    .cloned()
-                    .collect(),
-                next,
-                is_snapshot: false,
-                store_down,
-            }),
-            _ => {
-                let entry = |(key, value): (&String, &Bytes)| Entry {
-                    key: key.clone(),
-                    value: Some(value.clone()),
-                };
-                Some(Batch {
-                    entries: self.newest.iter().map(entry).collect(),
-                    next,
-                    is_snapshot: true,
-                    store_down,
-                })
+        let first = match from {
+            Some(from) if from >= next => return None,
+            Some(from) if from.era == next.era && from.offset >= self.complete_from => {
+                let newer = self.records.values().filter(|r| r.offset >= from.offset);
+                // Without any, the records since were none of a key.
+                Some(newer.map(|r| r.arrival).min().unwrap_or(u64::MAX))
             }
+            _ => None,
+        };
+        Some(Missing {
+            revision: self.revision,
+            first,
+        })
+    }
+
+    /// Returns the records that [`Cache::missing`] stands for: the newest of each key that has changed
+    /// since, oldest first.
+    pub fn batch(&self, missing: Missing, store_down: bool) -> Batch {
+        let is_missing = |newest: &Newest| match missing.first {
+            Some(first) => newest.arrival >= first,
+            None => newest.value.is_some(),
+        };
+        let mut records: Vec<_> = self.records.iter().filter(|r| is_missing(r.1)).collect();
+        records.sort_by_key(|(_, newest)| newest.arrival);
+        let entry = |(key, newest): (&String, &Newest)| Entry {
+            key: key.clone(),
+            value: newest.value.clone(),
+        };
+        Batch {
+            entries: records.into_iter().map(entry).collect(),
+            next: self.next.unwrap_or_default(),
+            is_snapshot: missing.first.is_none(),
+            store_down,
         }
     }
+
+    /// Returns the records that a reader at the position `from` does not have yet; `None` if it is
+    /// up to date or nothing was read yet.
+    pub fn batch_after(&self, from: Option<Position>, store_down: bool) -> Option<Batch> {
+        let missing = self.missing(from)?;
+        Some(self.batch(missing, store_down))
+    }
 }
--- a/lib/tests/test_node_cache.rs
+++ b/lib/tests/test_node_cache.rs
@@ -91,6 +91,64 @@
     assert!(later > first);
 }
 
+#[test]
+fn a_reader_that_is_behind_gets_only_the_newest_record_of_each_key() {
+    let mut cache = Cache::default();
+    cache.apply(&batch(vec![entry(1, Some(0)), entry(2, Some(0))], 10, true));
+    for offset in 10..35 {
+        let value = Some(offset as u8);
+        cache.apply(&batch(vec![entry(1, value)], offset + 1, false));
+    }
+    let missed = cache.batch_after(Some(10.into()), false).unwrap();
+    assert_eq!(missed.entries, [entry(1, Some(34))]);
+    assert_eq!((missed.next, missed.is_snapshot), (35.into(), false));
+}
+
+#[test]
+fn readers_of_a_reader_lack_nothing_of_a_compacted_batch() {
+    let (mut first, mut second) = (Cache::default(), Cache::default());
+    first.apply(&batch(vec![entry(1, Some(0))], 10, true));
+    second.apply(&first.batch_after(None, false).unwrap());
+    for offset in 10..20 {
+        let key = (offset % 2) as u8;
+        let changed = entry(key, Some(offset as u8));
+        first.apply(&batch(vec![changed], offset + 1, false));
+    }
+    second.apply(&first.batch_after(Some(10.into()), false).unwrap());
+    for from in 10..20 {
+        let direct = first.batch_after(Some(from.into()), false).unwrap();
+        let through = second.batch_after(Some(from.into()), false).unwrap();
+        assert!(direct.entries.iter().all(|e| through.entries.contains(e)));
+        assert_eq!(direct.next, through.next);
+    }
+}
+
+#[test]
+fn a_cache_keeps_no_more_than_the_newest_records_and_some_deleted_keys() {
+    let mut cache = Cache::default();
+    cache.apply(&batch(Vec::new(), 0, true));
+    let key = |i: u64, value| Entry {
+        key: i.to_string(),
+        value,
+    };
+    let value = Bytes::from(vec![0; 1_000]);
+    for i in 0..20_000 {
+        let put = key(i, Some(value.clone()));
+        cache.apply(&batch(vec![put, key(i, None)], 2 * i + 2, false));
+    }
+    let all = cache.batch_after(None, false).unwrap();
+    assert!(all.is_snapshot && all.entries.is_empty());
+    // Whoever may have missed a deleted key that was forgotten gets a snapshot.
+    assert!(
+        cache
+            .batch_after(Some(0.into()), false)
+            .unwrap()
+            .is_snapshot
+    );
+    let last = cache.batch_after(Some(39_998.into()), false).unwrap();
+    assert_eq!(last.entries, [key(19_999, None)]);
+}
+
 proptest! {
     /// Whenever a reader reads, it ends up with the same newest records as the store.
     #[test]
