feed: a transfer that makes progress is kept, and a source that lags is not

Cause: a read had to end within 0.9 s, body included, and was dropped as soon as a peer had been ahead for 0.7 s; nothing of it was kept, the source was avoided for 3 s, and the next one was asked for the same bytes over links that were full. A VM that is behind longer than that never catches up. And the wake-up for a stale source was kept when no read was in progress, so that it ended the next one at once. The other way round, each reply, also an empty one after 0.5 s, started the 0.7 s anew: a source that replies and stays behind was never given up.

A read now goes on while it brings 8 KB in 0.4 s. The time of the lag ends only when this VM has read as far as the peer had, and does not count against a source that is sending what is missing. After 1 s of a transfer, or 0.7 s without one, another VM is asked for the configuration as well, once at a time: one drawn among those that have it, of the own zone first, instead of the one whose heartbeat all VMs received at the same moment. The encoded reply is shared by all readers that lack the same records. Of several records of one read only the newest is decoded; a first configuration may have the version 0.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -27,3 +27,4 @@
 pub mod rate_limits;
 pub mod reach;
 pub mod settings;
+pub mod source;
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -357,6 +357,34 @@
         (first.node != this_vm.node).then_some(first.peer_address)
     }
 
+    /// Returns whether any peer has a newer configuration than `version`.
+    pub fn any_newer_config(&self, now: Time, version: u64) -> bool {
+        self.heartbeats(now)
+            .any(|(heartbeat, _)| heartbeat.config_version > version)
+    }
+
+    /// Returns a peer with a newer configuration than `version`, of `zone` if there is one there, and
+    /// not the one at the address `excluded`. `draw` is uniform between 0 and 1 and chooses among
+    /// them.
+    pub fn config_source(
+        &self,
+        now: Time,
+        version: u64,
+        zone: &str,
+        excluded: Option<SocketAddr>,
+        draw: f64,
+    ) -> Option<&Member> {
+        let newer = self.heartbeats(now).map(|(heartbeat, _)| heartbeat);
+        let newer = newer.filter(|h| h.config_version > version);
+        let mut newer: Vec<&Member> = newer.map(|h| &h.member).collect();
+        newer.retain(|m| Some(m.peer_address) != excluded);
+        if newer.iter().any(|m| m.zone == zone) {
+            newer.retain(|m| m.zone == zone);
+        }
+        let index = (draw * newer.len() as f64) as usize;
+        newer.get(index).copied()
+    }
+
     /// Returns whether this VM is one of those that read the store on behalf of others.
     pub fn should_read_store(&self, now: Time, this_vm: &Member, ready: bool) -> bool {
         let representatives = self.zone_representatives(now, this_vm, ready);
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -121,6 +121,36 @@
     }
 }
 
+#[test]
+fn vms_that_are_behind_spread_over_the_peers_that_have_the_newer_configuration() {
+    let mut peers = Peers::default();
+    for (port, (node, config_version)) in
+        [("a", 2), ("b", 2), ("c", 2), ("d", 1)].iter().enumerate()
+    {
+        let mut sent = heartbeat(node, 1);
+        sent.config_version = *config_version;
+        sent.member.peer_address.set_port(port as u16);
+        peers.record_heartbeat(Time::ZERO, sent);
+    }
+    let chosen = |zone: &str, excluded, draw| {
+        let peer = peers.config_source(Time::ZERO, 1, zone, excluded, draw);
+        peer.map(|m| m.node.clone())
+    };
+    let name = |node: &str| Some(node.to_owned());
+    assert_eq!(
+        [chosen("z1", None, 0.0), chosen("z1", None, 0.99)],
+        [name("a"), name("b")]
+    );
+    let first = SocketAddr::from(([127, 0, 0, 1], 0));
+    assert_eq!(chosen("z1", Some(first), 0.0), name("b"));
+    assert_eq!(
+        [chosen("z2", None, 0.99), chosen("z3", None, 0.99)],
+        [name("c"), name("c")]
+    );
+    assert_eq!(peers.config_source(Time::ZERO, 2, "z1", None, 0.0), None);
+    assert!(peers.any_newer_config(Time::ZERO, 1) && !peers.any_newer_config(Time::ZERO, 2));
+}
+
 /// With 195 VMs a peer counts as lost after 9.7 s, and callers keep addresses for 5 s more.
 #[test]
 fn callers_are_not_sent_to_a_silent_vm_of_a_large_fleet() {
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -6,11 +6,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
-use hemlock_lib::node::cache::{Batch, Cache, Position};
+use bytes::{Bytes, BytesMut};
+use hemlock_lib::node::cache::{Batch, Cache, Missing, Position};
+use hemlock_lib::node::source::{Lag, Transfer};
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
-use hemlock_wire::http1::{self, Conn};
+use hemlock_wire::clock;
+use hemlock_wire::http1::{self, Conn, Framing};
+use rmp_serde::encode::Error as EncodeError;
 use tokio::sync::Notify;
 
 use crate::connections::{self, HeadRead};
@@ -22,8 +25,8 @@
 /// Time for which a peer holds a read when it has nothing new; its empty reply shows that it is
 /// alive.
 const LONG_POLL: Duration = Duration::from_millis(500);
-/// Time beyond [`LONG_POLL`] after which a read has failed.
-const READ_GRACE: Duration = Duration::from_millis(400);
+/// Time beyond [`LONG_POLL`] within which the head of the reply must arrive.
+const HEAD_GRACE: Duration = Duration::from_millis(400);
 /// Time after which a connection on which a peer reads nothing is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of connecting to a peer.
@@ -32,8 +35,10 @@
 const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Maximum size in bytes of the body of a reply.
 const MAX_REPLY_BYTES: usize = 16 << 20;
-/// Time for which a peer may be ahead of this VM before the source of this VM counts as stale.
-pub(crate) const MAX_LAG: Duration = Duration::from_millis(700);
+/// Size in bytes up to which the body of a reply is sent together with its head.
+const MAX_JOINED_BYTES: usize = 16 << 10;
+/// Replies that are kept for other peers until the next change.
+const MAX_REPLIES: usize = 4;
 
 /// One topic that this VM reads and serves to its peers.
 #[derive(Debug, Default)]
@@ -44,12 +49,25 @@
     pub(crate) store_up: Cell<bool>,
     /// Whether this VM reads the topic from the store itself.
     pub(crate) direct: Cell<bool>,
+    /// Peer from which this VM reads the topic; `None` if that is the store.
+    pub(crate) source: Cell<Option<SocketAddr>>,
     /// Wakes the peers' reads that wait for new records.
     pub(crate) updated: Notify,
     /// Wakes this VM's own read when its source is stale.
     pub(crate) source_stale: Notify,
-    /// Since when a peer has been ahead of this VM.
-    behind_since: Cell<Option<Time>>,
+    /// Reply to this VM's own read that is being received.
+    pub(crate) transfer: Cell<Option<Transfer>>,
+    lag: RefCell<Lag>,
+    /// Replies to peers as of the last change of the cache.
+    replies: RefCell<Vec<Reply>>,
+}
+
+/// A reply that is the same for all peers that lack the same records.
+#[derive(Debug, Clone)]
+struct Reply {
+    missing: Missing,
+    store_down: bool,
+    body: Bytes,
 }
 
 impl Feed {
@@ -59,24 +77,48 @@
     }
 
     /// Compares the next position of a peer with that of this VM, and wakes this VM's own read if
-    /// its source lags for longer than [`MAX_LAG`].
+    /// its source is stale. A source whose reply is being received is kept.
     pub(crate) fn compare_with_peer(&self, now: Time, peer_position: Position) {
-        if peer_position <= self.next_position() {
-            return;
-        }
-        let since = self.behind_since.get().unwrap_or(now);
-        self.behind_since.set(Some(since));
-        if now.since(since) >= MAX_LAG {
-            self.behind_since.set(None);
-            self.source_stale.notify_one();
+        let own = self.next_position();
+        let is_stale = self.lag.borrow_mut().record_peer(now, own, peer_position);
+        if is_stale && self.transfer.get().is_none() {
+            self.source_stale.notify_waiters();
         }
     }
 
     /// Records that the topic was read, and wakes the peers' reads.
     pub(crate) fn note_read(&self) {
-        self.behind_since.set(None);
+        self.lag.borrow_mut().record_read(self.next_position());
         self.updated.notify_waiters();
     }
+
+    /// Returns the reply to a peer that has read up to `from`; `None` if there is nothing new.
+    fn reply_after(&self, from: Option<Position>) -> Option<Result<Bytes, EncodeError>> {
+        let cache = self.cache.borrow();
+        let missing = cache.missing(from)?;
+        let store_down = !self.store_up.get();
+        let mut replies = self.replies.borrow_mut();
+        replies.retain(|r| r.missing.is_as_recent_as(&missing) && r.store_down == store_down);
+        if let Some(reply) = replies.iter().find(|r| r.missing == missing) {
+            return Some(Ok(reply.body.clone()));
+        }
+        let body = match encode(Some(cache.batch(missing, store_down))) {
+            Ok(body) => body,
+            Err(e) => return Some(Err(e)),
+        };
+        if replies.len() < MAX_REPLIES {
+            replies.push(Reply {
+                missing,
+                store_down,
+                body: body.clone(),
+            });
+        }
+        Some(Ok(body))
+    }
+}
+
+fn encode(batch: Option<Batch>) -> Result<Bytes, EncodeError> {
+    rmp_serde::to_vec(&batch).map(Bytes::from)
 }
 
 /// Serves the topics to a peer on one connection, and the requests that it passes on.
@@ -102,57 +144,65 @@
         let Some((topic, from)) = parse_target(&head.target) else {
             return;
         };
-        let batch = next_batch(&node, topic, from).await;
-        let body = match rmp_serde::to_vec(&batch) {
+        let body = match next_reply(&node, topic, from).await {
             Ok(body) => body,
             Err(e) => {
                 log::error!("event=feed_failed cause=\"{e}\"");
                 return;
             }
         };
-        let mut out = Vec::with_capacity(body.len() + 64);
-        http1::put_status_line(&mut out, 200, http1::reason_phrase(200));
-        http1::put_header(
-            &mut out,
-            "Content-Length",
-            body.len().to_string().as_bytes(),
-        );
-        out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(&body);
-        if conn.write(&out).await.is_err() {
+        if write_reply(&mut conn, &body).await.is_err() {
             return;
         }
         let metrics = &node.metrics;
-        metrics.add(Counter::FeedBytes, topic.label(), out.len() as u64);
+        metrics.add(Counter::FeedBytes, topic.label(), body.len() as u64);
     }
 }
 
+/// Writes a reply. The body, which other peers get as well, is not copied.
+async fn write_reply(conn: &mut Conn, body: &[u8]) -> std::io::Result<()> {
+    let mut head = Vec::with_capacity(64);
+    http1::put_status_line(&mut head, 200, http1::reason_phrase(200));
+    let length = body.len().to_string();
+    http1::put_header(&mut head, "Content-Length", length.as_bytes());
+    head.extend_from_slice(b"\r\n");
+    if body.len() <= MAX_JOINED_BYTES {
+        head.extend_from_slice(body);
+        return conn.write(&head).await;
+    }
+    conn.write(&head).await?;
+    conn.write(body).await
+}
+
 /// Returns the records after `from` as soon as there are any, or an empty batch after [`LONG_POLL`]
 /// if `from` is given.
-async fn next_batch(node: &Node, topic: Topic, from: Option<Position>) -> Option<Batch> {
+async fn next_reply(
+    node: &Node,
+    topic: Topic,
+    from: Option<Position>,
+) -> Result<Bytes, EncodeError> {
     let feed = node.feed(topic);
-    let missing = || feed.cache.borrow().batch_after(from, !feed.store_up.get());
     let wait = async {
         loop {
             let update = feed.updated.notified();
-            if let Some(batch) = missing() {
-                return batch;
+            if let Some(reply) = feed.reply_after(from) {
+                return reply;
             }
             update.await;
         }
     };
     tokio::select! {
         biased;
-        batch = wait => return Some(batch),
+        reply = wait => return reply,
         () = node.stop.closing() => {}
         () = tokio::time::sleep(LONG_POLL) => {}
     }
-    from.map(|next| Batch {
+    encode(from.map(|next| Batch {
         entries: Vec::new(),
         next,
         is_snapshot: false,
         store_down: !feed.store_up.get(),
-    })
+    }))
 }
 
 /// Parses a request target of the form `/TOPIC/POSITION`; a position that is no number asks for all
@@ -189,42 +239,55 @@
         self.received
     }
 
-    /// Reads the records from the position `from` on, or all if it is `None`. Fails if the connection
-    /// breaks, the reply is late, too large or malformed, or the peer has not read the topic yet.
+    /// Reads the records from the position `from` on, or all if it is `None`. `transfer` is set while
+    /// the body of the reply is being received. Fails if the connection breaks, the reply is late,
+    /// stalls, is too large or malformed, or the peer has not read the topic yet.
     pub(crate) async fn read(
         &mut self,
         topic: Topic,
         from: Option<Position>,
+        transfer: &Cell<Option<Transfer>>,
     ) -> Result<Batch, String> {
+        self.received = 0;
         let from = from.map_or_else(|| "all".to_owned(), |p| u64::from(p).to_string());
         let text = format!("GET /{}/{from} HTTP/1.1\r\n\r\n", topic.label());
-        self.received = 0;
         let exchange = async {
             self.conn
                 .write(text.as_bytes())
                 .await
                 .map_err(|e| e.to_string())?;
             let head = self.conn.read_response_head(MAX_HEAD_BYTES).await;
-            let mut head = head.map_err(|e| e.to_string())?;
-            let mut body = BytesMut::new();
-            let framing = &mut head.body_framing;
-            while let Some(piece) = self
-                .conn
-                .read_body_piece(framing)
-                .await
-                .map_err(|e| e.to_string())?
-            {
-                self.received += piece.len();
-                if self.received > MAX_REPLY_BYTES {
-                    return Err("the reply is too large".to_owned());
-                }
-                body.extend_from_slice(&piece);
-            }
-            Ok(body)
+            head.map_err(|e| e.to_string())
         };
-        let body = tokio::time::timeout(LONG_POLL + READ_GRACE, exchange).await;
-        let body = body.map_err(|_| "the reply timed out".to_owned())??;
+        let head = tokio::time::timeout(LONG_POLL + HEAD_GRACE, exchange).await;
+        let mut head = head.map_err(|_| "the reply timed out".to_owned())??;
+        let body = self.receive(&mut head.body_framing, transfer).await?;
         let batch: Option<Batch> = rmp_serde::from_slice(&body).map_err(|e| e.to_string())?;
         batch.ok_or_else(|| "the peer has not read the topic yet".to_owned())
     }
+
+    /// Receives the body of a reply, for as long as it makes progress.
+    async fn receive(
+        &mut self,
+        framing: &mut Framing,
+        transfer: &Cell<Option<Transfer>>,
+    ) -> Result<BytesMut, String> {
+        let mut progress = Transfer::new(clock::since_boot());
+        let mut body = BytesMut::new();
+        loop {
+            transfer.set(Some(progress));
+            let time_left = progress.time_left(clock::since_boot());
+            let piece = tokio::time::timeout(time_left, self.conn.read_body_piece(framing)).await;
+            let piece = piece.map_err(|_| "the transfer stalled".to_owned())?;
+            let Some(piece) = piece.map_err(|e| e.to_string())? else {
+                return Ok(body);
+            };
+            progress.record(clock::since_boot(), piece.len());
+            self.received += piece.len();
+            if self.received > MAX_REPLY_BYTES {
+                return Err("the reply is too large".to_owned());
+            }
+            body.extend_from_slice(&piece);
+        }
+    }
 }
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -10,12 +10,13 @@
 use hemlock_lib::node::peers::{Heartbeat, Message};
 use hemlock_lib::node::rate_limits::LimitNews;
 use hemlock_lib::node::reach::PathState;
+use hemlock_lib::node::source::MAX_LAG;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
+use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 
-use crate::feed::MAX_LAG;
 use crate::load_exchange;
 use crate::metrics::Counter;
 use crate::path_watch;
@@ -184,25 +185,37 @@
 }
 
 /// Reads the configuration from a peer if peers have had a newer one for longer than [`MAX_LAG`]:
-/// the store may have lost it.
-fn follow_newer_config(node: &Rc<Node>, now: Time, heartbeat: &Heartbeat) {
+/// the store may have lost it, or this VM's source may be slow. A transfer from the source that has
+/// begun gets more time.
+fn follow_newer_config(node: &Rc<Node>, now: Time, newer: u64) {
     let version = node.config().map_or(0, |c| c.version);
-    if heartbeat.config_version <= version {
+    if newer <= version {
         return;
     }
     let since = node.config_behind_since.get().unwrap_or(now);
     node.config_behind_since.set(Some(since));
-    if now.since(since) < MAX_LAG {
+    let feed = node.feed(Topic::Config);
+    let is_due = match feed.transfer.get() {
+        Some(transfer) => transfer.is_long(now),
+        None => now.since(since) >= MAX_LAG,
+    };
+    if !is_due || node.config_read.get() {
         return;
     }
+    // All VMs hear of a newer configuration by the same heartbeat, and spread over those that have it.
+    let draw = rand::rng().random_range(0.0..1.0);
+    let peers = node.peers.borrow();
+    let zone = &node.identity.zone;
+    let Some(peer) = peers.config_source(now, version, zone, feed.source.get(), draw) else {
+        return;
+    };
     // The next attempt waits again.
     node.config_behind_since.set(None);
     log::info!(
-        "event=config_behind version={version} peer={} newer={}",
-        heartbeat.member.node,
-        heartbeat.config_version
+        "event=config_behind version={version} peer={} newer={newer}",
+        peer.node
     );
-    let address = heartbeat.member.peer_address;
+    let address = peer.peer_address;
     spawn_local(store_watch::read_config_from_peer(node.clone(), address));
 }
 
@@ -247,7 +260,6 @@
     for report in &heartbeat.crash_reports {
         node.quarantine.borrow_mut().record_report(now, *report);
     }
-    follow_newer_config(node, now, &heartbeat);
     for (topic, position) in TOPICS.into_iter().zip(heartbeat.read_positions) {
         node.feed(topic).compare_with_peer(now, position);
     }
@@ -257,6 +269,7 @@
         .heartbeats(now)
         .any(|(h, _)| h.member.node == heartbeat.member.node);
     let (name, run) = (heartbeat.member.node.clone(), heartbeat.member.run);
+    let config_version = heartbeat.config_version;
     if heartbeat.reads_store && !node.store_up() && !node.is_planner.get() {
         node.store_found.notify_waiters();
     }
@@ -266,5 +279,6 @@
     if !is_known {
         log::info!("event=peer_regained node={name} run={run}");
     }
+    follow_newer_config(node, now, config_version);
     load_exchange::update_balancer(node, now);
 }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -92,6 +92,8 @@
     pub(crate) config_record: RefCell<Option<Entry>>,
     /// Since when a peer has had a newer configuration.
     pub(crate) config_behind_since: Cell<Option<Time>>,
+    /// Whether a newer configuration is being read from a peer that is not the source.
+    pub(crate) config_read: Cell<bool>,
     /// Highest era that the store has stated.
     pub(crate) store_era: Cell<u64>,
     /// Whether no VM can read the store.
@@ -167,6 +169,7 @@
             stop: Stop::default(),
             config_record: RefCell::default(),
             config_behind_since: Cell::default(),
+            config_read: Cell::default(),
             store_era: Cell::default(),
             outage: Cell::default(),
             engine_reports: RefCell::default(),
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -1,12 +1,14 @@
 //! Reads the configuration, the endpoints and the members from the store, and watches them for
 //! changes.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hemlock_lib::node::cache::{Batch, Entry, Position};
+use hemlock_lib::node::config::Config;
 use hemlock_lib::node::passing::{SECRET_KEY_PREFIX, SecretRecord};
 use hemlock_lib::node::peers::Member;
 use hemlock_lib::time::Time;
@@ -54,9 +56,7 @@
 /// Watches the operators' configuration.
 pub(crate) async fn watch_config(node: Rc<Node>) {
     watch_topic(&node, Topic::Config, |node, records, update| {
-        for record in records {
-            apply_config(node, &record);
-        }
+        apply_newest_config(node, &records);
         if update != Update::Changes {
             keep_config(node);
         }
@@ -66,19 +66,19 @@
 
 /// Reads the configuration from a peer that has a newer one.
 pub(crate) async fn read_config_from_peer(node: Rc<Node>, peer: SocketAddr) {
+    node.config_read.set(true);
     let read = async {
         let mut source = PeerSource::open(peer).await.map_err(|e| e.to_string())?;
-        source.read(Topic::Config, None).await
+        source.read(Topic::Config, None, &Cell::default()).await
     };
     match read.await {
         Ok(batch) => {
-            for record in &batch.entries {
-                apply_config(&node, record);
-            }
+            apply_newest_config(&node, &batch.entries);
             keep_config(&node);
         }
         Err(e) => log::info!("event=read_failed topic=Config from={peer} cause=\"{e}\""),
     }
+    node.config_read.set(false);
 }
 
 /// Watches the list of endpoints.
@@ -177,10 +177,12 @@
         let source_addr = node.choose_source(now, &avoided);
         let position = feed.cache.borrow().next();
         let from = position.filter(|_| !reads_all);
+        feed.source.set(source_addr);
         let read = tokio::select! {
             read = read_source(node, topic, source_addr, &mut reader, from) => read,
             () = feed.source_stale.notified() => Err("a peer is ahead of the source".to_owned()),
         };
+        feed.transfer.set(None);
         let era = position.unwrap_or_default().era;
         let read = match read {
             Ok(Some(batch)) if batch.next.era < era => Err(format!(
@@ -296,7 +298,10 @@
         });
     }
     match reader {
-        Some(Reader::Peer(source)) => source.read(topic, from).await.map(Some),
+        Some(Reader::Peer(source)) => {
+            let transfer = &node.feed(topic).transfer;
+            source.read(topic, from, transfer).await.map(Some)
+        }
         Some(Reader::Store(store)) => {
             node.metrics.count(Counter::StoreReads, topic.label());
             read_store(store, topic, from).await
@@ -333,25 +338,28 @@
     }
 }
 
-/// Applies a configuration record if it is valid and newer than the current configuration.
-fn apply_config(node: &Node, record: &Entry) {
-    if record.key != hemlock_platform::config::KEY {
-        return;
-    }
-    let Some(value) = &record.value else { return };
-    let config = match hemlock_platform::config::decode(value) {
-        Ok(config) => config,
-        Err(e) => {
-            log::error!("event=config_refused cause=\"{e}\"");
-            return;
+/// Applies the newest of the configuration's records that is valid and newer than the configuration
+/// in force.
+fn apply_newest_config(node: &Node, records: &[Entry]) {
+    let is_config = |r: &&Entry| r.key == hemlock_platform::config::KEY;
+    for record in records.iter().rev().filter(is_config) {
+        let Some(value) = &record.value else { continue };
+        match hemlock_platform::config::decode(value) {
+            Ok(config) if is_newer(node, &config) => return apply_config(node, record, config),
+            Ok(_) => {}
+            Err(e) => log::error!("event=config_refused cause=\"{e}\""),
         }
-    };
-    let old = node.config().map_or(0, |c| c.version);
-    if config.version <= old {
-        return;
     }
+}
+
+fn is_newer(node: &Node, config: &Config) -> bool {
+    node.config().is_none_or(|old| config.version > old.version)
+}
+
+fn apply_config(node: &Node, record: &Entry, config: Config) {
+    let before = node.config().map_or(0, |c| c.version);
     log::info!(
-        "event=config version={} before={old} era={} routes={} services={}",
+        "event=config version={} before={before} era={} routes={} services={}",
         config.version,
         node.store_era.get(),
         config.route_count(),
