front: a VM that has heard of a newer configuration refuses what it does not know

What callers saw: 404 for a route, and 401 for a key, that all configurations in force had, from VMs that still used an older one.

Cause: unknown routes and keys were denied unless the VM had lost the store. A VM that is behind knows so from the heartbeats of its peers.

Such a request is refused with 503 and a Retry-After, which is true: it has not run, and this VM or another will know better.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -234,8 +234,8 @@
     }
 }
 
-/// Denies a request that the configuration in force does not allow. While the store is unreachable,
-/// a newer configuration may allow it, so the request is refused instead.
+/// Denies a request that the configuration in force does not allow. If there is a newer one, or may be
+/// while the store is unreachable, that may allow it, so the request is refused instead.
 async fn deny(
     node: &Rc<Node>,
     conn: &mut Conn,
@@ -245,7 +245,10 @@
     wait: Duration,
     keep_alive: bool,
 ) -> ConnectionAction {
-    if !node.feed(Topic::Config).store_up.get() {
+    let peers = node.peers.borrow();
+    let is_behind = peers.any_newer_config(node.now(), config.version);
+    drop(peers);
+    if is_behind || !node.feed(Topic::Config).store_up.get() {
         return refuse(
             node,
             conn,
