feed: records between VMs are compressed

The body of a reply is compressed once for all readers that lack the same records, if the reader asks for it by Accept-Encoding.

--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -2,18 +2,18 @@
 //! serves the others, so that the load on the store does not grow with the number of VMs.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hemlock_lib::node::cache::{Batch, Cache, Missing, Position};
 use hemlock_lib::node::source::{Lag, Transfer};
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
-use hemlock_wire::clock;
 use hemlock_wire::http1::{self, Conn, Framing};
-use rmp_serde::encode::Error as EncodeError;
+use hemlock_wire::{clock, compression};
 use tokio::sync::Notify;
 
 use crate::connections::{self, HeadRead};
@@ -37,6 +37,12 @@
 const MAX_REPLY_BYTES: usize = 16 << 20;
 /// Size in bytes up to which the body of a reply is sent together with its head.
 const MAX_JOINED_BYTES: usize = 16 << 10;
+/// Size in bytes from which the body of a reply is compressed.
+const MIN_COMPRESSED_BYTES: usize = 2 << 10;
+/// Coding of compressed replies. Builds that don't know it neither ask for it nor use it.
+const ENCODING: &str = "deflate";
+const ACCEPT_ENCODING: &str = "Accept-Encoding";
+const CONTENT_ENCODING: &str = "Content-Encoding";
 /// Replies that are kept for other peers until the next change.
 const MAX_REPLIES: usize = 4;
 
@@ -67,7 +73,16 @@
 struct Reply {
     missing: Missing,
     store_down: bool,
-    body: Bytes,
+    /// Whether the peer reads compressed replies.
+    may_compress: bool,
+    body: Body,
+}
+
+/// The body of a reply.
+#[derive(Debug, Clone)]
+struct Body {
+    bytes: Bytes,
+    is_compressed: bool,
 }
 
 impl Feed {
@@ -92,17 +107,19 @@
         self.updated.notify_waiters();
     }
 
-    /// Returns the reply to a peer that has read up to `from`; `None` if there is nothing new.
-    fn reply_after(&self, from: Option<Position>) -> Option<Result<Bytes, EncodeError>> {
+    /// Returns the body of the reply to a peer that has read up to `from`; `None` if there is nothing
+    /// new.
+    fn reply_after(&self, from: Option<Position>, may_compress: bool) -> Option<io::Result<Body>> {
         let cache = self.cache.borrow();
         let missing = cache.missing(from)?;
         let store_down = !self.store_up.get();
         let mut replies = self.replies.borrow_mut();
         replies.retain(|r| r.missing.is_as_recent_as(&missing) && r.store_down == store_down);
-        if let Some(reply) = replies.iter().find(|r| r.missing == missing) {
+        let is_same = |r: &&Reply| r.missing == missing && r.may_compress == may_compress;
+        if let Some(reply) = replies.iter().find(is_same) {
             return Some(Ok(reply.body.clone()));
         }
-        let body = match encode(Some(cache.batch(missing, store_down))) {
+        let body = match encode(Some(cache.batch(missing, store_down)), may_compress) {
             Ok(body) => body,
             Err(e) => return Some(Err(e)),
         };
@@ -110,6 +127,7 @@
             replies.push(Reply {
                 missing,
                 store_down,
+                may_compress,
                 body: body.clone(),
             });
         }
@@ -117,8 +135,17 @@
     }
 }
 
-fn encode(batch: Option<Batch>) -> Result<Bytes, EncodeError> {
-    rmp_serde::to_vec(&batch).map(Bytes::from)
+fn encode(batch: Option<Batch>, may_compress: bool) -> io::Result<Body> {
+    let bytes = rmp_serde::to_vec(&batch).map_err(io::Error::other)?;
+    let is_compressed = may_compress && bytes.len() >= MIN_COMPRESSED_BYTES;
+    let bytes = match is_compressed {
+        true => compression::compress(&bytes),
+        false => bytes,
+    };
+    Ok(Body {
+        bytes: Bytes::from(bytes),
+        is_compressed,
+    })
 }
 
 /// Serves the topics to a peer on one connection, and the requests that it passes on.
@@ -144,7 +171,8 @@
         let Some((topic, from)) = parse_target(&head.target) else {
             return;
         };
-        let body = match next_reply(&node, topic, from).await {
+        let may_compress = head.headers.has_token(ACCEPT_ENCODING, ENCODING);
+        let body = match next_reply(&node, topic, from, may_compress).await {
             Ok(body) => body,
             Err(e) => {
                 log::error!("event=feed_failed cause=\"{e}\"");
@@ -155,16 +183,23 @@
             return;
         }
         let metrics = &node.metrics;
-        metrics.add(Counter::FeedBytes, topic.label(), body.len() as u64);
+        metrics.add(Counter::FeedBytes, topic.label(), body.bytes.len() as u64);
     }
 }
 
 /// Writes a reply. The body, which other peers get as well, is not copied.
-async fn write_reply(conn: &mut Conn, body: &[u8]) -> std::io::Result<()> {
-    let mut head = Vec::with_capacity(64);
+async fn write_reply(conn: &mut Conn, body: &Body) -> io::Result<()> {
+    let Body {
+        bytes: body,
+        is_compressed,
+    } = body;
+    let mut head = Vec::with_capacity(128);
     http1::put_status_line(&mut head, 200, http1::reason_phrase(200));
     let length = body.len().to_string();
     http1::put_header(&mut head, "Content-Length", length.as_bytes());
+    if *is_compressed {
+        http1::put_header(&mut head, CONTENT_ENCODING, ENCODING.as_bytes());
+    }
     head.extend_from_slice(b"\r\n");
     if body.len() <= MAX_JOINED_BYTES {
         head.extend_from_slice(body);
@@ -180,12 +215,13 @@
     node: &Node,
     topic: Topic,
     from: Option<Position>,
-) -> Result<Bytes, EncodeError> {
+    may_compress: bool,
+) -> io::Result<Body> {
     let feed = node.feed(topic);
     let wait = async {
         loop {
             let update = feed.updated.notified();
-            if let Some(reply) = feed.reply_after(from) {
+            if let Some(reply) = feed.reply_after(from, may_compress) {
                 return reply;
             }
             update.await;
@@ -197,12 +233,13 @@
         () = node.stop.closing() => {}
         () = tokio::time::sleep(LONG_POLL) => {}
     }
-    encode(from.map(|next| Batch {
+    let empty = from.map(|next| Batch {
         entries: Vec::new(),
         next,
         is_snapshot: false,
         store_down: !feed.store_up.get(),
-    }))
+    });
+    encode(empty, may_compress)
 }
 
 /// Parses a request target of the form `/TOPIC/POSITION`; a position that is no number asks for all
@@ -224,7 +261,7 @@
 }
 
 impl PeerSource {
-    pub(crate) async fn open(address: SocketAddr) -> std::io::Result<Self> {
+    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
         let conn = Conn::connect(address, CONNECT_TIMEOUT).await?;
         Ok(Self {
             address,
@@ -250,7 +287,10 @@
     ) -> Result<Batch, String> {
         self.received = 0;
         let from = from.map_or_else(|| "all".to_owned(), |p| u64::from(p).to_string());
-        let text = format!("GET /{}/{from} HTTP/1.1\r\n\r\n", topic.label());
+        let text = format!(
+            "GET /{}/{from} HTTP/1.1\r\n{ACCEPT_ENCODING}: {ENCODING}\r\n\r\n",
+            topic.label()
+        );
         let exchange = async {
             self.conn
                 .write(text.as_bytes())
@@ -261,7 +301,10 @@
         };
         let head = tokio::time::timeout(LONG_POLL + HEAD_GRACE, exchange).await;
         let mut head = head.map_err(|_| "the reply timed out".to_owned())??;
-        let body = self.receive(&mut head.body_framing, transfer).await?;
+        let mut body = self.receive(&mut head.body_framing, transfer).await?;
+        if head.headers.has_token(CONTENT_ENCODING, ENCODING) {
+            body = compression::decompress(&body, MAX_REPLY_BYTES).map_err(|e| e.to_string())?;
+        }
         let batch: Option<Batch> = rmp_serde::from_slice(&body).map_err(|e| e.to_string())?;
         batch.ok_or_else(|| "the peer has not read the topic yet".to_owned())
     }
@@ -271,9 +314,9 @@
         &mut self,
         framing: &mut Framing,
         transfer: &Cell<Option<Transfer>>,
-    ) -> Result<BytesMut, String> {
+    ) -> Result<Vec<u8>, String> {
         let mut progress = Transfer::new(clock::since_boot());
-        let mut body = BytesMut::new();
+        let mut body = Vec::new();
         loop {
             transfer.set(Some(progress));
             let time_left = progress.time_left(clock::since_boot());
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod agent_client;
 pub mod clock;
+pub mod compression;
 pub mod daemon;
 pub mod http1;
 pub mod http_client;
