relay: an earlier refusal on a kept connection says nothing of a later request

Cause: a response with status 421 counted before its identifier did. Another endpoint at a reused address need not repeat the identifier; but an endpoint that writes an earlier refusal once more, on a kept connection, gave the same reading. The Retry-After of an earlier refusal held the endpoint off, too.

On a connection that has answered before, only a response that names this request tells of it. On a new one a 421 without an identifier still means another endpoint.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -403,7 +403,9 @@
         };
         let now = self.node.now();
         self.new_conn = None;
-        let mut conn = match self.node.pool.take(now, &to.id) {
+        let kept = self.node.pool.take(now, &to.id);
+        let is_kept = kept.is_some();
+        let mut conn = match kept {
             Some(conn) => conn,
             None => match self.connect(caller, address, Some(to)).await {
                 // A task that is not run for a while finds both the connection and the caller's close.
@@ -426,7 +428,7 @@
         let mut stream_started = false;
         self.delivered.of_endpoint = 0;
         let outcome = self
-            .exchange(caller, &mut conn, to, prompt, &mut stream_started)
+            .exchange(caller, &mut conn, is_kept, to, prompt, &mut stream_started)
             .await;
         let mut balancer = self.node.balancer.borrow_mut();
         balancer.record_end(&to.id, prompt, !stream_started);
@@ -471,13 +473,14 @@
         }
     }
 
-    /// Sends the request on a connection and relays the response. The second part of the result is
-    /// `Some` if the connection may be reused, with the keep-alive time that the endpoint
-    /// announced.
+    /// Sends the request on a connection, which is kept if it has carried others before, and relays the
+    /// response. The second part of the result is `Some` if the connection may be reused, with the
+    /// keep-alive time that the endpoint announced.
     async fn exchange(
         &mut self,
         caller: &mut Conn,
         conn: &mut Conn,
+        is_kept: bool,
         to: &Candidate,
         prompt: u32,
         stream_started: &mut bool,
@@ -522,10 +525,10 @@
             if head.status != 421 {
                 self.node.note_limit(&to.id, to.incarnation.0, meta.limit);
             }
-            if let Some(time) = meta.retry_after {
-                self.hold_off(to, time);
-            }
             if meta.request_id == self.request_id() {
+                if let Some(time) = meta.retry_after {
+                    self.hold_off(to, time);
+                }
                 break (head, meta);
             }
             log::info!(
@@ -535,9 +538,9 @@
                 meta.request_id
             );
             self.node.metrics.count(Counter::ForeignAnswers, "skipped");
-            // Status 421 comes from another endpoint, which need not repeat the request's
-            // identifier.
-            if head.status == 421 {
+            // Status 421 comes from another endpoint, which need not repeat the request's identifier. On
+            // a connection that has answered before, it may be an earlier refusal.
+            if head.status == 421 && meta.request_id.is_empty() && !is_kept && skipped == 0 {
                 return (SendOutcome::NotRun("other_endpoint"), None);
             }
             skipped += 1;
--- a/node/tests/test_relay.rs
+++ b/node/tests/test_relay.rs
@@ -90,6 +90,36 @@
     assert!(response.body.starts_with("answer of"), "{response:?}");
 }
 
+#[test]
+fn earlier_refusal_on_a_kept_connection_says_nothing_of_a_later_request() {
+    let (node, plain) = NodeProcess::with_plain_endpoints();
+    for (status, named) in [421, 429, 503]
+        .into_iter()
+        .flat_map(|s| [(s, true), (s, false)])
+    {
+        let mode = Mode::RefuseAgain { status, named };
+        plain.iter().for_each(|e| e.set_mode(mode));
+        let ids: Vec<String> = (0..8).map(|i| format!("r{status}-{named}-{i}")).collect();
+        let responses: Vec<_> = ids
+            .iter()
+            .map(|id| node.send("POST", "/once/a", id, "", "x"))
+            .collect();
+        let runs: Vec<_> = plain.iter().flat_map(|e| e.runs()).collect();
+        for (id, response) in ids.iter().zip(&responses) {
+            let count = runs.iter().filter(|r| r.request_id == *id).count();
+            let is_refused = matches!(response.status, 408 | 421 | 429 | 503);
+            assert!(
+                count <= 1 && !(is_refused && count > 0),
+                "{count} {response:?}"
+            );
+        }
+        assert!(
+            responses.iter().any(|r| r.status == 200),
+            "{status} {named}"
+        );
+    }
+}
+
 #[test]
 fn bytes_after_a_response_are_discarded() {
     let (node, plain) = NodeProcess::with_plain_endpoints();
