stream: what an endpoint that continues a stream sends first has a number

Where it can happen here: an answer with an error status was never forwarded into a stream. One with status 200 whose body is the text of an error was, if it had blank lines: events without a number pass as they come. And an answer without a length that brought nothing ended the stream as complete if the caller had events already.

The first event of an endpoint that continues a stream must have a number, and an answer that ends with its connection must have brought an event. Otherwise the send has failed, and the stream goes on elsewhere or is cut off visibly.

--- a/lib/src/node/events.rs
+++ b/lib/src/node/events.rs
@@ -58,6 +58,12 @@
     Gap,
 }
 
+/// Returns whether an event may be the first one of an endpoint that continues a stream after the event
+/// `last`. Such an event has a number; without one, it may be the text of an error.
+pub fn may_continue(last: Option<u64>, id: Option<u64>) -> bool {
+    last.is_none() || id.is_some()
+}
+
 /// Compares the number of an event with that of the last one that the caller has.
 pub fn event_position(last: Option<u64>, id: Option<u64>) -> EventPosition {
     match (last, id) {
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -9,7 +9,7 @@
 use tokio::task::coop::unconstrained;
 
 use super::pass_on::PEER_CHECK_INTERVAL;
-use super::{Delivered, Relay, SendOutcome, SilenceTimer, Upstream};
+use super::{Relay, SendOutcome, SilenceTimer, Upstream};
 use crate::front::ConnectionAction;
 use crate::metrics::Latency;
 
@@ -128,12 +128,9 @@
     }
 
     /// Returns whether a stream that has ended lacks its answer: one without a length ends with its
-    /// connection, also when its endpoint crashes before the first event.
+    /// connection, also when its endpoint crashes before its first event.
     fn is_empty_answer(&self, framing: Framing) -> bool {
-        let Delivered {
-            last_event, events, ..
-        } = self.delivered;
-        framing == Framing::UntilClose && last_event.is_none() && events == 0
+        framing == Framing::UntilClose && self.delivered.of_endpoint == 0
     }
 
     /// Records that bytes of the stream arrived, and the latency of the first ones.
@@ -188,6 +185,11 @@
         let mut has_gap = false;
         while let Some(event) = splitter.next_event() {
             has_event = true;
+            let is_first = self.delivered.of_endpoint + events == 0;
+            if is_first && !events::may_continue(last_event, event.id) {
+                has_gap = true;
+                break;
+            }
             match events::event_position(last_event, event.id) {
                 EventPosition::AlreadySent => continue,
                 EventPosition::Gap => {
--- a/node/tests/test_streams.rs
+++ b/node/tests/test_streams.rs
@@ -74,6 +74,28 @@
     assert_eq!(response.events(), vec![1, 2, 3]);
 }
 
+#[test]
+fn error_of_the_endpoint_that_continues_a_stream_is_not_part_of_it() {
+    let (node, engines) = NodeProcess::with_engines();
+    for ends_with_connection in [false, true] {
+        for status in [200, 400, 404, 408, 421, 429, 500, 503] {
+            for engine in &engines {
+                engine.set_mode(Mode::CutAndFail(3, status));
+                engine.set_ends_with_connection(ends_with_connection);
+            }
+            let id = format!("r{status}-{ends_with_connection}");
+            let response = send(&node, &id);
+            assert_eq!(
+                (response.status, response.complete),
+                (200, false),
+                "{response:?}"
+            );
+            assert_eq!(response.events(), vec![1, 2, 3], "{response:?}");
+            assert!(!response.body.contains("error"), "{response:?}");
+        }
+    }
+}
+
 #[test]
 fn caller_can_resume_a_stream_after_its_last_event() {
     let (node, engines) = NodeProcess::with_engines();
