--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -307,7 +307,7 @@
                 && estimate.first_event <= request.first_event_limit
                 && (!is_saturated || estimate.queue_time <= request.queue_limit)
                 && estimate.whole_answer <= request.time_left * MAX_OVERRUN
-                && estimate.running < candidate.slots.max(1) * MAX_REQUESTS_PER_SLOT
+                && estimate.running < candidate.slots.max(1).saturating_mul(MAX_REQUESTS_PER_SLOT)
         };
         let is_connected = |candidate: &&Candidate| request.connected.contains(&candidate.id);
         let with_capacity = || responsive.iter().copied().filter(has_capacity);
--- a/lib/src/node/forecast.rs
+++ b/lib/src/node/forecast.rs
@@ -130,7 +130,8 @@
         let slots = slots.max(1);
         let (first_event, queue_time, whole_answer) = match engine {
             None => {
-                let first_event = PLAIN_TIME_PER_REQUEST * running as u32 / slots as u32;
+                let batches = running as f64 / slots as f64;
+                let first_event = PLAIN_TIME_PER_REQUEST.mul_f64(batches);
                 (first_event, Duration::ZERO, first_event)
             }
             Some(engine) => {
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -39,6 +39,9 @@
 /// Bits of an epoch that are counted up within one term; the fencing token takes the others.
 const EPOCH_COUNTER_BITS: u32 = 20;
 
+/// Fencing tokens by which the one of an epoch may exceed this planner's. Epochs beyond come from another
+/// writer, and there may be none that is higher.
+const MAX_FENCE_LEAD: u64 = GENERATIONS_PER_ERA << 10;
 /// Fencing tokens by which those of one era precede those of the next; more than the generations
 /// that the store may lose with its last seconds.
 const GENERATIONS_PER_ERA: u64 = 1 << 20;
@@ -477,8 +480,10 @@
 
     fn update_states(&mut self, input: &PlannerInput<'_>) {
         let memberships = input.endpoints.iter().filter_map(|e| e.membership.as_ref());
+        let max_fence = self.fence.unwrap_or_default() + MAX_FENCE_LEAD;
         let highest_epoch = memberships
             .map(|membership| membership.epoch)
+            .filter(|epoch| epoch >> EPOCH_COUNTER_BITS <= max_fence)
             .max()
             .unwrap_or_default();
         self.epoch = self.epoch.max(highest_epoch);
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -351,3 +351,21 @@
     let choice = balancer.choose(at(3_000), &plain_request, None, &[]);
     assert_eq!(sent_to(&choice), "p1");
 }
+
+#[test]
+fn an_endpoint_with_any_number_of_slots_can_be_estimated() {
+    for slots in [0, 1, 1 << 32, usize::MAX] {
+        let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
+        balancer.set_candidates(vec![Candidate {
+            slots,
+            ..plain("p")
+        }]);
+        let request = RoutingRequest {
+            service: "plain",
+            model: None,
+            ..request(0)
+        };
+        let choice = balancer.choose(at(0), &request, None, &[]);
+        assert_eq!(sent_to(&choice), "p", "{slots}");
+    }
+}
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::capacity::Demand;
-use hemlock_lib::node::endpoints::Endpoint;
+use hemlock_lib::node::endpoints::{Endpoint, MemberState, Membership};
 use hemlock_lib::node::planner::{Action, Reply, parse_group_name};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -109,6 +109,34 @@
     assert!(simulation.serving()["large"] >= 5);
 }
 
+#[test]
+fn groups_form_beside_an_entry_with_the_largest_numbers() {
+    for epoch in [u64::MAX, u64::MAX - 1, 1 << 62] {
+        let mut simulation = Simulation::new(two_models(), &[10; 2], 1);
+        simulation.add("odd", "d0");
+        let mut odd = simulation.endpoints.get("odd").unwrap().clone();
+        odd.service = Arc::from("other");
+        (odd.started_ms, odd.sequence) = (u64::MAX, u64::MAX);
+        odd.membership = Some(Membership {
+            group: Arc::from("odd"),
+            epoch,
+            rank: usize::MAX,
+            state: MemberState::Open,
+        });
+        simulation.endpoints.put(odd);
+        simulation.run(Duration::from_secs(6));
+        let joins = simulation.orders.iter().filter_map(|(_, _, a)| match a {
+            Action::Join { epoch, .. } => Some(*epoch),
+            _ => None,
+        });
+        assert!(joins.max().unwrap() < 1 << 60, "{epoch}");
+        let open = |m: &&Membership| m.state == MemberState::Open && &*m.group != "odd";
+        let listed = simulation.endpoints.iter();
+        let serving = listed.filter_map(|e| e.membership.as_ref()).filter(open);
+        assert!(serving.count() >= 4, "{epoch}");
+    }
+}
+
 /// A planner that restarts within a term must not issue the epochs of its previous run again.
 #[test]
 fn epochs_are_never_issued_twice() {
