--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -12,7 +12,6 @@
 use hemlock_lib::node::quarantine::{Suspect, Suspects};
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, RequestMeta};
-use hemlock_platform::store::Topic;
 use hemlock_wire::http1::{self, Conn, HttpError, RequestHead};
 use rand::Rng;
 
@@ -245,10 +244,7 @@
     wait: Duration,
     keep_alive: bool,
 ) -> ConnectionAction {
-    let peers = node.peers.borrow();
-    let is_behind = peers.any_newer_config(node.now(), config.version);
-    drop(peers);
-    if is_behind || !node.feed(Topic::Config).store_up.get() {
+    if node.may_be_outdated(config) {
         return refuse(
             node,
             conn,
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -354,6 +354,13 @@
         reads_directly(&self.config_feed) && reads_directly(&self.endpoint_feed)
     }
 
+    /// Returns whether a newer configuration than this one is in force elsewhere, or may be while the
+    /// store can't be read.
+    pub(crate) fn may_be_outdated(&self, config: &Config) -> bool {
+        let peers = self.peers.borrow();
+        !self.config_feed.store_up.get() || peers.any_newer_config(self.now(), config.version)
+    }
+
     /// Returns whether any topic can be read, from the store itself or through a peer.
     pub(crate) fn store_up(&self) -> bool {
         self.config_feed.store_up.get() || self.endpoint_feed.store_up.get()
--- a/node/tests/test_endless.rs
+++ b/node/tests/test_endless.rs
@@ -157,7 +157,11 @@
     let response = node.send("POST", "/once/a", "r1", "", &"x".repeat(32 << 20));
     let elapsed = sent.elapsed();
     assert!(matches!(response.status, 502 | 504), "{}", response.status);
-    assert!(elapsed < LATE, "{elapsed:?} {:?}", node.log_lines("request=r1"));
+    assert!(
+        elapsed < LATE,
+        "{elapsed:?} {:?}",
+        node.log_lines("request=r1")
+    );
 }
 
 #[test]
