--- a/node/tests/fake_source.rs
+++ b/node/tests/fake_source.rs
@@ -162,7 +162,7 @@
 /// Returns the records of a topic after the position `from`, or all if it is `None`.
 fn batch(state: &State, topic: &str, from: Option<u64>) -> Option<Batch> {
     let newest = match topic {
-        "/config" => &state.configs[..],
+        "/config" => &*state.configs,
         _ => &[],
     };
     if from.is_some_and(|from| from >= newest.len() as u64) {
