feed: a second read of the configuration from a peer can't begin before the first is marked

Several heartbeats may be handled before the task of the first read runs; each of them would have begun a read of its own once the transfer from the source had taken 1 s.

--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -216,6 +216,7 @@
         peer.node
     );
     let address = peer.peer_address;
+    node.config_read.set(true);
     spawn_local(store_watch::read_config_from_peer(node.clone(), address));
 }
 
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -64,9 +64,8 @@
     .await;
 }
 
-/// Reads the configuration from a peer that has a newer one.
+/// Reads the configuration from a peer that has a newer one, and clears [`Node::config_read`].
 pub(crate) async fn read_config_from_peer(node: Rc<Node>, peer: SocketAddr) {
-    node.config_read.set(true);
     let read = async {
         let mut source = PeerSource::open(peer).await.map_err(|e| e.to_string())?;
         source.read(Topic::Config, None, &Cell::default()).await
