--- a/lib/src/node/cache.rs
+++ b/lib/src/node/cache.rs
@@ -78,7 +78,7 @@
     arrival: u64,
 }
 
-/// What a reader lacks of a topic. Readers for which it is equal get the same records.
+/// The part of a topic that a reader lacks. Readers that lack the same part get the same records.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Missing {
     revision: u64,
@@ -173,7 +173,7 @@
         }
     }
 
-    /// Returns what a reader at the position `from` lacks; `None` if it is up to date or nothing was
+    /// Returns the part that a reader at the position `from` lacks; `None` if it is up to date or nothing was
     /// read yet. A reader of an older era lacks everything.
     pub fn missing(&self, from: Option<Position>) -> Option<Missing> {
         let next = self.next?;
--- a/node/tests/test_odd_entries.rs
+++ b/node/tests/test_odd_entries.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::endpoint::Endpoint;
+use hemlock_platform_standin::fixtures;
 use serde_json::json;
 
 use crate::node_process::{NodeProcess, config};
@@ -44,8 +45,7 @@
     let (node, plain) = NodeProcess::with_plain_endpoints();
     let _engines = ["e1", "e2"].map(|id| Endpoint::spawn(&node.store, id, "models", Some("d1")));
     for (i, entry) in odd_entries(plain[1].address()).iter().enumerate() {
-        let key = format!("odd-{i}");
-        node.store.put("keyed.servers", &key, entry.as_bytes());
+        fixtures::publish_entry(&node.store, &format!("odd-{i}"), entry);
     }
     plain[0].drain();
     node.configure(&config(2));
