--- a/node/tests/test_left_callers.rs
+++ b/node/tests/test_left_callers.rs
@@ -72,10 +72,14 @@
     ids.filter(|id| id.starts_with("left")).collect()
 }
 
-fn wait_for_ends(endpoints: &[Endpoint], count: usize) {
+fn wait_for_ends(node: &NodeProcess, endpoints: &[Endpoint], count: usize) {
     std::thread::sleep(END_LIMIT);
     let ended: usize = endpoints.iter().map(Endpoint::abandoned_requests).sum();
-    assert_eq!(ended, count, "requests whose end the endpoints have seen");
+    let log = node.log_lines("request=");
+    assert_eq!(
+        ended, count,
+        "requests whose end the endpoints have seen: {log:?}"
+    );
 }
 
 #[test]
@@ -118,7 +122,7 @@
         plain.iter().any(|e| !e.runs().is_empty())
     });
     drop(io);
-    wait_for_ends(&plain, 1);
+    wait_for_ends(&node, &plain, 1);
 }
 
 #[test]
@@ -134,7 +138,7 @@
     // Until all buffers on the way are full.
     std::thread::sleep(SETTLE_TIME);
     let io = leave(io, Leave::HalfClose);
-    wait_for_ends(&engines, 1);
+    wait_for_ends(&node, &engines, 1);
     drop(io);
 }
 
