--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -1,13 +1,18 @@
 //! Callers: each sends one request after the other on a kept connection.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// A request and its answer; the status is zero if the connection ended without a whole answer.
+/// Status of a request whose connection ended without a whole answer.
+pub const ENDED: u16 = 0;
+/// Status of a request whose caller gave up at its deadline.
+pub const GAVE_UP: u16 = 1;
+
+/// A request and the status of its answer.
 #[derive(Debug, Clone)]
 pub struct Try {
     pub sent_ms: u128,
@@ -64,8 +69,12 @@
             };
             let id = format!("r{}", NUMBER.fetch_add(1, Ordering::Relaxed));
             let sent_ms = start.elapsed().as_millis();
-            let status = exchange(&mut io, &id, template, &body).unwrap_or(0);
-            if status != 0 {
+            let status = match exchange(&mut io, &id, template, &body) {
+                Ok(status) => status,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => GAVE_UP,
+                Err(_) => ENDED,
+            };
+            if status > GAVE_UP {
                 conn = Some(io);
             }
             let ended_ms = start.elapsed().as_millis();
@@ -95,7 +104,7 @@
             break end;
         }
         match io.read(&mut buffer)? {
-            0 => return Ok(0),
+            0 => return Ok(ENDED),
             n => bytes.extend_from_slice(&buffer[..n]),
         }
     };
@@ -105,7 +114,7 @@
     let mut left = length.saturating_sub(bytes.len() - head_end - 4);
     while left > 0 {
         match io.read(&mut buffer)? {
-            0 => return Ok(0),
+            0 => return Ok(ENDED),
             n => {
                 left = left.saturating_sub(n);
                 let pace = template.read_pace.mul_f64(n as f64 / 65_536.0);
@@ -115,5 +124,5 @@
             }
         }
     }
-    Ok(head.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0))
+    Ok(head.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(ENDED))
 }
--- a/review/standin/src/drill.rs
+++ b/review/standin/src/drill.rs
@@ -24,7 +24,8 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(2_000);
 const COPY_INTERVAL: Duration = Duration::from_millis(100);
 
-pub fn run(record: &str, trouble: bool, kill: bool, drill: bool) -> u8 {
+/// Plays the drill and the kills, if they are wanted; returns the exit code of the script.
+pub fn run(record: &str, kill: bool, drill: bool) -> u8 {
     let dir = tempfile::tempdir().expect("a temporary folder");
     let store = Store::spawn();
     let engines = Engines::new(&store);
@@ -88,8 +89,8 @@
         }
         std::thread::sleep(COPY_INTERVAL);
     }
-    if trouble {
-        engines.note("the store goes away, and all processes are killed");
+    if kill || drill {
+        engines.note(&format!("the store goes away: {drill}; all processes are killed: {kill}"));
         if drill {
             store.set_mode(Mode::Refuse(503));
         }
--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -2,7 +2,7 @@
 //! and epoch win, and a head accepts requests until it has missed a member for `stallMs`. What each
 //! engine is in is kept here, whatever the store lists.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -57,8 +57,9 @@
     engines: BTreeMap<String, Engine>,
     log: Vec<String>,
     broken: Vec<String>,
-    runs: Vec<String>,
     has_traffic: bool,
+    /// Engines that were ready in a group, with its name, epoch and members.
+    ready: BTreeSet<(String, String, u64, Vec<String>)>,
 }
 
 impl Engines {
@@ -238,6 +239,23 @@
         (status, wait)
     }
 
+    /// Returns whether an engine takes a request, as the open head of a group.
+    fn accept(&self, id: &str) -> bool {
+        let at = self.millis();
+        let mut world = self.lock();
+        world.has_traffic = true;
+        let Some(seat) = world.engines[id].seat.clone() else { return false };
+        if seat.members[0] != id || seat.state != "open" {
+            return false;
+        }
+        let was_ready = |m: &String| world.ready.contains(&(m.clone(), seat.group.clone(), seat.epoch, seat.members.clone()));
+        let is_whole = seat.group.split('-').nth(1) == Some(seat.members.len().to_string().as_str());
+        if !is_whole || !seat.members.iter().all(was_ready) {
+            world.broken.push(format!("{at} ms: PARTIAL: a request runs in {} with {:?}", seat.group, seat.members));
+        }
+        true
+    }
+
     /// Ends a join or an opening, if it is still under way.
     fn finish(&self, id: &str, call: &Value) {
         {
@@ -252,6 +270,10 @@
                 (Some("open"), "ready") => "open",
                 (_, state) => state,
             };
+            let seat = seat.clone();
+            if seat.state == "ready" {
+                world.ready.insert((id.to_owned(), seat.group, seat.epoch, seat.members));
+            }
         }
         self.publish(id);
     }
@@ -328,17 +350,11 @@
                 }
             }
             _ => {
-                let is_open = {
-                    let mut world = engines.lock();
-                    world.has_traffic = true;
-                    let seat = world.engines[&id].seat.clone();
-                    seat.is_some_and(|s| s.members[0] == id && s.state == "open")
-                };
+                let is_open = engines.accept(&id);
                 let request_id = get("Request-Id");
                 let sent = if get("Expect-Instance") != id || !is_open {
                     reply(&mut conn, 421, &format!("Request-Id: {request_id}\r\nNot-Run: 1\r\n"), b"").await
                 } else {
-                    engines.lock().runs.push(request_id.clone());
                     stream(&mut conn, &request_id, get("Last-Event-Id").parse().unwrap_or(0)).await
                 };
                 if sent.is_err() {
--- a/review/standin/src/memory.rs
+++ b/review/standin/src/memory.rs
@@ -7,7 +7,7 @@
 use hemlock_platform_standin::fixtures;
 use hemlock_platform_standin::store::Store;
 
-use crate::client::{Callers, Template};
+use crate::client::{Callers, ENDED, GAVE_UP, Template};
 use crate::node::{Vm, memory_kb, wait};
 use crate::worker::{Service, Worker};
 
@@ -86,16 +86,16 @@
     let mut lost = 0;
     for t in &tries {
         let has_run = runs.contains(&t.id);
-        let is_lost = t.is_kept && t.status == 0 && has_run;
+        let is_lost = t.is_kept && t.status == ENDED && has_run;
         lost += usize::from(is_lost);
         let note = if is_lost { " LOST" } else { "" };
         let _ = writeln!(text, "{} to {} ms: {} kept={} status={} run={has_run}{note}", t.sent_ms, t.ended_ms, t.id, t.is_kept, t.status);
     }
     let count = |status: u16| tries.iter().filter(|t| t.status == status).count();
     let summary = format!(
-        "requests {}, 200: {}, 502: {}, 503: {}, none: {}; peak memory {peak} kB of {MEMORY_KB} kB, ends for memory {ends}; \
+        "requests {}, 200: {}, 502: {}, 503: {}, ended: {}, gave up: {}; peak memory {peak} kB of {MEMORY_KB} kB, ends for memory {ends}; \
          passed on from kept connections and closed without an answer: {lost} (3 allowed)\n",
-        tries.len(), count(200), count(502), count(503), count(0)
+        tries.len(), count(200), count(502), count(503), count(ENDED), count(GAVE_UP)
     );
     print!("{summary}");
     std::fs::write(record, summary + &text).expect("the record is written");
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -13,7 +13,6 @@
 /// Addresses and settings of one entry VM, which stay the same over restarts.
 #[derive(Debug, Clone)]
 pub struct Vm {
-    pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
@@ -35,7 +34,6 @@
         );
         std::fs::write(&settings, text).expect("the settings are written");
         Self {
-            name: name.to_owned(),
             front,
             ready,
             settings,
--- a/review/standin/src/refused.rs
+++ b/review/standin/src/refused.rs
@@ -1,11 +1,10 @@
-//! At-most-once requests with large answers, at an entry VM that loses its path to the workers.
+//! At-most-once requests with large answers, at an entry VM whose open connections to the
+//! workers go silent.
 
 use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 
-use hemlock_platform_standin::client_processes::ClientProcesses;
 use hemlock_platform_standin::fixtures;
-use hemlock_platform_standin::proxy::{Link, Proxy};
 use hemlock_platform_standin::store::Store;
 
 use crate::client::{Callers, Template};
@@ -17,31 +16,28 @@
 const VMS: usize = 4;
 /// Callers read 4 MiB in a second, over links of some 32 Mbit/s.
 const READ_PACE: Duration = Duration::from_millis(16);
-/// Callers of the VM that is cut off; the others have none.
-const CALLERS: usize = 12;
-const CUT_AT: Duration = Duration::from_secs(3);
-const CUT_FOR: Duration = Duration::from_secs(8);
-const LENGTH: Duration = Duration::from_secs(13);
+/// Callers of the first VM; the others have none.
+const CALLERS: usize = 14;
+/// Times that the open connections to the workers go silent, and the time between.
+const SILENCES: u32 = 3;
+const INTERVAL: Duration = Duration::from_secs(5);
 
 pub fn run(record: &str, trouble: bool) -> u8 {
     let dir = tempfile::tempdir().expect("a temporary folder");
-    let (store, links) = (Store::spawn(), ClientProcesses::default());
+    let store = Store::spawn();
     let workers: Vec<Worker> = (0..WORKERS).map(|i| Worker::spawn(&format!("p{i}"), SERVICE)).collect();
     for worker in &workers {
-        let proxy = Proxy::spawn_for(worker.address, &links).expect("the proxy starts");
-        worker.list(&store, "plain", proxy.address());
+        worker.list(&store, "plain", worker.address);
     }
     let mut config = fixtures::config(1);
     config["limits"]["maxBodyBytes"] = (4 << 20).into();
     fixtures::publish_config(&store, &config);
     let vms: Vec<Vm> = (0..VMS).map(|i| Vm::new(dir.path(), &format!("entry-{i}"), store.address())).collect();
     let children: Vec<_> = vms.iter().map(Vm::start).collect();
-    for (vm, child) in vms.iter().zip(&children) {
-        links.register(&vm.name, child.pid());
-    }
     let is_up = |vm: &Vm| vm.is_ready() && vm.log_lines("event=serving").len() >= WORKERS;
     let ready = wait(Duration::from_secs(10), || vms.iter().all(is_up));
     let callers = Callers::default();
+    let mut silenced = Vec::new();
     let start = Instant::now();
     if ready {
         // The VMs learn each other's secrets with the second reading of the members.
@@ -56,13 +52,14 @@
             read_pace: READ_PACE,
         };
         let threads: Vec<_> = (0..CALLERS).map(|_| callers.start(start, vms[0].front, template.clone())).collect();
-        std::thread::sleep(CUT_AT);
-        if trouble {
-            links.set_link(&vms[0].name, Link::Silent);
+        for _ in 0..SILENCES {
+            std::thread::sleep(INTERVAL);
+            if trouble {
+                silenced.push(start.elapsed().as_millis());
+                workers.iter().for_each(Worker::silence_open_connections);
+            }
         }
-        std::thread::sleep(CUT_FOR);
-        links.set_link(&vms[0].name, Link::Open);
-        std::thread::sleep(LENGTH.saturating_sub(start.elapsed()));
+        std::thread::sleep(INTERVAL);
         callers.stop();
         threads.into_iter().for_each(|t| drop(t.join()));
     }
@@ -74,6 +71,7 @@
     let tries = callers.tries();
     let mut text = String::new();
     let mut broken = 0;
+    let _ = writeln!(text, "open connections to workers go silent at {silenced:?} ms");
     for t in &tries {
         let times = runs.iter().filter(|id| **id == t.id).count();
         let is_broken = times > 0 && matches!(t.status, 408 | 421 | 429 | 503) || times > 1;
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -2,6 +2,7 @@
 //! `Expect-Instance`, repeats `Request-Id` and signs its answers.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,15 +23,34 @@
     pub id: String,
     pub address: SocketAddr,
     runs: Arc<Mutex<Vec<String>>>,
+    silenced: Arc<AtomicU64>,
 }
 
 impl Worker {
     /// Starts a worker, which is not listed in the store yet.
     pub fn spawn(id: &str, service: Service) -> Self {
         let runs = Arc::new(Mutex::new(Vec::new()));
-        let (shared, own_id) = (runs.clone(), id.to_owned());
-        let address = server::spawn(id, move |conn| serve(conn, own_id.clone(), service, shared.clone()));
-        Self { id: id.to_owned(), address, runs }
+        let silenced = Arc::new(AtomicU64::new(0));
+        let (shared, own_id, cuts) = (runs.clone(), id.to_owned(), silenced.clone());
+        let address = server::spawn(id, move |conn| {
+            let (id, runs, cuts) = (own_id.clone(), shared.clone(), cuts.clone());
+            let before = cuts.load(Ordering::Relaxed);
+            async move {
+                let mut conn = conn;
+                tokio::select! {
+                    () = serve(&mut conn, id, service, runs) => return,
+                    () = until_silenced(&cuts, before) => {}
+                }
+                // The connection stays open.
+                std::future::pending::<()>().await;
+            }
+        });
+        Self { id: id.to_owned(), address, runs, silenced }
+    }
+
+    /// Has all open connections go silent for good: no byte passes any more, and no end. New ones work.
+    pub fn silence_open_connections(&self) {
+        self.silenced.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Lists the worker in the store under an address, its own or that of a proxy.
@@ -48,7 +68,13 @@
     }
 }
 
-async fn serve(mut conn: Conn, id: String, service: Service, runs: Arc<Mutex<Vec<String>>>) {
+async fn until_silenced(cuts: &AtomicU64, before: u64) {
+    while cuts.load(Ordering::Relaxed) == before {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn serve(conn: &mut Conn, id: String, service: Service, runs: Arc<Mutex<Vec<String>>>) {
     loop {
         let Ok(mut head) = conn.read_request_head(32 << 10).await else { return };
         let Ok(Some(_)) = conn.read_body(&mut head.body_framing, 8 << 20).await else { return };
