review: the stand-ins need only crates that the daemon's build needs

The temporary folder is made by the stand-ins themselves, so that an offline build after the build of the deploy file finds all crates.

--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -71,24 +71,42 @@
             let sent_ms = start.elapsed().as_millis();
             let status = match exchange(&mut io, &id, template, &body) {
                 Ok(status) => status,
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => GAVE_UP,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    GAVE_UP
+                }
                 Err(_) => ENDED,
             };
             if status > GAVE_UP {
                 conn = Some(io);
             }
             let ended_ms = start.elapsed().as_millis();
-            let one = Try { sent_ms, ended_ms, id, is_kept, status };
+            let one = Try {
+                sent_ms,
+                ended_ms,
+                id,
+                is_kept,
+                status,
+            };
             self.tries.lock().expect("no caller panics").push(one);
             std::thread::sleep(template.pause);
         }
     }
 }
 
-fn exchange(io: &mut TcpStream, id: &str, template: &Template, body: &[u8]) -> std::io::Result<u16> {
+fn exchange(
+    io: &mut TcpStream,
+    id: &str,
+    template: &Template,
+    body: &[u8],
+) -> std::io::Result<u16> {
     io.set_nodelay(true)?;
     io.set_read_timeout(Some(Duration::from_millis(template.deadline_ms)))?;
-    let Template { target, headers, deadline_ms, .. } = template;
+    let Template {
+        target,
+        headers,
+        deadline_ms,
+        ..
+    } = template;
     let head = format!(
         "POST {target} HTTP/1.1\r\nHost: {}\r\nRequest-Id: {id}\r\nApi-Key: key-1\r\nDeadline-Ms: {deadline_ms}\r\n\
          {headers}Content-Length: {}\r\n\r\n",
@@ -109,7 +127,9 @@
         }
     };
     let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
-    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: "));
+    let length = head
+        .lines()
+        .find_map(|l| l.strip_prefix("Content-Length: "));
     let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
     let mut left = length.saturating_sub(bytes.len() - head_end - 4);
     while left > 0 {
@@ -124,5 +144,8 @@
             }
         }
     }
-    Ok(head.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(ENDED))
+    Ok(head
+        .get(9..12)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(ENDED))
 }
--- a/review/standin/src/drill.rs
+++ b/review/standin/src/drill.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::engine::{Engines, LOAD_TIME, WARMUP_TIME};
-use crate::node::{Vm, wait};
+use crate::node::{TempFolder, Vm, wait};
 
 const VMS: usize = 3;
 /// Age of the copy.
@@ -26,7 +26,7 @@
 
 /// Plays the drill and the kills, if they are wanted; returns the exit code of the script.
 pub fn run(record: &str, kill: bool, drill: bool) -> u8 {
-    let dir = tempfile::tempdir().expect("a temporary folder");
+    let dir = TempFolder::new();
     let store = Store::spawn();
     let engines = Engines::new(&store);
     for i in 0..4 {
@@ -39,7 +39,9 @@
     engine["models"][0]["warmupS"] = WARMUP_TIME.as_secs_f64().into();
     config["limits"] = json!({"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000});
     fixtures::publish_config(&store, &config);
-    let vms: Vec<Vm> = (0..VMS).map(|i| Vm::new(dir.path(), &format!("entry-{i}"), store.address())).collect();
+    let vms: Vec<Vm> = (0..VMS)
+        .map(|i| Vm::new(dir.path(), &format!("entry-{i}"), store.address()))
+        .collect();
     let mut daemons: Vec<_> = vms.iter().map(Vm::start).collect();
     if !wait(Duration::from_secs(20), || engines.serving() == 4) {
         eprintln!("the first groups don't serve");
@@ -60,7 +62,11 @@
                 let text = fixtures::request("POST", "/stream/a", &id, &headers, "text");
                 let response = caller::send(fronts[number % fronts.len()], &text);
                 let at = engines.millis();
-                answers.lock().expect("no caller panics").push(format!("{at} ms: {id} status={} events={}", response.status, response.events().len()));
+                answers.lock().expect("no caller panics").push(format!(
+                    "{at} ms: {id} status={} events={}",
+                    response.status,
+                    response.events().len()
+                ));
                 std::thread::sleep(CALL_INTERVAL);
             }
         })
@@ -90,7 +96,9 @@
         std::thread::sleep(COPY_INTERVAL);
     }
     if kill || drill {
-        engines.note(&format!("the store goes away: {drill}; all processes are killed: {kill}"));
+        engines.note(&format!(
+            "the store goes away: {drill}; all processes are killed: {kill}"
+        ));
         if drill {
             store.set_mode(Mode::Refuse(503));
         }
@@ -104,7 +112,10 @@
         std::thread::sleep(AWAY_FOR - RESTART_TIME);
         if drill {
             let (at, copy) = copies.pop_front().expect("there is a copy");
-            engines.note(&format!("the store is back from a copy of {} ms ago", at.elapsed().as_millis()));
+            engines.note(&format!(
+                "the store is back from a copy of {} ms ago",
+                at.elapsed().as_millis()
+            ));
             store.restore(copy);
             store.set_mode(Mode::Up);
             fixtures::publish_config(&store, &config);
@@ -116,10 +127,19 @@
     let _ = callers.join();
     drop(daemons);
     let (log, broken) = engines.record();
-    let summary = format!("orders {}, broken rules of groups {} (0 allowed), engines in open groups at the end {}\n", log.len(), broken.len(), engines.serving());
+    let summary = format!(
+        "orders {}, broken rules of groups {} (0 allowed), engines in open groups at the end {}\n",
+        log.len(),
+        broken.len(),
+        engines.serving()
+    );
     print!("{summary}");
     let answers = answers.lock().expect("no caller panics").join("\n");
-    let text = format!("{summary}\n{}\n\n{}\n\n{answers}\n", broken.join("\n"), log.join("\n"));
+    let text = format!(
+        "{summary}\n{}\n\n{}\n\n{answers}\n",
+        broken.join("\n"),
+        log.join("\n")
+    );
     std::fs::write(record, text).expect("the record is written");
     u8::from(!broken.is_empty())
 }
--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -64,7 +64,11 @@
 
 impl Engines {
     pub fn new(store: &Store) -> Self {
-        Self { start: Instant::now(), store: store.clone(), shared: Arc::default() }
+        Self {
+            start: Instant::now(),
+            store: store.clone(),
+            shared: Arc::default(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, World> {
@@ -89,7 +93,11 @@
     /// Returns the number of engines in groups whose head is open.
     pub fn serving(&self) -> usize {
         let world = self.lock();
-        let is_served = |e: &Engine| e.seat.as_ref().is_some_and(|s| head_state(&world, s) == Some("open"));
+        let is_served = |e: &Engine| {
+            e.seat
+                .as_ref()
+                .is_some_and(|s| head_state(&world, s) == Some("open"))
+        };
         world.engines.values().filter(|e| is_served(e)).count()
     }
 
@@ -97,28 +105,38 @@
     pub fn spawn(&self, id: &str) {
         let (engines, own_id) = (self.clone(), id.to_owned());
         let address = server::spawn(id, move |conn| serve(conn, engines.clone(), own_id.clone()));
-        let engine = Engine { address: address.to_string(), ..Engine::default() };
+        let engine = Engine {
+            address: address.to_string(),
+            ..Engine::default()
+        };
         self.lock().engines.insert(id.to_owned(), engine);
         self.publish(id);
         let (engines, id) = (self.clone(), id.to_owned());
-        let phase = HEARTBEAT.mul_f64(f64::from(id.bytes().map(u32::from).sum::<u32>() * 37 % 100) / 100.0);
+        let phase =
+            HEARTBEAT.mul_f64(f64::from(id.bytes().map(u32::from).sum::<u32>() * 37 % 100) / 100.0);
         std::thread::spawn(move || engines.live(&id, phase));
     }
 
     /// Has each engine write its entry again with its next heartbeat, as after a return of the store.
     pub fn write_again(&self) {
-        self.lock().engines.values_mut().for_each(|e| e.is_stale = true);
+        self.lock()
+            .engines
+            .values_mut()
+            .for_each(|e| e.is_stale = true);
     }
 
     fn publish(&self, id: &str) {
         let entry = {
             let mut world = self.lock();
-            let Some(engine) = world.engines.get_mut(id) else { return };
+            let Some(engine) = world.engines.get_mut(id) else {
+                return;
+            };
             engine.sequence += 1;
             engine.is_stale = false;
             entry(id, engine)
         };
-        self.store.put("keyed.servers", id, entry.to_string().as_bytes());
+        self.store
+            .put("keyed.servers", id, entry.to_string().as_bytes());
     }
 
     /// Loads, heartbeats and the head's watch over its members.
@@ -130,7 +148,10 @@
             let mut is_changed = false;
             {
                 let mut world = self.lock();
-                let is_whole = world.engines[id].seat.as_ref().is_none_or(|s| s.members.iter().all(|m| is_member(&world, m, s)));
+                let is_whole = world.engines[id]
+                    .seat
+                    .as_ref()
+                    .is_none_or(|s| s.members.iter().all(|m| is_member(&world, m, s)));
                 let engine = world.engines.get_mut(id).expect("the engine exists");
                 if engine.loads_until.is_some_and(|until| until <= now) {
                     engine.loads_until = None;
@@ -166,16 +187,32 @@
         let at = self.millis();
         let mut world = self.lock();
         let fence = call["fencingToken"].as_u64().unwrap_or(0);
-        let text = |status: u16| format!("{at} ms: {id} {} {} epoch={} fence={fence} -> {status}", call["operation"], call["group"], call["epoch"]);
-        let load_time = if world.has_traffic { LOAD_TIME } else { LOAD_TIME / 10 };
+        let text = |status: u16| {
+            format!(
+                "{at} ms: {id} {} {} epoch={} fence={fence} -> {status}",
+                call["operation"], call["group"], call["epoch"]
+            )
+        };
+        let load_time = if world.has_traffic {
+            LOAD_TIME
+        } else {
+            LOAD_TIME / 10
+        };
         let violation = violation(&world, id, call);
         let engine = world.engines.get_mut(id).expect("the engine exists");
-        let is_own = |e: &Engine| e.seat.as_ref().is_some_and(|s| call["group"] == s.group.as_str() && call["epoch"] == s.epoch);
+        let is_own = |e: &Engine| {
+            e.seat
+                .as_ref()
+                .is_some_and(|s| call["group"] == s.group.as_str() && call["epoch"] == s.epoch)
+        };
         let epoch = call["epoch"].as_u64().unwrap_or(0);
         let mut wait = None;
         let status = if fence < engine.fence {
             412
-        } else if call["precondition"].as_u64().is_some_and(|n| n != engine.orders) {
+        } else if call["precondition"]
+            .as_u64()
+            .is_some_and(|n| n != engine.orders)
+        {
             409
         } else {
             engine.fence = fence;
@@ -197,17 +234,30 @@
                     engine.seat = Some(Seat {
                         group: call["group"].as_str().unwrap_or_default().to_owned(),
                         epoch,
-                        members: members.filter_map(|m| Some(m.as_str()?.to_owned())).collect(),
+                        members: members
+                            .filter_map(|m| Some(m.as_str()?.to_owned()))
+                            .collect(),
                         state: "joining",
                         missing_since: None,
                     });
                     202
                 }
-                Some("open") if is_own(engine) && engine.seat.as_ref().is_some_and(|s| s.members[0] == id && s.state == "ready") => {
+                Some("open")
+                    if is_own(engine)
+                        && engine
+                            .seat
+                            .as_ref()
+                            .is_some_and(|s| s.members[0] == id && s.state == "ready") =>
+                {
                     wait = Some(FORM_TIME);
                     202
                 }
-                Some("open") if is_own(engine) && engine.seat.as_ref().is_some_and(|s| s.state == "open") => 200,
+                Some("open")
+                    if is_own(engine)
+                        && engine.seat.as_ref().is_some_and(|s| s.state == "open") =>
+                {
+                    200
+                }
                 Some("close") if is_own(engine) => {
                     if let Some(seat) = &mut engine.seat {
                         seat.state = "ready";
@@ -244,14 +294,27 @@
         let at = self.millis();
         let mut world = self.lock();
         world.has_traffic = true;
-        let Some(seat) = world.engines[id].seat.clone() else { return false };
+        let Some(seat) = world.engines[id].seat.clone() else {
+            return false;
+        };
         if seat.members[0] != id || seat.state != "open" {
             return false;
         }
-        let was_ready = |m: &String| world.ready.contains(&(m.clone(), seat.group.clone(), seat.epoch, seat.members.clone()));
-        let is_whole = seat.group.split('-').nth(1) == Some(seat.members.len().to_string().as_str());
+        let was_ready = |m: &String| {
+            world.ready.contains(&(
+                m.clone(),
+                seat.group.clone(),
+                seat.epoch,
+                seat.members.clone(),
+            ))
+        };
+        let is_whole =
+            seat.group.split('-').nth(1) == Some(seat.members.len().to_string().as_str());
         if !is_whole || !seat.members.iter().all(was_ready) {
-            world.broken.push(format!("{at} ms: PARTIAL: a request runs in {} with {:?}", seat.group, seat.members));
+            world.broken.push(format!(
+                "{at} ms: PARTIAL: a request runs in {} with {:?}",
+                seat.group, seat.members
+            ));
         }
         true
     }
@@ -272,7 +335,9 @@
             };
             let seat = seat.clone();
             if seat.state == "ready" {
-                world.ready.insert((id.to_owned(), seat.group, seat.epoch, seat.members));
+                world
+                    .ready
+                    .insert((id.to_owned(), seat.group, seat.epoch, seat.members));
             }
         }
         self.publish(id);
@@ -285,8 +350,16 @@
         json!({"name": s.group, "epoch": s.epoch, "rank": rank, "state": s.state})
     });
     let is_loaded = engine.seat.as_ref().is_some_and(|s| s.state != "joining");
-    let models = if is_loaded { json!([{"name": engine.model, "version": 1, "adapters": []}]) } else { json!([]) };
-    let staged = if engine.loads_until.is_some() { json!([]) } else { json!(engine.staged) };
+    let models = if is_loaded {
+        json!([{"name": engine.model, "version": 1, "adapters": []}])
+    } else {
+        json!([])
+    };
+    let staged = if engine.loads_until.is_some() {
+        json!([])
+    } else {
+        json!(engine.staged)
+    };
     json!({
         "service": "models", "address": engine.address, "zone": "z1", "version": "v1", "slots": 17,
         "state": "ready", "sequence": engine.sequence, "coldLeftMs": 0, "born": 1_000, "domain": "d1",
@@ -313,13 +386,20 @@
         return None;
     }
     let state = head_state(world, seat).filter(|s| matches!(*s, "open" | "closing"))?;
-    Some(format!("TWO: {id} joins another group while the head of {} is {state}", seat.group))
+    Some(format!(
+        "TWO: {id} joins another group while the head of {} is {state}",
+        seat.group
+    ))
 }
 
 async fn serve(mut conn: Conn, engines: Engines, id: String) {
     loop {
-        let Ok(mut head) = conn.read_request_head(32 << 10).await else { return };
-        let Ok(Some(body)) = conn.read_body(&mut head.body_framing, 8 << 20).await else { return };
+        let Ok(mut head) = conn.read_request_head(32 << 10).await else {
+            return;
+        };
+        let Ok(Some(body)) = conn.read_body(&mut head.body_framing, 8 << 20).await else {
+            return;
+        };
         let get = |name: &str| head.headers.get(name).unwrap_or_default().to_owned();
         match head.target.as_str() {
             "/v1/order" => {
@@ -345,7 +425,10 @@
                     report["sequence"] = json!(engine.orders);
                     report
                 };
-                if reply(&mut conn, 200, "", report.to_string().as_bytes()).await.is_err() {
+                if reply(&mut conn, 200, "", report.to_string().as_bytes())
+                    .await
+                    .is_err()
+                {
                     return;
                 }
             }
@@ -353,9 +436,20 @@
                 let is_open = engines.accept(&id);
                 let request_id = get("Request-Id");
                 let sent = if get("Expect-Instance") != id || !is_open {
-                    reply(&mut conn, 421, &format!("Request-Id: {request_id}\r\nNot-Run: 1\r\n"), b"").await
+                    reply(
+                        &mut conn,
+                        421,
+                        &format!("Request-Id: {request_id}\r\nNot-Run: 1\r\n"),
+                        b"",
+                    )
+                    .await
                 } else {
-                    stream(&mut conn, &request_id, get("Last-Event-Id").parse().unwrap_or(0)).await
+                    stream(
+                        &mut conn,
+                        &request_id,
+                        get("Last-Event-Id").parse().unwrap_or(0),
+                    )
+                    .await
                 };
                 if sent.is_err() {
                     return;
@@ -374,7 +468,10 @@
     for number in from + 1..=EVENTS {
         tokio::time::sleep(EVENT_INTERVAL).await;
         let mut out = Vec::new();
-        http1::put_chunk(&mut out, format!("id: {number}\ndata: words\n\n").as_bytes());
+        http1::put_chunk(
+            &mut out,
+            format!("id: {number}\ndata: words\n\n").as_bytes(),
+        );
         conn.write(&out).await?;
     }
     conn.write(http1::LAST_CHUNK).await
@@ -384,9 +481,12 @@
     let mut out = Vec::new();
     http1::put_status_line(&mut out, status, http1::reason_phrase(status));
     out.extend_from_slice(headers.as_bytes());
-    http1::put_header(&mut out, "Content-Length", body.len().to_string().as_bytes());
+    http1::put_header(
+        &mut out,
+        "Content-Length",
+        body.len().to_string().as_bytes(),
+    );
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body);
     conn.write(&out).await
 }
-
--- a/review/standin/src/memory.rs
+++ b/review/standin/src/memory.rs
@@ -8,7 +8,7 @@
 use hemlock_platform_standin::store::Store;
 
 use crate::client::{Callers, ENDED, GAVE_UP, Template};
-use crate::node::{Vm, memory_kb, wait};
+use crate::node::{TempFolder, Vm, memory_kb, wait};
 use crate::worker::{Service, Worker};
 
 /// `limits.memoryMb` of the settings and of the sheet. The platform ends a process above it.
@@ -24,12 +24,17 @@
 /// Time after which the platform starts a process again that has ended.
 const RESTART_TIME: Duration = Duration::from_millis(500);
 const WORKERS: usize = 4;
-const SERVICE: Service = Service { work: Duration::from_millis(450), answer_bytes: 800 };
+const SERVICE: Service = Service {
+    work: Duration::from_millis(450),
+    answer_bytes: 800,
+};
 
 pub fn run(record: &str, trouble: bool) -> u8 {
-    let dir = tempfile::tempdir().expect("a temporary folder");
+    let dir = TempFolder::new();
     let store = Store::spawn();
-    let workers: Vec<Worker> = (0..WORKERS).map(|i| Worker::spawn(&format!("p{i}"), SERVICE)).collect();
+    let workers: Vec<Worker> = (0..WORKERS)
+        .map(|i| Worker::spawn(&format!("p{i}"), SERVICE))
+        .collect();
     for worker in &workers {
         worker.list(&store, "plain", worker.address);
     }
@@ -89,13 +94,22 @@
         let is_lost = t.is_kept && t.status == ENDED && has_run;
         lost += usize::from(is_lost);
         let note = if is_lost { " LOST" } else { "" };
-        let _ = writeln!(text, "{} to {} ms: {} kept={} status={} run={has_run}{note}", t.sent_ms, t.ended_ms, t.id, t.is_kept, t.status);
+        let _ = writeln!(
+            text,
+            "{} to {} ms: {} kept={} status={} run={has_run}{note}",
+            t.sent_ms, t.ended_ms, t.id, t.is_kept, t.status
+        );
     }
     let count = |status: u16| tries.iter().filter(|t| t.status == status).count();
     let summary = format!(
         "requests {}, 200: {}, 502: {}, 503: {}, ended: {}, gave up: {}; peak memory {peak} kB of {MEMORY_KB} kB, ends for memory {ends}; \
          passed on from kept connections and closed without an answer: {lost} (3 allowed)\n",
-        tries.len(), count(200), count(502), count(503), count(ENDED), count(GAVE_UP)
+        tries.len(),
+        count(200),
+        count(502),
+        count(503),
+        count(ENDED),
+        count(GAVE_UP)
     );
     print!("{summary}");
     std::fs::write(record, summary + &text).expect("the record is written");
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -61,7 +61,10 @@
     /// Returns the lines of the daemon's log with `text`.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|l| l.contains(text)).map(str::to_owned).collect()
+        log.lines()
+            .filter(|l| l.contains(text))
+            .map(str::to_owned)
+            .collect()
     }
 }
 
@@ -102,5 +105,28 @@
 pub fn memory_kb(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+    line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok())
+        .unwrap_or(0)
+}
+
+/// A temporary folder, which is removed when this is dropped.
+#[derive(Debug)]
+pub struct TempFolder(PathBuf);
+
+impl TempFolder {
+    pub fn new() -> Self {
+        let path = std::env::temp_dir().join(format!("hemlock-review-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a temporary folder");
+        Self(path)
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for TempFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
 }
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -45,7 +45,12 @@
                 std::future::pending::<()>().await;
             }
         });
-        Self { id: id.to_owned(), address, runs, silenced }
+        Self {
+            id: id.to_owned(),
+            address,
+            runs,
+            silenced,
+        }
     }
 
     /// Has all open connections go silent for good: no byte passes any more, and no end. New ones work.
@@ -76,8 +81,12 @@
 
 async fn serve(conn: &mut Conn, id: String, service: Service, runs: Arc<Mutex<Vec<String>>>) {
     loop {
-        let Ok(mut head) = conn.read_request_head(32 << 10).await else { return };
-        let Ok(Some(_)) = conn.read_body(&mut head.body_framing, 8 << 20).await else { return };
+        let Ok(mut head) = conn.read_request_head(32 << 10).await else {
+            return;
+        };
+        let Ok(Some(_)) = conn.read_body(&mut head.body_framing, 8 << 20).await else {
+            return;
+        };
         let get = |name: &str| head.headers.get(name).unwrap_or_default().to_owned();
         let request_id = get("Request-Id");
         let mut out = Vec::new();
@@ -85,13 +94,19 @@
             http1::put_status_line(&mut out, 421, http1::reason_phrase(421));
             out.extend_from_slice(b"Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
         } else {
-            runs.lock().expect("no worker panics").push(request_id.clone());
+            runs.lock()
+                .expect("no worker panics")
+                .push(request_id.clone());
             tokio::time::sleep(service.work).await;
             http1::put_status_line(&mut out, 200, http1::reason_phrase(200));
             http1::put_header(&mut out, "Request-Id", request_id.as_bytes());
             http1::put_header(&mut out, "Server-Stamp", b"stamp");
             http1::put_header(&mut out, "Keep-Alive", b"timeout=5");
-            http1::put_header(&mut out, "Content-Length", service.answer_bytes.to_string().as_bytes());
+            http1::put_header(
+                &mut out,
+                "Content-Length",
+                service.answer_bytes.to_string().as_bytes(),
+            );
             out.extend_from_slice(b"\r\n");
             out.resize(out.len() + service.answer_bytes, b'a');
         }
