node: metrics and a log line of the datagrams between VMs; the time left of a request that is sent

With many endpoints resetting requests, processor use of all VMs rose sixfold while callers sent as much as before, and nothing told what it was spent on. Counted are now datagrams by what they carry, their bytes, early heartbeats and reports of crashes; a VM that sends heartbeats early logs them. 'event=sent' has left_ms, so that a send that comes too late can be told.

--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -153,6 +153,22 @@
     Limits(LimitNews),
 }
 
+impl Message {
+    /// Returns what the datagram carries, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::VmLoad { .. } => "vm_load",
+            Self::ZoneLoad { .. } => "zone_load",
+            Self::EngineReports(_) => "engine_reports",
+            Self::OtherVmsLoad { .. } => "other_vms_load",
+            Self::PathQuery(_) => "path_query",
+            Self::PathReply(_) => "path_reply",
+            Self::Limits(_) => "limits",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Peer {
     member: Member,
--- a/node/src/load_exchange.rs
+++ b/node/src/load_exchange.rs
@@ -47,8 +47,11 @@
                 aggregate(&node, &socket, now, &loads, other_zones.iter().map(|o| o.2)).await;
             }
             Some((.., address)) => {
-                let node = node.identity.node.clone();
-                send_to(&socket, &Message::VmLoad { node, loads }, [*address]).await;
+                let message = Message::VmLoad {
+                    node: node.identity.node.clone(),
+                    loads,
+                };
+                send_to(&node, &socket, &message, [*address]).await;
             }
             None => {}
         }
@@ -77,7 +80,7 @@
         zone: node.identity.zone.clone(),
         loads: node.load_totals.borrow().zone_total(now, own_loads),
     };
-    send_to(socket, &message, other_representatives).await;
+    send_to(node, socket, &message, other_representatives).await;
     for name in reporters {
         let Some(address) = node.peers.borrow().address(&name) else {
             continue;
@@ -86,7 +89,7 @@
             .load_totals
             .borrow()
             .total_except(now, Some(&name), own_loads);
-        send_to(socket, &Message::OtherVmsLoad { loads }, [address]).await;
+        send_to(node, socket, &Message::OtherVmsLoad { loads }, [address]).await;
     }
     let loads = node.load_totals.borrow().total_except(now, None, own_loads);
     set_other_loads(node, now, loads);
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -39,8 +39,13 @@
     Answered "answered" "Requests answered by an endpoint, by success or failure.";
     BrokenOff "broken_off" "Streams that were cut off before their end, by cause.";
     Connects "connects" "New connections to endpoints.";
+    CrashReports "crash_reports" "Reports of crashes in the heartbeats of other VMs, with repeats.";
+    DatagramsReceived "datagrams_received" "Datagrams that were read, by what they carry.";
     DatagramsRefused "datagrams_refused" "Datagrams that could not be read.";
+    DatagramsSent "datagrams_sent" "Datagrams to other VMs, by what they carry.";
+    DatagramBytes "datagram_bytes" "Bytes of the datagrams to other VMs, by what they carry.";
     Denied "denied" "Requests that the configuration does not allow, by whether the route or the key is unknown.";
+    EarlyHeartbeats "early_heartbeats" "Heartbeats to all VMs before the interval has passed.";
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
     FeedBytes "feed_bytes" "Bytes of records sent to peers that read through this VM, by topic.";
@@ -179,6 +184,13 @@
         *counters.entry((counter, kind)).or_default() += count;
     }
 
+    /// Returns the sum of a counter over all kinds.
+    pub(crate) fn total(&self, counter: Counter) -> u64 {
+        let counters = self.counters.borrow();
+        let of_kinds = counters.iter().filter(|((c, _), _)| *c == counter);
+        of_kinds.map(|(_, count)| count).sum()
+    }
+
     /// Records a latency of a request with the given outcome.
     pub(crate) fn record(&self, latency: Latency, outcome: &'static str, time: Duration) {
         let mut latencies = self.latencies.borrow_mut();
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -203,7 +203,7 @@
     let addresses = choose_peers(node, now);
     node.metrics
         .add(Counter::PathQueries, "sent", addresses.len() as u64);
-    send_to(socket, &message, addresses).await;
+    send_to(node, socket, &message, addresses).await;
 }
 
 /// Chooses some peers of this VM's zone and some of others, since a zone may be cut off as a whole.
@@ -260,5 +260,5 @@
         cores: node.identity.cores,
         address: node.identity.peer_address,
     });
-    send_to(&socket, &message, [from]).await;
+    send_to(&node, &socket, &message, [from]).await;
 }
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -37,6 +37,8 @@
 /// Time for which heartbeats repeat a crash of an endpoint that this VM saw, since datagrams may be
 /// lost.
 const CRASH_REPEAT_TIME: Duration = Duration::from_secs(2);
+/// Minimum interval between two log lines on the datagrams.
+const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Minimum interval between two heartbeats, even if there is something urgent.
 const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -68,22 +70,64 @@
 /// Sends this VM's heartbeat to all peers, at the interval or as soon as there is something urgent.
 async fn send_heartbeats(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
+    let mut traffic = Traffic::default();
     loop {
         sequence += 1;
+        traffic.log_if_due(&node);
         let interval = send_interval(node.entry_vm_count());
         let message = Message::Heartbeat(Box::new(own_heartbeat(&node, sequence, interval)));
         let addresses = node.peers.borrow().addresses();
-        send_to(&socket, &message, addresses.iter().copied()).await;
+        send_to(&node, &socket, &message, addresses.iter().copied()).await;
         send_limits(&node, &socket, &addresses).await;
         let reports: Vec<EngineReport> = node.engine_reports.borrow().values().cloned().collect();
         // Repeated with each heartbeat, since datagrams may be lost; in parts that fit into one.
         for part in reports.chunks(MAX_REPORTS) {
             let message = Message::EngineReports(part.to_vec());
-            send_to(&socket, &message, addresses.iter().copied()).await;
+            send_to(&node, &socket, &message, addresses.iter().copied()).await;
         }
         tokio::time::sleep(MIN_URGENT_INTERVAL).await;
         let urgent = node.send_now.notified();
-        let _ = tokio::time::timeout(interval - MIN_URGENT_INTERVAL, urgent).await;
+        let rest = interval - MIN_URGENT_INTERVAL;
+        if tokio::time::timeout(rest, urgent).await.is_ok() {
+            node.metrics.count(Counter::EarlyHeartbeats, "all");
+        }
+    }
+}
+
+/// Totals of the datagrams between VMs at the last look, for the log.
+#[derive(Debug, Default)]
+struct Traffic {
+    at: Time,
+    early: u64,
+    totals: [u64; 4],
+}
+
+impl Traffic {
+    /// Logs what was sent and received since the last look if heartbeats were sent early.
+    fn log_if_due(&mut self, node: &Node) {
+        let now = node.now();
+        if now.since(self.at) < TRAFFIC_LOG_INTERVAL {
+            return;
+        }
+        let total = |counter| node.metrics.total(counter);
+        let early = total(Counter::EarlyHeartbeats);
+        let totals = [
+            total(Counter::DatagramsSent),
+            total(Counter::DatagramBytes),
+            total(Counter::DatagramsReceived),
+            total(Counter::CrashReports),
+        ];
+        if early > self.early {
+            let [sent, bytes, received, reports] =
+                std::array::from_fn(|i| totals[i] - self.totals[i]);
+            log::info!(
+                "event=datagrams ms={} early={} sent={sent} bytes={bytes} received={received} \
+                 reports={reports}",
+                now.since(self.at).as_millis(),
+                early - self.early
+            );
+        }
+        (self.at, self.early, self.totals) = (now, early, totals);
     }
 }
 
@@ -102,7 +146,7 @@
             cut: node.path_state(now) == PathState::Cut,
             reports: part.to_vec(),
         });
-        send_to(socket, &message, addresses.iter().copied()).await;
+        send_to(node, socket, &message, addresses.iter().copied()).await;
     }
 }
 
@@ -127,6 +171,7 @@
 
 /// Sends a message to each address. Failures are only logged.
 pub(crate) async fn send_to(
+    node: &Node,
     socket: &UdpSocket,
     message: &Message,
     addresses: impl IntoIterator<Item = SocketAddr>,
@@ -135,11 +180,17 @@
         Ok(bytes) => bytes,
         Err(e) => return log::error!("event=datagram_failed cause=\"{e}\""),
     };
+    let mut count = 0;
     for address in addresses {
+        count += 1;
         if let Err(e) = socket.send_to(&bytes, address).await {
             log::debug!("event=datagram_failed to={address} cause=\"{e}\"");
         }
     }
+    let kind = message.kind();
+    node.metrics.add(Counter::DatagramsSent, kind, count);
+    let total = count * bytes.len() as u64;
+    node.metrics.add(Counter::DatagramBytes, kind, total);
 }
 
 /// Returns the interval between two heartbeats. It grows with the number of entry VMs,
@@ -223,41 +274,48 @@
 /// Handles a received datagram.
 fn handle_datagram(node: &Rc<Node>, socket: &Rc<UdpSocket>, bytes: &[u8], from: SocketAddr) {
     let now = node.now();
-    let heartbeat: Heartbeat = match rmp_serde::from_slice(bytes) {
-        Ok(Message::Heartbeat(heartbeat)) => *heartbeat,
-        Ok(Message::VmLoad { node: name, loads }) => {
+    let message: Message = match rmp_serde::from_slice(bytes) {
+        Ok(message) => message,
+        Err(e) => {
+            log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
+            node.metrics.count(Counter::DatagramsRefused, "malformed");
+            return;
+        }
+    };
+    let kind = message.kind();
+    node.metrics.count(Counter::DatagramsReceived, kind);
+    let heartbeat: Heartbeat = match message {
+        Message::Heartbeat(heartbeat) => *heartbeat,
+        Message::VmLoad { node: name, loads } => {
             return node.load_totals.borrow_mut().set_vm_load(now, name, loads);
         }
-        Ok(Message::ZoneLoad { zone, loads }) => {
+        Message::ZoneLoad { zone, loads } => {
             return node
                 .load_totals
                 .borrow_mut()
                 .set_zone_load(now, zone, loads);
         }
-        Ok(Message::OtherVmsLoad { loads }) => {
+        Message::OtherVmsLoad { loads } => {
             return load_exchange::set_other_loads(node, now, loads);
         }
-        Ok(Message::EngineReports(list)) => return list.iter().for_each(|r| node.apply_report(r)),
-        Ok(Message::PathQuery(query)) => {
+        Message::EngineReports(list) => return list.iter().for_each(|r| node.apply_report(r)),
+        Message::PathQuery(query) => {
             let answer = path_watch::answer_query(node.clone(), socket.clone(), query, from);
             spawn_local(answer);
             return;
         }
-        Ok(Message::PathReply(reply)) => {
+        Message::PathReply(reply) => {
             node.reach.borrow_mut().record_reply(now, &reply);
             node.peer_paths.borrow_mut().record_reply(now, reply);
             return node.path_evidence.notify_one();
         }
-        Ok(Message::Limits(news)) => return apply_limits(node, now, &news),
-        Err(e) => {
-            log::debug!("event=datagram_refused from={from} cause=\"{e}\"");
-            node.metrics.count(Counter::DatagramsRefused, "malformed");
-            return;
-        }
+        Message::Limits(news) => return apply_limits(node, now, &news),
     };
     if heartbeat.member.node == node.identity.node {
         return;
     }
+    let reports = heartbeat.crash_reports.len() as u64;
+    node.metrics.add(Counter::CrashReports, "received", reports);
     for report in &heartbeat.crash_reports {
         node.quarantine.borrow_mut().record_report(now, *report);
     }
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -16,7 +16,7 @@
     pub(super) fn log_send(&self, to: &Candidate, estimate: Estimate, cause: &str) {
         log::info!(
             "event=sent request={} id={} attempt={} after={cause} prompt={} answer={} running={} \
-             unread={} slowness={:.2} first_ms={} from={:?} config={} via=direct{}",
+             unread={} slowness={:.2} first_ms={} left_ms={} from={:?} config={} via=direct{}",
             self.request_id(),
             to.id,
             self.sends.tried.len() + 1,
@@ -26,6 +26,7 @@
             estimate.pending_prompt_tokens,
             estimate.slowness,
             estimate.first_event.as_millis(),
+            self.request.deadline.since(self.node.now()).as_millis(),
             self.delivered.last_event,
             self.request.config.version,
             self.for_peer()
