node, lib: tests that fail of the work that reports of crashes make

Callers of a VM that hears of many crashes wait: with 80 VMs that report 100 crashes three times a second each, all of 80 requests took 3 to 5 s to be answered by an idle endpoint, in a release build on a whole core. The second test plays a fleet of 81 VMs in which one reports a crash of a part that the others have seen answered: they send 164 reports of that in three heartbeats.

--- a/lib/tests/test_node_quarantine.rs
+++ b/lib/tests/test_node_quarantine.rs
@@ -289,3 +289,32 @@
         }
     }
 }
+
+/// Number of VMs of a fleet in which each hears of a crash from all others.
+const FLEET: usize = 81;
+
+#[test]
+fn a_part_that_other_vms_have_seen_answered_is_cleared_by_few_reports() {
+    let suspects = |number: u64| request(number, &[5]);
+    let mut vms: Vec<Quarantine> = (0..FLEET).map(|_| Quarantine::default()).collect();
+    for (number, vm) in vms.iter_mut().enumerate().skip(1) {
+        vm.record_success(at(0), &suspects(number as u64));
+    }
+    vms[0].record_crash(at(500), &suspects(1_000), run(1), false);
+    let mut answers = 0;
+    // Each VM sends its heartbeat at a time of its own.
+    for step in 0..3 * FLEET {
+        let ms = 500 + 12 * step as u64;
+        let from = step % FLEET;
+        let reports = vms[from].reports(at(ms), REPEAT_TIME);
+        let is_answer = |r: &&Report| matches!(r.1, Event::Answered);
+        answers += reports.iter().filter(is_answer).count();
+        for (to, vm) in vms.iter_mut().enumerate() {
+            if to != from {
+                reports.iter().for_each(|r| vm.record_report(at(ms), *r));
+            }
+        }
+    }
+    // Each is repeated in three heartbeats, as datagrams may be lost.
+    assert!(answers <= 9, "{answers} reports of answers");
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_odd_entries;
 mod test_pages;
 mod test_passing_on;
+mod test_peer_traffic;
 mod test_refusals;
 mod test_relay;
 mod test_restored_store;
