lib/quarantine: a report of a crash no longer goes through all that is remembered

Callers' requests waited for seconds, also those to services that had no part in it, and some reached endpoints after their callers had left. Cause: each report in the heartbeats of other VMs removed what was too old from the evidence first, which goes through all of it, up to 4,096 suspects; a crash of a quarantined part did so a second time.

What is too old is now removed once a second, so that it stays for up to a second more, of 60 s and 600 s. A crash that is explained already is not explained again: no evidence is added for it meanwhile.

--- a/lib/src/node/quarantine.rs
+++ b/lib/src/node/quarantine.rs
@@ -29,6 +29,8 @@
 /// Time between the third crash of a part and its quarantine, in which other entry VMs can clear
 /// it.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Interval at which crashes and parts that are too old are removed.
+const CLEANING_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of crashes after which a part is quarantined at once.
 const CERTAIN_CRASHES: usize = 5;
 /// Time after an answer to a request with a part in which crashes are not put down to the part.
@@ -175,6 +177,8 @@
     confirmed_until: Option<Time>,
     /// Parts that were quarantined since [`Quarantine::newly_refused`] was last called.
     newly_refused: Vec<Suspect>,
+    /// When what is too old was last removed.
+    cleaned_at: Option<Time>,
 }
 
 impl Quarantine {
@@ -327,7 +331,16 @@
         std::mem::take(&mut self.newly_refused)
     }
 
+    /// Removes what is too old, unless that was done within [`CLEANING_INTERVAL`]: it goes through
+    /// all that is remembered, and reports come by the thousand a second.
     fn forget_old(&mut self, now: Time) {
+        if self
+            .cleaned_at
+            .is_some_and(|at| now.since(at) < CLEANING_INTERVAL)
+        {
+            return;
+        }
+        self.cleaned_at = Some(now);
         self.evidence
             .retain(|_, e| now.since(e.last_crash()) < CRASH_RETENTION);
         self.explained
@@ -367,11 +380,17 @@
     /// Puts a crash down to a refused part, so that it does not count against other suspects;
     /// returns whether that is new.
     fn explain(&mut self, now: Time, run: EndpointRun) -> bool {
+        // No evidence is added for a crash that is explained, so that there is none to remove.
+        if let Some(at) = self.explained.get_mut(&run) {
+            *at = now;
+            return false;
+        }
         self.evidence.retain(|_, evidence| {
             evidence.crashes.remove(&run);
             !evidence.crashes.is_empty()
         });
-        self.explained.insert(run, now).is_none()
+        self.explained.insert(run, now);
+        true
     }
 
     /// Forgets the crashes of a suspect, since a request with it was answered. With `is_own`, this is
