lib/quarantine: one VM tells that a suspect is cleared, not all that have seen it

When a VM reported a crash of a part of prompts that the others had seen answered, each of them sent the answer to all, and again for each repeat of the report: 164 reports in a fleet of 81 VMs in three heartbeats, which grows with the square of their number over all VMs. Cause: what another VM had told was neither dropped from the own reports, nor did it end the repeats of the crash.

A VM now drops its own reports of a suspect when it hears that this was answered. Those that hear it have cleared the suspect already, and the VM that told it repeats it for 2 s, as datagrams are lost.

a_part_that_other_vms_have_seen_answered_is_cleared_by_few_reports failed before and passes.

--- a/lib/src/node/quarantine.rs
+++ b/lib/src/node/quarantine.rs
@@ -232,7 +232,11 @@
     pub fn record_report(&mut self, now: Time, (suspect, event): Report) {
         self.forget_old(now);
         match event {
-            Event::Answered => self.clear(now, suspect, false),
+            Event::Answered => {
+                self.clear(now, suspect, false);
+                // The other VM tells all; that this VM saw a crash is of no use any more.
+                self.own_reports.retain(|(_, (s, _))| *s != suspect);
+            }
             // An answer that this VM knows of says more than the conclusion of another.
             Event::Quarantined(_) if !suspect.is_part() || self.sound.contains_key(&suspect) => {}
             Event::Quarantined(seconds) => {
