lib/heartbeat_pace: early heartbeats keep a pace that does not grow with the fleet

A VM that saw an endpoint break off an answer sent its heartbeat to all others at once, up to 10 times a second, and up to 50 times for silent endpoints: at 81 VMs each could get 4,000 heartbeats a second rather than 83, and the number grows with the fleet.

Early heartbeats now wait until half an interval after the last early one. Urgent news of a calm VM leave within 20 ms as before; crash reports and silence are news of seconds. When to send is a decision in lib, with tests that play 81 and 380 VMs with urgent news at all times: the heartbeats that a VM receives are under 250 a second and within a tenth of each other.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -4,7 +4,7 @@
 //! [`endpoints`] lists the endpoints, [`balance`] sends or refuses it by the latencies that
 //! [`forecast`] estimates and the limits that endpoints announce ([`rate_limits`]), [`budget`] and [`quarantine`] limit its retries, and [`events`] keeps
 //! its event stream free of gaps and duplicates. [`planner`] forms the engine groups that
-//! [`capacity`] asks for, [`peers`] tracks the other entry VMs, and [`load_totals`] adds up the
+//! [`capacity`] asks for, [`peers`] tracks the other entry VMs, [`heartbeat_pace`] says when they hear from this one, and [`load_totals`] adds up the
 //! load that they have on endpoints. [`reach`] tells whether this VM itself is cut off from the
 //! endpoints, and [`peer_paths`] which peers are not; [`passing`] has one of these send a request.
 
@@ -18,6 +18,7 @@
 pub mod events;
 pub mod forecast;
 mod healing;
+pub mod heartbeat_pace;
 pub mod load_totals;
 pub mod passing;
 pub mod peer_paths;
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::endpoints::EngineReport;
+use hemlock_lib::node::heartbeat_pace::{self, HeartbeatPace};
 use hemlock_lib::node::peers::{Heartbeat, Message};
 use hemlock_lib::node::rate_limits::LimitNews;
 use hemlock_lib::node::reach::PathState;
@@ -25,11 +26,6 @@
 
 /// Topics whose positions are reported.
 const TOPICS: [Topic; 2] = [Topic::Config, Topic::Endpoints];
-/// Minimum interval between two heartbeats, unless there is something urgent.
-const MIN_INTERVAL: Duration = Duration::from_millis(200);
-/// Heartbeat interval per entry VM, which applies once its product with the number of entry VMs
-/// exceeds [`MIN_INTERVAL`].
-const INTERVAL_PER_VM: Duration = Duration::from_millis(12);
 /// Maximum number of engine reports in one datagram, of some 100 bytes each.
 const MAX_REPORTS: usize = 80;
 /// Maximum size of a datagram in bytes.
@@ -39,8 +35,6 @@
 const CRASH_REPEAT_TIME: Duration = Duration::from_secs(2);
 /// Minimum interval between two log lines on the datagrams.
 const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Minimum interval between two heartbeats, even if there is something urgent.
-const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Binds the UDP socket for datagrams between entry VMs.
 pub(crate) fn bind(node: Rc<Node>) -> io::Result<UdpSocket> {
@@ -71,10 +65,12 @@
 async fn send_heartbeats(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
     let mut traffic = Traffic::default();
+    let mut pace = HeartbeatPace::default();
+    pace.record_sent(node.now(), false);
     loop {
         sequence += 1;
         traffic.log_if_due(&node);
-        let interval = send_interval(node.entry_vm_count());
+        let interval = heartbeat_pace::interval(node.entry_vm_count());
         let message = Message::Heartbeat(Box::new(own_heartbeat(&node, sequence, interval)));
         let addresses = node.peers.borrow().addresses();
         send_to(&node, &socket, &message, addresses.iter().copied()).await;
@@ -85,13 +81,35 @@
             let message = Message::EngineReports(part.to_vec());
             send_to(&node, &socket, &message, addresses.iter().copied()).await;
         }
-        tokio::time::sleep(MIN_URGENT_INTERVAL).await;
-        let urgent = node.send_now.notified();
-        let rest = interval - MIN_URGENT_INTERVAL;
-        if tokio::time::timeout(rest, urgent).await.is_ok() {
-            node.metrics.count(Counter::EarlyHeartbeats, "all");
+        wait_for_next(&node, &mut pace).await;
+    }
+}
+
+/// Waits until the next heartbeat is due, and records it.
+async fn wait_for_next(node: &Node, pace: &mut HeartbeatPace) {
+    let now = node.now();
+    let regular = pace.regular_at(now, node.entry_vm_count());
+    let urgent = node.send_now.notified();
+    if tokio::time::timeout(regular.since(now), urgent)
+        .await
+        .is_ok()
+    {
+        let now = node.now();
+        let urgent = pace.urgent_at(now, node.entry_vm_count());
+        tokio::time::sleep(urgent.since(now)).await;
+        // What became urgent meanwhile is part of this heartbeat.
+        tokio::select! {
+            biased;
+            () = node.send_now.notified() => {}
+            () = std::future::ready(()) => {}
         }
     }
+    let now = node.now();
+    let is_early = now < pace.regular_at(now, node.entry_vm_count());
+    if is_early {
+        node.metrics.count(Counter::EarlyHeartbeats, "all");
+    }
+    pace.record_sent(now, is_early);
 }
 
 /// Totals of the datagrams between VMs at the last look, for the log.
@@ -193,12 +211,6 @@
     node.metrics.add(Counter::DatagramBytes, kind, total);
 }
 
-/// Returns the interval between two heartbeats. It grows with the number of entry VMs,
-/// so that the number of heartbeats that a VM receives in a second does not.
-fn send_interval(entry_vms: usize) -> Duration {
-    MIN_INTERVAL.max(INTERVAL_PER_VM * entry_vms as u32)
-}
-
 /// Returns this VM's heartbeat with the given sequence number.
 fn own_heartbeat(node: &Node, sequence: u64, interval: Duration) -> Heartbeat {
     let now = node.now();
