lib/breaks: groups that break off requests get none for a while, at all VMs

Cause: such a head has no load, so that its expected times are the shortest, and it draws the requests of all VMs. Plain endpoints are avoided after failures, heads of groups were not, and one VM sends each head too few to learn it in time. Each reset also made reports of crashes, doubts of paths and requests that are passed on.

After two requests in a row that a group broke off on new connections before a byte, a VM tells all others, and all send it nothing for 1 s, then 2 s and 4 s if it goes on; a first event ends it at the VM that gets it. Requests beyond the capacity of the others are refused. It goes in a datagram of its own, which earlier builds ignore.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::breaks::Breaks;
 use super::config::Engine;
 use super::forecast::{CurrentLoad, Estimate, Forecast};
 use super::peers::EndpointLoad;
@@ -148,6 +149,7 @@
     /// Start times of endpoints that asked for no requests, and until when.
     held_off: BTreeMap<Arc<str>, (u64, Time)>,
     limits: RateLimits,
+    breaks: Breaks,
     forecast: Forecast,
     choice_count: u64,
 }
@@ -162,6 +164,7 @@
             loads: BTreeMap::new(),
             held_off: BTreeMap::new(),
             limits: RateLimits::new(this_vm),
+            breaks: Breaks::default(),
             forecast: Forecast::default(),
             choice_count: 0,
         }
@@ -202,6 +205,16 @@
         &mut self.limits
     }
 
+    /// Returns the groups that broke off requests.
+    pub fn breaks(&self) -> &Breaks {
+        &self.breaks
+    }
+
+    /// Returns the groups that broke off requests, to record what is heard of them.
+    pub fn breaks_mut(&mut self) -> &mut Breaks {
+        &mut self.breaks
+    }
+
     /// Returns the endpoint with the given identifier, if it takes requests.
     pub fn candidate(&self, id: &str) -> Option<&Candidate> {
         self.candidates.get(id)
@@ -261,6 +274,7 @@
             return Choice::Unavailable(retry_after());
         }
         responsive.retain(|candidate| self.hold_time(now, candidate).is_zero());
+        responsive.retain(|c| !self.breaks.is_avoided(now, &c.id, c.incarnation.0));
         let is_urgent = request.is_urgent || request.has_started;
         let is_within_limit = |candidate: &&Candidate| {
             let started_ms = candidate.incarnation.0;
@@ -429,6 +443,7 @@
         if let Some(load) = self.loads.get_mut(id) {
             load.pending_prompt_tokens = load.pending_prompt_tokens.saturating_sub(prompt_tokens);
         }
+        self.breaks.record_answer(id);
         self.record_progress(now, id);
     }
 
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::breaks::BreakReport;
 use super::cache::Position;
 use super::capacity::Demand;
 use super::endpoints::EngineReport;
@@ -151,6 +152,8 @@
     PathReply(PathReply),
     /// Limits of endpoints that the sender heard. Builds without this kind of datagram ignore it.
     Limits(LimitNews),
+    /// Groups that break off the sender's requests. Builds without this kind of datagram ignore it.
+    Breaks(Vec<BreakReport>),
 }
 
 impl Message {
@@ -165,6 +168,7 @@
             Self::PathQuery(_) => "path_query",
             Self::PathReply(_) => "path_reply",
             Self::Limits(_) => "limits",
+            Self::Breaks(_) => "breaks",
         }
     }
 }
--- a/lib/tests/test_node_overload.rs
+++ b/lib/tests/test_node_overload.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::balance::{self, Balancer, Candidate, Choice, RoutingRequest};
+use hemlock_lib::node::breaks::BreakReport;
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::node::peers::EndpointLoad;
 use hemlock_lib::time::Time;
@@ -15,6 +16,7 @@
 use crate::node_world::engine;
 
 const GROUPS: usize = 8;
+const STARTED_MS: u64 = 1;
 const VMS: usize = 4;
 const SLOTS: usize = 17;
 const TICK: Duration = Duration::from_millis(5);
@@ -37,11 +39,13 @@
     refused: usize,
     /// Sent to a group that did not begin them before their callers left.
     abandoned: usize,
+    /// Broken off by a group that resets all requests.
+    reset: usize,
 }
 
 impl Outcomes {
     fn total(&self) -> usize {
-        self.on_time + self.late + self.refused + self.abandoned
+        self.on_time + self.late + self.refused + self.abandoned + self.reset
     }
 
     fn on_time_share(&self) -> f64 {
@@ -70,6 +74,8 @@
     engine: Engine,
     vms: Vec<Balancer>,
     groups: Vec<Vec<Sent>>,
+    /// Number of groups, the first ones, that reset all requests.
+    resetting: usize,
     /// Refused requests that return: when, and when they were first sent.
     returning: Vec<(Time, Time)>,
     outcomes: Outcomes,
@@ -84,7 +90,7 @@
     fn new(seed: u64) -> Self {
         let candidate = |index: usize| Candidate {
             id: group_id(index),
-            incarnation: (1, 1),
+            incarnation: (STARTED_MS, 1),
             address: "10.0.0.1:80".to_owned(),
             zone: Arc::from("z1"),
             service: Arc::from("models"),
@@ -102,6 +108,7 @@
             engine: engine(&[("m", 2, 1.0)]),
             vms: (0..VMS).map(balancer).collect(),
             groups: (0..GROUPS).map(|_| Vec::new()).collect(),
+            resetting: 0,
             returning: Vec::new(),
             outcomes: Outcomes::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -153,10 +160,17 @@
     fn exchange_loads(&mut self) {
         let now = self.now;
         let all: Vec<Vec<EndpointLoad>> = self.vms.iter().map(|v| v.own_loads(now)).collect();
+        let reports = self.vms.iter().map(|v| v.breaks().reports(now));
+        let reports: Vec<Vec<BreakReport>> = reports.collect();
         for (i, vm) in self.vms.iter_mut().enumerate() {
             let others = all.iter().enumerate().filter(|(other, _)| *other != i);
             let loads = others.flat_map(|(_, loads)| loads.iter().map(|l| (l, now)));
             vm.set_peer_loads(loads, std::iter::empty());
+            let others = reports.iter().enumerate().filter(|(other, _)| *other != i);
+            for report in others.flat_map(|(_, reports)| reports) {
+                let id = Arc::from(report.endpoint.as_str());
+                vm.breaks_mut().record_report(now, &id, report);
+            }
         }
     }
 
@@ -184,6 +198,9 @@
                 let index = (0..GROUPS)
                     .find(|i| group_id(*i) == to.id)
                     .expect("a group");
+                if index < self.resetting {
+                    return self.reset(vm, &to.id);
+                }
                 self.groups[index].push(Sent {
                     vm,
                     called,
@@ -198,6 +215,14 @@
         }
     }
 
+    /// Breaks off a request that a group has just got from `vm`.
+    fn reset(&mut self, vm: usize, id: &Arc<str>) {
+        self.vms[vm].record_end(id, PROMPT_TOKENS, true);
+        let breaks = self.vms[vm].breaks_mut();
+        breaks.record_break(self.now, id, STARTED_MS);
+        self.outcomes.reset += 1;
+    }
+
     /// Gives free slots to waiting requests, those that return first, and ends what is due.
     fn advance_groups(&mut self) {
         let (now, first_event, step) = (self.now, self.first_event_time(), self.step());
@@ -281,3 +306,26 @@
         assert!(outcomes.served_share() >= 0.95, "seed {seed}: {outcomes:?}");
     }
 }
+
+/// Groups that reset all requests have no load and would draw those of all VMs.
+#[test]
+fn groups_that_reset_all_requests_get_few() {
+    for seed in 0..4 {
+        let mut world = World::new(seed);
+        world.play(0.6, Duration::from_secs(3));
+        world.outcomes = Outcomes::default();
+        world.resetting = 2;
+        world.play(0.6, Duration::from_millis(4_500));
+        let outcomes = &world.outcomes;
+        assert!(outcomes.served_share() >= 0.9, "seed {seed}: {outcomes:?}");
+        world.resetting = 0;
+        world.play(0.6, Duration::from_secs(6));
+        world.outcomes = Outcomes::default();
+        world.play(0.9, Duration::from_secs(6));
+        let outcomes = &world.outcomes;
+        assert!(
+            outcomes.served_share() >= 0.95,
+            "after, seed {seed}: {outcomes:?}"
+        );
+    }
+}
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -37,6 +37,7 @@
 counters! {
     AcceptsFailed "accepts_failed" "Connections that could not be accepted.";
     Answered "answered" "Requests answered by an endpoint, by success or failure.";
+    BreaksAll "breaks_all" "Times that a group broke off several requests in a row before a byte.";
     BrokenOff "broken_off" "Streams that were cut off before their end, by cause.";
     Connects "connects" "New connections to endpoints.";
     CrashReports "crash_reports" "Reports of crashes in the heartbeats of other VMs, with repeats.";
--- a/node/src/peer_datagrams.rs
+++ b/node/src/peer_datagrams.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hemlock_lib::node::breaks::BreakReport;
 use hemlock_lib::node::endpoints::EngineReport;
 use hemlock_lib::node::heartbeat_pace::{self, HeartbeatPace};
 use hemlock_lib::node::peers::{Heartbeat, Message};
@@ -75,6 +76,7 @@
         let addresses = node.peers.borrow().addresses();
         send_to(&node, &socket, &message, addresses.iter().copied()).await;
         send_limits(&node, &socket, &addresses).await;
+        send_breaks(&node, &socket, &addresses).await;
         let reports: Vec<EngineReport> = node.engine_reports.borrow().values().cloned().collect();
         // Repeated with each heartbeat, since datagrams may be lost; in parts that fit into one.
         for part in reports.chunks(MAX_REPORTS) {
@@ -168,6 +170,28 @@
     }
 }
 
+/// Tells peers which groups break off this VM's requests.
+async fn send_breaks(node: &Node, socket: &UdpSocket, addresses: &[SocketAddr]) {
+    let reports = node.balancer.borrow().breaks().reports(node.now());
+    for part in reports.chunks(MAX_REPORTS) {
+        let message = Message::Breaks(part.to_vec());
+        send_to(node, socket, &message, addresses.iter().copied()).await;
+    }
+}
+
+/// Applies what a peer told of groups that break off its requests.
+fn apply_breaks(node: &Node, now: Time, reports: &[BreakReport]) {
+    let endpoints = node.endpoints.borrow();
+    let mut balancer = node.balancer.borrow_mut();
+    for report in reports {
+        if let Some(endpoint) = endpoints.get(&report.endpoint) {
+            balancer
+                .breaks_mut()
+                .record_report(now, &endpoint.id, report);
+        }
+    }
+}
+
 /// Applies what a peer heard of limits of endpoints.
 fn apply_limits(node: &Node, now: Time, news: &LimitNews) {
     if news.node == node.identity.node {
@@ -322,6 +346,7 @@
             return node.path_evidence.notify_one();
         }
         Message::Limits(news) => return apply_limits(node, now, &news),
+        Message::Breaks(reports) => return apply_breaks(node, now, &reports),
     };
     if heartbeat.member.node == node.identity.node {
         return;
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -132,6 +132,29 @@
         if let Some(is_broken) = self.new_conn.take() {
             is_broken.set(true);
             self.node.note_path_failure(&to.id, PathFailure::Connect);
+            if to.model.is_some() {
+                self.note_break(to);
+            }
+        }
+    }
+
+    /// Records that a group broke off a request before it sent a byte.
+    fn note_break(&self, to: &Candidate) {
+        let now = self.node.now();
+        // If no endpoint was heard lately, it may be this VM that is cut off.
+        if !self.node.reach.borrow().hears_others(now) {
+            return;
+        }
+        let mut balancer = self.node.balancer.borrow_mut();
+        let (started_ms, _) = to.incarnation;
+        if balancer.breaks_mut().record_break(now, &to.id, started_ms) {
+            log::warn!(
+                "event=breaks_all id={} request={}",
+                to.id,
+                self.request_id()
+            );
+            self.node.metrics.count(Counter::BreaksAll, "group");
+            self.node.send_now.notify_one();
         }
     }
 
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -509,6 +509,7 @@
         let endpoints = self.endpoints.borrow();
         let is_listed = |id: &str| endpoints.get(id).is_some();
         self.balancer.borrow_mut().limits_mut().retain(is_listed);
+        self.balancer.borrow_mut().breaks_mut().retain(is_listed);
         drop(endpoints);
         let after = self.serving_endpoints();
         for id in after.iter().filter(|id| !before.contains(id)) {
