node, gateway: tests of answers that are cut within their heads, and of late requests in a stop

Other operators saw a 200 with an empty or short body, framed as whole, after a worker had stopped within the head of its answer, and requests that came late in a planned stop cut off at its end.

--- a/gateway/tests/harness.rs
+++ b/gateway/tests/harness.rs
@@ -25,6 +25,8 @@
     Slow(Duration),
     /// Closes the connection after this many chunks, or within the answer of a plain service.
     Cut(u64),
+    /// Closes the connection after this many bytes of its answer's head.
+    CutHead(usize),
     /// Mixes in chunks of another attempt and repeats its own.
     StrayChunks,
     /// Leaves out a chunk.
@@ -110,6 +112,13 @@
     Some(body)
 }
 
+/// Returns the head of a plain service's answer.
+pub(crate) fn service_head(status: u16, length: usize) -> String {
+    format!(
+        "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
 /// Responds to a call to a plain service.
 fn respond_as_service(
     stream: &mut TcpStream,
@@ -130,11 +139,11 @@
         Behaviour::Status(status) => status,
         _ => 200,
     };
-    let length = body.len();
-    write!(
-        stream,
-        "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}"
-    )
+    let head = service_head(status, body.len());
+    if let Behaviour::CutHead(length) = behaviour {
+        return stream.write_all(&head.as_bytes()[..length]);
+    }
+    write!(stream, "{head}{body}")
 }
 
 /// Responds to a call to a model engine.
--- a/gateway/tests/test_services.rs
+++ b/gateway/tests/test_services.rs
@@ -5,7 +5,7 @@
 use hemlock_testutils::agent::LogFault;
 use uuid::Uuid;
 
-use crate::harness::{AUTH, Behaviour, Endpoint, Harness, Reply};
+use crate::harness::{AUTH, Behaviour, Endpoint, Harness, Reply, service_head};
 
 const CALL_PATH: &str = "/v1/services/portal-app/claims";
 
@@ -143,3 +143,17 @@
     );
     assert_eq!(service.calls(), 1);
 }
+
+#[test]
+fn an_answer_cut_within_its_head_is_no_success() {
+    let head = service_head(200, 20);
+    let line_ends = head.match_indices("\r\n").map(|(at, _)| at + 2);
+    let cuts = [1, head.len() - 1].into_iter().chain(line_ends);
+    for cut in cuts.filter(|cut| *cut < head.len()) {
+        let service = Endpoint::spawn(&[Behaviour::CutHead(cut)]);
+        let harness = Harness::spawn(&[], &[&service]);
+        let reply = call(&harness, &new_key(), AUTH, "rebate");
+        assert_ne!(reply.status, 200, "after {cut} bytes: {}", reply.body);
+        assert_eq!(service.calls(), 1, "after {cut} bytes");
+    }
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -6,6 +6,7 @@
 mod node_process;
 mod test_crashing_part;
 mod test_cut;
+mod test_cut_heads;
 mod test_endless;
 mod test_late_config;
 mod test_left_callers;
--- a/node/tests/test_stop_end.rs
+++ b/node/tests/test_stop_end.rs
@@ -1,5 +1,6 @@
 //! What happens to callers in the last moments of a stopping daemon.
 
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -8,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use hemlock_platform_standin::caller::{self, Response};
-use hemlock_platform_standin::endpoint::Endpoint;
+use hemlock_platform_standin::endpoint::{Endpoint, Mode};
 
 use crate::node_process::{NodeProcess, request};
 
@@ -77,11 +78,9 @@
     assert!(node.wait_for_exit());
 }
 
-/// A request that came after the node had decided to end was passed on to an endpoint and cut off.
-#[test]
-fn no_request_at_an_endpoint_is_cut_off_when_a_stopping_node_ends() {
-    let (mut node, endpoints) = NodeProcess::with_plain_endpoints();
-    endpoints.iter().for_each(|e| e.set_run_time(RUN_TIME));
+/// Sends requests to a stopping node until it has ended, and checks that all that reached an endpoint
+/// are answered. Returns the statuses.
+fn check_late_requests(mut node: NodeProcess, endpoints: &[Endpoint]) -> BTreeSet<u16> {
     node.terminate();
     node.wait_until("the node is not ready", |n| n.ready_status() == 503);
     std::thread::sleep(LATE);
@@ -96,13 +95,28 @@
     ended.store(true, Ordering::SeqCst);
     let sent = callers.into_iter().flat_map(|c| c.join().unwrap());
     let sent: Vec<Sent> = sent.collect();
-    assert!(sent.iter().any(|s| s.response.status == 200));
     let cut = sent.iter().filter(|s| !s.response.complete);
     let cut: Vec<&str> = cut
-        .filter(|s| has_run(&endpoints, &s.id))
+        .filter(|s| has_run(endpoints, &s.id))
         .map(|s| s.id.as_str())
         .collect();
     assert!(cut.is_empty(), "ran and not answered: {cut:?}");
+    sent.iter().map(|s| s.response.status).collect()
+}
+
+/// A request that came after the node had decided to end was passed on to an endpoint and cut off.
+#[test]
+fn no_request_at_an_endpoint_is_cut_off_when_a_stopping_node_ends() {
+    let (node, endpoints) = NodeProcess::with_plain_endpoints();
+    endpoints.iter().for_each(|e| e.set_run_time(RUN_TIME));
+    assert!(check_late_requests(node, &endpoints).contains(&200));
+}
+
+#[test]
+fn no_request_at_an_endpoint_that_does_not_answer_is_cut_off_when_a_stopping_node_ends() {
+    let (node, endpoints) = NodeProcess::with_plain_endpoints();
+    endpoints.iter().for_each(|e| e.set_mode(Mode::Mute));
+    assert!(check_late_requests(node, &endpoints).contains(&504));
 }
 
 /// Opens connections one after the other until the node ends, and sends the first part of `text` on
