--- a/lib/src/node/breaks.rs
+++ b/lib/src/node/breaks.rs
@@ -1,9 +1,9 @@
 //! Groups of engines that break off requests before they send a byte.
 //!
 //! Such a group has no load, so that its expected times are the shortest, and it would draw the
-//! requests of all entry VMs. One VM sends each group only some requests a second, so the VMs tell each
-//! other. While all avoid a group, requests beyond the capacity of the others are refused, and may come
-//! back, rather than broken off. A group that breaks off only what is beyond its limits works off its
+//! requests of all entry VMs. One VM sends each group only a few requests a second, so the VMs tell
+//! each other. While all avoid a group, requests beyond the capacity of the others are refused, so that
+//! their callers may come back; they would be broken off at the group. A group that breaks off only what is beyond its limits works off its
 //! queue meanwhile.
 
 use std::collections::BTreeMap;
@@ -90,7 +90,7 @@
         true
     }
 
-    /// Records that a group has begun to answer a request.
+    /// Records that a group has begun to answer a request, which ends what this VM holds against it.
     pub fn record_answer(&mut self, id: &str) {
         self.groups.remove(id);
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! The modules follow the path of a request: [`config`] finds its route and client account,
 //! [`endpoints`] lists the endpoints, [`balance`] sends or refuses it by the latencies that
-//! [`forecast`] estimates and the limits that endpoints announce ([`rate_limits`]), away from groups that break off requests ([`breaks`]), [`budget`] and [`quarantine`] limit its retries, and [`events`] keeps
-//! its event stream free of gaps and duplicates. [`planner`] forms the engine groups that
-//! [`capacity`] asks for, [`peers`] tracks the other entry VMs, [`heartbeat_pace`] says when they hear from this one, and [`load_totals`] adds up the
-//! load that they have on endpoints. [`reach`] tells whether this VM itself is cut off from the
-//! endpoints, and [`peer_paths`] which peers are not; [`passing`] has one of these send a request.
+//! [`forecast`] estimates, the limits that endpoints announce ([`rate_limits`]) and the groups that
+//! break off requests ([`breaks`]), [`budget`] and [`quarantine`] limit its retries, and [`events`]
+//! keeps its event stream free of gaps and duplicates. [`planner`] forms the engine groups that
+//! [`capacity`] asks for, [`peers`] tracks the other entry VMs, which hear from this one as often as
+//! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
+//! tells whether this VM itself is cut off from the endpoints, and [`peer_paths`] which peers are not;
+//! [`passing`] has one of these send a request.
 
 pub mod answer_memory;
 pub mod balance;
