--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -52,6 +52,7 @@
     FeedBytes "feed_bytes" "Bytes of records sent to peers that read through this VM, by topic.";
     FeedReadsFailed "feed_reads_failed" "Reads of a topic that failed, by what was read.";
     ForeignAnswers "foreign_answers" "Responses to other requests, which were skipped.";
+    GivenUp "given_up" "Requests that ended without their answer after an endpoint or a peer that had them was silent and gave no other sign of a failure, by cause.";
     Left "left" "Requests whose caller disconnected before the end of the answer, by whether they were sent before.";
     LimitChanges "limit_changes" "Changes of the limits that endpoints announce, by kind.";
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -141,6 +141,10 @@
     failed_connects: u32,
     /// When the last send failed with which the request may have run.
     failed_at: Option<Time>,
+    /// Cause of the failure of the last send; empty if none has failed.
+    failed_by: &'static str,
+    /// When the current endpoint last sent something for the request, or got it.
+    heard_at: Time,
     /// Peers to which the request was passed on.
     peers_tried: Vec<String>,
     /// Identifier and start time of the endpoint that has the request, or had it last.
@@ -197,6 +201,8 @@
             sends: passed.map(|p| p.sends.clone()).unwrap_or_default(),
             failed_connects: 0,
             failed_at: None,
+            failed_by: "",
+            heard_at: now,
             peers_tried: Vec::new(),
             endpoint: None,
             peer: None,
@@ -231,8 +237,8 @@
             let mut budget = self.node.retry_budget.borrow_mut();
             budget.record_request(self.node.now(), &service);
         }
-        let mut cause = "";
         loop {
+            let cause = self.failed_by;
             if caller_has_left(conn) {
                 return self.caller_left();
             }
@@ -263,7 +269,7 @@
                         .await;
                 }
             };
-            cause = match outcome {
+            self.failed_by = match outcome {
                 SendOutcome::Answered { status, next } => return self.answered(status, next),
                 SendOutcome::CallerLeft => return self.caller_left(),
                 SendOutcome::DeadlinePassed => {
@@ -277,6 +283,7 @@
                 SendOutcome::MayHaveRun(reason) | SendOutcome::PeerLost(reason) => {
                     self.failed_at = Some(self.node.now());
                     let may_retry = self.request.route.request_kind.may_retry();
+                    self.failed_by = reason;
                     if !may_retry || self.sends.possible_runs >= self.max_attempts() {
                         return self.give_up(conn, reason, Duration::ZERO).await;
                     }
@@ -427,6 +434,7 @@
             .record_send(now, &to.id, prompt);
         let mut stream_started = false;
         self.delivered.of_endpoint = 0;
+        self.heard_at = now;
         let outcome = self
             .exchange(caller, &mut conn, is_kept, to, prompt, &mut stream_started)
             .await;
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -10,6 +10,12 @@
 use crate::front::{self, ConnectionAction};
 use crate::metrics::{Counter, Latency};
 
+/// Returns whether a send that failed for `cause` left a connection on which the answer could still
+/// have come.
+fn is_given_up(cause: &str) -> bool {
+    matches!(cause, "silent" | "stuck" | "peer_silent" | "peer_lost")
+}
+
 impl Relay<'_> {
     /// Logs that the request is sent to an endpoint; `cause` is that of the failure of the last
     /// send.
@@ -36,14 +42,44 @@
     /// Logs and counts a send that failed.
     pub(super) fn log_failed(&self, to: &Candidate, cause: &'static str, may_have_run: bool) {
         log::info!(
-            "event=send_failed request={} id={} cause={cause} may_have_run={may_have_run} events={}",
+            "event=send_failed request={} id={} cause={cause} may_have_run={may_have_run} events={} \
+             open={} quiet_ms={} left_ms={}",
             self.request_id(),
             to.id,
-            self.delivered.events
+            self.delivered.events,
+            is_given_up(cause),
+            self.node.now().since(self.heard_at).as_millis(),
+            self.left_ms()
         );
         self.node.metrics.count(Counter::SendsFailed, cause);
     }
 
+    /// Returns the figures of a request that ends without its answer, for the log.
+    fn end_figures(&self) -> String {
+        let in_force = self.node.config().map_or(0, |c| c.version);
+        format!(
+            " id={} after={} open={} left_ms={} config={} in_force={in_force}",
+            self.endpoint_id(),
+            self.failed_by,
+            is_given_up(self.failed_by),
+            self.left_ms(),
+            self.request.config.version
+        )
+    }
+
+    /// Returns the milliseconds until the deadline.
+    fn left_ms(&self) -> u128 {
+        self.request.deadline.since(self.node.now()).as_millis()
+    }
+
+    /// Counts a request that ends without its answer although the endpoint that had it last may still
+    /// have been at work on it.
+    fn count_given_up(&self, cause: &'static str) {
+        if is_given_up(self.failed_by) && self.left_ms() > 0 {
+            self.node.metrics.count(Counter::GivenUp, cause);
+        }
+    }
+
     /// Returns the time since the arrival of the request.
     pub(super) fn elapsed(&self) -> Duration {
         self.node.now().since(self.request.received)
@@ -124,13 +160,15 @@
         }
         if self.delivered.head {
             log::info!(
-                "event=broken_off request={} cause={cause} ms={} events={} attempts={}",
+                "event=broken_off request={} cause={cause} ms={} events={} attempts={}{}",
                 self.request_id(),
                 self.elapsed().as_millis(),
                 self.delivered.events,
-                self.sends.tried.len()
+                self.sends.tried.len(),
+                self.end_figures()
             );
             self.node.metrics.count(Counter::BrokenOff, cause);
+            self.count_given_up(cause);
             return ConnectionAction::Abort;
         }
         // A resumable stream could be sent again, but this attempt of the caller may have run.
@@ -167,12 +205,14 @@
     ) -> ConnectionAction {
         self.note_pipelined(conn);
         log::info!(
-            "event=failed request={} status={status} cause={cause} ms={} attempts={}",
+            "event=failed request={} status={status} cause={cause} ms={} attempts={}{}",
             self.request_id(),
             self.elapsed().as_millis(),
-            self.sends.tried.len()
+            self.sends.tried.len(),
+            self.end_figures()
         );
         self.node.metrics.count(Counter::Failed, cause);
+        self.count_given_up(cause);
         self.node
             .metrics
             .record(Latency::Whole, "failed", self.elapsed());
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -142,6 +142,7 @@
         stream_started: &mut bool,
     ) {
         let is_first = !std::mem::replace(stream_started, true);
+        self.heard_at = now;
         if let Upstream::Endpoint(to) = upstream {
             self.node.note_heard(&to.id);
             let mut balancer = self.node.balancer.borrow_mut();
