soak: a fault set in which sound endpoints pause, and a check that no answer is lost

Nothing breaks, streams last 0.5 to 3 s and have at least 7 s. A request that ended without a complete answer before its time is lost, whatever was silent, reloaded or (up to five sixths of the grace period) stopping; so is one that an endpoint ran and that is answered 502 or 504. Beside it: runs of a request up to maxAttempts, and no work 0.5 s after the caller has left a stream. The draws of the other sets are unchanged.

--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -5,13 +5,17 @@
 
 /// Short runs with a fixed seed; longer ones are started by hand with `hemlock-soak`.
 fn check_short_run(fault_set: FaultSet) {
+    check_run(fault_set, 4, Duration::from_secs(6));
+}
+
+fn check_run(fault_set: FaultSet, callers: usize, fault_period: Duration) {
     let dir = tempfile::tempdir().expect("a temporary directory is created");
     let soak = Soak {
         program: PathBuf::from(env!("CARGO_BIN_EXE_hemlock-node")),
         older: None,
         nodes: 3,
-        callers: 4,
-        fault_period: Duration::from_secs(6),
+        callers,
+        fault_period,
         seed: 1,
         fault_set,
         dir: dir.path().to_owned(),
@@ -35,3 +39,8 @@
 fn short_soak_run_with_cut_vms_keeps_all_guarantees() {
     check_short_run(FaultSet::Cuts);
 }
+
+#[test]
+fn short_soak_run_with_sound_endpoints_that_pause_loses_no_answer() {
+    check_run(FaultSet::Pauses, 10, Duration::from_secs(8));
+}
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,7 +1,8 @@
 //! Callers, which resolve addresses, reuse connections, and record the responses they get.
 
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
@@ -12,12 +13,23 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::deployment::{EVENTS_PER_STREAM, STRIDE};
+
 /// Pause between two requests of a caller.
 const REQUEST_PAUSE: Duration = Duration::from_millis(15);
 /// Interval between two requests of a steady caller.
 const STEADY_INTERVAL: Duration = Duration::from_millis(60);
 /// Longest time in milliseconds for which a caller that leaves waits for its response.
 const MAX_STAY_MS: u64 = 250;
+/// Interval between two streams of a caller that leaves them, and longest time in milliseconds for
+/// which it stays, where streams are long.
+const LONG_LEAVING_INTERVAL: Duration = Duration::from_secs(1);
+const MAX_LONG_STAY_MS: u64 = 2_500;
+/// Deadline of requests where streams are long.
+const LONG_DEADLINE: Duration = Duration::from_secs(9);
+/// Longest answers in tokens: where streams are short, and the range where they are long.
+const SHORT_ANSWER: u32 = EVENTS_PER_STREAM * STRIDE;
+const LONG_ANSWERS: RangeInclusive<u32> = 60..=375;
 /// Time for which a caller caches the addresses that a directory returned.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
 /// One caller in this many uses entry VMs to their end: it caches addresses for
@@ -57,6 +69,15 @@
     });
 }
 
+/// Lengths and deadlines of the requests of callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Workload {
+    /// Streams last a third of a second, and requests have three.
+    Short,
+    /// Streams last half a second to three, and requests have far more time.
+    Long,
+}
+
 /// How often a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
@@ -73,6 +94,8 @@
 pub struct ObservedRequest {
     pub id: String,
     pub kind: RequestKind,
+    /// Number of events of the response, if it is a stream.
+    pub events: u64,
     /// Address of the entry VM.
     pub front: SocketAddr,
     pub sent_at: Instant,
@@ -94,17 +117,19 @@
     observed: Arc<Mutex<Vec<ObservedRequest>>>,
     left: Arc<Mutex<Vec<LeftRequest>>>,
     threads: Vec<JoinHandle<()>>,
+    workload: Workload,
 }
 
 impl Callers {
     /// Starts `count` callers of the entry VMs whose directories have the given addresses.
-    pub fn spawn(count: usize, directories: &[SocketAddr], seed: u64) -> Self {
+    pub fn spawn(count: usize, directories: &[SocketAddr], seed: u64, workload: Workload) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let observed = Arc::new(Mutex::new(Vec::new()));
         let spawn = |i: usize| {
             let (stop, observed) = (stop.clone(), observed.clone());
             let mut caller = Caller {
                 index: i,
+                workload,
                 rng: SmallRng::seed_from_u64(seed ^ (i as u64) << 32),
                 directories: directories.to_vec(),
                 addresses: (Instant::now(), Vec::new()),
@@ -129,6 +154,7 @@
             observed,
             left: Arc::default(),
             threads,
+            workload,
         }
     }
 
@@ -136,6 +162,7 @@
     pub fn spawn_leaving(&mut self, fronts: &[SocketAddr], seed: u64) {
         for (index, front) in fronts.iter().copied().enumerate() {
             let (stop, left) = (self.stop.clone(), self.left.clone());
+            let workload = self.workload;
             let mut rng = SmallRng::seed_from_u64(seed ^ (index as u64) << 24);
             self.threads.push(thread::spawn(move || {
                 for number in 0.. {
@@ -143,13 +170,23 @@
                         break;
                     }
                     let id = format!("left{index}-{number}");
-                    let stay = Duration::from_millis(rng.random_range(0..MAX_STAY_MS));
-                    if let Some(request) = send_and_leave(front, id, number, stay) {
+                    let (kind, max_stay, interval) = match workload {
+                        Workload::Short => ((number % 3) as i32, MAX_STAY_MS, STEADY_INTERVAL),
+                        Workload::Long => (2, MAX_LONG_STAY_MS, LONG_LEAVING_INTERVAL),
+                    };
+                    let text = Draft {
+                        kind,
+                        answer: workload.longest_answer(),
+                        workload,
+                    }
+                    .build(&id, &id, number);
+                    let stay = Duration::from_millis(rng.random_range(0..max_stay));
+                    if let Some(request) = send_and_leave(front, id, &text, stay) {
                         left.lock()
                             .unwrap_or_else(PoisonError::into_inner)
                             .push(request);
                     }
-                    thread::sleep(STEADY_INTERVAL);
+                    thread::sleep(interval);
                 }
             }));
         }
@@ -208,10 +245,9 @@
 fn send_and_leave(
     front: SocketAddr,
     id: String,
-    number: u64,
+    text: &str,
     stay: Duration,
 ) -> Option<LeftRequest> {
-    let (_, text) = build_request(&id, &id, (number % 3) as i32, number);
     let mut io = TcpStream::connect(front).ok()?;
     io.write_all(text.as_bytes()).ok()?;
     thread::sleep(stay);
@@ -224,12 +260,18 @@
 
 /// Sends a request over a new connection. The number chooses its kind; no two have the same path.
 fn send_once(front: SocketAddr, id: &str, number: u64) -> ObservedRequest {
-    let (kind, text) = build_request(id, id, (number % 3) as i32, number);
+    let draft = Draft {
+        kind: (number % 3) as i32,
+        answer: SHORT_ANSWER,
+        workload: Workload::Short,
+    };
+    let text = draft.build(id, id, number);
     let sent_at = Instant::now();
     let response = caller::send(front, &text);
     ObservedRequest {
         id: id.to_owned(),
-        kind,
+        kind: draft.kind(),
+        events: draft.events(),
         front,
         sent_at,
         done_at: Instant::now(),
@@ -237,8 +279,18 @@
     }
 }
 
+/// Returns whether the other side has not closed a connection on which nothing is due.
+fn is_open(io: &TcpStream) -> bool {
+    let peeked = io
+        .set_nonblocking(true)
+        .and_then(|()| io.peek(&mut [0; 1]))
+        .map_err(|e| e.kind());
+    peeked == Err(ErrorKind::WouldBlock) && io.set_nonblocking(false).is_ok()
+}
+
 struct Caller {
     index: usize,
+    workload: Workload,
     rng: SmallRng,
     directories: Vec<SocketAddr>,
     /// Addresses that a directory returned last, and when.
@@ -252,6 +304,9 @@
 impl Caller {
     /// Sends one request. Returns `None` if no connection to an entry VM can be established.
     fn call(&mut self) -> Option<ObservedRequest> {
+        if self.workload == Workload::Long {
+            self.idle.retain(|(_, io)| is_open(io));
+        }
         let reuse = !self.idle.is_empty() && self.rng.random_bool(REUSE_SHARE);
         let (address, mut io) = if reuse {
             let position = self.rng.random_range(0..self.idle.len());
@@ -263,8 +318,18 @@
         self.count += 1;
         let id = format!("c{}-{}", self.index, self.count);
         let kind = self.rng.random_range(0..3_i32);
-        let (kind, mut text) = build_request(&id, "a", kind, self.count);
-        if self.is_late() && kind != RequestKind::Stream {
+        let workload = self.workload;
+        let answer = match workload {
+            Workload::Short => SHORT_ANSWER,
+            Workload::Long => self.rng.random_range(LONG_ANSWERS),
+        };
+        let draft = Draft {
+            kind,
+            answer,
+            workload,
+        };
+        let mut text = draft.build(&id, "a", self.count);
+        if self.is_late() && draft.kind() != RequestKind::Stream {
             text = text.replace("-Ms: 3000", "-Ms: 500");
         }
         let sent_at = Instant::now();
@@ -277,7 +342,8 @@
         }
         Some(ObservedRequest {
             id,
-            kind,
+            kind: draft.kind(),
+            events: draft.events(),
             front: address,
             sent_at,
             done_at: Instant::now(),
@@ -306,25 +372,56 @@
     }
 }
 
-/// Returns a request of the kind that a number chooses, with a part of its prompt that no other
-/// request with the same start of its identifier has.
-fn build_request(id: &str, page: &str, kind: i32, part: u64) -> (RequestKind, String) {
-    match kind {
-        0 => (
-            RequestKind::Idempotent,
-            fixtures::request("GET", &format!("/plain/{page}"), id, "", ""),
-        ),
-        1 => (
-            RequestKind::NonIdempotent,
-            fixtures::request("POST", &format!("/once/{page}"), id, "", "pay"),
-        ),
-        _ => {
-            let headers = fixtures::stream_headers("m", 200, 150)
-                + &fixtures::prompt_parts(SHARED_PARTS[0], SHARED_PARTS[1], part);
-            (
-                RequestKind::Stream,
-                fixtures::request("POST", &format!("/stream/{page}"), id, &headers, "tell"),
-            )
+impl Workload {
+    fn longest_answer(self) -> u32 {
+        match self {
+            Self::Short => SHORT_ANSWER,
+            Self::Long => *LONG_ANSWERS.end(),
+        }
+    }
+}
+
+/// A request of the kind that a number chooses, before it has an identifier.
+#[derive(Debug, Clone, Copy)]
+struct Draft {
+    kind: i32,
+    /// Longest answer of a stream, in tokens.
+    answer: u32,
+    workload: Workload,
+}
+
+impl Draft {
+    fn kind(self) -> RequestKind {
+        match self.kind {
+            0 => RequestKind::Idempotent,
+            1 => RequestKind::NonIdempotent,
+            _ => RequestKind::Stream,
+        }
+    }
+
+    fn events(self) -> u64 {
+        u64::from(self.answer / STRIDE)
+    }
+
+    /// Returns the request, with a part of its prompt that no other request with the same start of its
+    /// identifier has.
+    fn build(self, id: &str, page: &str, part: u64) -> String {
+        let text = match self.kind() {
+            RequestKind::Idempotent => {
+                fixtures::request("GET", &format!("/plain/{page}"), id, "", "")
+            }
+            RequestKind::NonIdempotent => {
+                fixtures::request("POST", &format!("/once/{page}"), id, "", "pay")
+            }
+            RequestKind::Stream => {
+                let headers = fixtures::stream_headers("m", 200, self.answer)
+                    + &fixtures::prompt_parts(SHARED_PARTS[0], SHARED_PARTS[1], part);
+                fixtures::request("POST", &format!("/stream/{page}"), id, &headers, "tell")
+            }
+        };
+        match self.workload {
+            Workload::Short => text,
+            Workload::Long => fixtures::with_deadline(&text, LONG_DEADLINE),
         }
     }
 }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -7,8 +7,9 @@
 use hemlock_platform_standin::fixtures;
 
 use crate::callers::{CRASHING_PREFIX, LeftRequest, ObservedRequest, RequestKind};
-use crate::deployment::{DRAIN_MS, EVENTS_PER_STREAM};
-use crate::faults::Fault;
+use crate::deployment::{DRAIN_MS, Run};
+use crate::faults::{Fault, FaultSet};
+use crate::losses;
 
 /// Time after the end of a fault within which it still excuses a violation.
 const FAULT_MARGIN: Duration = Duration::from_secs(3);
@@ -32,7 +33,7 @@
 const LATE_CRASH_LIMIT: usize = 3;
 
 /// Time after a caller has left from which its request may not reach an endpoint any more.
-const LEFT_LIMIT: Duration = Duration::from_millis(500);
+pub(crate) const LEFT_LIMIT: Duration = Duration::from_millis(500);
 /// Span over which arrivals at an endpoint with a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Factor on a limit, and number of requests beyond that, that an endpoint tolerates in the span.
@@ -62,8 +63,10 @@
 #[derive(Debug)]
 pub struct Report {
     pub requests: Vec<ObservedRequest>,
-    /// Request, endpoint and start of each execution of a request.
-    pub runs: Vec<(String, String, Instant)>,
+    /// Kinds of faults of the run.
+    pub fault_set: FaultSet,
+    /// Executions of requests.
+    pub runs: Vec<Run>,
     /// When parts of prompts crashed engines, the earliest first.
     pub crashes: Vec<Instant>,
     /// When requests reached each endpoint, in the order of the faults.
@@ -91,17 +94,26 @@
     pub fn violations(&self) -> Vec<String> {
         let mut violations = self.endpoint_violations.clone();
         let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
-        for (id, ..) in &self.runs {
-            *runs.entry(id).or_default() += 1;
+        for run in &self.runs {
+            *runs.entry(&run.id).or_default() += 1;
         }
         for request in &self.requests {
             let count = runs.get(request.id.as_str()).copied().unwrap_or(0);
             violations.extend(check_response(request));
             violations.extend(check_run_count(request, count));
-            if count > 0 {
+            if count > 0 && self.fault_set != FaultSet::Pauses {
                 violations.extend(self.check_response_arrived(request));
             }
         }
+        if self.fault_set == FaultSet::Pauses {
+            violations.extend(losses::violations(
+                &self.requests,
+                &self.runs,
+                &self.left,
+                &self.faults,
+                &self.fronts,
+            ));
+        }
         violations.extend(self.check_drains());
         violations.extend(self.check_configs());
         violations.extend(self.check_crashing_part());
@@ -156,11 +168,14 @@
                         |f| matches!(f, Fault::Link(e, _) if *e == index),
                     )
             };
-            let is_too_late = |(_, endpoint, time): &&(String, String, Instant)| {
-                *endpoint == self.endpoints[index] && *time > due && *time < injected.until
+            let is_too_late = |run: &&Run| {
+                run.endpoint == self.endpoints[index]
+                    && run.started_at > due
+                    && run.started_at < injected.until
             };
-            for (id, endpoint, time) in self.runs.iter().filter(is_too_late) {
-                if !is_excused(*time) {
+            for run in self.runs.iter().filter(is_too_late) {
+                if !is_excused(run.started_at) {
+                    let (id, endpoint) = (&run.id, &run.endpoint);
                     violations.push(format!("{id} ran at {endpoint} after the drain period"));
                 }
             }
@@ -315,11 +330,12 @@
             .iter()
             .map(|l| (l.id.as_str(), l.left_at))
             .collect();
-        let check = |(id, endpoint, started): &(String, String, Instant)| {
+        let check = |run: &Run| {
+            let (id, endpoint, started) = (&run.id, &run.endpoint, run.started_at);
             let left_at = *left.get(id.as_str())?;
             let late = started.checked_duration_since(left_at + LEFT_LIMIT)?;
             let is_kill = |f: &Fault| matches!(f, Fault::Kill(_));
-            (!self.is_excused(left_at, *started, is_kill)).then(|| {
+            (!self.is_excused(left_at, started, is_kill)).then(|| {
                 let late = late + LEFT_LIMIT;
                 format!("{id} reached {endpoint} {late:?} after its caller had left")
             })
@@ -331,10 +347,11 @@
     fn check_crashing_part(&self) -> Option<String> {
         let fifth = self.crashes.get(FREE_CRASHES - 1)?;
         let due = *fifth + FAULT_MARGIN + TIMING_TOLERANCE;
-        let is_late = |(id, _, time): &&(String, String, Instant)| {
-            id.starts_with(CRASHING_PREFIX)
-                && *time > due
-                && !self.is_excused(*time - FAULT_MARGIN, *time, Fault::stops_node)
+        let is_late = |run: &&Run| {
+            let time = run.started_at;
+            run.id.starts_with(CRASHING_PREFIX)
+                && time > due
+                && !self.is_excused(time - FAULT_MARGIN, time, Fault::stops_node)
         };
         let late = self.runs.iter().filter(is_late).count();
         (late > LATE_CRASH_LIMIT).then(|| {
@@ -379,7 +396,7 @@
         ));
     }
     let has_all_content = match kind {
-        RequestKind::Stream => events.len() as u64 == EVENTS_PER_STREAM,
+        RequestKind::Stream => events.len() as u64 == request.events,
         RequestKind::Idempotent | RequestKind::NonIdempotent => {
             response.body.ends_with(&format!(" to {id}"))
         }
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -13,12 +13,29 @@
 use hemlock_platform_standin::store::Store;
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::callers;
+use crate::callers::{self, RequestKind, Workload};
 use crate::faults::zone_of;
 use hemlock_platform_standin::proxy::{Link, Proxy};
 
-/// Number of events of each stream.
-pub const EVENTS_PER_STREAM: u64 = 30;
+/// Number of events of each stream, unless its request says how long it may be.
+pub const EVENTS_PER_STREAM: u32 = 30;
+/// Number of tokens of each event, and interval between two, where a request says how long its
+/// stream may be.
+pub const STRIDE: u32 = 5;
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+/// Number of endpoints of the first service, and of the engines, which come after them.
+pub const PLAIN_ENDPOINTS: usize = 3;
+pub const ENGINES: usize = 10;
+/// Maximum number of runs of a request that may run more than once.
+pub const MAX_ATTEMPTS: usize = 2;
+/// Timeouts in seconds of routes without and with streams, one after the other, where they change.
+const TIMEOUTS_S: [(u64, u64); 3] = [(5, 7), (6, 8), (8, 10)];
+/// Weights of a service that moves, one after the other.
+const WEIGHTS: [f64; 4] = [0.0, 10.0, 50.0, 90.0];
+/// Service to which requests move and from which they move back.
+const SPARE_SERVICE: &str = "spare";
+/// Number of endpoints of the spare service, which come after the engines.
+const SPARE_ENDPOINTS: usize = 2;
 /// Time for which an endpoint runs a request without a stream.
 const RUN_TIME: Duration = Duration::from_millis(30);
 /// Time limit within which an entry VM exits after SIGTERM, in seconds.
@@ -26,6 +43,26 @@
 /// Time for which requests may still reach an endpoint after it began to drain, in milliseconds.
 pub const DRAIN_MS: u64 = 2_000;
 
+/// Returns the shortest timeout of requests of a kind, where timeouts change.
+pub fn min_timeout(kind: RequestKind) -> Duration {
+    let timeout = |(plain, stream): (u64, u64)| match kind {
+        RequestKind::Idempotent | RequestKind::NonIdempotent => plain,
+        RequestKind::Stream => stream,
+    };
+    let shortest = TIMEOUTS_S.into_iter().map(timeout).min();
+    Duration::from_secs(shortest.unwrap_or(0))
+}
+
+/// An execution of a request at an endpoint.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub id: String,
+    pub endpoint: String,
+    pub started_at: Instant,
+    /// When the endpoint ended the work, if it has.
+    pub ended_at: Option<Instant>,
+}
+
 /// An entry VM, which runs as a process; the process is killed when this is dropped.
 #[derive(Debug)]
 pub struct Node {
@@ -125,7 +162,7 @@
         domain: Option<&str>,
     ) -> std::io::Result<Self> {
         let endpoint = Endpoint::spawn(store, id, service, domain);
-        endpoint.set_event_count(EVENTS_PER_STREAM);
+        endpoint.set_event_count(EVENTS_PER_STREAM.into());
         endpoint.set_run_time(RUN_TIME);
         let link = Proxy::spawn_for(endpoint.address(), clients)?;
         endpoint.publish_entry_at(link.address());
@@ -148,22 +185,36 @@
     /// Processes of the entry VMs, whose links to the endpoints can be cut.
     clients: ClientProcesses,
     version: u64,
+    workload: Workload,
 }
 
 impl Deployment {
     /// Starts the stand-ins, and an entry VM for each of `programs`, which runs it. They keep their
-    /// settings and logs in `dir`.
-    pub fn spawn(programs: &[&Path], dir: &Path) -> std::io::Result<Self> {
+    /// settings and logs in `dir`. With a workload of long streams, versions of the configuration also
+    /// change timeouts and weights.
+    pub fn spawn(programs: &[&Path], dir: &Path, workload: Workload) -> std::io::Result<Self> {
         let (store, clients) = (Store::spawn(), ClientProcesses::default());
         let spawn = |id: &str, service: &str, domain: Option<&str>| {
             ProxiedEndpoint::spawn(&store, &clients, id, service, domain)
         };
-        let plain = (0..3).map(|i| spawn(&format!("p{i}"), "plain", None));
+        let plain = (0..PLAIN_ENDPOINTS).map(|i| spawn(&format!("p{i}"), "plain", None));
         let engine = |i: usize| {
             let domain = format!("d{}", i / 5);
             spawn(&format!("e{i}"), "models", Some(&domain))
         };
-        let endpoints = plain.chain((0..10).map(engine)).collect::<Result<_, _>>()?;
+        let endpoints = plain.chain((0..ENGINES).map(engine));
+        let endpoints = match workload {
+            Workload::Short => endpoints.collect::<Result<Vec<_>, _>>()?,
+            Workload::Long => {
+                let spare =
+                    (0..SPARE_ENDPOINTS).map(|i| spawn(&format!("s{i}"), SPARE_SERVICE, None));
+                let endpoints = endpoints.chain(spare).collect::<Result<Vec<_>, _>>()?;
+                for proxied in &endpoints {
+                    proxied.endpoint.set_stride(STRIDE.into(), EVENT_INTERVAL);
+                }
+                endpoints
+            }
+        };
         let mut deployment = Self {
             store,
             nodes: Vec::new(),
@@ -171,6 +222,7 @@
             added_routes: Vec::new(),
             clients,
             version: 1,
+            workload,
         };
         deployment.publish_config();
         for (index, program) in programs.iter().enumerate() {
@@ -211,6 +263,20 @@
                     .map(|p| fixtures::route(p, "idempotent", "plain")),
             );
         }
+        if self.workload == Workload::Long {
+            let timeouts = TIMEOUTS_S[self.version as usize % TIMEOUTS_S.len()];
+            let weight = WEIGHTS[self.version as usize % WEIGHTS.len()];
+            for (prefix, seconds) in [
+                ("/plain/", timeouts.0),
+                ("/once/", timeouts.0),
+                ("/stream/", timeouts.1),
+            ] {
+                fixtures::set_timeout(&mut config, prefix, Duration::from_secs(seconds));
+            }
+            fixtures::add_service(&mut config, SPARE_SERVICE);
+            let weights = [("plain", 100.0 - weight), (SPARE_SERVICE, weight)];
+            fixtures::set_weights(&mut config, "/plain/", &weights);
+        }
         fixtures::publish_config(&self.store, &config);
     }
 
@@ -236,13 +302,18 @@
         endpoints.map(|e| e.endpoint.arrival_times()).collect()
     }
 
-    /// Returns the request, endpoint and start of each execution of a request.
-    pub fn runs(&self) -> Vec<(String, String, Instant)> {
+    /// Returns all executions of requests.
+    pub fn runs(&self) -> Vec<Run> {
         let runs_of = |e: &ProxiedEndpoint| {
-            let id = e.endpoint.id().to_owned();
+            let endpoint = e.endpoint.id().to_owned();
             let runs = e.endpoint.runs().into_iter();
-            runs.map(move |r| (r.request_id, id.clone(), r.started_at))
-                .collect::<Vec<_>>()
+            runs.map(move |r| Run {
+                id: r.request_id,
+                endpoint: endpoint.clone(),
+                started_at: r.started_at,
+                ended_at: r.ended_at,
+            })
+            .collect::<Vec<_>>()
         };
         self.endpoints.iter().flat_map(runs_of).collect()
     }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -8,6 +8,8 @@
 
 use hemlock_platform_standin::proxy::Link;
 
+use crate::pauses;
+
 /// Share of the fault period in which faults begin; the rest is left for them to end.
 const BEGIN_SHARE: f64 = 0.6;
 
@@ -59,12 +61,19 @@
     CrashingPart,
     /// A new version of the configuration adds a route.
     Configure,
+    /// Bytes from an endpoint are held back, and pass at the end of the fault.
+    Hold(usize),
+    /// The process of an entry VM gets SIGHUP, and its settings have not changed.
+    HangUp(usize),
 }
 
 impl Fault {
     /// Returns whether this is maintenance, during which no response may be lost.
     pub fn is_maintenance(&self) -> bool {
-        matches!(self, Self::Terminate(_) | Self::Configure | Self::Drain(_))
+        matches!(
+            self,
+            Self::Terminate(_) | Self::Configure | Self::Drain(_) | Self::HangUp(_)
+        )
     }
 
     /// Returns whether this disturbs the store, or an entry VM's link to it.
@@ -103,6 +112,9 @@
     /// All entry VMs are stopped one after the other, again and again, and nothing else happens, so
     /// that no lost response is excused.
     Stops,
+    /// Sound endpoints pause, beside versions, SIGHUPs and in some seeds SIGTERMs, and nothing else
+    /// happens, so that no lost response is excused.
+    Pauses,
 }
 
 /// Draws the faults of a run.
@@ -113,14 +125,16 @@
     nodes: usize,
     endpoints: usize,
 ) -> Vec<ScheduledFault> {
-    if fault_set == FaultSet::Stops {
-        return draw_stops(seed, fault_period, nodes);
+    match fault_set {
+        FaultSet::Stops => return draw_stops(seed, fault_period, nodes),
+        FaultSet::Pauses => return pauses::draw(seed, fault_period, nodes, endpoints),
+        FaultSet::Basic | FaultSet::All | FaultSet::Cuts | FaultSet::Limits => {}
     }
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut scheduled: Vec<ScheduledFault> = Vec::new();
     // A store that comes back excuses all VMs for seconds, so half of the seeds with cuts have none.
     let loses_records = match fault_set {
-        FaultSet::Basic | FaultSet::Stops => false,
+        FaultSet::Basic | FaultSet::Stops | FaultSet::Pauses => false,
         FaultSet::All => true,
         FaultSet::Cuts | FaultSet::Limits => seed.is_multiple_of(2),
     };
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,8 @@
 mod checks;
 mod deployment;
 mod faults;
+mod losses;
+mod pauses;
 
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
@@ -19,7 +21,7 @@
 use hemlock_platform_standin::{caller, fixtures, store};
 use rustix::process::Signal;
 
-use crate::callers::Callers;
+use crate::callers::{Callers, Workload};
 use crate::checks::{InjectedFault, Probe, Report};
 use crate::deployment::{Deployment, GRACE_S};
 pub use crate::faults::FaultSet;
@@ -74,6 +76,8 @@
     pub served: usize,
     /// Faults that were injected, with their times.
     pub faults: Vec<String>,
+    /// Number of requests by kind, end, status and whether an endpoint ran them.
+    pub counts: Vec<String>,
     /// Violations of the guarantees.
     pub broken: Vec<String>,
 }
@@ -114,15 +118,19 @@
                 Some(_) | None => self.program.as_path(),
             })
             .collect();
-        let deployment = Deployment::spawn(&programs, &self.dir)?;
+        let workload = match self.fault_set {
+            FaultSet::Pauses => Workload::Long,
+            _ => Workload::Short,
+        };
+        let deployment = Deployment::spawn(&programs, &self.dir, workload)?;
         thread::sleep(STARTUP_TIME);
         let directories: Vec<_> = deployment.nodes.iter().map(|n| n.directory).collect();
         let fronts: Vec<_> = deployment.nodes.iter().map(|n| n.front).collect();
-        let mut callers = Callers::spawn(self.callers, &directories, self.seed);
+        let mut callers = Callers::spawn(self.callers, &directories, self.seed, workload);
         if matches!(self.fault_set, FaultSet::Cuts | FaultSet::Limits) {
             callers.spawn_steady(&fronts);
         }
-        if self.fault_set == FaultSet::Limits {
+        if matches!(self.fault_set, FaultSet::Limits | FaultSet::Pauses) {
             callers.spawn_leaving(&fronts, self.seed);
         }
         let mut run = SoakRun {
@@ -163,6 +171,7 @@
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
         let report = Report {
+            fault_set: self.fault_set,
             runs: run.deployment.runs(),
             crashes: run.deployment.crashes(),
             arrivals: run.deployment.arrivals(),
@@ -189,6 +198,7 @@
             .iter()
             .filter(|s| s.response.status == 200 && s.response.complete);
         Ok(Outcome {
+            counts: losses::count_ends(&report.requests, &report.runs),
             requests: report.requests.len(),
             served: served.count(),
             faults: scheduled
@@ -360,6 +370,8 @@
                 deployment.endpoints[e].endpoint.remove_entry();
             }
             Fault::Drain(e) => deployment.endpoints[e].endpoint.drain(),
+            Fault::Hold(e) => deployment.endpoints[e].link.set_link(Link::CutBack),
+            Fault::HangUp(n) => deployment.nodes[n].signal(Signal::HUP),
             Fault::CrashingPart => {
                 deployment.set_crashing_part(true);
                 let fronts = deployment.nodes.iter().map(|n| n.front).collect();
@@ -382,7 +394,7 @@
     fn end_fault(&mut self, fault: &Fault) -> io::Result<()> {
         let deployment = &mut self.deployment;
         match *fault {
-            Fault::Terminate(_) | Fault::Configure => {}
+            Fault::Terminate(_) | Fault::Configure | Fault::HangUp(_) => {}
             Fault::CrashingPart => {
                 self.stop_crashing.store(true, Ordering::Relaxed);
                 deployment.set_crashing_part(false);
@@ -395,7 +407,9 @@
             Fault::Store(_) => deployment.store.set_mode(store::Mode::Up),
             Fault::Restore(age) => self.restore_store(age),
             Fault::StoreLink(n, _) => deployment.nodes[n].store_link.set_link(Link::Open),
-            Fault::Link(e, _) => deployment.endpoints[e].link.set_link(Link::Open),
+            Fault::Link(e, _) | Fault::Hold(e) => {
+                deployment.endpoints[e].link.set_link(Link::Open);
+            }
             Fault::Cut(n, _) => deployment.set_endpoint_links(n, Link::Open),
             Fault::Endpoint(e, _) => {
                 deployment.endpoints[e]
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,15 +39,20 @@
                 .long("faults")
                 .value_name("SET")
                 .default_value("cuts")
-                .value_parser(["basic", "all", "cuts", "limits", "stops"])
+                .value_parser(["basic", "all", "cuts", "limits", "stops", "pauses"])
                 .help(
                     "Kinds of faults: basic, all, cuts and limits each with those of the one before it; \
-                     stops are stops of all entry VMs one after the other, again and again",
+                     stops are stops of all entry VMs one after the other, again and again; \
+                     pauses are pauses of sound endpoints beside versions and signals",
                 ),
             Arg::new("regressions")
                 .long("regressions")
                 .action(ArgAction::SetTrue)
                 .help("Repeat the runs of soak/seeds.txt instead"),
+            Arg::new("keep")
+                .long("keep")
+                .action(ArgAction::SetTrue)
+                .help("Keep the logs of runs that pass, too"),
             Arg::new("program")
                 .long("program")
                 .value_name("FILE")
@@ -78,7 +83,11 @@
         return ExitCode::from(2);
     };
     let older = matches.get_one::<PathBuf>("older").cloned();
-    let programs = Programs { program, older };
+    let programs = Programs {
+        program,
+        older,
+        keep: matches.get_flag("keep"),
+    };
     let requested = Case {
         seed: number("first"),
         nodes: number("processes"),
@@ -89,6 +98,7 @@
             Some("all") => FaultSet::All,
             Some("limits") => FaultSet::Limits,
             Some("stops") => FaultSet::Stops,
+            Some("pauses") => FaultSet::Pauses,
             _ => FaultSet::Cuts,
         },
     };
@@ -135,6 +145,8 @@
     program: PathBuf,
     /// Program that every second entry VM runs until it is restarted.
     older: Option<PathBuf>,
+    /// Whether the logs of runs that pass are kept, too.
+    keep: bool,
 }
 
 /// Parameters of a run that are set on the command line or in `seeds.txt`.
@@ -148,8 +160,8 @@
 }
 
 impl Case {
-    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts` or `limits` before the cause for the kinds of
-    /// faults. Returns `None` for a comment.
+    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts`, `limits` or `pauses` before the cause for
+    /// the kinds of faults. Returns `None` for a comment.
     fn parse(line: &str) -> Option<Self> {
         let mut numbers = line.split(' ').map_while(|n| n.parse().ok());
         Some(Self {
@@ -161,6 +173,7 @@
                 Some("all") => FaultSet::All,
                 Some("cuts") => FaultSet::Cuts,
                 Some("limits") => FaultSet::Limits,
+                Some("pauses") => FaultSet::Pauses,
                 _ => FaultSet::Basic,
             },
         })
@@ -186,18 +199,25 @@
     let (served, requests, faults) = (outcome.served, outcome.requests, &outcome.faults);
     let passed = outcome.broken.is_empty();
     if passed {
+        if programs.keep {
+            println!("seed {seed}: logs in {}", dir.keep().display());
+        }
         println!(
             "seed {seed}: {served} of {requests} served, {} faults, nothing broken",
             faults.len()
         );
     } else {
         println!("seed {seed}: BROKEN, logs in {}", dir.keep().display());
-        outcome
-            .broken
-            .iter()
-            .take(20)
-            .for_each(|b| println!("  {b}"));
+        let shown = 20;
+        let broken = outcome.broken.iter();
+        broken.take(shown).for_each(|b| println!("  {b}"));
+        if let Some(more @ 1..) = outcome.broken.len().checked_sub(shown) {
+            println!("  and {more} more");
+        }
         faults.iter().for_each(|f| println!("  fault: {f}"));
     }
+    if case.fault_set == FaultSet::Pauses {
+        outcome.counts.iter().for_each(|c| println!("  {c}"));
+    }
     Ok(passed)
 }
