lib/node: silent endpoints of one service don't have VMs refuse requests as no_path

Callers saw 503 no_path for plain requests and streams while all engines were silent for 2 s, though the plain endpoints answered all along.

A VM with little traffic hears nothing for 0.3 s while engines are silent, and comes to doubt its path: four to six silent endpoints. A VM in doubt tells its peers that it has no path. Once all VMs doubt theirs, each takes the doubt of the others for the knowledge that no VM has a path, refuses all requests, those to the plain endpoints too, and so never hears the endpoints that would end the doubt: plain endpoints can't be asked for an answer by a probe. The doubt lasted beyond the end of the silence. A peer that was asked to take a request handed it back for the same reason.

Requests are now refused for the doubt of all only if endpoints of every listed service have failed here, three of each or all that are listed. A VM that is cut off comes to its verdict as before: states, probes and queries are unchanged. If all VMs lose all endpoints without a failed connection, and a service has no requests that would show it, requests are sent and found silent rather than refused.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -24,6 +24,7 @@
 pub mod heartbeat_pace;
 pub mod load_totals;
 pub mod passing;
+mod path_evidence;
 pub mod peer_paths;
 pub mod peers;
 pub mod planner;
--- a/lib/src/node/peer_paths.rs
+++ b/lib/src/node/peer_paths.rs
@@ -70,6 +70,8 @@
 #[derive(Debug, Default)]
 pub struct PeerPaths {
     replies: BTreeMap<String, (Time, PathReply)>,
+    /// Whether this VM may itself reach endpoints of some service.
+    may_reach: bool,
 }
 
 impl PeerPaths {
@@ -78,6 +80,11 @@
         self.replies.insert(reply.node.clone(), (now, reply));
     }
 
+    /// Records whether this VM may reach endpoints of some service, since those have not failed.
+    pub fn set_may_reach(&mut self, may_reach: bool) {
+        self.may_reach = may_reach;
+    }
+
     /// Lists the peers that replied recently that they reach endpoints and are not stopping.
     pub fn with_path(&self, now: Time) -> Vec<PeerPath> {
         let usable = |reply: &&PathReply| reply.has_path && !reply.stopping;
@@ -93,11 +100,12 @@
             .collect()
     }
 
-    /// Returns whether all peers that replied recently said that they reach no endpoints; false if
-    /// none replied.
+    /// Returns whether no VM reaches any endpoint: all services fail here, and all peers that replied
+    /// recently said that they reach none; false if none replied. A peer that doubts its path says so
+    /// too, and VMs that all refuse requests would never hear the endpoints that answer.
     pub fn nobody_has_path(&self, now: Time) -> bool {
         let mut replies = self.recent(now).peekable();
-        replies.peek().is_some() && replies.all(|reply| !reply.has_path)
+        !self.may_reach && replies.peek().is_some() && replies.all(|reply| !reply.has_path)
     }
 
     fn recent(&self, now: Time) -> impl Iterator<Item = &PathReply> {
--- a/lib/src/node/reach.rs
+++ b/lib/src/node/reach.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use super::healing::Healing;
+pub use super::path_evidence::{PathFailure, PathState, ProbeKind, ProbeOutcome, Target};
 use super::peer_paths::{PathQuery, PathReply};
 use crate::time::Time;
 
@@ -69,85 +70,6 @@
 /// Factor on the hold time if probes can only show that connections open, not that bytes arrive.
 const TRIAL_FACTOR: u32 = 3;
 
-/// Whether this VM reaches endpoints.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum PathState {
-    /// Endpoints answer this VM, or nothing shows that they do not.
-    #[default]
-    Direct,
-    /// Several endpoints do not answer this VM, and it is not known whether they answer peers.
-    Doubtful,
-    /// Endpoints that do not answer this VM answer its peers.
-    Cut,
-}
-
-impl PathState {
-    /// Returns the name of the state in logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Direct => "direct",
-            Self::Doubtful => "doubtful",
-            Self::Cut => "cut",
-        }
-    }
-}
-
-/// How an endpoint failed to answer this VM.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PathFailure {
-    /// A connection could not be opened.
-    Connect,
-    /// A request or a probe got no byte for some time.
-    Quiet,
-    /// A connection broke.
-    Broken,
-}
-
-/// How an endpoint is probed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProbeKind {
-    /// A connection is opened.
-    Connect,
-    /// A connection is opened, and the endpoint has to answer a query if it is an engine.
-    Answer,
-}
-
-/// Outcome of a probe.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProbeOutcome {
-    /// No connection was opened, or it was closed at once.
-    Unreachable,
-    /// A connection was opened, and the endpoint was not queried.
-    Connected,
-    /// The endpoint answered a query.
-    Answered,
-    /// A connection was opened, and the endpoint did not answer a query.
-    Silent,
-}
-
-impl ProbeOutcome {
-    /// Returns the name of the outcome in logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Unreachable => "unreachable",
-            Self::Connected => "connected",
-            Self::Answered => "answered",
-            Self::Silent => "silent",
-        }
-    }
-}
-
-/// An endpoint that may be probed.
-#[derive(Debug, Clone, Copy)]
-pub struct Target<'a> {
-    /// Identifier of the endpoint.
-    pub id: &'a Arc<str>,
-    /// Name of its service.
-    pub service: &'a Arc<str>,
-    /// Whether the endpoint can be asked for an answer without a request of a caller.
-    pub is_engine: bool,
-}
-
 /// A change of the state, with the figures that decided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PathChange {
@@ -349,6 +271,20 @@
         failing.len()
     }
 
+    /// Returns whether endpoints of every service have failed, as many of each as put the path in
+    /// doubt. The other services may be reached, and only requests show whether plain endpoints
+    /// answer.
+    pub fn every_service_fails(&self, targets: &[Target<'_>]) -> bool {
+        let mut counts: BTreeMap<&Arc<str>, (usize, usize)> = BTreeMap::new();
+        for target in targets {
+            let (failed, listed) = counts.entry(target.service).or_default();
+            *failed += usize::from(self.has_failed(target.id));
+            *listed += 1;
+        }
+        let mut counts = counts.into_values();
+        counts.all(|(failed, listed)| failed >= MIN_FAILED.min(listed))
+    }
+
     /// Returns whether this VM was cut off at any moment from `time` on.
     pub fn was_cut_since(&self, time: Time) -> bool {
         self.state == PathState::Cut || self.cut_until.is_some_and(|t| t >= time)
@@ -513,13 +449,15 @@
     /// Returns the number of failed endpoints that peers were asked about, and of those that a peer
     /// reaches.
     fn peer_evidence(&self) -> (usize, usize) {
-        let has_failed =
-            |id: &&Arc<str>| self.unreachable.contains_key(*id) || self.silent.contains_key(*id);
-        let asked = self.asked.keys().filter(has_failed).count();
-        let reached = self.reached.keys().filter(has_failed).count();
+        let asked = self.asked.keys().filter(|id| self.has_failed(id)).count();
+        let reached = self.reached.keys().filter(|id| self.has_failed(id)).count();
         (asked, reached)
     }
 
+    fn has_failed(&self, id: &str) -> bool {
+        self.unreachable.contains_key(id) || self.silent.contains_key(id)
+    }
+
     fn is_healed(&self, now: Time, listed: usize) -> bool {
         self.healing.lasts(now, listed, self.hold)
             || self.trial.lasts(now, listed, self.hold * TRIAL_FACTOR)
@@ -593,9 +531,8 @@
     fn next_target<'a>(&self, targets: &[Target<'a>], needs_bytes: bool) -> Option<Target<'a>> {
         let tests_again = self.state == PathState::Cut || self.confirmed_since.is_some();
         let key = |t: &&Target<'_>| {
-            let is_failed = self.unreachable.contains_key(t.id) || self.silent.contains_key(t.id);
             (
-                is_failed && !tests_again,
+                self.has_failed(t.id) && !tests_again,
                 needs_bytes && !t.is_engine,
                 self.probed_services.get(t.service).copied(),
                 self.probed_endpoints.get(t.id).copied(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_node_overload;
 mod test_node_parts;
 mod test_node_passing;
+mod test_node_peer_paths;
 mod test_node_planner;
 mod test_node_quarantine;
 mod test_node_rate_limits;
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -71,6 +71,10 @@
         .filter(|e| !e.draining)
         .count();
     let change = node.reach.borrow_mut().update(now, listed, peers);
+    let may_reach = with_targets(node, |targets| {
+        !node.reach.borrow().every_service_fails(targets)
+    });
+    node.peer_paths.borrow_mut().set_may_reach(may_reach);
     let Some(change) = change else { return };
     let PathChange {
         before,
