node: a peer handles a request by the configuration of its arrival

Callers of a VM that was cut from the endpoints lost streams in hand if the operator had dropped the route or the key since the stream began: the VM passed the rest on, and each peer looked up route and key in its newest configuration and handed the request back as `denied`. After that the stream was broken off as `no_path`, with seconds left and peers that reach the endpoints. Where the route had moved to another service, the rest of the stream came from that service.

Cause: a request keeps the configuration by which it was accepted, but only at the VM that read it. Peers had none but the newest.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -8,7 +8,7 @@
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, which hear from this one as often as
 //! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
 //! tells whether this VM itself is cut off from the endpoints, and [`peer_paths`] which peers are not;
-//! [`passing`] has one of these send a request.
+//! [`passing`] has one of these send a request, by the configuration that [`replaced_configs`] finds for it.
 
 pub mod answer_memory;
 pub mod balance;
@@ -30,5 +30,6 @@
 pub mod quarantine;
 pub mod rate_limits;
 pub mod reach;
+pub mod replaced_configs;
 pub mod settings;
 pub mod source;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_node_quarantine;
 mod test_node_rate_limits;
 mod test_node_reach;
+mod test_node_replaced_configs;
 mod test_node_source;
 mod test_outcomes;
 mod test_plan;
--- a/node/src/peer_requests.rs
+++ b/node/src/peer_requests.rs
@@ -133,7 +133,7 @@
     }
 }
 
-/// Returns the configuration if this VM can relay a request of a peer, and otherwise the cause.
+/// Returns the configuration for a request of a peer if this VM can relay it, and otherwise the cause.
 fn check_ability(
     node: &Node,
     now: Time,
@@ -148,9 +148,15 @@
     let config = node.config().filter(|_| node.endpoints_listed.get());
     let config = config.ok_or("no_config")?;
     // The caller's VM has shown that it knows the newer configuration.
-    (config.version >= passed.config)
-        .then_some(config)
-        .ok_or("older_config")
+    if config.version < passed.config {
+        return Err("older_config");
+    }
+    let arrival = now - Duration::from_millis(passed.age_ms);
+    let replaced = node.replaced_configs.borrow();
+    Ok(replaced
+        .at(arrival, passed.config)
+        .cloned()
+        .unwrap_or(config))
 }
 
 /// Tells the peer that the request was not run.
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -22,6 +22,7 @@
 use hemlock_lib::node::quarantine::{Quarantine, Suspects};
 use hemlock_lib::node::rate_limits::{Announced, LimitChange};
 use hemlock_lib::node::reach::{PathFailure, PathState, Reach};
+use hemlock_lib::node::replaced_configs::ReplacedConfigs;
 use hemlock_lib::node::settings::NodeSettings;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Store, Topic};
@@ -57,6 +58,8 @@
     pub(crate) identity: Member,
     pub(crate) store: Store,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
+    /// Configurations that were in force before, for requests of peers.
+    pub(crate) replaced_configs: RefCell<ReplacedConfigs>,
     config_feed: Feed,
     endpoint_feed: Feed,
     pub(crate) endpoints: RefCell<Endpoints>,
@@ -145,6 +148,7 @@
             identity,
             store: Store::new(settings.store.address),
             config: RefCell::default(),
+            replaced_configs: RefCell::default(),
             config_feed: Feed::default(),
             endpoint_feed: Feed::default(),
             endpoints: RefCell::new(Endpoints::new(bounds.drain())),
@@ -434,6 +438,7 @@
         }
         self.check_outage();
         self.refresh_candidates();
+        self.replaced_configs.borrow_mut().expire(now);
         self.pool.expire(now);
         self.peer_pool.expire(now);
         if self.confirm_crashes(now) {
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -364,7 +364,11 @@
         config.route_count(),
         config.services.len()
     );
-    *node.config.borrow_mut() = Some(Rc::new(config));
+    let replaced = node.config.borrow_mut().replace(Rc::new(config));
+    if let Some(replaced) = replaced {
+        let mut kept = node.replaced_configs.borrow_mut();
+        kept.record(node.now(), replaced);
+    }
     node.config_record.replace(Some(record.clone()));
     node.config_behind_since.set(None);
     node.refresh_candidates();
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -23,3 +23,4 @@
 mod test_stop_edges;
 mod test_stop_end;
 mod test_streams;
+mod test_versions;
