--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -23,9 +23,11 @@
 /// stream may be.
 pub const STRIDE: u32 = 5;
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
-/// Number of endpoints of the first service, and of the engines, which come after them.
+/// Number of endpoints of the first service. The engines come after them.
 pub const PLAIN_ENDPOINTS: usize = 3;
-pub const ENGINES: usize = 10;
+/// Minimum number of engines, and callers with long streams that an engine has slots for.
+const MIN_ENGINES: usize = 10;
+const CALLERS_PER_ENGINE: usize = 3;
 /// Maximum number of runs of a request that may run more than once.
 pub const MAX_ATTEMPTS: usize = 2;
 /// Timeouts in seconds of routes without and with streams, one after the other, where they change.
@@ -35,7 +37,7 @@
 /// Service to which requests move and from which they move back.
 const SPARE_SERVICE: &str = "spare";
 /// Number of endpoints of the spare service, which come after the engines.
-const SPARE_ENDPOINTS: usize = 2;
+pub const SPARE_ENDPOINTS: usize = 2;
 /// Time for which an endpoint runs a request without a stream.
 const RUN_TIME: Duration = Duration::from_millis(30);
 /// Time limit within which an entry VM exits after SIGTERM, in seconds.
@@ -191,8 +193,13 @@
 impl Deployment {
     /// Starts the stand-ins, and an entry VM for each of `programs`, which runs it. They keep their
     /// settings and logs in `dir`. With a workload of long streams, versions of the configuration also
-    /// change timeouts and weights.
-    pub fn spawn(programs: &[&Path], dir: &Path, workload: Workload) -> std::io::Result<Self> {
+    /// change timeouts and weights, and there are more engines for many callers.
+    pub fn spawn(
+        programs: &[&Path],
+        dir: &Path,
+        workload: Workload,
+        callers: usize,
+    ) -> std::io::Result<Self> {
         let (store, clients) = (Store::spawn(), ClientProcesses::default());
         let spawn = |id: &str, service: &str, domain: Option<&str>| {
             ProxiedEndpoint::spawn(&store, &clients, id, service, domain)
@@ -202,7 +209,11 @@
             let domain = format!("d{}", i / 5);
             spawn(&format!("e{i}"), "models", Some(&domain))
         };
-        let endpoints = plain.chain((0..ENGINES).map(engine));
+        let engines = match workload {
+            Workload::Short => MIN_ENGINES,
+            Workload::Long => MIN_ENGINES.max(callers / CALLERS_PER_ENGINE),
+        };
+        let endpoints = plain.chain((0..engines).map(engine));
         let endpoints = match workload {
             Workload::Short => endpoints.collect::<Result<Vec<_>, _>>()?,
             Workload::Long => {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -122,7 +122,7 @@
             FaultSet::Pauses => Workload::Long,
             _ => Workload::Short,
         };
-        let deployment = Deployment::spawn(&programs, &self.dir, workload)?;
+        let deployment = Deployment::spawn(&programs, &self.dir, workload, self.callers)?;
         thread::sleep(STARTUP_TIME);
         let directories: Vec<_> = deployment.nodes.iter().map(|n| n.directory).collect();
         let fronts: Vec<_> = deployment.nodes.iter().map(|n| n.front).collect();
--- a/soak/src/pauses.rs
+++ b/soak/src/pauses.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::deployment::{ENGINES, PLAIN_ENDPOINTS};
+use crate::deployment::{PLAIN_ENDPOINTS, SPARE_ENDPOINTS};
 use crate::faults::{Fault, ScheduledFault};
 
 /// Time of the first pause and of the first signals.
@@ -60,14 +60,15 @@
     endpoints: usize,
     scheduled: &mut Vec<ScheduledFault>,
 ) {
+    let engines_end = endpoints - SPARE_ENDPOINTS;
     let with_plain = rng.random_bool(PLAIN_SHARE);
     let mut at = FIRST_TIME;
     while at < fault_period {
         let until = at + millis(rng, 300, MAX_PAUSE_MS);
         let kinds = if with_plain { 4 } else { 2 };
         let (first, end, share) = match rng.random_range(0..kinds) {
-            0 => (PLAIN_ENDPOINTS, PLAIN_ENDPOINTS + ENGINES, 1.0),
-            1 => (PLAIN_ENDPOINTS, PLAIN_ENDPOINTS + ENGINES, PARTIAL_SHARE),
+            0 => (PLAIN_ENDPOINTS, engines_end, 1.0),
+            1 => (PLAIN_ENDPOINTS, engines_end, PARTIAL_SHARE),
             2 => (0, endpoints, 1.0),
             _ => (0, PLAIN_ENDPOINTS, 1.0),
         };
