--- a/lib/src/node/events.rs
+++ b/lib/src/node/events.rs
@@ -27,9 +27,7 @@
 
     /// Returns the next complete event, or `None` if more bytes are needed.
     pub fn next_event(&mut self) -> Option<Event> {
-        let search_start = self.searched.saturating_sub(3);
-        let end = event_end(&self.buffer[search_start..]).map(|end| search_start + end);
-        let Some(end) = end else {
+        let Some(end) = self.find_end() else {
             self.searched = self.buffer.len();
             return None;
         };
@@ -41,6 +39,16 @@
         })
     }
 
+    /// Returns whether a complete event is there.
+    pub fn has_event(&self) -> bool {
+        self.find_end().is_some()
+    }
+
+    fn find_end(&self) -> Option<usize> {
+        let search_start = self.searched.saturating_sub(3);
+        event_end(&self.buffer[search_start..]).map(|end| search_start + end)
+    }
+
     /// Returns the bytes of the last event, which is still incomplete.
     pub fn partial(&self) -> &[u8] {
         &self.buffer
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -8,7 +8,8 @@
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, which hear from this one as often as
 //! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
 //! tells whether this VM itself is cut off from the endpoints, and [`peer_paths`] which peers are not;
-//! [`passing`] has one of these send a request.
+//! [`passing`] has one of these send a request. [`holding`] decides what follows when the endpoint of a
+//! request is silent.
 
 pub mod answer_memory;
 pub mod balance;
@@ -22,6 +23,7 @@
 pub mod forecast;
 mod healing;
 pub mod heartbeat_pace;
+pub mod holding;
 pub mod load_totals;
 pub mod passing;
 pub mod peer_paths;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -69,6 +69,8 @@
     StrangersDenied "strangers_denied" "Requests at the peer listener that did not come from an entry VM.";
     TakenOver "taken_over" "Requests that peers passed on to this VM, by outcome.";
     SendsFailed "sends_failed" "Sends that ended without an answer, by cause.";
+    SendsHeld "sends_held" "Sends that were held open since their endpoint or peer was silent, by cause.";
+    SendsResumed "sends_resumed" "Sends that went on to be relayed after they were held, by the cause for which they were.";
     Silent "silent" "Times that an endpoint was found to send nothing for too long.";
     Standstills "standstills" "Times that this process was not run for half a second or longer.";
     StoreChanges "store_changes" "Times that the store was lost or regained.";
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -8,9 +8,12 @@
 mod answer_body;
 mod buffered;
 mod endpoint_signs;
+mod exchange;
+mod held;
 mod limits;
 mod outcome;
 mod pass_on;
+mod race;
 mod report;
 mod stream;
 
@@ -24,14 +27,20 @@
 use hemlock_lib::node::capacity::RequestSize;
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::node::forecast::Estimate;
+use hemlock_lib::node::holding::Next;
 use hemlock_lib::node::passing::{self, Sends, Step};
-use hemlock_lib::node::peer_paths::PeerPath;
 use hemlock_lib::node::reach::PathFailure;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, ForwardMeta};
-use hemlock_wire::http1::{Conn, Framing, ResponseHead};
+use hemlock_wire::http1::{Conn, Framing};
 use tokio::task::coop::unconstrained;
 
+use self::exchange::{
+    Body, EndpointLoad, Exchange, HeadVerdict, LimitToken, Load, Phase, Receiver, advance_head,
+};
+use self::held::Signals;
+use self::race::{Raced, StepEnd};
+
 use crate::front::{self, ConnectionAction, Request};
 use crate::metrics::Counter;
 use crate::path_watch;
@@ -81,18 +90,28 @@
     /// The peer that had the request was lost, for this cause. The request may have run as often as
     /// the peer was allowed.
     PeerLost(&'static str),
+    /// Nothing arrived for too long, for this cause; the send was held.
+    Silent(&'static str),
     /// The caller disconnected.
     CallerLeft,
     /// The deadline passed.
     DeadlinePassed,
 }
 
-/// Receiver of a request: an endpoint, or a peer that passes it on.
-#[derive(Debug, Clone, Copy)]
-enum Upstream<'a> {
-    Endpoint(&'a Candidate),
-    /// A peer, which sends the request to an endpoint.
-    Peer(&'a PeerPath),
+impl SendOutcome {
+    /// Returns the cause of a send that failed, for the log.
+    fn cause(&self) -> &'static str {
+        match self {
+            Self::NotRun(cause)
+            | Self::MayHaveRun(cause)
+            | Self::PeerLost(cause)
+            | Self::Silent(cause) => cause,
+            Self::Answered { .. } => "answered",
+            Self::Refused(_) => "refused",
+            Self::CallerLeft => "left",
+            Self::DeadlinePassed => "overdue",
+        }
+    }
 }
 
 /// What was forwarded to the caller so far.
@@ -104,8 +123,6 @@
     last_event: Option<u64>,
     /// Number of events forwarded.
     events: u32,
-    /// Number of events that the current endpoint has sent.
-    of_endpoint: u32,
     /// Time from the arrival of the request to its first event.
     first_event_after: Option<Duration>,
     last_event_at: Option<Time>,
@@ -158,8 +175,17 @@
     delivered: Delivered,
     /// Estimate for the current send, and the time of that send.
     current_estimate: Option<(Estimate, Time)>,
-    /// Set if the current connection to an endpoint breaks, while it is new and has brought nothing.
-    new_conn: Option<Rc<Cell<bool>>>,
+    /// Whether the current send is counted as a possible run.
+    is_counted: bool,
+    /// Receiver of the current send, until its outcome is known.
+    open_send: Option<Receiver>,
+    /// Sends whose endpoints are silent.
+    held: Vec<Exchange>,
+    /// Number of sends that are held, also during a step.
+    held_count: usize,
+    /// Whether the next step is to wait before another endpoint is looked for.
+    is_paused: bool,
+    signals: Signals,
 }
 
 /// Relays a request and returns what to do with the caller's connection.
@@ -215,7 +241,12 @@
                 ..Delivered::default()
             },
             current_estimate: None,
-            new_conn: None,
+            is_counted: false,
+            open_send: None,
+            held: Vec::new(),
+            held_count: 0,
+            is_paused: false,
+            signals: Signals::default(),
         }
     }
 
@@ -224,7 +255,7 @@
     }
 
     /// Sends the request to one endpoint after the other, or passes it on, until the outcome is
-    /// final.
+    /// final. Sends whose endpoints are silent are held meanwhile.
     async fn run(&mut self, conn: &mut Conn) -> ConnectionAction {
         let Some(service) = self.choose_service() else {
             let time_left = self.request.deadline.since(self.node.now());
@@ -237,60 +268,88 @@
             let mut budget = self.node.retry_budget.borrow_mut();
             budget.record_request(self.node.now(), &service);
         }
+        let mut resumed = None;
         loop {
-            let cause = self.failed_by;
-            if caller_has_left(conn) {
-                return self.caller_left();
-            }
-            let now = self.node.now();
-            if now + MIN_TIME_LEFT >= self.request.deadline {
-                return self.deadline_passed(conn).await;
-            }
-            if self.has_been_sent() && self.is_quarantined(now) {
-                let after = front::QUARANTINE_RETRY_AFTER;
-                return self.give_up(conn, "breaks_endpoints", after).await;
-            }
-            let path = self.node.path_state(now);
-            let peer = self.choose_peer(now);
-            let situation = self.situation(now, path, peer.is_some());
-            let outcome = match (passing::next_step(&situation), &peer) {
-                (Step::PassOn, Some(peer)) => self.pass_on(conn, peer, cause).await,
-                (Step::Send, _) => match self.send_direct(conn, now, &service, cause).await {
-                    Ok(outcome) => outcome,
-                    Err((cause, after)) => return self.give_up(conn, cause, after).await,
-                },
-                (Step::Wait, _) => match self.wait_for_path(conn).await {
-                    true => return self.caller_left(),
-                    false => continue,
-                },
-                (Step::Refuse | Step::PassOn, _) => {
-                    return self
-                        .give_up(conn, "no_path", self.retry_elsewhere_after(path))
-                        .await;
-                }
-            };
-            self.failed_by = match outcome {
-                SendOutcome::Answered { status, next } => return self.answered(status, next),
-                SendOutcome::CallerLeft => return self.caller_left(),
-                SendOutcome::DeadlinePassed => {
-                    self.sends.possible_runs += 1;
-                    return self.deadline_passed(conn).await;
-                }
-                SendOutcome::Refused(after) => {
-                    return self.give_up(conn, "peer_refused", after).await;
-                }
-                SendOutcome::NotRun(reason) => reason,
-                SendOutcome::MayHaveRun(reason) | SendOutcome::PeerLost(reason) => {
-                    self.failed_at = Some(self.node.now());
-                    let may_retry = self.request.route.request_kind.may_retry();
-                    self.failed_by = reason;
-                    if !may_retry || self.sends.possible_runs >= self.max_attempts() {
-                        return self.give_up(conn, reason, Duration::ZERO).await;
+            match self.race(conn, &service, resumed.take()).await {
+                Raced::Resume(send) => resumed = Some(send),
+                Raced::Step(StepEnd::Again) => {}
+                Raced::Step(StepEnd::Overdue) => return self.deadline_passed(conn).await,
+                Raced::Step(StepEnd::NoPlace(cause, after)) => {
+                    if self.standing(self.node.now()).after_refusal() == Next::End {
+                        return self.give_up(conn, cause, after).await;
                     }
-                    reason
+                    self.is_paused = true;
                 }
+                Raced::Step(StepEnd::Outcome(outcome)) => match outcome {
+                    SendOutcome::Answered { status, next } => return self.answered(status, next),
+                    SendOutcome::CallerLeft => return self.caller_left(),
+                    SendOutcome::DeadlinePassed => return self.deadline_passed(conn).await,
+                    SendOutcome::Refused(after) => {
+                        if self.standing(self.node.now()).after_refusal() == Next::End {
+                            return self.give_up(conn, "peer_refused", after).await;
+                        }
+                        self.is_paused = true;
+                    }
+                    SendOutcome::NotRun(reason) => self.failed_by = reason,
+                    SendOutcome::MayHaveRun(reason)
+                    | SendOutcome::PeerLost(reason)
+                    | SendOutcome::Silent(reason) => {
+                        self.failed_at = Some(self.node.now());
+                        self.failed_by = reason;
+                    }
+                },
+            }
+        }
+    }
+
+    /// Sends the request, passes it on, goes on with a send, or waits.
+    async fn step(
+        &mut self,
+        conn: &mut Conn,
+        service: &Arc<str>,
+        resumed: Option<Box<Exchange>>,
+    ) -> StepEnd {
+        if let Some(send) = resumed {
+            return StepEnd::Outcome(self.carry_on(conn, send).await);
+        }
+        if caller_has_left(conn) {
+            return StepEnd::Outcome(SendOutcome::CallerLeft);
+        }
+        let cause = self.failed_by;
+        let now = self.node.now();
+        let next = self.standing(now).next();
+        if next == Next::End {
+            return StepEnd::NoPlace(cause, Duration::ZERO);
+        }
+        if now + MIN_TIME_LEFT >= self.request.deadline {
+            return match self.held_count {
+                0 => StepEnd::Overdue,
+                _ => self.listen(conn).await,
             };
         }
+        if std::mem::take(&mut self.is_paused) || next == Next::Listen {
+            return self.listen(conn).await;
+        }
+        if self.has_been_sent() && self.is_quarantined(now) {
+            return StepEnd::NoPlace("breaks_endpoints", front::QUARANTINE_RETRY_AFTER);
+        }
+        let path = self.node.path_state(now);
+        let peer = self.choose_peer(now);
+        let situation = self.situation(now, path, peer.is_some());
+        match (passing::next_step(&situation), &peer) {
+            (Step::PassOn, Some(peer)) => StepEnd::Outcome(self.pass_on(conn, peer, cause).await),
+            (Step::Send, _) => match self.send_direct(conn, now, service, cause).await {
+                Ok(outcome) => StepEnd::Outcome(outcome),
+                Err((cause, after)) => StepEnd::NoPlace(cause, after),
+            },
+            (Step::Wait, _) => match self.wait_for_path(conn).await {
+                true => StepEnd::Outcome(SendOutcome::CallerLeft),
+                false => StepEnd::Again,
+            },
+            (Step::Refuse | Step::PassOn, _) => {
+                StepEnd::NoPlace("no_path", self.retry_elsewhere_after(path))
+            }
+        }
     }
 
     /// Sends the request to an endpoint. Fails with the cause, and the time after which the caller
@@ -315,9 +374,8 @@
             Choice::Limited(after) => return Err(("limited", after)),
             Choice::Unavailable(after) => return Err(("nobody", after)),
         };
+        let token = LimitToken::new(self.node, &to.id);
         if self.sends.next_is_repeat() && !self.try_retry(now, service, cause) {
-            let mut balancer = self.node.balancer.borrow_mut();
-            balancer.limits_mut().record_not_sent(now, &to.id);
             let after = front::jittered_retry_after(self.request.deadline.since(now));
             return Err(("budget", after));
         }
@@ -325,28 +383,23 @@
         self.sends.tried.push(to.id.clone());
         self.endpoint = Some((to.id.clone(), to.incarnation.0));
         self.peer = None;
-        self.current_estimate = Some((estimate, now));
-        let outcome = self.send(conn, &to, engine.is_some()).await;
-        match outcome {
-            SendOutcome::NotRun(reason) => {
-                self.log_failed(&to, reason, false);
-                let mut balancer = self.node.balancer.borrow_mut();
-                balancer.record_failure(self.node.now(), &to.id);
-                if reason == FAILED_CONNECT {
-                    self.failed_connects += 1;
-                    let now = self.node.now();
-                    balancer.limits_mut().record_not_sent(now, &to.id);
+        let to = Rc::new(to);
+        let estimate = (estimate, now);
+        match self
+            .connect_and_send(conn, &to, estimate, engine.is_some(), token)
+            .await
+        {
+            Ok(send) => Ok(self.carry_on(conn, send).await),
+            Err(outcome) => {
+                if let SendOutcome::NotRun(reason) = outcome {
+                    if reason == FAILED_CONNECT {
+                        self.failed_connects += 1;
+                    }
+                    self.note_not_run(&to, reason);
                 }
+                Ok(outcome)
             }
-            SendOutcome::MayHaveRun(reason) => {
-                self.sends.possible_runs += 1;
-                self.log_failed(&to, reason, true);
-                let mut balancer = self.node.balancer.borrow_mut();
-                balancer.record_failure(self.node.now(), &to.id);
-            }
-            _ => {}
         }
-        Ok(outcome)
     }
 
     /// Returns whether the request was sent to an endpoint, or an attempt was made.
@@ -403,48 +456,101 @@
         allowed
     }
 
-    /// Sends the request to one endpoint and relays the response.
-    async fn send(&mut self, caller: &mut Conn, to: &Candidate, engine: bool) -> SendOutcome {
+    /// Connects to an endpoint, and prepares the send of the request.
+    async fn connect_and_send(
+        &mut self,
+        caller: &mut Conn,
+        to: &Rc<Candidate>,
+        estimate: (Estimate, Time),
+        engine: bool,
+        token: LimitToken,
+    ) -> Result<Box<Exchange>, SendOutcome> {
         let Ok(address) = to.address.parse::<SocketAddr>() else {
-            return SendOutcome::NotRun("bad_address");
+            return Err(SendOutcome::NotRun("bad_address"));
         };
         let now = self.node.now();
-        self.new_conn = None;
         let kept = self.node.pool.take(now, &to.id);
         let is_kept = kept.is_some();
-        let mut conn = match kept {
-            Some(conn) => conn,
-            None => match self.connect(caller, address, Some(to)).await {
+        let (conn, new_conn) = match kept {
+            Some(conn) => (conn, None),
+            None => {
+                let conn = self.connect(caller, address, Some(to)).await?;
                 // A task that is not run for a while finds both the connection and the caller's close.
-                Ok(_) if caller_has_left(caller) => return SendOutcome::CallerLeft,
-                Ok(conn) => conn,
-                Err(outcome) => return outcome,
-            },
+                if caller_has_left(caller) {
+                    return Err(SendOutcome::CallerLeft);
+                }
+                let is_broken = path_watch::confirm_connected(self.node, &to.id);
+                (conn, Some(is_broken))
+            }
         };
+        token.spend();
         self.sends.reached += 1;
-        let prompt = if engine {
-            self.request.meta.prompt_tokens
-        } else {
-            0
+        let prompt = match engine {
+            true => self.request.meta.prompt_tokens,
+            false => 0,
         };
         let now = self.node.now();
-        self.node
-            .balancer
-            .borrow_mut()
-            .record_send(now, &to.id, prompt);
-        let mut stream_started = false;
-        self.delivered.of_endpoint = 0;
-        self.heard_at = now;
-        let outcome = self
-            .exchange(caller, &mut conn, is_kept, to, prompt, &mut stream_started)
-            .await;
-        let mut balancer = self.node.balancer.borrow_mut();
-        balancer.record_end(&to.id, prompt, !stream_started);
-        let (outcome, reuse) = outcome;
-        if let Some(keep_alive) = reuse {
-            self.node
-                .pool
-                .put(self.node.now(), &to.id, conn, keep_alive);
+        let passed = ForwardMeta {
+            endpoint: &to.id,
+            address: &to.address,
+            account: self.request.account.as_ref().map(|a| &*a.name),
+            time_left: self.request.deadline.since(now),
+            last_event: self.delivered.last_event,
+            priority: self.endpoint_priority(),
+        };
+        let mut out =
+            requests::encode_request(&self.request.head, &passed, self.request.body.len());
+        out.extend_from_slice(&self.request.body);
+        Ok(Box::new(Exchange {
+            receiver: Receiver::Endpoint(to.clone()),
+            conn,
+            phase: Phase::Write(out.into()),
+            is_kept,
+            skipped: 0,
+            events_before: self.delivered.events,
+            of_endpoint: 0,
+            estimate: Some(estimate),
+            endpoint: Some((to.id.clone(), to.incarnation.0)),
+            leaving: Vec::new(),
+            heard_at: now,
+            new_conn,
+            load: Load::Endpoint(EndpointLoad::new(self.node, now, &to.id, prompt)),
+            is_counted: false,
+            held_for: "",
+            ended_by: None,
+        }))
+    }
+
+    /// Goes on with a send until its outcome is known, or it must be held.
+    async fn carry_on(&mut self, caller: &mut Conn, mut send: Box<Exchange>) -> SendOutcome {
+        self.current_estimate = send.estimate;
+        self.endpoint = send.endpoint.clone();
+        self.peer = match &send.receiver {
+            Receiver::Endpoint(_) => None,
+            Receiver::Peer(peer, _) => Some(peer.node.clone()),
+        };
+        self.leaving.append(&mut send.leaving);
+        self.heard_at = send.heard_at;
+        self.is_counted = send.is_counted;
+        self.open_send = Some(send.receiver.clone());
+        let receiver = send.receiver.clone();
+        let (outcome, reuse) = match &receiver {
+            Receiver::Endpoint(to) => self.exchange(caller, &mut send, to).await,
+            Receiver::Peer(peer, runs) => {
+                self.exchange_with_peer(caller, &mut send, peer, *runs)
+                    .await
+            }
+        };
+        self.leaving.append(&mut send.leaving);
+        self.heard_at = send.heard_at;
+        self.open_send = None;
+        if let SendOutcome::Silent(cause) = outcome {
+            send.held_for = cause;
+            send.endpoint = self.endpoint.clone();
+            self.hold(send);
+        } else {
+            send.end(self.node, reuse);
+            self.settle(&receiver, &outcome);
         }
         outcome
     }
@@ -464,13 +570,10 @@
             tokio::select! {
                 conn = &mut connect => {
                     match (&conn, endpoint) {
-                        (Ok(_), Some(to)) => {
-                            self.new_conn = Some(path_watch::confirm_connected(self.node, &to.id));
-                        }
                         (Err(_), Some(to)) => {
                             self.node.note_path_failure(&to.id, PathFailure::Connect);
                         }
-                        (_, None) => {}
+                        (Ok(_), _) | (_, None) => {}
                     }
                     return conn.map_err(|_| SendOutcome::NotRun(FAILED_CONNECT));
                 }
@@ -481,127 +584,62 @@
         }
     }
 
-    /// Sends the request on a connection, which is kept if it has carried others before, and relays the
-    /// response. The second part of the result is `Some` if the connection may be reused, with the
-    /// keep-alive time that the endpoint announced.
+    /// Writes the request to an endpoint, or what is left of it, and relays the response. The second
+    /// part of the result is `Some` if the connection may be reused, with the keep-alive time that the
+    /// endpoint announced.
     async fn exchange(
         &mut self,
         caller: &mut Conn,
-        conn: &mut Conn,
-        is_kept: bool,
+        send: &mut Exchange,
         to: &Candidate,
-        prompt: u32,
-        stream_started: &mut bool,
     ) -> (SendOutcome, Option<Option<Duration>>) {
-        let now = self.node.now();
-        let passed = ForwardMeta {
-            endpoint: &to.id,
-            address: &to.address,
-            account: self.request.account.as_ref().map(|a| &*a.name),
-            time_left: self.request.deadline.since(now),
-            last_event: self.delivered.last_event,
-            priority: self.endpoint_priority(),
-        };
-        let mut out =
-            requests::encode_request(&self.request.head, &passed, self.request.body.len());
-        out.extend_from_slice(&self.request.body);
-        match self.await_endpoint(caller, conn.write(&out), to).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) => {
-                self.note_broken(to);
-                return (SendOutcome::MayHaveRun("write"), None);
+        let mut body = loop {
+            match std::mem::replace(&mut send.phase, Phase::Head) {
+                Phase::Body(body) => break body,
+                phase => send.phase = phase,
             }
-            Err(outcome) => return (outcome, None),
-        }
-        let mut skipped = 0;
-        let (mut head, meta) = loop {
-            let mut head = match self.await_response_head(caller, conn, to).await {
-                Ok(head) => head,
+            let step = advance_head(&mut send.conn, &mut send.phase);
+            let head = match self.await_endpoint(caller, step, to).await {
+                Ok(Ok(Some(head))) => head,
+                Ok(Ok(None)) => continue,
+                Ok(Err(e)) => return (send.head_failed(self.node, self.request, &e), None),
                 Err(outcome) => return (outcome, None),
             };
-            self.node.note_heard(&to.id);
-            self.new_conn = None;
-            // An endpoint can't speak for an entry VM.
-            head.headers.remove_prefixed(passing::HEADER_PREFIX);
-            let meta = requests::read_response_meta(&head);
-            // Status 421 may come from another endpoint at this address.
-            if meta.leaving && head.status != 421 {
-                let (started_ms, _) = to.incarnation;
-                self.node.note_leaving(&to.id, started_ms);
-                self.leaving.push((to.id.clone(), started_ms));
-            }
-            if head.status != 421 {
-                self.node.note_limit(&to.id, to.incarnation.0, meta.limit);
-            }
-            if meta.request_id == self.request_id() {
-                if let Some(time) = meta.retry_after {
-                    self.hold_off(to, time);
+            match send.judge_head(self.node, self.request, to, head) {
+                HeadVerdict::Answer | HeadVerdict::Skip => {}
+                HeadVerdict::Failed(outcome) => return (outcome, None),
+                HeadVerdict::NotRun(cause, mut body) => {
+                    let may_reuse = body.head.keep_alive && send.skipped == 0;
+                    let reuse = may_reuse
+                        && skip_refusal(&mut send.conn, &mut body.head.body_framing).await;
+                    return (
+                        SendOutcome::NotRun(cause),
+                        reuse.then_some(body.idle_timeout),
+                    );
                 }
-                break (head, meta);
-            }
-            log::info!(
-                "event=foreign_answer request={} id={} answers={}",
-                self.request_id(),
-                to.id,
-                meta.request_id
-            );
-            self.node.metrics.count(Counter::ForeignAnswers, "skipped");
-            // Status 421 comes from another endpoint, which need not repeat the request's identifier. On
-            // a connection that has answered before, it may be an earlier refusal.
-            if head.status == 421 && meta.request_id.is_empty() && !is_kept && skipped == 0 {
-                return (SendOutcome::NotRun("other_endpoint"), None);
-            }
-            skipped += 1;
-            if skipped > MAX_SKIPPED_RESPONSES || !head.keep_alive {
-                return (SendOutcome::MayHaveRun("foreign_answer"), None);
-            }
-            let mut framing = head.body_framing;
-            let skip = conn.skip_body(&mut framing, MAX_BODY_BYTES);
-            match self.await_endpoint(caller, skip, to).await {
-                Ok(Ok(true)) => {}
-                Ok(Ok(false) | Err(_)) => {
-                    return (SendOutcome::MayHaveRun("foreign_answer"), None);
-                }
-                Err(outcome) => return (outcome, None),
             }
         };
-        if meta.not_run {
-            let may_reuse = head.keep_alive && skipped == 0;
-            let reuse = may_reuse && skip_refusal(conn, &mut head.body_framing).await;
-            let outcome = SendOutcome::NotRun(if head.status == 421 {
-                "other_endpoint"
-            } else {
-                "endpoint_full"
-            });
-            return (outcome, reuse.then_some(meta.idle_timeout));
-        }
-        let success = (200..300).contains(&head.status);
-        if success && !meta.signed {
-            return (SendOutcome::MayHaveRun("unsigned"), None);
-        }
-        let upstream = Upstream::Endpoint(to);
-        let outcome = if success && self.request.route.request_kind.is_stream() {
-            self.relay_stream(caller, conn, &mut head, upstream, prompt, stream_started)
-                .await
-        } else {
-            self.relay_buffered(caller, conn, &mut head, upstream).await
-        };
-        let reuse =
-            matches!(outcome, SendOutcome::Answered { .. }) && head.keep_alive && skipped == 0;
-        (outcome, reuse.then_some(meta.idle_timeout))
+        self.leaving.append(&mut send.leaving);
+        let outcome = self.relay_body(caller, send, &mut body).await;
+        let may_reuse = body.head.keep_alive && send.skipped == 0;
+        let reuse = matches!(outcome, SendOutcome::Answered { .. }) && may_reuse;
+        let idle_timeout = body.idle_timeout;
+        send.phase = Phase::Body(body);
+        (outcome, reuse.then_some(idle_timeout))
     }
 
-    /// Reads the head of the response, unless the endpoint is silent for too long, the deadline
-    /// passes or the caller disconnects.
-    async fn await_response_head(
+    /// Relays the body of a response, as a stream if it is one.
+    async fn relay_body(
         &mut self,
         caller: &mut Conn,
-        conn: &mut Conn,
-        to: &Candidate,
-    ) -> Result<ResponseHead, SendOutcome> {
-        let read = conn.read_response_head(MAX_HEAD_BYTES);
-        let head = self.await_endpoint(caller, read, to).await?;
-        head.map_err(|e| self.connection_broken(Upstream::Endpoint(to), &e))
+        send: &mut Exchange,
+        body: &mut Body,
+    ) -> SendOutcome {
+        let is_stream = self.request.route.request_kind.is_stream();
+        match is_stream && (200..300).contains(&body.head.status) {
+            true => self.relay_stream(caller, send, body).await,
+            false => self.relay_buffered(caller, send, body).await,
+        }
     }
 
     /// Waits for a read from the endpoint or a write to it, unless that takes longer than the
@@ -630,7 +668,7 @@
                         return Err(SendOutcome::DeadlinePassed);
                     }
                     if let Some(cause) = self.check_silence(now, &mut silence, to, true) {
-                        return Err(SendOutcome::MayHaveRun(cause));
+                        return Err(SendOutcome::Silent(cause));
                     }
                 }
             }
--- a/node/src/relay/buffered.rs
+++ b/node/src/relay/buffered.rs
@@ -2,10 +2,11 @@
 
 use hemlock_lib::node::config::RequestKind;
 use hemlock_platform::requests;
-use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
+use hemlock_wire::http1::{self, Conn, Framing};
 use tokio::task::coop::unconstrained;
 
-use super::{MAX_PIPELINED_BYTES, MIN_TIME_LEFT, Relay, SendOutcome, Upstream, answer_body};
+use super::exchange::{Body, Exchange, Receiver};
+use super::{MAX_PIPELINED_BYTES, MIN_TIME_LEFT, Relay, SendOutcome, answer_body};
 use crate::front::ConnectionAction;
 
 impl Relay<'_> {
@@ -13,16 +14,20 @@
     pub(super) async fn relay_buffered(
         &mut self,
         caller: &mut Conn,
-        conn: &mut Conn,
-        head: &mut ResponseHead,
-        upstream: Upstream<'_>,
+        send: &mut Exchange,
+        body: &mut Body,
     ) -> SendOutcome {
+        let head = &mut body.head;
         if self.request.head.method == "HEAD" {
             head.body_framing = Framing::Done;
         }
         let body = {
             let time_left = self.request.deadline.since(self.node.now());
-            let read = answer_body::read(&self.node.answer_memory, conn, &mut head.body_framing);
+            let read = answer_body::read(
+                &self.node.answer_memory,
+                &mut send.conn,
+                &mut head.body_framing,
+            );
             let mut read = std::pin::pin!(read);
             let mut deadline = std::pin::pin!(tokio::time::sleep(time_left));
             loop {
@@ -39,9 +44,9 @@
         let mut body = match body {
             Ok(Some(body)) => body,
             Ok(None) => return SendOutcome::MayHaveRun("too_large"),
-            Err(e) => return self.connection_broken(upstream, &e),
+            Err(e) => return send.connection_broken(self.node, self.request, &e),
         };
-        if let Upstream::Endpoint(to) = upstream {
+        if let Receiver::Endpoint(to) = &send.receiver {
             self.node.note_heard(&to.id);
             let mut balancer = self.node.balancer.borrow_mut();
             balancer.record_progress(self.node.now(), &to.id);
@@ -75,6 +80,7 @@
         out.extend_from_slice(b"\r\n");
         out.extend_from_slice(body.bytes());
         body.free_bytes();
+        self.signals.is_committed.set(true);
         match self.write_to_caller(caller, &out).await {
             true => SendOutcome::Answered {
                 status: head.status,
--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -2,6 +2,7 @@
 //! left alone.
 
 use std::io::ErrorKind;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hemlock_lib::node::balance::{Candidate, SILENCE_TIMEOUT};
@@ -11,11 +12,14 @@
 use hemlock_lib::time::Time;
 use hemlock_wire::http1::HttpError;
 
+use super::exchange::{Exchange, Receiver};
 use super::pass_on::PEER_BROKE_OFF;
 use super::{
-    FIRST_EVENT_SLACK, MAX_EXTENSIONS, MIN_BEGUN_EVENTS, Relay, SendOutcome, SilenceTimer, Upstream,
+    FIRST_EVENT_SLACK, MAX_EXTENSIONS, MIN_BEGUN_EVENTS, Relay, SendOutcome, SilenceTimer,
 };
+use crate::front::Request;
 use crate::metrics::Counter;
+use crate::state::Node;
 
 impl Relay<'_> {
     /// Returns for how long the endpoint may send nothing before another one is tried.
@@ -51,7 +55,7 @@
             .max(Duration::from_millis(1))
     }
 
-    /// Returns the cause for which to give up an endpoint that has sent nothing for this request,
+    /// Returns the cause for which to hold a send to an endpoint that has sent nothing for this request,
     /// if the timeout has passed. An endpoint that answers other requests meanwhile is only slow,
     /// and gets up to [`MAX_EXTENSIONS`] extensions.
     pub(super) fn check_silence(
@@ -95,30 +99,33 @@
         self.node.endpoints_changed.notify_one();
         Some("silent")
     }
+}
 
+impl Exchange {
     /// Records that a connection broke while the request was open on it.
     pub(super) fn connection_broken(
         &mut self,
-        upstream: Upstream<'_>,
+        node: &Rc<Node>,
+        request: &Request,
         error: &HttpError,
     ) -> SendOutcome {
-        let Upstream::Endpoint(to) = upstream else {
+        if let Receiver::Peer(..) = self.receiver {
             let cause = match error {
                 HttpError::Broken(e) if e.kind() == ErrorKind::UnexpectedEof => PEER_BROKE_OFF,
                 _ => "peer_broken",
             };
             return SendOutcome::PeerLost(cause);
-        };
-        self.record_crash(to, error);
+        }
+        self.record_crash(node, request, error);
         match error {
             HttpError::Malformed(_) | HttpError::HeadTooLarge => {
                 SendOutcome::MayHaveRun("malformed")
             }
             HttpError::Closed | HttpError::Broken(_) => {
-                self.note_broken(to);
+                self.note_broken(node, request);
                 // If the path is lost, idle connections have broken at the same time.
-                for id in self.node.pool.remove_closed(self.node.now()) {
-                    self.node.note_path_failure(&id, PathFailure::Broken);
+                for id in node.pool.remove_closed(node.now()) {
+                    node.note_path_failure(&id, PathFailure::Broken);
                 }
                 SendOutcome::MayHaveRun("broken")
             }
@@ -127,86 +134,82 @@
 
     /// Records that the connection to an endpoint broke. A new one that has brought nothing counts as
     /// not established, since a middlebox may open connections and then reset them.
-    pub(super) fn note_broken(&mut self, to: &Candidate) {
-        self.node.note_path_failure(&to.id, PathFailure::Broken);
+    pub(super) fn note_broken(&mut self, node: &Rc<Node>, request: &Request) {
+        let Receiver::Endpoint(to) = &self.receiver else {
+            return;
+        };
+        node.note_path_failure(&to.id, PathFailure::Broken);
         if let Some(is_broken) = self.new_conn.take() {
             is_broken.set(true);
-            self.node.note_path_failure(&to.id, PathFailure::Connect);
+            node.note_path_failure(&to.id, PathFailure::Connect);
             if to.model.is_some() {
-                self.note_break(to);
+                note_break(node, request, to);
             }
         }
     }
 
-    /// Records that a group broke off a request before it sent a byte.
-    fn note_break(&self, to: &Candidate) {
-        let now = self.node.now();
-        // If no endpoint was heard lately, it may be this VM that is cut off.
-        if !self.node.reach.borrow().hears_others(now) {
-            return;
-        }
-        let mut balancer = self.node.balancer.borrow_mut();
-        let (started_ms, _) = to.incarnation;
-        if balancer.breaks_mut().record_break(now, &to.id, started_ms) {
-            log::warn!(
-                "event=breaks_all id={} request={}",
-                to.id,
-                self.request_id()
-            );
-            self.node.metrics.count(Counter::BreaksAll, "group");
-            self.node.send_now.notify_one();
-        }
-    }
-
     /// Records in the quarantine that an endpoint has broken off its answer. Peers are told once it is
     /// clear that this VM has not lost its path.
     ///
     /// A connection that was open while this VM was cut off says nothing about its endpoint.
-    pub(super) fn record_crash(&self, to: &Candidate, cause: &dyn std::fmt::Display) {
-        let now = self.node.now();
-        let sent_at = self.current_estimate.map_or(now, |(_, sent)| sent);
-        if self.node.reach.borrow().was_cut_since(sent_at) {
+    pub(super) fn record_crash(
+        &self,
+        node: &Rc<Node>,
+        request: &Request,
+        cause: &dyn std::fmt::Display,
+    ) {
+        let Receiver::Endpoint(to) = &self.receiver else {
+            return;
+        };
+        let now = node.now();
+        let request_id = &request.meta.request_id;
+        let sent_at = self.estimate.map_or(now, |(_, sent)| sent);
+        if node.reach.borrow().was_cut_since(sent_at) {
             log::info!(
-                "event=broken_by_cut request={} id={} cause=\"{cause}\"",
-                self.request_id(),
+                "event=broken_by_cut request={request_id} id={} cause=\"{cause}\"",
                 to.id
             );
             return;
         }
-        let count = self.node.quarantine.borrow_mut().record_crash(
+        let count = node.quarantine.borrow_mut().record_crash(
             now,
-            &self.request.suspects,
+            &request.suspects,
             EndpointRun::new(&to.id, to.incarnation.0),
-            self.delivered.of_endpoint >= MIN_BEGUN_EVENTS,
+            self.of_endpoint >= MIN_BEGUN_EVENTS,
         );
         if count > 1 {
             log::warn!(
-                "event=breaks request={} id={} endpoints={count}",
-                self.request_id(),
+                "event=breaks request={request_id} id={} endpoints={count}",
                 to.id
             );
         }
-        let parts = &self.request.meta.shared_parts;
+        let parts = &request.meta.shared_parts;
         let parts: Vec<String> = parts.iter().map(|p| format!("{p:x}")).collect();
         log::info!(
-            "event=crash request={} id={} events={} parts={} cause=\"{cause}\"",
-            self.request_id(),
+            "event=crash request={request_id} id={} events={} parts={} cause=\"{cause}\"",
             to.id,
-            self.delivered.events,
+            self.events_before + self.of_endpoint,
             parts.join(",")
         );
     }
+}
 
-    /// Sends nothing to an endpoint for the time that it asked for.
-    pub(super) fn hold_off(&self, to: &Candidate, time: Duration) {
-        let now = self.node.now();
-        log::info!(
-            "event=held_off id={} request={} ms={}",
+/// Records that a group broke off a request before it sent a byte.
+fn note_break(node: &Rc<Node>, request: &Request, to: &Candidate) {
+    let now = node.now();
+    // If no endpoint was heard lately, it may be this VM that is cut off.
+    if !node.reach.borrow().hears_others(now) {
+        return;
+    }
+    let mut balancer = node.balancer.borrow_mut();
+    let (started_ms, _) = to.incarnation;
+    if balancer.breaks_mut().record_break(now, &to.id, started_ms) {
+        log::warn!(
+            "event=breaks_all id={} request={}",
             to.id,
-            self.request_id(),
-            time.as_millis()
+            request.meta.request_id
         );
-        let mut balancer = self.node.balancer.borrow_mut();
-        balancer.hold_off(now, to, time);
+        node.metrics.count(Counter::BreaksAll, "group");
+        node.send_now.notify_one();
     }
 }
--- a/node/src/relay/limits.rs
+++ b/node/src/relay/limits.rs
@@ -4,6 +4,7 @@
 
 use hemlock_lib::node::balance;
 use hemlock_lib::node::config::Engine;
+use hemlock_lib::node::holding;
 use hemlock_lib::time::Time;
 
 use super::Relay;
@@ -105,7 +106,11 @@
     /// Returns whether another endpoint may continue the request if this one sends nothing.
     pub(super) fn may_switch_endpoint(&self) -> bool {
         let route = &self.request.route;
-        // A peer that has no sends left hands the request back, to be sent through another one.
-        route.request_kind.may_retry() && self.sends.possible_runs + 1 < route.max_attempts
+        holding::may_switch(
+            route.request_kind.may_retry(),
+            self.sends.possible_runs,
+            self.is_counted,
+            route.max_attempts,
+        )
     }
 }
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -6,10 +6,14 @@
 use hemlock_lib::node::forecast::Estimate;
 use hemlock_wire::http1::Conn;
 
-use super::Relay;
+use super::exchange::{Exchange, Phase, Receiver};
+use super::{Relay, SendOutcome, held};
 use crate::front::{self, ConnectionAction};
 use crate::metrics::{Counter, Latency};
 
+/// Cause of a send that was cancelled since one that was held went on.
+const OVERTAKEN: &str = "overtaken";
+
 /// Returns whether a send that failed for `cause` left a connection on which the answer could still
 /// have come.
 fn is_given_up(cause: &str) -> bool {
@@ -54,6 +58,117 @@
         self.node.metrics.count(Counter::SendsFailed, cause);
     }
 
+    /// Records that a send to an endpoint did not run the request.
+    pub(super) fn note_not_run(&mut self, to: &Candidate, reason: &'static str) {
+        self.log_failed(to, reason, false);
+        let mut balancer = self.node.balancer.borrow_mut();
+        balancer.record_failure(self.node.now(), &to.id);
+    }
+
+    /// Records the outcome of a send that has ended.
+    pub(super) fn settle(&mut self, receiver: &Receiver, outcome: &SendOutcome) {
+        match receiver {
+            Receiver::Endpoint(to) => match *outcome {
+                SendOutcome::NotRun(reason) => self.note_not_run(to, reason),
+                SendOutcome::MayHaveRun(reason) => {
+                    self.count_run(receiver);
+                    self.log_failed(to, reason, true);
+                    let mut balancer = self.node.balancer.borrow_mut();
+                    balancer.record_failure(self.node.now(), &to.id);
+                }
+                SendOutcome::DeadlinePassed => self.count_run(receiver),
+                _ => {}
+            },
+            Receiver::Peer(peer, _) => {
+                if let SendOutcome::DeadlinePassed | SendOutcome::PeerLost(_) = outcome {
+                    self.count_run(receiver);
+                }
+                self.note_peer_outcome(peer, outcome);
+            }
+        }
+    }
+
+    /// Counts the current send as possible runs, once.
+    fn count_run(&mut self, receiver: &Receiver) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            match receiver {
+                Receiver::Endpoint(_) => self.sends.possible_runs += 1,
+                Receiver::Peer(_, runs) => self.sends.record_lost_peer(runs.max),
+            }
+        }
+    }
+
+    /// Holds the current send, whose endpoint or peer is silent.
+    pub(super) fn hold(&mut self, mut send: Box<Exchange>) {
+        let now = self.node.now();
+        let is_first = !send.is_counted;
+        let receiver = send.receiver.clone();
+        self.count_run(&receiver);
+        send.is_counted = true;
+        log::info!(
+            "event=held request={} id={} cause={} events={} quiet_ms={} left_ms={}{}",
+            self.request_id(),
+            send.name(),
+            send.held_for,
+            self.delivered.events,
+            now.since(send.heard_at).as_millis(),
+            self.left_ms(),
+            self.for_peer()
+        );
+        self.node.metrics.count(Counter::SendsHeld, send.held_for);
+        match &receiver {
+            Receiver::Endpoint(to) if is_first => {
+                let mut balancer = self.node.balancer.borrow_mut();
+                balancer.record_failure(now, &to.id);
+            }
+            Receiver::Endpoint(_) => {}
+            Receiver::Peer(peer, _) => {
+                self.node.peer_loads.borrow_mut().avoid(now, &peer.node);
+                self.node.peer_pool.drop_endpoint(&peer.node);
+            }
+        }
+        self.held.push(*send);
+    }
+
+    /// Records that a send ended while it was held.
+    pub(super) fn note_held_end(&mut self, mut send: Exchange) {
+        let cause = send.ended_by.unwrap_or(send.held_for);
+        held::log_end(self.node, self.request, &send, cause);
+        self.leaving.append(&mut send.leaving);
+        if let (Receiver::Peer(peer, _), Phase::Arrived(head)) = (&send.receiver, &send.phase) {
+            self.read_report(head, peer);
+        }
+        self.failed_at = Some(self.node.now());
+        self.failed_by = cause;
+    }
+
+    /// Records that the current send was cancelled, since one that was held goes on.
+    pub(super) fn settle_cancelled(&mut self) {
+        let Some(receiver) = self.open_send.take() else {
+            return;
+        };
+        self.count_run(&receiver);
+        match &receiver {
+            Receiver::Endpoint(to) => self.log_failed(to, OVERTAKEN, true),
+            Receiver::Peer(..) => self.node.metrics.count(Counter::PassedOn, OVERTAKEN),
+        }
+    }
+
+    /// Logs and counts a send that goes on after it was held.
+    pub(super) fn log_resumed(&self, send: &Exchange) {
+        let now = self.node.now();
+        log::info!(
+            "event=resumed request={} id={} quiet_ms={} held={}{}",
+            self.request_id(),
+            send.name(),
+            now.since(send.heard_at).as_millis(),
+            self.held.len(),
+            self.for_peer()
+        );
+        let counter = Counter::SendsResumed;
+        self.node.metrics.count(counter, send.held_for);
+    }
+
     /// Returns the figures of a request that ends without its answer, for the log.
     fn end_figures(&self) -> String {
         let in_force = self.node.config().map_or(0, |c| c.version);
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -4,6 +4,7 @@
 //! Until then it can't run it, so that a peer that refuses, is lost or has an older build may be
 //! replaced by another one whatever the request is.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use hemlock_lib::node::passing::{self, Origin, PassedRequest, PeerReport, Situation};
@@ -14,9 +15,8 @@
 use hemlock_wire::http1::{self, Conn, HttpError, ResponseHead};
 use rand::Rng;
 
-use super::{
-    FAILED_CONNECT, MAX_HEAD_BYTES, Relay, SendOutcome, Upstream, caller_has_left, skip_refusal,
-};
+use super::exchange::{Body, Exchange, Load, PeerLoad, PeerRuns, Phase, Receiver};
+use super::{FAILED_CONNECT, MAX_HEAD_BYTES, Relay, SendOutcome, caller_has_left, skip_refusal};
 use crate::front;
 use crate::metrics::Counter;
 
@@ -26,9 +26,8 @@
 pub(super) const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without any byte of a stream after which a peer is lost if its heartbeats are missing too.
 const PEER_LOST_AFTER: Duration = Duration::from_millis(500);
-/// Factor on the silence timeout of endpoints for a stream through a peer, which changes the endpoint
-/// itself if that is silent.
-const PEER_SILENCE_FACTOR: u32 = 4;
+/// Time that a peer gets beyond the silence timeouts of its endpoints.
+const PEER_SLACK: Duration = Duration::from_millis(200);
 /// Interval at which a request that waits for a path looks for one.
 const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after a failure in which bytes that arrive may have been sent before the path was lost.
@@ -139,45 +138,43 @@
             self.delivered.last_event
         );
         self.peers_tried.push(peer.node.clone());
-        self.node.peer_loads.borrow_mut().record_start(&peer.node);
-        self.delivered.of_endpoint = 0;
-        let max_runs = passing::max_runs_of_peer(
+        let load = PeerLoad::new(self.node, &peer.node);
+        let max = passing::max_runs_of_peer(
             self.sends.possible_runs,
             self.max_attempts(),
             self.request.route.request_kind.may_retry(),
         );
+        let runs = PeerRuns {
+            max,
+            own: max - self.sends.possible_runs,
+        };
         self.peer = Some(peer.node.clone());
-        let outcome = self.exchange_with_peer(caller, peer, max_runs).await;
-        let now = self.node.now();
-        let mut loads = self.node.peer_loads.borrow_mut();
-        loads.record_end(&peer.node);
-        let kind = match &outcome {
-            SendOutcome::Answered { .. } => "answered",
-            SendOutcome::CallerLeft => "left",
-            SendOutcome::DeadlinePassed => "overdue",
-            SendOutcome::Refused(_) => "refused",
-            SendOutcome::MayHaveRun(cause) => cause,
-            SendOutcome::NotRun(PEER_UNABLE) => PEER_UNABLE,
-            SendOutcome::NotRun(cause) => {
-                loads.avoid(now, &peer.node);
-                self.node.peer_pool.drop_endpoint(&peer.node);
-                cause
-            }
-            SendOutcome::PeerLost(PEER_BROKE_OFF) => {
-                self.sends.record_lost_peer(max_runs);
-                PEER_BROKE_OFF
-            }
-            SendOutcome::PeerLost(cause) => {
-                loads.avoid(now, &peer.node);
-                self.node.peer_pool.drop_endpoint(&peer.node);
-                self.sends.record_lost_peer(max_runs);
-                cause
+        let peer = Rc::new(peer.clone());
+        match self.hand_over(caller, &peer, runs, load).await {
+            Ok(send) => self.carry_on(caller, send).await,
+            Err(outcome) => {
+                self.note_peer_outcome(&peer, &outcome);
+                outcome
             }
+        }
+    }
+
+    /// Logs and counts the outcome of a request that was passed on, and avoids a peer that failed.
+    pub(super) fn note_peer_outcome(&self, peer: &PeerPath, outcome: &SendOutcome) {
+        let is_avoided = match outcome {
+            SendOutcome::NotRun(PEER_UNABLE) | SendOutcome::PeerLost(PEER_BROKE_OFF) => false,
+            SendOutcome::NotRun(_) | SendOutcome::PeerLost(_) => true,
+            _ => false,
         };
-        self.node.metrics.count(Counter::PassedOn, kind);
+        if is_avoided {
+            let mut loads = self.node.peer_loads.borrow_mut();
+            loads.avoid(self.node.now(), &peer.node);
+            self.node.peer_pool.drop_endpoint(&peer.node);
+        }
+        self.node.metrics.count(Counter::PassedOn, outcome.cause());
         if let SendOutcome::NotRun(cause)
         | SendOutcome::MayHaveRun(cause)
-        | SendOutcome::PeerLost(cause) = &outcome
+        | SendOutcome::PeerLost(cause) = outcome
         {
             log::info!(
                 "event=pass_failed request={} via=peer:{} cause={cause} may_have_run={} events={}",
@@ -187,19 +184,19 @@
                 self.delivered.events
             );
         }
-        outcome
     }
 
-    /// Passes the request on over a connection to the peer, over a new one if a kept connection was
-    /// closed meanwhile.
-    async fn exchange_with_peer(
+    /// Hands the request over to a peer, over a new connection if a kept one was closed meanwhile.
+    /// Fails with the outcome of a request that the peer has not got in full.
+    async fn hand_over(
         &mut self,
         caller: &mut Conn,
-        peer: &PeerPath,
-        max_runs: u32,
-    ) -> SendOutcome {
+        peer: &Rc<PeerPath>,
+        runs: PeerRuns,
+        load: PeerLoad,
+    ) -> Result<Box<Exchange>, SendOutcome> {
         let key = std::sync::Arc::from(peer.node.as_str());
-        loop {
+        let (mut conn, is_kept) = loop {
             let kept = self.node.peer_pool.take(self.node.now(), &key);
             let is_kept = kept.is_some();
             let mut conn = match kept {
@@ -207,39 +204,65 @@
                 None => match self.connect(caller, peer.address, None).await {
                     Ok(conn) => conn,
                     Err(SendOutcome::NotRun(FAILED_CONNECT)) => {
-                        return SendOutcome::NotRun("peer_connect");
+                        return Err(SendOutcome::NotRun("peer_connect"));
                     }
-                    Err(outcome) => return outcome,
+                    Err(outcome) => return Err(outcome),
                 },
             };
-            let Some(out) = self.encode_for_peer(peer, max_runs) else {
-                return SendOutcome::NotRun("peer_secret");
+            let Some(out) = self.encode_for_peer(peer, runs.max) else {
+                return Err(SendOutcome::NotRun("peer_secret"));
             };
             match self.write_to_peer(caller, &mut conn, &out).await {
                 Ok(()) => {}
                 Err(SendOutcome::NotRun(_)) if is_kept => continue,
-                Err(SendOutcome::NotRun(_)) => return SendOutcome::NotRun("peer_broken"),
-                Err(outcome) => return outcome,
+                Err(SendOutcome::NotRun(_)) => return Err(SendOutcome::NotRun("peer_broken")),
+                Err(outcome) => return Err(outcome),
             }
             match self.await_acceptance(caller, &mut conn).await {
-                Ok(()) => {}
+                Ok(()) => break (conn, is_kept),
                 Err(Declined::Broken(_)) if is_kept => continue,
                 Err(Declined::Broken(error)) => {
                     log::debug!("event=peer_declined node={} cause=\"{error}\"", peer.node);
-                    return SendOutcome::NotRun("peer_broken");
+                    return Err(SendOutcome::NotRun("peer_broken"));
                 }
-                Err(Declined::Outcome(outcome)) => return outcome,
+                Err(Declined::Outcome(outcome)) => return Err(outcome),
                 Err(Declined::Response(head)) => {
-                    return self.declined(&head, peer);
+                    return Err(self.declined(&head, peer));
                 }
             }
-            let (outcome, is_reusable) = self.finish_exchange(caller, &mut conn, peer).await;
-            if is_reusable {
-                let now = self.node.now();
-                self.node.peer_pool.put(now, &key, conn, None);
-            }
-            return outcome;
+        };
+        let mut out = Vec::with_capacity(self.request.body.len() + 32);
+        if !self.request.body.is_empty() {
+            http1::put_chunk(&mut out, &self.request.body);
         }
+        out.extend_from_slice(http1::LAST_CHUNK);
+        let receiver = Receiver::Peer(peer.clone(), runs);
+        self.is_counted = false;
+        self.open_send = Some(receiver.clone());
+        let written = self.write_to_peer(caller, &mut conn, &out).await;
+        self.open_send = None;
+        written?;
+        Ok(Box::new(Exchange {
+            receiver,
+            conn,
+            phase: Phase::Head,
+            is_kept,
+            skipped: 0,
+            events_before: self.delivered.events,
+            of_endpoint: 0,
+            estimate: None,
+            endpoint: self.endpoint.clone(),
+            leaving: Vec::new(),
+            heard_at: self.node.now(),
+            new_conn: None,
+            load: Load::Peer {
+                load,
+                has_started: false,
+            },
+            is_counted: false,
+            held_for: "",
+            ended_by: None,
+        }))
     }
 
     /// Encodes the head of the request for a peer; `None` if the peer's secret is not known.
@@ -361,35 +384,54 @@
         }
     }
 
-    /// Sends the body to a peer that has accepted the request, and relays the response. Returns also
-    /// whether the connection can be used again.
-    async fn finish_exchange(
+    /// Relays the response of a peer that has the request. The second part of the result is `Some` if
+    /// the connection can be used again.
+    pub(super) async fn exchange_with_peer(
         &mut self,
         caller: &mut Conn,
-        conn: &mut Conn,
+        send: &mut Exchange,
         peer: &PeerPath,
-    ) -> (SendOutcome, bool) {
-        let mut out = Vec::with_capacity(self.request.body.len() + 32);
-        if !self.request.body.is_empty() {
-            http1::put_chunk(&mut out, &self.request.body);
-        }
-        out.extend_from_slice(http1::LAST_CHUNK);
-        if let Err(outcome) = self.write_to_peer(caller, conn, &out).await {
-            return (outcome, false);
-        }
-        let mut head = match self.await_peer_head(caller, conn).await {
-            Ok(head) => head,
-            Err(outcome) => return (outcome, false),
+        runs: PeerRuns,
+    ) -> (SendOutcome, Option<Option<Duration>>) {
+        let mut body = loop {
+            match std::mem::replace(&mut send.phase, Phase::Head) {
+                Phase::Body(body) => break body,
+                Phase::Arrived(head) => match self.judge_peer_head(send, peer, *head).await {
+                    Ok(body) => break body,
+                    Err((outcome, is_reusable)) => {
+                        return (outcome, is_reusable.then_some(None));
+                    }
+                },
+                Phase::Write(_) | Phase::Head | Phase::Skip(_) => {
+                    match self.await_peer_head(caller, send, runs).await {
+                        Ok(head) => send.phase = Phase::Arrived(Box::new(head)),
+                        Err(outcome) => return (outcome, None),
+                    }
+                }
+            }
         };
-        let origin = self.read_report(&head, peer);
-        let Some(origin) = origin else {
-            return (SendOutcome::PeerLost("peer_malformed"), false);
+        let outcome = self.relay_body(caller, send, &mut body).await;
+        let is_reusable = matches!(outcome, SendOutcome::Answered { .. }) && body.head.keep_alive;
+        send.phase = Phase::Body(body);
+        (outcome, is_reusable.then_some(None))
+    }
+
+    /// Looks at the head of a peer's response. Fails with the outcome if it is no answer of an
+    /// endpoint, and with whether the connection can be used again.
+    async fn judge_peer_head(
+        &mut self,
+        send: &mut Exchange,
+        peer: &PeerPath,
+        mut head: ResponseHead,
+    ) -> Result<Box<Body>, (SendOutcome, bool)> {
+        let Some(origin) = self.read_report(&head, peer) else {
+            return Err((SendOutcome::PeerLost("peer_malformed"), false));
         };
         let (id, started_ms) = match origin {
             Origin::Endpoint { id, started_ms } => (id, started_ms),
             Origin::Elsewhere { .. } | Origin::Refused { .. } | Origin::Failed { .. } => {
                 let is_reusable =
-                    head.keep_alive && skip_refusal(conn, &mut head.body_framing).await;
+                    head.keep_alive && skip_refusal(&mut send.conn, &mut head.body_framing).await;
                 let outcome = match origin {
                     Origin::Refused { after_ms, .. } => {
                         SendOutcome::Refused(Duration::from_millis(after_ms))
@@ -397,53 +439,58 @@
                     Origin::Failed { .. } => SendOutcome::MayHaveRun("peer_failed"),
                     _ => SendOutcome::NotRun(cause_of_decline(&origin)),
                 };
-                return (outcome, is_reusable);
+                return Err((outcome, is_reusable));
             }
         };
         self.endpoint = Some((id, started_ms));
         let meta = requests::read_response_meta(&head);
         if meta.request_id != self.request_id() {
-            return (SendOutcome::PeerLost("foreign_answer"), false);
+            return Err((SendOutcome::PeerLost("foreign_answer"), false));
         }
         let success = (200..300).contains(&head.status);
         if success && !meta.signed {
-            return (SendOutcome::MayHaveRun("unsigned"), false);
+            return Err((SendOutcome::MayHaveRun("unsigned"), false));
         }
         head.headers.remove_prefixed(passing::HEADER_PREFIX);
-        let upstream = Upstream::Peer(peer);
-        let mut stream_started = false;
-        let outcome = if success && self.request.route.request_kind.is_stream() {
-            self.relay_stream(caller, conn, &mut head, upstream, 0, &mut stream_started)
-                .await
-        } else {
-            self.relay_buffered(caller, conn, &mut head, upstream).await
-        };
-        let is_reusable = matches!(outcome, SendOutcome::Answered { .. }) && head.keep_alive;
-        (outcome, is_reusable)
+        Ok(Box::new(Body::new(head, None)))
     }
 
-    /// Reads the head of the response from a peer, which shows at intervals that it is at work.
+    /// Reads the head of the response from a peer, which shows at intervals that it is at work. One
+    /// that brings no answer for too long is held.
     async fn await_peer_head(
         &self,
         caller: &mut Conn,
-        conn: &mut Conn,
+        send: &mut Exchange,
+        runs: PeerRuns,
     ) -> Result<ResponseHead, SendOutcome> {
-        let mut heard = self.node.now();
+        let begun = self.node.now();
+        let mut heard = begun;
+        let limit = self.peer_silence_limit(runs, true);
         loop {
             let now = self.node.now();
             if now >= self.request.deadline {
                 return Err(SendOutcome::DeadlinePassed);
             }
-            let quiet_left = passing::PEER_SILENCE.saturating_sub(now.since(heard));
+            let mut quiet_left = passing::PEER_SILENCE.saturating_sub(now.since(heard));
+            if self.may_switch_endpoint() {
+                quiet_left = quiet_left.min(limit.saturating_sub(now.since(begun)));
+            }
             if quiet_left.is_zero() {
-                return Err(SendOutcome::PeerLost("peer_silent"));
+                // One that may run once only can't go another way.
+                return Err(match self.request.route.request_kind.may_retry() {
+                    true => SendOutcome::Silent("peer_silent"),
+                    false => SendOutcome::PeerLost("peer_silent"),
+                });
             }
             let wait = quiet_left.min(self.request.deadline.since(now));
             tokio::select! {
                 biased;
-                head = conn.read_any_response_head(MAX_HEAD_BYTES) => match head {
+                head = send.conn.read_any_response_head(MAX_HEAD_BYTES) => match head {
                     Ok(head) if head.status >= 200 => return Ok(head),
-                    Ok(_) => heard = self.node.now(),
+                    Ok(_) => {
+                        heard = self.node.now();
+                        send.heard_at = heard;
+                    }
                     Err(_) => return Err(SendOutcome::PeerLost("peer_broken")),
                 },
                 disconnected = self.caller_disconnected(caller) => {
@@ -454,12 +501,13 @@
         }
     }
 
-    /// Returns the cause for which to give up a peer that has sent nothing of a stream since `since`.
+    /// Returns the cause for which to hold a send to a peer that has sent nothing of a stream since `since`.
     pub(super) fn check_peer(
         &self,
         now: Time,
         since: Time,
         peer: &PeerPath,
+        runs: PeerRuns,
     ) -> Option<&'static str> {
         let quiet = now.since(since);
         if quiet < PEER_LOST_AFTER {
@@ -472,12 +520,18 @@
         if !is_live {
             return Some("peer_lost");
         }
-        let limit = self.silence_timeout(false) * PEER_SILENCE_FACTOR;
+        let limit = self.peer_silence_limit(runs, false);
         (self.may_switch_endpoint() && quiet >= limit).then_some("peer_silent")
     }
 
+    /// Returns for how long a peer may bring nothing before another way is tried. It changes the
+    /// endpoint itself while it has runs left.
+    fn peer_silence_limit(&self, runs: PeerRuns, awaits_first_event: bool) -> Duration {
+        self.silence_timeout(awaits_first_event) * runs.own.max(1) + PEER_SLACK
+    }
+
     /// Reads what a peer reports of its sends. `None` if the report is missing or malformed.
-    fn read_report(&mut self, head: &ResponseHead, peer: &PeerPath) -> Option<Origin> {
+    pub(super) fn read_report(&mut self, head: &ResponseHead, peer: &PeerPath) -> Option<Origin> {
         let report: PeerReport = match passing::decode(head.headers.get(passing::REPORT_HEADER)?) {
             Ok(report) => report,
             Err(e) => {
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -2,51 +2,55 @@
 //! complete event.
 
 use bytes::Bytes;
-use hemlock_lib::node::events::{self, EventPosition, EventSplitter};
+use hemlock_lib::node::events::{self, EventPosition};
 use hemlock_lib::time::Time;
 use hemlock_platform::requests;
-use hemlock_wire::http1::{self, Conn, Framing, ResponseHead};
+use hemlock_wire::http1::{self, Conn, ResponseHead};
 use tokio::task::coop::unconstrained;
 
+use super::exchange::{Body, Exchange, Receiver};
 use super::pass_on::PEER_CHECK_INTERVAL;
-use super::{Relay, SendOutcome, SilenceTimer, Upstream};
+use super::{Relay, SendOutcome, SilenceTimer};
 use crate::front::ConnectionAction;
 use crate::metrics::Latency;
 
 /// Maximum size in bytes of an event of a stream; usual ones hold a few tokens.
-const MAX_EVENT_BYTES: usize = 64 << 10;
+pub(super) const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Pieces of a stream that are forwarded after its deadline if they are ready; the timer of the
 /// deadline may not be looked at while an endpoint always has bytes ready.
 const MAX_LATE_PIECES: u32 = 256;
 
 impl Relay<'_> {
-    /// Forwards a stream event by event. Sets `stream_started` when the endpoint sends its first
-    /// bytes.
+    /// Forwards a stream event by event, first those that arrived while its send was held.
     pub(super) async fn relay_stream(
         &mut self,
         caller: &mut Conn,
-        conn: &mut Conn,
-        head: &mut ResponseHead,
-        upstream: Upstream<'_>,
-        prompt: u32,
-        stream_started: &mut bool,
+        send: &mut Exchange,
+        body: &mut Body,
     ) -> SendOutcome {
-        let mut splitter = EventSplitter::default();
         let mut silence = SilenceTimer::new(self.node.now());
-        let framing = head.body_framing;
         let mut late_pieces = 0;
         let time_left = self.request.deadline.since(self.node.now());
         let mut deadline = std::pin::pin!(tokio::time::sleep(time_left));
+        if send.has_started() {
+            if self.delivered.first_event_after.is_none() {
+                self.note_progress(send.heard_at, true);
+            }
+            if let Err(outcome) = self.forward_events(caller, send, body, true).await {
+                return outcome;
+            }
+        }
         loop {
             let now = self.node.now();
-            let wait = match upstream {
-                Upstream::Endpoint(_) => self.silence_wait(now, silence.since, !*stream_started),
-                Upstream::Peer(_) => PEER_CHECK_INTERVAL,
+            let has_started = send.has_started();
+            let wait = match send.receiver {
+                Receiver::Endpoint(_) => self.silence_wait(now, silence.since, !has_started),
+                Receiver::Peer(..) => PEER_CHECK_INTERVAL,
             };
             let piece = tokio::select! {
                 biased;
-                piece = conn.read_body_piece(&mut head.body_framing) => piece,
+                piece = send.conn.read_body_piece(&mut body.head.body_framing) => piece,
                 disconnected = unconstrained(self.caller_disconnected(caller)) => {
                     if disconnected { return SendOutcome::CallerLeft }
                     continue;
@@ -54,10 +58,10 @@
                 () = unconstrained(&mut deadline) => return SendOutcome::DeadlinePassed,
                 () = tokio::time::sleep(wait) => {
                     let now = self.node.now();
-                    if let Some(outcome) =
-                        self.check_upstream(now, &mut silence, upstream, !*stream_started)
+                    if let Some(cause) =
+                        self.check_receiver(now, &mut silence, &send.receiver, !has_started)
                     {
-                        return outcome;
+                        return SendOutcome::Silent(cause);
                     }
                     continue;
                 }
@@ -71,89 +75,57 @@
                             return SendOutcome::DeadlinePassed;
                         }
                     }
-                    let is_first_piece = !*stream_started;
-                    self.note_progress(now, upstream, prompt, stream_started);
-                    splitter.push(&bytes);
+                    let is_first_piece = !has_started;
+                    send.note_piece(self.node, now);
+                    self.note_progress(now, is_first_piece);
+                    body.splitter.push(&bytes);
                     match self
-                        .forward_events(caller, head, &mut splitter, upstream, is_first_piece)
+                        .forward_events(caller, send, body, is_first_piece)
                         .await
                     {
                         Ok(has_event) if has_event || is_first_piece => {
                             silence = SilenceTimer::new(now);
                         }
                         Ok(_) => {
-                            if let Some(outcome) =
-                                self.check_upstream(now, &mut silence, upstream, false)
+                            if let Some(cause) =
+                                self.check_receiver(now, &mut silence, &send.receiver, false)
                             {
-                                return outcome;
+                                return SendOutcome::Silent(cause);
                             }
                         }
                         Err(outcome) => return outcome,
                     }
-                    if splitter.partial().len() > MAX_EVENT_BYTES {
+                    if body.splitter.partial().len() > MAX_EVENT_BYTES {
                         return SendOutcome::MayHaveRun("too_large");
                     }
                 }
-                Ok(None) if !splitter.partial().is_empty() || self.is_empty_answer(framing) => {
-                    return match upstream {
-                        Upstream::Endpoint(to) => {
-                            self.record_crash(to, &"the stream ended too early");
-                            SendOutcome::MayHaveRun("cut_event")
-                        }
-                        Upstream::Peer(_) => SendOutcome::PeerLost("cut_event"),
-                    };
+                Ok(None) if send.is_cut_off(body) => {
+                    return send.cut_off(self.node, self.request);
                 }
-                Ok(None) => return self.finish_stream(caller, head).await,
-                Err(e) => return self.connection_broken(upstream, &e),
+                Ok(None) => return self.finish_stream(caller, &body.head).await,
+                Err(e) => return send.connection_broken(self.node, self.request, &e),
             }
         }
     }
 
-    /// Returns the outcome if the endpoint or the peer has been silent for too long.
-    fn check_upstream(
+    /// Returns the cause for which to hold a send, if the endpoint or the peer has been silent for
+    /// too long.
+    fn check_receiver(
         &self,
         now: Time,
         silence: &mut SilenceTimer,
-        upstream: Upstream<'_>,
+        receiver: &Receiver,
         awaits_first_event: bool,
-    ) -> Option<SendOutcome> {
-        match upstream {
-            Upstream::Endpoint(to) => self
-                .check_silence(now, silence, to, awaits_first_event)
-                .map(SendOutcome::MayHaveRun),
-            Upstream::Peer(peer) => self
-                .check_peer(now, silence.since, peer)
-                .map(SendOutcome::PeerLost),
+    ) -> Option<&'static str> {
+        match receiver {
+            Receiver::Endpoint(to) => self.check_silence(now, silence, to, awaits_first_event),
+            Receiver::Peer(peer, runs) => self.check_peer(now, silence.since, peer, *runs),
         }
     }
 
-    /// Returns whether a stream that has ended lacks its answer: one without a length ends with its
-    /// connection, also when its endpoint crashes before its first event.
-    fn is_empty_answer(&self, framing: Framing) -> bool {
-        framing == Framing::UntilClose && self.delivered.of_endpoint == 0
-    }
-
     /// Records that bytes of the stream arrived, and the latency of the first ones.
-    fn note_progress(
-        &mut self,
-        now: Time,
-        upstream: Upstream<'_>,
-        prompt: u32,
-        stream_started: &mut bool,
-    ) {
-        let is_first = !std::mem::replace(stream_started, true);
+    fn note_progress(&mut self, now: Time, is_first: bool) {
         self.heard_at = now;
-        if let Upstream::Endpoint(to) = upstream {
-            self.node.note_heard(&to.id);
-            let mut balancer = self.node.balancer.borrow_mut();
-            if !is_first {
-                return balancer.record_progress(now, &to.id);
-            }
-            balancer.record_first_event(now, &to.id, prompt);
-            if let Some((expected, sent)) = &self.current_estimate {
-                balancer.record_first_event_time(to, expected, now.since(*sent));
-            }
-        }
         if is_first && self.delivered.events == 0 {
             let time = now.since(self.request.received);
             self.delivered.first_event_after = Some(time);
@@ -173,9 +145,8 @@
     async fn forward_events(
         &mut self,
         caller: &mut Conn,
-        head: &ResponseHead,
-        splitter: &mut EventSplitter,
-        upstream: Upstream<'_>,
+        send: &mut Exchange,
+        body: &mut Body,
         is_first_piece: bool,
     ) -> Result<bool, SendOutcome> {
         let now = self.node.now();
@@ -184,9 +155,9 @@
         let mut last_event = self.delivered.last_event;
         let mut events = 0;
         let mut has_gap = false;
-        while let Some(event) = splitter.next_event() {
+        while let Some(event) = body.splitter.next_event() {
             has_event = true;
-            let is_first = self.delivered.of_endpoint + events == 0;
+            let is_first = send.of_endpoint + events == 0;
             if is_first && !events::may_continue(last_event, event.id) {
                 has_gap = true;
                 break;
@@ -207,18 +178,19 @@
             let mut message = Vec::new();
             if !self.delivered.head {
                 self.note_pipelined(caller);
-                message = self.stream_head(head);
+                message = self.stream_head(&body.head);
             }
             message.extend_from_slice(&out);
+            self.signals.is_committed.set(true);
             if !self.write_to_caller(caller, &message).await {
                 return Err(SendOutcome::CallerLeft);
             }
             self.delivered.head = true;
             self.delivered.last_event = last_event;
             self.delivered.events += events;
-            self.delivered.of_endpoint += events;
+            send.of_endpoint += events;
             let has_begun = |count: u32| count >= super::MIN_BEGUN_EVENTS;
-            let of_endpoint = self.delivered.of_endpoint;
+            let of_endpoint = send.of_endpoint;
             if has_begun(of_endpoint) && !has_begun(of_endpoint - events) {
                 let mut quarantine = self.node.quarantine.borrow_mut();
                 quarantine.record_begun(now, &self.request.suspects);
@@ -228,7 +200,7 @@
                 self.node
                     .metrics
                     .record(Latency::EventGap, "answered", pause);
-                if let Upstream::Endpoint(to) = upstream
+                if let Receiver::Endpoint(to) = &send.receiver
                     && !is_first_piece
                     && let Some(engine) = self.engine()
                 {
@@ -263,6 +235,7 @@
             out = self.stream_head(head);
         }
         out.extend_from_slice(http1::LAST_CHUNK);
+        self.signals.is_committed.set(true);
         if !self.write_to_caller(caller, &out).await {
             return SendOutcome::CallerLeft;
         }
--- a/wire/src/http1/conn.rs
+++ b/wire/src/http1/conn.rs
@@ -137,6 +137,14 @@
         self.io.write_all(bytes).await
     }
 
+    /// Writes all of `rest`, from which what was written is taken.
+    ///
+    /// Cancel-safe: another call with the same bytes goes on where this one was dropped.
+    pub async fn write_rest(&mut self, rest: &mut Bytes) -> io::Result<()> {
+        self.is_unanswered = true;
+        self.io.write_all_buf(rest).await
+    }
+
     /// Writes all of `bytes`, unless the other side closes the connection before it has read them.
     /// Buffers what it sends meanwhile, up to about `limit` bytes.
     ///
