lib/node: the time for which this VM was not run is left out when it judges peers and the store

A daemon that was stopped for 1.2 s (SIGSTOP, SIGCONT) four times beside callers took both peers for lost each time, and went on as in an outage of all: the list of endpoints frozen, all engines queried. Once it also took the store for lost, as both topics' replies "timed out". Their datagrams and bytes had arrived meanwhile: after SIGCONT the wait for sockets ends with EINTR, so that all timers that are due fire before anything is read.

own_delay.rs is the one place that knows how late this VM was, from the timer of the load reports, with the time as an argument. Peers leave that time out of their silence, also before the timer has fired, so that the answer doesn't depend on which task runs first. Quiet endpoints are counted without it. Waits for a connection or for one reply (hemlock_wire::timeout) go on for as long as their timer was late, at most for their limit once more. hemlock_timer_delay_seconds shows the delays; event=stood_still stays. No new wake-ups.

Shown by node test_standstill (on the same stops gave 8 peer_lost, 2 store_lost, 4 outages; passes now) and lib test_node_own_delay.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -8,7 +8,8 @@
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, which hear from this one as often as
 //! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
 //! tells whether this VM itself is cut off from the endpoints, and [`peer_paths`] which peers are not;
-//! [`passing`] has one of these send a request.
+//! [`passing`] has one of these send a request. [`own_delay`] knows for how long this VM was not run, which
+//! is left out when others are judged by their silence.
 
 pub mod answer_memory;
 pub mod balance;
@@ -23,6 +24,7 @@
 mod healing;
 pub mod heartbeat_pace;
 pub mod load_totals;
+pub mod own_delay;
 pub mod passing;
 mod path_evidence;
 pub mod peer_paths;
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -12,6 +12,7 @@
 use super::cache::Position;
 use super::capacity::Demand;
 use super::endpoints::EngineReport;
+use super::own_delay::OwnDelay;
 use super::peer_paths::{PathQuery, PathReply};
 use super::quarantine::Report;
 use super::rate_limits::LimitNews;
@@ -187,14 +188,26 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: BTreeMap<String, Peer>,
+    /// What this VM missed by itself while it was not run.
+    own_delay: OwnDelay,
 }
 
 impl Peers {
+    /// Creates a record without peers for a VM that is late by `own_delay`.
+    pub fn new(own_delay: OwnDelay) -> Self {
+        Self {
+            peers: BTreeMap::new(),
+            own_delay,
+        }
+    }
+
     /// Adds or replaces a record of the member list. A peer that sends heartbeats is known better
     /// from these, since the list may be older.
     pub fn add_member(&mut self, now: Time, member: Member) {
         let old = self.peers.get(&member.node);
-        if old.is_some_and(|p| p.member == member || p.last_heard.is_some() && p.is_live(now)) {
+        if old.is_some_and(|p| {
+            p.member == member || p.last_heard.is_some() && p.is_live(now, &self.own_delay)
+        }) {
             return;
         }
         let peer = Peer {
@@ -242,7 +255,7 @@
     pub fn newly_lost(&mut self, now: Time) -> Vec<String> {
         let mut lost = Vec::new();
         for (node, peer) in &mut self.peers {
-            let is_live = peer.is_live(now);
+            let is_live = peer.is_live(now, &self.own_delay);
             if peer.was_live && !is_live {
                 lost.push(node.clone());
             }
@@ -429,7 +442,7 @@
 
     /// Returns the number of live entry VMs, including this one.
     pub fn live_vm_count(&self, now: Time) -> usize {
-        1 + self.peers.values().filter(|p| p.is_live(now)).count()
+        1 + self.live(now).count()
     }
 
     /// Iterates over the live members that accept callers.
@@ -439,45 +452,51 @@
                 .as_ref()
                 .is_some_and(|heartbeat| heartbeat.ready)
         };
-        let live = self.peers.values().filter(move |p| p.is_live(now));
-        live.filter(ready).map(|p| &p.member)
+        self.live(now).filter(ready).map(|p| &p.member)
     }
 
     /// Iterates over the members to which callers may be sent: those that accept callers and were
     /// heard lately. With many VMs heartbeats are seconds apart, and a VM is gone long before it counts
     /// as lost. While most of them are not heard, the silence may be this VM's, and all are returned.
     pub fn advised(&self, now: Time) -> impl Iterator<Item = &Member> {
-        let live = || self.peers.values().filter(move |p| p.is_live(now));
-        let heard = live().filter(|p| p.was_heard_lately(now)).count();
-        let may_judge = heard * 2 > live().count();
+        let was_heard = |p: &&Peer| p.was_heard_lately(now, &self.own_delay);
+        let heard = self.live(now).filter(was_heard).count();
+        let may_judge = heard * 2 > self.live(now).count();
         let is_advised = move |m: &&Member| {
             let peer = self.peers.get(&m.node);
-            !may_judge || peer.is_some_and(|p| p.was_heard_lately(now))
+            !may_judge || peer.is_some_and(|p| p.was_heard_lately(now, &self.own_delay))
         };
         self.ready(now).filter(is_advised)
     }
 
     /// Iterates over the latest heartbeats of live peers, with their arrival times.
     pub fn heartbeats(&self, now: Time) -> impl Iterator<Item = (&Heartbeat, Time)> {
-        let live = self.peers.values().filter(move |p| p.is_live(now));
-        live.filter_map(|p| Some((p.heartbeat.as_ref()?, p.last_heard?)))
+        self.live(now)
+            .filter_map(|p| Some((p.heartbeat.as_ref()?, p.last_heard?)))
+    }
+
+    fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(move |p| p.is_live(now, &self.own_delay))
     }
 }
 
 impl Peer {
-    fn is_live(&self, now: Time) -> bool {
-        match self.last_heard {
-            Some(last_heard) => {
-                now.since(last_heard)
-                    < self.interval() * MAX_MISSED_HEARTBEATS + MAX_HEARTBEAT_DELAY
-            }
-            None => now.since(self.listed_since) < STARTUP_TIME,
-        }
+    fn is_live(&self, now: Time, own_delay: &OwnDelay) -> bool {
+        let (since, limit) = match self.last_heard {
+            Some(last_heard) => (
+                last_heard,
+                self.interval() * MAX_MISSED_HEARTBEATS + MAX_HEARTBEAT_DELAY,
+            ),
+            None => (self.listed_since, STARTUP_TIME),
+        };
+        own_delay.is_within(since, now, limit)
     }
 
-    fn was_heard_lately(&self, now: Time) -> bool {
-        let silence = ADVISED_SILENCE.max(self.interval() + MAX_HEARTBEAT_DELAY);
-        self.last_heard.is_some_and(|t| now.since(t) < silence)
+    fn was_heard_lately(&self, now: Time, own_delay: &OwnDelay) -> bool {
+        let limit = ADVISED_SILENCE.max(self.interval() + MAX_HEARTBEAT_DELAY);
+        self.last_heard
+            .is_some_and(|t| own_delay.is_within(t, now, limit))
     }
 
     /// Returns the time between two heartbeats of the peer.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_node_heartbeat_pace;
 mod test_node_load_totals;
 mod test_node_overload;
+mod test_node_own_delay;
 mod test_node_parts;
 mod test_node_passing;
 mod test_node_peer_paths;
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -13,6 +13,7 @@
 use hemlock_lib::time::Time;
 use hemlock_platform::store::Topic;
 use hemlock_wire::http1::{self, Conn, Framing};
+use hemlock_wire::timeout::timeout;
 use hemlock_wire::{clock, compression};
 use tokio::sync::Notify;
 
@@ -299,7 +300,7 @@
             let head = self.conn.read_response_head(MAX_HEAD_BYTES).await;
             head.map_err(|e| e.to_string())
         };
-        let head = tokio::time::timeout(LONG_POLL + HEAD_GRACE, exchange).await;
+        let head = timeout(LONG_POLL + HEAD_GRACE, exchange).await;
         let mut head = head.map_err(|_| "the reply timed out".to_owned())??;
         let mut body = self.receive(&mut head.body_framing, transfer).await?;
         if head.headers.has_token(CONTENT_ENCODING, ENCODING) {
@@ -320,7 +321,7 @@
         loop {
             transfer.set(Some(progress));
             let time_left = progress.time_left(clock::since_boot());
-            let piece = tokio::time::timeout(time_left, self.conn.read_body_piece(framing)).await;
+            let piece = timeout(time_left, self.conn.read_body_piece(framing)).await;
             let piece = piece.map_err(|_| "the transfer stalled".to_owned())?;
             let Some(piece) = piece.map_err(|e| e.to_string())? else {
                 return Ok(body);
--- a/node/src/load_exchange.rs
+++ b/node/src/load_exchange.rs
@@ -8,7 +8,7 @@
 use hemlock_lib::time::Time;
 use tokio::net::UdpSocket;
 
-use crate::metrics::Counter;
+use crate::metrics::{Counter, Latency};
 use crate::peer_datagrams::send_to;
 use crate::state::Node;
 
@@ -26,9 +26,9 @@
 /// is the representative, until the process ends.
 pub(crate) async fn run(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
-        let slept_from = node.now();
+        node.own_delay.record_set(node.now(), REPORT_INTERVAL);
         tokio::time::sleep(REPORT_INTERVAL).await;
-        note_standstill(&node, node.now().since(slept_from + REPORT_INTERVAL));
+        note_delay(&node, node.own_delay.record_fired(node.now()));
         if !node.has_traffic.get() && !node.peers.borrow().any_has_traffic(node.now()) {
             continue;
         }
@@ -58,8 +58,10 @@
     }
 }
 
-/// Logs and counts a delay of this process in which it handled nothing that arrived.
-fn note_standstill(node: &Node, delay: Duration) {
+/// Records by how much this process was late, and logs a delay in which it handled nothing that
+/// arrived.
+fn note_delay(node: &Node, delay: Duration) {
+    node.metrics.record(Latency::TimerDelay, "all", delay);
     if delay >= STANDSTILL_TIME {
         log::warn!("event=stood_still ms={}", delay.as_millis());
         node.metrics.count(Counter::Standstills, "process");
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -84,6 +84,8 @@
     EventGap,
     /// From the arrival of a request to its end.
     Whole,
+    /// From the time at which a timer of this process was due to the time at which it fired.
+    TimerDelay,
 }
 
 impl Latency {
@@ -92,6 +94,7 @@
             Self::FirstEvent => "first_event",
             Self::EventGap => "pause",
             Self::Whole => "whole",
+            Self::TimerDelay => "timer_delay",
         }
     }
 }
@@ -157,7 +160,12 @@
 
 /// Returns the names of all metrics.
 pub(crate) fn names() -> Vec<String> {
-    let latencies = [Latency::FirstEvent, Latency::EventGap, Latency::Whole];
+    let latencies = [
+        Latency::FirstEvent,
+        Latency::EventGap,
+        Latency::Whole,
+        Latency::TimerDelay,
+    ];
     let latency = |l: &Latency| format!("hemlock_{}_seconds", l.name());
     let counters = Counter::ALL.iter().map(|c| c.name().to_owned());
     let gauges = Gauge::ALL.iter().map(|g| g.name().to_owned());
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -15,6 +15,7 @@
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, EngineReport, MemberState};
 use hemlock_lib::node::load_totals::LoadTotals;
+use hemlock_lib::node::own_delay::OwnDelay;
 use hemlock_lib::node::passing::{PeerLoads, Secret, Secrets};
 use hemlock_lib::node::peer_paths::{PeerPath, PeerPaths};
 use hemlock_lib::node::peers::{EndpointLoad, Member, Peers};
@@ -47,6 +48,8 @@
 const PLANNER_BATCHING_DELAY: Duration = Duration::from_millis(40);
 /// Pause after new endpoint records from the store, on other VMs.
 const STORE_BATCHING_DELAY: Duration = Duration::from_millis(150);
+/// Time before the present in which this VM's own delay is left out when endpoints are found quiet.
+const DELAY_WINDOW: Duration = Duration::from_secs(2);
 /// Pause after other new records.
 const PEER_BATCHING_DELAY: Duration = Duration::from_millis(30);
 
@@ -66,6 +69,8 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) peers: RefCell<Peers>,
+    /// For how long this VM was not run.
+    pub(crate) own_delay: OwnDelay,
     /// Evidence of whether this VM reaches endpoints.
     pub(crate) reach: RefCell<Reach>,
     /// Reports of peers on their own paths to endpoints.
@@ -141,6 +146,7 @@
             caller_address: settings.listen.front.to_string(),
             peer_address: settings.listen.peer,
         };
+        let own_delay = OwnDelay::default();
         Rc::new(Self {
             identity,
             store: Store::new(settings.store.address),
@@ -152,7 +158,8 @@
             balancer: RefCell::new(Balancer::new(&settings.node, bounds.stall())),
             retry_budget: RefCell::new(RetryBudget::new(allowance)),
             quarantine: RefCell::default(),
-            peers: RefCell::default(),
+            peers: RefCell::new(Peers::new(own_delay.clone())),
+            own_delay,
             reach: RefCell::default(),
             peer_paths: RefCell::default(),
             load_totals: RefCell::default(),
@@ -439,7 +446,8 @@
         if self.confirm_crashes(now) {
             self.send_now.notify_one();
         }
-        let quiet = self.balancer.borrow().quiet_endpoints(now);
+        let missed = self.own_delay.not_run(now - DELAY_WINDOW, now);
+        let quiet = self.balancer.borrow().quiet_endpoints(now - missed);
         for id in &quiet {
             self.note_path_failure(id, PathFailure::Quiet);
         }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_restored_store;
 mod test_silent_engines;
 mod test_soak;
+mod test_standstill;
 mod test_stop;
 mod test_stop_edges;
 mod test_stop_end;
--- a/wire/src/http1/conn.rs
+++ b/wire/src/http1/conn.rs
@@ -54,7 +54,7 @@
     /// Fails with [`io::ErrorKind::TimedOut`] if it takes longer than `timeout`.
     pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let connect = TcpStream::connect(address);
-        let io = match tokio::time::timeout(timeout, connect).await {
+        let io = match crate::timeout::timeout(timeout, connect).await {
             Ok(io) => io?,
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod notify;
 pub mod server;
 pub mod stdout_log;
+pub mod timeout;
 pub mod view_watcher;
