--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -9,7 +9,8 @@
 //! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
 //! tells whether this VM itself is cut off from the endpoints, and [`peer_paths`] which peers are not;
 //! [`passing`] has one of these send a request, by the configuration that [`replaced_configs`] finds for it.
-//! [`holding`] decides what follows when the endpoint of a request is silent.
+//! [`holding`] decides what follows when the endpoint of a request is silent, and [`own_delay`] knows for
+//! how long this VM was not run, which is left out when others are judged by their silence.
 
 pub mod answer_memory;
 pub mod balance;
@@ -25,6 +26,7 @@
 pub mod heartbeat_pace;
 pub mod holding;
 pub mod load_totals;
+pub mod own_delay;
 pub mod passing;
 mod path_evidence;
 pub mod peer_paths;
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -21,6 +21,7 @@
 mod test_silence;
 mod test_silent_engines;
 mod test_soak;
+mod test_standstill;
 mod test_stop;
 mod test_stop_edges;
 mod test_stop_end;
