lib/node: a group that is whole again has its full time to finish

The planner gives a group that is to end 2.5 s in which its head finishes its requests. The time ran from when the group was first seen incomplete, and that was never cleared: a group whose members had not all been listed at one plan while it formed was dissolved at once when a member drained later. Its streams stood still then, since an engine that is ordered to leave does so at once.

The time is forgotten when the group is seen ready or serving.

Evidence, on: `group_that_was_once_incomplete_finishes_its_requests_when_a_member_drains` failed, and passes with the change:

left: Some("leave") right: Some("close")

--- a/lib/src/node/planner/groups.rs
+++ b/lib/src/node/planner/groups.rs
@@ -157,6 +157,9 @@
         for key in keys {
             let group = self.groups[&key].clone();
             let phase = self.phase(&group);
+            if matches!(phase, GroupPhase::Ready | GroupPhase::Serving) {
+                self.planner.unhealthy_since.remove(&key);
+            }
             self.send_orders_for(&key, &group, phase);
             phases.insert(key, phase);
         }
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -452,3 +452,35 @@
     simulation.run(Duration::from_secs(2));
     assert_eq!(simulation.serving(), before);
 }
+
+/// The time for an earlier gap in the list counted against the time in which the head finishes.
+#[test]
+fn group_that_was_once_incomplete_finishes_its_requests_when_a_member_drains() {
+    let mut simulation = Simulation::new(two_models(), &[10; 6], 1);
+    let joining = loop {
+        simulation.run(Duration::from_millis(10));
+        let found = simulation.endpoints.iter().find(|e| {
+            let membership = e.membership.as_ref();
+            membership.is_some_and(|m| m.rank == 1 && m.state == MemberState::Joining)
+        });
+        if let Some(found) = found {
+            break found.clone();
+        }
+    };
+    let mut earlier = joining.clone();
+    earlier.membership = None;
+    simulation.endpoints.put(earlier);
+    simulation.run(Duration::from_millis(50));
+    simulation.endpoints.put(joining.clone());
+    simulation.run(Duration::from_secs(8));
+    simulation.before_traffic = false;
+    simulation.orders.clear();
+    simulation.drain(&joining.id);
+    simulation.run(Duration::from_secs(1));
+    let first = simulation
+        .orders
+        .iter()
+        .map(|(_, _, a)| a.name())
+        .find(|n| *n != "stage");
+    assert_eq!(first, Some("close"), "{:?}", simulation.orders);
+}
