node: a request waits for slow connections while it has time

Callers saw 503 after a quarter of a second, or a stream cut off, when the first packet of a connection was lost: the attempt was given up after 250 ms, its endpoint was out for this request, and without another one the request ended. It is sent again only after a second.

Now the attempt goes on beside the next one for 1.5 s in all, and its connection is then kept for whoever sends next. If nobody else takes the request, it waits and tries these endpoints again, as long as new attempts are only slow, and it may have run or this VM is not cut off. A connection that was refused counts as before. The wait for a connection looks at it before the timer, so that a VM that was late itself does not take one that is there for a slow one.

Evidence: test_slow_connects on:

left: 503, right: 200, after 251.125784ms event=sent request=r1 id=p1 attempt=1 left_ms=2999

--- a/lib/src/node/holding.rs
+++ b/lib/src/node/holding.rs
@@ -1,4 +1,4 @@
-//! Requests whose endpoints are silent: their sends are held open while other endpoints are tried,
+//! Requests whose endpoints are silent or slow to connect: their sends are held open while other endpoints are tried,
 //! and the first one that goes on answers.
 
 use std::time::Duration;
@@ -11,6 +11,8 @@
 pub struct Standing {
     /// Number of sends that are held open.
     pub held: usize,
+    /// Whether connections to endpoints are still being established by which the request may go.
+    pub is_connecting: bool,
     /// Whether the request came from a peer, which may find another way, and this VM is cut off from
     /// the endpoints.
     pub is_cut_peer: bool,
@@ -29,7 +31,7 @@
 pub enum Next {
     /// Look for another endpoint.
     Try,
-    /// Listen to the held sends for [`RETRY_INTERVAL`].
+    /// Wait for [`RETRY_INTERVAL`], and listen to the held sends meanwhile.
     Listen,
     /// End the request without its answer.
     End,
@@ -40,6 +42,7 @@
     pub fn next(&self) -> Next {
         let is_used_up = !self.may_retry || self.possible_runs >= self.max_attempts;
         match self.has_failed && is_used_up {
+            true if self.held == 0 => Next::End,
             true => self.after_refusal(),
             false => Next::Try,
         }
@@ -47,9 +50,9 @@
 
     /// Decides what follows when no other endpoint or peer takes the request at present.
     pub fn after_refusal(&self) -> Next {
-        match (self.held, self.is_cut_peer) {
-            (0, _) | (_, true) => Next::End,
-            (_, false) => Next::Listen,
+        match self.is_cut_peer || self.held == 0 && !self.is_connecting {
+            true => Next::End,
+            false => Next::Listen,
         }
     }
 }
--- a/lib/tests/test_node_holding.rs
+++ b/lib/tests/test_node_holding.rs
@@ -4,6 +4,7 @@
 /// A request with one silent endpoint of two that it may run at.
 const HELD: Standing = Standing {
     held: 1,
+    is_connecting: false,
     is_cut_peer: false,
     has_failed: true,
     may_retry: true,
@@ -61,6 +62,26 @@
     assert_eq!(unsent.next(), Next::Try);
 }
 
+#[test]
+fn request_does_not_end_while_only_connections_are_slow() {
+    let slow = Standing {
+        held: 0,
+        is_connecting: true,
+        ..HELD
+    };
+    assert_eq!(slow.after_refusal(), Next::Listen);
+    let used_up = Standing {
+        possible_runs: 2,
+        ..slow
+    };
+    assert_eq!(used_up.next(), Next::End);
+    let cut = Standing {
+        is_cut_peer: true,
+        ..slow
+    };
+    assert_eq!(cut.after_refusal(), Next::End);
+}
+
 /// The VM of the caller can find another way, which a VM without a path can't.
 #[test]
 fn peer_that_is_cut_off_hands_a_held_request_back() {
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -7,6 +7,7 @@
 
 mod answer_body;
 mod buffered;
+mod connect;
 mod endpoint_signs;
 mod exchange;
 mod held;
@@ -29,7 +30,6 @@
 use hemlock_lib::node::forecast::Estimate;
 use hemlock_lib::node::holding::Next;
 use hemlock_lib::node::passing::{self, Sends, Step};
-use hemlock_lib::node::reach::PathFailure;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, ForwardMeta};
 use hemlock_wire::http1::{Conn, Framing};
@@ -46,8 +46,6 @@
 use crate::path_watch;
 use crate::state::Node;
 
-/// Timeout of connecting to an endpoint; a live one needs a few network delays for the handshake.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size in bytes of the head of an endpoint's response.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum size in bytes of the body of a response that is no stream.
@@ -71,6 +69,8 @@
 const MIN_BEGUN_EVENTS: u32 = 2;
 /// Cause of a send that failed since no connection to the endpoint could be established.
 const FAILED_CONNECT: &str = "connect";
+/// Cause of a send for which no connection to the endpoint was there in time.
+const SLOW_CONNECT: &str = "connect_slow";
 /// Minimum time before the deadline at which sending a request is of use.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -156,6 +156,8 @@
     sends: Sends,
     /// Number of endpoints to which this VM could not connect for the request.
     failed_connects: u32,
+    /// Endpoints to which connections are still being established.
+    slow_endpoints: Vec<Arc<str>>,
     /// When the last send failed with which the request may have run.
     failed_at: Option<Time>,
     /// Cause of the failure of the last send; empty if none has failed.
@@ -226,6 +228,7 @@
             service: None,
             sends: passed.map(|p| p.sends.clone()).unwrap_or_default(),
             failed_connects: 0,
+            slow_endpoints: Vec::new(),
             failed_at: None,
             failed_by: "",
             heard_at: now,
@@ -278,7 +281,7 @@
                     if self.standing(self.node.now()).after_refusal() == Next::End {
                         return self.give_up(conn, cause, after).await;
                     }
-                    self.is_paused = true;
+                    self.pause();
                 }
                 Raced::Step(StepEnd::Outcome(outcome)) => match outcome {
                     SendOutcome::Answered { status, next } => return self.answered(status, next),
@@ -288,7 +291,7 @@
                         if self.standing(self.node.now()).after_refusal() == Next::End {
                             return self.give_up(conn, "peer_refused", after).await;
                         }
-                        self.is_paused = true;
+                        self.pause();
                     }
                     SendOutcome::NotRun(reason) => self.failed_by = reason,
                     SendOutcome::MayHaveRun(reason)
@@ -392,9 +395,12 @@
             Ok(send) => Ok(self.carry_on(conn, send).await),
             Err(outcome) => {
                 if let SendOutcome::NotRun(reason) = outcome {
-                    if reason == FAILED_CONNECT {
+                    if let FAILED_CONNECT | SLOW_CONNECT = reason {
                         self.failed_connects += 1;
                     }
+                    if reason == SLOW_CONNECT {
+                        self.slow_endpoints.push(to.id.clone());
+                    }
                     self.note_not_run(&to, reason);
                 }
                 Ok(outcome)
@@ -555,35 +561,6 @@
         outcome
     }
 
-    /// Connects to an endpoint, or to a peer if `endpoint` is `None`, unless the caller disconnects
-    /// first.
-    async fn connect(
-        &mut self,
-        caller: &mut Conn,
-        address: SocketAddr,
-        endpoint: Option<&Candidate>,
-    ) -> Result<Conn, SendOutcome> {
-        let kind = endpoint.map_or("peer", |_| "endpoint");
-        self.node.metrics.count(Counter::Connects, kind);
-        let mut connect = std::pin::pin!(Conn::connect(address, CONNECT_TIMEOUT));
-        loop {
-            tokio::select! {
-                conn = &mut connect => {
-                    match (&conn, endpoint) {
-                        (Err(_), Some(to)) => {
-                            self.node.note_path_failure(&to.id, PathFailure::Connect);
-                        }
-                        (Ok(_), _) | (_, None) => {}
-                    }
-                    return conn.map_err(|_| SendOutcome::NotRun(FAILED_CONNECT));
-                }
-                disconnected = self.caller_disconnected(caller) => {
-                    if disconnected { return Err(SendOutcome::CallerLeft) }
-                }
-            }
-        }
-    }
-
     /// Writes the request to an endpoint, or what is left of it, and relays the response. The second
     /// part of the result is `Some` if the connection may be reused, with the keep-alive time that the
     /// endpoint announced.
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -16,7 +16,9 @@
 use rand::Rng;
 
 use super::exchange::{Body, Exchange, Load, PeerLoad, PeerRuns, Phase, Receiver};
-use super::{FAILED_CONNECT, MAX_HEAD_BYTES, Relay, SendOutcome, caller_has_left, skip_refusal};
+use super::{
+    FAILED_CONNECT, MAX_HEAD_BYTES, Relay, SLOW_CONNECT, SendOutcome, caller_has_left, skip_refusal,
+};
 use crate::front;
 use crate::metrics::Counter;
 
@@ -203,7 +205,7 @@
                 Some(conn) => conn,
                 None => match self.connect(caller, peer.address, None).await {
                     Ok(conn) => conn,
-                    Err(SendOutcome::NotRun(FAILED_CONNECT)) => {
+                    Err(SendOutcome::NotRun(FAILED_CONNECT | SLOW_CONNECT)) => {
                         return Err(SendOutcome::NotRun("peer_connect"));
                     }
                     Err(outcome) => return Err(outcome),
--- a/node/src/relay/race.rs
+++ b/node/src/relay/race.rs
@@ -110,12 +110,26 @@
         }
     }
 
+    /// Has the next step wait, after which endpoints are tried again that were slow to connect.
+    pub(super) fn pause(&mut self) {
+        self.is_paused = true;
+        if !self.slow_endpoints.is_empty() {
+            let slow = std::mem::take(&mut self.slow_endpoints);
+            self.sends.tried.retain(|id| !slow.contains(id));
+            self.failed_connects = 0;
+        }
+    }
+
     /// Returns what decides whether the request may be sent again.
     pub(super) fn standing(&self, now: Time) -> Standing {
         let is_for_peer = self.request.passed.is_some();
+        let path = self.node.path_state(now);
+        let may_have_run = self.sends.possible_runs > 0;
         Standing {
             held: self.held_count,
-            is_cut_peer: is_for_peer && self.node.path_state(now) == PathState::Cut,
+            is_connecting: !self.slow_endpoints.is_empty()
+                && (may_have_run || path == PathState::Direct),
+            is_cut_peer: is_for_peer && path == PathState::Cut,
             has_failed: self.failed_at.is_some(),
             may_retry: self.request.route.request_kind.may_retry(),
             possible_runs: self.sends.possible_runs,
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_relay;
 mod test_restored_store;
 mod test_silence;
+mod test_slow_connects;
 mod test_soak;
 mod test_stop;
 mod test_stop_edges;
--- a/node/tests/test_silence.rs
+++ b/node/tests/test_silence.rs
@@ -9,7 +9,7 @@
 use hemlock_platform_standin::endpoint::{Endpoint, Mode};
 use hemlock_platform_standin::proxy::Link;
 
-use crate::cluster::{Cluster, MODEL_HEADERS};
+use crate::cluster::{Cluster, MODEL_HEADERS, STABLE_WINDOW};
 use crate::node_process::request;
 
 /// Events of a stream, which lasts for two seconds or longer.
@@ -112,6 +112,25 @@
     check_whole(&cluster, stream, "only");
 }
 
+#[test]
+fn stream_through_a_peer_is_whole_after_all_engines_were_silent() {
+    let cluster = cluster();
+    cluster.set_link(0, Link::Silent);
+    thread::sleep(STABLE_WINDOW);
+    let streams: Vec<_> = (0..3)
+        .map(|n| format!("far-{n}"))
+        .map(|id| (send_stream(&cluster, 0, &id), id))
+        .collect();
+    thread::sleep(BEGIN_TIME);
+    cluster.set_endpoint_links("e", Link::CutBack);
+    thread::sleep(SILENCE);
+    cluster.set_endpoint_links("e", Link::Open);
+    for (stream, id) in streams {
+        check_whole(&cluster, stream, &id);
+        assert!(cluster.run_count(&id) <= MAX_ATTEMPTS, "{id}");
+    }
+}
+
 #[test]
 fn stream_goes_on_at_another_endpoint_within_one_answer_if_its_own_stays_silent() {
     let cluster = cluster();
