--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_restored_store;
 mod test_silence;
 mod test_silent_engines;
+mod test_slow_connects;
 mod test_soak;
 mod test_standstill;
 mod test_stop;
