node: bodies and answers of open requests share a budget, and what does not fit is refused

Cause: only answers shared a memory (48 MiB on each size of VM). Bodies were read whatever other requests held, and nothing told the daemon its limit.

Now lib/src/node/memory.rs admits bodies before they are read, by size class and by owner (account, or address of a caller without one), and answers; connections count what they buffer against an eighth of the budget. The budget follows from the new setting memory_mb (limits.memoryMb of the platform; 256 if there is none). A refusal is 503 with a Retry-After from the pace at which bodies end; the rest of the body is read and discarded, so that callers that read only after sending see it and keep their connection. After Expect: 100-continue the body is not asked for. A peer hands back a request for whose body it has no memory.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -236,11 +236,12 @@
     ) -> Choice {
         self.choice_count = self.choice_count.wrapping_add(1);
         let choice_count = self.choice_count;
-        if let Some(model) = request.model.filter(|_| engine.is_some())
+        // Callers may name any number of models that there are not.
+        if let Some(model) = request.model.and_then(|m| engine?.model(m))
             && tried.is_empty()
         {
             self.forecast
-                .record_answer_length(&Arc::from(model), request.answer_tokens);
+                .record_answer_length(&model.name, request.answer_tokens);
         }
         let serves = |candidate: &&Candidate| {
             &*candidate.service == request.service
--- a/lib/src/node/config.rs
+++ b/lib/src/node/config.rs
@@ -175,6 +175,12 @@
 }
 
 impl Config {
+    /// Returns whether an engine of any service runs the model called `name`.
+    pub fn has_model(&self, name: &str) -> bool {
+        let engines = self.services.values().filter_map(|s| s.engine.as_ref());
+        engines.into_iter().any(|e| e.model(name).is_some())
+    }
+
     /// Builds a configuration; `accounts` is `None` if requests need no key.
     pub fn new(
         version: u64,
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -8,9 +8,8 @@
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, which hear from this one as often as
 //! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
 //! tells whether this VM itself is cut off from the endpoints, and [`peer_paths`] which peers are not;
-//! [`passing`] has one of these send a request.
+//! [`passing`] has one of these send a request. [`memory`] bounds the bytes that open requests hold.
 
-pub mod answer_memory;
 pub mod balance;
 pub mod breaks;
 pub mod budget;
@@ -23,6 +22,7 @@
 mod healing;
 pub mod heartbeat_pace;
 pub mod load_totals;
+pub mod memory;
 pub mod passing;
 pub mod peer_paths;
 pub mod peers;
--- a/lib/src/node/passing.rs
+++ b/lib/src/node/passing.rs
@@ -25,6 +25,9 @@
 pub const REQUEST_HEADER: &str = "Hemlock-Passed-On";
 /// Header with the [`PeerReport`].
 pub const REPORT_HEADER: &str = "Hemlock-Report";
+/// Header with the length in bytes of the body of a request that is passed on, so that a peer without
+/// memory for it declines it at once.
+pub const LENGTH_HEADER: &str = "Hemlock-Body-Bytes";
 /// Prefix of the target of a request that is passed on. An entry VM whose build knows no such requests
 /// takes it for an unknown topic and closes the connection.
 pub const TARGET_PREFIX: &str = "/requests";
@@ -254,7 +257,7 @@
 }
 
 /// Causes of refusals that hold for one VM, so that another one may accept the request.
-const LOCAL_CAUSES: [&str; 9] = [
+const LOCAL_CAUSES: [&str; 11] = [
     "stopping",
     "budget",
     "no_path",
@@ -264,6 +267,8 @@
     "no_service",
     "nobody",
     "limited",
+    "memory",
+    "body_too_large",
 ];
 
 /// Returns whether a peer that refused a request for `cause` would refuse others too, so that it is
--- a/lib/src/node/settings.rs
+++ b/lib/src/node/settings.rs
@@ -24,6 +24,9 @@
     pub bounds: Bounds,
     /// Fraction of a CPU core available to the process.
     pub cores: f64,
+    /// Memory in MB above which the platform ends the process, if it is known.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// Log settings.
     #[serde(default)]
     pub log: LogSettings,
@@ -127,6 +130,9 @@
         if !(1.0..=1e9).contains(&self.store.read_rate) {
             return invalid("store.read_rate must lie between 1 and 1000000000");
         }
+        if self.memory_mb.is_some_and(|mb| !(96.0..=1e6).contains(&mb)) {
+            return invalid("memory_mb must lie between 96 and 1000000");
+        }
         if !(0.0..=600_000.0).contains(&self.bounds.stall_ms) {
             return invalid("bounds.stall_ms must lie between 0 and 600000");
         }
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -369,3 +369,18 @@
         assert_eq!(sent_to(&choice), "p", "{slots}");
     }
 }
+
+#[test]
+fn models_that_there_are_not_take_no_memory() {
+    let mut balancer = Balancer::new("entry-1", Duration::from_secs(5));
+    balancer.set_candidates([group("g0", "z1")]);
+    for i in 0..100 {
+        let name = format!("unknown-{i}");
+        let named = RoutingRequest {
+            model: Some(&name),
+            ..request(500)
+        };
+        balancer.choose(at(0), &named, Some(&engine_performance()), &[]);
+    }
+    assert!(!format!("{balancer:?}").contains("unknown-"));
+}
--- a/lib/tests/test_node_parts.rs
+++ b/lib/tests/test_node_parts.rs
@@ -483,6 +483,7 @@
         ("drain_ms: 2000", "drain_ms: -1", "drain_ms"),
         ("read_rate: 2000", "read_rate: 0", "read_rate"),
         ("stall_ms: 5000", "stall_ms: -1", "stall_ms"),
+        ("cores: 0.25", "cores: 0.25\nmemory_mb: 64", "memory_mb"),
         ("front: 10.0.0.1:1", "front: here", "front"),
         ("zone: z\n", "", "zone"),
     ] {
@@ -491,6 +492,14 @@
     }
 }
 
+#[test]
+fn memory_limit_may_be_missing_or_empty() {
+    let memory = |line: &str| NodeSettings::parse(&format!("{SETTINGS}{line}")).unwrap();
+    assert_eq!(memory("").memory_mb, None);
+    assert_eq!(memory("memory_mb: \n").memory_mb, None);
+    assert_eq!(memory("memory_mb: 260\n").memory_mb, Some(260.0));
+}
+
 #[test]
 fn one_vm_of_each_zone_is_its_representative() {
     let mut peers = Peers::default();
--- a/node/src/connections.rs
+++ b/node/src/connections.rs
@@ -27,6 +27,8 @@
     Failed(HttpError),
     /// The head took too long.
     TimedOut,
+    /// There is no memory for more of the head at present.
+    NoMemory,
     /// The rest of the head did not arrive before the end of the node.
     Stopping,
 }
@@ -49,7 +51,8 @@
             () = node.stop.closing() => return,
         };
         match accepted.and_then(|(io, _)| Conn::new(io)) {
-            Ok(conn) => {
+            Ok(mut conn) => {
+                conn.count_in(&node.received);
                 let guard = CountGuard::socket(&node);
                 let served = serve(node.clone(), conn);
                 spawn_local(async move {
@@ -103,15 +106,26 @@
 ) -> HeadRead {
     tokio::select! {
         biased;
-        read = conn.read_request_head(limit) => match read {
-            Ok(head) => HeadRead::Head(head),
-            Err(e) => HeadRead::Failed(e),
-        },
+        read = receive_head(node, conn, limit) => read.unwrap_or_else(HeadRead::Failed),
         () = node.stop.rest_overdue() => HeadRead::Stopping,
         () = tokio::time::sleep(timeout) => HeadRead::TimedOut,
     }
 }
 
+async fn receive_head(node: &Node, conn: &mut Conn, limit: usize) -> Result<HeadRead, HttpError> {
+    loop {
+        if let Some(head) = conn.take_request_head(limit)? {
+            return Ok(HeadRead::Head(head));
+        }
+        let (own, total) = (conn.buffered_len(), node.received.bytes());
+        if !node.memory.borrow().may_buffer(own, total) {
+            node.metrics.count(Counter::MemoryRefused, "head");
+            return Ok(HeadRead::NoMemory);
+        }
+        conn.fill_head(limit).await?;
+    }
+}
+
 /// Refuses a request whose rest did not arrive before the end of the node, and closes the
 /// connection.
 pub(crate) async fn refuse_unread(conn: &mut Conn) {
@@ -127,6 +141,5 @@
     if conn.shutdown_write().await.is_err() {
         return;
     }
-    let drain = async { while matches!(conn.fill().await, Ok(1..)) {} };
-    let _ = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
+    let _ = tokio::time::timeout(LINGER_TIMEOUT, conn.discard_all()).await;
 }
--- a/node/src/feed.rs
+++ b/node/src/feed.rs
@@ -159,7 +159,7 @@
         let head = match read {
             HeadRead::Head(head) => head,
             HeadRead::Stopping => return connections::refuse_unread(&mut conn).await,
-            HeadRead::Failed(_) | HeadRead::TimedOut => return,
+            HeadRead::Failed(_) | HeadRead::TimedOut | HeadRead::NoMemory => return,
         };
         if peer_requests::is_passed_on(&head) {
             match peer_requests::handle(&node, &mut conn, head).await {
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -5,16 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hemlock_lib::node::balance;
 use hemlock_lib::node::config::{Account, Caller, Config, Route};
 use hemlock_lib::node::passing::{self, PassedRequest};
 use hemlock_lib::node::quarantine::{Suspect, Suspects};
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, RequestMeta};
-use hemlock_wire::http1::{self, Conn, HttpError, RequestHead};
+use hemlock_wire::http1::{self, Conn, Framing, HttpError, RequestHead};
 use rand::Rng;
 
+use crate::body::{self, Body, BodyError};
 use crate::connections::{self, HeadRead};
 use crate::metrics::Counter;
 use crate::relay;
@@ -28,6 +28,8 @@
 const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// `Retry-After` of a request that another VM will accept at once.
 pub(crate) const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(20);
+/// `Retry-After` of a request for whose head there is no memory.
+const HEAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` of a request that is quarantined, or has a quarantined part.
 pub(crate) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
@@ -36,7 +38,7 @@
 pub(crate) struct Request {
     pub(crate) head: RequestHead,
     pub(crate) meta: RequestMeta,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
     pub(crate) route: Arc<Route>,
     pub(crate) account: Option<Arc<Account>>,
     pub(crate) config: Rc<Config>,
@@ -79,6 +81,9 @@
                 let after = RETRY_ELSEWHERE_AFTER;
                 refuse(&node, &mut conn, "", "stopping", after, false).await
             }
+            HeadRead::NoMemory => {
+                refuse(&node, &mut conn, "", "memory", HEAD_RETRY_AFTER, false).await
+            }
             HeadRead::TimedOut => respond(&mut conn, 408, "", None, false).await,
             HeadRead::Failed(HttpError::HeadTooLarge) => {
                 respond(&mut conn, 431, "", None, false).await
@@ -123,23 +128,48 @@
     let wait = meta.max_wait.unwrap_or(DEFAULT_WAIT);
     let config = node.config();
     let limits = config.as_ref().map(|c| c.limits).unwrap_or_default();
-    if meta.expects_continue && conn.write(http1::CONTINUE).await.is_err() {
-        return ConnectionAction::Abort;
-    }
+    let route = config
+        .as_ref()
+        .and_then(|c| c.route(&meta.host, &head.target).cloned());
+    let caller = match (&config, &route) {
+        (Some(config), Some(route)) => Some(config.caller(route, meta.api_key.as_deref())),
+        _ => None,
+    };
+    let owner = body::owner(caller.as_ref(), conn);
     let mut framing = head.body_framing;
-    let read = tokio::select! {
-        biased;
-        body = conn.read_body(&mut framing, limits.body_bytes) => Some(body),
-        () = node.stop.rest_overdue() => None,
-        () = tokio::time::sleep(wait) => return ConnectionAction::Abort,
+    let read = match Body::admit(node, owner, &framing, limits.body_bytes) {
+        Ok(body) => {
+            if meta.expects_continue && conn.write(http1::CONTINUE).await.is_err() {
+                return ConnectionAction::Abort;
+            }
+            tokio::select! {
+                biased;
+                body = body.read(conn, &mut framing, limits.body_bytes) => Some(body),
+                () = node.stop.rest_overdue() => None,
+                () = tokio::time::sleep(wait) => return ConnectionAction::Abort,
+            }
+        }
+        Err(BodyError::NoMemory { needed }) if meta.expects_continue => {
+            // The caller does not send the body.
+            let after = memory_retry_after(node, needed, wait);
+            return refuse(node, conn, &meta.request_id, "memory", after, false).await;
+        }
+        Err(e) => Some(Err(e)),
     };
     let body = match read {
-        Some(Ok(Some(body))) => body,
-        Some(Ok(None)) => {
+        Some(Ok(body)) => body,
+        Some(Err(BodyError::TooLarge)) => {
             reject(conn, 413).await;
             return ConnectionAction::Abort;
         }
-        Some(Err(HttpError::Malformed(cause))) => {
+        Some(Err(BodyError::NoMemory { needed })) => {
+            let after = memory_retry_after(node, needed, wait);
+            let keep_alive = head.keep_alive && !node.stop.is_stopping();
+            let id = &meta.request_id;
+            let action = refuse(node, conn, id, "memory", after, keep_alive).await;
+            return discard_body(node, conn, framing, limits.body_bytes, wait, action).await;
+        }
+        Some(Err(BodyError::Failed(HttpError::Malformed(cause)))) => {
             log::info!(
                 "event=malformed request={} cause=\"{cause}\"",
                 meta.request_id
@@ -147,7 +177,7 @@
             reject(conn, 400).await;
             return ConnectionAction::Abort;
         }
-        Some(Err(_)) => return ConnectionAction::Abort,
+        Some(Err(BodyError::Failed(_))) => return ConnectionAction::Abort,
         None => {
             let id = &meta.request_id;
             return refuse(node, conn, id, "stopping", RETRY_ELSEWHERE_AFTER, false).await;
@@ -166,10 +196,10 @@
         )
         .await;
     };
-    let Some(route) = config.route(&meta.host, &head.target).cloned() else {
+    let (Some(route), Some(caller)) = (route, caller) else {
         return deny(node, conn, &id, 404, &config, wait, keep_alive).await;
     };
-    let account = match config.caller(&route, meta.api_key.as_deref()) {
+    let account = match caller {
         Caller::Account(account) => Some(account),
         Caller::Anonymous => None,
         Caller::Unknown => return deny(node, conn, &id, 401, &config, wait, keep_alive).await,
@@ -218,6 +248,44 @@
     relay::relay(node, conn, &request, keep_alive).await
 }
 
+/// Returns the time after which a caller that waits for `wait` may retry, when there was no memory for
+/// `needed` bytes of its request.
+fn memory_retry_after(node: &Node, needed: usize, wait: Duration) -> Duration {
+    let mut memory = node.memory.borrow_mut();
+    memory.retry_after(node.now(), needed, wait)
+}
+
+/// Reads the rest of a body that is not kept, since most callers read an answer only once they have
+/// sent their whole request. `action` is what follows the answer.
+async fn discard_body(
+    node: &Node,
+    conn: &mut Conn,
+    mut framing: Framing,
+    limit: usize,
+    wait: Duration,
+    action: ConnectionAction,
+) -> ConnectionAction {
+    let mut bytes_left = limit;
+    let discard = async {
+        while let Some(piece) = conn.read_body_piece(&mut framing).await? {
+            match bytes_left.checked_sub(piece.len()) {
+                Some(left) => bytes_left = left,
+                None => return Ok(false),
+            }
+        }
+        Ok::<_, HttpError>(true)
+    };
+    tokio::select! {
+        biased;
+        discarded = discard => match discarded {
+            Ok(true) => action,
+            Ok(false) | Err(_) => ConnectionAction::Abort,
+        },
+        () = node.stop.rest_overdue() => ConnectionAction::Abort,
+        () = tokio::time::sleep(wait) => ConnectionAction::Abort,
+    }
+}
+
 /// Returns the suspects of a request if it crashes endpoints.
 pub(crate) fn suspects(
     head: &RequestHead,
--- a/node/src/info_server.rs
+++ b/node/src/info_server.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hemlock_lib::node::memory::Kind;
 use hemlock_lib::node::peers;
 use hemlock_lib::node::reach::PathState;
 use hemlock_platform::directory;
@@ -54,7 +55,7 @@
         let mut head = match read {
             HeadRead::Head(head) => head,
             HeadRead::Stopping => return connections::refuse_unread(&mut conn).await,
-            HeadRead::Failed(_) | HeadRead::TimedOut => return,
+            HeadRead::Failed(_) | HeadRead::TimedOut | HeadRead::NoMemory => return,
         };
         let body = tokio::select! {
             biased;
@@ -132,6 +133,7 @@
 /// Returns all metrics as text.
 fn metrics(node: &Node) -> String {
     let now = node.now();
+    let held = |kind| node.memory.borrow().held(kind) as f64;
     let gauges = [
         (Gauge::OpenRequests, node.stop.open_requests() as f64),
         (Gauge::Ready, f64::from(u8::from(node.is_ready()))),
@@ -149,6 +151,10 @@
             Gauge::ConfigVersion,
             node.config().map_or(0.0, |c| c.version as f64),
         ),
+        (Gauge::MemoryBudget, node.memory.borrow().budget() as f64),
+        (Gauge::BodyBytes, held(Kind::Bodies)),
+        (Gauge::AnswerBytes, held(Kind::Answers)),
+        (Gauge::BufferedBytes, node.received.bytes() as f64),
         (Gauge::StoreEra, node.store_era.get() as f64),
         (Gauge::PathUp, path_value(node.path_state(now))),
         (Gauge::PeersWithPath, node.peers_with_path(now).len() as f64),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! The daemon of an entry VM on a hosted platform. It does the network I/O, on one thread, for the
 //! decisions that [`hemlock_lib::node`] makes.
 //!
-//! `connections` accepts and `front` reads the requests of callers, and `relay` forwards them to
+//! `connections` accepts and `front` reads the requests of callers, whose bodies `body` holds, and `relay` forwards them to
 //! endpoints over connections of `pool`. Which endpoint is chosen depends on what `store_watch` has
 //! read from the store, directly or through another VM's `feed`, and on what `peer_datagrams` and
 //! `load_exchange` have received from the other entry VMs. `path_watch` notices when this VM is cut
@@ -9,6 +9,7 @@
 //! them. `leadership` forms the groups of engines while this VM is the one that plans. `stop` says
 //! when the process may end.
 
+mod body;
 mod connections;
 mod feed;
 mod front;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -57,6 +57,7 @@
     LimitChanges "limit_changes" "Changes of the limits that endpoints announce, by kind.";
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
     Orders "orders" "Orders to engines, by action.";
+    MemoryRefused "memory_refused" "Times that there was no memory for what a caller sent, by what it was.";
     PassedOn "passed_on" "Requests that this VM passed on to peers, by outcome.";
     PathChanges "path_changes" "Times that the path of this VM to the endpoints changed its state, by the new state.";
     PathProbes "path_probes" "Probes of endpoints to learn whether this VM reaches them, by outcome.";
@@ -113,6 +114,14 @@
     ServingEndpoints,
     /// Version of the configuration in force.
     ConfigVersion,
+    /// Bytes that open requests may hold.
+    MemoryBudget,
+    /// Bytes that bodies of open requests hold.
+    BodyBytes,
+    /// Bytes that answers hold that are read whole, with their copies.
+    AnswerBytes,
+    /// Bytes that connections from outside have received and not yet parsed.
+    BufferedBytes,
     /// Number of times that the store came back from an older copy, as far as this VM knows.
     StoreEra,
     /// Whether this VM reaches endpoints: 1 if it does, 0.5 if that is doubtful, 0 if it is cut off.
@@ -124,7 +133,7 @@
 }
 
 impl Gauge {
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 15] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -132,6 +141,10 @@
         Self::EntryVms,
         Self::ServingEndpoints,
         Self::ConfigVersion,
+        Self::MemoryBudget,
+        Self::BodyBytes,
+        Self::AnswerBytes,
+        Self::BufferedBytes,
         Self::StoreEra,
         Self::PathUp,
         Self::PeersWithPath,
@@ -147,6 +160,10 @@
             Self::EntryVms => "hemlock_machines",
             Self::ServingEndpoints => "hemlock_serving_endpoints",
             Self::ConfigVersion => "hemlock_config_version",
+            Self::MemoryBudget => "hemlock_memory_budget_bytes",
+            Self::BodyBytes => "hemlock_body_bytes",
+            Self::AnswerBytes => "hemlock_answer_bytes",
+            Self::BufferedBytes => "hemlock_buffered_bytes",
             Self::StoreEra => "hemlock_store_era",
             Self::PathUp => "hemlock_path_up",
             Self::PeersWithPath => "hemlock_peers_with_path",
--- a/node/src/peer_requests.rs
+++ b/node/src/peer_requests.rs
@@ -8,8 +8,9 @@
 use hemlock_lib::node::reach::PathState;
 use hemlock_lib::time::Time;
 use hemlock_platform::requests;
-use hemlock_wire::http1::{self, Conn, RequestHead};
+use hemlock_wire::http1::{self, Conn, Framing, RequestHead};
 
+use crate::body::{self, Body, BodyError};
 use crate::front::{self, ConnectionAction, Request};
 use crate::metrics::Counter;
 use crate::relay;
@@ -42,10 +43,12 @@
             return ConnectionAction::Close;
         }
     };
+    let body_bytes = head.headers.get(passing::LENGTH_HEADER);
+    let body_bytes = body_bytes.and_then(|text| text.parse().ok());
     head.target.drain(..passing::TARGET_PREFIX.len());
     head.headers.remove_prefixed(passing::HEADER_PREFIX);
     let _open = CountGuard::request(node);
-    take_over(node, conn, head, passed).await
+    take_over(node, conn, head, passed, body_bytes).await
 }
 
 /// Reads the message of a peer. Fails unless it has the secret of this VM.
@@ -67,6 +70,7 @@
     conn: &mut Conn,
     head: RequestHead,
     passed: PassedRequest,
+    body_bytes: Option<u64>,
 ) -> ConnectionAction {
     let now = node.now();
     let meta = requests::read_request_meta(&head.headers);
@@ -86,20 +90,41 @@
             return ConnectionAction::Close;
         }
     };
-    if conn.write(http1::CONTINUE).await.is_err() {
-        return ConnectionAction::Abort;
-    }
-    let mut framing = head.body_framing;
-    let read = conn.read_body(&mut framing, config.limits.body_bytes);
-    let Ok(Ok(Some(body))) = tokio::time::timeout(BODY_TIMEOUT, read).await else {
-        log::info!("event=body_missing request={id} for={}", passed.from);
-        node.metrics.count(Counter::TakenOver, "body_missing");
-        return ConnectionAction::Abort;
-    };
     let route = config.route(&meta.host, &head.target).cloned();
     let caller = route
         .as_ref()
         .map(|r| config.caller(r, meta.api_key.as_deref()));
+    let owner = body::owner(caller.as_ref(), conn);
+    // Peers send bodies in chunks, and state the length ahead.
+    let mut framing = head.body_framing;
+    let stated = body_bytes.map_or(framing, Framing::Length);
+    let limit = config.limits.body_bytes;
+    let body = match Body::admit(node, owner, &stated, limit) {
+        Ok(body) => body,
+        Err(e) => {
+            let cause = match e {
+                BodyError::NoMemory { .. } => "memory",
+                BodyError::TooLarge | BodyError::Failed(_) => "body_too_large",
+            };
+            decline(node, conn, &id, cause, passed.sends, false).await;
+            return ConnectionAction::Close;
+        }
+    };
+    if conn.write(http1::CONTINUE).await.is_err() {
+        return ConnectionAction::Abort;
+    }
+    let read = tokio::time::timeout(BODY_TIMEOUT, body.read(conn, &mut framing, limit));
+    let body = match read.await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::NoMemory { .. })) => {
+            return decline(node, conn, &id, "memory", passed.sends, false).await;
+        }
+        Ok(Err(BodyError::TooLarge | BodyError::Failed(_))) | Err(_) => {
+            log::info!("event=body_missing request={id} for={}", passed.from);
+            node.metrics.count(Counter::TakenOver, "body_missing");
+            return ConnectionAction::Abort;
+        }
+    };
     let (Some(route), Some(account)) = (route, caller.and_then(account_of)) else {
         return decline(node, conn, &id, "denied", passed.sends, true).await;
     };
--- a/node/src/relay/answer_body.rs
+++ b/node/src/relay/answer_body.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 
 use bytes::BytesMut;
-use hemlock_lib::node::answer_memory::AnswerMemory;
+use hemlock_lib::node::memory::Memory;
 use hemlock_wire::http1::{Conn, Framing, HttpError, PIECE_OVERHEAD_BYTES};
 
 use super::MAX_BODY_BYTES;
@@ -11,7 +11,7 @@
 /// A body with the memory that it takes, which is given back when this is dropped.
 #[derive(Debug)]
 pub(super) struct AnswerBody<'a> {
-    memory: &'a RefCell<AnswerMemory>,
+    memory: &'a RefCell<Memory>,
     bytes: BytesMut,
     held: usize,
 }
@@ -29,14 +29,14 @@
 
 impl Drop for AnswerBody<'_> {
     fn drop(&mut self) {
-        self.memory.borrow_mut().give_back(self.held);
+        self.memory.borrow_mut().free_answer(self.held);
     }
 }
 
 /// Reads a whole body; `None` means that it is larger than [`MAX_BODY_BYTES`], with an overhead for
 /// each piece, or than the memory allows at present.
 pub(super) async fn read<'a>(
-    memory: &'a RefCell<AnswerMemory>,
+    memory: &'a RefCell<Memory>,
     conn: &mut Conn,
     framing: &mut Framing,
 ) -> Result<Option<AnswerBody<'a>>, HttpError> {
@@ -53,7 +53,7 @@
     while let Some(piece) = conn.read_body_piece(framing).await? {
         overhead += PIECE_OVERHEAD_BYTES;
         let has_room = body.held + piece.len() + overhead <= MAX_BODY_BYTES
-            && memory.borrow_mut().try_take(body.held, piece.len());
+            && memory.borrow_mut().try_hold_answer(body.held, piece.len());
         if !has_room {
             return Ok(None);
         }
--- a/node/src/relay/buffered.rs
+++ b/node/src/relay/buffered.rs
@@ -22,7 +22,7 @@
         }
         let body = {
             let time_left = self.request.deadline.since(self.node.now());
-            let read = answer_body::read(&self.node.answer_memory, conn, &mut head.body_framing);
+            let read = answer_body::read(&self.node.memory, conn, &mut head.body_framing);
             let mut read = std::pin::pin!(read);
             let mut deadline = std::pin::pin!(tokio::time::sleep(time_left));
             loop {
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::answer_memory::AnswerMemory;
 use hemlock_lib::node::balance::{Balancer, Candidate};
 use hemlock_lib::node::budget::{Allowance, RetryBudget};
 use hemlock_lib::node::cache::Entry;
@@ -15,6 +14,7 @@
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, EngineReport, MemberState};
 use hemlock_lib::node::load_totals::LoadTotals;
+use hemlock_lib::node::memory::{DEFAULT_LIMIT_MB, Memory};
 use hemlock_lib::node::passing::{PeerLoads, Secret, Secrets};
 use hemlock_lib::node::peer_paths::{PeerPath, PeerPaths};
 use hemlock_lib::node::peers::{EndpointLoad, Member, Peers};
@@ -26,6 +26,7 @@
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Store, Topic};
 use hemlock_wire::clock;
+use hemlock_wire::http1::Received;
 use rand::Rng;
 use tokio::sync::Notify;
 
@@ -39,8 +40,6 @@
 /// Mean interval between the attempts of all VMs together to reach a store that the store readers
 /// have lost.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
-/// Memory in bytes for answers that are read whole; their buffers may take twice as much.
-const ANSWER_MEMORY_BYTES: usize = 48 << 20;
 /// Share of the store's rate that reads of topics may use.
 const READ_RATE_SHARE: f64 = 0.25;
 /// Pause after new endpoint records from the store, on the planner.
@@ -75,7 +74,10 @@
     pub(crate) other_loads: RefCell<Option<(Time, Vec<EndpointLoad>)>>,
     pub(crate) demand_meter: RefCell<DemandMeter>,
     pub(crate) pool: Pool,
-    pub(crate) answer_memory: RefCell<AnswerMemory>,
+    /// Memory that open requests hold.
+    pub(crate) memory: RefCell<Memory>,
+    /// What connections from outside have buffered.
+    pub(crate) received: Arc<Received>,
     /// Idle connections to peers that take requests of this VM, by the names of the peers.
     pub(crate) peer_pool: Pool,
     /// Requests that this VM has passed on to peers.
@@ -141,6 +143,7 @@
             caller_address: settings.listen.front.to_string(),
             peer_address: settings.listen.peer,
         };
+        let memory = Memory::new(settings.memory_mb.unwrap_or(DEFAULT_LIMIT_MB));
         Rc::new(Self {
             identity,
             store: Store::new(settings.store.address),
@@ -159,7 +162,8 @@
             other_loads: RefCell::default(),
             demand_meter: RefCell::default(),
             pool: Pool::default(),
-            answer_memory: RefCell::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)),
+            received: Received::new(memory.buffer_bound()),
+            memory: RefCell::new(memory),
             peer_pool: Pool::default(),
             peer_loads: RefCell::default(),
             own_secret: Secret::random(),
--- a/node/tests/cluster.rs
+++ b/node/tests/cluster.rs
@@ -36,6 +36,11 @@
 impl Cluster {
     /// Starts the daemons and waits until they serve at least two groups of engines.
     pub fn spawn() -> Self {
+        Self::spawn_with("")
+    }
+
+    /// As [`Self::spawn`], with further lines of settings.
+    pub fn spawn_with(settings: &str) -> Self {
         let (store, links) = (Store::spawn(), ClientProcesses::default());
         let plain = ["p1", "p2", "p3"].map(|id| (id, "plain", None));
         let engines = ["e1", "e2", "e3", "e4", "e5", "e6"].map(|id| (id, "models", Some("d1")));
@@ -56,7 +61,7 @@
         let nodes: Vec<_> = NAMES
             .iter()
             .map(|name| {
-                let node = NodeProcess::spawn(store.clone(), name);
+                let node = NodeProcess::spawn_with(store.clone(), name, settings);
                 links.register(name, node.pid());
                 node
             })
--- a/node/tests/node_process.rs
+++ b/node/tests/node_process.rs
@@ -45,6 +45,11 @@
 
     /// Starts a daemon that uses `store`.
     pub fn spawn(store: Store, name: &str) -> Self {
+        Self::spawn_with(store, name, "")
+    }
+
+    /// Starts a daemon that uses `store`, with further lines of settings.
+    pub fn spawn_with(store: Store, name: &str, settings: &str) -> Self {
         let (front, ready, directory) = (free_address(), free_address(), free_address());
         let metrics = free_address();
         let peer = free_address();
@@ -55,7 +60,7 @@
              directory: {directory}\n  peer: {peer}\n  metrics: {metrics}\nstore:\n  address: {}\n  \
              read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: 2000\n  \
              grace_s: 8\n  stall_ms: 5000\n  advice_s: 5\n  repeat_ratio: 0.2\n  \
-             repeat_extra: 100\n  repeat_s: 10\ncores: 0.25\n",
+             repeat_extra: 100\n  repeat_s: 10\ncores: 0.25\n{settings}",
             store.address()
         );
         std::fs::write(&path, text).expect("the settings are written");
@@ -92,7 +97,12 @@
     /// Starts a daemon with the default configuration and two plain endpoints, and waits until it
     /// is ready.
     pub fn with_plain_endpoints() -> (Self, Vec<Endpoint>) {
-        let node = Self::unconfigured();
+        Self::with_plain_endpoints_and("")
+    }
+
+    /// As [`Self::with_plain_endpoints`], with further lines of settings.
+    pub fn with_plain_endpoints_and(settings: &str) -> (Self, Vec<Endpoint>) {
+        let node = Self::spawn_with(Store::spawn(), "entry-1", settings);
         let names = ["p1", "p2"];
         let plain = names.map(|n| Endpoint::spawn(&node.store, n, "plain", None));
         node.configure(&config(1));
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_late_config;
 mod test_left_callers;
 mod test_limits;
+mod test_memory;
 mod test_odd_entries;
 mod test_pages;
 mod test_passing_on;
--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -7,11 +7,12 @@
 
 mod conn;
 
+use std::borrow::Cow;
 use std::io;
 
 use bytes::{Buf, Bytes, BytesMut};
 
-pub use self::conn::Conn;
+pub use self::conn::{Conn, Received};
 
 /// Maximum number of header lines of a message.
 const MAX_HEADERS: usize = 96;
@@ -21,6 +22,8 @@
 pub const PIECE_OVERHEAD_BYTES: usize = 64;
 /// Overhead in bytes that each chunk may have, beside twice its data.
 const CHUNK_OVERHEAD_BYTES: usize = 16;
+/// Size in bytes up to which a body is copied to be written together with its head.
+const MAX_JOINED_BYTES: usize = 16 << 10;
 /// Maximum excess in bytes of the lines of a chunked body over the overhead of its chunks.
 const MAX_CHUNK_EXCESS_BYTES: usize = 16 << 10;
 
@@ -417,6 +420,22 @@
     out.extend_from_slice(b"\r\n");
 }
 
+/// Encodes a whole body in chunked coding, as the parts that are written one after the other. A small
+/// body is one part, a large one is not copied.
+pub fn body_in_chunks(body: &[u8]) -> Vec<Cow<'_, [u8]>> {
+    if body.len() > MAX_JOINED_BYTES {
+        let size = format!("{:x}\r\n", body.len()).into_bytes();
+        let end = [b"\r\n", LAST_CHUNK].concat();
+        return vec![Cow::Owned(size), Cow::Borrowed(body), Cow::Owned(end)];
+    }
+    let mut out = Vec::with_capacity(body.len() + 32);
+    if !body.is_empty() {
+        put_chunk(&mut out, body);
+    }
+    out.extend_from_slice(LAST_CHUNK);
+    vec![Cow::Owned(out)]
+}
+
 /// The end of a complete chunked body: the last chunk, without trailers.
 pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
--- a/wire/src/http1/conn.rs
+++ b/wire/src/http1/conn.rs
@@ -1,27 +1,53 @@
 //! One TCP connection, on which messages are read and bytes are written.
 
 use std::io::{self, Read};
-use std::net::SocketAddr;
+use std::mem::MaybeUninit;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::FutureExt;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncRead, AsyncWriteExt, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 use super::{
-    BodyPart, Framing, HttpError, PIECE_OVERHEAD_BYTES, RequestHead, ResponseHead, parse_request,
-    parse_response, split_body_part,
+    BodyPart, Framing, HttpError, MAX_JOINED_BYTES, PIECE_OVERHEAD_BYTES, RequestHead,
+    ResponseHead, parse_request, parse_response, split_body_part,
 };
 
 /// Bytes that are read at once where usually nothing has arrived.
 const CHECK_BYTES: usize = 1 << 10;
 /// Interval at which a connection that is not read is checked for its end.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Buffer space in bytes that is reserved for each read.
+/// Maximum number of bytes of one read.
 const READ_BYTES: usize = 16 << 10;
 
+/// Bytes that several connections have received and not yet consumed, and how many they may have.
+#[derive(Debug)]
+pub struct Received {
+    bytes: AtomicUsize,
+    bound: usize,
+}
+
+impl Received {
+    /// Creates the count of connections that may buffer up to `bound` bytes together while nothing
+    /// consumes them.
+    pub fn new(bound: usize) -> Arc<Self> {
+        let bytes = AtomicUsize::new(0);
+        Arc::new(Self { bytes, bound })
+    }
+
+    /// Returns the number of bytes that the connections have buffered.
+    pub fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
+}
+
 /// A TCP connection with the bytes that were received and not yet parsed.
 ///
 /// If a connection that this process opened is dropped while what was sent on it has no response, it
@@ -31,6 +57,8 @@
 pub struct Conn {
     io: TcpStream,
     buffer: BytesMut,
+    /// The count that this connection is part of, and the bytes that it contributes.
+    counted: Option<(Arc<Received>, usize)>,
     /// Whether this process opened the connection.
     is_outgoing: bool,
     /// Whether nothing was received since the last write.
@@ -39,6 +67,8 @@
 
 impl Drop for Conn {
     fn drop(&mut self) {
+        self.buffer.clear();
+        self.count_received();
         if self.is_outgoing && self.is_unanswered {
             // If it fails, the connection has ended already.
             let _ = SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
@@ -69,11 +99,50 @@
         Ok(Self {
             io,
             buffer: BytesMut::new(),
+            counted: None,
             is_outgoing: false,
             is_unanswered: false,
         })
     }
 
+    /// Counts what this connection buffers in `received` from now on.
+    pub fn count_in(&mut self, received: &Arc<Received>) {
+        self.counted = Some((received.clone(), 0));
+        self.count_received();
+    }
+
+    fn count_received(&mut self) {
+        if let Some((received, own)) = &mut self.counted {
+            let length = self.buffer.len();
+            received.bytes.fetch_add(length, Ordering::Relaxed);
+            received.bytes.fetch_sub(*own, Ordering::Relaxed);
+            *own = length;
+        }
+    }
+
+    /// Returns the address of the other side, if the connection is still open.
+    pub fn peer_address(&self) -> Option<IpAddr> {
+        self.io.peer_addr().ok().map(|a| a.ip())
+    }
+
+    /// Returns whether as many bytes are buffered ahead as may be: more than `limit`, or more than the
+    /// connections that are counted together.
+    pub fn is_full(&self, limit: usize) -> bool {
+        let counted = self.counted.as_ref();
+        let are_full = counted.is_some_and(|(r, _)| r.bytes() >= r.bound);
+        are_full || self.buffer.len() > limit
+    }
+
+    /// Discards what is received until the other side closes its direction.
+    pub async fn discard_all(&mut self) -> io::Result<()> {
+        loop {
+            self.buffer.clear();
+            if self.fill().await? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
     /// Returns whether received bytes are buffered.
     pub fn has_buffered_bytes(&self) -> bool {
         !self.buffer.is_empty()
@@ -85,10 +154,22 @@
     }
 
     /// Reads more bytes into the buffer and returns their number; zero means that the peer closed
-    /// the connection.
+    /// the connection. A connection that waits holds no more memory than what it has received.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        self.buffer.reserve(READ_BYTES);
-        let length = self.io.read_buf(&mut self.buffer).await?;
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        self.count_received();
+        let (io, buffer) = (&mut self.io, &mut self.buffer);
+        let read = std::future::poll_fn(|cx| {
+            let mut space = [MaybeUninit::<u8>::uninit(); READ_BYTES];
+            let mut read = ReadBuf::uninit(&mut space);
+            ready!(Pin::new(&mut *io).poll_read(cx, &mut read))?;
+            buffer.extend_from_slice(read.filled());
+            std::task::Poll::Ready(io::Result::Ok(read.filled().len()))
+        });
+        let length = read.await?;
+        self.count_received();
         self.is_unanswered &= length == 0;
         Ok(length)
     }
@@ -109,11 +190,14 @@
     /// Returns whether the other side has closed the connection, also if the runtime has not noticed
     /// it yet. Buffers what arrived before the close, up to about `limit` bytes.
     pub fn is_closed(&mut self, limit: usize) -> bool {
-        while self.buffer.len() <= limit {
+        while !self.is_full(limit) {
             let mut bytes = [0; CHECK_BYTES];
             match (&*SockRef::from(&self.io)).read(&mut bytes) {
                 Ok(0) => return true,
-                Ok(length) => self.buffer.extend_from_slice(&bytes[..length]),
+                Ok(length) => {
+                    self.buffer.extend_from_slice(&bytes[..length]);
+                    self.count_received();
+                }
                 Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
             }
         }
@@ -137,6 +221,17 @@
         self.io.write_all(bytes).await
     }
 
+    /// Writes a message that starts with `head`. A small body is written together with the head, a large
+    /// one is not copied.
+    pub async fn write_message(&mut self, head: &mut Vec<u8>, body: &[u8]) -> io::Result<()> {
+        if body.len() <= MAX_JOINED_BYTES {
+            head.extend_from_slice(body);
+            return self.write(head).await;
+        }
+        self.write(head).await?;
+        self.write(body).await
+    }
+
     /// Writes all of `bytes`, unless the other side closes the connection before it has read them.
     /// Buffers what it sends meanwhile, up to about `limit` bytes.
     ///
@@ -164,20 +259,24 @@
     /// it has.
     async fn writable_or_closed(&mut self, limit: usize) -> io::Result<bool> {
         loop {
-            if self.buffer.len() > limit {
+            if self.is_full(limit) {
                 return tokio::select! {
                     ready = self.io.writable() => ready.map(|()| false),
                     () = self.closed() => Ok(true),
                 };
             }
-            self.buffer.reserve(READ_BYTES);
             tokio::select! {
                 ready = self.io.writable() => return ready.map(|()| false),
                 ready = self.io.readable() => ready?,
             }
-            match self.io.try_read_buf(&mut self.buffer) {
+            let mut bytes = [0; CHECK_BYTES];
+            match self.io.try_read(&mut bytes) {
                 Ok(0) => return Ok(true),
-                Ok(_) => self.is_unanswered = false,
+                Ok(length) => {
+                    self.buffer.extend_from_slice(&bytes[..length]);
+                    self.count_received();
+                    self.is_unanswered = false;
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Err(e),
             }
@@ -198,18 +297,31 @@
     /// See [`HttpError`] for the other errors.
     pub async fn read_request_head(&mut self, limit: usize) -> Result<RequestHead, HttpError> {
         loop {
-            // HTTP allows empty lines before a request.
-            while self.buffer.starts_with(b"\r\n") {
-                self.buffer.advance(2);
-            }
-            if let Some((head, length)) = parse_request(&self.buffer, limit)? {
-                self.buffer.advance(length);
+            if let Some(head) = self.take_request_head(limit)? {
                 return Ok(head);
             }
             self.fill_head(limit).await?;
         }
     }
 
+    /// Takes the head of a request from what is buffered; `None` means that it is incomplete.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Conn::read_request_head`].
+    pub fn take_request_head(&mut self, limit: usize) -> Result<Option<RequestHead>, HttpError> {
+        // HTTP allows empty lines before a request.
+        while self.buffer.starts_with(b"\r\n") {
+            self.buffer.advance(2);
+        }
+        let Some((head, length)) = parse_request(&self.buffer, limit)? else {
+            return Ok(None);
+        };
+        self.buffer.advance(length);
+        self.count_received();
+        Ok(Some(head))
+    }
+
     /// Reads the head of the next response, skipping interim (1xx) ones.
     ///
     /// # Errors
@@ -250,7 +362,12 @@
         }
     }
 
-    async fn fill_head(&mut self, limit: usize) -> Result<(), HttpError> {
+    /// Reads more of a head that may have `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if more than `limit` bytes are buffered, or the connection breaks or was closed.
+    pub async fn fill_head(&mut self, limit: usize) -> Result<(), HttpError> {
         if self.buffer.len() > limit {
             return Err(HttpError::HeadTooLarge);
         }
