wire: a head may have any number of lines within its limit in bytes

Cause: the parser had space for 96 lines. It now gets space for as many lines as the head has, once 96 don't suffice; their number is bounded by the limit in bytes. Answers of endpoints had the same bound and were taken for malformed.

Evidence: node test_memory::head_with_many_lines_is_read_within_the_limit fails before ("left: 431, right: 200") and passes now; 4,000 lines are refused with 431 as before.

--- a/node/tests/test_memory.rs
+++ b/node/tests/test_memory.rs
@@ -195,6 +195,17 @@
     assert!(peak < 40, "{peak} MB after {sent} MB");
 }
 
+#[test]
+fn head_with_many_lines_is_read_within_the_limit() {
+    let (node, _plain) = NodeProcess::with_plain_endpoints();
+    let lines: String = (0..200).map(|i| format!("X-{i}: a\r\n")).collect();
+    let response = node.send("GET", "/plain/a", "r1", &lines, "");
+    assert_eq!(response.status, 200, "{}", response.head);
+    let lines: String = (0..4_000).map(|i| format!("X-{i}: a\r\n")).collect();
+    let response = node.send("GET", "/plain/a", "r2", &lines, "");
+    assert_eq!(response.status, 431, "{}", response.head);
+}
+
 #[test]
 fn body_that_is_passed_on_is_refused_while_no_peer_has_memory() {
     let cluster = Cluster::spawn_with(SMALL_VM);
--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -14,8 +14,8 @@
 
 pub use self::conn::{Conn, Received};
 
-/// Maximum number of header lines of a message.
-const MAX_HEADERS: usize = 96;
+/// Number of header lines up to which a head is parsed without an allocation for them.
+const USUAL_HEADERS: usize = 96;
 /// Maximum length in bytes of a line with a chunk's size and extensions, or of a trailer.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Overhead in bytes of each piece of a body in limits on the work of reading it.
@@ -36,7 +36,7 @@
     Broken(io::Error),
     /// The bytes are not a valid message, or the framing of the message is ambiguous.
     Malformed(&'static str),
-    /// The head is larger than allowed, or the head of a request has too many header lines.
+    /// The head is larger than allowed.
     HeadTooLarge,
 }
 
@@ -297,9 +297,15 @@
 /// Parses the head of a request and returns it with its length in bytes; `None` means that it is
 /// incomplete.
 fn parse_request(buffer: &[u8], limit: usize) -> Result<Option<(RequestHead, usize)>, HttpError> {
-    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut lines);
-    let length = match request.parse(buffer) {
+    let (mut usual, mut more) = header_space();
+    let mut request = httparse::Request::new(&mut usual);
+    let mut parsed = request.parse(buffer);
+    if parsed == Err(httparse::Error::TooManyHeaders) {
+        more.resize(count_lines(buffer, limit), httparse::EMPTY_HEADER);
+        request = httparse::Request::new(&mut more);
+        parsed = request.parse(buffer);
+    }
+    let length = match parsed {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
@@ -326,11 +332,18 @@
 /// Parses the head of a response and returns it with its length in bytes; `None` means that it is
 /// incomplete.
 fn parse_response(buffer: &[u8], limit: usize) -> Result<Option<(ResponseHead, usize)>, HttpError> {
-    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut lines);
-    let length = match response.parse(buffer) {
+    let (mut usual, mut more) = header_space();
+    let mut response = httparse::Response::new(&mut usual);
+    let mut parsed = response.parse(buffer);
+    if parsed == Err(httparse::Error::TooManyHeaders) {
+        more.resize(count_lines(buffer, limit), httparse::EMPTY_HEADER);
+        response = httparse::Response::new(&mut more);
+        parsed = response.parse(buffer);
+    }
+    let length = match parsed {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
         Err(_) => return Err(HttpError::Malformed("invalid response head")),
     };
     if length > limit {
@@ -355,6 +368,20 @@
     Ok(Some((head, length)))
 }
 
+/// Returns space for the usual number of header lines, and for more of them.
+fn header_space<'a>() -> (
+    [httparse::Header<'a>; USUAL_HEADERS],
+    Vec<httparse::Header<'a>>,
+) {
+    ([httparse::EMPTY_HEADER; USUAL_HEADERS], Vec::new())
+}
+
+/// Returns the number of lines within a head of `limit` bytes.
+fn count_lines(buffer: &[u8], limit: usize) -> usize {
+    let head = &buffer[..buffer.len().min(limit)];
+    head.iter().filter(|b| **b == b'\n').count() + 1
+}
+
 fn to_headers(lines: &[httparse::Header<'_>]) -> Headers {
     let line = |h: &httparse::Header<'_>| (h.name.to_owned(), Bytes::copy_from_slice(h.value));
     Headers(lines.iter().map(line).collect())
