node: a large body is sent without a copy, and only models of the configuration are counted

Bodies above 16 KiB are now written from where they are held; smaller ones go out together with their head as before. DemandMeter no longer keeps a sum for each Model name that callers invent.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -173,6 +173,7 @@
     // A request that a peer passed on was counted there.
     if let Some(model) = &request.meta.model
         && request.passed.is_none()
+        && request.config.has_model(model)
     {
         let size = RequestSize {
             prompt_tokens: request.meta.prompt_tokens,
@@ -504,8 +505,8 @@
         };
         let mut out =
             requests::encode_request(&self.request.head, &passed, self.request.body.len());
-        out.extend_from_slice(&self.request.body);
-        match self.await_endpoint(caller, conn.write(&out), to).await {
+        let write = conn.write_message(&mut out, &self.request.body);
+        match self.await_endpoint(caller, write, to).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => {
                 self.note_broken(to);
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -290,6 +290,8 @@
         http1::put_header(&mut out, "Expect", b"100-continue");
         http1::put_header(&mut out, "Transfer-Encoding", b"chunked");
         http1::put_header(&mut out, passing::REQUEST_HEADER, message.as_bytes());
+        let length = self.request.body.len().to_string();
+        http1::put_header(&mut out, passing::LENGTH_HEADER, length.as_bytes());
         out.extend_from_slice(b"\r\n");
         Some(out)
     }
@@ -369,13 +371,10 @@
         conn: &mut Conn,
         peer: &PeerPath,
     ) -> (SendOutcome, bool) {
-        let mut out = Vec::with_capacity(self.request.body.len() + 32);
-        if !self.request.body.is_empty() {
-            http1::put_chunk(&mut out, &self.request.body);
-        }
-        out.extend_from_slice(http1::LAST_CHUNK);
-        if let Err(outcome) = self.write_to_peer(caller, conn, &out).await {
-            return (outcome, false);
+        for part in http1::body_in_chunks(&self.request.body) {
+            if let Err(outcome) = self.write_to_peer(caller, conn, &part).await {
+                return (outcome, false);
+            }
         }
         let mut head = match self.await_peer_head(caller, conn).await {
             Ok(head) => head,
--- a/node/src/relay/report.rs
+++ b/node/src/relay/report.rs
@@ -106,7 +106,7 @@
     ///
     /// Reads nothing more once more than [`MAX_PIPELINED_BYTES`] are buffered.
     pub(super) async fn caller_disconnected(&self, caller: &mut Conn) -> bool {
-        if caller.buffered_len() > MAX_PIPELINED_BYTES {
+        if caller.is_full(MAX_PIPELINED_BYTES) {
             caller.closed().await;
             return true;
         }
