--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -11,8 +11,8 @@
 //! [`passing`] has one of these send a request, by the configuration that [`replaced_configs`] finds for it.
 //! [`holding`] decides what follows when the endpoint of a request is silent, and [`own_delay`] knows for
 //! how long this VM was not run, which is left out when others are judged by their silence.
+//! [`memory`] bounds the bytes that open requests hold.
 
-pub mod answer_memory;
 pub mod balance;
 pub mod breaks;
 pub mod budget;
@@ -26,6 +26,7 @@
 pub mod heartbeat_pace;
 pub mod holding;
 pub mod load_totals;
+pub mod memory;
 pub mod own_delay;
 pub mod passing;
 mod path_evidence;
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -32,7 +32,7 @@
 use hemlock_lib::node::passing::{self, Sends, Step};
 use hemlock_lib::time::Time;
 use hemlock_platform::requests::{self, ForwardMeta};
-use hemlock_wire::http1::{Conn, Framing};
+use hemlock_wire::http1::{self, Conn, Framing};
 use tokio::task::coop::unconstrained;
 
 use self::exchange::{
@@ -201,6 +201,7 @@
     // A request that a peer passed on was counted there.
     if let Some(model) = &request.meta.model
         && request.passed.is_none()
+        && request.config.has_model(model)
     {
         let size = RequestSize {
             prompt_tokens: request.meta.prompt_tokens,
@@ -506,11 +507,14 @@
         };
         let mut out =
             requests::encode_request(&self.request.head, &passed, self.request.body.len());
-        out.extend_from_slice(&self.request.body);
+        let body_sent = http1::join_small_body(&mut out, &self.request.body);
         Ok(Box::new(Exchange {
             receiver: Receiver::Endpoint(to.clone()),
             conn,
-            phase: Phase::Write(out.into()),
+            phase: Phase::Write {
+                head: out.into(),
+                body_sent,
+            },
             is_kept,
             skipped: 0,
             events_before: self.delivered.events,
@@ -575,7 +579,7 @@
                 Phase::Body(body) => break body,
                 phase => send.phase = phase,
             }
-            let step = advance_head(&mut send.conn, &mut send.phase);
+            let step = advance_head(&mut send.conn, &mut send.phase, &self.request.body);
             let head = match self.await_endpoint(caller, step, to).await {
                 Ok(Ok(Some(head))) => head,
                 Ok(Ok(None)) => continue,
--- a/node/src/relay/buffered.rs
+++ b/node/src/relay/buffered.rs
@@ -23,11 +23,7 @@
         }
         let body = {
             let time_left = self.request.deadline.since(self.node.now());
-            let read = answer_body::read(
-                &self.node.answer_memory,
-                &mut send.conn,
-                &mut head.body_framing,
-            );
+            let read = answer_body::read(&self.node.memory, &mut send.conn, &mut head.body_framing);
             let mut read = std::pin::pin!(read);
             let mut deadline = std::pin::pin!(tokio::time::sleep(time_left));
             loop {
--- a/node/src/relay/exchange.rs
+++ b/node/src/relay/exchange.rs
@@ -41,8 +41,13 @@
 /// What is done next on the connection.
 #[derive(Debug)]
 pub(super) enum Phase {
-    /// The request is written; these bytes are left.
-    Write(Bytes),
+    /// The request is written.
+    Write {
+        /// What is left of the head, with a small body.
+        head: Bytes,
+        /// Number of bytes of the body that were written, or go out with the head.
+        body_sent: usize,
+    },
     /// The head of a response is read.
     Head,
     /// The body of a response to another request is skipped.
@@ -238,10 +243,15 @@
 pub(super) async fn advance_head(
     conn: &mut Conn,
     phase: &mut Phase,
+    request_body: &[u8],
 ) -> Result<Option<ResponseHead>, HeadError> {
     match phase {
-        Phase::Write(rest) => {
-            conn.write_rest(rest).await.map_err(|_| HeadError::Write)?;
+        Phase::Write { head, body_sent } => {
+            conn.write_rest(head).await.map_err(|_| HeadError::Write)?;
+            while *body_sent < request_body.len() {
+                let written = conn.write_part(&request_body[*body_sent..]).await;
+                *body_sent += written.map_err(|_| HeadError::Write)?;
+            }
         }
         Phase::Skip(framing) => match conn.skip_body(framing, MAX_BODY_BYTES).await {
             Ok(true) => {}
--- a/node/src/relay/held.rs
+++ b/node/src/relay/held.rs
@@ -122,7 +122,7 @@
         }
         match held.receiver.clone() {
             Receiver::Endpoint(to) => {
-                let head = advance_head(&mut held.conn, &mut held.phase).await;
+                let head = advance_head(&mut held.conn, &mut held.phase, &request.body).await;
                 let head = match head {
                     Ok(Some(head)) => head,
                     Ok(None) => continue,
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -233,17 +233,17 @@
                 }
             }
         };
-        let mut out = Vec::with_capacity(self.request.body.len() + 32);
-        if !self.request.body.is_empty() {
-            http1::put_chunk(&mut out, &self.request.body);
-        }
-        out.extend_from_slice(http1::LAST_CHUNK);
         let receiver = Receiver::Peer(peer.clone(), runs);
         self.is_counted = false;
         self.open_send = Some(receiver.clone());
-        let written = self.write_to_peer(caller, &mut conn, &out).await;
+        for part in http1::body_in_chunks(&self.request.body) {
+            let written = self.write_to_peer(caller, &mut conn, &part).await;
+            if written.is_err() {
+                self.open_send = None;
+            }
+            written?;
+        }
         self.open_send = None;
-        written?;
         Ok(Box::new(Exchange {
             receiver,
             conn,
@@ -315,6 +315,8 @@
         http1::put_header(&mut out, "Expect", b"100-continue");
         http1::put_header(&mut out, "Transfer-Encoding", b"chunked");
         http1::put_header(&mut out, passing::REQUEST_HEADER, message.as_bytes());
+        let length = self.request.body.len().to_string();
+        http1::put_header(&mut out, passing::LENGTH_HEADER, length.as_bytes());
         out.extend_from_slice(b"\r\n");
         Some(out)
     }
@@ -404,7 +406,7 @@
                         return (outcome, is_reusable.then_some(None));
                     }
                 },
-                Phase::Write(_) | Phase::Head | Phase::Skip(_) => {
+                Phase::Write { .. } | Phase::Head | Phase::Skip(_) => {
                     match self.await_peer_head(caller, send, runs).await {
                         Ok(head) => send.phase = Phase::Arrived(Box::new(head)),
                         Err(outcome) => return (outcome, None),
--- a/wire/src/http1.rs
+++ b/wire/src/http1.rs
@@ -7,20 +7,23 @@
 
 mod conn;
 
+use std::borrow::Cow;
 use std::io;
 
 use bytes::{Buf, Bytes, BytesMut};
 
-pub use self::conn::Conn;
+pub use self::conn::{Conn, Received};
 
-/// Maximum number of header lines of a message.
-const MAX_HEADERS: usize = 96;
+/// Number of header lines up to which a head is parsed without an allocation for them.
+const USUAL_HEADERS: usize = 96;
 /// Maximum length in bytes of a line with a chunk's size and extensions, or of a trailer.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Overhead in bytes of each piece of a body in limits on the work of reading it.
 pub const PIECE_OVERHEAD_BYTES: usize = 64;
 /// Overhead in bytes that each chunk may have, beside twice its data.
 const CHUNK_OVERHEAD_BYTES: usize = 16;
+/// Size in bytes up to which a body is copied to be written together with its head.
+const MAX_JOINED_BYTES: usize = 16 << 10;
 /// Maximum excess in bytes of the lines of a chunked body over the overhead of its chunks.
 const MAX_CHUNK_EXCESS_BYTES: usize = 16 << 10;
 
@@ -33,7 +36,7 @@
     Broken(io::Error),
     /// The bytes are not a valid message, or the framing of the message is ambiguous.
     Malformed(&'static str),
-    /// The head is larger than allowed, or the head of a request has too many header lines.
+    /// The head is larger than allowed.
     HeadTooLarge,
 }
 
@@ -294,9 +297,15 @@
 /// Parses the head of a request and returns it with its length in bytes; `None` means that it is
 /// incomplete.
 fn parse_request(buffer: &[u8], limit: usize) -> Result<Option<(RequestHead, usize)>, HttpError> {
-    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut lines);
-    let length = match request.parse(buffer) {
+    let (mut usual, mut more) = header_space();
+    let mut request = httparse::Request::new(&mut usual);
+    let mut parsed = request.parse(buffer);
+    if parsed == Err(httparse::Error::TooManyHeaders) {
+        more.resize(count_lines(buffer, limit), httparse::EMPTY_HEADER);
+        request = httparse::Request::new(&mut more);
+        parsed = request.parse(buffer);
+    }
+    let length = match parsed {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
@@ -323,11 +332,18 @@
 /// Parses the head of a response and returns it with its length in bytes; `None` means that it is
 /// incomplete.
 fn parse_response(buffer: &[u8], limit: usize) -> Result<Option<(ResponseHead, usize)>, HttpError> {
-    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut lines);
-    let length = match response.parse(buffer) {
+    let (mut usual, mut more) = header_space();
+    let mut response = httparse::Response::new(&mut usual);
+    let mut parsed = response.parse(buffer);
+    if parsed == Err(httparse::Error::TooManyHeaders) {
+        more.resize(count_lines(buffer, limit), httparse::EMPTY_HEADER);
+        response = httparse::Response::new(&mut more);
+        parsed = response.parse(buffer);
+    }
+    let length = match parsed {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
         Err(_) => return Err(HttpError::Malformed("invalid response head")),
     };
     if length > limit {
@@ -352,6 +368,20 @@
     Ok(Some((head, length)))
 }
 
+/// Returns space for the usual number of header lines, and for more of them.
+fn header_space<'a>() -> (
+    [httparse::Header<'a>; USUAL_HEADERS],
+    Vec<httparse::Header<'a>>,
+) {
+    ([httparse::EMPTY_HEADER; USUAL_HEADERS], Vec::new())
+}
+
+/// Returns the number of lines within a head of `limit` bytes.
+fn count_lines(buffer: &[u8], limit: usize) -> usize {
+    let head = &buffer[..buffer.len().min(limit)];
+    head.iter().filter(|b| **b == b'\n').count() + 1
+}
+
 fn to_headers(lines: &[httparse::Header<'_>]) -> Headers {
     let line = |h: &httparse::Header<'_>| (h.name.to_owned(), Bytes::copy_from_slice(h.value));
     Headers(lines.iter().map(line).collect())
@@ -417,6 +447,32 @@
     out.extend_from_slice(b"\r\n");
 }
 
+/// Appends a small body to the head of its message, so that they go out together; returns the number of
+/// bytes appended. A large body is written from where it is held.
+pub fn join_small_body(head: &mut Vec<u8>, body: &[u8]) -> usize {
+    if body.len() > MAX_JOINED_BYTES {
+        return 0;
+    }
+    head.extend_from_slice(body);
+    body.len()
+}
+
+/// Encodes a whole body in chunked coding, as the parts that are written one after the other. A small
+/// body is one part, a large one is not copied.
+pub fn body_in_chunks(body: &[u8]) -> Vec<Cow<'_, [u8]>> {
+    if body.len() > MAX_JOINED_BYTES {
+        let size = format!("{:x}\r\n", body.len()).into_bytes();
+        let end = [b"\r\n", LAST_CHUNK].concat();
+        return vec![Cow::Owned(size), Cow::Borrowed(body), Cow::Owned(end)];
+    }
+    let mut out = Vec::with_capacity(body.len() + 32);
+    if !body.is_empty() {
+        put_chunk(&mut out, body);
+    }
+    out.extend_from_slice(LAST_CHUNK);
+    vec![Cow::Owned(out)]
+}
+
 /// The end of a complete chunked body: the last chunk, without trailers.
 pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
