node: a held send ends another one only once it answers

Callers got 502 or a stream without its end although a second endpoint was answering: the silent endpoint of the first send brought the head of an answer that then broke, or the last events that were under way, and that ended the second run at once. A second endpoint's own 5xx was final although the first send was still held.

A held answer that is no stream now wins once it is complete, and a failure only if no other send answers; a held stream wins once events have arrived for 0.1 s, or at its orderly end, or at once while nothing else is under way. The body that was read so far stays with the send, in the memory of answers. A 5xx is not final while another send is held.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -527,6 +527,7 @@
             load: Load::Endpoint(EndpointLoad::new(self.node, now, &to.id, prompt)),
             is_counted: false,
             held_for: "",
+            moving_since: None,
             ended_by: None,
         }))
     }
--- a/node/src/relay/buffered.rs
+++ b/node/src/relay/buffered.rs
@@ -6,7 +6,7 @@
 use tokio::task::coop::unconstrained;
 
 use super::exchange::{Body, Exchange, Receiver};
-use super::{MAX_PIPELINED_BYTES, MIN_TIME_LEFT, Relay, SendOutcome, answer_body};
+use super::{MAX_PIPELINED_BYTES, MIN_TIME_LEFT, Relay, SendOutcome};
 use crate::front::ConnectionAction;
 
 impl Relay<'_> {
@@ -17,19 +17,19 @@
         send: &mut Exchange,
         body: &mut Body,
     ) -> SendOutcome {
-        let head = &mut body.head;
+        let Body { head, answer, .. } = body;
         if self.request.head.method == "HEAD" {
             head.body_framing = Framing::Done;
         }
-        let body = {
+        let read = {
             let time_left = self.request.deadline.since(self.node.now());
-            let read = answer_body::read(&self.node.memory, &mut send.conn, &mut head.body_framing);
+            let read = answer.read(&mut send.conn, &mut head.body_framing);
             let mut read = std::pin::pin!(read);
             let mut deadline = std::pin::pin!(tokio::time::sleep(time_left));
             loop {
                 tokio::select! {
                     biased;
-                    body = &mut read => break body,
+                    read = &mut read => break read,
                     disconnected = unconstrained(self.caller_disconnected(caller)) => {
                         if disconnected { return SendOutcome::CallerLeft }
                     }
@@ -37,20 +37,21 @@
                 }
             }
         };
-        let mut body = match body {
-            Ok(Some(body)) => body,
-            Ok(None) => return SendOutcome::MayHaveRun("too_large"),
+        match read {
+            Ok(true) => {}
+            Ok(false) => return SendOutcome::MayHaveRun("too_large"),
             Err(e) => return send.connection_broken(self.node, self.request, &e),
-        };
+        }
         if let Receiver::Endpoint(to) = &send.receiver {
             self.node.note_heard(&to.id);
             let mut balancer = self.node.balancer.borrow_mut();
             balancer.record_progress(self.node.now(), &to.id);
         }
-        // A failure of the endpoint itself is retried if the request may be repeated.
+        // A failure of the endpoint itself is retried if the request may be repeated, and is not final
+        // while another endpoint may still answer.
+        let is_idempotent = self.request.route.request_kind == RequestKind::Idempotent;
         if head.status >= 500
-            && self.request.route.request_kind == RequestKind::Idempotent
-            && self.may_switch_endpoint()
+            && (is_idempotent && self.may_switch_endpoint() || self.held_count > 0)
         {
             return SendOutcome::MayHaveRun("endpoint_failed");
         }
@@ -68,14 +69,14 @@
         http1::put_header(
             &mut out,
             "Content-Length",
-            body.bytes().len().to_string().as_bytes(),
+            answer.bytes().len().to_string().as_bytes(),
         );
         if !self.keep_alive {
             http1::put_header(&mut out, "Connection", b"close");
         }
         out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(body.bytes());
-        body.free_bytes();
+        out.extend_from_slice(answer.bytes());
+        answer.free_bytes();
         self.signals.is_committed.set(true);
         match self.write_to_caller(caller, &out).await {
             true => SendOutcome::Answered {
--- a/node/src/relay/exchange.rs
+++ b/node/src/relay/exchange.rs
@@ -16,6 +16,7 @@
 use hemlock_platform::requests;
 use hemlock_wire::http1::{Conn, Framing, HttpError, ResponseHead};
 
+use super::answer_body::AnswerBody;
 use super::{MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_SKIPPED_RESPONSES, SendOutcome};
 use crate::front::Request;
 use crate::metrics::Counter;
@@ -68,11 +69,14 @@
     pub(super) idle_timeout: Option<Duration>,
     /// Events of a stream that were not forwarded.
     pub(super) splitter: EventSplitter,
+    /// What was read of a body that is no stream.
+    pub(super) answer: AnswerBody,
 }
 
 impl Body {
-    pub(super) fn new(head: ResponseHead, idle_timeout: Option<Duration>) -> Self {
+    pub(super) fn new(node: &Rc<Node>, head: ResponseHead, idle_timeout: Option<Duration>) -> Self {
         Self {
+            answer: AnswerBody::new(node),
             framing: head.body_framing,
             head,
             idle_timeout,
@@ -213,6 +217,8 @@
     pub(super) is_counted: bool,
     /// Why the send was held, if it was; the last time.
     pub(super) held_for: &'static str,
+    /// When a complete event first arrived while the send was held.
+    pub(super) moving_since: Option<Time>,
     /// Why the send ended while it was held.
     pub(super) ended_by: Option<&'static str>,
 }
@@ -353,7 +359,7 @@
             balancer.hold_off(node.now(), to, time);
         }
         let status = head.status;
-        let body = Box::new(Body::new(head, meta.idle_timeout));
+        let body = Box::new(Body::new(node, head, meta.idle_timeout));
         if meta.not_run {
             let cause = match status {
                 421 => "other_endpoint",
--- a/node/src/relay/held.rs
+++ b/node/src/relay/held.rs
@@ -1,22 +1,36 @@
 //! Sends whose endpoints are silent. They are held open while the request is sent elsewhere, and the
-//! first send that goes on answers: a stream with a complete event or its orderly end, any other
-//! response with its head.
+//! first send that goes on answers: a stream whose events arrive again or that has its orderly end, any
+//! other response once it is complete. What was under way when an endpoint was lost may still arrive, so
+//! that a first event alone does not end another send.
 
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 
 use hemlock_lib::node::passing::{self, Origin, PeerReport};
-use hemlock_wire::http1::ResponseHead;
+use hemlock_wire::http1::{Framing, ResponseHead};
 
-use super::exchange::{Exchange, HeadVerdict, Phase, Receiver, advance_head};
+use super::exchange::{Body, Exchange, HeadVerdict, Phase, Receiver, advance_head};
 use super::stream::MAX_EVENT_BYTES;
 use super::{MAX_HEAD_BYTES, SendOutcome};
 use crate::front::Request;
 use crate::metrics::Counter;
 use crate::state::Node;
 
+/// Time over which the events of a held stream must arrive before another send is given up for it.
+const STEADY_TIME: Duration = Duration::from_millis(100);
+
+/// How a held send goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// It answers.
+    Answers,
+    /// Its complete answer is a failure, which is used only if no other send answers.
+    Fails,
+}
+
 /// What the other sends of a request tell those that are held.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Signals {
@@ -46,74 +60,123 @@
 ) -> HeldEvent {
     let open = held.iter_mut();
     let mut open: Vec<_> = open
-        .map(|send| Some(Box::pin(listen(node, request, send))))
+        .map(|send| Some(Box::pin(listen(node, request, send, signals))))
         .collect();
     let mut has_ended = false;
+    let mut failure = None;
     poll_fn(|cx| {
         if signals.is_committed.get() {
             return Poll::Ready(HeldEvent::Committed);
         }
         for (index, slot) in open.iter_mut().enumerate() {
-            let Some(Poll::Ready(goes_on)) = slot.as_mut().map(|l| l.as_mut().poll(cx)) else {
+            let Some(Poll::Ready(progress)) = slot.as_mut().map(|l| l.as_mut().poll(cx)) else {
                 continue;
             };
-            if goes_on {
-                return Poll::Ready(HeldEvent::GoesOn(index));
-            }
             *slot = None;
-            has_ended = true;
+            match progress {
+                Some(Progress::Answers) => return Poll::Ready(HeldEvent::GoesOn(index)),
+                Some(Progress::Fails) => failure = Some(index),
+                None => has_ended = true,
+            }
         }
-        match has_ended && signals.is_listening.get() {
-            true => Poll::Ready(HeldEvent::Ended),
-            false => Poll::Pending,
+        if !signals.is_listening.get() {
+            return Poll::Pending;
+        }
+        match failure {
+            Some(index) if open.iter().all(Option::is_none) => {
+                Poll::Ready(HeldEvent::GoesOn(index))
+            }
+            _ if has_ended => Poll::Ready(HeldEvent::Ended),
+            _ => Poll::Pending,
         }
     })
     .await
 }
 
-/// Reads from a held send until it goes on or ends; returns whether it goes on. Cancel-safe.
-async fn listen(node: &Rc<Node>, request: &Request, held: &mut Exchange) -> bool {
+/// Reads from a held send until it goes on or ends; `None` means that it ends. Cancel-safe.
+async fn listen(
+    node: &Rc<Node>,
+    request: &Request,
+    held: &mut Exchange,
+    signals: &Signals,
+) -> Option<Progress> {
     if held.ended_by.is_some() {
-        return false;
+        return None;
     }
-    match read_on(node, request, held).await {
-        Ok(()) => true,
+    match read_on(node, request, held, signals).await {
+        Ok(progress) => Some(progress),
         Err(outcome) => {
             held.ended_by = Some(outcome.cause());
-            false
+            None
         }
     }
 }
 
+/// Waits until nothing else is done for the request.
+async fn nothing_else(signals: &Signals) {
+    poll_fn(|_| match signals.is_listening.get() {
+        true => Poll::Ready(()),
+        false => Poll::Pending,
+    })
+    .await;
+}
+
+/// Returns whether a status is a failure that another send may make good.
+fn is_failure(status: u16) -> bool {
+    status >= 500 || matches!(status, 408 | 421 | 429)
+}
+
 /// Reads from a held send until it goes on. Fails with the outcome of a send that ends otherwise.
 async fn read_on(
     node: &Rc<Node>,
     request: &Request,
     held: &mut Exchange,
-) -> Result<(), SendOutcome> {
+    signals: &Signals,
+) -> Result<Progress, SendOutcome> {
     loop {
         if let Phase::Body(body) = &mut held.phase {
-            if !request.route.request_kind.is_stream() || !(200..300).contains(&body.head.status) {
-                return Ok(());
-            }
-            if body.splitter.has_event() {
-                return Ok(());
+            let Body { head, answer, .. } = &mut **body;
+            if !request.route.request_kind.is_stream() || !(200..300).contains(&head.status) {
+                if request.head.method == "HEAD" {
+                    head.body_framing = Framing::Done;
+                }
+                let progress = match is_failure(head.status) {
+                    true => Progress::Fails,
+                    false => Progress::Answers,
+                };
+                return match answer.read(&mut held.conn, &mut head.body_framing).await {
+                    Ok(true) => Ok(progress),
+                    Ok(false) => Err(SendOutcome::MayHaveRun("too_large")),
+                    Err(e) => Err(held.connection_broken(node, request, &e)),
+                };
             }
-            let piece = held.conn.read_body_piece(&mut body.head.body_framing).await;
+            let has_event = body.splitter.has_event();
+            let piece = tokio::select! {
+                biased;
+                () = nothing_else(signals), if has_event => return Ok(Progress::Answers),
+                piece = held.conn.read_body_piece(&mut body.head.body_framing) => piece,
+            };
             match piece {
                 Ok(Some(bytes)) => {
+                    let now = node.now();
                     body.splitter.push(&bytes);
-                    let is_too_large = !body.splitter.has_event()
-                        && body.splitter.partial().len() > MAX_EVENT_BYTES;
-                    held.note_piece(node, node.now());
-                    if is_too_large {
+                    let has_event = body.splitter.has_event();
+                    let is_too_large = body.splitter.partial().len() > MAX_EVENT_BYTES;
+                    held.note_piece(node, now);
+                    if has_event {
+                        let since = *held.moving_since.get_or_insert(now);
+                        if is_too_large || now.since(since) >= STEADY_TIME {
+                            return Ok(Progress::Answers);
+                        }
+                    } else if is_too_large {
                         return Err(SendOutcome::MayHaveRun("too_large"));
                     }
                 }
+                Ok(None) if has_event => return Ok(Progress::Answers),
                 Ok(None) => {
                     return match is_cut_off(held) {
                         true => Err(held.cut_off(node, request)),
-                        false => Ok(()),
+                        false => Ok(Progress::Answers),
                     };
                 }
                 Err(e) => return Err(held.connection_broken(node, request, &e)),
@@ -136,8 +199,11 @@
                 }
             }
             Receiver::Peer(..) => {
-                if let Phase::Arrived(_) = held.phase {
-                    return Ok(());
+                if let Phase::Arrived(head) = &held.phase {
+                    return Ok(match is_failure(head.status) {
+                        true => Progress::Fails,
+                        false => Progress::Answers,
+                    });
                 }
                 match held.conn.read_any_response_head(MAX_HEAD_BYTES).await {
                     Ok(head) if head.status < 200 => held.heard_at = node.now(),
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -105,6 +105,7 @@
         let receiver = send.receiver.clone();
         self.count_run(&receiver);
         send.is_counted = true;
+        send.moving_since = None;
         log::info!(
             "event=held request={} id={} cause={} events={} quiet_ms={} left_ms={}{}",
             self.request_id(),
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -263,6 +263,7 @@
             },
             is_counted: false,
             held_for: "",
+            moving_since: None,
             ended_by: None,
         }))
     }
@@ -456,7 +457,7 @@
             return Err((SendOutcome::MayHaveRun("unsigned"), false));
         }
         head.headers.remove_prefixed(passing::HEADER_PREFIX);
-        Ok(Box::new(Body::new(head, None)))
+        Ok(Box::new(Body::new(self.node, head, None)))
     }
 
     /// Reads the head of the response from a peer, which shows at intervals that it is at work. One
--- a/node/tests/test_silence.rs
+++ b/node/tests/test_silence.rs
@@ -247,3 +247,51 @@
         assert_eq!(cluster.run_count(&id), 1, "{id}");
     }
 }
+
+/// Returns the endpoint that has the request, and has the other plain ones take a while from now on.
+fn first_of_plain<'a>(cluster: &'a Cluster, id: &str, run_time: Duration) -> &'a Endpoint {
+    let first = endpoint_of(cluster, id);
+    let plain = cluster.endpoints.iter().filter(|e| e.id().starts_with('p'));
+    for other in plain.filter(|p| p.id() != first.id()) {
+        other.set_mode(Mode::Good);
+        other.set_run_time(run_time);
+        cluster.set_endpoint_links(other.id(), Link::Open);
+    }
+    first
+}
+
+/// A head from the silent endpoint ended the run of the other one, and then its body broke.
+#[test]
+fn second_run_goes_on_while_the_first_has_brought_no_whole_answer() {
+    let cluster = Cluster::spawn();
+    let plain = cluster.endpoints.iter().filter(|e| e.id().starts_with('p'));
+    plain.for_each(|p| p.set_mode(Mode::Torn));
+    cluster.set_endpoint_links("p", Link::CutBack);
+    let call = send(cluster.nodes[0].front, "GET", "/plain/a", "torn");
+    let first = first_of_plain(&cluster, "torn", Duration::from_millis(1_500));
+    cluster.nodes[0].wait_until("it runs again", |_| cluster.run_count("torn") > 1);
+    thread::sleep(BEGIN_TIME);
+    cluster.set_endpoint_links(first.id(), Link::Open);
+    let response = call.join().expect("the caller ends");
+    let lines = cluster.nodes[0].log_lines("torn");
+    assert_eq!(response.status, 200, "{lines:#?}");
+}
+
+/// Events that were under way ended the second run, though the first endpoint brought nothing more.
+#[test]
+fn second_run_goes_on_after_the_last_events_of_the_first() {
+    let cluster = cluster();
+    let (stream, first) = silenced_stream(&cluster, "last");
+    let others = other_heads(&cluster, first);
+    let set_others = |link| {
+        let ids = others.iter().map(|h| h.id());
+        ids.for_each(|id| cluster.set_endpoint_links(id, link));
+    };
+    set_others(Link::CutBack);
+    cluster.nodes[0].wait_until("it runs again", |_| cluster.run_count("last") > 1);
+    cluster.set_endpoint_links(first.id(), Link::Open);
+    thread::sleep(Duration::from_millis(60));
+    cluster.set_endpoint_links(first.id(), Link::Silent);
+    set_others(Link::Open);
+    check_whole(&cluster, stream, "last");
+}
