--- a/node/src/relay/endpoint_signs.rs
+++ b/node/src/relay/endpoint_signs.rs
@@ -51,7 +51,7 @@
         }
         let timeout = self.silence_timeout(awaits_first_event);
         timeout
-            .saturating_sub(now.since(since))
+            .saturating_sub(self.node.own_delay.silence(since, now))
             .max(Duration::from_millis(1))
     }
 
@@ -66,7 +66,8 @@
         awaits_first_event: bool,
     ) -> Option<&'static str> {
         if !self.may_switch_endpoint()
-            || now.since(silence.since) < self.silence_timeout(awaits_first_event)
+            || self.node.own_delay.silence(silence.since, now)
+                < self.silence_timeout(awaits_first_event)
         {
             return None;
         }
@@ -75,7 +76,7 @@
         }
         let mut balancer = self.node.balancer.borrow_mut();
         let progress = balancer.last_progress(&to.id).unwrap_or_default();
-        if now.since(progress) < SILENCE_TIMEOUT {
+        if self.node.own_delay.silence(progress, now) < SILENCE_TIMEOUT {
             if silence.extensions >= MAX_EXTENSIONS {
                 return Some("stuck");
             }
--- a/node/tests/test_standstill.rs
+++ b/node/tests/test_standstill.rs
@@ -41,3 +41,30 @@
     assert!(judged.is_empty(), "{judged:#?}");
     check_runs(&cluster, &tries);
 }
+
+/// Each time that it ran, it gave up the streams whose events had arrived meanwhile.
+#[test]
+fn vm_that_runs_a_tenth_of_the_time_gives_up_no_stream_as_silent() {
+    let cluster = Cluster::spawn();
+    let tries = thread::scope(|scope| {
+        let callers = scope.spawn(|| cluster.send_for("beside", Duration::from_secs(6)));
+        thread::sleep(RUN);
+        for _ in 0..10 {
+            cluster.nodes[0].signal("STOP");
+            thread::sleep(Duration::from_millis(450));
+            cluster.nodes[0].signal("CONT");
+            thread::sleep(Duration::from_millis(50));
+        }
+        callers.join().expect("the callers end")
+    });
+    let silent = cluster.nodes[0].log_lines("event=silent");
+    let stuck = cluster.nodes[0].log_lines("cause=stuck");
+    assert!(
+        silent.is_empty() && stuck.is_empty(),
+        "{silent:#?} {stuck:#?}"
+    );
+    let failed = tries.iter().filter(|t| !t.is_served());
+    let failed: Vec<_> = failed.map(|t| (&t.id, t.time, &t.response.head)).collect();
+    assert!(failed.is_empty(), "{failed:#?}");
+    check_runs(&cluster, &tries);
+}
