node: a request that may run once waits for a silent peer while it has time

It can't be sent elsewhere, but its answer may still come: the exchange is now held like any other one. answer_arrives_through_a_peer_that_stood_still fails without this.

The silence of peers is measured without the time for which this VM was not run.

--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -476,16 +476,14 @@
             if now >= self.request.deadline {
                 return Err(SendOutcome::DeadlinePassed);
             }
-            let mut quiet_left = passing::PEER_SILENCE.saturating_sub(now.since(heard));
+            let mut quiet_left =
+                passing::PEER_SILENCE.saturating_sub(self.node.own_delay.silence(heard, now));
             if self.may_switch_endpoint() {
-                quiet_left = quiet_left.min(limit.saturating_sub(now.since(begun)));
+                quiet_left =
+                    quiet_left.min(limit.saturating_sub(self.node.own_delay.silence(begun, now)));
             }
             if quiet_left.is_zero() {
-                // One that may run once only can't go another way.
-                return Err(match self.request.route.request_kind.may_retry() {
-                    true => SendOutcome::Silent("peer_silent"),
-                    false => SendOutcome::PeerLost("peer_silent"),
-                });
+                return Err(SendOutcome::Silent("peer_silent"));
             }
             let wait = quiet_left.min(self.request.deadline.since(now));
             tokio::select! {
@@ -514,7 +512,7 @@
         peer: &PeerPath,
         runs: PeerRuns,
     ) -> Option<&'static str> {
-        let quiet = now.since(since);
+        let quiet = self.node.own_delay.silence(since, now);
         if quiet < PEER_LOST_AFTER {
             return None;
         }
--- a/node/tests/test_silence.rs
+++ b/node/tests/test_silence.rs
@@ -295,3 +295,30 @@
     set_others(Link::Open);
     check_whole(&cluster, stream, "last");
 }
+
+/// A request that may run once was failed after 1.5 s of the peer's silence.
+#[test]
+fn answer_arrives_through_a_peer_that_stood_still() {
+    let cluster = Cluster::spawn();
+    cluster.set_link(0, Link::Reset);
+    thread::sleep(STABLE_WINDOW);
+    cluster.send_for("cut", Duration::from_millis(500));
+    let plain = cluster.endpoints.iter().filter(|e| e.id().starts_with('p'));
+    plain.for_each(|p| p.set_run_time(Duration::from_millis(3_500)));
+    let call = send(cluster.nodes[0].front, "POST", "/once/a", "still");
+    endpoint_of(&cluster, "still");
+    thread::sleep(BEGIN_TIME);
+    let passed_on = cluster.nodes[0].log_lines("event=passed_on request=still");
+    let peer = match passed_on.last() {
+        Some(line) if line.contains("via=peer:entry-2") => 1,
+        Some(_) => 2,
+        None => panic!("the request was not passed on"),
+    };
+    cluster.nodes[peer].signal("STOP");
+    thread::sleep(Duration::from_millis(2_300));
+    cluster.nodes[peer].signal("CONT");
+    let response = call.join().expect("the caller ends");
+    let lines = cluster.nodes[0].log_lines("still");
+    assert_eq!(response.status, 200, "{lines:#?}");
+    assert_eq!(cluster.run_count("still"), 1);
+}
