planner: a planner that has just started asks engines before it joins them, also before traffic

Cause: in the first 15 s of a term a join is preceded by a question to the engine only if callers had come, as far as the process or its peers remember. A restart of all forgets that; the copy shows engines of open groups as free, and a new process can't tell that it is a copy.

Now each join of the first 15 s of a term is preceded by the question, whatever the process remembers. An engine that answers with another group than the list shows keeps it. The price is one question a join at a start.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -577,12 +577,13 @@
     }
 
     /// Returns whether an engine may be in another group than the list shows: the list is not
-    /// updated, or an order of this planner or of the one before it may be carried out late.
+    /// updated, an order of this planner or of the one before it may be carried out late, or the list
+    /// is an older copy, which a planner that has just started can't tell.
     fn may_have_changed(&self, id: &str) -> bool {
         let is_recent = |t: Option<Time>| t.is_some_and(|t| self.now.since(t) < LATE_ORDER_TIME);
         let state = self.planner.engine_states.get(id);
         self.input.list_frozen
             || state.is_some_and(|s| is_recent(s.lost_order))
-            || !self.input.before_traffic && is_recent(self.planner.term_since)
+            || is_recent(self.planner.term_since)
     }
 }
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -228,6 +228,21 @@
         self.planner.begin_term(fence);
     }
 
+    /// Replaces the list by an older copy of it, and the planner by one that remembers nothing.
+    pub fn restart_beside(&mut self, copy: Vec<Endpoint>, fence: u64) {
+        self.endpoints = Endpoints::new(Duration::from_secs(2));
+        self.endpoints.replace(self.now, copy);
+        self.before_traffic = true;
+        self.replace_planner(fence);
+    }
+
+    /// Has all live engines write their entries again.
+    pub fn write_entries(&mut self) {
+        let live = self.engines.values().filter(|e| e.crashed_at.is_none());
+        let ids: Vec<Arc<str>> = live.map(|e| e.entry.id.clone()).collect();
+        ids.iter().for_each(|id| self.update_list(id));
+    }
+
     fn plan(&mut self) {
         let mut out = Vec::new();
         if self.is_cut_off {
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -452,3 +452,20 @@
     simulation.run(Duration::from_secs(2));
     assert_eq!(simulation.serving(), before);
 }
+
+#[test]
+fn planner_that_starts_beside_an_older_list_leaves_open_groups_alone() {
+    for offset in (0..6_000).step_by(300) {
+        let mut simulation = Simulation::new(two_models(), &[10; 6], 1);
+        simulation.run(Duration::from_millis(offset));
+        let copy: Vec<_> = simulation.endpoints.iter().cloned().collect();
+        simulation.run(Duration::from_secs(4));
+        let before: usize = simulation.serving().values().sum();
+        simulation.restart_beside(copy, 2);
+        simulation.run(Duration::from_millis(1_200));
+        simulation.write_entries();
+        simulation.run(Duration::from_secs(3));
+        let after: usize = simulation.serving().values().sum();
+        assert!(after >= before, "{offset} ms: {before}, then {after}");
+    }
+}
