--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -484,3 +484,20 @@
         .find(|n| *n != "stage");
     assert_eq!(first, Some("close"), "{:?}", simulation.orders);
 }
+
+#[test]
+fn planner_that_starts_beside_an_older_list_leaves_open_groups_alone() {
+    for offset in (0..6_000).step_by(300) {
+        let mut simulation = Simulation::new(two_models(), &[10; 6], 1);
+        simulation.run(Duration::from_millis(offset));
+        let copy: Vec<_> = simulation.endpoints.iter().cloned().collect();
+        simulation.run(Duration::from_secs(4));
+        let before: usize = simulation.serving().values().sum();
+        simulation.restart_beside(copy, 2);
+        simulation.run(Duration::from_millis(1_200));
+        simulation.write_entries();
+        simulation.run(Duration::from_secs(3));
+        let after: usize = simulation.serving().values().sum();
+        assert!(after >= before, "{offset} ms: {before}, then {after}");
+    }
+}
