node, lib: runs behind a peer's answer are counted

Cause: the report of a peer that forwards an answer counts the runs before the one that answered, and the VM of the caller added a run only for its own sends and for lost peers. It found no possible run and refused.

Now `passing::Sends` keeps the count to itself. What a send or a hand-over says of the runs is an enum (`Runs`) with one transition each, and `runs_of` derives it from the receiver and the outcome by a match over all of them, so that a new outcome must say which. Refusals ask `may_have_run`.

--- a/lib/src/node/passing.rs
+++ b/lib/src/node/passing.rs
@@ -144,7 +144,7 @@
     pub events: u32,
     /// The sends so far.
     pub sends: Sends,
-    /// Upper bound on [`Sends::possible_runs`] for the peer.
+    /// Upper bound on [`Sends::possible_runs()`] for the peer.
     pub max_runs: u32,
     /// Endpoints that the sender knows to accept no requests.
     pub leaving: Vec<Arc<str>>,
@@ -174,10 +174,61 @@
     /// Number of sends that may have reached an endpoint.
     pub reached: u32,
     /// Number of sends with which the request may have run.
-    pub possible_runs: u32,
+    possible_runs: u32,
+}
+
+/// What one send to an endpoint, or one hand-over to a peer, says of the runs of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Runs {
+    /// The request certainly did not run.
+    None,
+    /// An endpoint may have run it.
+    MayBeOne,
+    /// A peer was lost that had the request; it may have used all runs up to this bound on those of
+    /// the request.
+    UpTo(u32),
+    /// A peer forwarded the response of an endpoint. Its report, which was merged, does not count
+    /// that run; all runs together are within this bound.
+    Forwarded(u32),
+    /// A peer failed to get a response after the request may have run this many times before. Its
+    /// report, which was merged, counts the runs at the peer.
+    FailedAfter(u32),
 }
 
 impl Sends {
+    /// Creates the sends to the endpoints `tried`, of which `reached` may have got the request.
+    pub fn new(tried: Vec<Arc<str>>, reached: u32, possible_runs: u32) -> Self {
+        Self {
+            tried,
+            reached,
+            possible_runs,
+        }
+    }
+
+    /// Returns the number of sends with which the request may have run.
+    pub fn possible_runs(&self) -> u32 {
+        self.possible_runs
+    }
+
+    /// Returns whether the request may have run, so that it must not be refused any more.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs > 0
+    }
+
+    /// Records what one send or hand-over says of the runs of the request.
+    pub fn record(&mut self, runs: Runs) {
+        self.possible_runs = match runs {
+            Runs::None => self.possible_runs,
+            Runs::MayBeOne => self.possible_runs + 1,
+            Runs::UpTo(max) => {
+                self.reached += 1;
+                self.possible_runs.max(max)
+            }
+            Runs::Forwarded(max) => self.possible_runs.max(max.min(self.possible_runs + 1)),
+            Runs::FailedAfter(before) => self.possible_runs.max(before + 1),
+        };
+    }
+
     /// Returns whether the next send repeats one that may have reached an endpoint. Only such sends
     /// are charged to the retry budget.
     pub fn next_is_repeat(&self) -> bool {
@@ -194,13 +245,6 @@
         self.reached = self.reached.max(report.reached);
         self.possible_runs = self.possible_runs.max(report.possible_runs);
     }
-
-    /// Records that a peer was lost that had taken the request: it may have used all sends that it was
-    /// allowed.
-    pub fn record_lost_peer(&mut self, max_runs: u32) {
-        self.reached += 1;
-        self.possible_runs = self.possible_runs.max(max_runs);
-    }
 }
 
 /// Returns the upper bound on possible runs for a peer: one of several remaining sends is left for the
--- a/lib/tests/test_node_passing.rs
+++ b/lib/tests/test_node_passing.rs
@@ -3,8 +3,8 @@
 
 use hemlock_lib::node::budget::{Allowance, RetryBudget};
 use hemlock_lib::node::passing::{
-    self, MAX_FAILED_CONNECTS, Origin, PeerLoads, PeerReport, Secret, SecretRecord, Secrets, Sends,
-    Situation, Step, max_runs_of_peer, next_step, refusal,
+    self, MAX_FAILED_CONNECTS, Origin, PeerLoads, PeerReport, Runs, Secret, SecretRecord, Secrets,
+    Sends, Situation, Step, max_runs_of_peer, next_step, refusal,
 };
 use hemlock_lib::node::peer_paths::PeerPath;
 use hemlock_lib::node::peers::Member;
@@ -22,11 +22,8 @@
 }
 
 fn sends(tried: &[&str], reached: u32, possible_runs: u32) -> Sends {
-    Sends {
-        tried: tried.iter().map(|id| Arc::from(*id)).collect(),
-        reached,
-        possible_runs,
-    }
+    let tried = tried.iter().map(|id| Arc::from(*id)).collect();
+    Sends::new(tried, reached, possible_runs)
 }
 
 /// A request that was not sent yet.
@@ -160,10 +157,10 @@
             let max_runs = max_runs_of_peer(before, max_attempts, true);
             assert!(max_runs > before && max_runs <= max_attempts.max(before + 1));
             let mut all = sends(&[], before, before);
-            all.record_lost_peer(max_runs);
-            assert_eq!(all.possible_runs, max_runs);
+            all.record(Runs::UpTo(max_runs));
+            assert_eq!(all.possible_runs(), max_runs);
             let is_last = before + 1 == max_attempts;
-            assert_eq!(all.possible_runs < max_attempts, !is_last);
+            assert_eq!(all.possible_runs() < max_attempts, !is_last);
         }
     }
     assert_eq!(max_runs_of_peer(0, 5, false), 1);
@@ -313,3 +310,32 @@
     let text = passing::encode(&report).unwrap();
     assert_eq!(passing::decode::<PeerReport>(&text).unwrap(), report);
 }
+
+#[test]
+fn only_what_surely_did_not_run_leaves_a_request_unrun() {
+    let after = |runs: Runs, before: u32| {
+        let mut all = sends(&["a"], 1, before);
+        all.record(runs);
+        all.possible_runs()
+    };
+    assert_eq!(after(Runs::None, 0), 0);
+    for max in 1..4 {
+        for runs in [Runs::MayBeOne, Runs::UpTo(max), Runs::Forwarded(max)] {
+            assert!(after(runs, 0) > 0, "{runs:?}");
+        }
+    }
+    assert_eq!(after(Runs::FailedAfter(0), 0), 1);
+}
+
+/// The report of a peer that forwards an answer counts the runs before the one that answered.
+#[test]
+fn run_whose_answer_a_peer_forwarded_is_counted_once() {
+    let mut all = sends(&["a"], 1, 1);
+    all.merge(&sends(&["a", "b", "c"], 3, 2));
+    all.record(Runs::Forwarded(3));
+    assert_eq!(all.possible_runs(), 3);
+    let mut failed = sends(&["a"], 1, 1);
+    failed.merge(&sends(&["a", "b"], 2, 2));
+    failed.record(Runs::FailedAfter(1));
+    assert_eq!(failed.possible_runs(), 2);
+}
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -370,7 +370,7 @@
         let (to, estimate) = match self.choose_endpoint(now, service, engine) {
             Choice::Send(to, estimate) => (to, estimate),
             // The request may outlast this node, but another VM accepts it at once.
-            Choice::Full(_) if must_end_soon && self.sends.possible_runs == 0 => {
+            Choice::Full(_) if must_end_soon && !self.sends.may_have_run() => {
                 return Err(("stopping", front::RETRY_ELSEWHERE_AFTER));
             }
             Choice::Full(after) => return Err(("full", after)),
@@ -433,11 +433,11 @@
             shutdown_limit: self
                 .time_until_exit(now)
                 .filter(|_| {
-                    self.request.route.request_kind.is_stream() && self.sends.possible_runs == 0
+                    self.request.route.request_kind.is_stream() && !self.sends.may_have_run()
                 })
                 .map(|time_left| (self.request.meta.max_answer_tokens, time_left)),
             connected: &connected,
-            has_started: self.sends.possible_runs > 0,
+            has_started: self.sends.may_have_run(),
             is_urgent: self.is_most_urgent(service),
         };
         let mut balancer = self.node.balancer.borrow_mut();
--- a/node/src/relay/limits.rs
+++ b/node/src/relay/limits.rs
@@ -96,7 +96,7 @@
     /// slot. A stream that has begun waits as long as it must.
     pub(super) fn queue_limit(&self) -> Duration {
         let route = &self.request.route;
-        let has_begun = self.sends.possible_runs > 0 || self.delivered.last_event.is_some();
+        let has_begun = self.sends.may_have_run() || self.delivered.last_event.is_some();
         if has_begun || !route.request_kind.is_stream() {
             return Duration::MAX;
         }
@@ -108,7 +108,7 @@
         let route = &self.request.route;
         holding::may_switch(
             route.request_kind.may_retry(),
-            self.sends.possible_runs,
+            self.sends.possible_runs(),
             self.is_counted,
             route.max_attempts,
         )
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -4,9 +4,11 @@
 
 use hemlock_lib::node::balance::Candidate;
 use hemlock_lib::node::forecast::Estimate;
+use hemlock_lib::node::passing::Runs;
 use hemlock_wire::http1::Conn;
 
 use super::exchange::{Exchange, Phase, Receiver};
+use super::pass_on::PEER_FAILED;
 use super::{Relay, SendOutcome, held};
 use crate::front::{self, ConnectionAction};
 use crate::metrics::{Counter, Latency};
@@ -20,6 +22,35 @@
     matches!(cause, "silent" | "stuck" | "peer_silent" | "peer_lost")
 }
 
+/// Returns what the outcome of a send says of the runs of the request.
+fn runs_of(receiver: &Receiver, outcome: &SendOutcome) -> Runs {
+    match (receiver, outcome) {
+        (_, SendOutcome::NotRun(_) | SendOutcome::Refused(_)) => Runs::None,
+        (
+            Receiver::Endpoint(_),
+            SendOutcome::Answered { .. }
+            | SendOutcome::MayHaveRun(_)
+            | SendOutcome::PeerLost(_)
+            | SendOutcome::Silent(_)
+            | SendOutcome::CallerLeft
+            | SendOutcome::DeadlinePassed,
+        ) => Runs::MayBeOne,
+        (Receiver::Peer(_, runs), SendOutcome::MayHaveRun(PEER_FAILED)) => {
+            Runs::FailedAfter(runs.max - runs.own)
+        }
+        (Receiver::Peer(_, runs), SendOutcome::Answered { .. } | SendOutcome::MayHaveRun(_)) => {
+            Runs::Forwarded(runs.max)
+        }
+        (
+            Receiver::Peer(_, runs),
+            SendOutcome::PeerLost(_)
+            | SendOutcome::Silent(_)
+            | SendOutcome::CallerLeft
+            | SendOutcome::DeadlinePassed,
+        ) => Runs::UpTo(runs.max),
+    }
+}
+
 impl Relay<'_> {
     /// Logs that the request is sent to an endpoint; `cause` is that of the failure of the last
     /// send.
@@ -67,34 +98,25 @@
 
     /// Records the outcome of a send that has ended.
     pub(super) fn settle(&mut self, receiver: &Receiver, outcome: &SendOutcome) {
+        self.count_runs(runs_of(receiver, outcome));
         match receiver {
             Receiver::Endpoint(to) => match *outcome {
                 SendOutcome::NotRun(reason) => self.note_not_run(to, reason),
                 SendOutcome::MayHaveRun(reason) => {
-                    self.count_run(receiver);
                     self.log_failed(to, reason, true);
                     let mut balancer = self.node.balancer.borrow_mut();
                     balancer.record_failure(self.node.now(), &to.id);
                 }
-                SendOutcome::DeadlinePassed => self.count_run(receiver),
                 _ => {}
             },
-            Receiver::Peer(peer, _) => {
-                if let SendOutcome::DeadlinePassed | SendOutcome::PeerLost(_) = outcome {
-                    self.count_run(receiver);
-                }
-                self.note_peer_outcome(peer, outcome);
-            }
+            Receiver::Peer(peer, _) => self.note_peer_outcome(peer, outcome),
         }
     }
 
-    /// Counts the current send as possible runs, once.
-    fn count_run(&mut self, receiver: &Receiver) {
-        if !std::mem::replace(&mut self.is_counted, true) {
-            match receiver {
-                Receiver::Endpoint(_) => self.sends.possible_runs += 1,
-                Receiver::Peer(_, runs) => self.sends.record_lost_peer(runs.max),
-            }
+    /// Counts the possible runs of the current send, once.
+    fn count_runs(&mut self, runs: Runs) {
+        if runs != Runs::None && !std::mem::replace(&mut self.is_counted, true) {
+            self.sends.record(runs);
         }
     }
 
@@ -103,7 +125,7 @@
         let now = self.node.now();
         let is_first = !send.is_counted;
         let receiver = send.receiver.clone();
-        self.count_run(&receiver);
+        self.count_runs(runs_of(&receiver, &SendOutcome::Silent(send.held_for)));
         send.is_counted = true;
         log::info!(
             "event=held request={} id={} cause={} events={} quiet_ms={} left_ms={}{}",
@@ -147,7 +169,7 @@
         let Some(receiver) = self.open_send.take() else {
             return;
         };
-        self.count_run(&receiver);
+        self.count_runs(runs_of(&receiver, &SendOutcome::Silent(OVERTAKEN)));
         match &receiver {
             Receiver::Endpoint(to) => self.log_failed(to, OVERTAKEN, true),
             Receiver::Peer(..) => self.node.metrics.count(Counter::PassedOn, OVERTAKEN),
@@ -287,7 +309,7 @@
             return ConnectionAction::Abort;
         }
         // A resumable stream could be sent again, but this attempt of the caller may have run.
-        if self.sends.possible_runs == 0 {
+        if !self.sends.may_have_run() {
             self.note_pipelined(conn);
             return front::refuse(
                 self.node,
@@ -305,7 +327,7 @@
     /// Ends a request whose deadline has passed: with 504 if it may have run.
     pub(super) async fn deadline_passed(&mut self, conn: &mut Conn) -> ConnectionAction {
         let is_passed = self.request.passed.is_some();
-        if is_passed || self.delivered.head || self.sends.possible_runs == 0 {
+        if is_passed || self.delivered.head || !self.sends.may_have_run() {
             return self.give_up(conn, "overdue", Duration::ZERO).await;
         }
         self.fail(conn, 504, "overdue").await
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -40,6 +40,8 @@
 /// Cause of a send that a peer ended in an orderly way before its response was complete, as it does
 /// when the endpoint fails after the response has begun. It may still serve others.
 pub(super) const PEER_BROKE_OFF: &str = "peer_broke_off";
+/// Cause of a send for which a peer got no response although the request may have run.
+pub(super) const PEER_FAILED: &str = "peer_failed";
 /// Cause of a send that a peer refused for the request, so that others may go to it.
 const PEER_UNABLE: &str = "peer_unable";
 
@@ -142,13 +144,13 @@
         self.peers_tried.push(peer.node.clone());
         let load = PeerLoad::new(self.node, &peer.node);
         let max = passing::max_runs_of_peer(
-            self.sends.possible_runs,
+            self.sends.possible_runs(),
             self.max_attempts(),
             self.request.route.request_kind.may_retry(),
         );
         let runs = PeerRuns {
             max,
-            own: max - self.sends.possible_runs,
+            own: max - self.sends.possible_runs(),
         };
         self.peer = Some(peer.node.clone());
         let peer = Rc::new(peer.clone());
@@ -438,7 +440,7 @@
                     Origin::Refused { after_ms, .. } => {
                         SendOutcome::Refused(Duration::from_millis(after_ms))
                     }
-                    Origin::Failed { .. } => SendOutcome::MayHaveRun("peer_failed"),
+                    Origin::Failed { .. } => SendOutcome::MayHaveRun(PEER_FAILED),
                     _ => SendOutcome::NotRun(cause_of_decline(&origin)),
                 };
                 return Err((outcome, is_reusable));
--- a/node/src/relay/race.rs
+++ b/node/src/relay/race.rs
@@ -124,7 +124,7 @@
     pub(super) fn standing(&self, now: Time) -> Standing {
         let is_for_peer = self.request.passed.is_some();
         let path = self.node.path_state(now);
-        let may_have_run = self.sends.possible_runs > 0;
+        let may_have_run = self.sends.may_have_run();
         Standing {
             held: self.held_count,
             is_connecting: !self.slow_endpoints.is_empty()
@@ -132,7 +132,7 @@
             is_cut_peer: is_for_peer && path == PathState::Cut,
             has_failed: self.failed_at.is_some(),
             may_retry: self.request.route.request_kind.may_retry(),
-            possible_runs: self.sends.possible_runs,
+            possible_runs: self.sends.possible_runs(),
             max_attempts: self.max_attempts(),
         }
     }
--- a/node/src/relay/report.rs
+++ b/node/src/relay/report.rs
@@ -83,8 +83,8 @@
         retry_after: Duration,
     ) -> ConnectionAction {
         let passed = self.request.passed.as_ref();
-        let before = passed.map_or(0, |p| p.sends.possible_runs);
-        let may_have_run = self.sends.possible_runs > before;
+        let before = passed.map_or(0, |p| p.sends.possible_runs());
+        let may_have_run = self.sends.possible_runs() > before;
         log::info!(
             "event=handed_back request={} cause={cause} may_have_run={may_have_run} ms={} attempts={}{}",
             self.request_id(),
--- a/node/tests/test_passing_on.rs
+++ b/node/tests/test_passing_on.rs
@@ -301,6 +301,70 @@
     }
 }
 
+/// A peer that forwards an answer has not counted the run that it comes from.
+#[test]
+fn request_whose_answer_comes_through_a_peer_is_not_refused_as_unrun() {
+    let report = |sends: Sends| {
+        let (id, started_ms) = ("p9".into(), 1_000);
+        let report = PeerReport {
+            origin: Origin::Endpoint { id, started_ms },
+            sends,
+            leaving: Vec::new(),
+        };
+        passing::encode(&report).expect("the report is encoded")
+    };
+    let signed = "Server-Stamp: p9\r\n";
+    let answers = [
+        (
+            "too large",
+            format!("200 OK\r\n{signed}Content-Length: 9000000"),
+        ),
+        ("unsigned", "200 OK\r\nContent-Length: 4".to_owned()),
+        ("cut off", format!("200 OK\r\n{signed}Content-Length: 9")),
+        (
+            "malformed",
+            format!("200 OK\r\n{signed}Transfer-Encoding: chunked"),
+        ),
+        (
+            "408",
+            format!("408 Request Timeout\r\n{signed}Content-Length: 4"),
+        ),
+        (
+            "421",
+            format!("421 Misdirected Request\r\n{signed}Content-Length: 4"),
+        ),
+        (
+            "429",
+            format!("429 Too Many Requests\r\n{signed}Content-Length: 4"),
+        ),
+        (
+            "503",
+            format!("503 Service Unavailable\r\n{signed}Content-Length: 4"),
+        ),
+    ];
+    let check = |name: &str, head: &str| {
+        let node = cut_node();
+        let text = format!(
+            "HTTP/1.1 {head}\r\nRequest-Id: r0\r\n{REPORT_HEADER}: {}\r\n\r\nfake",
+            report(Sends::new(vec!["p9".into()], 1, 0))
+        );
+        let spawn = |n| FakePeer::spawn(&node, n, Answer::Accept(text.clone()));
+        let _peers = ["entry-7", "entry-8"].map(spawn);
+        send_until_passed_on(&node, "POST", "/once/a");
+        for (kind, method) in [("once", "POST"), ("plain", "GET")] {
+            // A peer that failed is avoided for a second.
+            std::thread::sleep(Duration::from_millis(1_200));
+            let response = node.send(method, &format!("/{kind}/a"), "r0", "", "x");
+            assert_eq!(response.status, 502, "{name}, {kind}: {response:?}");
+        }
+    };
+    std::thread::scope(|scope| {
+        for (name, head) in &answers {
+            scope.spawn(|| check(name, head));
+        }
+    });
+}
+
 #[test]
 fn peer_gets_the_request_as_the_caller_sent_it_with_what_both_must_know() {
     let node = cut_node();
@@ -322,5 +386,8 @@
         ("entry-1", "plain")
     );
     assert!(message.left_ms <= 3_000, "{message:?}");
-    assert_eq!((message.sends.reached, message.sends.possible_runs), (0, 0));
+    assert_eq!(
+        (message.sends.reached, message.sends.possible_runs()),
+        (0, 0)
+    );
 }
