node: peers are asked again while a send is held

A stream of a VM that was cut off ended with 504 although its peers reached endpoints again after 2 s: each peer is asked once for a request, and both had declined it as `no_path` in the first moment, while all engines were silent. Four seconds later the last attempt went to an endpoint that the VM does not reach.

Now peers are asked again at each look for another place, except those that have the request. One that takes nothing at all is avoided for a second as before.

--- a/node/src/relay/race.rs
+++ b/node/src/relay/race.rs
@@ -8,7 +8,7 @@
 use hemlock_lib::time::Time;
 use hemlock_wire::http1::Conn;
 
-use super::exchange::Exchange;
+use super::exchange::{Exchange, Receiver};
 use super::held::{self, HeldEvent};
 use super::{Relay, SendOutcome};
 
@@ -110,9 +110,18 @@
         }
     }
 
-    /// Has the next step wait, after which endpoints are tried again that were slow to connect.
+    /// Has the next step wait, after which endpoints are tried again that were slow to connect, and
+    /// peers that did not take the request while sends are held.
     pub(super) fn pause(&mut self) {
         self.is_paused = true;
+        if !self.held.is_empty() {
+            let held = self.held.iter();
+            let peers = held.filter_map(|send| match &send.receiver {
+                Receiver::Peer(peer, _) => Some(peer.node.clone()),
+                Receiver::Endpoint(_) => None,
+            });
+            self.peers_tried = peers.collect();
+        }
         if !self.slow_endpoints.is_empty() {
             let slow = std::mem::take(&mut self.slow_endpoints);
             self.sends.tried.retain(|id| !slow.contains(id));
