--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -8,8 +8,8 @@
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, which hear from this one as often as
 //! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
 //! tells whether this VM itself is cut off from the endpoints, and [`peer_paths`] which peers are not;
-//! [`passing`] has one of these send a request. [`holding`] decides what follows when the endpoint of a
-//! request is silent.
+//! [`passing`] has one of these send a request, by the configuration that [`replaced_configs`] finds for it.
+//! [`holding`] decides what follows when the endpoint of a request is silent.
 
 pub mod answer_memory;
 pub mod balance;
@@ -26,11 +26,13 @@
 pub mod holding;
 pub mod load_totals;
 pub mod passing;
+mod path_evidence;
 pub mod peer_paths;
 pub mod peers;
 pub mod planner;
 pub mod quarantine;
 pub mod rate_limits;
 pub mod reach;
+pub mod replaced_configs;
 pub mod settings;
 pub mod source;
