--- a/soak/src/losses.rs
+++ b/soak/src/losses.rs
@@ -90,7 +90,11 @@
         let late = late.checked_duration_since(left_at)?;
         (late > LEFT_LIMIT).then(|| {
             let (id, endpoint) = (&run.id, &run.endpoint);
-            format!("{endpoint} still worked on {id} {late:?} after its caller had left")
+            let stay = left_at.saturating_duration_since(run.started_at);
+            format!(
+                "{endpoint} still worked on {id} {late:?} after its caller had left, {stay:?} after \
+                 it began"
+            )
         })
     });
     answers.chain(attempts).chain(work).collect()
