lib/node: a group finishes its requests when the entry of a member ends

Streams in hand were moved to other groups, and ended where none had room, when the entry of a member vanished: the planner took the group for damaged and ordered the members that were left to leave, at once. An order to leave takes effect at once, and nothing of the group moves after it.

An endpoint need not say that it drains: its entry may end while it goes on for the drain time. A member that died is found by unanswered probes, as before, and its group is dissolved at once.

A group that lacks the entry of a member while its head is open or closing is now ended as one whose member drains: the head is told to close, and the members leave when it has finished or after 2.5 s. Without the head's entry they leave after 2.5 s. No VM sends new requests to such a group, as before. A group whose head crashed unnoticed, without requests, is free 2.5 s later than before.

With the change all pass; so do all tests of hemlock-lib (235) and hemlock-node (147), load average about 25. `streams_in_hand_of_an_old_group_go_on_when_a_member_drains` passes without it, too.

--- a/lib/src/node/planner/groups.rs
+++ b/lib/src/node/planner/groups.rs
@@ -190,7 +190,11 @@
             if not_opened && self.now.since(since) < LIST_DELAY * 2 {
                 return GroupPhase::Forming;
             }
-            return GroupPhase::Damaged;
+            // An engine that stops without draining goes on for a while after its entry has ended.
+            return match group.head() {
+                Some((_, MemberState::Open | MemberState::Closing)) | None => GroupPhase::Ending,
+                Some(_) => GroupPhase::Damaged,
+            };
         }
         if group.draining || self.planner.retiring.contains(&group.epoch) {
             return GroupPhase::Ending;
@@ -219,18 +223,18 @@
                 }
                 self.send_order(&head, Action::Open { group: name, epoch });
             }
-            (GroupPhase::Ending, Some((head, state))) => {
+            (GroupPhase::Ending, head) => {
                 let since = *self
                     .planner
                     .unhealthy_since
                     .entry(key.clone())
                     .or_insert(self.now);
                 let timed_out = self.now.since(since) >= CLOSE_TIMEOUT;
-                match state {
-                    MemberState::Open if !timed_out && self.is_idle(&head) => {
+                match head {
+                    Some((head, MemberState::Open)) if !timed_out && self.is_idle(&head) => {
                         self.send_order(&head, Action::Close { group: name, epoch });
                     }
-                    MemberState::Open | MemberState::Closing if !timed_out => {}
+                    Some((_, MemberState::Open | MemberState::Closing)) | None if !timed_out => {}
                     _ => self.dissolve(key, group),
                 }
             }
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -484,3 +484,30 @@
         .find(|n| *n != "stage");
     assert_eq!(first, Some("close"), "{:?}", simulation.orders);
 }
+
+/// An engine that stops without draining goes on for a while after its entry has ended.
+#[test]
+fn group_whose_member_has_lost_its_entry_finishes_its_requests_before_it_ends() {
+    for rank in [0, 1] {
+        let mut simulation = Simulation::new(two_models(), &[10; 6], 1);
+        simulation.run(Duration::from_secs(8));
+        simulation.before_traffic = false;
+        let (_, id, join) = first_join(&simulation, "large", rank);
+        let of_group = |action: &Action| match (&join, action) {
+            (Action::Join { epoch, .. }, Action::Leave { epoch: left, .. }) => epoch == left,
+            _ => false,
+        };
+        simulation.orders.clear();
+        simulation.endpoints.remove(simulation.now, [&*id]);
+        let since = simulation.now;
+        simulation.run(Duration::from_secs(4));
+        let left = simulation.orders.iter().find(|(_, _, a)| of_group(a));
+        let (left_at, ..) = left.expect("the group ends");
+        let closes = simulation.orders.iter().filter(|o| o.2.name() == "close");
+        let time = left_at.since(since);
+        match rank {
+            0 => assert!(time >= Duration::from_secs(2), "{time:?}"),
+            _ => assert!(closes.count() > 0, "{time:?}"),
+        }
+    }
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -23,4 +23,5 @@
 mod test_stop_edges;
 mod test_stop_end;
 mod test_streams;
+mod test_vanished_entries;
 mod test_versions;
