node: a VM that has just started sends its callers back soon, and says why

A VM refused requests for the milliseconds between its start and its first configuration and list, and told its callers to come back after a sixth to a third of their time, as if all endpoints were lost; without a list it gave `nobody` as the cause. Other VMs were ready all along, or it was ready itself a moment later.

It now names `no_list`, and has callers come back after 20 ms if it knows a ready VM, after 0.1 to 0.4 s in the first second after its start, and as before later: then the store is away. The `no_config` refusals get the same times.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -50,6 +50,11 @@
 /// because an answer that misses its latency goal counts as late however long the delay was.
 const MAX_RETRY_DELAY_FRACTION: f64 = 1.0 / 3.0;
 const RETRY_SPREAD_START: f64 = 0.5;
+/// Time after the start of a VM in which it is expected to read its first configuration and list, and
+/// the shortest and longest delay of callers that it refuses before.
+const STARTUP_TIME: Duration = Duration::from_secs(1);
+const STARTUP_RETRY_DELAYS: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(400));
 /// Share of its latency goal that a request may wait for others while most groups have no free slot;
 /// it needs the rest itself.
 const QUEUE_SHARE: f64 = 0.5;
@@ -616,6 +621,18 @@
     time_left.mul_f64(MAX_RETRY_DELAY_FRACTION * fraction)
 }
 
+/// Returns the delay after which a caller should retry that was refused by a VM `since_start` after its
+/// start, before it could serve anything. Most VMs serve a moment later. `draw` is uniform between 0
+/// and 1.
+pub fn startup_retry_after(since_start: Duration, time_left: Duration, draw: f64) -> Duration {
+    let usual = retry_after(time_left, draw);
+    if since_start >= STARTUP_TIME {
+        return usual;
+    }
+    let (shortest, longest) = STARTUP_RETRY_DELAYS;
+    usual.min(shortest + (longest - shortest).mul_f64(draw))
+}
+
 /// Returns the longest time that a request may wait for others while most groups have no free slot. It
 /// is the same for one that returns after a refusal: a longer one would let those that are late
 /// already make the others late, a shorter one would refuse it again.
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::balance::{Balancer, Candidate, Choice, RoutingRequest};
+use hemlock_lib::node::balance::{self, Balancer, Candidate, Choice, RoutingRequest};
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::node::peers::EndpointLoad;
 use hemlock_lib::time::Time;
@@ -369,3 +369,17 @@
         assert_eq!(sent_to(&choice), "p", "{slots}");
     }
 }
+
+#[test]
+fn caller_of_a_vm_that_has_just_started_returns_long_before_one_of_a_vm_that_lacks_the_store() {
+    let wait = Duration::from_secs(6);
+    for draw in [0.0, 0.5, 0.99] {
+        let early = balance::startup_retry_after(Duration::from_millis(300), wait, draw);
+        assert!(early >= Duration::from_millis(100), "{early:?}");
+        assert!(early <= Duration::from_millis(400), "{early:?}");
+        let late = balance::startup_retry_after(Duration::from_secs(1), wait, draw);
+        assert_eq!(late, balance::retry_after(wait, draw));
+    }
+    let short = balance::startup_retry_after(Duration::ZERO, Duration::from_millis(60), 0.9);
+    assert!(short <= Duration::from_millis(20), "{short:?}");
+}
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -156,15 +156,8 @@
     let id = meta.request_id.clone();
     let keep_alive = head.keep_alive && (!node.stop.is_stopping() || conn.has_buffered_bytes());
     let Some(config) = config else {
-        return refuse(
-            node,
-            conn,
-            &id,
-            "no_config",
-            jittered_retry_after(wait),
-            keep_alive,
-        )
-        .await;
+        let after = startup_retry_after(node, wait);
+        return refuse(node, conn, &id, "no_config", after, keep_alive).await;
     };
     let Some(route) = config.route(&meta.host, &head.target).cloned() else {
         return deny(node, conn, &id, 404, &config, wait, keep_alive).await;
@@ -174,6 +167,10 @@
         Caller::Anonymous => None,
         Caller::Unknown => return deny(node, conn, &id, 401, &config, wait, keep_alive).await,
     };
+    if !node.endpoints_listed.get() {
+        let after = startup_retry_after(node, wait);
+        return refuse(node, conn, &id, "no_list", after, keep_alive).await;
+    }
     let deadline = received + wait.min(route.timeout);
     let now = node.now();
     let may_outlast_node = node
@@ -269,6 +266,17 @@
     balance::retry_after(wait, rand::rng().random_range(0.0..1.0))
 }
 
+/// Returns the time after which a caller may retry that comes before this VM can serve anything: at once
+/// if another VM is ready.
+fn startup_retry_after(node: &Node, wait: Duration) -> Duration {
+    let now = node.now();
+    if node.peers.borrow().ready(now).next().is_some() {
+        return RETRY_ELSEWHERE_AFTER;
+    }
+    let draw = rand::rng().random_range(0.0..1.0);
+    balance::startup_retry_after(now.since(node.started), wait, draw)
+}
+
 /// Refuses a request that has not run, with status 503, and tells the caller when to retry.
 pub(crate) async fn refuse(
     node: &Rc<Node>,
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -56,6 +56,8 @@
 pub(crate) struct Node {
     pub(crate) settings: NodeSettings,
     pub(crate) identity: Member,
+    /// When this process started.
+    pub(crate) started: Time,
     pub(crate) store: Store,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// Configurations that were in force before, for requests of peers.
@@ -146,6 +148,7 @@
         };
         Rc::new(Self {
             identity,
+            started: clock::since_boot(),
             store: Store::new(settings.store.address),
             config: RefCell::default(),
             replaced_configs: RefCell::default(),
