--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -58,6 +58,8 @@
 pub(crate) struct Node {
     pub(crate) settings: NodeSettings,
     pub(crate) identity: Member,
+    /// When this process started.
+    pub(crate) started: Time,
     pub(crate) store: Store,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// Configurations that were in force before, for requests of peers.
@@ -155,6 +157,7 @@
         let memory = Memory::new(settings.memory_mb.unwrap_or(DEFAULT_LIMIT_MB));
         Rc::new(Self {
             identity,
+            started: clock::since_boot(),
             store: Store::new(settings.store.address),
             config: RefCell::default(),
             replaced_configs: RefCell::default(),
