soak: proxies look up no processes where no entry VM is cut

The proxies look the process of each new connection up in /proc, one after the other under a lock, on the thread that passes bytes on; many VMs that probe silent endpoints at once hold all of them up. The set has no cuts of entry VMs, so it registers no processes. Neither the faults nor the check changes.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -238,8 +238,8 @@
         deployment.publish_config();
         for (index, program) in programs.iter().enumerate() {
             let node = Node::spawn(index, program, &deployment.store, dir)?;
-            deployment.clients.register(&client_name(index), node.pid());
             deployment.nodes.push(node);
+            deployment.register_client(index);
         }
         Ok(deployment)
     }
@@ -247,11 +247,19 @@
     /// Starts a new process of an entry VM, whose links stay as they are.
     pub fn restart(&mut self, index: usize, program: &Path) -> std::io::Result<()> {
         self.nodes[index].restart(program)?;
-        let pid = self.nodes[index].pid();
-        self.clients.register(&client_name(index), pid);
+        self.register_client(index);
         Ok(())
     }
 
+    /// Has the proxies find the connections of an entry VM, which takes them some time for each new
+    /// one. Only cuts of entry VMs need it, and runs with long streams have none.
+    fn register_client(&self, index: usize) {
+        if self.workload == Workload::Short {
+            let pid = self.nodes[index].pid();
+            self.clients.register(&client_name(index), pid);
+        }
+    }
+
     /// Sets the link between an entry VM and all endpoints.
     pub fn set_endpoint_links(&self, index: usize, link: Link) {
         self.clients.set_link(&client_name(index), link);
