node: a peer whose endpoints are silent is not avoided

Such an exchange is held as peer_slow, and the peer goes on getting requests. One that shows nothing at all, or whose heartbeats are missing, is avoided as before.

--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -8,7 +8,7 @@
 use hemlock_wire::http1::Conn;
 
 use super::exchange::{Exchange, Phase, Receiver};
-use super::pass_on::PEER_FAILED;
+use super::pass_on::{PEER_FAILED, PEER_SLOW};
 use super::{Relay, SendOutcome, held};
 use crate::front::{self, ConnectionAction};
 use crate::metrics::{Counter, Latency};
@@ -19,7 +19,10 @@
 /// Returns whether a send that failed for `cause` left a connection on which the answer could still
 /// have come.
 fn is_given_up(cause: &str) -> bool {
-    matches!(cause, "silent" | "stuck" | "peer_silent" | "peer_lost")
+    matches!(
+        cause,
+        "silent" | "stuck" | "peer_silent" | "peer_lost" | PEER_SLOW
+    )
 }
 
 /// Returns what the outcome of a send says of the runs of the request.
@@ -145,6 +148,7 @@
                 balancer.record_failure(now, &to.id);
             }
             Receiver::Endpoint(_) => {}
+            Receiver::Peer(..) if send.held_for == PEER_SLOW => {}
             Receiver::Peer(peer, _) => {
                 self.node.peer_loads.borrow_mut().avoid(now, &peer.node);
                 self.node.peer_pool.drop_endpoint(&peer.node);
--- a/node/src/relay/pass_on.rs
+++ b/node/src/relay/pass_on.rs
@@ -42,6 +42,9 @@
 pub(super) const PEER_BROKE_OFF: &str = "peer_broke_off";
 /// Cause of a send for which a peer got no response although the request may have run.
 pub(super) const PEER_FAILED: &str = "peer_failed";
+/// Cause of a send to a peer that is at work and has brought nothing of the answer for too long, since
+/// its endpoints are silent. It may still serve others.
+pub(super) const PEER_SLOW: &str = "peer_slow";
 /// Cause of a send that a peer refused for the request, so that others may go to it.
 const PEER_UNABLE: &str = "peer_unable";
 
@@ -485,7 +488,11 @@
                     quiet_left.min(limit.saturating_sub(self.node.own_delay.silence(begun, now)));
             }
             if quiet_left.is_zero() {
-                return Err(SendOutcome::Silent("peer_silent"));
+                let is_mute = self.node.own_delay.silence(heard, now) >= passing::PEER_SILENCE;
+                return Err(SendOutcome::Silent(match is_mute {
+                    true => "peer_silent",
+                    false => PEER_SLOW,
+                }));
             }
             let wait = quiet_left.min(self.request.deadline.since(now));
             tokio::select! {
@@ -526,7 +533,7 @@
             return Some("peer_lost");
         }
         let limit = self.peer_silence_limit(runs, false);
-        (self.may_switch_endpoint() && quiet >= limit).then_some("peer_silent")
+        (self.may_switch_endpoint() && quiet >= limit).then_some(PEER_SLOW)
     }
 
     /// Returns for how long a peer may bring nothing before another way is tried. It changes the
