lib/node, platform: an engine that takes connections may pause before its group is dissolved

Streams of an engine that was silent for 0.7 s lost their group while other engines answered: the planner takes an engine for lost after three probes of 100 ms without an answer and orders the other members to leave, at once, and nothing of the group moves after that.

A probe now tells an engine that takes connections and does not answer from one that can't be connected to. The first kind counts as lost only when it has been silent for 2 s, after which callers leave a stream anyway; the second kind as before. event=probe says connected=.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -27,6 +27,9 @@
 /// Unanswered probes in a row after which an engine of a silent group counts as lost. Assumes a
 /// link that loses 3 of 100 packets, and four packets for a probe and its answer.
 const LOST_AFTER_PROBES: u32 = 3;
+/// Time for which an engine that takes connections may leave probes unanswered before it counts as lost.
+/// It may only pause, and callers stay with a stream for two seconds without an event.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Shortest and longest time before an engine that has answered is probed again.
 const PROBE_BACKOFF_MIN: Duration = Duration::from_millis(400);
 const PROBE_BACKOFF_MAX: Duration = Duration::from_secs(4);
@@ -217,6 +220,17 @@
     given_up: bool,
 }
 
+/// Result of a probe of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeResult {
+    /// The engine answered.
+    Answered,
+    /// The engine took a connection and did not answer in time.
+    Silent,
+    /// No connection to the engine was established in time.
+    Unreachable,
+}
+
 /// State of an engine that the endpoint list does not show.
 #[derive(Debug, Default)]
 struct EngineState {
@@ -226,6 +240,8 @@
     next_order_after: Option<Time>,
     /// Unanswered probes in a row.
     unanswered: u32,
+    /// Since when the engine takes connections and leaves probes unanswered.
+    silent_since: Option<Time>,
     /// Time before an engine that has answered is probed again.
     probe_backoff: Duration,
     last_probe: Option<Time>,
@@ -433,13 +449,14 @@
     }
 
     /// Handles the result of a probe.
-    pub fn handle_probe_result(&mut self, endpoint: &str, answered: bool) {
+    pub fn handle_probe_result(&mut self, now: Time, endpoint: &str, result: ProbeResult) {
         let Some(state) = self.engine_states.get_mut(endpoint) else {
             return;
         };
         state.probe_pending = false;
-        if answered {
+        if result == ProbeResult::Answered {
             state.unanswered = 0;
+            state.silent_since = None;
             state.lost = false;
             state.probe_backoff =
                 (state.probe_backoff * 2).clamp(PROBE_BACKOFF_MIN, PROBE_BACKOFF_MAX);
@@ -447,7 +464,14 @@
         }
         state.unanswered += 1;
         state.probe_backoff = Duration::ZERO;
-        if state.unanswered >= LOST_AFTER_PROBES {
+        let may_pause = match result {
+            ProbeResult::Silent => {
+                let since = *state.silent_since.get_or_insert(now);
+                now.since(since) < MAX_PAUSE
+            }
+            ProbeResult::Answered | ProbeResult::Unreachable => false,
+        };
+        if state.unanswered >= LOST_AFTER_PROBES && !may_pause {
             state.lost = true;
         }
     }
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -10,7 +10,9 @@
 use hemlock_lib::node::capacity::Demand;
 use hemlock_lib::node::config::{Engine, Model};
 use hemlock_lib::node::endpoints::{Endpoint, Endpoints, EngineReport, MemberState, Membership};
-use hemlock_lib::node::planner::{Action, ExpectedGroup, Output, Planner, PlannerInput, Reply};
+use hemlock_lib::node::planner::{
+    Action, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply,
+};
 use hemlock_lib::time::Time;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -85,6 +87,8 @@
     pub endpoints: Endpoints,
     pub planner: Planner,
     pub silent: BTreeSet<Arc<str>>,
+    /// Engines that take connections and answer nothing.
+    pub paused: BTreeSet<Arc<str>>,
     pub demand: BTreeMap<Arc<str>, Demand>,
     pub before_traffic: bool,
     /// Whether the list is not being updated; the state of an engine shows only when it is probed.
@@ -109,6 +113,7 @@
             endpoints: Endpoints::new(Duration::from_secs(2)),
             planner: Planner::default(),
             silent: BTreeSet::new(),
+            paused: BTreeSet::new(),
             demand: BTreeMap::new(),
             before_traffic: true,
             list_frozen: false,
@@ -277,10 +282,16 @@
                         .engines
                         .get(&endpoint)
                         .is_some_and(|e| e.crashed_at.is_none());
-                    if alive {
+                    let result = match alive {
+                        true if self.paused.contains(&endpoint) => ProbeResult::Silent,
+                        true => ProbeResult::Answered,
+                        false => ProbeResult::Unreachable,
+                    };
+                    if result == ProbeResult::Answered {
                         self.observe(&endpoint);
                     }
-                    self.planner.handle_probe_result(&endpoint, alive);
+                    self.planner
+                        .handle_probe_result(self.now, &endpoint, result);
                 }
             }
         }
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -528,3 +528,23 @@
         }
     }
 }
+
+/// An engine that was silent for 0.7 s lost its group, and the streams that were held open with it.
+#[test]
+fn group_of_an_engine_that_pauses_is_left_alone_until_callers_are_gone() {
+    let mut simulation = Simulation::new(two_models(), &[10; 6], 1);
+    simulation.run(Duration::from_secs(8));
+    simulation.before_traffic = false;
+    let (_, id, _) = first_join(&simulation, "large", 0);
+    let of_group = |simulation: &Simulation| {
+        let left = |(_, _, action): &(_, _, Action)| action.name() == "leave";
+        simulation.orders.iter().filter(|o| left(o)).count()
+    };
+    simulation.orders.clear();
+    simulation.paused.insert(id.clone());
+    simulation.silent.insert(id.clone());
+    simulation.run(Duration::from_millis(1_900));
+    assert_eq!(of_group(&simulation), 0, "{:?}", simulation.orders);
+    simulation.run(Duration::from_millis(1_100));
+    assert!(of_group(&simulation) > 0, "the engine is lost");
+}
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -11,7 +11,7 @@
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::EngineReport;
 use hemlock_lib::node::planner::{
-    self, Action, ExpectedGroup, Output, Planner, PlannerInput, Reply, Summary,
+    self, Action, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply, Summary,
 };
 use hemlock_lib::node::reach::{PathFailure, PathState};
 use hemlock_lib::time::Time;
@@ -443,7 +443,15 @@
             } else {
                 node.note_path_failure(&endpoint, PathFailure::Quiet);
             }
-            log::info!("event=probe id={endpoint} answered={answered}");
+            let result = match (answered, query.is_connected) {
+                (true, _) => ProbeResult::Answered,
+                (false, true) => ProbeResult::Silent,
+                (false, false) => ProbeResult::Unreachable,
+            };
+            log::info!(
+                "event=probe id={endpoint} answered={answered} connected={}",
+                query.is_connected
+            );
             if let ReportOutcome::Received(report) = query.outcome {
                 keep_report(&node, report);
             }
@@ -454,7 +462,9 @@
             let mut leadership = leadership.borrow_mut();
             let is_conclusive = answered || node.reach.borrow().hears_others(node.now());
             match leadership.planners.get_mut(&service) {
-                Some(planner) if is_conclusive => planner.handle_probe_result(&endpoint, answered),
+                Some(planner) if is_conclusive => {
+                    planner.handle_probe_result(node.now(), &endpoint, result);
+                }
                 Some(planner) => planner.forget_probe(&endpoint),
                 None => {}
             }
