node: a standstill while load is reported is measured too

The timer that measures the VM's own delay was not set while the load reports were being sent, so that a stop that began there was not seen.

--- a/node/src/load_exchange.rs
+++ b/node/src/load_exchange.rs
@@ -25,10 +25,15 @@
 /// Reports this VM's load to the representative of its zone, or adds up the zone's load if this VM
 /// is the representative, until the process ends.
 pub(crate) async fn run(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut due = node.now() + REPORT_INTERVAL;
+    node.own_delay.record_set(node.now(), REPORT_INTERVAL);
     loop {
-        node.own_delay.record_set(node.now(), REPORT_INTERVAL);
-        tokio::time::sleep(REPORT_INTERVAL).await;
-        note_delay(&node, node.own_delay.record_fired(node.now()));
+        tokio::time::sleep(due.since(node.now())).await;
+        let now = node.now();
+        note_delay(&node, node.own_delay.record_fired(now));
+        // Set before the work, so that a standstill within it is measured too.
+        node.own_delay.record_set(now, REPORT_INTERVAL);
+        due = now + REPORT_INTERVAL;
         if !node.has_traffic.get() && !node.peers.borrow().any_has_traffic(node.now()) {
             continue;
         }
