lib/node: a choice asks who is eligible, who has room and who is best

Balancer::choose decided all of it in one function, where evacuation, warm-up, places in a press and the cost of long prompts have to meet. Eligibility, room and ranking are modules of their own; one function names why an endpoint gets no request now.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -4,10 +4,17 @@
 //! connections. So a request goes to the endpoint with the shortest expected time to the first
 //! event, given the load that this entry VM and its peers have there.
 
+mod eligibility;
+mod load;
+mod ranking;
+mod room;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::eligibility::Shortage;
+use self::load::Load;
 use super::breaks::Breaks;
 use super::config::Engine;
 use super::forecast::{CurrentLoad, Estimate, Forecast};
@@ -27,23 +34,8 @@
 /// Time without a byte from an endpoint with requests in flight after which this VM checks whether
 /// it reaches endpoints.
 const QUIET_TIMEOUT: Duration = Duration::from_millis(400);
-/// Upper bound on the requests at an endpoint per slot. Assumes endpoints that queue up to twice
-/// their slots.
-const MAX_REQUESTS_PER_SLOT: usize = 3;
-/// Factor on the expected time within which an answer is sure to end. Streams of loaded groups take
-/// up to half as long again as expected.
-const CERTAIN_FACTOR: f64 = 1.5;
-/// Number of endpoints with free capacity that are compared for one request, and how many of these
-/// may have an idle connection. A new connection costs the endpoint some work, and the caller two
-/// network delays.
-const MAX_COMPARED: usize = 4;
-const MAX_COMPARED_CONNECTED: usize = 2;
-/// Difference of expected times in milliseconds up to which endpoints count as equal.
-const EQUAL_WITHIN_MS: u128 = 4;
 /// Failures in a row after which a plain endpoint is avoided.
 const AVOID_AFTER_FAILURES: u32 = 3;
-/// Time for which a failing plain endpoint is avoided.
-const AVOID_DURATION: Duration = Duration::from_millis(1_500);
 /// Upper bound on the delay before a refused caller retries, as a fraction of its remaining time
 /// (callers are assumed to accept a third), and the fraction of that bound at which the random
 /// delays start. Long delays are of use because a lost group is back only after 3 to 5 s, and
@@ -127,23 +119,6 @@
     Unavailable(Duration),
 }
 
-#[derive(Debug, Default)]
-struct Load {
-    requests: usize,
-    pending_prompt_tokens: u32,
-    peer_requests: usize,
-    peer_pending_prompt_tokens: u32,
-    silent_since: Option<Time>,
-    peer_silent_since: Option<Time>,
-    last_own_progress: Option<Time>,
-    last_peer_progress: Option<Time>,
-    failures: u32,
-    avoided_since: Option<Time>,
-    /// Moving average of the observed divided by the expected time between events; zero before the
-    /// first observation.
-    slowness: f64,
-}
-
 /// The endpoints that take requests, with the load on them.
 #[derive(Debug)]
 pub struct Balancer {
@@ -240,7 +215,6 @@
         tried: &[Arc<str>],
     ) -> Choice {
         self.choice_count = self.choice_count.wrapping_add(1);
-        let choice_count = self.choice_count;
         // Callers may name any number of models that there are not.
         if let Some(model) = request.model.and_then(|m| engine?.model(m))
             && tried.is_empty()
@@ -248,130 +222,36 @@
             self.forecast
                 .record_answer_length(&model.name, request.answer_tokens);
         }
-        let serves = |candidate: &&Candidate| {
-            &*candidate.service == request.service
-                && (engine.is_none() || candidate.model.as_deref() == request.model)
-        };
-        let is_eligible =
-            |candidate: &&Candidate| serves(candidate) && !tried.contains(&candidate.id);
-        let is_silent = |candidate: &&Candidate| {
-            self.load(&candidate.id)
-                .is_some_and(|load| load.is_silent(now, self.silence_duration))
-        };
-        let eligible: Vec<&Candidate> = self.candidates.values().filter(is_eligible).collect();
-        let retry_after = || {
-            let all = self.candidates.values().filter(serves);
-            let hold = all.map(|c| self.hold_time(now, c)).min();
-            hold.unwrap_or_default().max(self.retry_after(request))
-        };
-        let responsive = eligible
-            .iter()
-            .filter(|candidate| !is_silent(candidate))
-            .copied();
-        let is_avoided = |candidate: &&Candidate| {
-            self.load(&candidate.id)
-                .is_some_and(|load| load.is_avoided(now))
-        };
-        let mut responsive: Vec<&Candidate> = responsive.collect();
-        if engine.is_none() && responsive.iter().any(|candidate| !is_avoided(candidate)) {
-            responsive.retain(|candidate| !is_avoided(candidate));
-        }
-        if responsive.is_empty() {
-            return Choice::Unavailable(retry_after());
-        }
-        responsive.retain(|candidate| self.hold_time(now, candidate).is_zero());
-        responsive.retain(|c| !self.breaks.is_avoided(now, &c.id, c.incarnation.0));
-        let is_urgent = request.is_urgent || request.has_started;
-        let is_within_limit = |candidate: &&Candidate| {
-            let started_ms = candidate.incarnation.0;
-            let limits = &self.limits;
-            limits.may_send(now, &candidate.id, started_ms, is_urgent)
-        };
-        let had_responsive = !responsive.is_empty();
-        responsive.retain(is_within_limit);
-        if had_responsive && responsive.is_empty() {
-            return Choice::Limited(retry_after());
-        }
-        // A few random endpoints are compared rather than all, because load data is as old as the
-        // last datagrams, and all entry VMs would choose the same endpoint.
-        let random_key = |candidate: &Candidate| {
-            crate::rendezvous::score(&choice_count.to_le_bytes(), candidate.id.as_bytes())
-        };
-        responsive.sort_by_cached_key(|candidate| random_key(candidate));
-        let score = |candidate: &&Candidate| {
-            let estimate = self.estimate(candidate, request, engine);
-            let other_zone = u128::from(&*candidate.zone != request.zone);
-            let not_connected = u128::from(!request.connected.contains(&candidate.id));
-            // Zone and connection decide between endpoints whose expected times differ by a few
-            // milliseconds only.
-            estimate.first_event.as_millis() / EQUAL_WITHIN_MS + other_zone + not_connected
-        };
-        let ends_in_time = |candidate: &Candidate| {
-            request
-                .shutdown_limit
-                .is_none_or(|(answer_tokens, within)| {
-                    let longest = RoutingRequest {
-                        answer_tokens,
-                        ..*request
-                    };
-                    self.estimate(candidate, &longest, engine)
-                        .whole_answer
-                        .mul_f64(CERTAIN_FACTOR)
-                        <= within
-                })
-        };
-        let is_saturated = engine.is_some() && self.is_saturated(&responsive);
-        let has_capacity = |candidate: &&Candidate| {
-            let estimate = self.estimate(candidate, request, engine);
-            ends_in_time(candidate)
-                && estimate.first_event <= request.first_event_limit
-                && (!is_saturated || estimate.queue_time <= request.queue_limit)
-                && estimate.whole_answer <= request.time_left * MAX_OVERRUN
-                && estimate.running < candidate.slots.max(1).saturating_mul(MAX_REQUESTS_PER_SLOT)
+        let eligible = match self.eligible(now, request, engine, tried) {
+            Ok(eligible) => eligible,
+            Err(Shortage::Unavailable) => {
+                return Choice::Unavailable(self.return_delay(now, request, engine));
+            }
+            Err(Shortage::Limited) => {
+                return Choice::Limited(self.return_delay(now, request, engine));
+            }
         };
-        let is_connected = |candidate: &&Candidate| request.connected.contains(&candidate.id);
-        let with_capacity = || responsive.iter().copied().filter(has_capacity);
-        let connected = with_capacity()
-            .filter(is_connected)
-            .take(MAX_COMPARED_CONNECTED);
-        let count = connected.clone().count();
-        let others = with_capacity()
-            .filter(|candidate| !is_connected(candidate))
-            .take(MAX_COMPARED - count);
-        let best = connected.chain(others).min_by_key(score);
-        let best = best.or_else(|| {
-            let fallback = responsive.iter().copied().filter(|_| request.has_started);
-            fallback.min_by_key(score)
-        });
-        match best {
+        match self.best(&eligible, request, engine) {
             Some(candidate) => {
                 let candidate = candidate.clone();
                 let estimate = self.estimate(&candidate, request, engine);
                 self.limits.record_send(now, &candidate.id);
                 Choice::Send(candidate, estimate)
             }
-            None => Choice::Full(retry_after()),
+            None => Choice::Full(self.return_delay(now, request, engine)),
         }
     }
 
-    /// Returns whether requests wait for a slot at more than half of the groups.
-    ///
-    /// Groups then have more work than they can do. Requests that wait their turn miss their latency
-    /// goal one like the other, while short queues let the groups do as much work in time.
-    fn is_saturated(&self, groups: &[&Candidate]) -> bool {
-        let is_queueing = |group: &&&Candidate| {
-            self.load(&group.id)
-                .is_some_and(|load| load.running() > group.slots)
-        };
-        groups.iter().filter(is_queueing).count() * 2 > groups.len()
-    }
-
-    /// Returns for how long an endpoint still wants no requests; zero if it takes them.
-    fn hold_time(&self, now: Time, candidate: &Candidate) -> Duration {
-        match self.held_off.get(&candidate.id) {
-            Some((started_ms, until)) if *started_ms == candidate.incarnation.0 => until.since(now),
-            Some(_) | None => Duration::ZERO,
-        }
+    /// Returns after which time the caller of a refused request should retry.
+    fn return_delay(
+        &self,
+        now: Time,
+        request: &RoutingRequest<'_>,
+        engine: Option<&Engine>,
+    ) -> Duration {
+        let serving = self.serving(request, engine);
+        let hold = serving.map(|c| self.hold_time(now, c)).min();
+        hold.unwrap_or_default().max(self.retry_after(request))
     }
 
     /// Records that an endpoint wants no requests from this entry VM for `time`. A restart of the
@@ -646,26 +526,3 @@
 const SLOWNESS_WEIGHT: f64 = 0.1;
 /// Upper bound on the slowness of a single observation.
 const MAX_SLOWNESS: f64 = 20.0;
-/// A request is refused if its answer is expected to take more than this multiple of the remaining
-/// time. The factor is generous, since callers' estimates of the answer length are often far off.
-const MAX_OVERRUN: u32 = 2;
-
-impl Load {
-    fn last_progress(&self) -> Option<Time> {
-        self.last_own_progress.max(self.last_peer_progress)
-    }
-
-    fn running(&self) -> usize {
-        self.requests + self.peer_requests
-    }
-
-    fn is_silent(&self, now: Time, silence_duration: Duration) -> bool {
-        let recent = |t: Option<Time>| t.is_some_and(|t| now.since(t) < silence_duration);
-        recent(self.silent_since) || recent(self.peer_silent_since)
-    }
-
-    fn is_avoided(&self, now: Time) -> bool {
-        self.avoided_since
-            .is_some_and(|t| now.since(t) < AVOID_DURATION)
-    }
-}
