lib/node: cold endpoints get no more requests than they take from all VMs together

Cause: the time for which an entry says that its endpoint is cold, and the rate of its service, were read nowhere; up to 37 requests reached one engine in a second where 26 are allowed. The soak has a set of faults with cold endpoints.

--- a/lib/src/node/config.rs
+++ b/lib/src/node/config.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::warm_up::WarmUp;
+
 /// The kind of a route's requests, which decides whether they may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
@@ -111,6 +113,8 @@
     pub max_connections: usize,
     /// Performance of the engines, if the service serves models; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// Warm-up of the endpoints; `None` if they take as much after a start as later.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// A client account with its API keys.
--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::warm_up::ToldWarmUp;
 use crate::time::Time;
 
 /// Time after an outage of the store within which the platform is assumed to list lapsed entries
@@ -96,6 +97,8 @@
     pub model: Option<Arc<str>>,
     /// Membership of the endpoint in a group.
     pub membership: Option<Membership>,
+    /// What the endpoint says of its warm-up.
+    pub warm_up: ToldWarmUp,
 }
 
 /// A group of engines, assembled from its members' entries.
@@ -243,8 +246,16 @@
         let Some(known) = self.listed.get(&report.id) else {
             return Change::None;
         };
+        let is_restarted = known.started_ms != report.started_ms;
+        let (sequence, warm_up) = match is_restarted {
+            // A report says nothing of the warm-up, and the entry is that of the earlier start.
+            true => (0, ToldWarmUp::Nothing),
+            false => (known.sequence, known.warm_up),
+        };
         let updated = Endpoint {
             started_ms: report.started_ms,
+            sequence,
+            warm_up,
             staged: report.staged.clone(),
             model: report.model.clone(),
             membership: report.membership.clone(),
@@ -253,9 +264,9 @@
         if updated == *known {
             return Change::None;
         }
-        let change = match known.started_ms == report.started_ms {
-            true => Change::Membership,
-            false => Change::Listed,
+        let change = match is_restarted {
+            true => Change::Listed,
+            false => Change::Membership,
         };
         self.version += 1;
         self.listed.insert(report.id.clone(), updated);
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -39,3 +39,4 @@
 pub mod replaced_configs;
 pub mod settings;
 pub mod source;
+pub mod warm_up;
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -440,6 +440,11 @@
         self.peers.values().map(|p| p.member.peer_address).collect()
     }
 
+    /// Iterates over the names of all peers that are listed or were heard.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.peers.keys().map(String::as_str)
+    }
+
     /// Returns the number of live entry VMs, including this one.
     pub fn live_vm_count(&self, now: Time) -> usize {
         1 + self.live(now).count()
--- a/lib/src/node/rate_limits.rs
+++ b/lib/src/node/rate_limits.rs
@@ -6,6 +6,9 @@
 //! has an equal share, as a token bucket, and the other VMs send nothing. VMs tell each other what
 //! endpoints announce. An endpoint that is not heard of gets one more owner after the other, so that
 //! one with demand asks it again.
+//!
+//! The limits of endpoints that warm up, which end by themselves, are those of [`warm_up`](super::warm_up).
+//! Where both hold, a request needs room in both.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -13,6 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::warm_up::{Bound, WarmUps};
 use crate::rendezvous;
 use crate::time::Time;
 
@@ -116,6 +120,7 @@
     limits: BTreeMap<Arc<str>, Limit>,
     /// Endpoints with their start times whose malformed values were reported.
     malformed: BTreeSet<(Arc<str>, u64)>,
+    warm_ups: WarmUps,
 }
 
 impl RateLimits {
@@ -127,9 +132,20 @@
             cut_vms: BTreeMap::new(),
             limits: BTreeMap::new(),
             malformed: BTreeSet::new(),
+            warm_ups: WarmUps::new(this_vm, Bound::new(None, None)),
         }
     }
 
+    /// Returns the warm-ups of endpoints.
+    pub fn warm_ups(&self) -> &WarmUps {
+        &self.warm_ups
+    }
+
+    /// Returns the warm-ups of endpoints, to record what is heard of them.
+    pub fn warm_ups_mut(&mut self) -> &mut WarmUps {
+        &mut self.warm_ups
+    }
+
     /// Records whether another entry VM is cut off from the endpoints, so that it uses no share.
     pub fn set_cut(&mut self, now: Time, vm: &str, is_cut: bool) {
         match is_cut {
@@ -165,9 +181,10 @@
     pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.limits.retain(|id, _| is_listed(id));
         self.malformed.retain(|(id, _)| is_listed(id));
+        self.warm_ups.retain(is_listed);
     }
 
-    /// Returns whether any limit holds.
+    /// Returns whether any limit that was announced holds.
     pub fn any(&self) -> bool {
         self.limits.values().any(|l| l.rate.is_some())
     }
@@ -281,9 +298,12 @@
         self.limits.iter().filter_map(report).collect()
     }
 
-    /// Returns whether a request may be sent to an endpoint now. An urgent one may also use what is
-    /// reserved.
+    /// Returns whether a request may be sent to an endpoint now, by what it announced and by its warm-up.
+    /// An urgent one may also use what is reserved of an announced limit.
     pub fn may_send(&self, now: Time, id: &str, started_ms: u64, is_urgent: bool) -> bool {
+        if !self.warm_ups.may_send(now, id, started_ms) {
+            return false;
+        }
         let Some((limit, _)) = self.in_force(id, started_ms) else {
             return true;
         };
@@ -296,6 +316,7 @@
 
     /// Counts a request or a query that is sent to an endpoint.
     pub fn record_send(&mut self, now: Time, id: &str) {
+        self.warm_ups.record_send(now, id);
         self.fill(now, id);
         if let Some(limit) = self.limits.get_mut(id) {
             limit.tokens = (limit.tokens - 1.0).max(-MIN_BURST);
@@ -304,6 +325,7 @@
 
     /// Takes back the count of a request that did not reach the endpoint.
     pub fn record_not_sent(&mut self, now: Time, id: &str) {
+        self.warm_ups.record_not_sent(id);
         self.fill(now, id);
         if let Some(limit) = self.limits.get_mut(id) {
             limit.tokens += 1.0;
@@ -365,7 +387,7 @@
 }
 
 /// Returns the number of VMs that come before `this_vm` as owners of an endpoint's limit.
-fn rank(id: &str, this_vm: &str, others: &BTreeSet<String>) -> usize {
+pub(super) fn rank(id: &str, this_vm: &str, others: &BTreeSet<String>) -> usize {
     let score = |vm: &str| {
         (
             rendezvous::score(id.as_bytes(), vm.as_bytes()),
--- a/lib/src/node/settings.rs
+++ b/lib/src/node/settings.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 
+use super::warm_up::Bound;
 use crate::settings::LogSettings;
 use crate::yaml;
 
@@ -75,6 +76,13 @@
     pub repeat_extra: f64,
     /// Seconds in the sliding window of `repeat_ratio` and `repeat_extra`.
     pub repeat_s: f64,
+    /// Factor on the rate of an endpoint that warms up, in the bound on its requests in one second; 1
+    /// if it is not between 1 and 100.
+    #[serde(default)]
+    pub warm_up_excess: Option<f64>,
+    /// Requests in one second beyond that; 0 if it is not between 0 and 1000000.
+    #[serde(default)]
+    pub warm_up_slack: Option<f64>,
 }
 
 /// Error in the settings of an entry VM.
@@ -156,6 +164,11 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
+    /// Returns the bound on the requests to an endpoint that warms up.
+    pub fn warm_up(&self) -> Bound {
+        Bound::new(self.warm_up_excess, self.warm_up_slack)
+    }
+
     /// Returns the sliding window of the retry budget.
     pub fn repeat_window(&self) -> Duration {
         Duration::from_secs_f64(self.repeat_s)
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -13,6 +13,7 @@
 use hemlock_lib::node::planner::{
     Action, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply,
 };
+use hemlock_lib::node::warm_up::ToldWarmUp;
 use hemlock_lib::time::Time;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -149,6 +150,7 @@
             staged: Vec::new(),
             model: None,
             membership: None,
+            warm_up: ToldWarmUp::default(),
         };
         self.endpoints.put(entry.clone());
         let simulated = SimulatedEngine {
--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use hemlock_lib::node::endpoints::{Change, Endpoint, Endpoints, MemberState, Membership};
+use hemlock_lib::node::warm_up::ToldWarmUp;
 use hemlock_lib::time::Time;
 
 fn at(ms: u64) -> Time {
@@ -22,6 +23,7 @@
         staged: Vec::new(),
         model: None,
         membership: None,
+        warm_up: ToldWarmUp::default(),
     }
 }
 
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -372,6 +372,7 @@
         }
         let query = engines::fetch_report(id, address).await;
         node.note_queried(id, query.limit);
+        node.note_told_warm_up(id, query.warm_up);
         let ReportOutcome::Received(report) = query.outcome else {
             return Reply::Lost;
         };
@@ -437,6 +438,7 @@
         Output::Probe { endpoint, address } => {
             let query = engines::fetch_report(&endpoint, &address).await;
             node.note_queried(&endpoint, query.limit);
+            node.note_told_warm_up(&endpoint, query.warm_up);
             let answered = query.outcome != ReportOutcome::NoReply;
             if answered {
                 node.note_heard(&endpoint);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod state;
 mod stop;
 mod store_watch;
+mod warm_ups;
 
 use std::path::PathBuf;
 use std::rc::Rc;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -76,6 +76,7 @@
     Standstills "standstills" "Times that this process was not run for half a second or longer.";
     StoreChanges "store_changes" "Times that the store was lost or regained.";
     StoreReads "store_reads" "Reads of the store, by topic.";
+    WarmUps "warm_ups" "Warm-ups of endpoints that this VM heard of, and malformed values.";
 }
 
 /// A measured latency.
@@ -135,10 +136,12 @@
     PeersWithPath,
     /// Endpoints with a limit on their requests that holds.
     LimitedEndpoints,
+    /// Endpoints that warm up.
+    WarmingEndpoints,
 }
 
 impl Gauge {
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -154,6 +157,7 @@
         Self::PathUp,
         Self::PeersWithPath,
         Self::LimitedEndpoints,
+        Self::WarmingEndpoints,
     ];
 
     fn name(self) -> &'static str {
@@ -173,6 +177,7 @@
             Self::PathUp => "hemlock_path_up",
             Self::PeersWithPath => "hemlock_peers_with_path",
             Self::LimitedEndpoints => "hemlock_limited_endpoints",
+            Self::WarmingEndpoints => "hemlock_warming_endpoints",
         }
     }
 }
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -168,6 +168,7 @@
 ) -> (ProbeOutcome, Option<Conn>) {
     let query = engines::query_report(&mut conn, id, address).await;
     node.note_queried(id, query.limit);
+    node.note_told_warm_up(id, query.warm_up);
     match query.outcome {
         ReportOutcome::NoReply if !conn.is_idle() => (ProbeOutcome::Unreachable, None),
         ReportOutcome::NoReply => (ProbeOutcome::Silent, None),
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -154,6 +154,9 @@
             peer_address: settings.listen.peer,
         };
         let own_delay = OwnDelay::default();
+        let mut balancer = Balancer::new(&settings.node, bounds.stall());
+        let warm_ups = balancer.limits_mut().warm_ups_mut();
+        warm_ups.set_bound(bounds.warm_up());
         let memory = Memory::new(settings.memory_mb.unwrap_or(DEFAULT_LIMIT_MB));
         Rc::new(Self {
             identity,
@@ -165,7 +168,7 @@
             endpoint_feed: Feed::default(),
             endpoints: RefCell::new(Endpoints::new(bounds.drain())),
             endpoints_listed: Cell::default(),
-            balancer: RefCell::new(Balancer::new(&settings.node, bounds.stall())),
+            balancer: RefCell::new(balancer),
             retry_budget: RefCell::new(RetryBudget::new(allowance)),
             quarantine: RefCell::default(),
             peers: RefCell::new(Peers::new(own_delay.clone())),
@@ -452,6 +455,7 @@
         }
         self.check_outage();
         self.refresh_candidates();
+        self.update_warm_up_vms();
         self.replaced_configs.borrow_mut().expire(now);
         self.pool.expire(now);
         self.peer_pool.expire(now);
@@ -524,6 +528,7 @@
             });
         }
         drop(endpoints);
+        self.note_warm_ups(&config);
         let before: Vec<Arc<str>> = self.serving_endpoints();
         self.balancer.borrow_mut().set_candidates(candidates);
         let endpoints = self.endpoints.borrow();
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -31,3 +31,4 @@
 mod test_streams;
 mod test_vanished_entries;
 mod test_versions;
+mod test_warm_up;
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -7,7 +7,7 @@
 use hemlock_platform_standin::fixtures;
 
 use crate::callers::{CRASHING_PREFIX, LeftRequest, ObservedRequest, RequestKind};
-use crate::deployment::{DRAIN_MS, Run};
+use crate::deployment::{COLD_BOUND, DRAIN_MS, Run};
 use crate::faults::{Fault, FaultSet};
 use crate::losses;
 
@@ -40,6 +40,11 @@
 const LIMIT_FACTOR: f64 = 1.5;
 const LIMIT_EXTRA: f64 = 5.0;
 
+/// Time after an endpoint has turned cold within which all entry VMs have heard so.
+const COLD_KNOWN_TIME: Duration = Duration::from_secs(1);
+/// Span over which arrivals at a cold endpoint are counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
 /// A fault that was injected, and when.
 #[derive(Debug, Clone, Copy)]
 pub struct InjectedFault {
@@ -71,6 +76,8 @@
     pub crashes: Vec<Instant>,
     /// When requests reached each endpoint, in the order of the faults.
     pub arrivals: Vec<Vec<Instant>>,
+    /// Times in which each endpoint was cold, in the order of the faults.
+    pub cold_periods: Vec<Vec<(Instant, Instant)>>,
     /// Requests whose callers left without waiting for their responses.
     pub left: Vec<LeftRequest>,
     pub probes: Vec<Probe>,
@@ -119,6 +126,7 @@
         violations.extend(self.check_crashing_part());
         violations.extend(self.check_cuts());
         violations.extend(self.check_limits());
+        violations.extend(self.check_warm_ups());
         violations.extend(self.check_left());
         violations.extend(self.check_recovery());
         violations
@@ -322,6 +330,35 @@
         self.faults.iter().filter_map(check).collect()
     }
 
+    /// Checks that all entry VMs together send cold endpoints no more than these bear. An entry VM that
+    /// gets no list, or stands still, can't know of it, and a link that holds requests up may deliver
+    /// them at once.
+    fn check_warm_ups(&self) -> Vec<String> {
+        let check = |endpoint: usize, (from, until): (Instant, Instant)| {
+            let times = &self.arrivals[endpoint];
+            let known = from + COLD_KNOWN_TIME;
+            let cold = times.iter().filter(|t| (known..until).contains(t));
+            let counts = cold.map(|begin| {
+                let end = (*begin + COLD_WINDOW).min(until);
+                let count = times.iter().filter(|t| (*begin..end).contains(t)).count();
+                (count, *begin)
+            });
+            let (count, begin) = counts.max()?;
+            let is_excused = self.is_excused(begin, begin + COLD_WINDOW, |f| match f {
+                Fault::Link(e, _) => *e == endpoint,
+                Fault::Pause(_) => true,
+                f => f.disturbs_store(),
+            });
+            (!is_excused && count > COLD_BOUND).then(|| {
+                let name = &self.endpoints[endpoint];
+                format!("{name} got {count} requests in a second while cold, allowed {COLD_BOUND}")
+            })
+        };
+        let all = self.cold_periods.iter().enumerate();
+        let each = all.flat_map(|(e, periods)| periods.iter().map(move |p| (e, *p)));
+        each.filter_map(|(e, period)| check(e, period)).collect()
+    }
+
     /// Checks that no request reaches an endpoint after its caller has left. What a killed process
     /// had sent is in the hands of the kernel.
     fn check_left(&self) -> Vec<String> {
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -45,6 +45,16 @@
 /// Time for which requests may still reach an endpoint after it began to drain, in milliseconds.
 pub const DRAIN_MS: u64 = 2_000;
 
+/// Seconds for which endpoints are cold after a start, and the requests a second that they take
+/// meanwhile, in runs with warm-ups.
+const COLD_START_S: f64 = 1.5;
+const COLD_RATE: f64 = 6.0;
+/// Factor on that rate, and requests beyond it, that a cold endpoint bears in one second.
+const COLD_EXCESS: f64 = 1.5;
+const COLD_SLACK: f64 = 5.0;
+/// Requests in one second that a cold endpoint bears; it crashes above half as many again.
+pub const COLD_BOUND: usize = (COLD_RATE * COLD_EXCESS + COLD_SLACK) as usize;
+
 /// Returns the shortest timeout of requests of a kind, where timeouts change.
 pub fn min_timeout(kind: RequestKind) -> Duration {
     let timeout = |(plain, stream): (u64, u64)| match kind {
@@ -78,18 +88,30 @@
 }
 
 impl Node {
-    fn spawn(index: usize, program: &Path, store: &Store, dir: &Path) -> std::io::Result<Self> {
+    fn spawn(
+        index: usize,
+        program: &Path,
+        store: &Store,
+        dir: &Path,
+        warms_up: bool,
+    ) -> std::io::Result<Self> {
         let name = client_name(index);
         let (front, directory) = (free_address(), free_address());
         let (ready, peer, metrics) = (free_address(), free_address(), free_address());
         let proxy = Proxy::spawn(store.address())?;
         let settings = dir.join(format!("{name}.yaml"));
+        let bounds = match warms_up {
+            true => {
+                format!("  warm_up_excess: {COLD_EXCESS}\n  warm_up_slack: {COLD_SLACK}\n")
+            }
+            false => String::new(),
+        };
         let text = format!(
             "node: {name}\nzone: z{}\nlisten:\n  front: {front}\n  ready: {ready}\n  \
              directory: {directory}\n  peer: {peer}\n  metrics: {metrics}\nstore:\n  address: {}\n  \
              read_rate: 2000\n  lease_ms: 1000\nbounds:\n  drain_ms: {DRAIN_MS}\n  \
              grace_s: {GRACE_S}\n  stall_ms: 5000\n  advice_s: 1\n  repeat_ratio: 0.2\n  \
-             repeat_extra: 100\n  repeat_s: 10\ncores: 0.25\n",
+             repeat_extra: 100\n  repeat_s: 10\n{bounds}cores: 0.25\n",
             zone_of(index),
             proxy.address()
         );
@@ -188,17 +210,21 @@
     clients: ClientProcesses,
     version: u64,
     workload: Workload,
+    /// Whether the configuration names a warm-up of the endpoints.
+    warms_up: bool,
 }
 
 impl Deployment {
     /// Starts the stand-ins, and an entry VM for each of `programs`, which runs it. They keep their
     /// settings and logs in `dir`. With a workload of long streams, versions of the configuration also
-    /// change timeouts and weights, and there are more engines for many callers.
+    /// change timeouts and weights, and there are more engines for many callers. `warms_up` has endpoints
+    /// be cold after a start, as the configuration says.
     pub fn spawn(
         programs: &[&Path],
         dir: &Path,
         workload: Workload,
         callers: usize,
+        warms_up: bool,
     ) -> std::io::Result<Self> {
         let (store, clients) = (Store::spawn(), ClientProcesses::default());
         let spawn = |id: &str, service: &str, domain: Option<&str>| {
@@ -226,6 +252,13 @@
                 endpoints
             }
         };
+        if warms_up {
+            let start_time = Duration::from_secs_f64(COLD_START_S);
+            for proxied in &endpoints {
+                let crash_above = Some(COLD_BOUND + COLD_BOUND / 2);
+                proxied.endpoint.set_warm_up(start_time, crash_above);
+            }
+        }
         let mut deployment = Self {
             store,
             nodes: Vec::new(),
@@ -234,10 +267,11 @@
             clients,
             version: 1,
             workload,
+            warms_up,
         };
         deployment.publish_config();
         for (index, program) in programs.iter().enumerate() {
-            let node = Node::spawn(index, program, &deployment.store, dir)?;
+            let node = Node::spawn(index, program, &deployment.store, dir, warms_up)?;
             deployment.nodes.push(node);
             deployment.register_client(index);
         }
@@ -296,6 +330,9 @@
             let weights = [("plain", 100.0 - weight), (SPARE_SERVICE, weight)];
             fixtures::set_weights(&mut config, "/plain/", &weights);
         }
+        if self.warms_up {
+            fixtures::set_warm_up(&mut config, COLD_START_S, COLD_RATE);
+        }
         fixtures::publish_config(&self.store, &config);
     }
 
@@ -321,6 +358,12 @@
         endpoints.map(|e| e.endpoint.arrival_times()).collect()
     }
 
+    /// Returns the times in which each endpoint was cold.
+    pub fn cold_periods(&self) -> Vec<Vec<(Instant, Instant)>> {
+        let endpoints = self.endpoints.iter();
+        endpoints.map(|e| e.endpoint.cold_periods()).collect()
+    }
+
     /// Returns all executions of requests.
     pub fn runs(&self) -> Vec<Run> {
         let runs_of = |e: &ProxiedEndpoint| {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -23,6 +23,8 @@
 const TERMINATION_SERIES_SHARE: f64 = 0.4;
 /// Share of the endpoints that announce a limit at some time.
 const LIMITED_SHARE: f64 = 0.6;
+/// Share of the endpoints that turn cold at the same time.
+const COLD_SHARE: f64 = 0.4;
 /// Interval between the signals of a series that stops all entry VMs.
 const TERMINATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two series of stops, longer than a stop takes.
@@ -53,6 +55,8 @@
     Endpoint(usize, endpoint::Mode),
     /// An endpoint announces a limit, in tenths of a request a second.
     Limit(usize, u32),
+    /// An endpoint turns cold, for as long as the fault lasts.
+    TurnCold(usize, Duration),
     /// An endpoint disappears, and restarts without its state at the end of the fault.
     Crash(usize),
     /// An endpoint announces that it drains, and restarts at the end of the fault.
@@ -115,6 +119,8 @@
     /// Sound endpoints pause, beside versions, SIGHUPs and in some seeds SIGTERMs, and nothing else
     /// happens, so that no lost response is excused.
     Pauses,
+    /// As basic, and endpoints are cold after a start and at other times.
+    WarmUps,
 }
 
 /// Draws the faults of a run.
@@ -128,13 +134,14 @@
     match fault_set {
         FaultSet::Stops => return draw_stops(seed, fault_period, nodes),
         FaultSet::Pauses => return pauses::draw(seed, fault_period, nodes, endpoints),
-        FaultSet::Basic | FaultSet::All | FaultSet::Cuts | FaultSet::Limits => {}
+        FaultSet::Basic | FaultSet::All | FaultSet::Cuts | FaultSet::Limits | FaultSet::WarmUps => {
+        }
     }
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut scheduled: Vec<ScheduledFault> = Vec::new();
     // A store that comes back excuses all VMs for seconds, so half of the seeds with cuts have none.
     let loses_records = match fault_set {
-        FaultSet::Basic | FaultSet::Stops | FaultSet::Pauses => false,
+        FaultSet::Basic | FaultSet::Stops | FaultSet::Pauses | FaultSet::WarmUps => false,
         FaultSet::All => true,
         FaultSet::Cuts | FaultSet::Limits => seed.is_multiple_of(2),
     };
@@ -154,6 +161,9 @@
     if fault_set == FaultSet::Limits {
         draw_limits(seed, fault_period, endpoints, &mut scheduled);
     }
+    if fault_set == FaultSet::WarmUps {
+        draw_warm_ups(seed, fault_period, endpoints, &mut scheduled);
+    }
     let mut at = Duration::from_secs(1);
     while at < fault_period.mul_f64(BEGIN_SHARE) {
         let fault = draw_fault(&mut rng, nodes, endpoints);
@@ -268,6 +278,31 @@
     }
 }
 
+/// Draws when endpoints turn cold, many of them at once.
+fn draw_warm_ups(
+    seed: u64,
+    fault_period: Duration,
+    endpoints: usize,
+    scheduled: &mut Vec<ScheduledFault>,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48));
+    let mut at = Duration::from_secs(1);
+    while at < fault_period.mul_f64(BEGIN_SHARE) {
+        for endpoint in 0..endpoints {
+            if !rng.random_bool(COLD_SHARE) {
+                continue;
+            }
+            let time = Duration::from_millis(rng.random_range(2_500..4_000));
+            scheduled.push(ScheduledFault {
+                at,
+                until: at + time,
+                fault: Fault::TurnCold(endpoint, time),
+            });
+        }
+        at += Duration::from_millis(rng.random_range(4_500..6_000));
+    }
+}
+
 /// Draws which entry VMs are cut, and how.
 fn draw_cut(
     rng: &mut SmallRng,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -122,12 +122,16 @@
             FaultSet::Pauses => Workload::Long,
             _ => Workload::Short,
         };
-        let deployment = Deployment::spawn(&programs, &self.dir, workload, self.callers)?;
+        let warms_up = self.fault_set == FaultSet::WarmUps;
+        let deployment = Deployment::spawn(&programs, &self.dir, workload, self.callers, warms_up)?;
         thread::sleep(STARTUP_TIME);
         let directories: Vec<_> = deployment.nodes.iter().map(|n| n.directory).collect();
         let fronts: Vec<_> = deployment.nodes.iter().map(|n| n.front).collect();
         let mut callers = Callers::spawn(self.callers, &directories, self.seed, workload);
-        if matches!(self.fault_set, FaultSet::Cuts | FaultSet::Limits) {
+        if matches!(
+            self.fault_set,
+            FaultSet::Cuts | FaultSet::Limits | FaultSet::WarmUps
+        ) {
             callers.spawn_steady(&fronts);
         }
         if matches!(self.fault_set, FaultSet::Limits | FaultSet::Pauses) {
@@ -175,6 +179,7 @@
             runs: run.deployment.runs(),
             crashes: run.deployment.crashes(),
             arrivals: run.deployment.arrivals(),
+            cold_periods: run.deployment.cold_periods(),
             left,
             probes,
             faults: run.injected,
@@ -364,6 +369,7 @@
                 let limit = format!("{}", f64::from(tenths) / 10.0);
                 deployment.endpoints[e].endpoint.set_limit(Some(&limit));
             }
+            Fault::TurnCold(e, time) => deployment.endpoints[e].endpoint.turn_cold(time),
             Fault::Crash(e) => {
                 self.crashed.insert(e);
                 deployment.endpoints[e].link.set_link(Link::Reset);
@@ -394,7 +400,7 @@
     fn end_fault(&mut self, fault: &Fault) -> io::Result<()> {
         let deployment = &mut self.deployment;
         match *fault {
-            Fault::Terminate(_) | Fault::Configure | Fault::HangUp(_) => {}
+            Fault::Terminate(_) | Fault::Configure | Fault::HangUp(_) | Fault::TurnCold(..) => {}
             Fault::CrashingPart => {
                 self.stop_crashing.store(true, Ordering::Relaxed);
                 deployment.set_crashing_part(false);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,11 +39,12 @@
                 .long("faults")
                 .value_name("SET")
                 .default_value("cuts")
-                .value_parser(["basic", "all", "cuts", "limits", "stops", "pauses"])
+                .value_parser(["basic", "all", "cuts", "limits", "stops", "pauses", "warm-ups"])
                 .help(
                     "Kinds of faults: basic, all, cuts and limits each with those of the one before it; \
                      stops are stops of all entry VMs one after the other, again and again; \
-                     pauses are pauses of sound endpoints beside versions and signals",
+                     pauses are pauses of sound endpoints beside versions and signals; \
+                     warm-ups are those of basic beside endpoints that are cold",
                 ),
             Arg::new("regressions")
                 .long("regressions")
@@ -99,6 +100,7 @@
             Some("limits") => FaultSet::Limits,
             Some("stops") => FaultSet::Stops,
             Some("pauses") => FaultSet::Pauses,
+            Some("warm-ups") => FaultSet::WarmUps,
             _ => FaultSet::Cuts,
         },
     };
@@ -160,8 +162,8 @@
 }
 
 impl Case {
-    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts`, `limits` or `pauses` before the cause for
-    /// the kinds of faults. Returns `None` for a comment.
+    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts`, `limits`, `pauses` or `warm-ups` before the
+    /// cause for the kinds of faults. Returns `None` for a comment.
     fn parse(line: &str) -> Option<Self> {
         let mut numbers = line.split(' ').map_while(|n| n.parse().ok());
         Some(Self {
@@ -174,6 +176,7 @@
                 Some("cuts") => FaultSet::Cuts,
                 Some("limits") => FaultSet::Limits,
                 Some("pauses") => FaultSet::Pauses,
+                Some("warm-ups") => FaultSet::WarmUps,
                 _ => FaultSet::Basic,
             },
         })
