node: endpoints of evacuated zones get nothing new

Cause: operators evacuate a zone by a record beside the configuration, keyed by the zone, and nothing read it.

Change: lib/node/evacuation keeps the zones whose record stands, through lost histories and stores that come back older. Candidates there are excluded as Evacuated; if no others are left, the answer is Unavailable at once, with the cause evacuated. The planner counts, orders, loads and probes nothing there; its groups stay for the return. Such endpoints are no evidence about the path. The soak has a fault set of its own for it (evacuations).

The simulated engines of the planner's tests get a zone per failure domain instead of one for all; the planner did not look at zones before.

--- a/cli/src/timeline.rs
+++ b/cli/src/timeline.rs
@@ -209,6 +209,7 @@
             "its VM did not reach the store, so that a new route or key may be unknown to it"
         }
         "breaks_endpoints" => "it, or others with a part of its prompt, crashed several endpoints",
+        "evacuated" => "all endpoints of the model or service are in evacuated zones",
         "nobody" => "no endpoint of the model or service was in use",
         "full" => "no endpoint could have begun it in time",
         "budget" => "the budget of repeated sends was used up",
--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -125,6 +125,8 @@
     /// Time for which a silent endpoint gets no requests.
     silence_duration: Duration,
     candidates: BTreeMap<Arc<str>, Candidate>,
+    /// Zones that the operators have evacuated.
+    evacuated: BTreeSet<Arc<str>>,
     loads: BTreeMap<Arc<str>, Load>,
     /// Start times of endpoints that asked for no requests, and until when.
     held_off: BTreeMap<Arc<str>, (u64, Time)>,
@@ -141,6 +143,7 @@
         Self {
             silence_duration: stall + SILENCE_MARGIN,
             candidates: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             loads: BTreeMap::new(),
             held_off: BTreeMap::new(),
             limits: RateLimits::new(this_vm),
@@ -175,6 +178,11 @@
         self.candidates = new_candidates;
     }
 
+    /// Replaces the zones to whose endpoints nothing new is sent.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<Arc<str>>) {
+        self.evacuated = zones;
+    }
+
     /// Returns the limits that endpoints have announced.
     pub fn limits(&self) -> &RateLimits {
         &self.limits
@@ -250,6 +258,7 @@
         engine: Option<&Engine>,
     ) -> Duration {
         let serving = self.serving(request, engine);
+        let serving = serving.filter(|c| !self.evacuated.contains(&c.zone));
         let hold = serving.map(|c| self.hold_time(now, c)).min();
         hold.unwrap_or_default().max(self.retry_after(request))
     }
--- a/lib/src/node/balance/eligibility.rs
+++ b/lib/src/node/balance/eligibility.rs
@@ -10,6 +10,8 @@
 /// Reason for which an endpoint gets no request of this entry VM now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Exclusion {
+    /// The operators have evacuated the endpoint's zone.
+    Evacuated,
     /// The request was sent there already.
     Tried,
     /// The endpoint does not answer.
@@ -57,7 +59,9 @@
         let id = &candidate.id;
         let (started_ms, _) = candidate.incarnation;
         let is_urgent = request.is_urgent || request.has_started;
-        if tried.contains(id) {
+        if self.evacuated.contains(&candidate.zone) {
+            Some(Exclusion::Evacuated)
+        } else if tried.contains(id) {
             Some(Exclusion::Tried)
         } else if self.is_silent(now, id) {
             Some(Exclusion::Silent)
@@ -82,9 +86,13 @@
         tried: &[Arc<str>],
     ) -> Result<Vec<&'a Candidate>, Shortage> {
         let serving = self.serving(request, engine);
+        let is_out = |why: &Option<Exclusion>| {
+            use Exclusion::{Evacuated, Silent, Tried};
+            matches!(why, Some(Evacuated | Tried | Silent))
+        };
         let mut responsive: Vec<(&Candidate, Option<Exclusion>)> = serving
             .map(|c| (c, self.exclusion(now, c, request, tried)))
-            .filter(|(_, why)| !matches!(why, Some(Exclusion::Tried | Exclusion::Silent)))
+            .filter(|(_, why)| !is_out(why))
             .collect();
         let is_failing = |(candidate, _): &(&Candidate, Option<Exclusion>)| {
             self.load(&candidate.id)
@@ -108,6 +116,16 @@
         Ok(responsive.into_iter().map(|(c, _)| c).collect())
     }
 
+    /// Returns whether a service, or a model of its engines, has endpoints that serve requests, all of
+    /// them in evacuated zones.
+    pub fn is_evacuated(&self, service: &str, model: Option<&str>) -> bool {
+        let serves = |c: &&Candidate| {
+            &*c.service == service && (c.model.is_none() || c.model.as_deref() == model)
+        };
+        let mut serving = self.candidates.values().filter(serves).peekable();
+        serving.peek().is_some() && serving.all(|c| self.evacuated.contains(&c.zone))
+    }
+
     /// Returns for how long an endpoint still wants no requests; zero if it takes them.
     pub(super) fn hold_time(&self, now: Time, candidate: &Candidate) -> Duration {
         match self.held_off.get(&candidate.id) {
--- a/lib/src/node/cache.rs
+++ b/lib/src/node/cache.rs
@@ -67,6 +67,17 @@
     pub store_down: bool,
 }
 
+/// How records that were read relate to what was read before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Update {
+    /// The records follow what was read.
+    Changes,
+    /// The records are the whole topic.
+    Snapshot,
+    /// The records are the whole topic of a store that came back from an older copy since.
+    Restored,
+}
+
 /// The newest record of a key.
 #[derive(Debug)]
 struct Newest {
@@ -159,17 +170,18 @@
         self.deleted = 0;
     }
 
-    /// Puts the newest record of a key in place of an older one, which the store came back with.
-    /// Snapshots contain it; readers that are up to date don't get it.
+    /// Puts the newest record of a key, or its deletion, in place of an older one, which the store came
+    /// back with. Snapshots contain it; readers that are up to date don't get it.
     pub fn keep(&mut self, entry: &Entry) {
-        let Some(value) = &entry.value else { return };
         self.revision += 1;
         match self.records.get_mut(&entry.key) {
             Some(newest) => {
                 self.deleted -= usize::from(newest.value.is_none());
-                newest.value = Some(value.clone());
+                self.deleted += usize::from(entry.value.is_none());
+                newest.value.clone_from(&entry.value);
             }
-            None => self.insert(entry, 0),
+            None if entry.value.is_some() => self.insert(entry, 0),
+            None => {}
         }
     }
 
--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -185,6 +185,8 @@
     store: StoreAvailability,
     /// When the store came back from an older copy.
     restored_at: Option<Time>,
+    /// Zones that the operators have evacuated.
+    evacuated: BTreeSet<Arc<str>>,
     version: u64,
 }
 
@@ -199,6 +201,7 @@
             ended: BTreeMap::new(),
             store: StoreAvailability::default(),
             restored_at: None,
+            evacuated: BTreeSet::new(),
             version: 0,
         }
     }
@@ -208,6 +211,17 @@
         self.version
     }
 
+    /// Replaces the evacuated zones, to whose endpoints no requests and no orders go.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<Arc<str>>) {
+        self.version += 1;
+        self.evacuated = zones;
+    }
+
+    /// Returns whether an endpoint is in an evacuated zone.
+    pub fn is_evacuated(&self, endpoint: &Endpoint) -> bool {
+        self.evacuated.contains(&endpoint.zone)
+    }
+
     /// Returns the endpoint with the given identifier.
     pub fn get(&self, id: &str) -> Option<&Endpoint> {
         self.listed.get(id)
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The modules follow the path of a request: [`config`] finds its route and client account,
 //! [`endpoints`] lists the endpoints, [`balance`] sends or refuses it by the latencies that
-//! [`forecast`] estimates, the limits that endpoints announce ([`rate_limits`]) and the groups that
-//! break off requests ([`breaks`]), [`budget`] and [`quarantine`] limit its retries, and [`events`]
+//! [`forecast`] estimates, the limits that endpoints announce ([`rate_limits`]), the zones that operators
+//! have evacuated ([`evacuation`]) and the groups that break off requests ([`breaks`]), [`budget`] and [`quarantine`] limit its retries, and [`events`]
 //! keeps its event stream free of gaps and duplicates. [`planner`] forms the engine groups that
 //! [`capacity`] asks for, [`peers`] tracks the other entry VMs, which hear from this one as often as
 //! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
@@ -20,6 +20,7 @@
 pub mod capacity;
 pub mod config;
 pub mod endpoints;
+pub mod evacuation;
 pub mod events;
 pub mod forecast;
 mod healing;
--- a/lib/src/node/planner/assign.rs
+++ b/lib/src/node/planner/assign.rs
@@ -44,6 +44,9 @@
         if endpoint.draining || self.is_lost(&endpoint.id) || !self.is_idle(&endpoint.id) {
             return false;
         }
+        if self.input.endpoints.is_evacuated(endpoint) {
+            return false;
+        }
         let Some(membership) = &endpoint.membership else {
             return true;
         };
@@ -55,7 +58,10 @@
     pub(super) fn form_groups(&mut self, phases: &BTreeMap<(Arc<str>, u64), GroupPhase>) {
         let engines: Vec<&Endpoint> = self.input.endpoints.iter().collect();
         let usable = |e: &&&Endpoint| {
-            &*e.service == self.input.service && !e.draining && !self.is_lost(&e.id)
+            &*e.service == self.input.service
+                && !e.draining
+                && !self.is_lost(&e.id)
+                && !self.input.endpoints.is_evacuated(e)
         };
         let usable: Vec<&Endpoint> = engines.iter().filter(usable).copied().collect();
         let total = (usable.len() as f64 * (1.0 - RESERVE_FRACTION)).ceil() as usize;
@@ -69,7 +75,8 @@
             if matches!(
                 phase,
                 GroupPhase::Forming | GroupPhase::Ready | GroupPhase::Serving
-            ) && let Some((size, model)) = parse_group_name(&key.0)
+            ) && !self.groups.get(key).is_some_and(|g| self.is_evacuated(g))
+                && let Some((size, model)) = parse_group_name(&key.0)
             {
                 *assigned.entry(Arc::from(model)).or_default() += size;
             }
--- a/lib/src/node/planner/convert.rs
+++ b/lib/src/node/planner/convert.rs
@@ -49,7 +49,9 @@
         let domains: Vec<Arc<str>> = self.planner.conversions.keys().cloned().collect();
         for domain in domains {
             let conversion = self.planner.conversions[&domain].clone();
-            let Some(model) = self.input.engine.model(&conversion.model) else {
+            let is_evacuated = self.is_domain_evacuated(&domain);
+            let model = self.input.engine.model(&conversion.model);
+            let Some(model) = model.filter(|_| !is_evacuated) else {
                 self.planner.conversions.remove(&domain);
                 continue;
             };
@@ -91,9 +93,10 @@
         if self.input.before_traffic {
             return;
         }
+        let is_evacuated = |key| self.groups.get(key).is_some_and(|g| self.is_evacuated(g));
         let serving = phases
-            .values()
-            .filter(|phase| **phase == GroupPhase::Serving)
+            .iter()
+            .filter(|(key, phase)| **phase == GroupPhase::Serving && !is_evacuated(key))
             .count();
         let max_ending = ((serving as f64 * MAX_ENDING_FRACTION) as usize).max(1);
         while self.planner.retiring.len() < max_ending {
@@ -149,7 +152,8 @@
         let mut domains: BTreeMap<Arc<str>, Vec<(usize, u64)>> = BTreeMap::new();
         for (key, group) in &self.groups {
             let is_serving = phases.get(key) == Some(&GroupPhase::Serving)
-                && !self.planner.retiring.contains(&key.1);
+                && !self.planner.retiring.contains(&key.1)
+                && !self.is_evacuated(group);
             let is_donor =
                 parse_group_name(&group.name).is_some_and(|(_, m)| *m == *pair.donor.name);
             let without_load = self.count_without_load(group, pair.receiver);
--- a/lib/src/node/planner/groups.rs
+++ b/lib/src/node/planner/groups.rs
@@ -63,7 +63,8 @@
             if state.probe_pending || state.last_probe.is_some_and(|t| now.since(t) < interval) {
                 continue;
             }
-            let Some(endpoint) = self.input.endpoints.get(id) else {
+            let endpoint = self.input.endpoints.get(id);
+            let Some(endpoint) = endpoint.filter(|e| !self.input.endpoints.is_evacuated(e)) else {
                 continue;
             };
             state.last_probe = Some(now);
@@ -86,6 +87,13 @@
             .map(|(epoch, f)| (*epoch, f.clone()))
             .collect();
         for (epoch, formed) in unopened {
+            let mut members = formed.members.iter();
+            if members.any(|id| self.is_endpoint_evacuated(id)) {
+                if let Some(state) = self.planner.formed.get_mut(&epoch) {
+                    state.given_up = true;
+                }
+                continue;
+            }
             let has_not_joined = |id: &&Arc<str>| {
                 let membership = self
                     .input
@@ -132,6 +140,25 @@
         }
     }
 
+    /// Returns whether an engine is in an evacuated zone.
+    fn is_endpoint_evacuated(&self, id: &str) -> bool {
+        let endpoints = self.input.endpoints;
+        endpoints.get(id).is_some_and(|e| endpoints.is_evacuated(e))
+    }
+
+    /// Returns whether a member of a group is in an evacuated zone.
+    pub(super) fn is_evacuated(&self, group: &Group) -> bool {
+        let mut members = group.members.values();
+        members.any(|(id, _)| self.is_endpoint_evacuated(id))
+    }
+
+    /// Returns whether engines of a failure domain are in an evacuated zone.
+    pub(super) fn is_domain_evacuated(&self, domain: &str) -> bool {
+        let endpoints = self.input.endpoints;
+        let mut of_domain = endpoints.iter().filter(|e| &*e.domain == domain);
+        of_domain.any(|e| endpoints.is_evacuated(e))
+    }
+
     /// Returns whether an engine is listed as the member of a group that has not been given up.
     fn is_member_of_live_group(&self, id: &str) -> bool {
         let endpoint = self.input.endpoints.get(id);
@@ -160,7 +187,10 @@
             if matches!(phase, GroupPhase::Ready | GroupPhase::Serving) {
                 self.planner.unhealthy_since.remove(&key);
             }
-            self.send_orders_for(&key, &group, phase);
+            // Groups of an evacuated zone stay as they are, so that they serve again at once.
+            if !self.is_evacuated(&group) {
+                self.send_orders_for(&key, &group, phase);
+            }
             phases.insert(key, phase);
         }
         self.planner
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -47,6 +47,11 @@
     }
 }
 
+/// Returns the zone of a failure domain.
+pub fn zone_of(domain: &str) -> Arc<str> {
+    Arc::from(format!("z-{domain}"))
+}
+
 #[derive(Debug, Clone)]
 struct SimulatedEngine {
     entry: Endpoint,
@@ -142,7 +147,7 @@
             sequence: 0,
             service: Arc::from(SERVICE),
             address: "10.0.0.1:80".to_owned(),
-            zone: Arc::from("z"),
+            zone: zone_of(domain),
             domain: Arc::from(domain),
             draining: false,
             slots: 17,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_node_balance;
 mod test_node_cache;
 mod test_node_endpoints;
+mod test_node_evacuation;
 mod test_node_heartbeat_pace;
 mod test_node_holding;
 mod test_node_load_totals;
--- a/node/src/info_server.rs
+++ b/node/src/info_server.rs
@@ -162,6 +162,10 @@
             Gauge::LimitedEndpoints,
             node.balancer.borrow().limits().count() as f64,
         ),
+        (
+            Gauge::EvacuatedZones,
+            node.evacuations.borrow().count() as f64,
+        ),
     ];
     node.metrics.render(&gauges)
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod body;
 mod connections;
+mod evacuations;
 mod feed;
 mod front;
 mod info_server;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -47,6 +47,7 @@
     DatagramBytes "datagram_bytes" "Bytes of the datagrams to other VMs, by what they carry.";
     Denied "denied" "Requests that the configuration does not allow, by whether the route or the key is unknown.";
     EarlyHeartbeats "early_heartbeats" "Heartbeats to all VMs before the interval has passed.";
+    EvacuationChanges "evacuation_changes" "Changes of the evacuations of zones, by kind.";
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
     FeedBytes "feed_bytes" "Bytes of records sent to peers that read through this VM, by topic.";
@@ -135,10 +136,12 @@
     PeersWithPath,
     /// Endpoints with a limit on their requests that holds.
     LimitedEndpoints,
+    /// Zones that the operators have evacuated.
+    EvacuatedZones,
 }
 
 impl Gauge {
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -154,6 +157,7 @@
         Self::PathUp,
         Self::PeersWithPath,
         Self::LimitedEndpoints,
+        Self::EvacuatedZones,
     ];
 
     fn name(self) -> &'static str {
@@ -173,6 +177,7 @@
             Self::PathUp => "hemlock_path_up",
             Self::PeersWithPath => "hemlock_peers_with_path",
             Self::LimitedEndpoints => "hemlock_limited_endpoints",
+            Self::EvacuatedZones => "hemlock_evacuated_zones",
         }
     }
 }
--- a/node/src/path_watch.rs
+++ b/node/src/path_watch.rs
@@ -64,12 +64,12 @@
 
 fn update(node: &Node, now: Time) {
     let peers = node.peers_with_path(now).len();
-    let listed = node
-        .endpoints
-        .borrow()
+    let endpoints = node.endpoints.borrow();
+    let listed = endpoints
         .iter()
-        .filter(|e| !e.draining)
+        .filter(|e| !e.draining && !endpoints.is_evacuated(e))
         .count();
+    drop(endpoints);
     let change = node.reach.borrow_mut().update(now, listed, peers);
     let may_reach = with_targets(node, |targets| {
         !node.reach.borrow().every_service_fails(targets)
@@ -105,10 +105,11 @@
     }
 }
 
-/// Calls `f` with the endpoints that may be probed.
+/// Calls `f` with the endpoints that may be probed: those of evacuated zones may be shut down.
 fn with_targets<T>(node: &Node, f: impl FnOnce(&[Target<'_>]) -> T) -> T {
     let endpoints = node.endpoints.borrow();
-    let listed = endpoints.iter().filter(|e| !e.draining);
+    let listed = endpoints.iter();
+    let listed = listed.filter(|e| !e.draining && !endpoints.is_evacuated(e));
     let targets: Vec<Target<'_>> = listed
         .map(|e| Target {
             id: &e.id,
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -376,7 +376,7 @@
             }
             Choice::Full(after) => return Err(("full", after)),
             Choice::Limited(after) => return Err(("limited", after)),
-            Choice::Unavailable(after) => return Err(("nobody", after)),
+            Choice::Unavailable(after) => return Err((self.unavailable_cause(service), after)),
         };
         let token = LimitToken::new(self.node, &to.id);
         if self.sends.next_is_repeat() && !self.try_retry(now, service, cause) {
@@ -445,6 +445,15 @@
         balancer.choose(now, &routing_request, engine, &self.excluded_endpoints())
     }
 
+    /// Returns why no endpoint serves the request now.
+    fn unavailable_cause(&self, service: &str) -> &'static str {
+        let model = self.request.meta.model.as_deref();
+        match self.node.balancer.borrow().is_evacuated(service, model) {
+            true => "evacuated",
+            false => "nobody",
+        }
+    }
+
     /// Takes one retry from the service's retry budget and counts it; returns whether the budget
     /// allows it.
     fn try_retry(&self, now: Time, service: &Arc<str>, cause: &'static str) -> bool {
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of a node share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,6 +13,7 @@
 use hemlock_lib::node::capacity::DemandMeter;
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::{Change, Endpoints, EngineReport, MemberState};
+use hemlock_lib::node::evacuation::Evacuations;
 use hemlock_lib::node::load_totals::LoadTotals;
 use hemlock_lib::node::memory::{DEFAULT_LIMIT_MB, Memory};
 use hemlock_lib::node::own_delay::OwnDelay;
@@ -32,6 +33,7 @@
 use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::evacuations;
 use crate::feed::Feed;
 use crate::metrics::{Counter, Metrics};
 use crate::pool::Pool;
@@ -67,6 +69,10 @@
     config_feed: Feed,
     endpoint_feed: Feed,
     pub(crate) endpoints: RefCell<Endpoints>,
+    /// Zones that the operators have evacuated.
+    pub(crate) evacuations: RefCell<Evacuations>,
+    /// Keys of odd records of evacuations that were logged.
+    pub(crate) odd_evacuations: RefCell<BTreeSet<String>>,
     /// Whether the list of endpoints was read.
     pub(crate) endpoints_listed: Cell<bool>,
     pub(crate) balancer: RefCell<Balancer>,
@@ -164,6 +170,8 @@
             config_feed: Feed::default(),
             endpoint_feed: Feed::default(),
             endpoints: RefCell::new(Endpoints::new(bounds.drain())),
+            evacuations: RefCell::default(),
+            odd_evacuations: RefCell::default(),
             endpoints_listed: Cell::default(),
             balancer: RefCell::new(Balancer::new(&settings.node, bounds.stall())),
             retry_budget: RefCell::new(RetryBudget::new(allowance)),
@@ -285,6 +293,19 @@
         }
     }
 
+    /// Sets the zones to whose endpoints nothing new is sent.
+    pub(crate) fn set_evacuated(&self, zones: &BTreeSet<Arc<str>>) {
+        self.balancer.borrow_mut().set_evacuated(zones.clone());
+        self.endpoints.borrow_mut().set_evacuated(zones.clone());
+        self.endpoints_changed.notify_one();
+    }
+
+    /// Returns whether an endpoint is in an evacuated zone.
+    fn is_evacuated(&self, id: &str) -> bool {
+        let endpoints = self.endpoints.borrow();
+        endpoints.get(id).is_some_and(|e| endpoints.is_evacuated(e))
+    }
+
     /// Records what an endpoint announces in an answer about the requests that it takes.
     pub(crate) fn note_limit(&self, id: &Arc<str>, started_ms: u64, announced: Announced) {
         let now = self.now();
@@ -346,7 +367,13 @@
     }
 
     /// Records that an endpoint failed to answer, and has the path checked.
+    ///
+    /// An endpoint of an evacuated zone may be shut down at any time, which says nothing about the
+    /// path of this VM.
     pub(crate) fn note_path_failure(&self, endpoint: &Arc<str>, failure: PathFailure) {
+        if self.is_evacuated(endpoint) {
+            return;
+        }
         let mut reach = self.reach.borrow_mut();
         reach.record_failure(self.now(), endpoint, failure);
         if !reach.is_calm() {
@@ -452,6 +479,7 @@
         }
         self.check_outage();
         self.refresh_candidates();
+        evacuations::log_empty(self);
         self.replaced_configs.borrow_mut().expire(now);
         self.pool.expire(now);
         self.peer_pool.expire(now);
@@ -465,7 +493,11 @@
         }
         let endpoints = self.endpoints.borrow();
         if self.listed_version.replace(endpoints.version()) != endpoints.version() {
-            let is_listed = |id: &str| endpoints.get(id).is_some();
+            let is_listed = |id: &str| {
+                endpoints
+                    .get(id)
+                    .is_some_and(|e| !endpoints.is_evacuated(e))
+            };
             self.reach.borrow_mut().retain_listed(is_listed);
         }
     }
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -7,14 +7,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::cache::{Batch, Entry, Position};
+use hemlock_lib::node::cache::{Batch, Entry, Position, Update};
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::passing::{SECRET_KEY_PREFIX, SecretRecord};
 use hemlock_lib::node::peers::Member;
 use hemlock_lib::time::Time;
 use hemlock_platform::store::{Record, Store, StoreError, Topic};
 use rand::Rng;
+use rand::seq::IteratorRandom;
+use tokio::task::spawn_local;
 
+use crate::evacuations;
 use crate::feed::PeerSource;
 use crate::metrics::Counter;
 use crate::state::Node;
@@ -35,6 +38,8 @@
 /// Time over which the VMs spread the writes of their records to a store that came back from an
 /// older copy.
 const MEMBER_REWRITE_TIME: Duration = Duration::from_secs(1);
+/// Time after which a VM that has just started has heard from its peers.
+const PEERS_KNOWN_DELAY: Duration = Duration::from_millis(700);
 /// Wait before the first retry; it doubles with each further one.
 const MIN_BACKOFF: Duration = Duration::from_millis(60);
 /// Longest wait before a retry.
@@ -42,20 +47,22 @@
 /// Longest wait before a retry of a process that has read nothing yet, and so can't serve callers.
 const MAX_STARTUP_BACKOFF: Duration = Duration::from_millis(300);
 
-/// How records that were read relate to what was read before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Update {
-    /// The records follow what was read.
-    Changes,
-    /// The records are the whole topic.
-    Snapshot,
-    /// The records are the whole topic of a store that came back from an older copy since.
-    Restored,
-}
-
-/// Watches the operators' configuration.
+/// Watches the operators' configuration, and which zones they have evacuated.
 pub(crate) async fn watch_config(node: Rc<Node>) {
     watch_topic(&node, Topic::Config, |node, records, update| {
+        let feed = node.feed(Topic::Config);
+        let is_first = node.config.borrow().is_none();
+        if is_first && feed.direct.get() && feed.next_position().era > 0 {
+            spawn_local(compare_with_peer(node.clone()));
+        }
+        // Before the first configuration, with which this VM begins to send requests.
+        evacuations::apply(
+            node,
+            feed.next_position(),
+            update,
+            &records,
+            feed.source.get(),
+        );
         apply_newest_config(node, &records);
         if update != Update::Changes {
             keep_config(node);
@@ -72,6 +79,12 @@
     };
     match read.await {
         Ok(batch) => {
+            let own = node.feed(Topic::Config).next_position();
+            let update = match batch.next.era > own.era {
+                true => Update::Restored,
+                false => Update::Snapshot,
+            };
+            evacuations::apply(&node, batch.next, update, &batch.entries, Some(peer));
             apply_newest_config(&node, &batch.entries);
             keep_config(&node);
         }
@@ -80,6 +93,22 @@
     node.config_read.set(false);
 }
 
+/// Reads the configuration's topic from a peer as well, after the first read from a store that has come
+/// back from an older copy: peers may know of evacuations that the copy lacks.
+async fn compare_with_peer(node: Rc<Node>) {
+    tokio::time::sleep(PEERS_KNOWN_DELAY).await;
+    let now = node.now();
+    let is_other = |m: &&Member| m.node != node.identity.node;
+    let peer = {
+        let peers = node.peers.borrow();
+        let others = peers.ready(now).filter(is_other);
+        others.choose(&mut rand::rng()).map(|m| m.peer_address)
+    };
+    if let Some(peer) = peer {
+        read_config_from_peer(node, peer).await;
+    }
+}
+
 /// Watches the list of endpoints.
 pub(crate) async fn watch_endpoints(node: Rc<Node>) {
     watch_topic(&node, Topic::Endpoints, |node, records, update| {
@@ -163,7 +192,7 @@
 /// does.
 ///
 /// `apply` is called with the records and with how they relate to those before.
-async fn watch_topic(node: &Rc<Node>, topic: Topic, apply: impl Fn(&Node, Vec<Entry>, Update)) {
+async fn watch_topic(node: &Rc<Node>, topic: Topic, apply: impl Fn(&Rc<Node>, Vec<Entry>, Update)) {
     let feed = node.feed(topic);
     let mut reader = None;
     let mut avoided: Vec<(SocketAddr, Time)> = Vec::new();
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_cut;
 mod test_cut_heads;
 mod test_endless;
+mod test_evacuation;
 mod test_first_list;
 mod test_late_config;
 mod test_left_callers;
--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -44,3 +44,8 @@
 fn short_soak_run_with_sound_endpoints_that_pause_loses_no_answer() {
     check_run(FaultSet::Pauses, 10, Duration::from_secs(8));
 }
+
+#[test]
+fn short_soak_run_with_evacuated_zones_keeps_all_guarantees() {
+    check_run(FaultSet::Evacuations, 4, Duration::from_secs(12));
+}
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -7,7 +7,7 @@
 use hemlock_platform_standin::fixtures;
 
 use crate::callers::{CRASHING_PREFIX, LeftRequest, ObservedRequest, RequestKind};
-use crate::deployment::{DRAIN_MS, Run};
+use crate::deployment::{DRAIN_MS, Run, endpoint_zone};
 use crate::faults::{Fault, FaultSet};
 use crate::losses;
 
@@ -119,6 +119,7 @@
         violations.extend(self.check_crashing_part());
         violations.extend(self.check_cuts());
         violations.extend(self.check_limits());
+        violations.extend(self.check_evacuations());
         violations.extend(self.check_left());
         violations.extend(self.check_recovery());
         violations
@@ -322,6 +323,64 @@
         self.faults.iter().filter_map(check).collect()
     }
 
+    /// Checks that no request reaches an endpoint of a zone some time after it was evacuated, and that
+    /// the zone serves again once it is taken back.
+    fn check_evacuations(&self) -> Vec<String> {
+        let mut violations = Vec::new();
+        for injected in &self.faults {
+            let Fault::Evacuate(zone) = injected.fault else {
+                continue;
+            };
+            let is_in_zone = |run: &&Run| {
+                let index = self.endpoints.iter().position(|e| *e == run.endpoint);
+                index.is_some_and(|i| endpoint_zone(i) == zone)
+            };
+            let due = self.evacuation_due(injected.from);
+            let is_late = |run: &&Run| due < run.started_at && run.started_at < injected.until;
+            for run in self.runs.iter().filter(is_in_zone).filter(is_late) {
+                let (id, endpoint, started) = (&run.id, &run.endpoint, run.started_at);
+                // A VM that starts beside an older copy of the store has only that; a disturbed link
+                // may deliver what was sent before.
+                let is_excused = self.is_excused(injected.from, started, |f| match f {
+                    Fault::Link(e, _) => self.endpoints[*e] == *endpoint,
+                    Fault::Restore(_) => true,
+                    _ => false,
+                });
+                if !is_excused {
+                    let after = started - injected.from;
+                    violations.push(format!(
+                        "{id} reached {endpoint} {after:?} after its zone was evacuated"
+                    ));
+                }
+            }
+            let mut later = self.runs.iter().filter(is_in_zone);
+            if !later.any(|run| run.started_at > injected.until) {
+                violations.push(format!("zone z{zone} serves nobody after its evacuation"));
+            }
+        }
+        violations
+    }
+
+    /// Returns when an evacuation that begins at `from` must be in force: some time after it, or after
+    /// the end of disturbances that may have kept entry VMs from reading it.
+    fn evacuation_due(&self, from: Instant) -> Instant {
+        let delays = |f: &Fault| f.disturbs_store() || matches!(f, Fault::Pause(_));
+        let mut disturbances: Vec<&InjectedFault> = self
+            .faults
+            .iter()
+            .filter(|i| delays(&i.fault) && i.until > from)
+            .collect();
+        disturbances.sort_by_key(|i| i.from);
+        let limit = CONFIG_TIME_LIMIT + TIMING_TOLERANCE;
+        let mut due = from + limit;
+        for injected in disturbances {
+            if injected.from <= due {
+                due = due.max(injected.until + limit);
+            }
+        }
+        due
+    }
+
     /// Checks that no request reaches an endpoint after its caller has left. What a killed process
     /// had sent is in the hands of the kernel.
     fn check_left(&self) -> Vec<String> {
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -1,5 +1,6 @@
 //! The entry VM processes and platform stand-ins of one run.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -14,7 +15,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::callers::{self, RequestKind, Workload};
-use crate::faults::zone_of;
+use crate::faults::{ZONES, zone_of};
 use hemlock_platform_standin::proxy::{Link, Proxy};
 
 /// Number of events of each stream, unless its request says how long it may be.
@@ -28,6 +29,8 @@
 /// Minimum number of engines, and callers with long streams that an engine has slots for.
 const MIN_ENGINES: usize = 10;
 const CALLERS_PER_ENGINE: usize = 3;
+/// Number of engines of a failure domain.
+const ENGINES_PER_DOMAIN: usize = 5;
 /// Maximum number of runs of a request that may run more than once.
 pub const MAX_ATTEMPTS: usize = 2;
 /// Timeouts in seconds of routes without and with streams, one after the other, where they change.
@@ -45,6 +48,14 @@
 /// Time for which requests may still reach an endpoint after it began to drain, in milliseconds.
 pub const DRAIN_MS: u64 = 2_000;
 
+/// Returns the number of the zone of an endpoint where these have several zones.
+pub fn endpoint_zone(index: usize) -> usize {
+    match index.checked_sub(PLAIN_ENDPOINTS) {
+        None => zone_of(index),
+        Some(engine) => zone_of(engine / ENGINES_PER_DOMAIN),
+    }
+}
+
 /// Returns the shortest timeout of requests of a kind, where timeouts change.
 pub fn min_timeout(kind: RequestKind) -> Duration {
     let timeout = |(plain, stream): (u64, u64)| match kind {
@@ -186,6 +197,8 @@
     pub added_routes: Vec<String>,
     /// Processes of the entry VMs, whose links to the endpoints can be cut.
     clients: ClientProcesses,
+    /// Zones that are evacuated, as the operators want it.
+    evacuated: BTreeSet<usize>,
     version: u64,
     workload: Workload,
 }
@@ -206,7 +219,7 @@
         };
         let plain = (0..PLAIN_ENDPOINTS).map(|i| spawn(&format!("p{i}"), "plain", None));
         let engine = |i: usize| {
-            let domain = format!("d{}", i / 5);
+            let domain = format!("d{}", i / ENGINES_PER_DOMAIN);
             spawn(&format!("e{i}"), "models", Some(&domain))
         };
         let engines = match workload {
@@ -232,6 +245,7 @@
             endpoints,
             added_routes: Vec::new(),
             clients,
+            evacuated: BTreeSet::new(),
             version: 1,
             workload,
         };
@@ -260,6 +274,40 @@
         }
     }
 
+    /// Spreads the endpoints over the zones: plain ones by turns, and engines by failure domain.
+    pub fn spread_zones(&self) {
+        for (index, proxied) in self.endpoints.iter().enumerate() {
+            proxied
+                .endpoint
+                .set_zone(&format!("z{}", endpoint_zone(index)));
+        }
+    }
+
+    /// Has the operators evacuate a zone, or take it back.
+    pub fn set_evacuated(&mut self, zone: usize, is_evacuated: bool) {
+        match is_evacuated {
+            true => self.evacuated.insert(zone),
+            false => self.evacuated.remove(&zone),
+        };
+        self.write_evacuation(zone);
+    }
+
+    /// Writes the record of a zone's evacuation, or removes it.
+    fn write_evacuation(&self, zone: usize) {
+        let name = format!("z{zone}");
+        match self.evacuated.contains(&zone) {
+            true => fixtures::evacuate(&self.store, &name),
+            false => fixtures::take_back(&self.store, &name),
+        }
+    }
+
+    /// Writes the records of all zones again, for a store that came back older.
+    pub fn rewrite_evacuations(&self) {
+        for zone in 1..=ZONES {
+            self.write_evacuation(zone);
+        }
+    }
+
     /// Sets the link between an entry VM and all endpoints.
     pub fn set_endpoint_links(&self, index: usize, link: Link) {
         self.clients.set_link(&client_name(index), link);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -27,6 +27,8 @@
 const TERMINATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two series of stops, longer than a stop takes.
 const SERIES_INTERVAL: Duration = Duration::from_millis(8_500);
+/// Number of zones.
+pub const ZONES: usize = 2;
 /// Interval between changes of the configuration around a return of the store.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -65,6 +67,8 @@
     Hold(usize),
     /// The process of an entry VM gets SIGHUP, and its settings have not changed.
     HangUp(usize),
+    /// The operators evacuate the zone with this number, and take it back at the end of the fault.
+    Evacuate(usize),
 }
 
 impl Fault {
@@ -72,7 +76,11 @@
     pub fn is_maintenance(&self) -> bool {
         matches!(
             self,
-            Self::Terminate(_) | Self::Configure | Self::Drain(_) | Self::HangUp(_)
+            Self::Terminate(_)
+                | Self::Configure
+                | Self::Drain(_)
+                | Self::HangUp(_)
+                | Self::Evacuate(_)
         )
     }
 
@@ -112,6 +120,9 @@
     /// All entry VMs are stopped one after the other, again and again, and nothing else happens, so
     /// that no lost response is excused.
     Stops,
+    /// Faults of the first set beside evacuations of zones, and in half of the seeds stores that come
+    /// back from an older copy.
+    Evacuations,
     /// Sound endpoints pause, beside versions, SIGHUPs and in some seeds SIGTERMs, and nothing else
     /// happens, so that no lost response is excused.
     Pauses,
@@ -128,7 +139,11 @@
     match fault_set {
         FaultSet::Stops => return draw_stops(seed, fault_period, nodes),
         FaultSet::Pauses => return pauses::draw(seed, fault_period, nodes, endpoints),
-        FaultSet::Basic | FaultSet::All | FaultSet::Cuts | FaultSet::Limits => {}
+        FaultSet::Basic
+        | FaultSet::All
+        | FaultSet::Cuts
+        | FaultSet::Limits
+        | FaultSet::Evacuations => {}
     }
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut scheduled: Vec<ScheduledFault> = Vec::new();
@@ -136,11 +151,11 @@
     let loses_records = match fault_set {
         FaultSet::Basic | FaultSet::Stops | FaultSet::Pauses => false,
         FaultSet::All => true,
-        FaultSet::Cuts | FaultSet::Limits => seed.is_multiple_of(2),
+        FaultSet::Cuts | FaultSet::Limits | FaultSet::Evacuations => seed.is_multiple_of(2),
     };
     if loses_records {
         draw_restores(seed, fault_period, &mut scheduled);
-        if seed.is_multiple_of(CRASHING_PART_SEEDS) {
+        if seed.is_multiple_of(CRASHING_PART_SEEDS) && fault_set != FaultSet::Evacuations {
             scheduled.push(ScheduledFault {
                 at: Duration::from_secs(1),
                 until: fault_period.mul_f64(CRASHING_PART_SHARE),
@@ -151,6 +166,9 @@
     if matches!(fault_set, FaultSet::Cuts | FaultSet::Limits) {
         draw_cuts(seed, fault_period, nodes, &mut scheduled);
     }
+    if fault_set == FaultSet::Evacuations {
+        draw_evacuations(seed, fault_period, &mut scheduled);
+    }
     if fault_set == FaultSet::Limits {
         draw_limits(seed, fault_period, endpoints, &mut scheduled);
     }
@@ -247,6 +265,24 @@
     }
 }
 
+/// Draws evacuations of each zone, one after the other, so that both may be evacuated at the same
+/// time.
+fn draw_evacuations(seed: u64, fault_period: Duration, scheduled: &mut Vec<ScheduledFault>) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48));
+    for zone in 1..=ZONES {
+        let mut at = Duration::from_millis(rng.random_range(500..4_000));
+        while at < fault_period.mul_f64(BEGIN_SHARE) {
+            let until = at + Duration::from_millis(rng.random_range(3_500..7_000));
+            scheduled.push(ScheduledFault {
+                at,
+                until,
+                fault: Fault::Evacuate(zone),
+            });
+            at = until + Duration::from_millis(rng.random_range(1_500..4_000));
+        }
+    }
+}
+
 /// Draws limits of endpoints, one after the other for each, so that they overlap.
 fn draw_limits(
     seed: u64,
@@ -296,9 +332,9 @@
     })
 }
 
-/// Returns the number of the zone of an entry VM.
-pub fn zone_of(node: usize) -> usize {
-    node % 2 + 1
+/// Returns the number of the zone of an entry VM, or of an endpoint where these have several zones.
+pub fn zone_of(index: usize) -> usize {
+    index % ZONES + 1
 }
 
 fn have_same_target(a: &Fault, b: &Fault) -> bool {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -123,6 +123,9 @@
             _ => Workload::Short,
         };
         let deployment = Deployment::spawn(&programs, &self.dir, workload, self.callers)?;
+        if self.fault_set == FaultSet::Evacuations {
+            deployment.spread_zones();
+        }
         thread::sleep(STARTUP_TIME);
         let directories: Vec<_> = deployment.nodes.iter().map(|n| n.directory).collect();
         let fronts: Vec<_> = deployment.nodes.iter().map(|n| n.front).collect();
@@ -328,6 +331,9 @@
         }
         self.rewrite_at = None;
         self.deployment.publish_config();
+        if self.soak.fault_set == FaultSet::Evacuations {
+            self.deployment.rewrite_evacuations();
+        }
         for (index, proxied) in self.deployment.endpoints.iter().enumerate() {
             match self.crashed.contains(&index) {
                 true => proxied.endpoint.remove_entry(),
@@ -372,6 +378,7 @@
             Fault::Drain(e) => deployment.endpoints[e].endpoint.drain(),
             Fault::Hold(e) => deployment.endpoints[e].link.set_link(Link::CutBack),
             Fault::HangUp(n) => deployment.nodes[n].signal(Signal::HUP),
+            Fault::Evacuate(zone) => deployment.set_evacuated(zone, true),
             Fault::CrashingPart => {
                 deployment.set_crashing_part(true);
                 let fronts = deployment.nodes.iter().map(|n| n.front).collect();
@@ -395,6 +402,7 @@
         let deployment = &mut self.deployment;
         match *fault {
             Fault::Terminate(_) | Fault::Configure | Fault::HangUp(_) => {}
+            Fault::Evacuate(zone) => deployment.set_evacuated(zone, false),
             Fault::CrashingPart => {
                 self.stop_crashing.store(true, Ordering::Relaxed);
                 deployment.set_crashing_part(false);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,11 +39,12 @@
                 .long("faults")
                 .value_name("SET")
                 .default_value("cuts")
-                .value_parser(["basic", "all", "cuts", "limits", "stops", "pauses"])
+                .value_parser(["basic", "all", "cuts", "limits", "stops", "pauses", "evacuations"])
                 .help(
                     "Kinds of faults: basic, all, cuts and limits each with those of the one before it; \
                      stops are stops of all entry VMs one after the other, again and again; \
-                     pauses are pauses of sound endpoints beside versions and signals",
+                     pauses are pauses of sound endpoints beside versions and signals; \
+                     evacuations are those of zones beside basic faults",
                 ),
             Arg::new("regressions")
                 .long("regressions")
@@ -99,6 +100,7 @@
             Some("limits") => FaultSet::Limits,
             Some("stops") => FaultSet::Stops,
             Some("pauses") => FaultSet::Pauses,
+            Some("evacuations") => FaultSet::Evacuations,
             _ => FaultSet::Cuts,
         },
     };
@@ -160,7 +162,7 @@
 }
 
 impl Case {
-    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts`, `limits` or `pauses` before the cause for
+    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts`, `limits`, `pauses` or `evacuations` before the cause for
     /// the kinds of faults. Returns `None` for a comment.
     fn parse(line: &str) -> Option<Self> {
         let mut numbers = line.split(' ').map_while(|n| n.parse().ok());
@@ -174,6 +176,7 @@
                 Some("cuts") => FaultSet::Cuts,
                 Some("limits") => FaultSet::Limits,
                 Some("pauses") => FaultSet::Pauses,
+                Some("evacuations") => FaultSet::Evacuations,
                 _ => FaultSet::Basic,
             },
         })
