--- a/node/src/info_server.rs
+++ b/node/src/info_server.rs
@@ -166,6 +166,10 @@
             Gauge::WarmingEndpoints,
             node.balancer.borrow().limits().warm_ups().count(now) as f64,
         ),
+        (
+            Gauge::EvacuatedZones,
+            node.evacuations.borrow().count() as f64,
+        ),
     ];
     node.metrics.render(&gauges)
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -47,6 +47,7 @@
     DatagramBytes "datagram_bytes" "Bytes of the datagrams to other VMs, by what they carry.";
     Denied "denied" "Requests that the configuration does not allow, by whether the route or the key is unknown.";
     EarlyHeartbeats "early_heartbeats" "Heartbeats to all VMs before the interval has passed.";
+    EvacuationChanges "evacuation_changes" "Changes of the evacuations of zones, by kind.";
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
     FeedBytes "feed_bytes" "Bytes of records sent to peers that read through this VM, by topic.";
@@ -138,10 +139,12 @@
     LimitedEndpoints,
     /// Endpoints that warm up.
     WarmingEndpoints,
+    /// Zones that the operators have evacuated.
+    EvacuatedZones,
 }
 
 impl Gauge {
-    const ALL: [Self; 16] = [
+    const ALL: [Self; 17] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -158,6 +161,7 @@
         Self::PeersWithPath,
         Self::LimitedEndpoints,
         Self::WarmingEndpoints,
+        Self::EvacuatedZones,
     ];
 
     fn name(self) -> &'static str {
@@ -178,6 +182,7 @@
             Self::PeersWithPath => "hemlock_peers_with_path",
             Self::LimitedEndpoints => "hemlock_limited_endpoints",
             Self::WarmingEndpoints => "hemlock_warming_endpoints",
+            Self::EvacuatedZones => "hemlock_evacuated_zones",
         }
     }
 }
--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -49,3 +49,8 @@
 fn short_soak_run_with_cold_endpoints_keeps_all_guarantees() {
     check_short_run(FaultSet::WarmUps);
 }
+
+#[test]
+fn short_soak_run_with_evacuated_zones_keeps_all_guarantees() {
+    check_run(FaultSet::Evacuations, 4, Duration::from_secs(12));
+}
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,12 +39,13 @@
                 .long("faults")
                 .value_name("SET")
                 .default_value("cuts")
-                .value_parser(["basic", "all", "cuts", "limits", "stops", "pauses", "warm-ups"])
+                .value_parser(["basic", "all", "cuts", "limits", "stops", "pauses", "warm-ups", "evacuations"])
                 .help(
                     "Kinds of faults: basic, all, cuts and limits each with those of the one before it; \
                      stops are stops of all entry VMs one after the other, again and again; \
                      pauses are pauses of sound endpoints beside versions and signals; \
-                     warm-ups are those of basic beside endpoints that are cold",
+                     warm-ups are those of basic beside endpoints that are cold; \
+                     evacuations are those of zones beside basic faults",
                 ),
             Arg::new("regressions")
                 .long("regressions")
@@ -101,6 +102,7 @@
             Some("stops") => FaultSet::Stops,
             Some("pauses") => FaultSet::Pauses,
             Some("warm-ups") => FaultSet::WarmUps,
+            Some("evacuations") => FaultSet::Evacuations,
             _ => FaultSet::Cuts,
         },
     };
@@ -162,7 +164,8 @@
 }
 
 impl Case {
-    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts`, `limits`, `pauses` or `warm-ups` before the
+    /// Parses a line of `seeds.txt`, with an optional `all`, `cuts`, `limits`, `pauses`, `warm-ups` or
+    /// `evacuations` before the
     /// cause for the kinds of faults. Returns `None` for a comment.
     fn parse(line: &str) -> Option<Self> {
         let mut numbers = line.split(' ').map_while(|n| n.parse().ok());
@@ -177,6 +180,7 @@
                 Some("limits") => FaultSet::Limits,
                 Some("pauses") => FaultSet::Pauses,
                 Some("warm-ups") => FaultSet::WarmUps,
+                Some("evacuations") => FaultSet::Evacuations,
                 _ => FaultSet::Basic,
             },
         })
