--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -47,11 +47,11 @@
 
 /// Seconds for which endpoints are cold after a start, and the requests a second that they take
 /// meanwhile, in runs with warm-ups.
-const COLD_START_S: f64 = 1.5;
-const COLD_RATE: f64 = 6.0;
+const COLD_START_S: f64 = 2.5;
+const COLD_RATE: f64 = 2.0;
 /// Factor on that rate, and requests beyond it, that a cold endpoint bears in one second.
 const COLD_EXCESS: f64 = 1.5;
-const COLD_SLACK: f64 = 5.0;
+const COLD_SLACK: f64 = 2.0;
 /// Requests in one second that a cold endpoint bears; it crashes above half as many again.
 pub const COLD_BOUND: usize = (COLD_RATE * COLD_EXCESS + COLD_SLACK) as usize;
 
