node: a VM shares requests to cold endpoints only once it has read the members

Cause: after a kill of 66 of 73 VMs beside a slow store some knew five others and took a share each as if those were all. A rate of zero names no warm-up: such endpoints are merely slow after a start.

--- a/lib/src/node/warm_up.rs
+++ b/lib/src/node/warm_up.rs
@@ -73,11 +73,14 @@
 
 impl WarmUp {
     /// Reads the time in seconds and the rate in requests a second of a service's warm-up; `None` if the
-    /// service has none. A value that makes no sense beside a valid one gives a default.
+    /// service has none, or its endpoints are merely slow meanwhile and have a rate of zero. A value that
+    /// makes no sense, and a missing rate beside a time, gives a default.
     pub fn read(time_s: Configured, rate: Configured) -> Option<Self> {
-        let is_none = |v| matches!(v, Configured::Missing | Configured::Number(0.0));
-        if is_none(time_s) && is_none(rate) {
-            return None;
+        let has_time = !matches!(time_s, Configured::Missing | Configured::Number(0.0));
+        match rate {
+            Configured::Number(0.0) => return None,
+            Configured::Missing if !has_time => return None,
+            Configured::Missing | Configured::Number(_) | Configured::Malformed => {}
         }
         let (time, odd_time) = match time_s {
             Configured::Missing => (Duration::ZERO, false),
@@ -239,8 +242,10 @@
         live: impl IntoIterator<Item = &'a str>,
     ) {
         self.ready_at.get_or_insert(now + START_DELAY);
-        let known: BTreeSet<&str> = known.into_iter().collect();
-        let live: BTreeSet<&str> = live.into_iter().collect();
+        let mut known: Vec<&str> = known.into_iter().collect();
+        let mut live: Vec<&str> = live.into_iter().collect();
+        known.sort_unstable();
+        live.sort_unstable();
         let is_heard = (live.len() + 1) as f64 >= (known.len() + 1) as f64 * MIN_LIVE_SHARE;
         let others = if is_heard { live } else { known };
         let before = self.other_vms.iter().map(String::as_str);
--- a/lib/tests/test_node_warm_up.rs
+++ b/lib/tests/test_node_warm_up.rs
@@ -407,6 +407,7 @@
     assert_eq!(read(Number(0.0), Number(0.0)), None);
     assert_eq!(read(Number(3.0), Number(14.0)), Some((3.0, 14.0, false)));
     assert_eq!(read(Missing, Number(14.0)), Some((0.0, 14.0, false)));
+    assert_eq!(read(Number(3.0), Number(0.0)), None);
     assert_eq!(read(Number(3.0), Missing), Some((3.0, 10.0, true)));
     assert_eq!(
         read(Number(-3.0), Number(f64::NAN)),
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -122,6 +122,8 @@
     pub(crate) has_traffic: Cell<bool>,
     /// Wakes the planner after a change of the endpoints.
     pub(crate) endpoints_changed: Notify,
+    /// Whether the list of members was read.
+    pub(crate) members_read: Cell<bool>,
     /// Wakes the task that keeps this VM listed as a member, when the store may have lost its record.
     pub(crate) members_outdated: Notify,
     /// Wakes the reads of topics when a peer reaches a store that was lost.
@@ -198,6 +200,7 @@
             is_planner: Cell::default(),
             has_traffic: Cell::default(),
             endpoints_changed: Notify::new(),
+            members_read: Cell::default(),
             members_outdated: Notify::new(),
             store_found: Notify::new(),
             path_evidence: Notify::new(),
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -115,6 +115,7 @@
                 for record in &snapshot.records {
                     apply_member(&node, record);
                 }
+                node.members_read.set(true);
                 wait = match std::mem::take(&mut is_first) {
                     true => SECOND_READ_DELAY,
                     false => MEMBERS_INTERVAL,
--- a/node/src/warm_ups.rs
+++ b/node/src/warm_ups.rs
@@ -55,11 +55,12 @@
         self.log_warm_up(id, change, "reply");
     }
 
-    /// Sets the members among which the requests to endpoints that warm up are divided.
+    /// Sets the members among which the requests to endpoints that warm up are divided. Those that a VM
+    /// has only heard from are too few in the first seconds after a start of all.
     pub(crate) fn update_warm_up_vms(&self) {
         let mut balancer = self.balancer.borrow_mut();
         let warm_ups = balancer.limits_mut().warm_ups_mut();
-        if !warm_ups.any() {
+        if !warm_ups.any() || !self.members_read.get() {
             return;
         }
         let now = self.now();
