--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -122,7 +122,16 @@
 
 impl Callers {
     /// Starts `count` callers of the entry VMs whose directories have the given addresses.
-    pub fn spawn(count: usize, directories: &[SocketAddr], seed: u64, workload: Workload) -> Self {
+    ///
+    /// With `drops_closed`, they drop open connections that the entry VM has closed. Callers that are
+    /// refused at once open more than they use again in time.
+    pub fn spawn(
+        count: usize,
+        directories: &[SocketAddr],
+        seed: u64,
+        workload: Workload,
+        drops_closed: bool,
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let observed = Arc::new(Mutex::new(Vec::new()));
         let spawn = |i: usize| {
@@ -130,6 +139,7 @@
             let mut caller = Caller {
                 index: i,
                 workload,
+                drops_closed,
                 rng: SmallRng::seed_from_u64(seed ^ (i as u64) << 32),
                 directories: directories.to_vec(),
                 addresses: (Instant::now(), Vec::new()),
@@ -291,6 +301,8 @@
 struct Caller {
     index: usize,
     workload: Workload,
+    /// Whether open connections that the entry VM has closed are dropped.
+    drops_closed: bool,
     rng: SmallRng,
     directories: Vec<SocketAddr>,
     /// Addresses that a directory returned last, and when.
@@ -304,7 +316,7 @@
 impl Caller {
     /// Sends one request. Returns `None` if no connection to an entry VM can be established.
     fn call(&mut self) -> Option<ObservedRequest> {
-        if self.workload == Workload::Long {
+        if self.drops_closed {
             self.idle.retain(|(_, io)| is_open(io));
         }
         let reuse = !self.idle.is_empty() && self.rng.random_bool(REUSE_SHARE);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -129,7 +129,14 @@
         thread::sleep(STARTUP_TIME);
         let directories: Vec<_> = deployment.nodes.iter().map(|n| n.directory).collect();
         let fronts: Vec<_> = deployment.nodes.iter().map(|n| n.front).collect();
-        let mut callers = Callers::spawn(self.callers, &directories, self.seed, workload);
+        let drops_closed = matches!(self.fault_set, FaultSet::Pauses | FaultSet::Evacuations);
+        let mut callers = Callers::spawn(
+            self.callers,
+            &directories,
+            self.seed,
+            workload,
+            drops_closed,
+        );
         if matches!(self.fault_set, FaultSet::Cuts | FaultSet::Limits) {
             callers.spawn_steady(&fronts);
         }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -219,7 +219,7 @@
         }
         faults.iter().for_each(|f| println!("  fault: {f}"));
     }
-    if case.fault_set == FaultSet::Pauses {
+    if matches!(case.fault_set, FaultSet::Pauses | FaultSet::Evacuations) {
         outcome.counts.iter().for_each(|c| println!("  {c}"));
     }
     Ok(passed)
