--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -6,6 +6,7 @@
 
 mod eligibility;
 mod load;
+mod prompt_cost;
 mod ranking;
 mod room;
 
@@ -15,6 +16,8 @@
 
 use self::eligibility::Shortage;
 use self::load::Load;
+use self::prompt_cost::ModelGoals;
+pub use self::prompt_cost::Goals;
 use super::breaks::Breaks;
 use super::config::Engine;
 use super::forecast::{CurrentLoad, Estimate, Forecast};
@@ -90,6 +93,8 @@
     pub first_event_limit: Duration,
     /// Longest time that the request may wait for others while most groups have no free slot.
     pub queue_limit: Duration,
+    /// What the caller expects of the events of its stream.
+    pub goals: Goals,
     /// Time left until the caller's deadline for the whole answer.
     pub time_left: Duration,
     /// Longest possible answer in tokens and the time in which it must be sure to end, if this
@@ -131,6 +136,7 @@
     limits: RateLimits,
     breaks: Breaks,
     forecast: Forecast,
+    goals: ModelGoals,
     choice_count: u64,
 }
 
@@ -146,6 +152,7 @@
             limits: RateLimits::new(this_vm),
             breaks: Breaks::default(),
             forecast: Forecast::default(),
+            goals: ModelGoals::default(),
             choice_count: 0,
         }
     }
@@ -221,6 +228,7 @@
         {
             self.forecast
                 .record_answer_length(&model.name, request.answer_tokens);
+            self.goals.record(now, &model.name, request.goals);
         }
         let eligible = match self.eligible(now, request, engine, tried) {
             Ok(eligible) => eligible,
--- a/lib/src/node/config.rs
+++ b/lib/src/node/config.rs
@@ -85,6 +85,8 @@
     pub step_time_per_request: Duration,
     /// Prompt tokens processed per second.
     pub prefill_rate: f64,
+    /// Prompt tokens processed in one decoding step at most; `None` if there is no bound.
+    pub prefill_chunk: Option<u32>,
     /// Decoding steps in one pass; each pass of a request produces one event.
     pub steps_per_pass: u32,
     /// Loads that the weight store starts per second at most.
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -40,6 +40,7 @@
         step_time: Duration::from_micros(7_800),
         step_time_per_request: Duration::from_micros(95),
         prefill_rate: 45_900.0,
+        prefill_chunk: None,
         steps_per_pass: 5,
         load_rate: 5.0,
         load_limit: 7,
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::balance::{self, Balancer, Candidate, Choice, RoutingRequest};
+use hemlock_lib::node::balance::{self, Balancer, Candidate, Choice, Goals, RoutingRequest};
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::node::peers::EndpointLoad;
 use hemlock_lib::time::Time;
@@ -43,6 +43,10 @@
         zone: "z1",
         first_event_limit: Duration::from_millis(1_400),
         queue_limit: Duration::MAX,
+        goals: Goals {
+            first_event: Duration::from_millis(300),
+            event_gap: Duration::from_millis(300),
+        },
         time_left: Duration::from_secs(6),
         shutdown_limit: None,
         connected: &NO_CONNECTIONS,
--- a/lib/tests/test_node_overload.rs
+++ b/lib/tests/test_node_overload.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::balance::{self, Balancer, Candidate, Choice, RoutingRequest};
+use hemlock_lib::node::balance::{self, Balancer, Candidate, Choice, Goals, RoutingRequest};
 use hemlock_lib::node::breaks::BreakReport;
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::node::peers::EndpointLoad;
@@ -186,6 +186,10 @@
             zone: "z1",
             first_event_limit: ABANDON_GAP.mul_f64(0.7),
             queue_limit: balance::queue_limit(GOAL),
+            goals: Goals {
+                first_event: GOAL,
+                event_gap: GOAL,
+            },
             time_left: DEADLINE.saturating_sub(elapsed),
             shutdown_limit: None,
             connected: &connected,
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::balance::{Candidate, Choice, RoutingRequest};
+use hemlock_lib::node::balance::{Candidate, Choice, Goals, RoutingRequest};
 use hemlock_lib::node::capacity::RequestSize;
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::node::forecast::Estimate;
@@ -430,6 +430,10 @@
             answer_tokens: self.tokens_left(),
             first_event_limit: self.first_event_limit(now),
             queue_limit: self.queue_limit(),
+            goals: Goals {
+                first_event: self.request.route.latency_goal,
+                event_gap: self.request.route.event_gap_goal,
+            },
             time_left: self.request.deadline.since(now),
             shutdown_limit: self
                 .time_until_exit(now)
