--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -17,7 +17,7 @@
 use self::eligibility::Shortage;
 use self::load::Load;
 use self::prompt_cost::ModelGoals;
-pub use self::prompt_cost::Goals;
+pub use self::prompt_cost::{Goals, PromptCost};
 use super::breaks::Breaks;
 use super::config::Engine;
 use super::forecast::{CurrentLoad, Estimate, Forecast};
@@ -95,6 +95,9 @@
     pub queue_limit: Duration,
     /// What the caller expects of the events of its stream.
     pub goals: Goals,
+    /// Whether the request may go where others wait: it has been sent nowhere, and its caller has got
+    /// no event.
+    pub may_yield: bool,
     /// Time left until the caller's deadline for the whole answer.
     pub time_left: Duration,
     /// Longest possible answer in tokens and the time in which it must be sure to end, if this
@@ -242,7 +245,8 @@
         match self.best(&eligible, request, engine) {
             Some(candidate) => {
                 let candidate = candidate.clone();
-                let estimate = self.estimate(&candidate, request, engine);
+                let mut estimate = self.estimate(&candidate, request, engine);
+                estimate.cost = self.prompt_cost(&candidate, &estimate, request, engine);
                 self.limits.record_send(now, &candidate.id);
                 Choice::Send(candidate, estimate)
             }
--- a/lib/src/node/balance/ranking.rs
+++ b/lib/src/node/balance/ranking.rs
@@ -1,6 +1,5 @@
 //! Which of the endpoints with room is the best one for a request.
 
-use super::prompt_cost::{late_streams, yield_limit};
 use super::{Balancer, Candidate, RoutingRequest};
 use crate::node::config::Engine;
 use crate::rendezvous;
@@ -49,11 +48,9 @@
         })
     }
 
-    /// Returns the sort key by which the endpoint with the shortest expected time comes first. Zone
-    /// and connection decide between endpoints whose times differ by a few milliseconds only.
-    ///
-    /// A request that yields prefers the longest time that its limit allows, and none prefers a group
-    /// where its prompt would make running streams late.
+    /// Returns the sort key by which the best endpoint comes first: one where the request makes no
+    /// running stream late, and the shortest time. Zone and connection decide between endpoints whose
+    /// times differ by a few milliseconds only.
     fn score(
         &self,
         candidate: &Candidate,
@@ -61,22 +58,10 @@
         engine: Option<&Engine>,
     ) -> (bool, u128) {
         let estimate = self.estimate(candidate, request, engine);
+        let cost = self.prompt_cost(candidate, &estimate, request, engine);
         let other_zone = u128::from(&*candidate.zone != request.zone);
         let not_connected = u128::from(!request.connected.contains(&candidate.id));
-        let shared = engine.and_then(|e| Some((e, self.goals.strictest(request.model)?)));
-        let (is_harmful, limit) = match shared {
-            Some((engine, strictest)) => {
-                let tokens = request.prompt_tokens;
-                let late = late_streams(engine, candidate, &estimate, tokens, strictest);
-                (late > 0, yield_limit(request, strictest))
-            }
-            None => (false, None),
-        };
-        let time = match limit {
-            Some(limit) if estimate.first_event <= limit => limit - estimate.first_event,
-            _ => estimate.first_event,
-        };
-        let cost = time.as_millis() / EQUAL_WITHIN_MS + other_zone + not_connected;
-        (is_harmful, cost)
+        let time = self.ranked_time(&estimate, request).as_millis() / EQUAL_WITHIN_MS;
+        (cost.late_streams > 0, time + other_zone + not_connected)
     }
 }
--- a/lib/src/node/forecast.rs
+++ b/lib/src/node/forecast.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::balance::PromptCost;
 use super::config::Engine;
 
 /// Weight of one request in the averages of a model.
@@ -56,6 +57,8 @@
     pub pending_prompt_tokens: u32,
     /// Observed divided by expected time between events.
     pub slowness: f64,
+    /// What the request costs the others there.
+    pub cost: PromptCost,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -165,6 +168,7 @@
             running,
             pending_prompt_tokens,
             slowness,
+            cost: PromptCost::default(),
         }
     }
 }
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -126,6 +126,8 @@
     /// Time from the arrival of the request to its first event.
     first_event_after: Option<Duration>,
     last_event_at: Option<Time>,
+    /// Longest time between two events.
+    longest_gap: Duration,
 }
 
 /// Measures for how long an endpoint has sent nothing for a request.
@@ -434,6 +436,7 @@
                 first_event: self.request.route.latency_goal,
                 event_gap: self.request.route.event_gap_goal,
             },
+            may_yield: !self.has_been_sent() && self.delivered.last_event_at.is_none(),
             time_left: self.request.deadline.since(now),
             shutdown_limit: self
                 .time_until_exit(now)
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -60,7 +60,7 @@
     pub(super) fn log_send(&self, to: &Candidate, estimate: Estimate, cause: &str) {
         log::info!(
             "event=sent request={} id={} attempt={} after={cause} prompt={} answer={} running={} \
-             unread={} slowness={:.2} first_ms={} left_ms={} from={:?} config={} via=direct{}",
+             unread={} slowness={:.2} first_ms={} delays_ms={} late_streams={} yields={} left_ms={} from={:?} config={} via=direct{}",
             self.request_id(),
             to.id,
             self.sends.tried.len() + 1,
@@ -70,6 +70,9 @@
             estimate.pending_prompt_tokens,
             estimate.slowness,
             estimate.first_event.as_millis(),
+            estimate.cost.delay.as_millis(),
+            estimate.cost.late_streams,
+            estimate.cost.yields,
             self.request.deadline.since(self.node.now()).as_millis(),
             self.delivered.last_event,
             self.request.config.version,
@@ -230,13 +233,14 @@
     /// Logs and counts a request whose response was forwarded.
     pub(super) fn answered(&self, status: u16, next: ConnectionAction) -> ConnectionAction {
         log::info!(
-            "event=answered request={} id={} status={status} ms={} first_ms={:?} events={} \
+            "event=answered request={} id={} status={status} ms={} first_ms={:?} events={} pause_ms={} \
              attempts={} via={}{}",
             self.request_id(),
             self.endpoint_id(),
             self.elapsed().as_millis(),
             self.delivered.first_event_after.map(|t| t.as_millis()),
             self.delivered.events,
+            self.delivered.longest_gap.as_millis(),
             self.sends.tried.len(),
             self.via(),
             self.for_peer()
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -197,6 +197,7 @@
             }
             if let Some(before) = self.delivered.last_event_at.replace(now) {
                 let pause = now.since(before);
+                self.delivered.longest_gap = self.delivered.longest_gap.max(pause);
                 self.node
                     .metrics
                     .record(Latency::EventGap, "answered", pause);
