--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -16,13 +16,14 @@
 
 use self::eligibility::Shortage;
 use self::load::Load;
-use self::prompt_cost::ModelGoals;
+use self::prompt_cost::ModelPrompts;
 pub use self::prompt_cost::{Goals, PromptCost};
 use super::breaks::Breaks;
 use super::config::Engine;
 use super::forecast::{CurrentLoad, Estimate, Forecast};
 use super::peers::EndpointLoad;
 use super::rate_limits::RateLimits;
+use crate::rendezvous;
 use crate::time::Time;
 
 /// Time for which a silent endpoint gets no requests, beyond the time after which the head of a
@@ -95,9 +96,6 @@
     pub queue_limit: Duration,
     /// What the caller expects of the events of its stream.
     pub goals: Goals,
-    /// Whether the request may go where others wait: it has been sent nowhere, and its caller has got
-    /// no event.
-    pub may_yield: bool,
     /// Time left until the caller's deadline for the whole answer.
     pub time_left: Duration,
     /// Longest possible answer in tokens and the time in which it must be sure to end, if this
@@ -139,7 +137,7 @@
     limits: RateLimits,
     breaks: Breaks,
     forecast: Forecast,
-    goals: ModelGoals,
+    prompts: ModelPrompts,
     choice_count: u64,
 }
 
@@ -155,8 +153,9 @@
             limits: RateLimits::new(this_vm),
             breaks: Breaks::default(),
             forecast: Forecast::default(),
-            goals: ModelGoals::default(),
-            choice_count: 0,
+            prompts: ModelPrompts::default(),
+            // VMs that start together compare different endpoints.
+            choice_count: rendezvous::score(b"choice", this_vm.as_bytes()),
         }
     }
 
@@ -231,7 +230,7 @@
         {
             self.forecast
                 .record_answer_length(&model.name, request.answer_tokens);
-            self.goals.record(now, &model.name, request.goals);
+            self.prompts.record(now, &model.name, request);
         }
         let eligible = match self.eligible(now, request, engine, tried) {
             Ok(eligible) => eligible,
--- a/lib/src/node/balance/prompt_cost.rs
+++ b/lib/src/node/balance/prompt_cost.rs
@@ -1,16 +1,17 @@
-//! What a prompt costs the other requests of a group.
+//! What prompts cost the other requests of a group.
 //!
 //! An engine reads prompts between the passes of its running requests, in the order in which they
 //! came. A long prompt so delays the next event of each stream there, and the first event of each
-//! request behind it.
+//! request behind it. Most prompts are read before the report that would show them arrives, so that
+//! those of other entry VMs are estimated too.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Balancer, Candidate, RoutingRequest};
+use super::{Balancer, Candidate, Load, RoutingRequest};
 use crate::node::config::Engine;
-use crate::node::forecast::Estimate;
+use crate::node::forecast::{CurrentLoad, Estimate};
 use crate::time::Time;
 
 /// Time for which the goals of a request count as those of its model. A model that an entry VM is
@@ -18,9 +19,11 @@
 const GOALS_AGE: Duration = Duration::from_secs(60);
 /// Upper bound on the different goals that are remembered for one model.
 const MAX_GOALS: usize = 8;
-/// Share of its latency goal within which a request that yields is expected to begin. The rest covers
-/// what was sent to the group and is not reported yet.
-const YIELD_SHARE: f64 = 0.5;
+/// Weight of one request in the average lengths of a model's prompts and answers.
+const AVERAGE_WEIGHT: f64 = 0.05;
+/// Time in which a request of another entry VM is not yet in the loads that this one knows. Assumes
+/// reports each 100 ms that go through the representatives of up to two zones.
+const REPORT_AGE_S: f64 = 0.2;
 /// Upper bound in seconds on the delay by one prompt, which keeps sums of times in range.
 const MAX_DELAY_S: f64 = 1e6;
 
@@ -41,34 +44,47 @@
     /// Streams that get their next event later than their callers expect since the prompt is read
     /// before it, and would get it in time otherwise.
     pub late_streams: usize,
-    /// Whether the request went where others wait, to leave other groups to callers in more haste.
-    pub yields: bool,
 }
 
-/// The goals of the requests for each model.
+/// Sizes and goals of a model's requests.
 #[derive(Debug, Default)]
-pub(super) struct ModelGoals {
-    models: BTreeMap<Arc<str>, Vec<(Goals, Time)>>,
+struct Prompts {
+    /// Different goals, with the times at which they were last seen.
+    goals: Vec<(Goals, Time)>,
+    /// Mean prompt length in tokens.
+    prompt_tokens: f64,
+    /// Mean answer length in tokens.
+    answer_tokens: f64,
 }
 
-impl ModelGoals {
-    /// Records the goals of a request for a model.
-    pub(super) fn record(&mut self, now: Time, model: &Arc<str>, goals: Goals) {
+/// Sizes and goals of the requests for each model.
+#[derive(Debug, Default)]
+pub(super) struct ModelPrompts {
+    models: BTreeMap<Arc<str>, Prompts>,
+}
+
+impl ModelPrompts {
+    /// Records the size and the goals of a request for a model.
+    pub(super) fn record(&mut self, now: Time, model: &Arc<str>, request: &RoutingRequest<'_>) {
         let known = self.models.entry(model.clone()).or_default();
-        known.retain(|(other, seen)| *other != goals && now.since(*seen) < GOALS_AGE);
-        if known.len() >= MAX_GOALS {
-            known.remove(0);
+        let is_first = known.goals.is_empty();
+        let average = |mean: &mut f64, tokens: u32| {
+            let weight = if is_first { 1.0 } else { AVERAGE_WEIGHT };
+            *mean += (f64::from(tokens) - *mean) * weight;
+        };
+        average(&mut known.prompt_tokens, request.prompt_tokens);
+        average(&mut known.answer_tokens, request.answer_tokens);
+        let is_kept =
+            |(goals, seen): &(Goals, Time)| *goals != request.goals && now.since(*seen) < GOALS_AGE;
+        known.goals.retain(is_kept);
+        if known.goals.len() >= MAX_GOALS {
+            known.goals.remove(0);
         }
-        known.push((goals, now));
+        known.goals.push((request.goals, now));
     }
 
-    /// Returns the strictest goals of the requests for a model.
-    fn strictest(&self, model: Option<&str>) -> Option<Goals> {
-        let known = self.models.get(model?)?;
-        Some(Goals {
-            first_event: known.iter().map(|(goals, _)| goals.first_event).min()?,
-            event_gap: known.iter().map(|(goals, _)| goals.event_gap).min()?,
-        })
+    fn get(&self, model: Option<&str>) -> Option<&Prompts> {
+        self.models.get(model?)
     }
 }
 
@@ -81,55 +97,58 @@
         request: &RoutingRequest<'_>,
         engine: Option<&Engine>,
     ) -> PromptCost {
-        let (Some(engine), Some(strictest)) = (engine, self.goals.strictest(request.model)) else {
+        let (Some(engine), Some(prompts)) = (engine, self.prompts.get(request.model)) else {
             return PromptCost::default();
         };
-        let limit = yield_limit(request, strictest);
+        let gap_goals = prompts.goals.iter().map(|(goals, _)| goals.event_gap);
+        let gap_goal = gap_goals.min().unwrap_or(Duration::MAX);
         let prefill = prefill_s(engine, f64::from(request.prompt_tokens)) * group.time_factor;
         PromptCost {
             delay: Duration::from_secs_f64(prefill.clamp(0.0, MAX_DELAY_S)),
-            late_streams: late_streams(engine, group, estimate, request, strictest),
-            yields: limit.is_some_and(|limit| estimate.first_event <= limit),
+            late_streams: late_streams(engine, group, estimate, request.prompt_tokens, gap_goal),
         }
     }
 
-    /// Returns the time by which an endpoint is ranked for a request; the shortest is the best.
+    /// Returns the time in seconds in which an average group of a model reads what other entry VMs
+    /// have sent there and not reported yet.
     ///
-    /// This is the expected time to the first event. For a request that yields it is the time that is
-    /// left of its limit, so that the group that has most to read goes first among those that can
-    /// begin it early enough.
-    pub(super) fn ranked_time(
+    /// By Little's law, as many requests come as are in flight, in each time that one takes.
+    pub(super) fn unseen_s(
         &self,
-        estimate: &Estimate,
+        groups: &[&Candidate],
         request: &RoutingRequest<'_>,
-    ) -> Duration {
-        let strictest = self.goals.strictest(request.model);
-        match strictest.and_then(|strictest| yield_limit(request, strictest)) {
-            Some(limit) if estimate.first_event <= limit => limit - estimate.first_event,
-            Some(_) | None => estimate.first_event,
-        }
+        engine: &Engine,
+    ) -> f64 {
+        let (Some(group), Some(prompts)) = (groups.first(), self.prompts.get(request.model)) else {
+            return 0.0;
+        };
+        let in_flight = |group: &&Candidate| self.load(&group.id).map_or(0, Load::running);
+        let running: usize = groups.iter().map(in_flight).sum();
+        let average = running as f64 / groups.len() as f64;
+        let load = CurrentLoad {
+            running: average as usize,
+            pending_prompt_tokens: 0,
+            slowness: 1.0,
+            slots: group.slots,
+            time_factor: group.time_factor,
+        };
+        let size = (prompts.prompt_tokens as u32, prompts.answer_tokens as u32);
+        let estimate = self
+            .forecast
+            .estimate(Some(engine), request.model, &load, size);
+        let per_s = average / estimate.whole_answer.as_secs_f64().max(REPORT_AGE_S);
+        per_s * REPORT_AGE_S * prefill_s(engine, prompts.prompt_tokens) * group.time_factor
     }
 }
 
-/// Returns the time within which a request that yields is expected to begin; `None` if it does not yield.
-///
-/// A request yields if other callers of the model expect a first event earlier than its own caller
-/// does. It then goes where others wait, as long as its own goal allows that, and the groups with
-/// little to read stay free for callers in more haste.
-fn yield_limit(request: &RoutingRequest<'_>, strictest: Goals) -> Option<Duration> {
-    let goal = request.goals.first_event;
-    let yields = request.may_yield && strictest.first_event < goal;
-    yields.then(|| goal.mul_f64(YIELD_SHARE))
-}
-
 /// Returns the number of streams at a group whose next event becomes late because the prompt of a
 /// request is read before it.
 fn late_streams(
     engine: &Engine,
     group: &Candidate,
     estimate: &Estimate,
-    request: &RoutingRequest<'_>,
-    strictest: Goals,
+    prompt_tokens: u32,
+    gap_goal: Duration,
 ) -> usize {
     let streams = estimate.running.min(group.slots);
     let steps = f64::from(engine.steps_per_pass);
@@ -141,10 +160,10 @@
         .map_or(f64::INFINITY, |chunk| f64::from(chunk) * steps);
     let is_late = |unread: f64| {
         let pass = decode + prefill_s(engine, unread.min(most));
-        pass * group.time_factor > strictest.event_gap.as_secs_f64()
+        pass * group.time_factor > gap_goal.as_secs_f64()
     };
     let unread = f64::from(estimate.pending_prompt_tokens);
-    match is_late(unread + f64::from(request.prompt_tokens)) && !is_late(unread) {
+    match is_late(unread + f64::from(prompt_tokens)) && !is_late(unread) {
         true => streams,
         false => 0,
     }
--- a/lib/src/node/balance/ranking.rs
+++ b/lib/src/node/balance/ranking.rs
@@ -40,17 +40,22 @@
         let others = with_room()
             .filter(|c| !is_connected(c))
             .take(MAX_COMPARED - count);
-        let score = |c: &&Candidate| self.score(c, request, engine);
-        let best = connected.chain(others).min_by_key(score);
+        let compared: Vec<&Candidate> = connected.chain(others).collect();
+        let unseen_s = engine.map_or(0.0, |engine| self.unseen_s(eligible, request, engine));
+        let scores = compared.iter().map(|c| self.score(c, request, engine));
+        let scores: Vec<(bool, u128)> = scores.collect();
+        let unseen = unseen_s * 1_000.0 / EQUAL_WITHIN_MS as f64;
+        let index = spread(&scores, unseen, rendezvous::score(&draw, b"spread"));
+        let best = index.and_then(|index| compared.get(index).copied());
         best.or_else(|| {
             let fallback = shuffled.iter().copied().filter(|_| request.has_started);
-            fallback.min_by_key(score)
+            fallback.min_by_key(|c| self.score(c, request, engine))
         })
     }
 
     /// Returns the sort key by which the best endpoint comes first: one where the request makes no
-    /// running stream late, and the shortest time. Zone and connection decide between endpoints whose
-    /// times differ by a few milliseconds only.
+    /// running stream late, and the shortest time, in units of [`EQUAL_WITHIN_MS`]. Zone and
+    /// connection decide between endpoints whose times differ by a few milliseconds only.
     fn score(
         &self,
         candidate: &Candidate,
@@ -61,7 +66,41 @@
         let cost = self.prompt_cost(candidate, &estimate, request, engine);
         let other_zone = u128::from(&*candidate.zone != request.zone);
         let not_connected = u128::from(!request.connected.contains(&candidate.id));
-        let time = self.ranked_time(&estimate, request).as_millis() / EQUAL_WITHIN_MS;
+        let time = estimate.first_event.as_millis() / EQUAL_WITHIN_MS;
         (cost.late_streams > 0, time + other_zone + not_connected)
     }
 }
+
+/// Returns the index of the endpoint to which a request goes, of those with the given sort keys; `draw`
+/// is uniform.
+///
+/// All entry VMs see the same shortest time, and would send there what comes until the next report.
+/// That work, `unseen` on average for each endpoint, is thought to fill the shortest times up to one
+/// level, and an endpoint is drawn by what it lacks to that level. Without such work the best one is
+/// returned.
+fn spread(scores: &[(bool, u128)], unseen: f64, draw: u64) -> Option<usize> {
+    let (best, (tier, _)) = scores.iter().enumerate().min_by_key(|(_, score)| **score)?;
+    let in_tier = scores.iter().filter(|(other, _)| other == tier);
+    let mut times: Vec<f64> = in_tier.map(|(_, time)| *time as f64).collect();
+    times.sort_by(f64::total_cmp);
+    let work = unseen * times.len() as f64;
+    let (mut level, mut sum) = (f64::INFINITY, 0.0);
+    for (count, time) in times.iter().enumerate() {
+        if level <= *time {
+            break;
+        }
+        sum += time;
+        level = (work + sum) / (count + 1) as f64;
+    }
+    let lack = |(other, time): &(bool, u128)| match other == tier {
+        true => (level - *time as f64).max(0.0),
+        false => 0.0,
+    };
+    // The draw is uniform over the sum of what all lack, which is the work.
+    let mut left = draw as f64 / u64::MAX as f64 * work;
+    let drawn = scores.iter().position(|score| {
+        left -= lack(score);
+        left < 0.0
+    });
+    drawn.or(Some(best))
+}
--- a/lib/tests/test_node_balance.rs
+++ b/lib/tests/test_node_balance.rs
@@ -47,7 +47,6 @@
             first_event: Duration::from_millis(300),
             event_gap: Duration::from_millis(300),
         },
-        may_yield: true,
         time_left: Duration::from_secs(6),
         shutdown_limit: None,
         connected: &NO_CONNECTIONS,
--- a/lib/tests/test_node_overload.rs
+++ b/lib/tests/test_node_overload.rs
@@ -190,7 +190,6 @@
                 first_event: GOAL,
                 event_gap: GOAL,
             },
-            may_yield: true,
             time_left: DEADLINE.saturating_sub(elapsed),
             shutdown_limit: None,
             connected: &connected,
--- a/lib/tests/test_node_prompts.rs
+++ b/lib/tests/test_node_prompts.rs
@@ -172,7 +172,6 @@
             first_event_limit: Duration::from_millis(1_400).max(goals.first_event * 3),
             queue_limit: balance::queue_limit(goals.first_event),
             goals,
-            may_yield: true,
             time_left: Duration::from_secs(8),
             shutdown_limit: None,
             connected: &connected,
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -436,7 +436,6 @@
                 first_event: self.request.route.latency_goal,
                 event_gap: self.request.route.event_gap_goal,
             },
-            may_yield: !self.has_been_sent() && self.delivered.last_event_at.is_none(),
             time_left: self.request.deadline.since(now),
             shutdown_limit: self
                 .time_until_exit(now)
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -60,7 +60,7 @@
     pub(super) fn log_send(&self, to: &Candidate, estimate: Estimate, cause: &str) {
         log::info!(
             "event=sent request={} id={} attempt={} after={cause} prompt={} answer={} running={} \
-             unread={} slowness={:.2} first_ms={} delays_ms={} late_streams={} yields={} left_ms={} from={:?} config={} via=direct{}",
+             unread={} slowness={:.2} first_ms={} delays_ms={} late_streams={} left_ms={} from={:?} config={} via=direct{}",
             self.request_id(),
             to.id,
             self.sends.tried.len() + 1,
@@ -72,7 +72,6 @@
             estimate.first_event.as_millis(),
             estimate.cost.delay.as_millis(),
             estimate.cost.late_streams,
-            estimate.cost.yields,
             self.request.deadline.since(self.node.now()).as_millis(),
             self.delivered.last_event,
             self.request.config.version,
