--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -6,6 +6,7 @@
 
 mod eligibility;
 mod load;
+mod prompt_cost;
 mod ranking;
 mod room;
 
@@ -15,11 +16,14 @@
 
 use self::eligibility::Shortage;
 use self::load::Load;
+use self::prompt_cost::ModelPrompts;
+pub use self::prompt_cost::{Goals, PromptCost};
 use super::breaks::Breaks;
 use super::config::Engine;
 use super::forecast::{CurrentLoad, Estimate, Forecast};
 use super::peers::EndpointLoad;
 use super::rate_limits::RateLimits;
+use crate::rendezvous;
 use crate::time::Time;
 
 /// Time for which a silent endpoint gets no requests, beyond the time after which the head of a
@@ -90,6 +94,8 @@
     pub first_event_limit: Duration,
     /// Longest time that the request may wait for others while most groups have no free slot.
     pub queue_limit: Duration,
+    /// What the caller expects of the events of its stream.
+    pub goals: Goals,
     /// Time left until the caller's deadline for the whole answer.
     pub time_left: Duration,
     /// Longest possible answer in tokens and the time in which it must be sure to end, if this
@@ -133,6 +139,7 @@
     limits: RateLimits,
     breaks: Breaks,
     forecast: Forecast,
+    prompts: ModelPrompts,
     choice_count: u64,
 }
 
@@ -149,7 +156,9 @@
             limits: RateLimits::new(this_vm),
             breaks: Breaks::default(),
             forecast: Forecast::default(),
-            choice_count: 0,
+            prompts: ModelPrompts::default(),
+            // VMs that start together compare different endpoints.
+            choice_count: rendezvous::score(b"choice", this_vm.as_bytes()),
         }
     }
 
@@ -229,6 +238,7 @@
         {
             self.forecast
                 .record_answer_length(&model.name, request.answer_tokens);
+            self.prompts.record(now, &model.name, request);
         }
         let eligible = match self.eligible(now, request, engine, tried) {
             Ok(eligible) => eligible,
@@ -242,7 +252,8 @@
         match self.best(&eligible, request, engine) {
             Some(candidate) => {
                 let candidate = candidate.clone();
-                let estimate = self.estimate(&candidate, request, engine);
+                let mut estimate = self.estimate(&candidate, request, engine);
+                estimate.cost = self.prompt_cost(&candidate, &estimate, request, engine);
                 self.limits.record_send(now, &candidate.id);
                 Choice::Send(candidate, estimate)
             }
