--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -20,6 +20,7 @@
 use super::forecast::{CurrentLoad, Estimate, Forecast};
 use super::peers::EndpointLoad;
 use super::rate_limits::RateLimits;
+use crate::rendezvous;
 use crate::time::Time;
 
 /// Time for which a silent endpoint gets no requests, beyond the time after which the head of a
@@ -126,11 +127,14 @@
     silence_duration: Duration,
     candidates: BTreeMap<Arc<str>, Candidate>,
     loads: BTreeMap<Arc<str>, Load>,
+    /// When the total load of the other entry VMs arrived; `None` while it is not known.
+    total_arrived: Option<Time>,
     /// Start times of endpoints that asked for no requests, and until when.
     held_off: BTreeMap<Arc<str>, (u64, Time)>,
     limits: RateLimits,
     breaks: Breaks,
     forecast: Forecast,
+    /// Number of choices, from a start that differs between entry VMs.
     choice_count: u64,
 }
 
@@ -142,11 +146,13 @@
             silence_duration: stall + SILENCE_MARGIN,
             candidates: BTreeMap::new(),
             loads: BTreeMap::new(),
+            total_arrived: None,
             held_off: BTreeMap::new(),
             limits: RateLimits::new(this_vm),
             breaks: Breaks::default(),
             forecast: Forecast::default(),
-            choice_count: 0,
+            // Entry VMs that started together would otherwise all draw the same endpoints.
+            choice_count: rendezvous::score(b"choice", this_vm.as_bytes()),
         }
     }
 
@@ -172,6 +178,9 @@
         }
         self.loads
             .retain(|id, load| new_candidates.contains_key(id) || load.requests > 0);
+        for id in new_candidates.keys() {
+            self.loads.entry(id.clone()).or_default();
+        }
         self.candidates = new_candidates;
     }
 
@@ -219,8 +228,8 @@
         if let Some(model) = request.model.and_then(|m| engine?.model(m))
             && tried.is_empty()
         {
-            self.forecast
-                .record_answer_length(&model.name, request.answer_tokens);
+            let size = (request.prompt_tokens, request.answer_tokens);
+            self.forecast.record_size(&model.name, size);
         }
         let eligible = match self.eligible(now, request, engine, tried) {
             Ok(eligible) => eligible,
@@ -231,6 +240,7 @@
                 return Choice::Limited(self.return_delay(now, request, engine));
             }
         };
+        self.expect_loads(now, &eligible, request, engine);
         match self.best(&eligible, request, engine) {
             Some(candidate) => {
                 let candidate = candidate.clone();
@@ -274,19 +284,23 @@
         request: &RoutingRequest<'_>,
         engine: Option<&Engine>,
     ) -> Estimate {
+        let current_load = self.current_load(candidate);
+        let size = (request.prompt_tokens, request.answer_tokens);
+        self.forecast
+            .estimate(engine, request.model, &current_load, size)
+    }
+
+    fn current_load(&self, candidate: &Candidate) -> CurrentLoad {
         let load = self.load(&candidate.id);
-        let current_load = CurrentLoad {
-            running: load.map_or(0, Load::running),
-            pending_prompt_tokens: load.map_or(0, |load| {
-                load.pending_prompt_tokens + load.peer_pending_prompt_tokens
-            }),
+        let (running, pending_prompt_tokens, doubt) = load.map_or((0.0, 0.0, 0.0), Load::expected);
+        CurrentLoad {
+            running,
+            doubt,
+            pending_prompt_tokens,
             slowness: load.map_or(1.0, |load| load.slowness.max(1.0)),
             slots: candidate.slots,
             time_factor: candidate.time_factor,
-        };
-        let size = (request.prompt_tokens, request.answer_tokens);
-        self.forecast
-            .estimate(engine, request.model, &current_load, size)
+        }
     }
 
     fn load(&self, id: &str) -> Option<&Load> {
@@ -317,7 +331,7 @@
         observed: Duration,
     ) {
         if let Some(model) = &to.model
-            && expected.running < to.slots
+            && expected.has_place
         {
             self.forecast
                 .record_first_event_time(model, expected.first_event, observed);
@@ -454,6 +468,12 @@
             .collect()
     }
 
+    /// Sets when the total load of the other entry VMs arrived; `None` if there are no others, or only
+    /// their heartbeats tell their load.
+    pub fn set_total_arrival(&mut self, arrived: Option<Time>) {
+        self.total_arrived = arrived;
+    }
+
     /// Replaces the load and the silent endpoints reported by all peers, with the times at which
     /// the reports arrived and the endpoints fell silent.
     pub fn set_peer_loads<'a>(
@@ -463,6 +483,7 @@
     ) {
         for load in self.loads.values_mut() {
             (load.peer_requests, load.peer_pending_prompt_tokens) = (0, 0);
+            load.peers_now.set(None);
             load.peer_silent_since = None;
         }
         for (reported, received) in peer_loads {
--- a/lib/src/node/balance/ranking.rs
+++ b/lib/src/node/balance/ranking.rs
@@ -27,11 +27,8 @@
         let mut shuffled = eligible.to_vec();
         let draw = self.choice_count.to_le_bytes();
         shuffled.sort_by_cached_key(|c| rendezvous::score(&draw, c.id.as_bytes()));
-        let is_saturated = engine.is_some() && self.is_saturated(&shuffled);
-        let with_room = || {
-            let all = shuffled.iter().copied();
-            all.filter(|c| self.has_room(c, request, engine, is_saturated))
-        };
+        let compared = self.compared(&shuffled, request, engine);
+        let with_room = || compared.iter().copied();
         let is_connected = |c: &&Candidate| request.connected.contains(&c.id);
         let connected = with_room()
             .filter(is_connected)
--- a/lib/src/node/balance/room.rs
+++ b/lib/src/node/balance/room.rs
@@ -2,6 +2,9 @@
 
 use super::{Balancer, Candidate, RoutingRequest};
 use crate::node::config::Engine;
+use crate::node::under_way::{self, ReportedLoad};
+use crate::rendezvous;
+use crate::time::Time;
 
 /// Upper bound on the requests at an endpoint per slot. Assumes endpoints that queue up to twice
 /// their slots.
@@ -14,9 +17,86 @@
 const MAX_OVERRUN: u32 = 2;
 
 impl Balancer {
+    /// Works out the load that the other entry VMs have by now on the groups that a request may go to.
+    pub(super) fn expect_loads(
+        &self,
+        now: Time,
+        eligible: &[&Candidate],
+        request: &RoutingRequest<'_>,
+        engine: Option<&Engine>,
+    ) {
+        let (Some(engine), Some(arrived)) = (engine, self.total_arrived) else {
+            return;
+        };
+        let reported = |candidate: &Candidate| {
+            let current = self.current_load(candidate);
+            let load = self.load(&candidate.id);
+            ReportedLoad {
+                own_requests: load.map_or(0, |l| l.requests),
+                other_requests: load.map_or(0, |l| l.peer_requests),
+                other_prompt_tokens: load.map_or(0, |l| l.peer_pending_prompt_tokens),
+                slots: candidate.slots,
+                hold_s: self.forecast.hold_s(engine, request.model, &current),
+                prefill_rate: engine.prefill_rate / candidate.time_factor.max(0.01),
+            }
+        };
+        for candidate in eligible {
+            if let Some(load) = self.load(&candidate.id) {
+                load.peers_now.set(None);
+            }
+        }
+        let reported: Vec<ReportedLoad> = eligible.iter().map(|c| reported(c)).collect();
+        let mean_prompt = self.forecast.mean_prompt(request.model);
+        let expected = under_way::expected_loads(&reported, now.since(arrived), mean_prompt);
+        for (candidate, peers_now) in eligible.iter().zip(expected) {
+            if let Some(load) = self.load(&candidate.id) {
+                load.peers_now.set(Some(peers_now));
+            }
+        }
+    }
+
+    /// Returns the endpoints with room that are compared for a request.
+    ///
+    /// While groups are close to full, a place that looks free is gone before a request arrives, since
+    /// all entry VMs see it at the same time. Each of them then draws a group by the requests that all
+    /// of them together may send there until the next reports.
+    pub(super) fn compared<'a>(
+        &self,
+        candidates: &[&'a Candidate],
+        request: &RoutingRequest<'_>,
+        engine: Option<&Engine>,
+    ) -> Vec<&'a Candidate> {
+        let is_saturated = engine.is_some() && self.is_saturated(candidates);
+        let all = candidates.iter().copied();
+        let mut with_room: Vec<&Candidate> = all
+            .filter(|c| self.has_room(c, request, engine, is_saturated))
+            .collect();
+        let has_place = |candidate: &&Candidate| {
+            let estimate = self.estimate(candidate, request, engine);
+            estimate.has_place && estimate.queue_time <= request.queue_limit
+        };
+        if engine.is_none() || with_room.iter().all(has_place) {
+            return with_room;
+        }
+        let shares: Vec<f64> = with_room.iter().map(|c| self.others_send(c)).collect();
+        if shares.iter().sum::<f64>() > 0.0 {
+            let drawn = draw_by_weight(&shares, self.choice_count);
+            with_room = drawn.map(|i| with_room[i]).into_iter().collect();
+        }
+        with_room
+    }
+
+    /// Returns the requests that other entry VMs are expected to have sent to a group since they
+    /// reported their load; zero where there are no others.
+    fn others_send(&self, candidate: &Candidate) -> f64 {
+        let load = self.load(&candidate.id);
+        let peers_now = load.and_then(|load| load.peers_now.get());
+        peers_now.map_or(0.0, |peers_now| peers_now.sent)
+    }
+
     /// Returns whether an endpoint has room for a request; `is_saturated` says whether most groups of
     /// its model have none.
-    pub(super) fn has_room(
+    fn has_room(
         &self,
         candidate: &Candidate,
         request: &RoutingRequest<'_>,
@@ -53,11 +133,22 @@
     ///
     /// Groups then have more work than they can do. Requests that wait their turn miss their latency
     /// goal one like the other, while short queues let the groups do as much work in time.
-    pub(super) fn is_saturated(&self, groups: &[&Candidate]) -> bool {
+    fn is_saturated(&self, groups: &[&Candidate]) -> bool {
         let is_queueing = |group: &&&Candidate| {
             self.load(&group.id)
-                .is_some_and(|load| load.running() > group.slots)
+                .is_some_and(|load| load.expected().0 > group.slots as f64)
         };
         groups.iter().filter(is_queueing).count() * 2 > groups.len()
     }
 }
+
+/// Draws an index with a probability that is proportional to its weight. Each `draw` is independent of
+/// the last one.
+fn draw_by_weight(weights: &[f64], draw: u64) -> Option<usize> {
+    let hash = rendezvous::score(b"place", &draw.to_le_bytes());
+    let mut remaining = hash as f64 / u64::MAX as f64 * weights.iter().sum::<f64>();
+    weights.iter().position(|weight| {
+        remaining -= weight;
+        remaining <= 0.0 && *weight > 0.0
+    })
+}
--- a/lib/src/node/forecast.rs
+++ b/lib/src/node/forecast.rs
@@ -9,11 +9,14 @@
 use std::time::Duration;
 
 use super::config::Engine;
+use crate::router::expected_excess;
 
 /// Weight of one request in the averages of a model.
 const AVERAGE_WEIGHT: f64 = 0.05;
 /// Mean answer length in tokens that is assumed before the first request.
 const INITIAL_ANSWER_TOKENS: f64 = 100.0;
+/// Mean prompt length in tokens that is assumed before the first request.
+const INITIAL_PROMPT_TOKENS: f64 = 500.0;
 /// Time to the first event beyond prefill and passes that is assumed before the first observation,
 /// in seconds. Assumes engines that add 110 ms.
 const INITIAL_OVERHEAD_S: f64 = 0.11;
@@ -30,9 +33,11 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct CurrentLoad {
     /// Requests in flight at the endpoint.
-    pub running: usize,
+    pub running: f64,
+    /// Standard deviation of these, because of what others sent since they reported their load.
+    pub doubt: f64,
     /// Prompt tokens of the requests that still wait for their first event.
-    pub pending_prompt_tokens: u32,
+    pub pending_prompt_tokens: f64,
     /// Observed divided by expected time between events.
     pub slowness: f64,
     /// Requests that the endpoint runs at the same time.
@@ -52,6 +57,8 @@
     pub whole_answer: Duration,
     /// Requests in flight at the endpoint.
     pub running: usize,
+    /// Whether a slot is free there, also if more requests than expected are under way.
+    pub has_place: bool,
     /// Prompt tokens of the requests there that still wait for their first event.
     pub pending_prompt_tokens: u32,
     /// Observed divided by expected time between events.
@@ -62,6 +69,8 @@
 struct ModelAverages {
     /// Mean answer length in tokens.
     answer_tokens: f64,
+    /// Mean prompt length in tokens.
+    prompt_tokens: f64,
     /// Time to the first event that the engine's performance figures do not explain, in seconds.
     overhead_s: f64,
 }
@@ -70,6 +79,7 @@
     fn default() -> Self {
         Self {
             answer_tokens: INITIAL_ANSWER_TOKENS,
+            prompt_tokens: INITIAL_PROMPT_TOKENS,
             overhead_s: INITIAL_OVERHEAD_S,
         }
     }
@@ -91,11 +101,29 @@
         self.models.entry(model.clone()).or_default()
     }
 
-    /// Records the expected answer length of a request.
-    pub(super) fn record_answer_length(&mut self, model: &Arc<str>, answer_tokens: u32) {
+    /// Records the prompt length and the expected answer length of a request.
+    pub(super) fn record_size(
+        &mut self,
+        model: &Arc<str>,
+        (prompt_tokens, answer_tokens): (u32, u32),
+    ) {
         let averages = self.averages_mut(model);
         averages.answer_tokens +=
             (f64::from(answer_tokens) - averages.answer_tokens) * AVERAGE_WEIGHT;
+        averages.prompt_tokens +=
+            (f64::from(prompt_tokens) - averages.prompt_tokens) * AVERAGE_WEIGHT;
+    }
+
+    /// Returns the mean prompt length of a model's requests in tokens.
+    pub(super) fn mean_prompt(&self, model: Option<&str>) -> f64 {
+        self.averages(model).prompt_tokens
+    }
+
+    /// Returns for how many seconds a mean request of a model holds a slot.
+    pub(super) fn hold_s(&self, engine: &Engine, model: Option<&str>, load: &CurrentLoad) -> f64 {
+        let averages = self.averages(model);
+        let prefill = averages.prompt_tokens / engine.prefill_rate.max(1.0) * load.time_factor;
+        prefill + step_s(engine, load) * averages.answer_tokens
     }
 
     /// Records the time to the first event of a request that found a free slot.
@@ -122,34 +150,38 @@
     ) -> Estimate {
         let CurrentLoad {
             running,
+            doubt,
             pending_prompt_tokens,
-            slowness,
             slots,
             time_factor,
+            slowness,
         } = *load;
         let slots = slots.max(1);
+        let room = slots as f64 - running;
+        let has_place = room >= 1.0 + doubt;
         let (first_event, queue_time, whole_answer) = match engine {
             None => {
-                let batches = running as f64 / slots as f64;
+                let batches = running / slots as f64;
                 let first_event = PLAIN_TIME_PER_REQUEST.mul_f64(batches);
                 (first_event, Duration::ZERO, first_event)
             }
             Some(engine) => {
                 let averages = self.averages(model);
-                let prefill =
-                    |tokens: u32| f64::from(tokens) / engine.prefill_rate.max(1.0) * time_factor;
-                let batch = running.min(slots) as f64;
-                let step = engine.step_time.as_secs_f64()
-                    + engine.step_time_per_request.as_secs_f64() * batch;
-                let step = step * slowness * time_factor;
+                let prefill = |tokens: f64| tokens / engine.prefill_rate.max(1.0) * time_factor;
+                let step = step_s(engine, load);
                 // A slot becomes free each time a request of the batch ends: every `step * answer /
                 // slots` on average.
-                let queued = (running + 1).saturating_sub(slots) as f64;
+                let queued = match doubt > 0.0 {
+                    true => expected_excess(1.0 - room, doubt),
+                    false => (1.0 - room).max(0.0),
+                };
                 let slot_time = queued * step * averages.answer_tokens / slots as f64;
                 let queue_time = slot_time + prefill(pending_prompt_tokens);
                 let pass_time = step * f64::from(engine.steps_per_pass) * PASSES_TO_FIRST_EVENT;
-                let first_event =
-                    averages.overhead_s + prefill(prompt_tokens) + pass_time + queue_time;
+                let first_event = averages.overhead_s
+                    + prefill(f64::from(prompt_tokens))
+                    + pass_time
+                    + queue_time;
                 let whole_answer = first_event + step * f64::from(answer_tokens);
                 (
                     Duration::from_secs_f64(first_event),
@@ -162,9 +194,17 @@
             first_event,
             queue_time,
             whole_answer,
-            running,
-            pending_prompt_tokens,
+            running: running.round() as usize,
+            has_place,
+            pending_prompt_tokens: pending_prompt_tokens as u32,
             slowness,
         }
     }
 }
+
+/// Returns the seconds that an engine takes for one decoding step.
+fn step_s(engine: &Engine, load: &CurrentLoad) -> f64 {
+    let batch = load.running.min(load.slots.max(1) as f64);
+    let step = engine.step_time.as_secs_f64() + engine.step_time_per_request.as_secs_f64() * batch;
+    step * load.slowness * load.time_factor
+}
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -11,6 +11,7 @@
 //! [`passing`] has one of these send a request, by the configuration that [`replaced_configs`] finds for it.
 //! [`holding`] decides what follows when the endpoint of a request is silent, and [`own_delay`] knows for
 //! how long this VM was not run, which is left out when others are judged by their silence.
+//! [`under_way`] works out what the other entry VMs sent since they reported their load, and
 //! [`memory`] bounds the bytes that open requests hold.
 
 pub mod balance;
@@ -39,3 +40,4 @@
 pub mod replaced_configs;
 pub mod settings;
 pub mod source;
+pub mod under_way;
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -220,7 +220,7 @@
 }
 
 /// Returns an approximation of the mean of the positive part of a normal variable.
-fn expected_excess(mean: f64, deviation: f64) -> f64 {
+pub(crate) fn expected_excess(mean: f64, deviation: f64) -> f64 {
     let scale = EXCESS_SCALE * deviation.max(MIN_DEVIATION);
     scale * (mean / scale).exp().ln_1p()
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -27,6 +27,7 @@
 mod test_node_parts;
 mod test_node_passing;
 mod test_node_peer_paths;
+mod test_node_places;
 mod test_node_planner;
 mod test_node_quarantine;
 mod test_node_rate_limits;
--- a/node/src/load_exchange.rs
+++ b/node/src/load_exchange.rs
@@ -119,6 +119,7 @@
             .iter()
             .map(move |(id, age)| (id.as_str(), since(*age)))
     });
+    let live_vms = peers.live_vm_count(now);
     let mut balancer = node.balancer.borrow_mut();
     if balancer.limits().any() {
         let live = peers.ready(now).map(|m| m.node.as_str());
@@ -129,11 +130,13 @@
     match &*others {
         Some((received, loads)) if now.since(*received) < MAX_TOTAL_AGE => {
             balancer.set_peer_loads(loads.iter().map(|l| (l, *received)), silent);
+            balancer.set_total_arrival((live_vms > 1).then_some(*received));
         }
         _ => {
             let heartbeats = heartbeats.iter();
             let loads = heartbeats.flat_map(|(h, received)| h.loads.iter().map(|l| (l, *received)));
             balancer.set_peer_loads(loads, silent);
+            balancer.set_total_arrival(None);
         }
     }
 }
