lib/node: queues of prompts saturate a model too

Cause: at a model with long prompts the queue is of prompts, which neither the saturation (slots only) nor the queue limit behind it saw. Change: a model most of whose groups have had over 100 ms of prompts for 200 ms is saturated; requests that would wait for over half of their goal are then refused at once.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -134,6 +134,10 @@
     limits: RateLimits,
     breaks: Breaks,
     forecast: Forecast,
+    /// Models of which most groups have a queue of prompts, and since when.
+    long_prompts: BTreeMap<Arc<str>, Time>,
+    /// Whether this is so for some time of the model of the current choice.
+    is_prompt_bound: bool,
     /// Number of choices, from a start that differs between entry VMs.
     choice_count: u64,
 }
@@ -151,6 +155,8 @@
             limits: RateLimits::new(this_vm),
             breaks: Breaks::default(),
             forecast: Forecast::default(),
+            long_prompts: BTreeMap::new(),
+            is_prompt_bound: false,
             // Entry VMs that started together would otherwise all draw the same endpoints.
             choice_count: rendezvous::score(b"choice", this_vm.as_bytes()),
         }
@@ -231,6 +237,7 @@
             let size = (request.prompt_tokens, request.answer_tokens);
             self.forecast.record_size(&model.name, size);
         }
+        self.is_prompt_bound = self.note_prompts(now, request, engine);
         let eligible = match self.eligible(now, request, engine, tried) {
             Ok(eligible) => eligible,
             Err(Shortage::Unavailable) => {
--- a/lib/src/node/balance/room.rs
+++ b/lib/src/node/balance/room.rs
@@ -1,5 +1,8 @@
 //! Which endpoints have room for a request, so that it ends while that is of use to its caller.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use super::{Balancer, Candidate, RoutingRequest};
 use crate::node::config::Engine;
 use crate::node::under_way::{self, ReportedLoad};
@@ -12,6 +15,10 @@
 /// Factor on the expected time within which an answer is sure to end. Streams of loaded groups take
 /// up to half as long again as expected.
 const CERTAIN_FACTOR: f64 = 1.5;
+/// Prompts that may wait at most groups of a model, as the time to read them, and for how long there may
+/// be more. It is twice the time in which all entry VMs hear of it.
+const MAX_PROMPT_QUEUE: Duration = Duration::from_millis(100);
+const PROMPT_QUEUE_TIME: Duration = Duration::from_millis(200);
 /// A request is refused if its answer is expected to take more than this multiple of the remaining
 /// time. The factor is generous, since callers' estimates of the answer length are often far off.
 const MAX_OVERRUN: u32 = 2;
@@ -66,7 +73,8 @@
         request: &RoutingRequest<'_>,
         engine: Option<&Engine>,
     ) -> Vec<&'a Candidate> {
-        let is_saturated = engine.is_some() && self.is_saturated(candidates);
+        let is_saturated = engine.is_some()
+            && (self.is_prompt_bound || self.is_saturated(candidates, request, engine));
         let all = candidates.iter().copied();
         let mut with_room: Vec<&Candidate> = all
             .filter(|c| self.has_room(c, request, engine, is_saturated))
@@ -133,13 +141,45 @@
     ///
     /// Groups then have more work than they can do. Requests that wait their turn miss their latency
     /// goal one like the other, while short queues let the groups do as much work in time.
-    fn is_saturated(&self, groups: &[&Candidate]) -> bool {
-        let is_queueing = |group: &&&Candidate| {
-            self.load(&group.id)
-                .is_some_and(|load| load.expected().0 > group.slots as f64)
-        };
+    fn is_saturated(
+        &self,
+        groups: &[&Candidate],
+        request: &RoutingRequest<'_>,
+        engine: Option<&Engine>,
+    ) -> bool {
+        let is_queueing = |group: &&&Candidate| self.estimate(group, request, engine).is_queueing;
         groups.iter().filter(is_queueing).count() * 2 > groups.len()
     }
+
+    /// Records whether more than half of the groups have a queue of prompts, and returns whether they
+    /// have had one for some time. One long prompt or a short burst is read before anyone is refused for
+    /// it.
+    pub(super) fn note_prompts(
+        &mut self,
+        now: Time,
+        request: &RoutingRequest<'_>,
+        engine: Option<&Engine>,
+    ) -> bool {
+        let (Some(engine), Some(model)) = (engine, request.model) else {
+            return false;
+        };
+        let is_long = |candidate: &&Candidate| {
+            let load = self.load(&candidate.id);
+            let read_s = load.map_or(0.0, |load| load.expected().1) * candidate.time_factor
+                / engine.prefill_rate.max(1.0);
+            read_s > MAX_PROMPT_QUEUE.as_secs_f64()
+        };
+        let serving = self.serving(request, Some(engine));
+        let (long, count) = serving.fold((0, 0), |(long, count), candidate| {
+            (long + usize::from(is_long(&candidate)), count + 1)
+        });
+        if long * 2 <= count {
+            self.long_prompts.remove(model);
+            return false;
+        }
+        let since = *self.long_prompts.entry(Arc::from(model)).or_insert(now);
+        now.since(since) >= PROMPT_QUEUE_TIME
+    }
 }
 
 /// Draws an index with a probability that is proportional to its weight. Each `draw` is independent of
--- a/lib/src/node/forecast.rs
+++ b/lib/src/node/forecast.rs
@@ -57,6 +57,8 @@
     pub whole_answer: Duration,
     /// Requests in flight at the endpoint.
     pub running: usize,
+    /// Whether requests wait for a slot there.
+    pub is_queueing: bool,
     /// Whether a slot is free there, also if more requests than expected are under way.
     pub has_place: bool,
     /// Prompt tokens of the requests there that still wait for their first event.
@@ -195,6 +197,7 @@
             queue_time,
             whole_answer,
             running: running.round() as usize,
+            is_queueing: running > slots as f64,
             has_place,
             pending_prompt_tokens: pending_prompt_tokens as u32,
             slowness,
