--- a/lib/src/node/balance/prompt_cost.rs
+++ b/lib/src/node/balance/prompt_cost.rs
@@ -126,8 +126,9 @@
         let running: usize = groups.iter().map(in_flight).sum();
         let average = running as f64 / groups.len() as f64;
         let load = CurrentLoad {
-            running: average as usize,
-            pending_prompt_tokens: 0,
+            running: average,
+            doubt: 0.0,
+            pending_prompt_tokens: 0.0,
             slowness: 1.0,
             slots: group.slots,
             time_factor: group.time_factor,
