--- a/lib/src/node/forecast.rs
+++ b/lib/src/node/forecast.rs
@@ -67,6 +67,17 @@
     pub slowness: f64,
 }
 
+impl Estimate {
+    /// Returns whether a slot is free for the request, for logs and metrics.
+    pub fn place(&self) -> &'static str {
+        match (self.has_place, self.is_queueing) {
+            (true, _) => "free",
+            (false, false) => "doubtful",
+            (false, true) => "waits",
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct ModelAverages {
     /// Mean answer length in tokens.
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -48,6 +48,7 @@
     Denied "denied" "Requests that the configuration does not allow, by whether the route or the key is unknown.";
     EarlyHeartbeats "early_heartbeats" "Heartbeats to all VMs before the interval has passed.";
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
+    EventsLate "events_late" "First events that took over twice the time expected, by whether a slot was expected to be free, doubtful or waited for.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
     FeedBytes "feed_bytes" "Bytes of records sent to peers that read through this VM, by topic.";
     FeedReadsFailed "feed_reads_failed" "Reads of a topic that failed, by what was read.";
@@ -62,6 +63,7 @@
     PathChanges "path_changes" "Times that the path of this VM to the endpoints changed its state, by the new state.";
     PathProbes "path_probes" "Probes of endpoints to learn whether this VM reaches them, by outcome.";
     PathQueries "path_queries" "Queries between entry VMs whether they reach endpoints, sent and received.";
+    Placed "placed" "Requests sent to endpoints, by whether a slot was free, doubtful or waited for there.";
     Probes "probes" "Probes of engines of silent groups, by outcome.";
     Quarantined "quarantined" "Parts of prompts whose requests are refused because they crash endpoints.";
     Refused "refused" "Requests refused before they ran, by cause.";
--- a/node/src/relay/exchange.rs
+++ b/node/src/relay/exchange.rs
@@ -388,7 +388,11 @@
         }
         balancer.record_first_event(now, &to.id, load.prompt);
         if let Some((expected, sent)) = &self.estimate {
-            balancer.record_first_event_time(to, expected, now.since(*sent));
+            let observed = now.since(*sent);
+            balancer.record_first_event_time(to, expected, observed);
+            if observed > expected.first_event * 2 {
+                node.metrics.count(Counter::EventsLate, expected.place());
+            }
         }
     }
 
--- a/node/src/relay/limits.rs
+++ b/node/src/relay/limits.rs
@@ -23,12 +23,12 @@
 const RETRY_DEADLINE_SHARE: f64 = 0.9;
 
 impl Relay<'_> {
-    /// Returns the priority to send to the endpoint: a retried stream precedes others of the same
-    /// priority.
+    /// Returns the priority to send to the endpoint. A retried stream is late already, and doesn't
+    /// precede others, which would be late then too.
     pub(super) fn endpoint_priority(&self) -> Option<u8> {
         let own_priority = self.request.account.as_ref().and_then(|a| a.priority);
         let priority = own_priority.unwrap_or(self.request.route.priority);
-        Some(priority.saturating_sub(u8::from(self.is_retry_after_refusal())))
+        Some(priority)
     }
 
     /// Returns whether no route to the service has a higher priority than the request. Only looked up
--- a/node/src/relay/outcome.rs
+++ b/node/src/relay/outcome.rs
@@ -58,9 +58,10 @@
     /// Logs that the request is sent to an endpoint; `cause` is that of the failure of the last
     /// send.
     pub(super) fn log_send(&self, to: &Candidate, estimate: Estimate, cause: &str) {
+        self.node.metrics.count(Counter::Placed, estimate.place());
         log::info!(
             "event=sent request={} id={} attempt={} after={cause} prompt={} answer={} running={} \
-             unread={} slowness={:.2} first_ms={} left_ms={} from={:?} config={} via=direct{}",
+             unread={} slowness={:.2} first_ms={} place={} left_ms={} from={:?} config={} via=direct{}",
             self.request_id(),
             to.id,
             self.sends.tried.len() + 1,
@@ -70,6 +71,7 @@
             estimate.pending_prompt_tokens,
             estimate.slowness,
             estimate.first_event.as_millis(),
+            estimate.place(),
             self.request.deadline.since(self.node.now()).as_millis(),
             self.delivered.last_event,
             self.request.config.version,
