--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -49,6 +49,7 @@
     EarlyHeartbeats "early_heartbeats" "Heartbeats to all VMs before the interval has passed.";
     EvacuationChanges "evacuation_changes" "Changes of the evacuations of zones, by kind.";
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
+    EventsLate "events_late" "First events that took over twice the time expected, by whether a slot was expected to be free, doubtful or waited for.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
     FeedBytes "feed_bytes" "Bytes of records sent to peers that read through this VM, by topic.";
     FeedReadsFailed "feed_reads_failed" "Reads of a topic that failed, by what was read.";
@@ -64,6 +65,7 @@
     PathChanges "path_changes" "Times that the path of this VM to the endpoints changed its state, by the new state.";
     PathProbes "path_probes" "Probes of endpoints to learn whether this VM reaches them, by outcome.";
     PathQueries "path_queries" "Queries between entry VMs whether they reach endpoints, sent and received.";
+    Placed "placed" "Requests sent to endpoints, by whether a slot was free, doubtful or waited for there.";
     Probes "probes" "Probes of engines of silent groups, by outcome.";
     Quarantined "quarantined" "Parts of prompts whose requests are refused because they crash endpoints.";
     Refused "refused" "Requests refused before they ran, by cause.";
