planner: a conversion is dropped once its model has enough without it

With a slow store it takes seconds to convert them back, and an evacuation then finds the model of most requests with 32 of 76 engines.

Change: a conversion whose model is at its target is dropped, so that its engines serve whichever model lacks them.

--- a/lib/src/node/planner/convert.rs
+++ b/lib/src/node/planner/convert.rs
@@ -50,8 +50,10 @@
         for domain in domains {
             let conversion = self.planner.conversions[&domain].clone();
             let is_evacuated = self.is_domain_evacuated(&domain);
+            // Targets change, and the model may have enough without this.
+            let is_superseded = |m: &Model| assignment.coverage(m) >= 1.0;
             let model = self.input.engine.model(&conversion.model);
-            let Some(model) = model.filter(|_| !is_evacuated) else {
+            let Some(model) = model.filter(|m| !is_evacuated && !is_superseded(m)) else {
                 self.planner.conversions.remove(&domain);
                 continue;
             };
--- a/lib/tests/test_node_evacuation.rs
+++ b/lib/tests/test_node_evacuation.rs
@@ -1,10 +1,11 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hemlock_lib::node::balance::{Balancer, Candidate, Choice, RoutingRequest};
 use hemlock_lib::node::cache::{Position, Update};
+use hemlock_lib::node::capacity::Demand;
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::node::endpoints::MemberState;
 use hemlock_lib::node::evacuation::{Change, Evacuations, ZoneRecord};
@@ -372,3 +373,37 @@
     let targets: usize = models.iter().map(|m| m.target).sum();
     assert!(targets <= 24, "{models:?}");
 }
+
+/// Demand for a model rises for a moment, groups of another one begin to end for it, and the demand falls
+/// again before its groups are formed: the engines that were freed go back to the model that lacks them.
+#[test]
+fn a_conversion_is_dropped_once_its_model_has_enough() {
+    let mut simulation = serving_deployment();
+    let demand = |large: f64, small: f64| {
+        let of = |name: &str, rate| {
+            let demand = Demand {
+                rate,
+                prompt_tokens: 700.0,
+                answer_tokens: 200.0,
+                latency_goal_s: 0.4,
+            };
+            (Arc::from(name), demand)
+        };
+        BTreeMap::from([of("large", large), of("small", small)])
+    };
+    simulation.demand = demand(10.0, 10.0);
+    simulation.run(Duration::from_secs(15));
+    let before = engines_outside(&simulation, "none", "large");
+    simulation.demand = demand(100.0, 1.0);
+    simulation.run(Duration::from_millis(200));
+    simulation.demand = demand(10.0, 10.0);
+    let mut most = 0;
+    for _ in 0..120 {
+        simulation.run(Duration::from_millis(50));
+        most = most.max(engines_outside(&simulation, "none", "large"));
+    }
+    assert!(
+        most <= before,
+        "{most} engines of the large model, {before} before"
+    );
+}
