--- a/node/src/warm_ups.rs
+++ b/node/src/warm_ups.rs
@@ -65,7 +65,8 @@
         }
         let now = self.now();
         let peers = self.peers.borrow();
-        let live = peers.ready(now).map(|m| m.node.as_str());
+        // One that stops takes no callers, but still sends what it has read.
+        let live = peers.heartbeats(now).map(|(h, _)| h.member.node.as_str());
         warm_ups.set_vms(now, peers.names(), live);
     }
 
