lib/node/planner: idle engines can replace a member of any group at once

Idle engines of a domain had the weights of one model only; the others of a group that missed a member were kept for it while loads of 16 s ran; and groups were ended again and again to complete others, each costing a load.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -8,6 +8,8 @@
 mod assign;
 mod convert;
 mod groups;
+mod idle;
+mod prepare;
 mod weight_loads;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +19,8 @@
 use super::capacity::Demand;
 use super::config::Engine;
 use super::endpoints::{Endpoints, Group, Membership};
+pub use idle::IdleCause;
+
 use crate::time::Time;
 
 /// Time within which the list shows the effect of an order. An entry follows a change at once, and
@@ -39,6 +43,8 @@
 const POLL_DURATION: Duration = Duration::from_secs(4);
 /// Time in which an order without a reply may still be carried out.
 const LATE_ORDER_TIME: Duration = Duration::from_secs(15);
+/// Epochs that are issued before the list shows the effect of the first of them, at most.
+const MAX_PREPARING: u64 = 1 << 10;
 /// Bits of an epoch that are counted up within one term; the fencing token takes the others.
 const EPOCH_COUNTER_BITS: u32 = 20;
 
@@ -279,6 +285,8 @@
     /// Epochs of complete groups that are being closed so that their engines can serve another
     /// model.
     retiring: BTreeSet<u64>,
+    /// Epochs of the groups in which single engines start a model to be ready for it.
+    preparing: BTreeSet<u64>,
     /// Conversions in progress, by failure domain.
     conversions: BTreeMap<Arc<str>, Conversion>,
     summary: Summary,
@@ -324,6 +332,8 @@
     pub ending: usize,
     /// Engines of each model.
     pub models: Vec<ModelCount>,
+    /// Usable engines in no group that serves or is about to, by cause.
+    pub idle: BTreeMap<IdleCause, usize>,
 }
 
 /// Returns the fencing token of a lease. The store counts the lease's generations, but goes back to
@@ -359,6 +369,8 @@
     Damaged,
     /// The head or the planner gave the group up, so that its members may join other groups.
     Disbanded,
+    /// A single engine starts a model, to have it besides the one on its host.
+    Preparing,
 }
 
 impl Planner {
@@ -493,6 +505,7 @@
         round.probe();
         round.resend_joins();
         let phases = round.update_groups();
+        round.finish_preparations();
         round.form_groups(&phases);
     }
 
@@ -542,6 +555,10 @@
             memberships.any(|membership| membership.epoch == *epoch)
         };
         self.retiring.retain(has_members);
+        // The list shows an epoch some time after it was ordered.
+        let oldest = self.epoch.saturating_sub(MAX_PREPARING);
+        self.preparing
+            .retain(|epoch| *epoch >= oldest || has_members(epoch));
     }
 }
 
--- a/lib/src/node/planner/assign.rs
+++ b/lib/src/node/planner/assign.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::{
     Action, FormedGroup, GroupPhase, LIST_DELAY, ModelCount, PlanningRound, Summary, group_name,
@@ -14,6 +15,9 @@
 /// Fraction of the engines that stays without a group, so that lost members can be replaced at
 /// once.
 const RESERVE_FRACTION: f64 = 0.05;
+/// Longest time for which engines are kept without a group for one that is not complete yet. In more
+/// time, a group of another model would serve longer than it takes to end it again.
+const MAX_RESERVATION: Duration = Duration::from_secs(3);
 /// State of the assignment of engines to models.
 #[derive(Debug)]
 pub(super) struct Assignment<'a> {
@@ -23,6 +27,20 @@
     pub(super) free: BTreeMap<Arc<str>, Vec<&'a Endpoint>>,
     /// Engines in groups that serve each model or are being formed for it.
     pub(super) assigned: BTreeMap<Arc<str>, usize>,
+    /// Engines without a group that have the weights of a model or will have them within
+    /// [`MAX_RESERVATION`], by failure domain and model; includes those that are leaving a group.
+    soon: BTreeMap<(Arc<str>, Arc<str>), usize>,
+}
+
+/// Returns whether the engine is in a group that serves or is about to.
+pub(super) fn has_live_group(
+    endpoint: &Endpoint,
+    phases: &BTreeMap<(Arc<str>, u64), GroupPhase>,
+) -> bool {
+    let membership = endpoint.membership.as_ref();
+    let phase = membership.and_then(|m| phases.get(&(m.group.clone(), m.epoch)));
+    let live = [GroupPhase::Forming, GroupPhase::Ready, GroupPhase::Serving];
+    phase.is_some_and(|phase| live.contains(phase))
 }
 
 impl Assignment<'_> {
@@ -101,17 +119,45 @@
                     warm: usable.iter().filter(|e| self.is_warm(e, m)).count(),
                 })
                 .collect(),
+            idle: BTreeMap::new(),
         };
         let mut assignment = Assignment {
             targets,
             free,
             assigned,
+            soon: self.available_soon(&usable, phases),
         };
         self.finish_conversions(&mut assignment);
         while self.form_next_group(&mut assignment, false) {}
         while self.form_next_group(&mut assignment, true) {}
         self.convert(&mut assignment, phases);
+        self.prepare_engines(&usable, &assignment, phases);
         self.stage_models(&usable, &assignment);
+        self.planner.summary.idle = self.idle_causes(&usable, &assignment, phases);
+    }
+
+    /// Counts the engines without a group that have the weights of a model or will have them soon, by
+    /// failure domain and model.
+    fn available_soon(
+        &self,
+        usable: &[&Endpoint],
+        phases: &BTreeMap<(Arc<str>, u64), GroupPhase>,
+    ) -> BTreeMap<(Arc<str>, Arc<str>), usize> {
+        let mut soon = BTreeMap::new();
+        for e in usable.iter().filter(|e| !has_live_group(e, phases)) {
+            for model in &self.input.engine.models {
+                let time = match self.needs_load(e, model) {
+                    true => self.load_time_left(e, model),
+                    false => Some(Duration::ZERO),
+                };
+                if time.is_some_and(|t| t <= MAX_RESERVATION) {
+                    *soon
+                        .entry((e.domain.clone(), model.name.clone()))
+                        .or_default() += 1;
+                }
+            }
+        }
+        soon
     }
 
     /// Forms one group, for the model furthest below its target that a group can be formed for;
@@ -177,8 +223,8 @@
 
     /// Returns whether the engine is reserved for the model of its last group. This is so if it
     /// would have to load the weights again after a change, the model is below its target and no
-    /// better off than `model`, and half a group of engines that need no load for it is idle in the
-    /// failure domain.
+    /// better off than `model`, half a group of engines that need no load for it is idle in the
+    /// failure domain, and the others that a group needs are there soon.
     fn is_reserved(&self, endpoint: &Endpoint, model: &Model, assignment: &Assignment<'_>) -> bool {
         let state = self.planner.engine_states.get(&endpoint.id);
         let Some(last_model) = state.and_then(|state| state.last_model.as_ref()) else {
@@ -192,7 +238,10 @@
         };
         let idle = assignment.free.get(&endpoint.domain).into_iter().flatten();
         let idle_without_load = idle.filter(|e| !self.needs_load(e, last_model)).count();
+        let key = (endpoint.domain.clone(), last_model.name.clone());
+        let soon = assignment.soon.get(&key).copied().unwrap_or(0);
         idle_without_load * 2 >= last_model.group_size
+            && (soon >= last_model.group_size || self.input.before_traffic)
             && assignment.coverage(last_model) < 1.0
             && assignment.coverage(last_model) <= assignment.coverage(model)
     }
--- a/lib/src/node/planner/groups.rs
+++ b/lib/src/node/planner/groups.rs
@@ -171,6 +171,9 @@
 
     fn phase(&mut self, group: &Group) -> GroupPhase {
         let key = (group.name.clone(), group.epoch);
+        if self.planner.preparing.contains(&group.epoch) {
+            return GroupPhase::Preparing;
+        }
         let size = self.group_size(group);
         if self.is_disbanded(group) {
             return GroupPhase::Disbanded;
--- a/lib/src/node/planner/weight_loads.rs
+++ b/lib/src/node/planner/weight_loads.rs
@@ -189,6 +189,17 @@
         self.join_delay(endpoint, model) >= model.load_time
     }
 
+    /// Returns the time until the load of the model onto the engine's host is due, if one runs. Loads
+    /// beyond the limit of the weight store slow each other down.
+    pub(super) fn load_time_left(&self, endpoint: &Endpoint, model: &Model) -> Option<Duration> {
+        let state = self.planner.engine_states.get(&endpoint.id)?;
+        let (_, since) = state.staging.as_ref().filter(|(m, _)| *m == model.name)?;
+        let limit = self.input.engine.load_limit.max(1);
+        let slowdown = (self.loading() as f64 / limit as f64).max(1.0);
+        let load_time = model.load_time.mul_f64(slowdown);
+        Some(load_time.saturating_sub(self.now.since(*since)))
+    }
+
     /// Returns the time that the engine needs to join a group of the model.
     pub(super) fn join_delay(&self, endpoint: &Endpoint, model: &Model) -> Duration {
         let state = self.planner.engine_states.get(&endpoint.id);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -33,6 +33,7 @@
 mod test_node_reach;
 mod test_node_replaced_configs;
 mod test_node_source;
+mod test_node_worth;
 mod test_outcomes;
 mod test_plan;
 mod test_planner;
--- a/node/src/info_server.rs
+++ b/node/src/info_server.rs
@@ -158,6 +158,7 @@
         (Gauge::StoreEra, node.store_era.get() as f64),
         (Gauge::PathUp, path_value(node.path_state(now))),
         (Gauge::PeersWithPath, node.peers_with_path(now).len() as f64),
+        (Gauge::IdleEngines, node.idle_engines.get() as f64),
         (
             Gauge::LimitedEndpoints,
             node.balancer.borrow().limits().count() as f64,
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -235,6 +235,7 @@
     let may_plan = is_planner && confirmed && !gives_up;
     if !may_plan {
         state.planners.values_mut().for_each(Planner::end_term);
+        node.idle_engines.set(0);
         return;
     }
     // An engine that looks free may serve by now, and its entry not be written again yet.
@@ -244,6 +245,7 @@
     let fence = state.fence();
     let state = &mut *state;
     let last_summary = &mut state.last_summary;
+    let mut idle_engines = 0;
     for service in engine_services(&config) {
         let mut outputs = Vec::new();
         let silent = silent_heads(node, now);
@@ -269,6 +271,7 @@
         planner.begin_term(fence);
         planner.step(now, &input, &mut outputs);
         log_summary(now, &service, planner, last_summary);
+        idle_engines += planner.summary().idle.values().sum::<usize>();
         for output in outputs {
             spawn_local(execute(
                 node.clone(),
@@ -278,6 +281,7 @@
             ));
         }
     }
+    node.idle_engines.set(idle_engines);
 }
 
 /// Logs the summary of a plan if it differs from the last one logged, at most once in
@@ -303,15 +307,20 @@
         forming,
         ending,
         models,
+        idle,
     } = summary;
     let models: Vec<String> = models
         .iter()
         .map(|m| format!("{}:{}/{}/{}", m.model, m.assigned, m.target, m.warm))
         .collect();
     let models = models.join(",");
+    let idle = idle
+        .iter()
+        .map(|(cause, count)| format!("{}:{count}", cause.name()));
+    let idle = idle.collect::<Vec<_>>().join(",");
     log::info!(
         "event=plan service={service} usable={usable} free={free} loading={loading} \
-         serving={serving} forming={forming} ending={ending} models={models}"
+         serving={serving} forming={forming} ending={ending} idle={idle} models={models}"
     );
 }
 
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -135,10 +135,13 @@
     PeersWithPath,
     /// Endpoints with a limit on their requests that holds.
     LimitedEndpoints,
+    /// Engines that may be used and are in no group that serves or is about to; zero at VMs that are
+    /// not the planner.
+    IdleEngines,
 }
 
 impl Gauge {
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -154,6 +157,7 @@
         Self::PathUp,
         Self::PeersWithPath,
         Self::LimitedEndpoints,
+        Self::IdleEngines,
     ];
 
     fn name(self) -> &'static str {
@@ -173,6 +177,7 @@
             Self::PathUp => "hemlock_path_up",
             Self::PeersWithPath => "hemlock_peers_with_path",
             Self::LimitedEndpoints => "hemlock_limited_endpoints",
+            Self::IdleEngines => "hemlock_idle_engines",
         }
     }
 }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -83,6 +83,8 @@
     /// Load that all other VMs have on endpoints, as last reported, and the time of that report.
     pub(crate) other_loads: RefCell<Option<(Time, Vec<EndpointLoad>)>>,
     pub(crate) demand_meter: RefCell<DemandMeter>,
+    /// Usable engines that serve nobody, as the planner of this VM counted last.
+    pub(crate) idle_engines: Cell<usize>,
     pub(crate) pool: Pool,
     /// Memory that open requests hold.
     pub(crate) memory: RefCell<Memory>,
@@ -175,6 +177,7 @@
             load_totals: RefCell::default(),
             other_loads: RefCell::default(),
             demand_meter: RefCell::default(),
+            idle_engines: Cell::default(),
             pool: Pool::default(),
             received: Received::new(memory.buffer_bound()),
             memory: RefCell::new(memory),
