--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -38,6 +38,7 @@
 mod test_node_source;
 mod test_node_under_way;
 mod test_node_warm_up;
+mod test_node_worth;
 mod test_outcomes;
 mod test_plan;
 mod test_planner;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -144,10 +144,13 @@
     WarmingEndpoints,
     /// Zones that the operators have evacuated.
     EvacuatedZones,
+    /// Engines that may be used and are in no group that serves or is about to; zero at VMs that are
+    /// not the planner.
+    IdleEngines,
 }
 
 impl Gauge {
-    const ALL: [Self; 17] = [
+    const ALL: [Self; 18] = [
         Self::OpenRequests,
         Self::Ready,
         Self::StoreUp,
@@ -165,6 +168,7 @@
         Self::LimitedEndpoints,
         Self::WarmingEndpoints,
         Self::EvacuatedZones,
+        Self::IdleEngines,
     ];
 
     fn name(self) -> &'static str {
@@ -186,6 +190,7 @@
             Self::LimitedEndpoints => "hemlock_limited_endpoints",
             Self::WarmingEndpoints => "hemlock_warming_endpoints",
             Self::EvacuatedZones => "hemlock_evacuated_zones",
+            Self::IdleEngines => "hemlock_idle_engines",
         }
     }
 }
