lib/node: a VM that has not read the members sends nothing to cold endpoints

Cause (review): until the members are read, a VM takes itself for the only one, and its whole share, 22 requests in 1.3 s, came into force 1.5 s after its start. VMs that start while the store is away would each have sent that. Change: nothing is sent to an endpoint that warms up before the members were read. The test fails without it (by reading; not run on the code before).

--- a/lib/src/node/warm_up.rs
+++ b/lib/src/node/warm_up.rs
@@ -380,6 +380,10 @@
         let Some(warming) = self.in_force(now, id, started_ms) else {
             return true;
         };
+        // Shares mean nothing before the members were read.
+        if self.ready_at.is_none_or(|t| now < t) {
+            return false;
+        }
         let recent = |t: &&Time| now.since(**t) < WINDOW;
         let sent = self
             .sends
--- a/lib/tests/test_node_warm_up.rs
+++ b/lib/tests/test_node_warm_up.rs
@@ -331,6 +331,17 @@
     assert!(vm.may_send(at(1_600), &id, 1));
 }
 
+/// While the store is away, a VM that starts reads the list from a peer and the members from nobody.
+#[test]
+fn vm_that_has_not_read_the_members_sends_nothing_to_a_cold_endpoint() {
+    let id: Arc<str> = Arc::from("e1");
+    let mut vm = WarmUps::new("entry-1", bound());
+    vm.record_entry(at(0), &id, (1, 1), left(3_000), &warm_up());
+    assert!(!vm.may_send(at(1_600), &id, 1));
+    assert!(!vm.may_send(at(2_900), &id, 1));
+    assert!(vm.may_send(at(3_000), &id, 1));
+}
+
 /// The list is read again, by another source or after an outage, while the entry is the same.
 #[test]
 fn entry_that_is_read_again_does_not_prolong_a_warm_up() {
