lib/node: far too many requests at a group don't overflow its estimate; evacuated groups have no queue

Cause (review): the mean excess takes an exponential that is infinite some 200 requests beyond the slots, and a Duration of infinite seconds ends the process. Idle groups of evacuated zones counted as groups without a queue of prompts, so that the others never counted as saturated. No test of their own.

--- a/lib/src/node/balance/room.rs
+++ b/lib/src/node/balance/room.rs
@@ -44,7 +44,7 @@
                 other_prompt_tokens: load.map_or(0, |l| l.peer_pending_prompt_tokens),
                 slots: candidate.slots,
                 hold_s: self.forecast.hold_s(engine, request.model, &current),
-                prefill_rate: engine.prefill_rate / candidate.time_factor.max(0.01),
+                prefill_rate: engine.prefill_rate.max(1.0) / candidate.time_factor.max(0.01),
             }
         };
         for candidate in eligible {
@@ -170,6 +170,7 @@
             read_s > MAX_PROMPT_QUEUE.as_secs_f64()
         };
         let serving = self.serving(request, Some(engine));
+        let serving = serving.filter(|c| !self.evacuated.contains(&c.zone));
         let (long, count) = serving.fold((0, 0), |(long, count), candidate| {
             (long + usize::from(is_long(&candidate)), count + 1)
         });
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -20,6 +20,8 @@
 const EXCESS_SCALE: f64 = 0.6;
 /// Least standard deviation assumed for the number of requests at an endpoint.
 const MIN_DEVIATION: f64 = 0.5;
+/// Multiple of the scale from which the mean of the positive part is the mean itself.
+const MAX_EXCESS_EXPONENT: f64 = 30.0;
 /// Cost of an endpoint outside the gateway's failure domain, in seconds.
 const FAR_COST_S: f64 = 0.003;
 
@@ -222,6 +224,10 @@
 /// Returns an approximation of the mean of the positive part of a normal variable.
 pub(crate) fn expected_excess(mean: f64, deviation: f64) -> f64 {
     let scale = EXCESS_SCALE * deviation.max(MIN_DEVIATION);
+    // The exponential would be infinite far beyond, where the mean itself is exact.
+    if mean > scale * MAX_EXCESS_EXPONENT {
+        return mean;
+    }
     scale * (mean / scale).exp().ln_1p()
 }
 
