lib/node: a VM knows its own prompts, which are not unseen

Cause (review): unseen prompts were worked out from all requests in flight, also those of this VM, so that one without others still left the best group. Change: those of the others count.

--- a/lib/src/node/balance/prompt_cost.rs
+++ b/lib/src/node/balance/prompt_cost.rs
@@ -122,9 +122,12 @@
         let (Some(group), Some(prompts)) = (groups.first(), self.prompts.get(request.model)) else {
             return 0.0;
         };
-        let in_flight = |group: &&Candidate| self.load(&group.id).map_or(0, Load::running);
-        let running: usize = groups.iter().map(in_flight).sum();
-        let average = running as f64 / groups.len() as f64;
+        let average_of = |count: fn(&Load) -> usize| {
+            let counts = groups.iter().map(|g| self.load(&g.id).map_or(0, count));
+            counts.sum::<usize>() as f64 / groups.len() as f64
+        };
+        let average = average_of(Load::running);
+        let of_others = average_of(|load| load.peer_requests);
         let load = CurrentLoad {
             running: average,
             doubt: 0.0,
@@ -137,7 +140,7 @@
         let estimate = self
             .forecast
             .estimate(Some(engine), request.model, &load, size);
-        let per_s = average / estimate.whole_answer.as_secs_f64().max(REPORT_AGE_S);
+        let per_s = of_others / estimate.whole_answer.as_secs_f64().max(REPORT_AGE_S);
         per_s * REPORT_AGE_S * prefill_s(engine, prompts.prompt_tokens) * group.time_factor
     }
 }
