--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -40,6 +40,9 @@
 const MEMBER_REWRITE_TIME: Duration = Duration::from_secs(1);
 /// Time after which a VM that has just started has heard from its peers.
 const PEERS_KNOWN_DELAY: Duration = Duration::from_millis(700);
+/// Number of peers whose records are compared with those of a store that came back from an older copy;
+/// one of them may have just started itself.
+const COMPARED_PEERS: usize = 3;
 /// Wait before the first retry; it doubles with each further one.
 const MIN_BACKOFF: Duration = Duration::from_millis(60);
 /// Longest wait before a retry.
@@ -99,13 +102,14 @@
     tokio::time::sleep(PEERS_KNOWN_DELAY).await;
     let now = node.now();
     let is_other = |m: &&Member| m.node != node.identity.node;
-    let peer = {
+    let compared: Vec<SocketAddr> = {
         let peers = node.peers.borrow();
         let others = peers.ready(now).filter(is_other);
-        others.choose(&mut rand::rng()).map(|m| m.peer_address)
+        let others = others.map(|m| m.peer_address);
+        others.choose_multiple(&mut rand::rng(), COMPARED_PEERS)
     };
-    if let Some(peer) = peer {
-        read_config_from_peer(node, peer).await;
+    for peer in compared {
+        read_config_from_peer(node.clone(), peer).await;
     }
 }
 
