--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -376,14 +376,15 @@
             let is_late = |run: &&Run| due < run.started_at && run.started_at < injected.until;
             for run in self.runs.iter().filter(is_in_zone).filter(is_late) {
                 let (id, endpoint, started) = (&run.id, &run.endpoint, run.started_at);
-                // A VM that starts beside an older copy of the store has only that; a disturbed link
-                // may deliver what was sent before.
-                let is_excused = self.is_excused(injected.from, started, |f| match f {
-                    Fault::Link(e, _) => self.endpoints[*e] == *endpoint,
-                    Fault::Restore(_) => true,
-                    _ => false,
-                });
-                if !is_excused {
+                let during =
+                    |kind: &dyn Fn(&Fault) -> bool| self.is_excused(injected.from, started, kind);
+                // A disturbed link may deliver what was sent before.
+                let is_delayed =
+                    during(&|f| matches!(f, Fault::Link(e, _) if self.endpoints[*e] == *endpoint));
+                // A VM that starts beside an older copy of the store may have only that.
+                let is_outdated = during(&|f| matches!(f, Fault::Restore(_)))
+                    && during(&|f| matches!(f, Fault::Kill(_) | Fault::Terminate(_)));
+                if !is_delayed && !is_outdated {
                     let after = started - injected.from;
                     violations.push(format!(
                         "{id} reached {endpoint} {after:?} after its zone was evacuated"
