--- a/lib/src/node/balance/room.rs
+++ b/lib/src/node/balance/room.rs
@@ -16,9 +16,9 @@
 /// up to half as long again as expected.
 const CERTAIN_FACTOR: f64 = 1.5;
 /// Prompts that may wait at most groups of a model, as the time to read them, and for how long there may
-/// be more. It is twice the time in which all entry VMs hear of it.
+/// be more. A wave of callers after a restart is read in half a second.
 const MAX_PROMPT_QUEUE: Duration = Duration::from_millis(100);
-const PROMPT_QUEUE_TIME: Duration = Duration::from_millis(200);
+const PROMPT_QUEUE_TIME: Duration = Duration::from_millis(500);
 /// A request is refused if its answer is expected to take more than this multiple of the remaining
 /// time. The factor is generous, since callers' estimates of the answer length are often far off.
 const MAX_OVERRUN: u32 = 2;
