lib/node: the count of choices begins at 0 again; each entry VM draws by a number of its own

12 tests of node (test_endless, test_streams) failed on: they send four to six requests to two endpoints and need the first choice to fall on the one that misbehaves. A start of the count that differs by VM moved it.

--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -138,6 +138,8 @@
     breaks: Breaks,
     forecast: Forecast,
     prompts: ModelPrompts,
+    /// Number by which the draws of this entry VM differ from those of others.
+    seed: u64,
     choice_count: u64,
 }
 
@@ -154,8 +156,8 @@
             breaks: Breaks::default(),
             forecast: Forecast::default(),
             prompts: ModelPrompts::default(),
-            // VMs that start together compare different endpoints.
-            choice_count: rendezvous::score(b"choice", this_vm.as_bytes()),
+            seed: rendezvous::score(b"spread", this_vm.as_bytes()),
+            choice_count: 0,
         }
     }
 
--- a/lib/src/node/balance/ranking.rs
+++ b/lib/src/node/balance/ranking.rs
@@ -45,7 +45,11 @@
         let scores = compared.iter().map(|c| self.score(c, request, engine));
         let scores: Vec<(bool, u128)> = scores.collect();
         let unseen = unseen_s * 1_000.0 / EQUAL_WITHIN_MS as f64;
-        let index = spread(&scores, unseen, rendezvous::score(&draw, b"spread"));
+        let index = spread(
+            &scores,
+            unseen,
+            rendezvous::score(&draw, &self.seed.to_le_bytes()),
+        );
         let best = index.and_then(|index| compared.get(index).copied());
         best.or_else(|| {
             let fallback = shuffled.iter().copied().filter(|_| request.has_started);
