--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -146,7 +146,8 @@
     long_prompts: BTreeMap<Arc<str>, Time>,
     /// Whether this is so for some time of the model of the current choice.
     is_prompt_bound: bool,
-    /// Number of choices, from a start that differs between entry VMs.
+    /// Number by which the draws of this entry VM differ from those of others.
+    seed: u64,
     choice_count: u64,
 }
 
@@ -167,8 +168,8 @@
             prompts: ModelPrompts::default(),
             long_prompts: BTreeMap::new(),
             is_prompt_bound: false,
-            // Entry VMs that started together would otherwise all draw the same endpoints.
-            choice_count: rendezvous::score(b"choice", this_vm.as_bytes()),
+            seed: rendezvous::score(b"spread", this_vm.as_bytes()),
+            choice_count: 0,
         }
     }
 
@@ -328,12 +329,17 @@
         }
     }
 
+    /// Returns the number of the current choice, which differs between entry VMs that started together.
+    fn own_draw(&self) -> u64 {
+        self.choice_count.wrapping_add(self.seed)
+    }
+
     fn load(&self, id: &str) -> Option<&Load> {
         self.loads.get(id)
     }
 
     fn retry_after(&self, request: &RoutingRequest<'_>) -> Duration {
-        let draw = self.choice_count.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48;
+        let draw = self.own_draw().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48;
         retry_after(request.time_left, draw as f64 / 65_536.0)
     }
 
--- a/lib/src/node/balance/ranking.rs
+++ b/lib/src/node/balance/ranking.rs
@@ -25,7 +25,12 @@
         engine: Option<&Engine>,
     ) -> Option<&'a Candidate> {
         let mut shuffled = eligible.to_vec();
-        let draw = self.choice_count.to_le_bytes();
+        // A VM without others has nobody to keep apart from.
+        let draw = match self.total_arrived {
+            Some(_) => self.own_draw(),
+            None => self.choice_count,
+        };
+        let draw = draw.to_le_bytes();
         shuffled.sort_by_cached_key(|c| rendezvous::score(&draw, c.id.as_bytes()));
         let compared = self.compared(&shuffled, request, engine);
         let with_room = || compared.iter().copied();
@@ -42,7 +47,11 @@
         let scores = compared.iter().map(|c| self.score(c, request, engine));
         let scores: Vec<(bool, u128)> = scores.collect();
         let unseen = unseen_s * 1_000.0 / EQUAL_WITHIN_MS as f64;
-        let index = spread(&scores, unseen, rendezvous::score(&draw, b"spread"));
+        let index = spread(
+            &scores,
+            unseen,
+            rendezvous::score(&draw, &self.seed.to_le_bytes()),
+        );
         let best = index.and_then(|index| compared.get(index).copied());
         best.or_else(|| {
             let fallback = shuffled.iter().copied().filter(|_| request.has_started);
--- a/lib/src/node/balance/room.rs
+++ b/lib/src/node/balance/room.rs
@@ -88,7 +88,7 @@
         }
         let shares: Vec<f64> = with_room.iter().map(|c| self.others_send(c)).collect();
         if shares.iter().sum::<f64>() > 0.0 {
-            let drawn = draw_by_weight(&shares, self.choice_count);
+            let drawn = draw_by_weight(&shares, self.own_draw());
             with_room = drawn.map(|i| with_room[i]).into_iter().collect();
         }
         with_room
