--- a/lib/tests/test_node_worth.rs
+++ b/lib/tests/test_node_worth.rs
@@ -23,7 +23,7 @@
     engine.prefill_rate = 56_100.0;
     engine.load_rate = 14.0;
     engine.load_limit = 20;
-    let [large, small] = &mut engine.models[..] else {
+    let [large, small] = &mut *engine.models else {
         panic!("two models");
     };
     large.load_time = Duration::from_secs(16);
