--- a/lib/src/node/balance.rs
+++ b/lib/src/node/balance.rs
@@ -148,6 +148,8 @@
     is_prompt_bound: bool,
     /// Number by which the draws of this entry VM differ from those of others.
     seed: u64,
+    /// Whether there are no other entry VMs, from whose draws those of this one must differ.
+    is_alone: bool,
     choice_count: u64,
 }
 
@@ -169,6 +171,7 @@
             long_prompts: BTreeMap::new(),
             is_prompt_bound: false,
             seed: rendezvous::score(b"spread", this_vm.as_bytes()),
+            is_alone: false,
             choice_count: 0,
         }
     }
@@ -201,6 +204,11 @@
         self.candidates = new_candidates;
     }
 
+    /// Sets whether there are no other entry VMs.
+    pub fn set_alone(&mut self, is_alone: bool) {
+        self.is_alone = is_alone;
+    }
+
     /// Replaces the zones to whose endpoints nothing new is sent.
     pub fn set_evacuated(&mut self, zones: BTreeSet<Arc<str>>) {
         self.evacuated = zones;
@@ -331,7 +339,10 @@
 
     /// Returns the number of the current choice, which differs between entry VMs that started together.
     fn own_draw(&self) -> u64 {
-        self.choice_count.wrapping_add(self.seed)
+        match self.is_alone {
+            true => self.choice_count,
+            false => self.choice_count.wrapping_add(self.seed),
+        }
     }
 
     fn load(&self, id: &str) -> Option<&Load> {
--- a/lib/src/node/balance/ranking.rs
+++ b/lib/src/node/balance/ranking.rs
@@ -25,12 +25,7 @@
         engine: Option<&Engine>,
     ) -> Option<&'a Candidate> {
         let mut shuffled = eligible.to_vec();
-        // A VM without others has nobody to keep apart from.
-        let draw = match self.total_arrived {
-            Some(_) => self.own_draw(),
-            None => self.choice_count,
-        };
-        let draw = draw.to_le_bytes();
+        let draw = self.own_draw().to_le_bytes();
         shuffled.sort_by_cached_key(|c| rendezvous::score(&draw, c.id.as_bytes()));
         let compared = self.compared(&shuffled, request, engine);
         let with_room = || compared.iter().copied();
--- a/lib/tests/test_node_evacuation.rs
+++ b/lib/tests/test_node_evacuation.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hemlock_lib::node::balance::{Balancer, Candidate, Choice, RoutingRequest};
+use hemlock_lib::node::balance::{Balancer, Candidate, Choice, Goals, RoutingRequest};
 use hemlock_lib::node::cache::{Position, Update};
 use hemlock_lib::node::capacity::Demand;
 use hemlock_lib::node::config::Engine;
@@ -165,6 +165,10 @@
         zone: "z1",
         first_event_limit: Duration::from_millis(1_400),
         queue_limit: Duration::MAX,
+        goals: Goals {
+            first_event: Duration::from_millis(300),
+            event_gap: Duration::from_millis(300),
+        },
         time_left: Duration::from_secs(6),
         shutdown_limit: None,
         connected: &NO_CONNECTIONS,
--- a/lib/tests/test_node_places.rs
+++ b/lib/tests/test_node_places.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::balance::{self, Balancer, Candidate, Choice, RoutingRequest};
+use hemlock_lib::node::balance::{self, Balancer, Candidate, Choice, Goals, RoutingRequest};
 use hemlock_lib::node::config::Engine;
 use hemlock_lib::node::peers::EndpointLoad;
 use hemlock_lib::time::Time;
@@ -219,6 +219,10 @@
             zone: "z1",
             first_event_limit: ABANDON_GAP.mul_f64(0.7),
             queue_limit: balance::queue_limit(goal),
+            goals: Goals {
+                first_event: Duration::from_millis(300),
+                event_gap: Duration::from_millis(300),
+            },
             time_left: DEADLINE.saturating_sub(self.now.since(called)),
             shutdown_limit: None,
             connected: &connected,
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -489,6 +489,8 @@
         self.check_outage();
         self.refresh_candidates();
         self.update_warm_up_vms();
+        let is_alone = self.entry_vm_count() == 1;
+        self.balancer.borrow_mut().set_alone(is_alone);
         evacuations::log_empty(self);
         self.replaced_configs.borrow_mut().expire(now);
         self.pool.expire(now);
