--- a/lib/src/node/planner/convert.rs
+++ b/lib/src/node/planner/convert.rs
@@ -15,7 +15,7 @@
 
 /// Below this fraction of the donor's coverage, a model gets engines of the donor even if no more
 /// engines serve than before.
-const LARGE_IMBALANCE: f64 = 0.5;
+const LARGE_IMBALANCE: f64 = 0.6;
 /// Upper bound on the groups that end for another model at a time, as a fraction of the serving
 /// groups.
 const MAX_ENDING_FRACTION: f64 = 0.15;
