planner: an engine that does not become ready alone is given up, and is not asked again

Cause (review): a group of one that stayed joining was left as it was for as long as this planner planned, refused joins were sent again without end, and leaves went to lost engines and into evacuated zones. Change: it is dissolved after the time of a warm-up and the list's delay; one try a start; none while the list is not updated.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -263,6 +263,8 @@
     last_model: Option<Arc<str>>,
     /// Model whose weights are being loaded onto the host, and since when.
     staging: Option<(Arc<str>, Time)>,
+    /// Whether the engine was ordered to start a model alone since its start.
+    was_prepared: bool,
     /// Membership when the list was last read.
     membership: Option<Membership>,
     /// Start time of the engine that this state belongs to.
--- a/lib/src/node/planner/groups.rs
+++ b/lib/src/node/planner/groups.rs
@@ -201,15 +201,21 @@
 
     fn phase(&mut self, group: &Group) -> GroupPhase {
         let key = (group.name.clone(), group.epoch);
+        let lost = group.members.values().any(|(id, _)| self.is_lost(id));
         if self.planner.preparing.contains(&group.epoch) {
-            return GroupPhase::Preparing;
+            let since = *self.planner.unhealthy_since.entry(key).or_insert(self.now);
+            let warmups = self.input.engine.models.iter().map(|m| m.warmup_time);
+            let limit = warmups.max().unwrap_or_default() + LIST_DELAY * 2;
+            return match !lost && self.now.since(since) < limit {
+                true => GroupPhase::Preparing,
+                false => GroupPhase::Damaged,
+            };
         }
         let size = self.group_size(group);
         if self.is_disbanded(group) {
             return GroupPhase::Disbanded;
         }
         let formed_since = self.planner.formed.get(&group.epoch).map(|f| f.since);
-        let lost = group.members.values().any(|(id, _)| self.is_lost(id));
         if lost {
             return GroupPhase::Damaged;
         }
--- a/lib/src/node/planner/prepare.rs
+++ b/lib/src/node/planner/prepare.rs
@@ -24,7 +24,8 @@
     ) {
         let models = &self.input.engine.models;
         let smallest = models.iter().map(|m| m.group_size).min().unwrap_or(0);
-        if models.len() < 2 {
+        // A list that is not updated does not show where an engine is by now.
+        if models.len() < 2 || self.input.list_frozen {
             return;
         }
         let mut idle: BTreeMap<&str, usize> = BTreeMap::new();
@@ -40,6 +41,9 @@
         for (endpoint, model) in unstarted {
             let epoch = self.planner.next_epoch(self.fence);
             self.planner.preparing.insert(epoch);
+            if let Some(state) = self.planner.engine_states.get_mut(&endpoint.id) {
+                state.was_prepared = true;
+            }
             let action = Action::Join {
                 group: group_name(epoch, model.group_size, &model.name),
                 epoch,
@@ -54,7 +58,8 @@
     /// order or load in progress.
     fn unstarted_model(&self, endpoint: &Endpoint) -> Option<&'s Model> {
         let state = self.planner.engine_states.get(&endpoint.id)?;
-        if state.last_model.is_some() || state.staging.is_some() || !self.is_idle(&endpoint.id) {
+        let is_new = state.last_model.is_none() && !state.was_prepared;
+        if !is_new || state.staging.is_some() || !self.is_idle(&endpoint.id) {
             return None;
         }
         let models = self.input.engine.models.iter();
@@ -69,7 +74,10 @@
             .endpoints
             .iter()
             .filter(|e| {
-                let membership = e.membership.as_ref();
+                let takes_orders = &*e.service == self.input.service
+                    && !self.input.endpoints.is_evacuated(e)
+                    && !self.is_lost(&e.id);
+                let membership = e.membership.as_ref().filter(|_| takes_orders);
                 membership.is_some_and(|m| {
                     m.state != MemberState::Joining && self.planner.preparing.contains(&m.epoch)
                 })
