planner: donors of a conversion that is dropped go on serving

Cause (review): a conversion that is dropped for an evacuation, or since its model has enough, left its donors to be ended for nothing, and these counted against the number of groups that may end. 235 lib tests of node pass; no test of its own.

--- a/lib/src/node/planner/convert.rs
+++ b/lib/src/node/planner/convert.rs
@@ -55,6 +55,7 @@
             let model = self.input.engine.model(&conversion.model);
             let Some(model) = model.filter(|m| !is_evacuated && !is_superseded(m)) else {
                 self.planner.conversions.remove(&domain);
+                self.keep_donors(&domain);
                 continue;
             };
             let mut left = conversion.count;
@@ -78,6 +79,15 @@
         }
     }
 
+    /// Lets groups of a failure domain that were to end for another model go on. One that is closing
+    /// already is opened again.
+    fn keep_donors(&mut self, domain: &str) {
+        let of_domain = self.groups.iter().filter(|(_, g)| &*g.domain == domain);
+        for ((_, epoch), _) in of_domain {
+            self.planner.retiring.remove(epoch);
+        }
+    }
+
     /// Returns whether the engine is reserved for a group that other engines are being freed for.
     pub(super) fn is_reserved_for_conversion(&self, endpoint: &Endpoint) -> bool {
         let conversion = self.planner.conversions.get(&endpoint.domain);
