lib/node: two groups are drawn in a press, and the better one gets the request

Cause (review): a single draw dropped expected time, slowness, zone and connection for all groups once one lacked a place. Change: two are drawn by the same weights and compared.

--- a/lib/src/node/balance/room.rs
+++ b/lib/src/node/balance/room.rs
@@ -1,5 +1,6 @@
 //! Which endpoints have room for a request, so that it ends while that is of use to its caller.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +20,8 @@
 /// be more. A wave of callers after a restart is read in half a second.
 const MAX_PROMPT_QUEUE: Duration = Duration::from_millis(100);
 const PROMPT_QUEUE_TIME: Duration = Duration::from_millis(500);
+/// Groups that are drawn while some are close to full; the better one for the request gets it.
+const DRAWN_GROUPS: u8 = 2;
 /// A request is refused if its answer is expected to take more than this multiple of the remaining
 /// time. The factor is generous, since callers' estimates of the answer length are often far off.
 const MAX_OVERRUN: u32 = 2;
@@ -65,7 +68,7 @@
     /// Returns the endpoints with room that are compared for a request.
     ///
     /// While groups are close to full, a place that looks free is gone before a request arrives, since
-    /// all entry VMs see it at the same time. Each of them then draws a group by the requests that all
+    /// all entry VMs see it at the same time. Each of them then draws groups by the requests that all
     /// of them together may send there until the next reports.
     pub(super) fn compared<'a>(
         &self,
@@ -88,8 +91,11 @@
         }
         let shares: Vec<f64> = with_room.iter().map(|c| self.others_send(c)).collect();
         if shares.iter().sum::<f64>() > 0.0 {
-            let drawn = draw_by_weight(&shares, self.own_draw());
-            with_room = drawn.map(|i| with_room[i]).into_iter().collect();
+            let draw = self.own_draw().to_le_bytes();
+            let draws = (0..DRAWN_GROUPS).map(|index| rendezvous::score(&[index], &draw));
+            let drawn = draws.filter_map(|draw| draw_by_weight(&shares, draw));
+            let drawn: BTreeSet<usize> = drawn.collect();
+            with_room = drawn.into_iter().map(|i| with_room[i]).collect();
         }
         with_room
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -165,8 +165,7 @@
 
 impl Case {
     /// Parses a line of `seeds.txt`, with an optional `all`, `cuts`, `limits`, `pauses`, `warm-ups` or
-    /// `evacuations` before the
-    /// cause for the kinds of faults. Returns `None` for a comment.
+    /// `evacuations` before the cause for the kinds of faults. Returns `None` for a comment.
     fn parse(line: &str) -> Option<Self> {
         let mut numbers = line.split(' ').map_while(|n| n.parse().ok());
         Some(Self {
