--- a/review/standin-2/src/engine.rs
+++ b/review/standin-2/src/engine.rs
@@ -8,7 +8,8 @@
 use hemlock_wire::http1::{self, Conn, RequestHead};
 use rand::Rng;
 use serde_json::{Value, json};
-use tokio::task::spawn_local;
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, spawn_local};
 
 use crate::store::SERVERS;
 use crate::world::World;
@@ -49,6 +50,10 @@
 
 #[derive(Debug)]
 pub struct State {
+    born: u64,
+    /// Number of lives that have ended.
+    life: u32,
+    is_down: bool,
     pub group: Option<Group>,
     pub staged: Vec<String>,
     /// Model that is being loaded onto the host, and when that began.
@@ -70,21 +75,24 @@
     pub id: String,
     pub domain: String,
     pub address: SocketAddr,
-    pub born: u64,
     pub state: RefCell<State>,
+    /// The task that accepts connections, while the worker runs.
+    accepting: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl Engine {
     /// Starts a worker without weights, which registers itself in the store.
     pub fn spawn(world: &Rc<World>, id: &str, domain: &str) -> Rc<Self> {
         let (listener, address) = crate::listen();
-        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let engine = Rc::new(Self {
             id: id.to_owned(),
             domain: domain.to_owned(),
             address,
-            born: born.map_or(1, |t| t.as_millis() as u64),
+            accepting: RefCell::default(),
             state: RefCell::new(State {
+                born: unix_ms(),
+                life: 0,
+                is_down: false,
                 group: None,
                 staged: Vec::new(),
                 staging: None,
@@ -100,10 +108,7 @@
             }),
         });
         world.engines.borrow_mut().push(engine.clone());
-        let (served, of_engine) = (world.clone(), engine.clone());
-        spawn_local(crate::accept(listener, move |conn| {
-            serve(served.clone(), of_engine.clone(), conn)
-        }));
+        engine.accept(world, listener);
         let (world, beating) = (world.clone(), engine.clone());
         spawn_local(async move {
             beating.publish(&world);
@@ -116,6 +121,48 @@
         engine
     }
 
+    fn accept(self: &Rc<Self>, world: &Rc<World>, listener: TcpListener) {
+        let (world, engine) = (world.clone(), self.clone());
+        let accepting = spawn_local(crate::accept(listener, move |conn| {
+            serve(world.clone(), engine.clone(), conn)
+        }));
+        self.accepting.replace(Some(accepting));
+    }
+
+    /// Crashes the worker: its connections end, and it says nothing more.
+    pub fn crash(&self, world: &World) {
+        world.note(&format!("srv_crash: {}", self.id));
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+        }
+        let mut state = self.state.borrow_mut();
+        state.is_down = true;
+        state.life += 1;
+        state.group = None;
+    }
+
+    /// Starts the worker again under its id. It has what is on its host, and nothing else.
+    pub fn restart(self: &Rc<Self>, world: &Rc<World>) {
+        let listener = std::net::TcpListener::bind(self.address).expect("the port of before");
+        listener.set_nonblocking(true).expect("a socket");
+        {
+            let mut state = self.state.borrow_mut();
+            state.born = unix_ms();
+            state.is_down = false;
+            state.last_model = None;
+            (state.fence, state.max_epoch, state.orders, state.beats) = (0, 0, 0, 0);
+            (state.is_opening, state.missing_since) = (false, None);
+        }
+        world.note(&format!("{} starts again under its id", self.id));
+        self.accept(world, TcpListener::from_std(listener).expect("a listener"));
+        self.publish(world);
+    }
+
+    fn life(&self) -> (u32, bool) {
+        let state = self.state.borrow();
+        (state.life, state.is_down)
+    }
+
     pub fn is_free(&self) -> bool {
         let state = self.state.borrow();
         state.group.is_none() && state.staged.iter().any(|m| m == MODEL)
@@ -145,13 +192,16 @@
             "service": SERVICE, "address": self.address.to_string(), "zone": "riverside", "version": "v1",
             "slots": 17, "state": "ready", "coldLeftMs": 0, "phase": "both",
             "models": models.unwrap_or_else(|| json!([])), "domain": self.domain, "staged": state.staged,
-            "group": group, "born": self.born, "sequence": state.beats,
+            "group": group, "born": state.born, "sequence": state.beats,
         })
     }
 
     /// Writes the entry to the store. The worker does not wait for the answer of an earlier write that
     /// gets none.
     pub fn publish(self: &Rc<Self>, world: &Rc<World>) {
+        if self.state.borrow().is_down {
+            return;
+        }
         self.state.borrow_mut().beats += 1;
         let entry = self.describe();
         let now = Instant::now();
@@ -185,6 +235,10 @@
                     entry["sequence"], engine.id
                 ));
             }
+            // A store that is down does nothing.
+            if world.store.is_silent() {
+                return;
+            }
             world
                 .store
                 .append(SERVERS, &engine.id, entry.to_string().as_bytes());
@@ -208,6 +262,15 @@
                     return;
                 };
                 group.state = state;
+                if state == "ready" {
+                    let key = (
+                        engine.id.clone(),
+                        group.name.clone(),
+                        epoch,
+                        group.members.clone(),
+                    );
+                    world.ready.borrow_mut().insert(key);
+                }
                 let model = group.model.clone();
                 own.is_opening = false;
                 if !own.staged.contains(&model) {
@@ -378,6 +441,32 @@
         }
     }
 
+    /// Checks the rule PARTIAL for a request that begins to run in a group.
+    fn check_run(&self, world: &World, group: &Group, request: &str) {
+        let was_ready = world.ready.borrow();
+        for member in &group.members {
+            let key = (
+                member.clone(),
+                group.name.clone(),
+                group.epoch,
+                group.members.clone(),
+            );
+            if !was_ready.contains(&key) {
+                world.violate(format!(
+                    "PARTIAL: {request} runs at {} in group {} of {:?}, whose member {member} has never been \
+                     ready under that name, epoch and list",
+                    self.id, group.name, group.members
+                ));
+            }
+        }
+        if group.members.len() != GROUP_SIZE {
+            world.violate(format!(
+                "PARTIAL: {request} runs in group {} of {:?}",
+                group.name, group.members
+            ));
+        }
+    }
+
     /// Has the head of an open group give up once a member has been missing for the stall time.
     pub fn check_members(self: &Rc<Self>, world: &Rc<World>) {
         let Some(group) = self.state.borrow().group.clone() else {
@@ -417,8 +506,17 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(1, |t| t.as_millis() as u64)
+}
+
 async fn serve(world: Rc<World>, engine: Rc<Engine>, mut conn: Conn) {
+    let life = engine.life();
     while let Ok(mut head) = conn.read_request_head(32 << 10).await {
+        if engine.life() != life {
+            return;
+        }
         let Ok(Some(body)) = conn.read_body(&mut head.body_framing, 4 << 20).await else {
             return;
         };
@@ -471,6 +569,7 @@
         engine.id,
         get("Last-Event-Id")
     ));
+    engine.check_run(world, &group, &id);
     engine.state.borrow_mut().streams += 1;
     let sent = stream(
         world,
@@ -506,6 +605,7 @@
     last: u64,
     conn: &mut Conn,
 ) -> bool {
+    let life = engine.life().0;
     let text = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp-{}\r\nWeight-Versions: 1\r\n\
          Content-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -528,7 +628,11 @@
                 .filter(|g| g.epoch == group.epoch && g.state != "broken");
             let is_moving = own.is_some() && state.missing_since.is_none();
             let is_over = own.is_none();
+            let is_down = state.life != life;
             drop(state);
+            if is_down {
+                return false;
+            }
             if is_over {
                 world.note(&format!(
                     "worker {}: cuts off {id} after event {}",
--- a/review/standin-2/src/scenario.rs
+++ b/review/standin-2/src/scenario.rs
@@ -100,6 +100,7 @@
         "frozen-planner" => {
             frozen_planner(Run::start(world, dir, 2, 1, 5).await?, has_trouble).await
         }
+        "store-outage" => store_outage(Run::start(world, dir, 2, 2, 8).await?, has_trouble).await,
         _ => Err(format!("there is no scenario {name}")),
     }
 }
@@ -408,7 +409,8 @@
             run.vms[first].name, spare.id
         ));
         let is_loading = |_: &Run| added.state.borrow().staging.is_some();
-        run.wait(Duration::from_secs(8), "the new worker loads", is_loading).await?;
+        run.wait(Duration::from_secs(8), "the new worker loads", is_loading)
+            .await?;
         let begun = added.state.borrow().staging.as_ref().map(|(_, at)| *at);
         let loaded = begun.ok_or("no load")? + LOAD_TIME;
         let at = |ms: i64| match ms {
@@ -417,12 +419,16 @@
         };
         tokio::time::sleep_until(at(-2_000).into()).await;
         if has_trouble {
-            run.world.note(&format!("srv_cut: {} is partitioned from the store for 5 s", spare.id));
+            run.world.note(&format!(
+                "srv_cut: {} is partitioned from the store for 5 s",
+                spare.id
+            ));
             spare.state.borrow_mut().cut = Some((Instant::now(), at(3_000), Held::Lost));
         }
         tokio::time::sleep_until(at(1_900).into()).await;
         if has_trouble {
-            run.world.note(&format!("node_freeze: {} for 4 s", run.vms[first].name));
+            run.world
+                .note(&format!("node_freeze: {} for 4 s", run.vms[first].name));
             run.vms[first].signal("STOP");
         }
         // The successor is stopped once it has opened the group.
@@ -431,8 +437,14 @@
             tokio::time::sleep(STEP).await;
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
-        run.world.note(&format!("the group of {} and {} serves: {}", spare.id, added.id, is_open()));
-        run.world.note(&format!("roll_term: {} gets SIGTERM", run.vms[second].name));
+        run.world.note(&format!(
+            "the group of {} and {} serves: {}",
+            spare.id,
+            added.id,
+            is_open()
+        ));
+        run.world
+            .note(&format!("roll_term: {} gets SIGTERM", run.vms[second].name));
         run.vms[second].signal("TERM");
         tokio::time::sleep_until(at(5_900).into()).await;
         if has_trouble {
@@ -446,11 +458,74 @@
             tokio::time::sleep(STEP).await;
         }
         run.vms[second].restart().map_err(|e| e.to_string())?;
-        run.world.note(&format!("{} starts again", run.vms[second].name));
+        run.world
+            .note(&format!("{} starts again", run.vms[second].name));
         if round == 0 {
-            run.wait(Duration::from_secs(20), "the spare worker is free", |_| spare.is_free()).await?;
+            run.wait(Duration::from_secs(20), "the spare worker is free", |_| {
+                spare.is_free()
+            })
+            .await?;
         }
         tokio::time::sleep(Duration::from_secs(3)).await;
     }
     run.end()
 }
+
+/// Two workers crash, and the store is down from the moment at which the rest of their groups is ordered
+/// into a new one. Later another worker restarts under its id.
+async fn store_outage(run: Run, has_trouble: bool) -> Result<(), String> {
+    // A spare worker that has been in no group, and whose id precedes those of the others.
+    let spare = Engine::spawn(&run.world, "i-d0--", "d0");
+    run.wait(Duration::from_secs(20), "the added worker is free", |_| {
+        spare.is_free()
+    })
+    .await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let members: Vec<Rc<Engine>> = {
+        let engines = run.world.engines.borrow();
+        let is_second = |e: &&Rc<Engine>| {
+            let state = e.state.borrow();
+            e.domain == "d0" && state.group.as_ref().is_some_and(|g| g.rank == 1)
+        };
+        engines.iter().filter(is_second).take(2).cloned().collect()
+    };
+    let heads: Vec<Rc<Engine>> = members
+        .iter()
+        .filter_map(|m| {
+            let state = m.state.borrow();
+            run.world.engine(&state.group.as_ref()?.members[0])
+        })
+        .collect();
+    members.iter().for_each(|m| m.crash(&run.world));
+    // The store is down before it has the entries of the group that the two heads form now.
+    let is_ordered = || {
+        let mut states = heads.iter().map(|h| h.state.borrow());
+        states.any(|s| s.group.as_ref().is_some_and(|g| g.state == "joining"))
+    };
+    let since = Instant::now();
+    while !is_ordered() {
+        if since.elapsed() > Duration::from_secs(6) {
+            return Err("the heads are in no new group".to_owned());
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    if has_trouble {
+        run.world
+            .note("platform_down: the store answers nothing for 5 s");
+        run.world.store.set_silent(true);
+    }
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    if has_trouble {
+        run.world.store.set_silent(false);
+        run.world.note("the store answers again");
+    }
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let head = heads.iter().find(|h| h.is_open_head()).cloned();
+    if let Some(head) = head {
+        head.crash(&run.world);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        head.restart(&run.world);
+    }
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    run.end()
+}
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in of the platform's store: keyed topics, and one group whose members share one partition.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,6 +36,8 @@
     written: RefCell<BTreeMap<String, Instant>>,
     changed: Notify,
     group: RefCell<Group>,
+    /// Since when the store answers no call.
+    silent_since: Cell<Option<Instant>>,
 }
 
 impl Store {
@@ -55,6 +57,28 @@
         end
     }
 
+    /// Has the store answer no more calls, or answer again. The times of entries and of members pause
+    /// meanwhile.
+    pub fn set_silent(&self, silent: bool) {
+        if silent {
+            return self.silent_since.set(Some(Instant::now()));
+        }
+        let Some(since) = self.silent_since.take() else {
+            return;
+        };
+        let pause = since.elapsed();
+        self.written
+            .borrow_mut()
+            .values_mut()
+            .for_each(|at| *at += pause);
+        let mut group = self.group.borrow_mut();
+        group.members.values_mut().for_each(|until| *until += pause);
+    }
+
+    pub fn is_silent(&self) -> bool {
+        self.silent_since.get().is_some()
+    }
+
     /// Member of the group that holds its partition.
     pub fn holder(&self) -> Option<String> {
         let mut group = self.group.borrow_mut();
@@ -64,6 +88,9 @@
 
     /// Removes the entries of workers that have been silent for too long.
     pub fn expire(&self, world: &World) {
+        if self.is_silent() {
+            return;
+        }
         let mut written = self.written.borrow_mut();
         let is_old = |at: &Instant| at.elapsed() > ENTRY_LIFETIME;
         let old: Vec<String> = written
@@ -216,6 +243,9 @@
             return;
         };
         tokio::time::sleep(ANSWER_TIME).await;
+        if world.store.is_silent() {
+            return hold(&mut conn).await;
+        }
         let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
         let params: BTreeMap<&str, &str> =
             query.split('&').filter_map(|p| p.split_once('=')).collect();
@@ -243,8 +273,16 @@
             }
             _ => (404, Vec::new()),
         };
+        if world.store.is_silent() {
+            return hold(&mut conn).await;
+        }
         if crate::reply(&mut conn, status, "", &reply).await.is_err() {
             return;
         }
     }
 }
+
+/// Leaves a call without an answer until its caller closes the connection.
+async fn hold(conn: &mut Conn) {
+    let _ = conn.discard_all().await;
+}
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -1,6 +1,7 @@
 //! What all stand-ins of one run share: the clock, the record of the run, and what broke a rule.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::path::Path;
@@ -19,6 +20,8 @@
     /// Whether a client has sent a request; loads take a tenth of their time before.
     pub has_traffic: Cell<bool>,
     violations: RefCell<Vec<String>>,
+    /// Workers that have been ready, each with the name, the epoch and the member list of its group.
+    pub ready: RefCell<BTreeSet<(String, String, u64, Vec<String>)>>,
 }
 
 impl World {
@@ -31,6 +34,7 @@
             engines: RefCell::default(),
             has_traffic: Cell::new(false),
             violations: RefCell::default(),
+            ready: RefCell::default(),
         })
     }
 
