lib: the planner's lease moves into the library

When orders may be sent under a lease was decided in node/src/leadership.rs, beside the sockets, so that no test could play a freeze or an outage around a renewal. Lease has it now, with the time as an argument; the store's answer is decoded into Grant. No behaviour changes.

--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -5,8 +5,8 @@
 //! [`forecast`] estimates, the limits that endpoints announce ([`rate_limits`]), the zones that operators
 //! have evacuated ([`evacuation`]) and the groups that break off requests ([`breaks`]), [`budget`] and [`quarantine`] limit its retries, and [`events`]
 //! keeps its event stream free of gaps and duplicates. [`planner`] forms the engine groups that
-//! [`capacity`] asks for, [`peers`] tracks the other entry VMs, which hear from this one as often as
-//! [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
+//! [`capacity`] asks for while this VM holds the [`lease`], [`peers`] tracks the other entry VMs, which hear
+//! from this one as often as [`heartbeat_pace`] says, and [`load_totals`] adds up the load that they have on endpoints. [`reach`]
 //! tells whether this VM itself is cut off from the endpoints, and [`peer_paths`] which peers are not;
 //! [`passing`] has one of these send a request, by the configuration that [`replaced_configs`] finds for it.
 //! [`holding`] decides what follows when the endpoint of a request is silent, and [`own_delay`] knows for
@@ -27,6 +27,7 @@
 mod healing;
 pub mod heartbeat_pace;
 pub mod holding;
+pub mod lease;
 pub mod load_totals;
 pub mod memory;
 pub mod own_delay;
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -10,8 +10,9 @@
 use hemlock_lib::node::capacity::{self, Demand};
 use hemlock_lib::node::config::Config;
 use hemlock_lib::node::endpoints::EngineReport;
+use hemlock_lib::node::lease::Lease;
 use hemlock_lib::node::planner::{
-    self, Action, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply, Summary,
+    Action, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply, Summary,
 };
 use hemlock_lib::node::reach::{PathFailure, PathState};
 use hemlock_lib::time::Time;
@@ -31,13 +32,8 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 /// Minimum length of the lease, which the settings may extend.
 const MIN_LEASE: Duration = Duration::from_millis(1_500);
-/// Time before the end of the lease from which no more orders are sent.
-const LEASE_MARGIN: Duration = Duration::from_millis(300);
 /// Time for which a VM whose request for the lease failed leaves the lease to others.
 const LEASE_BACKOFF: Duration = Duration::from_secs(2);
-/// Time after the lease was last held within which planning continues without it, if the store is
-/// unreachable: VMs notice that within a second, and tell each other within another.
-const CONTINUE_LIMIT: Duration = Duration::from_secs(4);
 /// Time after the start in which this VM only listens to its peers, so that a single VM asks for
 /// the lease.
 const STARTUP_DELAY: Duration = Duration::from_millis(700);
@@ -52,28 +48,11 @@
 struct Leadership {
     /// Planners by engine service.
     planners: BTreeMap<Arc<str>, Planner>,
-    /// Era of the store that counts the generation of the lease.
-    era: u64,
-    /// Generation of the lease.
-    generation: u64,
-    /// Until when orders may be sent, if the lease is held.
-    expires: Option<Time>,
-    /// When the lease was last held, unless the store has since refused it; it may have ended
-    /// because the store is unreachable.
-    last_held: Option<Time>,
-    /// Whether planning continues without the store.
-    without_store: bool,
+    lease: Lease,
     /// The summary that was logged last, and the time of that.
     last_summary: Option<(Time, Summary)>,
 }
 
-impl Leadership {
-    /// Returns the fencing token of the orders.
-    fn fence(&self) -> u64 {
-        planner::fencing_token(self.era, self.generation)
-    }
-}
-
 /// Plans whenever this VM is the planner, until the process ends.
 pub(crate) async fn run(node: Rc<Node>) {
     let leadership = Rc::new(RefCell::new(Leadership::default()));
@@ -88,16 +67,16 @@
 
 /// Acquires and renews the lease while this VM should be the planner, and gives it back otherwise.
 async fn renew(node: Rc<Node>, leadership: Rc<RefCell<Leadership>>) {
-    let lease = MIN_LEASE.max(Duration::from_millis(node.settings.store.lease_ms));
+    let length = MIN_LEASE.max(Duration::from_millis(node.settings.store.lease_ms));
     let mut is_in_planner_group = false;
     tokio::time::sleep(STARTUP_DELAY).await;
     loop {
         let now = node.now();
-        if continue_without_store(&node, &leadership, now, lease) {
+        if continue_alone(&node, &leadership, now, length) {
             tokio::time::sleep(RENEW_INTERVAL).await;
             continue;
         }
-        let held = leadership.borrow().expires.is_some_and(|t| t > now);
+        let held = leadership.borrow().lease.is_held(now);
         let is_backing_off = node.lease_backoff_until.get().is_some_and(|t| t > now);
         let path = node.path_state(now);
         let wants_lease = (held || !is_backing_off)
@@ -107,83 +86,61 @@
                 .should_hold_lease(now, &node.identity, held, path);
         if wants_lease && node.is_ready() {
             is_in_planner_group = true;
-            request_lease(&node, &leadership, now, lease).await;
+            request_lease(&node, &leadership, now, length).await;
         } else if is_in_planner_group {
             // The store may grant the lease to any VM in its group of planners, so a VM that should
             // not be the planner leaves the group.
             if path == PathState::Cut {
                 // Peers that can give orders take over.
-                let mut leadership = leadership.borrow_mut();
-                (leadership.expires, leadership.last_held) = (None, None);
+                leadership.borrow_mut().lease.give_up();
             }
             match node.store.leave_planners(&node.planner_name()).await {
                 Ok(()) => is_in_planner_group = false,
                 Err(e) => log::warn!("event=duty_unreturned cause=\"{e}\""),
             }
         }
-        if leadership.borrow().expires.is_none_or(|t| t <= node.now()) {
-            set_is_planner(&node, false, leadership.borrow().fence());
-        }
+        end_if_lapsed(&node, &leadership.borrow().lease);
         tokio::time::sleep(RENEW_INTERVAL).await;
     }
 }
 
-/// Continues to plan while no VM reaches the store, when no other VM can take over. This is safe
-/// since engines refuse older fencing tokens once another planner has used a newer one. Returns
-/// whether planning continues.
-fn continue_without_store(
+/// Stops planning once the lease has lapsed.
+fn end_if_lapsed(node: &Node, lease: &Lease) {
+    if !lease.is_held(node.now()) {
+        set_is_planner(node, false, lease.fence());
+    }
+}
+
+/// Continues to plan while no VM reaches the store. Returns whether planning continues.
+fn continue_alone(
     node: &Node,
     leadership: &RefCell<Leadership>,
     now: Time,
-    lease: Duration,
+    length: Duration,
 ) -> bool {
-    let mut leadership = leadership.borrow_mut();
-    let held = leadership.expires.is_some_and(|t| t > now);
-    if held {
-        leadership.last_held = Some(now);
-    }
-    let was_held_recently = leadership
-        .last_held
-        .is_some_and(|t| now.since(t) < CONTINUE_LIMIT);
-    let continues =
-        node.is_outage() && was_held_recently && node.peers.borrow().may_keep_planning(now);
-    if continues != leadership.without_store {
-        leadership.without_store = continues;
+    let may_continue = node.is_outage() && node.peers.borrow().may_keep_planning(now);
+    let lease = &mut leadership.borrow_mut().lease;
+    if let Some(continues) = lease.continue_alone(now, length, may_continue) {
         log::info!(
             "event=duty_alone stays={continues} fence={} outage={}",
-            leadership.fence(),
+            lease.fence(),
             node.is_outage()
         );
-        if !continues {
-            // From now on the store decides again which VM is the planner.
-            leadership.expires = None;
-        }
     }
-    if !continues {
-        return false;
+    if lease.is_alone() {
+        set_is_planner(node, true, lease.fence());
     }
-    leadership.expires = Some(now + lease);
-    leadership.last_held = Some(now);
-    let fence = leadership.fence();
-    drop(leadership);
-    set_is_planner(node, true, fence);
-    true
+    lease.is_alone()
 }
 
 /// Asks the store for the lease, or for its renewal, once.
-async fn request_lease(node: &Node, leadership: &RefCell<Leadership>, now: Time, lease: Duration) {
-    let before = leadership.borrow().fence();
-    // The store does not know a generation of an earlier era.
-    let is_current = leadership.borrow().era == node.store_era.get();
-    let generation = if is_current {
-        leadership.borrow().generation
-    } else {
-        0
-    };
+async fn request_lease(node: &Node, leadership: &RefCell<Leadership>, now: Time, length: Duration) {
+    let before = leadership.borrow().lease.fence();
+    let era = node.store_era.get();
+    let generation = leadership.borrow().lease.known_generation(era);
     let name = node.planner_name();
-    let joined = node.store.join_planners(&name, generation, lease).await;
-    let term = match joined {
-        Ok(term) => term,
+    let grant = match node.store.join_planners(&name, generation, length).await {
+        Ok(grant) => grant,
         Err(e) => {
             log::warn!("event=duty_unrenewed cause=\"{e}\"");
             node.lease_backoff_until.set(Some(now + LEASE_BACKOFF));
@@ -191,23 +148,16 @@
         }
     };
     node.lease_backoff_until.set(None);
-    let mut leadership = leadership.borrow_mut();
-    leadership.era = term.era;
-    leadership.generation = term.generation;
-    let fence = leadership.fence();
+    let lease = &mut leadership.borrow_mut().lease;
+    lease.apply(now, length, grant);
+    let fence = lease.fence();
     if fence != before {
         log::info!(
             "event=duty_asked holds={} fence={fence} before={before}",
-            term.is_held
+            grant.is_held
         );
     }
-    // The store counts the lease from the arrival of the call, which is later than `now`.
-    leadership.expires = term.is_held.then(|| now + lease - LEASE_MARGIN);
-    if !term.is_held {
-        leadership.last_held = None;
-    }
-    drop(leadership);
-    set_is_planner(node, term.is_held, fence);
+    set_is_planner(node, grant.is_held, fence);
 }
 
 /// Sets whether this VM is the planner, and announces a change.
@@ -227,11 +177,11 @@
     let now = node.now();
     let mut state = leadership.borrow_mut();
     // Planning without the store ends when the store is reachable again.
-    let confirmed = !state.without_store || node.is_outage();
+    let confirmed = !state.lease.is_alone() || node.is_outage();
     // A stopping node gives up the lease, so that a successor may plan already. While no node reaches
     // the store, there is none.
     let gives_up = node.stop.is_stopping() && !node.is_outage();
-    let is_planner = state.expires.is_some_and(|t| t > now) && node.is_planner.get();
+    let is_planner = state.lease.is_held(now) && node.is_planner.get();
     let may_plan = is_planner && confirmed && !gives_up;
     if !may_plan {
         state.planners.values_mut().for_each(Planner::end_term);
@@ -242,7 +192,7 @@
     if node.endpoints.borrow().is_settling(now) {
         return;
     }
-    let fence = state.fence();
+    let fence = state.lease.fence();
     let state = &mut *state;
     let last_summary = &mut state.last_summary;
     let mut idle_engines = 0;
@@ -439,8 +389,7 @@
                 // Another planner may have taken over, so send no more orders until the store
                 // confirms the lease.
                 log::warn!("event=order_outdated id={endpoint} fence={fence}");
-                leadership.expires = None;
-                leadership.last_held = None;
+                leadership.lease.give_up();
                 set_is_planner(&node, false, fence);
             }
         }
