--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -147,6 +147,11 @@
     Gone,
     /// An entry may have lapsed because of the store; the endpoint stays in use for a while.
     Lapsed,
+    /// An entry of this version was ignored, since it is older than what is known of the endpoint.
+    Outdated(EntryVersion),
+    /// An entry of this version was not applied yet: it is of an earlier life of the endpoint, or the
+    /// endpoint's clock went back when it restarted.
+    Unconfirmed(EntryVersion),
 }
 
 /// Availability of the store, which decides whether entries that end may have lapsed.
@@ -162,13 +167,41 @@
 }
 
 /// The version of an entry, as the endpoint itself counts it.
-type EntryVersion = (u64, u64);
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntryVersion {
+    /// Start time of the endpoint in Unix milliseconds.
+    pub started_ms: u64,
+    /// Number of the entry since that start.
+    pub sequence: u64,
+}
+
+/// What the version of an entry says of its age, compared with what is known of the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntryAge {
+    /// The entry is newer, or as new.
+    Current,
+    /// The entry is of the same start and older.
+    Outdated,
+    /// The entry is of another start that may be earlier or later.
+    Unknown,
+}
+
+/// What is remembered of an endpoint that ended.
+#[derive(Debug, Clone, Copy)]
+struct Ended {
+    at: Time,
+    version: EntryVersion,
+    draining: bool,
+}
 
 impl Endpoint {
     /// Returns the start time and sequence, by which an entry is older than another one of the same
     /// endpoint, wherever the store keeps them.
-    fn entry_version(&self) -> EntryVersion {
-        (self.started_ms, self.sequence)
+    pub fn entry_version(&self) -> EntryVersion {
+        EntryVersion {
+            started_ms: self.started_ms,
+            sequence: self.sequence,
+        }
     }
 }
 
@@ -183,8 +216,13 @@
     lapsed: BTreeMap<Arc<str>, Time>,
     /// Endpoints that said themselves that they are about to stop, with their start times.
     leaving: BTreeMap<Arc<str>, u64>,
-    /// Entries that ended, with the times of that and their last versions.
-    ended: BTreeMap<Arc<str>, (Time, EntryVersion)>,
+    /// Endpoints that ended lately.
+    ended: BTreeMap<Arc<str>, Ended>,
+    /// Entries of a start that may be earlier than the known one, with the times at which such an entry
+    /// was first read.
+    unconfirmed: BTreeMap<Arc<str>, (Time, Endpoint)>,
+    /// Later start times by the endpoint's clock that turned out to be of an earlier life.
+    superseded: BTreeMap<Arc<str>, u64>,
     store: StoreAvailability,
     /// When the store came back from an older copy.
     restored_at: Option<Time>,
@@ -202,6 +240,8 @@
             lapsed: BTreeMap::new(),
             leaving: BTreeMap::new(),
             ended: BTreeMap::new(),
+            unconfirmed: BTreeMap::new(),
+            superseded: BTreeMap::new(),
             store: StoreAvailability::default(),
             restored_at: None,
             evacuated: BTreeSet::new(),
@@ -235,12 +275,64 @@
         self.listed.values()
     }
 
-    /// Adds or replaces an entry.
-    pub fn put(&mut self, mut endpoint: Endpoint) -> Change {
-        endpoint.draining |= self.leaving.get(&endpoint.id) == Some(&endpoint.started_ms);
-        self.lapsed.remove(&endpoint.id);
-        self.ended.remove(&endpoint.id);
+    /// Adds or replaces an entry, unless it is older than what is known of its endpoint.
+    ///
+    /// The store may execute a write seconds late, behind newer ones. Of two entries of the same start,
+    /// the sequence tells which one is newer. An entry whose start time is earlier than the known one is
+    /// either late too, or of an endpoint whose clock went back when it restarted. In the first case the
+    /// endpoint writes its entry again soon; in the second, [`Self::settle`] applies the entry after
+    /// that time, or [`Self::confirm`] as soon as the endpoint itself names its start.
+    pub fn put(&mut self, now: Time, endpoint: Endpoint) -> Change {
+        let version = endpoint.entry_version();
+        match self.age(&endpoint) {
+            EntryAge::Current => self.apply(endpoint),
+            EntryAge::Outdated => Change::Outdated(version),
+            EntryAge::Unknown => {
+                let is_same = |(_, e): &&(Time, Endpoint)| e.started_ms == endpoint.started_ms;
+                let held = self.unconfirmed.get(&endpoint.id).filter(is_same);
+                if held.is_none_or(|(_, e)| e.sequence <= endpoint.sequence) {
+                    let since = held.map_or(now, |(since, _)| *since);
+                    self.unconfirmed
+                        .insert(endpoint.id.clone(), (since, endpoint));
+                }
+                Change::Unconfirmed(version)
+            }
+        }
+    }
+
+    fn age(&self, entry: &Endpoint) -> EntryAge {
+        let listed = self.listed.get(&entry.id).map(Endpoint::entry_version);
+        let ended = self.ended.get(&entry.id).map(|e| e.version);
+        let Some(known) = listed.or(ended) else {
+            return EntryAge::Current;
+        };
+        if entry.started_ms == known.started_ms {
+            // Endpoints that don't count their entries have sequence 0.
+            let is_repeated = listed.is_none() && entry.sequence == known.sequence;
+            return match entry.sequence < known.sequence || is_repeated && entry.sequence > 0 {
+                true => EntryAge::Outdated,
+                false => EntryAge::Current,
+            };
+        }
+        let is_superseded = self.superseded.get(&entry.id) == Some(&entry.started_ms);
+        match entry.started_ms > known.started_ms && !is_superseded {
+            true => EntryAge::Current,
+            false => EntryAge::Unknown,
+        }
+    }
+
+    /// Lists an entry in place of the known one.
+    fn apply(&mut self, mut endpoint: Endpoint) -> Change {
         let old = self.listed.get(&endpoint.id);
+        let ended = self.ended.remove(&endpoint.id);
+        // An endpoint that drains does so until it stops.
+        let drained = |started_ms, draining| draining && started_ms == endpoint.started_ms;
+        let was_draining = old.is_some_and(|e| drained(e.started_ms, e.draining))
+            || ended.is_some_and(|e| drained(e.version.started_ms, e.draining))
+            || self.leaving.get(&endpoint.id) == Some(&endpoint.started_ms);
+        endpoint.draining |= was_draining;
+        self.lapsed.remove(&endpoint.id);
+        self.unconfirmed.remove(&endpoint.id);
         let change = match old {
             None => Change::Listed,
             Some(old) if old.started_ms != endpoint.started_ms => Change::Listed,
@@ -254,6 +346,42 @@
         change
     }
 
+    /// Applies the unconfirmed entry of an endpoint that names its start itself, if it is of that start.
+    pub fn confirm(&mut self, id: &str, started_ms: u64) -> Change {
+        let is_confirmed = |(_, e): &&(Time, Endpoint)| e.started_ms == started_ms;
+        match self.unconfirmed.get(id).filter(is_confirmed).cloned() {
+            Some((_, endpoint)) => self.supersede(endpoint),
+            None => Change::None,
+        }
+    }
+
+    /// Applies the unconfirmed entries that no newer one has contradicted in the time in which a live
+    /// endpoint writes again, and returns the change of each.
+    pub fn settle(&mut self, now: Time) -> Vec<(Arc<str>, Change)> {
+        // Nothing contradicts an entry while the store takes no writes.
+        let answers_since = match self.store {
+            StoreAvailability::Available => Time(0),
+            StoreAvailability::Recovered(since) => since,
+            StoreAvailability::Unavailable => return Vec::new(),
+        };
+        let is_due =
+            |(since, _): &(Time, Endpoint)| now >= (*since).max(answers_since) + RELIST_TIME;
+        let entries = self.unconfirmed.values().filter(|held| is_due(held));
+        let due: Vec<Endpoint> = entries.map(|(_, e)| e.clone()).collect();
+        let apply = |e: Endpoint| (e.id.clone(), self.supersede(e));
+        due.into_iter().map(apply).collect()
+    }
+
+    /// Lists an entry whose start time is earlier than that of the endpoint's life before.
+    fn supersede(&mut self, endpoint: Endpoint) -> Change {
+        let listed = self.listed.get(&endpoint.id).map(|e| e.started_ms);
+        let ended = self.ended.get(&endpoint.id).map(|e| e.version.started_ms);
+        if let Some(started_ms) = listed.or(ended) {
+            self.superseded.insert(endpoint.id.clone(), started_ms);
+        }
+        self.apply(endpoint)
+    }
+
     /// Updates a listed endpoint from its own report. This is used while the store does not update
     /// the list.
     pub fn observe(&mut self, report: &EngineReport) -> Change {
@@ -311,8 +439,12 @@
         now: Time,
         ids: impl IntoIterator<Item = &'a str>,
     ) -> Vec<(Arc<str>, Change)> {
-        let key = |id: &str| self.listed.get_key_value(id).map(|(k, _)| k.clone());
-        let ended_ids: Vec<Arc<str>> = ids.into_iter().filter_map(key).collect();
+        let mut ended_ids: Vec<Arc<str>> = Vec::new();
+        for id in ids {
+            self.unconfirmed.remove(id);
+            let listed = self.listed.get_key_value(id);
+            ended_ids.extend(listed.map(|(id, _)| id.clone()));
+        }
         let is_mass_end = ended_ids.len() >= MASS_END_MIN
             && ended_ids.len() * MASS_END_INVERSE_FRACTION > self.listed.len();
         let until = match self.store {
@@ -343,8 +475,12 @@
         self.version += 1;
         self.leaving.remove(id);
         if let Some(endpoint) = self.listed.remove(id) {
-            let version = endpoint.entry_version();
-            self.ended.insert(id.clone(), (now, version));
+            let ended = Ended {
+                at: now,
+                version: endpoint.entry_version(),
+                draining: endpoint.draining,
+            };
+            self.ended.insert(id.clone(), ended);
         }
     }
 
@@ -378,7 +514,10 @@
             self.end(now, id);
         }
         self.ended
-            .retain(|_, (ended_at, _)| now.since(*ended_at) < ENDED_RETENTION);
+            .retain(|_, ended| now.since(ended.at) < ENDED_RETENTION);
+        let (listed, ended) = (&self.listed, &self.ended);
+        self.superseded
+            .retain(|id, _| listed.contains_key(id) || ended.contains_key(id));
         expired
     }
 
@@ -391,24 +530,7 @@
     pub fn restore(&mut self, now: Time, copy: Vec<Endpoint>) -> Vec<(Arc<str>, Change)> {
         self.store_returned(now);
         self.restored_at = Some(now);
-        let entries = copy.into_iter().filter_map(|e| self.newer_entry(e));
-        let entries = entries.collect();
-        self.replace(now, entries)
-    }
-
-    /// Returns the newer one of an entry of an older copy and what is known of its endpoint; `None`
-    /// if the endpoint has gone since.
-    fn newer_entry(&self, mut entry: Endpoint) -> Option<Endpoint> {
-        let Some(known) = self.listed.get(&entry.id) else {
-            let ended = self.ended.get(&entry.id);
-            let is_newer = ended.is_none_or(|(_, version)| entry.entry_version() > *version);
-            return is_newer.then_some(entry);
-        };
-        if entry.entry_version() < known.entry_version() {
-            return Some(known.clone());
-        }
-        entry.draining |= known.draining && known.started_ms == entry.started_ms;
-        Some(entry)
+        self.replace(now, copy)
     }
 
     /// Returns whether the store came back from an older copy so recently that entries may still be
@@ -429,7 +551,7 @@
         let mut changes = self.remove(now, ended_ids);
         for endpoint in new_entries {
             let id = endpoint.id.clone();
-            changes.push((id, self.put(endpoint)));
+            changes.push((id, self.put(now, endpoint)));
         }
         changes
     }
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -4,6 +4,10 @@
 //! its predecessor. Two rules hold for every order: a group is opened only after each of its
 //! members was seen ready under the group's name and epoch, and an engine joins another group only
 //! after it has left its own or the head of its own has given up.
+//!
+//! The list is a belief: an entry may be late, and the planner may have been frozen since it read it. What
+//! follows from a wrong order can't be taken back, so [`ExpectedGroup`] decides each join on the engine's own
+//! word.
 
 mod assign;
 mod convert;
@@ -18,7 +22,7 @@
 
 use super::capacity::Demand;
 use super::config::Engine;
-use super::endpoints::{Endpoints, Group, Membership};
+use super::endpoints::{Endpoints, EntryVersion, Group, Membership};
 pub use idle::IdleCause;
 
 use crate::time::Time;
@@ -41,8 +45,6 @@
 const LOST_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after an order for which the engine is polled for its state while the list is frozen.
 const POLL_DURATION: Duration = Duration::from_secs(4);
-/// Time in which an order without a reply may still be carried out.
-const LATE_ORDER_TIME: Duration = Duration::from_secs(15);
 /// Epochs that are issued before the list shows the effect of the first of them, at most.
 const MAX_PREPARING: u64 = 1 << 10;
 /// Bits of an epoch that are counted up within one term; the fencing token takes the others.
@@ -109,6 +111,17 @@
         }
     }
 
+    /// Returns the epoch of the order's group, if it is about one.
+    pub fn epoch(&self) -> Option<u64> {
+        match self {
+            Self::Join { epoch, .. }
+            | Self::Open { epoch, .. }
+            | Self::Close { epoch, .. }
+            | Self::Leave { epoch, .. } => Some(*epoch),
+            Self::Stage { .. } => None,
+        }
+    }
+
     /// Returns the group of the order, or the model to stage.
     pub fn subject(&self) -> &str {
         match self {
@@ -134,9 +147,11 @@
         fence: u64,
         /// The order to send.
         action: Action,
-        /// The group that the engine must be in, which the list may not show. The engine is asked
-        /// before, and the order names the answer as its precondition.
+        /// The group that the engine may be in when it joins another one. Present for each join: the
+        /// engine is asked before, and the order names the answer as its precondition.
         expected: Option<ExpectedGroup>,
+        /// The entry that the order was decided on, for the log.
+        entry: EntryVersion,
     },
     /// Query an engine for its report, to see whether it is alive.
     Probe {
@@ -147,7 +162,7 @@
     },
 }
 
-/// The group that an engine must be in for an order to be carried out.
+/// The group that an engine may be in when it is ordered to join another one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ExpectedGroup {
     /// Name and epoch of the group; `None` if the engine must be in no group.
@@ -155,8 +170,15 @@
 }
 
 impl ExpectedGroup {
-    /// Returns the reply to a join of `group` by an engine with this membership, unless the order
-    /// must be sent.
+    /// Decides from an engine's own report whether a join of `group` may be sent to it.
+    ///
+    /// The endpoint list only says which engines are worth an order: it may be seconds old, and an entry of
+    /// it may be late. An engine leaves a group for another one on nothing but its own word, given for this
+    /// order, with the number of orders until then as the precondition.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reply to assume if the order must not be sent.
     pub fn check(
         &self,
         membership: Option<&Membership>,
@@ -170,8 +192,9 @@
             .map(|(group, epoch)| (&**group, *epoch));
         match current {
             current if current == Some((group, epoch)) => Err(Reply::Done),
+            None => Ok(()),
             current if current == expected => Ok(()),
-            _ => Err(Reply::Conflict),
+            Some(_) => Err(Reply::Conflict),
         }
     }
 }
@@ -257,8 +280,6 @@
     lost: bool,
     /// When the last order was sent.
     last_order: Option<Time>,
-    /// When an order last got no reply, so that it may be carried out later.
-    lost_order: Option<Time>,
     /// Model of the last group.
     last_model: Option<Arc<str>>,
     /// Model whose weights are being loaded onto the host, and since when.
@@ -275,8 +296,6 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     fence: Option<u64>,
-    /// When the first plan of the term was made.
-    term_since: Option<Time>,
     /// Highest epoch that was seen or issued.
     epoch: u64,
     formed: BTreeMap<u64, FormedGroup>,
@@ -427,9 +446,6 @@
             return false;
         };
         state.order_sent = None;
-        if reply == Reply::Lost {
-            state.lost_order = Some(now);
-        }
         state.next_order_after = match reply {
             Reply::Begun | Reply::Done => Some(now + LIST_DELAY),
             Reply::Conflict | Reply::Elsewhere | Reply::Lost | Reply::Outdated => {
@@ -493,7 +509,6 @@
     /// Makes one plan and appends the resulting orders and probes to `out`.
     pub fn step(&mut self, now: Time, input: &PlannerInput<'_>, out: &mut Vec<Output>) {
         let Some(fence) = self.fence else { return };
-        self.term_since.get_or_insert(now);
         self.update_states(input);
         let mut round = PlanningRound {
             now,
@@ -604,7 +619,7 @@
             }
         }
         let is_join = matches!(action, Action::Join { .. });
-        let expected = (is_join && self.may_have_changed(id)).then(|| ExpectedGroup {
+        let expected = is_join.then(|| ExpectedGroup {
             current: endpoint
                 .membership
                 .as_ref()
@@ -616,17 +631,7 @@
             fence: self.fence,
             action,
             expected,
+            entry: endpoint.entry_version(),
         });
     }
-
-    /// Returns whether an engine may be in another group than the list shows: the list is not
-    /// updated, an order of this planner or of the one before it may be carried out late, or the list
-    /// is an older copy, which a planner that has just started can't tell.
-    fn may_have_changed(&self, id: &str) -> bool {
-        let is_recent = |t: Option<Time>| t.is_some_and(|t| self.now.since(t) < LATE_ORDER_TIME);
-        let state = self.planner.engine_states.get(id);
-        self.input.list_frozen
-            || state.is_some_and(|s| is_recent(s.lost_order))
-            || is_recent(self.planner.term_since)
-    }
 }
--- /dev/null
+++ b/lib/tests/belief_world.rs
@@ -0,0 +1,1039 @@
+//! Planners of several entry VMs, a store and engines in virtual time. Entries, reports, orders and
+//! replies are late, lost or reordered, VMs freeze, the store goes down, and clocks go back.
+//!
+//! It checks what the users' rules say of groups: no engine takes a join of another group while the head
+//! of its own may serve, and no request runs in a group that is incomplete or has a member that was never
+//! ready under its name, epoch and member list.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlock_lib::node::config::Engine as EngineModel;
+use hemlock_lib::node::endpoints::{Endpoint, Endpoints, EngineReport, MemberState, Membership};
+use hemlock_lib::node::lease::{Grant, Lease};
+use hemlock_lib::node::planner::{
+    Action, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply,
+};
+use hemlock_lib::node::warm_up::ToldWarmUp;
+use hemlock_lib::time::Time;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::node_world::{engine, zone_of};
+
+const SERVICE: &str = "models";
+const MODEL: &str = "m";
+const GROUP_SIZE: usize = 2;
+const DOMAINS: [&str; 2] = ["d0", "d1"];
+/// Engines of a failure domain at the start.
+const ENGINES: usize = 5;
+
+/// All times of the world are in milliseconds.
+const TICK: u64 = 10;
+const HEARTBEAT: u64 = 1_200;
+/// Silence after which the store removes an entry.
+const ENTRY_LIFETIME: u64 = 3 * HEARTBEAT;
+/// Age of what an engine says of itself in a report.
+const REPORT_LAG: u64 = 200;
+/// Time until the reply to a call.
+const ROUND_TRIP: u64 = 20;
+const REPLY_TIMEOUT: u64 = 600;
+/// Time after which a write or an order without a reply is carried out.
+const LATE: std::ops::Range<u64> = 1_000..6_000;
+const REJOIN_TIME: u64 = 200;
+const OPEN_TIME: u64 = 300;
+const CLOSE_TIME: u64 = 800;
+const STALL_TIME: u64 = 5_000;
+const RENEW_INTERVAL: u64 = 400;
+const LEASE: u64 = 1_500;
+const PLAN_INTERVAL: u64 = 50;
+/// Time without the store after which the VMs know that none of them reaches it.
+const OUTAGE_NOTICE: u64 = 1_000;
+/// Reports that are asked for before a join is given up.
+const MAX_CHECKS: u32 = 3;
+
+/// What goes wrong in a run.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Engines are cut from the store, which executes their writes late, out of order, or not at all.
+    pub late_entries: bool,
+    /// The store answers nothing for seconds, also as groups form.
+    pub outages: bool,
+    /// VMs freeze while others work, and stop.
+    pub freezes: bool,
+    /// Orders get no reply and are carried out seconds later.
+    pub late_orders: bool,
+    /// Engines restart, some of them with a clock that went back.
+    pub restarts: bool,
+}
+
+/// The state of an engine that its entry and its report show.
+#[derive(Debug, Clone, PartialEq)]
+struct Shown {
+    membership: Option<Membership>,
+    model: Option<Arc<str>>,
+    orders: u64,
+}
+
+#[derive(Debug)]
+struct SimulatedEngine {
+    id: Arc<str>,
+    domain: Arc<str>,
+    started_ms: u64,
+    sequence: u64,
+    shown: Shown,
+    /// Earlier states since the start, with the times at which they were replaced.
+    history: Vec<(u64, Shown)>,
+    /// Member list of the group.
+    members: Vec<Arc<str>>,
+    staged: bool,
+    has_served: bool,
+    highest_fence: u64,
+    highest_epoch: u64,
+    /// When the join, opening or closing in progress is done.
+    changes_at: Option<u64>,
+    is_opening: bool,
+    staged_at: Option<u64>,
+    missing_since: Option<u64>,
+    /// Until when the engine is down.
+    down_until: Option<u64>,
+    cut_until: u64,
+    next_write: u64,
+}
+
+#[derive(Debug, Clone)]
+struct SentOrder {
+    from: usize,
+    endpoint: Arc<str>,
+    fence: u64,
+    action: Action,
+    precondition: Option<u64>,
+    wants_reply: bool,
+}
+
+#[derive(Debug, Clone)]
+struct JoinCheck {
+    endpoint: Arc<str>,
+    fence: u64,
+    action: Action,
+    expected: ExpectedGroup,
+    attempt: u32,
+}
+
+/// What reaches an engine, the store or a VM at a time.
+#[derive(Debug, Clone)]
+enum Event {
+    /// A write to the store.
+    Write(Endpoint),
+    /// An order, at its engine.
+    Order(SentOrder),
+    /// A request for an engine's report, at the engine.
+    Ask(usize, JoinCheck),
+    /// An engine's report of its state and number of orders, at the VM.
+    Report(usize, JoinCheck, Option<(EngineReport, u64)>),
+    /// The reply to an order, at the VM.
+    Reply(usize, Arc<str>, Action, Reply),
+    /// The result of a probe, at the VM.
+    Probed(usize, Arc<str>, ProbeResult, Option<EngineReport>),
+    /// The store's answer to a request for the lease that was sent at a time.
+    Granted(usize, u64, Grant),
+}
+
+impl Event {
+    /// Returns the VM that the event is for.
+    fn vm(&self) -> Option<usize> {
+        match self {
+            Self::Write(_) | Self::Order(_) | Self::Ask(..) => None,
+            Self::Report(vm, ..)
+            | Self::Reply(vm, ..)
+            | Self::Probed(vm, ..)
+            | Self::Granted(vm, ..) => Some(*vm),
+        }
+    }
+}
+
+/// An entry VM. What it is sent while it is frozen reaches it as it wakes.
+#[derive(Debug)]
+struct Vm {
+    endpoints: Endpoints,
+    planner: Planner,
+    lease: Lease,
+    is_planner: bool,
+    is_in_group: bool,
+    frozen_until: u64,
+    /// Until when the process is not running after a stop.
+    stopped_until: u64,
+    /// Next record of the store's log.
+    next_record: usize,
+    is_outage: bool,
+    next_renewal: u64,
+    next_plan: u64,
+}
+
+impl Vm {
+    fn new(now: u64) -> Self {
+        Self {
+            endpoints: Endpoints::new(Duration::from_secs(2)),
+            planner: Planner::default(),
+            lease: Lease::default(),
+            is_planner: false,
+            is_in_group: false,
+            frozen_until: 0,
+            stopped_until: 0,
+            next_record: 0,
+            is_outage: false,
+            next_renewal: now + 100,
+            next_plan: now + 100,
+        }
+    }
+}
+
+/// The platform's store: the list of engines with its log of changes, and the planner's lease.
+#[derive(Debug, Default)]
+struct Store {
+    entries: BTreeMap<Arc<str>, (Endpoint, u64)>,
+    log: Vec<(Arc<str>, Option<Endpoint>)>,
+    down_until: u64,
+    generation: u64,
+    /// VMs that ask for the lease, with the times of their last requests.
+    candidates: BTreeMap<usize, u64>,
+    holder: Option<usize>,
+}
+
+impl Store {
+    fn write(&mut self, now: u64, entry: Endpoint) {
+        let known = self.entries.get(&entry.id).map(|(e, _)| e);
+        let same = known.is_some_and(|known| {
+            let numbered = Endpoint {
+                sequence: known.sequence,
+                ..entry.clone()
+            };
+            numbered == *known
+        });
+        if !same {
+            self.log.push((entry.id.clone(), Some(entry.clone())));
+        }
+        self.entries.insert(entry.id.clone(), (entry, now));
+    }
+
+    fn remove_silent(&mut self, now: u64) {
+        let silent = |(_, at): &(Endpoint, u64)| now >= at + ENTRY_LIFETIME;
+        let entries = self.entries.iter().filter(|(_, held)| silent(held));
+        let ids: Vec<Arc<str>> = entries.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.entries.remove(&id);
+            self.log.push((id, None));
+        }
+    }
+
+    /// Answers a request for the lease, after those who were silent for too long have lost it.
+    fn grant(&mut self, now: u64, vm: usize) -> Grant {
+        let before = self.candidates.len();
+        self.candidates.retain(|_, at| now - *at < LEASE);
+        let has_lost = self.candidates.len() < before;
+        let is_new = self.candidates.insert(vm, now).is_none();
+        self.generation += u64::from(has_lost) + u64::from(is_new);
+        self.deal();
+        Grant {
+            era: 0,
+            generation: self.generation,
+            is_held: self.holder == Some(vm),
+        }
+    }
+
+    fn leave(&mut self, vm: usize) {
+        if self.candidates.remove(&vm).is_some() {
+            self.generation += 1;
+        }
+        self.deal();
+    }
+
+    fn deal(&mut self) {
+        let candidates = &self.candidates;
+        if self.holder.is_none_or(|h| !candidates.contains_key(&h)) {
+            self.holder = candidates.keys().next().copied();
+        }
+    }
+}
+
+/// An engine that was ready, with the name, epoch and member list of its group.
+type Readiness = (Arc<str>, Arc<str>, u64, Vec<Arc<str>>);
+
+/// A broken rule.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Broken {
+    /// An engine took a join of another group while the head of its own might serve.
+    Two(String),
+    /// A request ran in a group that wasn't whole.
+    Partial(String),
+}
+
+#[derive(Debug)]
+pub struct World {
+    now: u64,
+    faults: Faults,
+    model: EngineModel,
+    rng: SmallRng,
+    engines: BTreeMap<Arc<str>, SimulatedEngine>,
+    store: Store,
+    vms: Vec<Vm>,
+    events: Vec<(u64, Event)>,
+    ready: BTreeSet<Readiness>,
+    next_fault: u64,
+    has_traffic: bool,
+    pub broken: BTreeSet<Broken>,
+    /// Joins that engines took after the first callers, and reports asked for these.
+    pub joins: u64,
+    pub asked: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let mut model = engine(&[(MODEL, GROUP_SIZE, 1.0)]);
+        model.models[0].load_time = Duration::from_secs(2);
+        model.models[0].warmup_time = Duration::from_millis(400);
+        let mut world = Self {
+            now: 10_000,
+            faults,
+            model,
+            rng: SmallRng::seed_from_u64(seed),
+            engines: BTreeMap::new(),
+            store: Store::default(),
+            vms: vec![Vm::new(10_000), Vm::new(10_400)],
+            events: Vec::new(),
+            ready: BTreeSet::new(),
+            next_fault: 14_000,
+            has_traffic: false,
+            broken: BTreeSet::new(),
+            joins: 0,
+            asked: 0,
+        };
+        for domain in DOMAINS {
+            for i in 0..ENGINES {
+                world.add(&format!("{domain}-{i}"), domain);
+            }
+        }
+        world
+    }
+
+    fn add(&mut self, id: &str, domain: &str) {
+        let id: Arc<str> = Arc::from(id);
+        let simulated = SimulatedEngine {
+            id: id.clone(),
+            domain: Arc::from(domain),
+            started_ms: self.now,
+            sequence: 0,
+            shown: Shown {
+                membership: None,
+                model: None,
+                orders: 0,
+            },
+            history: Vec::new(),
+            members: Vec::new(),
+            staged: false,
+            has_served: false,
+            highest_fence: 0,
+            highest_epoch: 0,
+            changes_at: None,
+            is_opening: false,
+            staged_at: None,
+            missing_since: None,
+            down_until: None,
+            cut_until: 0,
+            next_write: self.now + self.rng.random_range(0..HEARTBEAT),
+        };
+        self.engines.insert(id, simulated);
+    }
+
+    /// Plays `span` milliseconds with faults.
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step(true);
+        }
+    }
+
+    /// Ends all faults and plays `span` milliseconds.
+    pub fn settle(&mut self, span: u64) {
+        self.store.down_until = 0;
+        self.vms.iter_mut().for_each(|vm| vm.frozen_until = 0);
+        for e in self.engines.values_mut() {
+            e.cut_until = 0;
+            e.down_until = e.down_until.map(|t| t.min(self.now));
+        }
+        let end = self.now + span;
+        while self.now < end {
+            self.step(false);
+        }
+    }
+
+    fn step(&mut self, with_faults: bool) {
+        self.now += TICK;
+        self.has_traffic |= self.now >= 13_000;
+        if with_faults && self.now >= self.next_fault {
+            self.next_fault = self.now + self.rng.random_range(300..1_500);
+            self.cause_fault();
+        }
+        self.advance_engines();
+        self.deliver();
+        if self.store.down_until <= self.now {
+            self.store.remove_silent(self.now);
+        }
+        for vm in 0..self.vms.len() {
+            self.run_vm(vm);
+        }
+        self.check_requests();
+    }
+
+    fn cause_fault(&mut self) {
+        let Faults {
+            late_entries,
+            outages,
+            freezes,
+            restarts,
+            ..
+        } = self.faults;
+        let ids: Vec<Arc<str>> = self.engines.keys().cloned().collect();
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        let now = self.now;
+        match self.rng.random_range(0..10) {
+            0..=2 if late_entries => {
+                let span = self.rng.random_range(300..5_000);
+                self.engines.get_mut(&id).unwrap().cut_until = now + span;
+            }
+            3 if outages => self.store.down_until = now + self.rng.random_range(1_000..6_000),
+            4 | 5 if freezes => {
+                let planner = (0..self.vms.len()).find(|i| self.vms[*i].is_planner);
+                if let Some(vm) = planner {
+                    self.vms[vm].frozen_until = now + self.rng.random_range(500..5_000);
+                }
+            }
+            6 if freezes => {
+                let vm = self.rng.random_range(0..self.vms.len());
+                self.store.leave(vm);
+                self.events.retain(|(_, e)| e.vm() != Some(vm));
+                self.vms[vm] = Vm::new(now);
+                self.vms[vm].stopped_until = now + 1_500;
+            }
+            7 | 8 if restarts => {
+                let down = self.rng.random_range(100..4_500);
+                let e = self.engines.get_mut(&id).unwrap();
+                e.down_until.get_or_insert(now + down);
+            }
+            _ if self.engines.len() < 16 => {
+                let domain = DOMAINS[self.rng.random_range(0..DOMAINS.len())];
+                let id = format!("{domain}-new{}", self.engines.len());
+                self.add(&id, domain);
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, after: u64, event: Event) {
+        self.events.push((self.now + after, event));
+    }
+
+    /// Delivers the events that are due, except to VMs that don't run.
+    fn deliver(&mut self) {
+        let now = self.now;
+        let vms = &self.vms;
+        let runs = |vm: usize| vms[vm].frozen_until <= now && vms[vm].stopped_until <= now;
+        let mut due: Vec<(u64, Event)> = self
+            .events
+            .extract_if(.., |(at, e)| *at <= now && e.vm().is_none_or(runs))
+            .collect();
+        due.sort_by_key(|(at, _)| *at);
+        for (_, event) in due {
+            match event {
+                Event::Write(entry) => self.store.write(now, entry),
+                Event::Order(order) => self.receive_order(order),
+                Event::Ask(vm, check) => {
+                    let report = self.report(&check.endpoint);
+                    self.send(ROUND_TRIP / 2, Event::Report(vm, check, report));
+                }
+                Event::Report(vm, check, report) => self.check_join(vm, check, report),
+                Event::Reply(vm, id, action, reply) => {
+                    let vm = &mut self.vms[vm];
+                    let time = Time::from_millis(now);
+                    if vm.planner.handle_reply(time, &id, &action, reply) {
+                        vm.lease.give_up();
+                        vm.is_planner = false;
+                    }
+                }
+                Event::Probed(vm, id, result, report) => {
+                    let vm = &mut self.vms[vm];
+                    if let Some(report) = report.filter(|_| vm.is_outage) {
+                        vm.endpoints.observe(&report);
+                    }
+                    let time = Time::from_millis(now);
+                    vm.planner.handle_probe_result(time, &id, result);
+                }
+                Event::Granted(vm, asked_at, grant) => {
+                    let vm = &mut self.vms[vm];
+                    let length = Duration::from_millis(LEASE);
+                    vm.lease.apply(Time::from_millis(asked_at), length, grant);
+                    vm.is_planner = grant.is_held;
+                }
+            }
+        }
+    }
+
+    /// Returns what an engine reports of itself, which is some time old, and its number of orders then.
+    fn report(&self, id: &str) -> Option<(EngineReport, u64)> {
+        let e = self.engines.get(id)?;
+        if e.down_until.is_some() {
+            return None;
+        }
+        let at = self.now.saturating_sub(REPORT_LAG);
+        let then = e.history.iter().find(|(until, _)| *until > at);
+        let shown = then.map_or(&e.shown, |(_, shown)| shown);
+        let report = EngineReport {
+            id: e.id.clone(),
+            started_ms: e.started_ms,
+            staged: staged(e),
+            model: shown.model.clone(),
+            membership: shown.membership.clone(),
+        };
+        Some((report, shown.orders))
+    }
+
+    /// Sends a join if the engine's report and the lease allow it.
+    fn check_join(&mut self, vm: usize, check: JoinCheck, report: Option<(EngineReport, u64)>) {
+        let Action::Join { group, epoch, .. } = &check.action else {
+            return;
+        };
+        let now = Time::from_millis(self.now);
+        let reply = |reply| {
+            let (id, action) = (check.endpoint.clone(), check.action.clone());
+            Event::Reply(vm, id, action, reply)
+        };
+        let Some((report, orders)) = report else {
+            return self.send(0, reply(Reply::Lost));
+        };
+        let state = &mut self.vms[vm];
+        state.endpoints.confirm(&check.endpoint, report.started_ms);
+        let allowed = check
+            .expected
+            .check(report.membership.as_ref(), group, *epoch);
+        if state.is_outage {
+            state.endpoints.observe(&report);
+        }
+        if !may_order(state, now, check.fence) {
+            return self.send(0, reply(Reply::Conflict));
+        }
+        match allowed {
+            Ok(()) => {
+                let (id, action) = (check.endpoint.clone(), check.action.clone());
+                self.send_order(vm, id, check.fence, action, Some(orders));
+            }
+            Err(Reply::Conflict) if check.attempt + 1 < MAX_CHECKS => {
+                let again = JoinCheck {
+                    attempt: check.attempt + 1,
+                    ..check
+                };
+                self.asked += u64::from(self.has_traffic);
+                self.send(250, Event::Ask(vm, again));
+            }
+            Err(refused) => self.send(0, reply(refused)),
+        }
+    }
+
+    fn send_order(
+        &mut self,
+        vm: usize,
+        endpoint: Arc<str>,
+        fence: u64,
+        action: Action,
+        precondition: Option<u64>,
+    ) {
+        let is_late = self.faults.late_orders && self.rng.random_bool(0.1);
+        let order = SentOrder {
+            from: vm,
+            endpoint: endpoint.clone(),
+            fence,
+            action: action.clone(),
+            precondition,
+            wants_reply: !is_late,
+        };
+        if is_late {
+            let delay = self.rng.random_range(LATE);
+            self.send(delay, Event::Order(order));
+            let lost = Event::Reply(vm, endpoint, action, Reply::Lost);
+            self.send(REPLY_TIMEOUT, lost);
+        } else {
+            self.send(ROUND_TRIP / 2, Event::Order(order));
+        }
+    }
+
+    fn receive_order(&mut self, order: SentOrder) {
+        let reply = self.carry_out(&order);
+        if order.wants_reply {
+            let after = match reply {
+                Reply::Lost => REPLY_TIMEOUT,
+                _ => ROUND_TRIP / 2,
+            };
+            let reply = Event::Reply(order.from, order.endpoint, order.action, reply);
+            self.send(after, reply);
+        }
+    }
+
+    fn carry_out(&mut self, order: &SentOrder) -> Reply {
+        let now = self.now;
+        let Some(e) = self.engines.get(&order.endpoint) else {
+            return Reply::Lost;
+        };
+        if e.down_until.is_some() {
+            return Reply::Lost;
+        }
+        if order.fence < e.highest_fence {
+            return Reply::Outdated;
+        }
+        if order.precondition.is_some_and(|n| n != e.shown.orders) {
+            return Reply::Conflict;
+        }
+        let held = e.shown.membership.clone();
+        let holds = |group: &Arc<str>, epoch: u64| {
+            held.as_ref()
+                .is_some_and(|m| m.group == *group && m.epoch == epoch)
+        };
+        if let Action::Join {
+            group,
+            epoch,
+            members,
+            ..
+        } = &order.action
+        {
+            let same = holds(group, *epoch);
+            if *epoch < e.highest_epoch || same && *members != e.members {
+                return Reply::Outdated;
+            }
+            if !same {
+                self.check_two(&order.endpoint, group);
+                self.joins += u64::from(self.has_traffic);
+            }
+        }
+        let before_traffic = !self.has_traffic;
+        let e = self.engines.get_mut(&order.endpoint).unwrap();
+        e.highest_fence = order.fence;
+        let mut shown = e.shown.clone();
+        match &order.action {
+            Action::Join {
+                group,
+                epoch,
+                members,
+                ..
+            } => {
+                if holds(group, *epoch) {
+                    return Reply::Done;
+                }
+                let Some(rank) = members.iter().position(|m| *m == e.id) else {
+                    return Reply::Conflict;
+                };
+                let wait = match (e.has_served, e.staged, before_traffic) {
+                    (true, ..) => REJOIN_TIME,
+                    (false, true, _) => 400,
+                    (false, false, true) => 200,
+                    (false, false, false) => 2_000,
+                };
+                e.highest_epoch = *epoch;
+                e.members.clone_from(members);
+                e.changes_at = Some(now + wait);
+                (e.is_opening, e.has_served, e.staged) = (false, true, true);
+                e.missing_since = None;
+                shown.model = None;
+                shown.membership = Some(Membership {
+                    group: group.clone(),
+                    epoch: *epoch,
+                    rank,
+                    state: MemberState::Joining,
+                });
+            }
+            Action::Open { group, epoch } => {
+                let state = held.as_ref().map(|m| (m.rank, m.state));
+                if !holds(group, *epoch) || state != Some((0, MemberState::Ready)) {
+                    return Reply::Conflict;
+                }
+                if e.is_opening {
+                    return Reply::Done;
+                }
+                (e.is_opening, e.changes_at) = (true, Some(now + OPEN_TIME));
+            }
+            Action::Close { group, epoch } => match &mut shown.membership {
+                Some(m) if holds(group, *epoch) && m.state == MemberState::Open => {
+                    m.state = MemberState::Closing;
+                    e.changes_at = Some(now + CLOSE_TIME);
+                }
+                _ => return Reply::Conflict,
+            },
+            Action::Leave { group, epoch } => {
+                if !holds(group, *epoch) {
+                    return Reply::Done;
+                }
+                (e.changes_at, e.is_opening) = (None, false);
+                (shown.membership, shown.model) = (None, None);
+            }
+            Action::Stage { .. } => {
+                e.staged_at = Some(now + if before_traffic { 200 } else { 2_000 });
+            }
+        }
+        shown.orders += 1;
+        show(e, now, shown);
+        self.publish(&order.endpoint);
+        Reply::Begun
+    }
+
+    /// Checks that the head of the group of an engine that takes a join doesn't serve.
+    fn check_two(&mut self, id: &Arc<str>, group: &str) {
+        let e = &self.engines[id];
+        let Some(own) = &e.shown.membership else {
+            return;
+        };
+        let Some(head) = e.members.first().and_then(|h| self.engines.get(h)) else {
+            return;
+        };
+        let of_head = head.shown.membership.as_ref();
+        let state = of_head.filter(|m| m.group == own.group && m.epoch == own.epoch);
+        let state = state.map(|m| m.state);
+        let may_serve = matches!(state, Some(MemberState::Open | MemberState::Closing));
+        if may_serve && head.down_until.is_none() {
+            let text = format!(
+                "{} ms: {id} of {} takes a join of {group}, its head {} is {state:?}",
+                self.now, own.group, head.id
+            );
+            self.broken.insert(Broken::Two(text));
+        }
+    }
+
+    /// Checks the groups whose heads take requests.
+    fn check_requests(&mut self) {
+        for e in self.engines.values() {
+            let Some(m) = &e.shown.membership else {
+                continue;
+            };
+            if m.state != MemberState::Open || e.down_until.is_some() {
+                continue;
+            }
+            let was_ready = |id: &Arc<str>| {
+                let (group, members) = (m.group.clone(), e.members.clone());
+                let key = (id.clone(), group, m.epoch, members);
+                self.ready.contains(&key)
+            };
+            if e.members.len() != GROUP_SIZE || !e.members.iter().all(was_ready) {
+                let text = format!("{} runs requests for {:?}", m.group, e.members);
+                self.broken.insert(Broken::Partial(text));
+            }
+        }
+    }
+
+    /// Has an engine write its entry to the store.
+    fn publish(&mut self, id: &str) {
+        let (now, is_down) = (self.now, self.store.down_until > self.now);
+        let e = self.engines.get_mut(id).unwrap();
+        e.sequence += 1;
+        let entry = Endpoint {
+            id: e.id.clone(),
+            started_ms: e.started_ms,
+            sequence: e.sequence,
+            service: Arc::from(SERVICE),
+            address: "10.0.0.1:80".to_owned(),
+            zone: zone_of(&e.domain),
+            domain: e.domain.clone(),
+            draining: false,
+            slots: 17,
+            staged: staged(e),
+            model: e.shown.model.clone(),
+            membership: e.shown.membership.clone(),
+            warm_up: ToldWarmUp::default(),
+        };
+        if now < e.cut_until || is_down {
+            if self.rng.random_bool(0.6) {
+                let delay = self.rng.random_range(LATE);
+                self.send(delay, Event::Write(entry));
+            }
+            return;
+        }
+        let delay = self.rng.random_range(5..30);
+        self.send(delay, Event::Write(entry));
+    }
+
+    fn advance_engines(&mut self) {
+        let now = self.now;
+        let ids: Vec<Arc<str>> = self.engines.keys().cloned().collect();
+        for id in ids {
+            let is_stalled = self.is_stalled(&id);
+            let clock_back = match self.faults.restarts && self.rng.random_bool(0.5) {
+                true => self.rng.random_range(0..8_000),
+                false => 0,
+            };
+            let e = self.engines.get_mut(&id).unwrap();
+            if let Some(until) = e.down_until {
+                e.shown.membership = None;
+                if until > now {
+                    continue;
+                }
+                *e = SimulatedEngine {
+                    id: e.id.clone(),
+                    domain: e.domain.clone(),
+                    started_ms: now - clock_back,
+                    sequence: 0,
+                    shown: Shown {
+                        membership: None,
+                        model: None,
+                        orders: 0,
+                    },
+                    history: Vec::new(),
+                    members: Vec::new(),
+                    staged: e.staged,
+                    has_served: false,
+                    highest_fence: 0,
+                    highest_epoch: 0,
+                    changes_at: None,
+                    is_opening: false,
+                    staged_at: None,
+                    missing_since: None,
+                    down_until: None,
+                    cut_until: e.cut_until,
+                    next_write: now,
+                };
+            }
+            let mut shown = e.shown.clone();
+            if e.staged_at.is_some_and(|t| t <= now) {
+                (e.staged, e.staged_at) = (true, None);
+                e.next_write = now;
+            }
+            if e.changes_at.is_some_and(|t| t <= now) {
+                e.changes_at = None;
+                if let Some(m) = &mut shown.membership {
+                    m.state = match m.state {
+                        MemberState::Joining => {
+                            shown.model = Some(Arc::from(MODEL));
+                            let (group, members) = (m.group.clone(), e.members.clone());
+                            self.ready.insert((id.clone(), group, m.epoch, members));
+                            MemberState::Ready
+                        }
+                        MemberState::Ready if e.is_opening => MemberState::Open,
+                        _ => MemberState::Ready,
+                    };
+                    e.is_opening = false;
+                }
+            }
+            e.missing_since = match is_stalled {
+                true => e.missing_since.or(Some(now)),
+                false => None,
+            };
+            if e.missing_since.is_some_and(|t| now >= t + STALL_TIME)
+                && let Some(m) = &mut shown.membership
+            {
+                m.state = MemberState::Broken;
+            }
+            let changed = shown != e.shown;
+            show(e, now, shown);
+            if changed || e.next_write <= now {
+                e.next_write = now + HEARTBEAT;
+                self.publish(&id);
+            }
+        }
+    }
+
+    /// Returns whether a member of the group of an open head is not there.
+    fn is_stalled(&self, id: &str) -> bool {
+        let e = &self.engines[id];
+        let Some(own) = &e.shown.membership else {
+            return false;
+        };
+        let is_there = |id: &Arc<str>| {
+            let other = &self.engines[id];
+            let m = other.shown.membership.as_ref();
+            other.down_until.is_none()
+                && m.is_some_and(|m| m.group == own.group && m.epoch == own.epoch)
+        };
+        own.state == MemberState::Open && !e.members.iter().all(is_there)
+    }
+
+    fn run_vm(&mut self, i: usize) {
+        let now = self.now;
+        let time = Time::from_millis(now);
+        if self.vms[i].frozen_until > now || self.vms[i].stopped_until > now {
+            return;
+        }
+        // A process that wakes may make its plan before it has read anything.
+        let plans_first = self.rng.random_bool(0.2);
+        if plans_first {
+            self.plan(i);
+        }
+        let is_up = self.store.down_until <= now;
+        let vm = &mut self.vms[i];
+        if is_up && vm.is_outage {
+            vm.is_outage = false;
+            vm.endpoints.store_returned(time);
+        } else if !is_up && !vm.is_outage && now + OUTAGE_NOTICE >= self.store.down_until {
+            // The rest of the outage is too short to be noticed.
+        } else if !is_up && !vm.is_outage && self.rng.random_bool(0.01) {
+            vm.is_outage = true;
+            vm.endpoints.store_lost();
+        }
+        if is_up {
+            for (id, entry) in &self.store.log[vm.next_record..] {
+                match entry {
+                    Some(entry) => {
+                        vm.endpoints.put(time, entry.clone());
+                    }
+                    None => {
+                        vm.endpoints.remove(time, [&**id]);
+                    }
+                }
+            }
+            vm.next_record = self.store.log.len();
+        }
+        vm.endpoints.expire(time);
+        vm.endpoints.settle(time);
+        if now >= vm.next_renewal {
+            vm.next_renewal = now + RENEW_INTERVAL;
+            self.renew(i);
+        }
+        if !plans_first {
+            self.plan(i);
+        }
+    }
+
+    fn renew(&mut self, i: usize) {
+        let (now, time) = (self.now, Time::from_millis(self.now));
+        let length = Duration::from_millis(LEASE);
+        let others_plan = (0..self.vms.len())
+            .filter(|j| *j != i)
+            .any(|j| self.vms[j].is_planner && self.vms[j].frozen_until <= now);
+        let vm = &mut self.vms[i];
+        let may_continue = vm.is_outage && !others_plan;
+        vm.lease.continue_alone(time, length, may_continue);
+        if vm.lease.is_alone() {
+            vm.is_planner = true;
+            return;
+        }
+        let is_up = self.store.down_until <= now;
+        if vm.lease.is_held(time) || !others_plan {
+            if is_up {
+                vm.is_in_group = true;
+                let grant = self.store.grant(now, i);
+                self.send(ROUND_TRIP, Event::Granted(i, now, grant));
+            }
+        } else if vm.is_in_group && is_up {
+            vm.is_in_group = false;
+            self.store.leave(i);
+        }
+        let vm = &mut self.vms[i];
+        vm.is_planner &= vm.lease.is_held(time);
+    }
+
+    fn plan(&mut self, i: usize) {
+        let time = Time::from_millis(self.now);
+        let vm = &mut self.vms[i];
+        if self.now < vm.next_plan {
+            return;
+        }
+        vm.next_plan = self.now + PLAN_INTERVAL;
+        let confirmed = !vm.lease.is_alone() || vm.is_outage;
+        if !vm.lease.is_held(time) || !vm.is_planner || !confirmed {
+            vm.planner.end_term();
+            return;
+        }
+        let (demand, silent) = (BTreeMap::new(), BTreeSet::new());
+        let input = PlannerInput {
+            service: SERVICE,
+            engine: &self.model,
+            endpoints: &vm.endpoints,
+            silent: &silent,
+            demand: &demand,
+            before_traffic: !self.has_traffic,
+            list_frozen: vm.is_outage,
+        };
+        let mut out = Vec::new();
+        vm.planner.begin_term(vm.lease.fence());
+        vm.planner.step(time, &input, &mut out);
+        for output in out {
+            self.execute(i, output);
+        }
+    }
+
+    fn execute(&mut self, i: usize, output: Output) {
+        match output {
+            Output::Order {
+                endpoint,
+                fence,
+                action,
+                expected: Some(expected),
+                ..
+            } => {
+                let check = JoinCheck {
+                    endpoint,
+                    fence,
+                    action,
+                    expected,
+                    attempt: 0,
+                };
+                self.asked += u64::from(self.has_traffic);
+                self.send(ROUND_TRIP / 2, Event::Ask(i, check));
+            }
+            Output::Order {
+                endpoint,
+                fence,
+                action,
+                ..
+            } => self.send_order(i, endpoint, fence, action, None),
+            Output::Probe { endpoint, .. } => {
+                let report = self.report(&endpoint).map(|(report, _)| report);
+                let result = match report {
+                    Some(_) => ProbeResult::Answered,
+                    None => ProbeResult::Unreachable,
+                };
+                self.send(ROUND_TRIP, Event::Probed(i, endpoint, result, report));
+            }
+        }
+    }
+
+    /// Returns the engines that run but that a VM doesn't list with their start.
+    pub fn unlisted(&self) -> Vec<Arc<str>> {
+        let is_listed = |e: &SimulatedEngine| {
+            let mut vms = self.vms.iter();
+            vms.all(|vm| {
+                let listed = vm.endpoints.get(&e.id);
+                listed.is_some_and(|l| l.started_ms == e.started_ms)
+            })
+        };
+        let engines = self.engines.values();
+        let unlisted = engines.filter(|e| e.down_until.is_none() && !is_listed(e));
+        unlisted.map(|e| e.id.clone()).collect()
+    }
+
+    /// Returns the engines that are members of open groups, and all that run.
+    pub fn serving(&self) -> (usize, usize) {
+        let live = self.engines.values().filter(|e| e.down_until.is_none());
+        let is_open = |e: &&SimulatedEngine| {
+            let m = e.shown.membership.as_ref();
+            m.is_some_and(|m| m.state == MemberState::Open) && !self.is_stalled(&e.id)
+        };
+        let open = self.engines.values().filter(is_open).count();
+        (open * GROUP_SIZE, live.count())
+    }
+}
+
+/// Returns whether a VM may send an order that it decided on under a fencing token.
+fn may_order(vm: &Vm, _now: Time, _fence: u64) -> bool {
+    vm.is_planner
+}
+
+fn staged(e: &SimulatedEngine) -> Vec<Arc<str>> {
+    match e.staged {
+        true => vec![Arc::from(MODEL)],
+        false => Vec::new(),
+    }
+}
+
+/// Replaces the state that an engine shows.
+fn show(e: &mut SimulatedEngine, now: u64, shown: Shown) {
+    if shown != e.shown {
+        let before = std::mem::replace(&mut e.shown, shown);
+        e.history.retain(|(until, _)| until + REPORT_LAG >= now);
+        e.history.push((now, before));
+    }
+}
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -158,7 +158,7 @@
             membership: None,
             warm_up: ToldWarmUp::default(),
         };
-        self.endpoints.put(entry.clone());
+        self.endpoints.put(self.now, entry.clone());
         let simulated = SimulatedEngine {
             entry,
             crashed_at: None,
@@ -496,7 +496,7 @@
     fn update_list(&mut self, id: &str) {
         let simulated = &self.engines[id];
         if simulated.crashed_at.is_none() && !self.list_frozen {
-            self.endpoints.put(simulated.entry.clone());
+            self.endpoints.put(self.now, simulated.entry.clone());
         }
     }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Runs all tests of this crate in one binary.
 
+mod belief_world;
 mod node_world;
 mod planner_simulation;
 mod test_agent;
@@ -16,6 +17,7 @@
 mod test_log_limiter;
 mod test_model;
 mod test_node_balance;
+mod test_node_beliefs;
 mod test_node_budget;
 mod test_node_cache;
 mod test_node_endpoints;
--- /dev/null
+++ b/lib/tests/test_node_beliefs.rs
@@ -0,0 +1,56 @@
+use crate::belief_world::{Faults, World};
+
+/// Number of seeds, unless `HEMLOCK_SEEDS` gives another one.
+const SEEDS: u64 = 200;
+/// Time with faults, in milliseconds.
+const TROUBLE: u64 = 30_000;
+/// Time after the faults within which the deployment serves again, in milliseconds.
+const RECOVERY: u64 = 20_000;
+
+/// Plays `HEMLOCK_SEEDS` seeds with faults, and returns what was broken in each.
+fn play(faults: Faults) -> Vec<String> {
+    let seeds = std::env::var("HEMLOCK_SEEDS").ok();
+    let seeds = seeds.and_then(|s| s.parse().ok()).unwrap_or(SEEDS);
+    let mut failed = Vec::new();
+    let (mut joins, mut asked) = (0, 0);
+    for seed in 0..seeds {
+        let mut world = World::new(seed, faults);
+        world.run(TROUBLE);
+        world.settle(RECOVERY);
+        (joins, asked) = (joins + world.joins, asked + world.asked);
+        if let Some(broken) = world.broken.first() {
+            failed.push(format!("seed {seed}: {broken:?}"));
+        }
+        let unlisted = world.unlisted();
+        if !unlisted.is_empty() {
+            failed.push(format!("seed {seed}: {unlisted:?} aren't listed"));
+        }
+        let (serving, live) = world.serving();
+        // One engine of each failure domain may have no partner, and one group may be formed anew.
+        if serving + 4 < live {
+            failed.push(format!("seed {seed}: {serving} of {live} engines serve"));
+        }
+    }
+    println!("{faults:?}: {joins} joins, {asked} reports asked for");
+    failed
+}
+
+fn assert_kept(faults: Faults) {
+    let failed = play(faults);
+    let first: Vec<&String> = failed.iter().take(5).collect();
+    assert!(
+        failed.is_empty(),
+        "{} of the seeds: {first:#?}",
+        failed.len()
+    );
+}
+
+/// Guards against review case 8: an entry that the store executed late had an engine of an open group
+/// ordered into another one.
+#[test]
+fn late_entry_takes_no_engine_out_of_an_open_group() {
+    assert_kept(Faults {
+        late_entries: true,
+        ..Faults::default()
+    });
+}
--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -30,7 +30,7 @@
 fn list_of(count: usize) -> Endpoints {
     let mut endpoints = Endpoints::new(Duration::from_secs(2));
     for i in 0..count {
-        endpoints.put(endpoint(&format!("e{i}")));
+        endpoints.put(at(0), endpoint(&format!("e{i}")));
     }
     endpoints
 }
@@ -56,7 +56,7 @@
     assert!(endpoints.expire(at(60_000)).is_empty());
     endpoints.store_returned(at(60_000));
     assert_eq!(endpoints.remove(at(60_500), ["e2"])[0].1, Change::Lapsed);
-    endpoints.put(endpoint("e2"));
+    endpoints.put(at(0), endpoint("e2"));
     assert!(endpoints.expire(at(61_900)).is_empty());
     assert_eq!(endpoints.expire(at(62_000)), [Arc::from("e1")]);
     assert!(endpoints.get("e2").is_some());
@@ -93,8 +93,8 @@
         started_ms: 2,
         ..endpoint("e0")
     };
-    assert_eq!(endpoints.put(restarted.clone()), Change::Listed);
-    assert_eq!(endpoints.put(restarted), Change::None);
+    assert_eq!(endpoints.put(at(0), restarted.clone()), Change::Listed);
+    assert_eq!(endpoints.put(at(0), restarted), Change::None);
 }
 
 #[test]
@@ -108,10 +108,13 @@
     };
     for (id, rank, epoch) in [("a", 0, 7), ("b", 1, 7), ("c", 1, 6)] {
         let membership = Some(membership(rank, epoch));
-        endpoints.put(Endpoint {
-            membership,
-            ..endpoint(id)
-        });
+        endpoints.put(
+            at(0),
+            Endpoint {
+                membership,
+                ..endpoint(id)
+            },
+        );
     }
     let groups = endpoints.groups();
     assert!(groups[&(Arc::from("g"), 7)].is_complete(2));
@@ -146,8 +149,8 @@
 #[test]
 fn an_older_copy_of_the_store_makes_no_draining_endpoint_available() {
     let mut endpoints = list_of(0);
-    endpoints.put(entry("counted", 7, true));
-    endpoints.put(entry("uncounted", 0, true));
+    endpoints.put(at(0), entry("counted", 7, true));
+    endpoints.put(at(0), entry("uncounted", 0, true));
     let copy = vec![entry("counted", 6, false), entry("uncounted", 0, false)];
     endpoints.restore(at(0), copy);
     assert!(endpoints.iter().all(|e| e.draining));
@@ -156,14 +159,14 @@
         started_ms: 2,
         ..endpoint("counted")
     };
-    endpoints.put(restarted);
+    endpoints.put(at(0), restarted);
     assert!(!endpoints.get("counted").unwrap().draining);
 }
 
 #[test]
 fn an_older_copy_of_the_store_lists_no_endpoint_that_has_gone() {
     let mut endpoints = list_of(10);
-    endpoints.put(entry("gone", 4, false));
+    endpoints.put(at(0), entry("gone", 4, false));
     endpoints.remove(at(0), ["gone"]);
     let copy = |sequence| {
         let others = (0..10).map(|i| endpoint(&format!("e{i}")));
@@ -201,7 +204,7 @@
         membership: member(epoch),
         ..entry("e", sequence, false)
     };
-    endpoints.put(of(5, 50));
+    endpoints.put(at(0), of(5, 50));
     endpoints.restore(at(0), vec![of(4, 40)]);
     assert_eq!(endpoints.get("e").unwrap().membership, member(50));
     endpoints.restore(at(0), vec![of(6, 60)]);
@@ -215,11 +218,144 @@
     assert_eq!(endpoints.mark_leaving(&id, 2), Change::None);
     assert_eq!(endpoints.mark_leaving(&id, 1), Change::Draining);
     assert_eq!(endpoints.mark_leaving(&id, 1), Change::None);
-    endpoints.put(entry("e1", 5, false));
+    endpoints.put(at(0), entry("e1", 5, false));
     assert!(endpoints.get("e1").unwrap().draining);
-    endpoints.put(Endpoint {
-        started_ms: 2,
-        ..endpoint("e1")
-    });
+    endpoints.put(
+        at(0),
+        Endpoint {
+            started_ms: 2,
+            ..endpoint("e1")
+        },
+    );
+    assert!(!endpoints.get("e1").unwrap().draining);
+}
+
+fn of_start(started_ms: u64, sequence: u64) -> Endpoint {
+    Endpoint {
+        started_ms,
+        ..entry("e1", sequence, false)
+    }
+}
+
+fn start_of(endpoints: &Endpoints) -> (u64, u64) {
+    let e = endpoints.get("e1").unwrap();
+    (e.started_ms, e.sequence)
+}
+
+/// Guards against review case 8: the store executed an entry behind newer ones, and the list showed the
+/// engine without its group.
+#[test]
+fn entry_that_the_store_executes_behind_newer_ones_is_ignored() {
+    let mut endpoints = list_of(10);
+    let joined = Endpoint {
+        membership: Some(Membership {
+            group: Arc::from("g"),
+            epoch: 1,
+            rank: 0,
+            state: MemberState::Open,
+        }),
+        ..of_start(5, 9)
+    };
+    endpoints.put(at(0), joined.clone());
+    let late = of_start(5, 8);
+    let change = endpoints.put(at(1), late.clone());
+    assert_eq!(change, Change::Outdated(late.entry_version()));
+    let mut list: Vec<Endpoint> = endpoints.iter().cloned().collect();
+    list.iter_mut()
+        .filter(|e| &*e.id == "e1")
+        .for_each(|e| *e = late.clone());
+    endpoints.replace(at(2), list);
+    assert_eq!(endpoints.get("e1"), Some(&joined));
+}
+
+/// Guards against DRAIN broken by a late entry: a plain endpoint became available again.
+#[test]
+fn late_entry_makes_no_draining_endpoint_available() {
+    let mut endpoints = list_of(10);
+    endpoints.put(at(0), entry("e1", 7, true));
+    endpoints.put(at(1), entry("e1", 6, false));
+    assert!(endpoints.get("e1").unwrap().draining);
+    // Uncounted entries, and one that was numbered before the endpoint began to drain.
+    endpoints.put(at(2), entry("e1", 8, false));
+    assert!(endpoints.get("e1").unwrap().draining);
+}
+
+#[test]
+fn late_entry_lists_no_endpoint_that_is_gone() {
+    let mut endpoints = list_of(10);
+    endpoints.put(at(0), entry("e1", 7, true));
+    endpoints.remove(at(10), ["e1"]);
+    for sequence in [6, 7] {
+        endpoints.put(at(20), entry("e1", sequence, false));
+        assert!(endpoints.get("e1").is_none(), "{sequence}");
+    }
+    // One that only had lapsed writes on, but does not stop to drain.
+    endpoints.put(at(30), entry("e1", 8, false));
+    assert!(endpoints.get("e1").unwrap().draining);
+    endpoints.put(at(40), of_start(2, 0));
     assert!(!endpoints.get("e1").unwrap().draining);
 }
+
+#[test]
+fn endpoint_whose_clock_went_back_at_its_restart_is_listed() {
+    for ends_first in [false, true] {
+        let mut endpoints = list_of(10);
+        endpoints.put(at(0), of_start(5_000, 40));
+        if ends_first {
+            endpoints.remove(at(50), ["e1"]);
+        }
+        let restarted = of_start(2_000, 0);
+        let unconfirmed = Change::Unconfirmed(restarted.entry_version());
+        assert_eq!(endpoints.put(at(100), restarted.clone()), unconfirmed);
+        assert!(endpoints.settle(at(2_000)).is_empty());
+        // Reading the list again changes nothing.
+        endpoints.put(at(2_050), of_start(2_000, 0));
+        let settled = endpoints.settle(at(2_100));
+        assert_eq!(settled, [(Arc::from("e1"), Change::Listed)]);
+        assert_eq!(start_of(&endpoints), (2_000, 0));
+        // A late entry of the life before is now of the later start, and stays out.
+        endpoints.put(at(2_200), of_start(5_000, 39));
+        endpoints.put(at(2_300), of_start(2_000, 1));
+        assert!(endpoints.settle(at(9_000)).is_empty());
+        assert_eq!(start_of(&endpoints), (2_000, 1));
+    }
+}
+
+#[test]
+fn late_entry_of_an_earlier_life_is_not_listed() {
+    let mut endpoints = list_of(10);
+    endpoints.put(at(0), of_start(5_000, 1));
+    endpoints.put(at(10), of_start(2_000, 90));
+    // The endpoint writes its entry again.
+    endpoints.put(at(1_200), of_start(5_000, 2));
+    assert!(endpoints.settle(at(9_000)).is_empty());
+    assert_eq!(start_of(&endpoints), (5_000, 2));
+    // An entry that the store removes after its silence is of no life that goes on.
+    endpoints.put(at(9_010), of_start(2_000, 91));
+    endpoints.remove(at(10_000), ["e1"]);
+    assert!(endpoints.settle(at(20_000)).is_empty());
+    assert!(endpoints.get("e1").is_none());
+}
+
+#[test]
+fn restart_with_an_earlier_clock_is_listed_at_once_when_the_engine_names_its_start() {
+    let mut endpoints = list_of(10);
+    endpoints.put(at(0), of_start(5_000, 40));
+    endpoints.put(at(10), of_start(2_000, 0));
+    assert_eq!(endpoints.confirm("e1", 5_000), Change::None);
+    assert_eq!(endpoints.confirm("e1", 2_000), Change::Listed);
+    assert_eq!(start_of(&endpoints), (2_000, 0));
+}
+
+/// Nothing can contradict a late entry while the store takes no writes.
+#[test]
+fn entry_of_an_earlier_start_waits_for_the_end_of_an_outage() {
+    let mut endpoints = list_of(10);
+    endpoints.put(at(0), of_start(5_000, 40));
+    endpoints.put(at(10), of_start(2_000, 3));
+    endpoints.store_lost();
+    assert!(endpoints.settle(at(60_000)).is_empty());
+    endpoints.store_returned(at(60_000));
+    assert!(endpoints.settle(at(61_900)).is_empty());
+    assert_eq!(endpoints.settle(at(62_000)).len(), 1);
+}
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -123,7 +123,7 @@
             rank: usize::MAX,
             state: MemberState::Open,
         });
-        simulation.endpoints.put(odd);
+        simulation.endpoints.put(simulation.now, odd);
         simulation.run(Duration::from_secs(6));
         let joins = simulation.orders.iter().filter_map(|(_, _, a)| match a {
             Action::Join { epoch, .. } => Some(*epoch),
@@ -469,9 +469,9 @@
     };
     let mut earlier = joining.clone();
     earlier.membership = None;
-    simulation.endpoints.put(earlier);
+    simulation.endpoints.put(simulation.now, earlier);
     simulation.run(Duration::from_millis(50));
-    simulation.endpoints.put(joining.clone());
+    simulation.endpoints.put(simulation.now, joining.clone());
     simulation.run(Duration::from_secs(8));
     simulation.before_traffic = false;
     simulation.orders.clear();
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -311,9 +311,9 @@
     }
 }
 
-/// Sends an order to an engine if it is in the group that is expected. An order that is carried out
-/// late between the engine's report and this order makes the engine refuse it.
-async fn send_checked(
+/// Sends a join to an engine whose own report allows it. The report's number of orders is the precondition,
+/// so that the engine refuses the join if another order, even a late one, came between.
+async fn send_join(
     node: &Node,
     id: &Arc<str>,
     address: &str,
@@ -322,7 +322,7 @@
     expected: &ExpectedGroup,
 ) -> Reply {
     let Action::Join { group, epoch, .. } = action else {
-        return engines::send_order(address, fence, action, None).await;
+        return Reply::Conflict;
     };
     let mut reply = Reply::Lost;
     for attempt in 0..MAX_CHECKS {
@@ -332,17 +332,26 @@
         let query = engines::fetch_report(id, address).await;
         node.note_queried(id, query.limit);
         node.note_told_warm_up(id, query.warm_up);
-        let ReportOutcome::Received(report) = query.outcome else {
+        let (ReportOutcome::Received(report), Some(orders)) = (query.outcome, query.orders) else {
             return Reply::Lost;
         };
+        node.note_start(id, report.started_ms);
         let checked = expected.check(report.membership.as_ref(), group, *epoch);
+        if checked == Err(Reply::Conflict) {
+            log::warn!(
+                "event=join_unsafe id={id} group={group} expected={:?} reported={:?} orders={orders}",
+                expected.current,
+                report.membership
+            );
+            node.metrics.count(Counter::JoinsUnsafe, "group");
+        }
         keep_report(node, report);
         // The lease may have ended meanwhile.
         if !node.is_planner.get() || node.stop.is_stopping() && !node.is_outage() {
             return Reply::Conflict;
         }
         reply = match checked {
-            Ok(()) => engines::send_order(address, fence, action, query.orders).await,
+            Ok(()) => engines::send_order(address, fence, action, Some(orders)).await,
             Err(reply) => reply,
         };
         // The report may be older than the engine's last order, as may be the list.
@@ -367,18 +376,23 @@
             fence,
             action,
             expected,
+            entry,
         } => {
             let reply = match &expected {
                 Some(expected) => {
-                    send_checked(&node, &endpoint, &address, fence, &action, expected).await
+                    send_join(&node, &endpoint, &address, fence, &action, expected).await
                 }
                 None => engines::send_order(&address, fence, &action, None).await,
             };
             let now = node.now();
             log::info!(
-                "event=order action={} subject={} id={endpoint} fence={fence} reply={reply:?}",
+                "event=order action={} subject={} id={endpoint} fence={fence} reply={reply:?} \
+                 epoch={} start={} sequence={}",
                 action.name(),
-                action.subject()
+                action.subject(),
+                action.epoch().unwrap_or_default(),
+                entry.started_ms,
+                entry.sequence
             );
             node.metrics.count(Counter::Orders, action.name());
             let mut leadership = leadership.borrow_mut();
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -47,7 +47,9 @@
     DatagramBytes "datagram_bytes" "Bytes of the datagrams to other VMs, by what they carry.";
     Denied "denied" "Requests that the configuration does not allow, by whether the route or the key is unknown.";
     EarlyHeartbeats "early_heartbeats" "Heartbeats to all VMs before the interval has passed.";
+    EntriesIgnored "entries_ignored" "Entries of endpoints that were not applied, by whether they are older than what is known (outdated) or of a start that may be earlier (unconfirmed).";
     EvacuationChanges "evacuation_changes" "Changes of the evacuations of zones, by kind.";
+    JoinsUnsafe "joins_unsafe" "Joins that were not sent, since the engine or the lease was not as the plan assumed, by which of them.";
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
     EventsLate "events_late" "First events that took over twice the time expected, by whether a slot was expected to be free, doubtful or waited for.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -12,7 +12,9 @@
 use hemlock_lib::node::cache::Entry;
 use hemlock_lib::node::capacity::DemandMeter;
 use hemlock_lib::node::config::Config;
-use hemlock_lib::node::endpoints::{Change, Endpoints, EngineReport, MemberState};
+use hemlock_lib::node::endpoints::{
+    Change, Endpoint, Endpoints, EngineReport, EntryVersion, MemberState,
+};
 use hemlock_lib::node::evacuation::Evacuations;
 use hemlock_lib::node::load_totals::LoadTotals;
 use hemlock_lib::node::memory::{DEFAULT_LIMIT_MB, Memory};
@@ -446,21 +448,55 @@
         let version = endpoints.version();
         let name = match change {
             Change::None => return,
+            Change::Outdated(entry) => return self.log_ignored_entry(id, entry, "outdated"),
+            Change::Unconfirmed(entry) => {
+                return self.log_ignored_entry(id, entry, "unconfirmed");
+            }
             Change::Listed => "listed",
             Change::Draining => "draining",
             Change::Membership => "seat",
             Change::Gone => "gone",
             Change::Lapsed => "lapsed",
         };
-        let membership = endpoints.get(id).and_then(|e| e.membership.as_ref());
-        match membership {
+        let Some(endpoint) = endpoints.get(id) else {
+            return log::info!("event=endpoint change={name} id={id} list={version}");
+        };
+        let (start, sequence) = (endpoint.started_ms, endpoint.sequence);
+        match &endpoint.membership {
             Some(s) => log::info!(
-                "event=endpoint change={name} id={id} group={} rank={} state={:?} list={version}",
+                "event=endpoint change={name} id={id} group={} epoch={} rank={} state={:?} start={start} \
+                 sequence={sequence} list={version}",
                 s.group,
+                s.epoch,
                 s.rank,
                 s.state
             ),
-            None => log::info!("event=endpoint change={name} id={id} list={version}"),
+            None => log::info!(
+                "event=endpoint change={name} id={id} start={start} sequence={sequence} list={version}"
+            ),
+        }
+    }
+
+    /// Logs and counts an entry that was not applied.
+    fn log_ignored_entry(&self, id: &str, entry: EntryVersion, cause: &'static str) {
+        self.metrics.count(Counter::EntriesIgnored, cause);
+        let endpoints = self.endpoints.borrow();
+        let known = endpoints.get(id).map(Endpoint::entry_version);
+        log::warn!(
+            "event=entry_ignored id={id} cause={cause} start={} sequence={} known_start={} known_sequence={}",
+            entry.started_ms,
+            entry.sequence,
+            known.map_or(0, |v| v.started_ms),
+            known.map_or(0, |v| v.sequence)
+        );
+    }
+
+    /// Uses an engine's own word for the start that its entry is of.
+    pub(crate) fn note_start(&self, id: &Arc<str>, started_ms: u64) {
+        let change = self.endpoints.borrow_mut().confirm(id, started_ms);
+        if change != Change::None {
+            self.log_endpoint_change(id, change);
+            self.refresh_candidates();
         }
     }
 
@@ -480,6 +516,10 @@
         for id in &expired {
             self.log_endpoint_change(id, Change::Gone);
         }
+        let settled = self.endpoints.borrow_mut().settle(now);
+        for (id, change) in settled {
+            self.log_endpoint_change(&id, change);
+        }
         for name in self.peers.borrow_mut().newly_lost(now) {
             log::info!("event=peer_lost node={name}");
         }
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -452,7 +452,7 @@
         match value.and_then(|v| hemlock_platform::endpoints::decode(&record.key, v)) {
             Some(endpoint) => {
                 removed.retain(|id| *id != record.key);
-                let change = node.endpoints.borrow_mut().put(endpoint);
+                let change = node.endpoints.borrow_mut().put(now, endpoint);
                 changes.push((Arc::from(record.key.as_str()), change));
             }
             None => removed.push(record.key.as_str()),
