lib: a late entry that the store goes on listing is applied in the end

Its entry had lapsed in an outage, a late write of it was ignored as older, and its heartbeats, which said the same as that write, added no record.

Endpoints::put holds such an entry instead of dropping it. The store drops the entry of a silent endpoint after three heartbeats and replaces one that says something else, so an entry that is still listed after 5 s is what its endpoint says. The same time serves for an endpoint whose clock went back at its restart.

--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -12,6 +12,9 @@
 /// Time after an outage of the store within which the platform is assumed to list lapsed entries
 /// again.
 const RELIST_TIME: Duration = Duration::from_secs(2);
+/// Time after which the store has dropped an entry whose endpoint is silent: three intervals of its heartbeat,
+/// 1.2 s each, and time to read of it.
+const ENTRY_LIFETIME: Duration = Duration::from_secs(5);
 /// Time for which an entry that ended is remembered. The store may come back from a copy that is
 /// some seconds old, and then lists such entries again.
 const ENDED_RETENTION: Duration = Duration::from_secs(30);
@@ -147,7 +150,7 @@
     Gone,
     /// An entry may have lapsed because of the store; the endpoint stays in use for a while.
     Lapsed,
-    /// An entry of this version was ignored, since it is older than what is known of the endpoint.
+    /// An entry of this version was not applied, since it is older than what is known of the endpoint.
     Outdated(EntryVersion),
     /// An entry of this version was not applied yet: it is of an earlier life of the endpoint, or the
     /// endpoint's clock went back when it restarted.
@@ -218,9 +221,9 @@
     leaving: BTreeMap<Arc<str>, u64>,
     /// Endpoints that ended lately.
     ended: BTreeMap<Arc<str>, Ended>,
-    /// Entries of a start that may be earlier than the known one, with the times at which such an entry
-    /// was first read.
-    unconfirmed: BTreeMap<Arc<str>, (Time, Endpoint)>,
+    /// Entries that are older than what is known or of a start that may be, with the times at which they
+    /// were first read.
+    held: BTreeMap<Arc<str>, (Time, Endpoint)>,
     /// Later start times by the endpoint's clock that turned out to be of an earlier life.
     superseded: BTreeMap<Arc<str>, u64>,
     store: StoreAvailability,
@@ -240,7 +243,7 @@
             lapsed: BTreeMap::new(),
             leaving: BTreeMap::new(),
             ended: BTreeMap::new(),
-            unconfirmed: BTreeMap::new(),
+            held: BTreeMap::new(),
             superseded: BTreeMap::new(),
             store: StoreAvailability::default(),
             restored_at: None,
@@ -279,25 +282,23 @@
     ///
     /// The store may execute a write seconds late, behind newer ones. Of two entries of the same start,
     /// the sequence tells which one is newer. An entry whose start time is earlier than the known one is
-    /// either late too, or of an endpoint whose clock went back when it restarted. In the first case the
-    /// endpoint writes its entry again soon; in the second, [`Self::settle`] applies the entry after
-    /// that time, or [`Self::confirm`] as soon as the endpoint itself names its start.
+    /// either late too, or of an endpoint whose clock went back when it restarted.
+    ///
+    /// Such an entry is held: the store drops it if its endpoint is silent, and replaces it if the endpoint
+    /// writes something else, but a heartbeat that says the same adds no record. [`Self::settle`] applies what is
+    /// still held then, and [`Self::confirm`] an entry of the start that the endpoint itself names.
     pub fn put(&mut self, now: Time, endpoint: Endpoint) -> Change {
         let version = endpoint.entry_version();
-        match self.age(&endpoint) {
-            EntryAge::Current => self.apply(endpoint),
+        let change = match self.age(&endpoint) {
+            EntryAge::Current => return self.apply(endpoint),
             EntryAge::Outdated => Change::Outdated(version),
-            EntryAge::Unknown => {
-                let is_same = |(_, e): &&(Time, Endpoint)| e.started_ms == endpoint.started_ms;
-                let held = self.unconfirmed.get(&endpoint.id).filter(is_same);
-                if held.is_none_or(|(_, e)| e.sequence <= endpoint.sequence) {
-                    let since = held.map_or(now, |(since, _)| *since);
-                    self.unconfirmed
-                        .insert(endpoint.id.clone(), (since, endpoint));
-                }
-                Change::Unconfirmed(version)
-            }
-        }
+            EntryAge::Unknown => Change::Unconfirmed(version),
+        };
+        let held = self.held.get(&endpoint.id);
+        let read_again = held.filter(|(_, e)| e.entry_version() == version);
+        let since = read_again.map_or(now, |(since, _)| *since);
+        self.held.insert(endpoint.id.clone(), (since, endpoint));
+        change
     }
 
     fn age(&self, entry: &Endpoint) -> EntryAge {
@@ -332,7 +333,7 @@
             || self.leaving.get(&endpoint.id) == Some(&endpoint.started_ms);
         endpoint.draining |= was_draining;
         self.lapsed.remove(&endpoint.id);
-        self.unconfirmed.remove(&endpoint.id);
+        self.held.remove(&endpoint.id);
         let change = match old {
             None => Change::Listed,
             Some(old) if old.started_ms != endpoint.started_ms => Change::Listed,
@@ -346,37 +347,41 @@
         change
     }
 
-    /// Applies the unconfirmed entry of an endpoint that names its start itself, if it is of that start.
+    /// Applies the held entry of an endpoint that names its start itself, if it is of that start and not of
+    /// the known one.
     pub fn confirm(&mut self, id: &str, started_ms: u64) -> Change {
-        let is_confirmed = |(_, e): &&(Time, Endpoint)| e.started_ms == started_ms;
-        match self.unconfirmed.get(id).filter(is_confirmed).cloned() {
+        let is_known = self.listed.get(id).map(|e| e.started_ms) == Some(started_ms);
+        let is_confirmed = |(_, e): &&(Time, Endpoint)| e.started_ms == started_ms && !is_known;
+        match self.held.get(id).filter(is_confirmed).cloned() {
             Some((_, endpoint)) => self.supersede(endpoint),
             None => Change::None,
         }
     }
 
-    /// Applies the unconfirmed entries that no newer one has contradicted in the time in which a live
-    /// endpoint writes again, and returns the change of each.
+    /// Applies the held entries that the store still lists after the time in which it drops those of silent
+    /// endpoints, and returns the change of each.
     pub fn settle(&mut self, now: Time) -> Vec<(Arc<str>, Change)> {
-        // Nothing contradicts an entry while the store takes no writes.
+        // The store drops and replaces nothing while it takes no writes.
         let answers_since = match self.store {
             StoreAvailability::Available => Time(0),
             StoreAvailability::Recovered(since) => since,
             StoreAvailability::Unavailable => return Vec::new(),
         };
         let is_due =
-            |(since, _): &(Time, Endpoint)| now >= (*since).max(answers_since) + RELIST_TIME;
-        let entries = self.unconfirmed.values().filter(|held| is_due(held));
+            |(since, _): &(Time, Endpoint)| now >= (*since).max(answers_since) + ENTRY_LIFETIME;
+        let entries = self.held.values().filter(|entry| is_due(entry));
         let due: Vec<Endpoint> = entries.map(|(_, e)| e.clone()).collect();
         let apply = |e: Endpoint| (e.id.clone(), self.supersede(e));
         due.into_iter().map(apply).collect()
     }
 
-    /// Lists an entry whose start time is earlier than that of the endpoint's life before.
+    /// Lists a held entry. If its start is another one than the known one, entries of that are late from now
+    /// on, whatever the endpoint's clock said.
     fn supersede(&mut self, endpoint: Endpoint) -> Change {
         let listed = self.listed.get(&endpoint.id).map(|e| e.started_ms);
         let ended = self.ended.get(&endpoint.id).map(|e| e.version.started_ms);
-        if let Some(started_ms) = listed.or(ended) {
+        let known = listed.or(ended);
+        if let Some(started_ms) = known.filter(|s| *s != endpoint.started_ms) {
             self.superseded.insert(endpoint.id.clone(), started_ms);
         }
         self.apply(endpoint)
@@ -441,7 +446,7 @@
     ) -> Vec<(Arc<str>, Change)> {
         let mut ended_ids: Vec<Arc<str>> = Vec::new();
         for id in ids {
-            self.unconfirmed.remove(id);
+            self.held.remove(id);
             let listed = self.listed.get_key_value(id);
             ended_ids.extend(listed.map(|(id, _)| id.clone()));
         }
