--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -289,14 +289,22 @@
     /// still held then, and [`Self::confirm`] an entry of the start that the endpoint itself names.
     pub fn put(&mut self, now: Time, endpoint: Endpoint) -> Change {
         let version = endpoint.entry_version();
-        let change = match self.age(&endpoint) {
+        let age = self.age(&endpoint);
+        let change = match age {
             EntryAge::Current => return self.apply(endpoint),
             EntryAge::Outdated => Change::Outdated(version),
             EntryAge::Unknown => Change::Unconfirmed(version),
         };
+        // Reading an entry again changes nothing, and an endpoint that writes on lives.
+        let goes_on = |held: EntryVersion| match age {
+            EntryAge::Unknown => {
+                held.started_ms == version.started_ms && held.sequence <= version.sequence
+            }
+            EntryAge::Current | EntryAge::Outdated => held == version,
+        };
         let held = self.held.get(&endpoint.id);
-        let read_again = held.filter(|(_, e)| e.entry_version() == version);
-        let since = read_again.map_or(now, |(since, _)| *since);
+        let held = held.filter(|(_, e)| goes_on(e.entry_version()));
+        let since = held.map_or(now, |(since, _)| *since);
         self.held.insert(endpoint.id.clone(), (since, endpoint));
         change
     }
--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -307,17 +307,18 @@
         let restarted = of_start(2_000, 0);
         let unconfirmed = Change::Unconfirmed(restarted.entry_version());
         assert_eq!(endpoints.put(at(100), restarted.clone()), unconfirmed);
-        // Reading the list again changes nothing.
+        // Neither reading the list again nor further entries defer it.
         endpoints.put(at(2_050), of_start(2_000, 0));
+        endpoints.put(at(4_000), of_start(2_000, 3));
         assert!(endpoints.settle(at(5_000)).is_empty());
         let settled = endpoints.settle(at(5_100));
         assert_eq!(settled, [(Arc::from("e1"), Change::Listed)]);
-        assert_eq!(start_of(&endpoints), (2_000, 0));
+        assert_eq!(start_of(&endpoints), (2_000, 3));
         // A late entry of the life before is now of the later start, and stays out.
         endpoints.put(at(5_200), of_start(5_000, 39));
-        endpoints.put(at(5_300), of_start(2_000, 1));
+        endpoints.put(at(5_300), of_start(2_000, 4));
         assert!(endpoints.settle(at(19_000)).is_empty());
-        assert_eq!(start_of(&endpoints), (2_000, 1));
+        assert_eq!(start_of(&endpoints), (2_000, 4));
     }
 }
 
