--- a/lib/src/node/lease.rs
+++ b/lib/src/node/lease.rs
@@ -59,6 +59,12 @@
         self.expires.is_some_and(|t| t > now)
     }
 
+    /// Returns whether an order that was decided on under a fencing token may be sent. A process may have been
+    /// stopped since it decided, so this is asked right before each order.
+    pub fn may_order(&self, now: Time, fence: u64) -> bool {
+        self.is_held(now) && self.fence() == fence
+    }
+
     /// Returns whether planning continues without the store.
     pub fn is_alone(&self) -> bool {
         self.without_store
@@ -91,6 +97,9 @@
     ) -> Option<bool> {
         if self.is_held(now) {
             self.last_held = Some(now);
+        } else if self.without_store {
+            // The process was stopped for longer than the lease, and others may reach the store again.
+            self.give_up();
         }
         let was_held_recently = self
             .last_held
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -57,6 +57,9 @@
 /// that the store may lose with its last seconds.
 const GENERATIONS_PER_ERA: u64 = 1 << 20;
 
+/// Time without a plan after which ages start anew. Plans are made every 150 ms or more often.
+const MAX_PLAN_GAP: Duration = Duration::from_secs(1);
+
 /// An order to an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -134,25 +137,29 @@
     }
 }
 
+/// An order, and what it was decided on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// Identifier of the engine.
+    pub endpoint: Arc<str>,
+    /// Address of the engine as host and port.
+    pub address: String,
+    /// Fencing token of the planner's term.
+    pub fence: u64,
+    /// What the engine is to do.
+    pub action: Action,
+    /// The group that the engine may be in when it joins another one. Present for each join: the engine is
+    /// asked before, and the order names the answer as its precondition.
+    pub expected: Option<ExpectedGroup>,
+    /// The entry that the order was decided on, for the log.
+    pub entry: EntryVersion,
+}
+
 /// A request of the planner to its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
     /// Send an order to an engine.
-    Order {
-        /// Identifier of the engine.
-        endpoint: Arc<str>,
-        /// Address of the engine as host and port.
-        address: String,
-        /// Fencing token of the planner's term.
-        fence: u64,
-        /// The order to send.
-        action: Action,
-        /// The group that the engine may be in when it joins another one. Present for each join: the
-        /// engine is asked before, and the order names the answer as its precondition.
-        expected: Option<ExpectedGroup>,
-        /// The entry that the order was decided on, for the log.
-        entry: EntryVersion,
-    },
+    Order(Order),
     /// Query an engine for its report, to see whether it is alive.
     Probe {
         /// Identifier of the engine.
@@ -320,9 +327,13 @@
 /// The planner of one service's engines.
 #[derive(Debug, Default)]
 pub struct Planner {
+    /// Fencing token of the term to which all other fields belong.
+    term: Option<u64>,
+    /// Fencing token of the orders, unless the term is paused.
     fence: Option<u64>,
     formed: BTreeMap<u64, FormedGroup>,
     engine_states: BTreeMap<Arc<str>, EngineState>,
+    last_step: Option<Time>,
     /// When a group was first seen incomplete or draining.
     unhealthy_since: BTreeMap<(Arc<str>, u64), Time>,
     load_starts: Vec<Time>,
@@ -409,24 +420,28 @@
     Serving,
     /// The group is to finish its requests and end, for instance because a member is about to stop.
     Ending,
-    /// A member is lost or missing.
+    /// A member is lost or missing, or the planner gave the group up before it was opened.
     Damaged,
-    /// The head or the planner gave the group up, so that its members may join other groups.
+    /// The head gave the group up for good, so that its members may join other groups.
     Disbanded,
     /// A single engine starts a model, to have it besides the one on its host.
     Preparing,
 }
 
 impl Planner {
-    /// Returns the fencing token of the current term, if there is one.
+    /// Returns the fencing token of the orders, unless the term is paused.
     pub fn fence(&self) -> Option<u64> {
         self.fence
     }
 
-    /// Begins a term, or continues it with a fencing token that is at least as high. Of an earlier
-    /// term only the loads in progress are kept, since the list does not show them.
-    pub fn begin_term(&mut self, fence: u64) {
-        if self.fence.is_none() {
+    /// Begins a term, or continues the one of this fencing token.
+    ///
+    /// While a token stands, no other planner has given orders, so that what this one knows of its own orders
+    /// holds. Under another token, one may have worked in between: only loads in progress are kept, since the list
+    /// does not show them. Returns whether the term is a new one.
+    pub fn begin_term(&mut self, fence: u64) -> bool {
+        let is_new = self.term != Some(fence);
+        if is_new {
             let states = std::mem::take(&mut self.engine_states).into_iter();
             let loading = states.filter(|(_, state)| state.staging.is_some());
             let only_load = |(id, state): (Arc<str>, EngineState)| {
@@ -438,12 +453,14 @@
                 (id, load)
             };
             *self = Self {
+                term: Some(fence),
                 engine_states: loading.map(only_load).collect(),
                 load_starts: std::mem::take(&mut self.load_starts),
                 ..Self::default()
             };
         }
-        self.fence = Some(self.fence.map_or(fence, |f| f.max(fence)));
+        self.fence = Some(fence);
+        is_new
     }
 
     /// Returns the result of the last plan.
@@ -451,8 +468,8 @@
         &self.summary
     }
 
-    /// Ends the term; no more orders are issued.
-    pub fn end_term(&mut self) {
+    /// Pauses the term: no more orders are issued until it goes on or another one begins.
+    pub fn pause_term(&mut self) {
         self.fence = None;
     }
 
@@ -489,7 +506,8 @@
             formed.given_up = true;
         }
         if reply == Reply::Outdated {
-            self.end_term();
+            // Another planner has given orders, whatever the store says of the token.
+            (self.term, self.fence) = (None, None);
         }
         reply == Reply::Outdated
     }
@@ -538,6 +556,10 @@
         out: &mut Vec<Output>,
     ) {
         let Some(fence) = self.fence else { return };
+        let last_step = self.last_step.replace(now);
+        if last_step.is_some_and(|t| now.since(t) >= MAX_PLAN_GAP) {
+            self.forget_ages();
+        }
         self.update_states(input, epochs);
         let mut round = PlanningRound {
             now,
@@ -556,6 +578,15 @@
         round.form_groups(&phases);
     }
 
+    /// Forgets for how long groups were seen unhealthy and engines silent. Time in which this process did not plan
+    /// counts for nothing, since it may have been stopped itself.
+    fn forget_ages(&mut self) {
+        self.unhealthy_since.clear();
+        for state in self.engine_states.values_mut() {
+            state.silent_since = None;
+        }
+    }
+
     fn update_states(&mut self, input: &PlannerInput<'_>, epochs: &mut EpochIssuer) {
         let memberships = input.endpoints.iter().filter_map(|e| e.membership.as_ref());
         let max_fence = self.fence.unwrap_or_default() + MAX_FENCE_LEAD;
@@ -650,13 +681,13 @@
                 .as_ref()
                 .map(|m| (m.group.clone(), m.epoch)),
         });
-        self.out.push(Output::Order {
+        self.out.push(Output::Order(Order {
             endpoint: id.clone(),
             address: endpoint.address.clone(),
             fence: self.fence,
             action,
             expected,
             entry: endpoint.entry_version(),
-        });
+        }));
     }
 }
--- a/lib/src/node/planner/groups.rs
+++ b/lib/src/node/planner/groups.rs
@@ -159,7 +159,7 @@
         of_domain.any(|e| endpoints.is_evacuated(e))
     }
 
-    /// Returns whether an engine is listed as the member of a group that has not been given up.
+    /// Returns whether an engine is listed as the member of a group that has not ended.
     fn is_member_of_live_group(&self, id: &str) -> bool {
         let endpoint = self.input.endpoints.get(id);
         let Some(membership) = endpoint.and_then(|e| e.membership.as_ref()) else {
@@ -169,11 +169,16 @@
         self.groups.get(&key).is_some_and(|g| !self.is_disbanded(g))
     }
 
-    /// Returns whether the head or the planner has given a group up.
+    /// Returns whether the head has given a group up. It can't take that back, so that this holds however old
+    /// the entry is.
     fn is_disbanded(&self, group: &Group) -> bool {
-        let is_broken = matches!(group.head(), Some((_, MemberState::Broken)));
+        matches!(group.head(), Some((_, MemberState::Broken)))
+    }
+
+    /// Returns whether this planner gave a group up in this term before it opened it.
+    fn is_given_up(&self, group: &Group) -> bool {
         let formed = self.planner.formed.get(&group.epoch);
-        is_broken || formed.is_some_and(|f| f.given_up && !f.opened)
+        formed.is_some_and(|f| f.given_up && !f.opened)
     }
 
     /// Determines the phase of each group, sends the orders that it calls for, and returns the
@@ -216,7 +221,9 @@
             return GroupPhase::Disbanded;
         }
         let formed_since = self.planner.formed.get(&group.epoch).map(|f| f.since);
-        if lost {
+        // Its members leave before they join others: should another planner have opened it, they end it
+        // in its own name.
+        if lost || self.is_given_up(group) {
             return GroupPhase::Damaged;
         }
         if !group.is_complete(size) {
--- a/lib/tests/belief_world.rs
+++ b/lib/tests/belief_world.rs
@@ -13,7 +13,7 @@
 use hemlock_lib::node::endpoints::{Endpoint, Endpoints, EngineReport, MemberState, Membership};
 use hemlock_lib::node::lease::{Grant, Lease};
 use hemlock_lib::node::planner::{
-    Action, EpochIssuer, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply,
+    Action, EpochIssuer, Order, Output, Planner, PlannerInput, ProbeResult, Reply,
 };
 use hemlock_lib::node::warm_up::ToldWarmUp;
 use hemlock_lib::time::Time;
@@ -74,11 +74,22 @@
     Cut,
     Outage,
     OutageAtJoin,
+    /// An engine is cut from the store as it takes a join, the planner freezes once it has missed the engine's
+    /// entry, and its successor stops shortly before it wakes.
+    FreezeAfterJoin,
     Freeze,
     Stop,
     Crash,
 }
 
+/// What happens as the next join is taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AtJoin {
+    Nothing,
+    Outage,
+    Freeze,
+}
+
 /// The state of an engine that its entry and its report show.
 #[derive(Debug, Clone, PartialEq)]
 struct Shown {
@@ -113,22 +124,19 @@
     next_write: u64,
 }
 
+/// An order on its way from a VM.
 #[derive(Debug, Clone)]
 struct SentOrder {
     from: usize,
-    endpoint: Arc<str>,
-    fence: u64,
-    action: Action,
+    order: Order,
     precondition: Option<u64>,
     wants_reply: bool,
 }
 
+/// A join that waits for the report of its engine.
 #[derive(Debug, Clone)]
 struct JoinCheck {
-    endpoint: Arc<str>,
-    fence: u64,
-    action: Action,
-    expected: ExpectedGroup,
+    order: Order,
     attempt: u32,
 }
 
@@ -143,20 +151,31 @@
     Ask(usize, JoinCheck),
     /// An engine's report of its state and number of orders, at the VM.
     Report(usize, JoinCheck, Option<(EngineReport, u64)>),
+    /// What a VM's planner has decided, at the VM.
+    Planned(usize, Output),
     /// The reply to an order, at the VM.
     Reply(usize, Arc<str>, Action, Reply),
     /// The result of a probe, at the VM.
     Probed(usize, Arc<str>, ProbeResult, Option<EngineReport>),
     /// The store's answer to a request for the lease that was sent at a time.
     Granted(usize, u64, Grant),
+    /// A freeze of the VM that plans.
+    FreezePlanner(u64),
+    /// A planned stop of the VM that plans.
+    StopPlanner,
 }
 
 impl Event {
     /// Returns the VM that the event is for.
     fn vm(&self) -> Option<usize> {
         match self {
-            Self::Write(_) | Self::Order(_) | Self::Ask(..) => None,
+            Self::Write(_)
+            | Self::Order(_)
+            | Self::Ask(..)
+            | Self::FreezePlanner(_)
+            | Self::StopPlanner => None,
             Self::Report(vm, ..)
+            | Self::Planned(vm, _)
             | Self::Reply(vm, ..)
             | Self::Probed(vm, ..)
             | Self::Granted(vm, ..) => Some(*vm),
@@ -181,6 +200,7 @@
     is_outage: bool,
     next_renewal: u64,
     next_plan: u64,
+    last_run: u64,
 }
 
 impl Vm {
@@ -198,6 +218,7 @@
             is_outage: false,
             next_renewal: now + 100,
             next_plan: now + 100,
+            last_run: now,
         }
     }
 }
@@ -302,8 +323,7 @@
     ready: BTreeSet<Readiness>,
     next_fault: u64,
     has_traffic: bool,
-    /// Whether the store goes down as an engine takes the next join.
-    fails_at_join: bool,
+    at_join: AtJoin,
     pub broken: BTreeSet<Broken>,
     /// Joins that engines took after the first callers, and reports asked for these.
     pub joins: u64,
@@ -327,7 +347,7 @@
             ready: BTreeSet::new(),
             next_fault: 14_000,
             has_traffic: false,
-            fails_at_join: false,
+            at_join: AtJoin::Nothing,
             broken: BTreeSet::new(),
             joins: 0,
             asked: 0,
@@ -381,7 +401,7 @@
 
     /// Ends all faults and plays `span` milliseconds.
     pub fn settle(&mut self, span: u64) {
-        (self.store.down_until, self.fails_at_join) = (0, false);
+        (self.store.down_until, self.at_join) = (0, AtJoin::Nothing);
         self.vms.iter_mut().for_each(|vm| vm.frozen_until = 0);
         for e in self.engines.values_mut() {
             e.cut_until = 0;
@@ -427,7 +447,8 @@
             (outages, Fault::OutageAtJoin),
             (outages, Fault::OutageAtJoin),
             (freezes, Fault::Freeze),
-            (freezes, Fault::Freeze),
+            (freezes, Fault::FreezeAfterJoin),
+            (freezes, Fault::FreezeAfterJoin),
             (freezes, Fault::Stop),
             (restarts, Fault::Crash),
             (restarts, Fault::Crash),
@@ -450,19 +471,15 @@
                 let span = self.rng.random_range(1_000..6_000);
                 self.store.fail(now, span);
             }
-            Fault::OutageAtJoin => self.fails_at_join = true,
+            Fault::OutageAtJoin => self.at_join = AtJoin::Outage,
+            Fault::FreezeAfterJoin => self.at_join = AtJoin::Freeze,
             Fault::Freeze => {
-                let planner = (0..self.vms.len()).find(|i| self.vms[*i].is_planner);
-                if let Some(vm) = planner {
-                    self.vms[vm].frozen_until = now + self.rng.random_range(500..5_000);
-                }
+                let span = self.rng.random_range(500..5_000);
+                self.freeze_planner(span);
             }
             Fault::Stop => {
                 let vm = self.rng.random_range(0..self.vms.len());
-                self.store.leave(vm);
-                self.events.retain(|(_, e)| e.vm() != Some(vm));
-                self.vms[vm] = Vm::new(now);
-                self.vms[vm].stopped_until = now + 1_500;
+                self.stop(vm);
             }
             Fault::Crash => {
                 let down = self.rng.random_range(100..4_500);
@@ -472,6 +489,46 @@
         }
     }
 
+    fn freeze_planner(&mut self, span: u64) {
+        if let Some(vm) = self.planning_vm() {
+            self.vms[vm].frozen_until = self.now + span;
+        }
+    }
+
+    /// Returns the VM that plans and is not frozen.
+    fn planning_vm(&self) -> Option<usize> {
+        let plans = |vm: &Vm| vm.is_planner && vm.frozen_until <= self.now;
+        (0..self.vms.len()).find(|i| plans(&self.vms[*i]))
+    }
+
+    /// Stops a VM as planned, and starts it again.
+    fn stop(&mut self, vm: usize) {
+        self.store.leave(vm);
+        self.events.retain(|(_, e)| e.vm() != Some(vm));
+        self.vms[vm] = Vm::new(self.now);
+        self.vms[vm].stopped_until = self.now + 1_500;
+    }
+
+    /// Causes the fault that waits for the next join.
+    fn disturb_join(&mut self, id: &str) {
+        let now = self.now;
+        match std::mem::replace(&mut self.at_join, AtJoin::Nothing) {
+            AtJoin::Nothing => {}
+            AtJoin::Outage => {
+                let span = self.rng.random_range(4_000..8_000);
+                self.store.fail(now, span);
+            }
+            AtJoin::Freeze => {
+                let e = self.engines.get_mut(id).unwrap();
+                e.cut_until = now + self.rng.random_range(3_700..5_500);
+                let freeze = self.rng.random_range(3_000..4_000);
+                self.send(freeze, Event::FreezePlanner(4_000));
+                let stop = freeze + self.rng.random_range(2_800..3_900);
+                self.send(stop, Event::StopPlanner);
+            }
+        }
+    }
+
     fn send(&mut self, after: u64, event: Event) {
         self.events.push((self.now + after, event));
     }
@@ -490,8 +547,15 @@
             match event {
                 Event::Write(entry) => self.store.write(now, entry),
                 Event::Order(order) => self.receive_order(order),
+                Event::Planned(vm, output) => self.execute(vm, output),
+                Event::FreezePlanner(span) => self.freeze_planner(span),
+                Event::StopPlanner => {
+                    if let Some(vm) = self.planning_vm() {
+                        self.stop(vm);
+                    }
+                }
                 Event::Ask(vm, check) => {
-                    let report = self.report(&check.endpoint);
+                    let report = self.report(&check.order.endpoint);
                     self.send(ROUND_TRIP / 2, Event::Report(vm, check, report));
                 }
                 Event::Report(vm, check, report) => self.check_join(vm, check, report),
@@ -542,85 +606,66 @@
 
     /// Sends a join if the engine's report and the lease allow it.
     fn check_join(&mut self, vm: usize, check: JoinCheck, report: Option<(EngineReport, u64)>) {
-        let Action::Join { group, epoch, .. } = &check.action else {
+        let JoinCheck { order, attempt } = check;
+        let (Action::Join { group, epoch, .. }, Some(expected)) = (&order.action, &order.expected)
+        else {
             return;
         };
-        let now = Time::from_millis(self.now);
-        let reply = |reply| {
-            let (id, action) = (check.endpoint.clone(), check.action.clone());
-            Event::Reply(vm, id, action, reply)
-        };
+        let not_sent = |order: Order, reply| Event::Reply(vm, order.endpoint, order.action, reply);
         let Some((report, orders)) = report else {
-            return self.send(0, reply(Reply::Lost));
+            return self.send(0, not_sent(order, Reply::Lost));
         };
         let state = &mut self.vms[vm];
-        state.endpoints.confirm(&check.endpoint, report.started_ms);
-        let allowed = check
-            .expected
-            .check(report.membership.as_ref(), group, *epoch);
+        state.endpoints.confirm(&order.endpoint, report.started_ms);
+        let allowed = expected.check(report.membership.as_ref(), group, *epoch);
         if state.is_outage {
             state.endpoints.observe(&report);
         }
-        if !may_order(state, now, check.fence) {
-            return self.send(0, reply(Reply::Conflict));
+        if !may_order(state, self.now, order.fence) {
+            return self.send(0, not_sent(order, Reply::Conflict));
         }
         match allowed {
-            Ok(()) => {
-                let (id, action) = (check.endpoint.clone(), check.action.clone());
-                self.send_order(vm, id, check.fence, action, Some(orders));
-            }
-            Err(Reply::Conflict) if check.attempt + 1 < MAX_CHECKS => {
-                let again = JoinCheck {
-                    attempt: check.attempt + 1,
-                    ..check
-                };
+            Ok(()) => self.send_order(vm, order, Some(orders)),
+            Err(Reply::Conflict) if attempt + 1 < MAX_CHECKS => {
                 self.asked += u64::from(self.has_traffic);
-                self.send(250, Event::Ask(vm, again));
+                let attempt = attempt + 1;
+                self.send(250, Event::Ask(vm, JoinCheck { order, attempt }));
             }
-            Err(refused) => self.send(0, reply(refused)),
+            Err(reply) => self.send(0, not_sent(order, reply)),
         }
     }
 
-    fn send_order(
-        &mut self,
-        vm: usize,
-        endpoint: Arc<str>,
-        fence: u64,
-        action: Action,
-        precondition: Option<u64>,
-    ) {
+    fn send_order(&mut self, from: usize, order: Order, precondition: Option<u64>) {
         let is_late = self.faults.late_orders && self.rng.random_bool(0.1);
-        let order = SentOrder {
-            from: vm,
-            endpoint: endpoint.clone(),
-            fence,
-            action: action.clone(),
+        let sent = SentOrder {
+            from,
+            order: order.clone(),
             precondition,
             wants_reply: !is_late,
         };
         if is_late {
             let delay = self.rng.random_range(LATE);
-            self.send(delay, Event::Order(order));
-            let lost = Event::Reply(vm, endpoint, action, Reply::Lost);
+            self.send(delay, Event::Order(sent));
+            let lost = Event::Reply(from, order.endpoint, order.action, Reply::Lost);
             self.send(REPLY_TIMEOUT, lost);
         } else {
-            self.send(ROUND_TRIP / 2, Event::Order(order));
+            self.send(ROUND_TRIP / 2, Event::Order(sent));
         }
     }
 
-    fn receive_order(&mut self, order: SentOrder) {
-        let reply = self.carry_out(&order);
-        if order.wants_reply {
+    fn receive_order(&mut self, sent: SentOrder) {
+        let reply = self.carry_out(&sent.order, sent.precondition);
+        if sent.wants_reply {
             let after = match reply {
                 Reply::Lost => REPLY_TIMEOUT,
                 _ => ROUND_TRIP / 2,
             };
-            let reply = Event::Reply(order.from, order.endpoint, order.action, reply);
+            let reply = Event::Reply(sent.from, sent.order.endpoint, sent.order.action, reply);
             self.send(after, reply);
         }
     }
 
-    fn carry_out(&mut self, order: &SentOrder) -> Reply {
+    fn carry_out(&mut self, order: &Order, precondition: Option<u64>) -> Reply {
         let now = self.now;
         let Some(e) = self.engines.get(&order.endpoint) else {
             return Reply::Lost;
@@ -631,7 +676,7 @@
         if order.fence < e.highest_fence {
             return Reply::Outdated;
         }
-        if order.precondition.is_some_and(|n| n != e.shown.orders) {
+        if precondition.is_some_and(|n| n != e.shown.orders) {
             return Reply::Conflict;
         }
         let held = e.shown.membership.clone();
@@ -652,10 +697,7 @@
             }
             if !same {
                 self.check_two(&order.endpoint, group);
-                if std::mem::take(&mut self.fails_at_join) {
-                    let span = self.rng.random_range(4_000..8_000);
-                    self.store.fail(now, span);
-                }
+                self.disturb_join(&order.endpoint);
                 self.joins += u64::from(self.has_traffic);
             }
         }
@@ -903,6 +945,11 @@
         if self.vms[i].frozen_until > now || self.vms[i].stopped_until > now {
             return;
         }
+        if std::mem::replace(&mut self.vms[i].last_run, now) + TICK < now {
+            // Timers of a process that wakes fire in any order.
+            self.vms[i].next_plan = now + self.rng.random_range(0..60);
+            self.vms[i].next_renewal = now;
+        }
         // A process that wakes may make its plan before it has read anything.
         let plans_first = self.rng.random_bool(0.2);
         if plans_first {
@@ -982,7 +1029,7 @@
         vm.next_plan = self.now + PLAN_INTERVAL;
         let confirmed = !vm.lease.is_alone() || vm.is_outage;
         if !vm.lease.is_held(time) || !vm.is_planner || !confirmed {
-            vm.planner.end_term();
+            vm.planner.pause_term();
             return;
         }
         let (demand, silent) = (BTreeMap::new(), BTreeSet::new());
@@ -998,36 +1045,27 @@
         let mut out = Vec::new();
         vm.planner.begin_term(vm.lease.fence());
         vm.planner.step(time, &input, &mut vm.epochs, &mut out);
+        // The process may freeze before it gets to them.
         for output in out {
-            self.execute(i, output);
+            self.send(0, Event::Planned(i, output));
         }
     }
 
+    /// Executes an output of a VM's planner, unless it is an order that may no longer be sent.
     fn execute(&mut self, i: usize, output: Output) {
         match output {
-            Output::Order {
-                endpoint,
-                fence,
-                action,
-                expected: Some(expected),
-                ..
-            } => {
-                let check = JoinCheck {
-                    endpoint,
-                    fence,
-                    action,
-                    expected,
-                    attempt: 0,
-                };
+            Output::Order(order) if order.expected.is_some() => {
                 self.asked += u64::from(self.has_traffic);
+                let check = JoinCheck { order, attempt: 0 };
                 self.send(ROUND_TRIP / 2, Event::Ask(i, check));
             }
-            Output::Order {
-                endpoint,
-                fence,
-                action,
-                ..
-            } => self.send_order(i, endpoint, fence, action, None),
+            Output::Order(order) if may_order(&self.vms[i], self.now, order.fence) => {
+                self.send_order(i, order, None);
+            }
+            Output::Order(order) => {
+                let dropped = Event::Reply(i, order.endpoint, order.action, Reply::Conflict);
+                self.send(0, dropped);
+            }
             Output::Probe { endpoint, .. } => {
                 let report = self.report(&endpoint).map(|(report, _)| report);
                 let result = match report {
@@ -1066,8 +1104,8 @@
 }
 
 /// Returns whether a VM may send an order that it decided on under a fencing token.
-fn may_order(vm: &Vm, _now: Time, _fence: u64) -> bool {
-    vm.is_planner
+fn may_order(vm: &Vm, now: u64, fence: u64) -> bool {
+    vm.is_planner && vm.lease.may_order(Time::from_millis(now), fence)
 }
 
 fn staged(e: &SimulatedEngine) -> Vec<Arc<str>> {
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -11,7 +11,7 @@
 use hemlock_lib::node::config::{Engine, Model};
 use hemlock_lib::node::endpoints::{Endpoint, Endpoints, EngineReport, MemberState, Membership};
 use hemlock_lib::node::planner::{
-    Action, EpochIssuer, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply,
+    Action, EpochIssuer, ExpectedGroup, Order, Output, Planner, PlannerInput, ProbeResult, Reply,
 };
 use hemlock_lib::node::warm_up::ToldWarmUp;
 use hemlock_lib::time::Time;
@@ -279,13 +279,13 @@
             .step(self.now, &input, &mut self.epochs, &mut out);
         for output in out {
             match output {
-                Output::Order {
+                Output::Order(Order {
                     endpoint,
                     fence,
                     action,
                     expected,
                     ..
-                } => self.receive_order(endpoint, fence, action, expected),
+                }) => self.receive_order(endpoint, fence, action, expected),
                 Output::Probe { endpoint, .. } if self.is_cut_off => {
                     self.planner.forget_probe(&endpoint);
                 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_node_evacuation;
 mod test_node_heartbeat_pace;
 mod test_node_holding;
+mod test_node_lease;
 mod test_node_load_totals;
 mod test_node_memory;
 mod test_node_overload;
--- a/lib/tests/test_node_beliefs.rs
+++ b/lib/tests/test_node_beliefs.rs
@@ -69,3 +69,25 @@
         ..Faults::default()
     });
 }
+
+/// Guards against review case 9: a planner that was frozen while another one worked went on with its old term,
+/// and ordered members of a group that the other one had opened into another one.
+#[test]
+fn planner_that_was_frozen_does_not_act_on_what_it_believed_before() {
+    assert_kept(Faults {
+        freezes: true,
+        late_entries: true,
+        ..Faults::default()
+    });
+}
+
+#[test]
+fn rules_are_kept_when_everything_goes_wrong_at_once() {
+    assert_kept(Faults {
+        late_entries: true,
+        outages: true,
+        freezes: true,
+        late_orders: true,
+        restarts: true,
+    });
+}
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -383,7 +383,7 @@
     simulation.before_traffic = false;
     simulation.run(Duration::from_secs(4));
     let started = simulation.load_starts.len();
-    simulation.planner.end_term();
+    simulation.planner.pause_term();
     simulation.planner.begin_term(2);
     simulation.run(Duration::from_secs(4));
     assert_eq!(simulation.load_starts.len(), started);
@@ -587,15 +587,15 @@
         let now = simulation.now + Duration::from_secs(3 * round);
         planner.step(now, &input, &mut epochs, &mut out);
         for output in out {
-            if let Output::Order {
-                action: Action::Join { epoch, members, .. },
-                ..
-            } = output
-            {
-                joins.entry(epoch).or_default().insert(members);
+            let Output::Order(order) = output else {
+                continue;
+            };
+            if let Action::Join { epoch, members, .. } = &order.action {
+                joins.entry(*epoch).or_default().insert(members.clone());
             }
+            planner.handle_reply(now, &order.endpoint, &order.action, Reply::Conflict);
         }
-        planner.end_term();
+        planner.pause_term();
         // Another pair is formed next time.
         let first = endpoints.iter().next().unwrap().clone();
         endpoints.mark_leaving(&first.id, first.started_ms);
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -12,7 +12,8 @@
 use hemlock_lib::node::endpoints::EngineReport;
 use hemlock_lib::node::lease::Lease;
 use hemlock_lib::node::planner::{
-    Action, EpochIssuer, ExpectedGroup, Output, Planner, PlannerInput, ProbeResult, Reply, Summary,
+    Action, EpochIssuer, ExpectedGroup, Order, Output, Planner, PlannerInput, ProbeResult, Reply,
+    Summary,
 };
 use hemlock_lib::node::reach::{PathFailure, PathState};
 use hemlock_lib::time::Time;
@@ -185,7 +186,7 @@
     let is_planner = state.lease.is_held(now) && node.is_planner.get();
     let may_plan = is_planner && confirmed && !gives_up;
     if !may_plan {
-        state.planners.values_mut().for_each(Planner::end_term);
+        state.planners.values_mut().for_each(Planner::pause_term);
         node.idle_engines.set(0);
         return;
     }
@@ -219,7 +220,9 @@
             list_frozen: node.is_outage(),
         };
         let planner = state.planners.entry(service.clone()).or_default();
-        planner.begin_term(fence);
+        if planner.begin_term(fence) {
+            log::info!("event=term service={service} fence={fence}");
+        }
         planner.step(now, &input, &mut state.epochs, &mut outputs);
         log_summary(now, &service, planner, last_summary);
         idle_engines += planner.summary().idle.values().sum::<usize>();
@@ -312,25 +315,53 @@
     }
 }
 
+/// Returns whether an order that was decided on under a fencing token may be sent now.
+fn may_order(node: &Node, leadership: &RefCell<Leadership>, fence: u64) -> bool {
+    // A stopping node gives up the lease, so that a successor may plan already.
+    let gives_up = node.stop.is_stopping() && !node.is_outage();
+    let lease = &leadership.borrow().lease;
+    lease.may_order(node.now(), fence) && node.is_planner.get() && !gives_up
+}
+
+/// Sends an order if the lease still allows it. The process may have been stopped since it planned.
+async fn send_order(
+    node: &Node,
+    leadership: &RefCell<Leadership>,
+    order: &Order,
+    orders_before: Option<u64>,
+) -> Reply {
+    if !may_order(node, leadership, order.fence) {
+        log::warn!(
+            "event=order_dropped cause=lease action={} id={} fence={} lease={}",
+            order.action.name(),
+            order.endpoint,
+            order.fence,
+            leadership.borrow().lease.fence()
+        );
+        node.metrics.count(Counter::OrdersDropped, "lease");
+        return Reply::Conflict;
+    }
+    engines::send_order(&order.address, order.fence, &order.action, orders_before).await
+}
+
 /// Sends a join to an engine whose own report allows it. The report's number of orders is the precondition,
 /// so that the engine refuses the join if another order, even a late one, came between.
 async fn send_join(
     node: &Node,
-    id: &Arc<str>,
-    address: &str,
-    fence: u64,
-    action: &Action,
+    leadership: &RefCell<Leadership>,
+    order: &Order,
     expected: &ExpectedGroup,
 ) -> Reply {
-    let Action::Join { group, epoch, .. } = action else {
+    let Action::Join { group, epoch, .. } = &order.action else {
         return Reply::Conflict;
     };
+    let id = &order.endpoint;
     let mut reply = Reply::Lost;
     for attempt in 0..MAX_CHECKS {
         if attempt > 0 {
             tokio::time::sleep(REPORT_LAG).await;
         }
-        let query = engines::fetch_report(id, address).await;
+        let query = engines::fetch_report(id, &order.address).await;
         node.note_queried(id, query.limit);
         node.note_told_warm_up(id, query.warm_up);
         let (ReportOutcome::Received(report), Some(orders)) = (query.outcome, query.orders) else {
@@ -338,25 +369,22 @@
         };
         node.note_start(id, report.started_ms);
         let checked = expected.check(report.membership.as_ref(), group, *epoch);
-        if checked == Err(Reply::Conflict) {
+        if checked.is_err() {
             log::warn!(
-                "event=join_unsafe id={id} group={group} expected={:?} reported={:?} orders={orders}",
+                "event=order_dropped cause=group action=join id={id} group={group} expected={:?} \
+                 reported={:?} orders={orders}",
                 expected.current,
                 report.membership
             );
-            node.metrics.count(Counter::JoinsUnsafe, "group");
+            node.metrics.count(Counter::OrdersDropped, "group");
         }
         keep_report(node, report);
-        // The lease may have ended meanwhile.
-        if !node.is_planner.get() || node.stop.is_stopping() && !node.is_outage() {
-            return Reply::Conflict;
-        }
         reply = match checked {
-            Ok(()) => engines::send_order(address, fence, action, Some(orders)).await,
+            Ok(()) => send_order(node, leadership, order, Some(orders)).await,
             Err(reply) => reply,
         };
         // The report may be older than the engine's last order, as may be the list.
-        if reply != Reply::Conflict {
+        if reply != Reply::Conflict || !may_order(node, leadership, order.fence) {
             break;
         }
     }
@@ -371,21 +399,19 @@
     output: Output,
 ) {
     match output {
-        Output::Order {
-            endpoint,
-            address,
-            fence,
-            action,
-            expected,
-            entry,
-        } => {
-            let reply = match &expected {
-                Some(expected) => {
-                    send_join(&node, &endpoint, &address, fence, &action, expected).await
-                }
-                None => engines::send_order(&address, fence, &action, None).await,
+        Output::Order(order) => {
+            let reply = match &order.expected {
+                Some(expected) => send_join(&node, &leadership, &order, expected).await,
+                None => send_order(&node, &leadership, &order, None).await,
             };
             let now = node.now();
+            let Order {
+                endpoint,
+                fence,
+                action,
+                entry,
+                ..
+            } = &order;
             log::info!(
                 "event=order action={} subject={} id={endpoint} fence={fence} reply={reply:?} \
                  epoch={} start={} sequence={}",
@@ -400,12 +426,12 @@
             let Some(planner) = leadership.planners.get_mut(&service) else {
                 return;
             };
-            if planner.handle_reply(now, &endpoint, &action, reply) {
+            if planner.handle_reply(now, endpoint, action, reply) {
                 // Another planner may have taken over, so send no more orders until the store
                 // confirms the lease.
                 log::warn!("event=order_outdated id={endpoint} fence={fence}");
                 leadership.lease.give_up();
-                set_is_planner(&node, false, fence);
+                set_is_planner(&node, false, *fence);
             }
         }
         Output::Probe { endpoint, address } => {
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -49,7 +49,6 @@
     EarlyHeartbeats "early_heartbeats" "Heartbeats to all VMs before the interval has passed.";
     EntriesIgnored "entries_ignored" "Entries of endpoints that were not applied, by whether they are older than what is known (outdated) or of a start that may be earlier (unconfirmed).";
     EvacuationChanges "evacuation_changes" "Changes of the evacuations of zones, by kind.";
-    JoinsUnsafe "joins_unsafe" "Joins that were not sent, since the engine or the lease was not as the plan assumed, by which of them.";
     LeaseChanges "duty_changes" "Times that this VM gained or lost the planner's lease.";
     EventsLate "events_late" "First events that took over twice the time expected, by whether a slot was expected to be free, doubtful or waited for.";
     Failed "failed" "Requests that may have run and ended with 502 or 504, by cause.";
@@ -61,6 +60,7 @@
     Left "left" "Requests whose caller disconnected before the end of the answer, by whether they were sent before.";
     LimitChanges "limit_changes" "Changes of the limits that endpoints announce, by kind.";
     LogDropped "log_dropped" "Log lines dropped because the buffer was full.";
+    OrdersDropped "orders_dropped" "Orders that were not sent, since the engine or the lease was not as the plan assumed, by which of them.";
     Orders "orders" "Orders to engines, by action.";
     MemoryRefused "memory_refused" "Times that there was no memory for what a caller sent, by what it was.";
     PassedOn "passed_on" "Requests that this VM passed on to peers, by outcome.";
