--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -23,9 +23,9 @@
 /// domain ends fewer.
 const MASS_END_MIN: usize = 3;
 const MASS_END_INVERSE_FRACTION: usize = 4;
-/// Fraction of the drain time for which entries that ended together stay in use. Requests may still
-/// reach an ended endpoint during the drain time.
-const MASS_END_RETENTION_FRACTION: f64 = 0.75;
+/// Fraction of the drain time for which endpoints stay in use that may live though their entries are gone.
+/// Requests may still reach an ended endpoint during the drain time.
+const DOUBT_FRACTION: f64 = 0.75;
 
 /// State of an engine in its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -148,7 +148,8 @@
     Membership,
     /// An endpoint was removed.
     Gone,
-    /// An entry may have lapsed because of the store; the endpoint stays in use for a while.
+    /// An entry may have lapsed because of the store, or was replaced by another writer; the endpoint stays in
+    /// use for a while.
     Lapsed,
     /// An entry of this version was not applied, since it is older than what is known of the endpoint.
     Outdated(EntryVersion),
@@ -442,6 +443,32 @@
         Change::Draining
     }
 
+    /// Records that the store holds something under the identifier of an endpoint that is no entry, so that
+    /// another writer has replaced the endpoint's own. What is known stays in use for a while, in which a live
+    /// endpoint writes its entry again.
+    pub fn doubt(&mut self, now: Time, id: &str) -> Change {
+        self.held.remove(id);
+        let Some((id, _)) = self.listed.get_key_value(id) else {
+            return Change::None;
+        };
+        if self.lapsed.contains_key(id) {
+            return Change::None;
+        }
+        let until = match self.store {
+            StoreAvailability::Unavailable => Time(u64::MAX),
+            StoreAvailability::Recovered(_) | StoreAvailability::Available => {
+                now + self.doubt_time()
+            }
+        };
+        self.lapsed.insert(id.clone(), until);
+        Change::Lapsed
+    }
+
+    /// Returns the time for which an endpoint may stay in use whose entry is gone but which may live.
+    fn doubt_time(&self) -> Duration {
+        self.drain.mul_f64(DOUBT_FRACTION)
+    }
+
     /// Removes entries that have ended, and returns the change of each.
     ///
     /// During an outage of the store and shortly after it, an entry may merely have lapsed, and so
@@ -465,7 +492,7 @@
             StoreAvailability::Recovered(since) if now < since + RELIST_TIME => {
                 Some(since + RELIST_TIME)
             }
-            _ if is_mass_end => Some(now + self.drain.mul_f64(MASS_END_RETENTION_FRACTION)),
+            _ if is_mass_end => Some(now + self.doubt_time()),
             StoreAvailability::Recovered(_) | StoreAvailability::Available => None,
         };
         let mut changes = Vec::new();
--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -389,3 +389,21 @@
     assert!(endpoints.settle(at(64_900)).is_empty());
     assert_eq!(endpoints.settle(at(65_000)).len(), 1);
 }
+
+/// Guards against review case 7 and what would follow: an entry of another writer ended that of a live endpoint.
+#[test]
+fn endpoint_whose_entry_another_writer_replaced_stays_in_use_until_it_writes_again() {
+    let mut endpoints = list_of(10);
+    let before = endpoints.get("e1").cloned();
+    assert_eq!(endpoints.doubt(at(0), "e1"), Change::Lapsed);
+    assert_eq!(endpoints.doubt(at(100), "e1"), Change::None);
+    assert_eq!(endpoints.get("e1").cloned(), before);
+    endpoints.put(at(1_200), entry("e1", 1, false));
+    assert!(endpoints.expire(at(9_000)).is_empty());
+    // One that doesn't is gone, within the drain time.
+    endpoints.doubt(at(10_000), "e1");
+    assert!(endpoints.expire(at(11_400)).is_empty());
+    assert_eq!(endpoints.expire(at(11_500)), [Arc::from("e1")]);
+    assert_eq!(endpoints.doubt(at(12_000), "e1"), Change::None);
+    assert_eq!(endpoints.doubt(at(12_000), "unknown"), Change::None);
+}
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -9,6 +9,7 @@
 
 use hemlock_lib::node::cache::{Batch, Entry, Position, Update};
 use hemlock_lib::node::config::Config;
+use hemlock_lib::node::endpoints::Endpoint;
 use hemlock_lib::node::passing::{SECRET_KEY_PREFIX, SecretRecord};
 use hemlock_lib::node::peers::Member;
 use hemlock_lib::time::Time;
@@ -424,16 +425,50 @@
     }
 }
 
+/// What a record says of an endpoint.
+enum Told {
+    Entry(Box<Endpoint>),
+    /// The endpoint's entry has ended.
+    Ended,
+    /// Nothing: the value is no entry, so that it comes from another writer.
+    Odd,
+}
+
+impl Told {
+    fn decode(record: &Entry) -> Self {
+        match record.value.as_deref() {
+            None | Some([]) => Self::Ended,
+            Some(value) => match hemlock_platform::endpoints::decode(&record.key, value) {
+                Some(endpoint) => Self::Entry(Box::new(endpoint)),
+                None => Self::Odd,
+            },
+        }
+    }
+}
+
 /// Replaces the list of endpoints by a complete one.
 fn replace_endpoints(node: &Node, records: &[Entry], update: Update) {
-    let decode = |r: &Entry| hemlock_platform::endpoints::decode(&r.key, r.value.as_deref()?);
-    let list = records.iter().filter_map(decode).collect();
     let now = node.now();
     let mut endpoints = node.endpoints.borrow_mut();
-    let changes = match update {
+    let (mut list, mut odd) = (Vec::new(), Vec::new());
+    for record in records {
+        match Told::decode(record) {
+            Told::Entry(endpoint) => list.push(*endpoint),
+            Told::Ended => {}
+            Told::Odd => {
+                list.extend(endpoints.get(&record.key).cloned());
+                odd.push(record.key.as_str());
+            }
+        }
+    }
+    let mut changes = match update {
         Update::Restored => endpoints.restore(now, list),
         Update::Snapshot | Update::Changes => endpoints.replace(now, list),
     };
+    let doubted = odd
+        .into_iter()
+        .map(|id| (Arc::from(id), endpoints.doubt(now, id)));
+    changes.extend(doubted);
     drop(endpoints);
     for (id, change) in changes {
         node.log_endpoint_change(&id, change);
@@ -446,19 +481,23 @@
     let now = node.now();
     let mut changes = Vec::new();
     let mut removed = Vec::new();
+    let mut endpoints = node.endpoints.borrow_mut();
     for record in records {
-        let value = record.value.as_deref();
-        // A record that can't be decoded ends the endpoint's entry, as one without a value does.
-        match value.and_then(|v| hemlock_platform::endpoints::decode(&record.key, v)) {
-            Some(endpoint) => {
+        let change = match Told::decode(record) {
+            Told::Entry(endpoint) => {
                 removed.retain(|id| *id != record.key);
-                let change = node.endpoints.borrow_mut().put(now, endpoint);
-                changes.push((Arc::from(record.key.as_str()), change));
+                endpoints.put(now, *endpoint)
             }
-            None => removed.push(record.key.as_str()),
-        }
+            Told::Ended => {
+                removed.push(record.key.as_str());
+                continue;
+            }
+            Told::Odd => endpoints.doubt(now, &record.key),
+        };
+        changes.push((Arc::from(record.key.as_str()), change));
     }
-    changes.extend(node.endpoints.borrow_mut().remove(now, removed));
+    changes.extend(endpoints.remove(now, removed));
+    drop(endpoints);
     for (id, change) in changes {
         node.log_endpoint_change(&id, change);
     }
--- a/node/tests/test_odd_entries.rs
+++ b/node/tests/test_odd_entries.rs
@@ -40,6 +40,43 @@
     entries
 }
 
+/// Guards against review case 7: entries of another writer under the identifiers of the members of a group that
+/// serves. The group goes on, and no engine gets an order.
+#[test]
+fn entry_of_another_writer_takes_no_engine_out_of_its_group() {
+    let (node, engines) = NodeProcess::with_engines();
+    node.wait_until("a group serves", |n| {
+        !n.log_lines("event=serving").is_empty()
+    });
+    let joined = |e: &&Endpoint| e.orders().iter().any(|o| o["operation"] == "join");
+    let members: Vec<&Endpoint> = engines.iter().filter(joined).collect();
+    assert!(members.len() >= 2);
+    // Orders of the first seconds have come by then.
+    std::thread::sleep(Duration::from_millis(500));
+    let count = |e: &Endpoint| {
+        let orders = e.orders();
+        orders.iter().filter(|o| o["operation"] != "phase").count()
+    };
+    let before: Vec<usize> = engines.iter().map(count).collect();
+    for (odd, member) in members.iter().take(2).enumerate() {
+        let mut entry = json!({
+            "service": "models", "address": member.address().to_string(), "zone": "z1", "version": "v1",
+            "slots": 8, "state": "ready", "sequence": 1, "coldLeftMs": 0, "domain": "d1", "staged": [],
+            "models": [],
+        });
+        if odd == 0 {
+            entry["born"] = json!(1_000);
+            entry["group"] = json!({"name": "g1", "epoch": 1, "rank": 0, "state": "resting"});
+        }
+        fixtures::publish_entry(&node.store, member.id(), &entry.to_string());
+    }
+    std::thread::sleep(Duration::from_millis(700));
+    members.iter().for_each(|m| m.publish_entry());
+    std::thread::sleep(Duration::from_millis(1_500));
+    let after: Vec<usize> = engines.iter().map(count).collect();
+    assert_eq!(after, before, "{:#?}", node.log_lines("event=order"));
+}
+
 #[test]
 fn odd_entries_do_not_keep_a_vm_from_serving_and_following_the_list() {
     let (node, plain) = NodeProcess::with_plain_endpoints();
