planner: an engine that has just left its group joins another one without a wait

Change: the planner keeps the group that the engine left by its own answer to the order. A report that still names it allows the join, with one order more as the precondition, which the engine refuses if anything else came between. A report of a peer or of the engine about its start corrects what is known of a clock that went back (Endpoints::observe).

With real processes: test_late_entries (late entries of engines and of a draining endpoint, a clock that went back).

--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -424,6 +424,13 @@
             true => Change::Listed,
             false => Change::Membership,
         };
+        if report.started_ms < known.started_ms {
+            // The engine's clock went back at its restart.
+            let started_ms = known.started_ms;
+            self.superseded.insert(report.id.clone(), started_ms);
+        } else if self.superseded.get(&report.id) == Some(&report.started_ms) {
+            self.superseded.remove(&report.id);
+        }
         self.version += 1;
         self.listed.insert(report.id.clone(), updated);
         change
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -173,19 +173,23 @@
     },
 }
 
-/// The group that an engine may be in when it is ordered to join another one.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// What a planner knows of the groups that an engine may be in when it is ordered to join another one.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ExpectedGroup {
-    /// Name and epoch of the group; `None` if the engine must be in no group.
+    /// Name and epoch of the group that the engine may leave by joining; `None` if it must be in no group.
     pub current: Option<(Arc<str>, u64)>,
+    /// The last group that the engine has left by its own answer to an order. Its report may still name that.
+    pub left: Option<(Arc<str>, u64)>,
 }
 
 impl ExpectedGroup {
-    /// Decides from an engine's own report whether a join of `group` may be sent to it.
+    /// Decides from an engine's own report whether a join of `group` may be sent to it, and returns the number
+    /// of orders that the engine must have begun until then.
     ///
     /// The endpoint list only says which engines are worth an order: it may be seconds old, and an entry of
     /// it may be late. An engine leaves a group for another one on nothing but its own word, given for this
-    /// order, with the number of orders until then as the precondition.
+    /// order. `orders` is the number of orders in its report. As the precondition of the join, it has the engine
+    /// refuse the join if another order came between.
     ///
     /// # Errors
     ///
@@ -193,19 +197,22 @@
     pub fn check(
         &self,
         membership: Option<&Membership>,
+        orders: u64,
         group: &str,
         epoch: u64,
-    ) -> Result<(), Reply> {
+    ) -> Result<u64, Reply> {
         let current = membership.map(|m| (&*m.group, m.epoch));
+        let is_in = |known: &Option<(Arc<str>, u64)>| {
+            let known = known.as_ref().map(|(group, epoch)| (&**group, *epoch));
+            known.is_some() && current == known
+        };
         // The engine itself knows whether a join of its group names other members.
         let is_same = current == Some((group, epoch));
-        let expected = self
-            .current
-            .as_ref()
-            .map(|(group, epoch)| (&**group, *epoch));
         match current {
-            None => Ok(()),
-            current if is_same || current == expected => Ok(()),
+            None => Ok(orders),
+            Some(_) if is_same || is_in(&self.current) => Ok(orders),
+            // The report is older than the order to leave, which counts as one.
+            Some(_) if is_in(&self.left) => Ok(orders + 1),
             Some(_) => Err(Reply::Conflict),
         }
     }
@@ -292,6 +299,8 @@
     lost: bool,
     /// When the last order was sent.
     last_order: Option<Time>,
+    /// The last group that the engine has left on an order, with its epoch.
+    left: Option<(Arc<str>, u64)>,
     /// Model of the last group.
     last_model: Option<Arc<str>>,
     /// Model whose weights are being loaded onto the host, and since when.
@@ -505,6 +514,11 @@
                 Some(now + RESEND_INTERVAL)
             }
         };
+        if let Action::Leave { group, epoch } = action
+            && matches!(reply, Reply::Begun | Reply::Done)
+        {
+            state.left = Some((group.clone(), *epoch));
+        }
         if let Action::Stage { model } = action {
             let may_run = matches!(reply, Reply::Begun | Reply::Lost);
             state.staging = may_run.then(|| (model.clone(), now));
@@ -688,11 +702,13 @@
             }
         }
         let is_join = matches!(action, Action::Join { .. });
+        let state = self.planner.engine_states.get(id);
         let expected = is_join.then(|| ExpectedGroup {
             current: endpoint
                 .membership
                 .as_ref()
                 .map(|m| (m.group.clone(), m.epoch)),
+            left: state.and_then(|s| s.left.clone()),
         });
         self.out.push(Output::Order(Order {
             endpoint: id.clone(),
--- a/lib/tests/belief_world.rs
+++ b/lib/tests/belief_world.rs
@@ -617,7 +617,8 @@
         };
         let state = &mut self.vms[vm];
         state.endpoints.confirm(&order.endpoint, report.started_ms);
-        let allowed = expected.check(report.membership.as_ref(), group, *epoch);
+        let membership = report.membership.as_ref();
+        let allowed = expected.check(membership, orders, group, *epoch);
         if state.is_outage {
             state.endpoints.observe(&report);
         }
@@ -625,7 +626,7 @@
             return self.send(0, not_sent(order, Reply::Conflict));
         }
         match allowed {
-            Ok(()) => self.send_order(vm, order, Some(orders)),
+            Ok(orders) => self.send_order(vm, order, Some(orders)),
             Err(Reply::Conflict) if attempt + 1 < MAX_CHECKS => {
                 self.asked += u64::from(self.has_traffic);
                 let attempt = attempt + 1;
@@ -768,7 +769,10 @@
         shown.orders += 1;
         show(e, now, shown);
         self.publish(&order.endpoint);
-        Reply::Begun
+        match order.action {
+            Action::Leave { .. } => Reply::Done,
+            _ => Reply::Begun,
+        }
     }
 
     /// Checks that the head of the group of an engine that takes a join doesn't serve.
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -338,8 +338,9 @@
             && !crashed
         {
             self.observe(&id);
-            let membership = self.engines[&id].entry.membership.as_ref();
-            if let Err(reply) = expected.check(membership, group, *epoch) {
+            let SimulatedEngine { entry, begun, .. } = &self.engines[&id];
+            let membership = entry.membership.as_ref();
+            if let Err(reply) = expected.check(membership, *begun, group, *epoch) {
                 self.planner.handle_reply(self.now, &id, &action, reply);
                 return;
             }
--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlock_lib::node::endpoints::{Change, Endpoint, Endpoints, MemberState, Membership};
+use hemlock_lib::node::endpoints::{
+    Change, Endpoint, Endpoints, EngineReport, MemberState, Membership,
+};
 use hemlock_lib::node::warm_up::ToldWarmUp;
 use hemlock_lib::time::Time;
 
@@ -407,3 +409,33 @@
     assert_eq!(endpoints.doubt(at(12_000), "e1"), Change::None);
     assert_eq!(endpoints.doubt(at(12_000), "unknown"), Change::None);
 }
+
+fn report_of(started_ms: u64) -> EngineReport {
+    EngineReport {
+        id: Arc::from("e1"),
+        started_ms,
+        staged: Vec::new(),
+        model: None,
+        membership: None,
+    }
+}
+
+/// Reports stand in for the list during an outage; what the store executes after it may be of the life before.
+#[test]
+fn late_entry_after_an_outage_does_not_undo_a_restart_that_a_report_told() {
+    let mut endpoints = list_of(10);
+    endpoints.put(at(0), of_start(5_000, 40));
+    endpoints.store_lost();
+    assert_eq!(endpoints.observe(&report_of(2_000)), Change::Listed);
+    endpoints.store_returned(at(9_000));
+    endpoints.put(at(9_010), of_start(5_000, 41));
+    assert_eq!(start_of(&endpoints).0, 2_000);
+    endpoints.put(at(9_020), of_start(2_000, 3));
+    assert!(endpoints.settle(at(30_000)).is_empty());
+    assert_eq!(start_of(&endpoints), (2_000, 3));
+    // A report of the life before that came late is corrected by the next one.
+    endpoints.observe(&report_of(1_000));
+    endpoints.observe(&report_of(2_000));
+    assert_eq!(endpoints.put(at(30_010), of_start(2_000, 4)), Change::None);
+    assert_eq!(start_of(&endpoints), (2_000, 4));
+}
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -615,11 +615,30 @@
         rank: 0,
         state: MemberState::Ready,
     };
-    let expected = ExpectedGroup { current: None };
-    let check = |epoch| expected.check(Some(&membership), "g5-2-small", epoch);
-    assert_eq!(check(5), Ok(()));
+    let expected = ExpectedGroup::default();
+    let check = |epoch| expected.check(Some(&membership), 3, "g5-2-small", epoch);
+    assert_eq!(check(5), Ok(3));
+    assert_eq!(check(6), Err(Reply::Conflict));
+    assert_eq!(expected.check(None, 3, "g5-2-small", 5), Ok(3));
+}
+
+/// A report is some hundred milliseconds old, and the group that it names may be the one that the engine has just
+/// left: the join need not wait, but the engine must have begun that order and no other.
+#[test]
+fn engine_that_has_just_left_its_group_is_ordered_into_another_one_at_once() {
+    let membership = |epoch| Membership {
+        group: Arc::from("g5-2-small"),
+        epoch,
+        rank: 0,
+        state: MemberState::Open,
+    };
+    let expected = ExpectedGroup {
+        left: Some((Arc::from("g5-2-small"), 5)),
+        ..ExpectedGroup::default()
+    };
+    let check = |epoch| expected.check(Some(&membership(epoch)), 3, "g9-2-small", 9);
+    assert_eq!(check(5), Ok(4));
     assert_eq!(check(6), Err(Reply::Conflict));
-    assert_eq!(expected.check(None, "g5-2-small", 5), Ok(()));
 }
 
 /// Guards against PARTIAL beside review case 6: a planner that went on without the store had seen an epoch of its
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -368,7 +368,8 @@
             return Reply::Lost;
         };
         node.note_start(id, report.started_ms);
-        let checked = expected.check(report.membership.as_ref(), group, *epoch);
+        let membership = report.membership.as_ref();
+        let checked = expected.check(membership, orders, group, *epoch);
         if checked.is_err() {
             log::warn!(
                 "event=order_dropped cause=group action=join id={id} group={group} expected={:?} \
@@ -380,7 +381,7 @@
         }
         keep_report(node, report);
         reply = match checked {
-            Ok(()) => send_order(node, leadership, order, Some(orders)).await,
+            Ok(orders) => send_order(node, leadership, order, Some(orders)).await,
             Err(reply) => reply,
         };
         // The report may be older than the engine's last order, as may be the list.
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_evacuation;
 mod test_first_list;
 mod test_late_config;
+mod test_late_entries;
 mod test_left_callers;
 mod test_limits;
 mod test_memory;
