--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -222,8 +222,8 @@
     leaving: BTreeMap<Arc<str>, u64>,
     /// Endpoints that ended lately.
     ended: BTreeMap<Arc<str>, Ended>,
-    /// Entries that are older than what is known or of a start that may be, with the times at which they
-    /// were first read.
+    /// Entries that are, or may be, older than what is known, with the times since which the store has listed
+    /// them.
     held: BTreeMap<Arc<str>, (Time, Endpoint)>,
     /// Later start times by the endpoint's clock that turned out to be of an earlier life.
     superseded: BTreeMap<Arc<str>, u64>,
@@ -372,7 +372,7 @@
     pub fn settle(&mut self, now: Time) -> Vec<(Arc<str>, Change)> {
         // The store drops and replaces nothing while it takes no writes.
         let answers_since = match self.store {
-            StoreAvailability::Available => Time(0),
+            StoreAvailability::Available => Time::ZERO,
             StoreAvailability::Recovered(since) => since,
             StoreAvailability::Unavailable => return Vec::new(),
         };
--- a/lib/tests/belief_world.rs
+++ b/lib/tests/belief_world.rs
@@ -66,6 +66,8 @@
     pub late_orders: bool,
     /// Engines restart, some of them with a clock that went back.
     pub restarts: bool,
+    /// Another writer puts what can't be read under the identifiers of engines.
+    pub odd_entries: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -80,6 +82,7 @@
     Freeze,
     Stop,
     Crash,
+    Odd,
 }
 
 /// What happens as the next join is taken.
@@ -223,11 +226,20 @@
     }
 }
 
+/// A change of the list of engines.
+#[derive(Debug)]
+enum Record {
+    Entry(Box<Endpoint>),
+    Removed,
+    /// What another writer put in place of an entry can't be read.
+    Odd,
+}
+
 /// The platform's store: the list of engines with its log of changes, and the planner's lease.
 #[derive(Debug, Default)]
 struct Store {
     entries: BTreeMap<Arc<str>, (Endpoint, u64)>,
-    log: Vec<(Arc<str>, Option<Endpoint>)>,
+    log: Vec<(Arc<str>, Record)>,
     down_since: u64,
     down_until: u64,
     generation: u64,
@@ -253,18 +265,27 @@
             numbered == *known
         });
         if !same {
-            self.log.push((entry.id.clone(), Some(entry.clone())));
+            self.log
+                .push((entry.id.clone(), Record::Entry(Box::new(entry.clone()))));
         }
         self.entries.insert(entry.id.clone(), (entry, now));
     }
 
+    /// Has another writer replace an entry by something that can't be read. The next heartbeat of the engine
+    /// adds a record, since it differs from that.
+    fn spoil(&mut self, id: &Arc<str>) {
+        if self.entries.remove(id).is_some() {
+            self.log.push((id.clone(), Record::Odd));
+        }
+    }
+
     fn remove_silent(&mut self, now: u64) {
         let silent = |(_, at): &(Endpoint, u64)| now >= at + ENTRY_LIFETIME;
         let entries = self.entries.iter().filter(|(_, held)| silent(held));
         let ids: Vec<Arc<str>> = entries.map(|(id, _)| id.clone()).collect();
         for id in ids {
             self.entries.remove(&id);
-            self.log.push((id, None));
+            self.log.push((id, Record::Removed));
         }
     }
 
@@ -437,6 +458,7 @@
             outages,
             freezes,
             restarts,
+            odd_entries,
             ..
         } = self.faults;
         let kinds = [
@@ -452,6 +474,7 @@
             (freezes, Fault::Stop),
             (restarts, Fault::Crash),
             (restarts, Fault::Crash),
+            (odd_entries, Fault::Odd),
         ];
         let kinds: Vec<Fault> = kinds.into_iter().filter(|k| k.0).map(|k| k.1).collect();
         let ids: Vec<Arc<str>> = self.engines.keys().cloned().collect();
@@ -471,6 +494,7 @@
                 let span = self.rng.random_range(1_000..6_000);
                 self.store.fail(now, span);
             }
+            Fault::Odd => self.store.spoil(&id),
             Fault::OutageAtJoin => self.at_join = AtJoin::Outage,
             Fault::FreezeAfterJoin => self.at_join = AtJoin::Freeze,
             Fault::Freeze => {
@@ -973,14 +997,17 @@
             vm.endpoints.store_lost();
         }
         if is_up {
-            for (id, entry) in &self.store.log[vm.next_record..] {
-                match entry {
-                    Some(entry) => {
-                        vm.endpoints.put(time, entry.clone());
+            for (id, record) in &self.store.log[vm.next_record..] {
+                match record {
+                    Record::Entry(entry) => {
+                        vm.endpoints.put(time, (**entry).clone());
                     }
-                    None => {
+                    Record::Removed => {
                         vm.endpoints.remove(time, [&**id]);
                     }
+                    Record::Odd => {
+                        vm.endpoints.doubt(time, id);
+                    }
                 }
             }
             vm.next_record = self.store.log.len();
--- a/lib/tests/test_node_beliefs.rs
+++ b/lib/tests/test_node_beliefs.rs
@@ -89,5 +89,6 @@
         freezes: true,
         late_orders: true,
         restarts: true,
+        odd_entries: true,
     });
 }
