planner: replies to orders of an earlier term say nothing of the present one

Found by reading: the refusal of an order of before a freeze (a successor had used a higher token) may arrive once the planner has the lease again under the next token, and ended that term for a renewal, 0.4 s, as if a third planner worked.

--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -495,15 +495,21 @@
         self.fence = None;
     }
 
-    /// Handles the result of an order. Returns true if the term ended because another planner may
-    /// have used a higher fencing token.
+    /// Handles the result of an order that was decided on under a fencing token. Returns true if the term ended
+    /// because another planner may have used a higher one.
+    ///
+    /// The reply to an order of an earlier term says nothing of this one, but for a load that goes on.
     pub fn handle_reply(
         &mut self,
         now: Time,
+        fence: u64,
         endpoint: &str,
         action: &Action,
         reply: Reply,
     ) -> bool {
+        if self.term != Some(fence) && !matches!(action, Action::Stage { .. }) {
+            return false;
+        }
         let Some(state) = self.engine_states.get_mut(endpoint) else {
             return false;
         };
@@ -532,11 +538,12 @@
         {
             formed.given_up = true;
         }
-        if reply == Reply::Outdated {
+        let is_outdated = reply == Reply::Outdated && self.term == Some(fence);
+        if is_outdated {
             // Another planner has given orders, whatever the store says of the token.
             (self.term, self.fence) = (None, None);
         }
-        reply == Reply::Outdated
+        is_outdated
     }
 
     /// Ends a probe whose result says nothing, since this VM did not reach other engines either.
--- a/lib/tests/belief_world.rs
+++ b/lib/tests/belief_world.rs
@@ -157,7 +157,7 @@
     /// What a VM's planner has decided, at the VM.
     Planned(usize, Output),
     /// The reply to an order, at the VM.
-    Reply(usize, Arc<str>, Action, Reply),
+    Reply(usize, Box<Order>, Reply),
     /// The result of a probe, at the VM.
     Probed(usize, Arc<str>, ProbeResult, Option<EngineReport>),
     /// The store's answer to a request for the lease that was sent at a time.
@@ -583,10 +583,11 @@
                     self.send(ROUND_TRIP / 2, Event::Report(vm, check, report));
                 }
                 Event::Report(vm, check, report) => self.check_join(vm, check, report),
-                Event::Reply(vm, id, action, reply) => {
+                Event::Reply(vm, order, reply) => {
                     let vm = &mut self.vms[vm];
-                    let time = Time::from_millis(now);
-                    if vm.planner.handle_reply(time, &id, &action, reply) {
+                    let (time, fence) = (Time::from_millis(now), order.fence);
+                    let (id, action) = (&order.endpoint, &order.action);
+                    if vm.planner.handle_reply(time, fence, id, action, reply) {
                         vm.lease.give_up();
                         vm.is_planner = false;
                     }
@@ -635,7 +636,7 @@
         else {
             return;
         };
-        let not_sent = |order: Order, reply| Event::Reply(vm, order.endpoint, order.action, reply);
+        let not_sent = |order: Order, reply| Event::Reply(vm, Box::new(order), reply);
         let Some((report, orders)) = report else {
             return self.send(0, not_sent(order, Reply::Lost));
         };
@@ -671,7 +672,7 @@
         if is_late {
             let delay = self.rng.random_range(LATE);
             self.send(delay, Event::Order(sent));
-            let lost = Event::Reply(from, order.endpoint, order.action, Reply::Lost);
+            let lost = Event::Reply(from, Box::new(order), Reply::Lost);
             self.send(REPLY_TIMEOUT, lost);
         } else {
             self.send(ROUND_TRIP / 2, Event::Order(sent));
@@ -685,7 +686,7 @@
                 Reply::Lost => REPLY_TIMEOUT,
                 _ => ROUND_TRIP / 2,
             };
-            let reply = Event::Reply(sent.from, sent.order.endpoint, sent.order.action, reply);
+            let reply = Event::Reply(sent.from, Box::new(sent.order), reply);
             self.send(after, reply);
         }
     }
@@ -1094,7 +1095,7 @@
                 self.send_order(i, order, None);
             }
             Output::Order(order) => {
-                let dropped = Event::Reply(i, order.endpoint, order.action, Reply::Conflict);
+                let dropped = Event::Reply(i, Box::new(order), Reply::Conflict);
                 self.send(0, dropped);
             }
             Output::Probe { endpoint, .. } => {
--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -341,7 +341,8 @@
             let SimulatedEngine { entry, begun, .. } = &self.engines[&id];
             let membership = entry.membership.as_ref();
             if let Err(reply) = expected.check(membership, *begun, group, *epoch) {
-                self.planner.handle_reply(self.now, &id, &action, reply);
+                self.planner
+                    .handle_reply(self.now, fence, &id, &action, reply);
                 return;
             }
         }
@@ -354,14 +355,15 @@
             };
             self.delayed_orders.push((at, id.clone(), order));
             self.planner
-                .handle_reply(self.now, &id, &action, Reply::Lost);
+                .handle_reply(self.now, fence, &id, &action, Reply::Lost);
             return;
         }
         let reply = match crashed {
             true => Reply::Lost,
             false => self.begin(&id, fence, &action),
         };
-        self.planner.handle_reply(self.now, &id, &action, reply);
+        self.planner
+            .handle_reply(self.now, fence, &id, &action, reply);
     }
 
     /// Carries out an order, and counts it if it has begun something.
--- a/lib/tests/test_node_planner.rs
+++ b/lib/tests/test_node_planner.rs
@@ -182,7 +182,7 @@
     assert!(
         simulation
             .planner
-            .handle_reply(simulation.now, &id, &action, Reply::Outdated)
+            .handle_reply(simulation.now, 1, &id, &action, Reply::Outdated)
     );
     assert_eq!(simulation.planner.fence(), None);
     simulation.orders.clear();
@@ -594,7 +594,7 @@
             if let Action::Join { epoch, members, .. } = &order.action {
                 joins.entry(*epoch).or_default().insert(members.clone());
             }
-            planner.handle_reply(now, &order.endpoint, &order.action, Reply::Conflict);
+            planner.handle_reply(now, 1, &order.endpoint, &order.action, Reply::Conflict);
         }
         planner.pause_term();
         // Another pair is formed next time.
@@ -659,3 +659,16 @@
         }
     }
 }
+
+/// The refusal of an order of before a freeze arrived under the next token, and ended that term too.
+#[test]
+fn reply_to_an_order_of_an_earlier_term_does_not_end_the_present_one() {
+    let mut simulation = Simulation::new(two_models(), &[10; 2], 1);
+    simulation.run(Duration::from_secs(1));
+    let (_, id, action) = simulation.orders[0].clone();
+    simulation.planner.begin_term(5);
+    simulation.run(Duration::from_millis(50));
+    let planner = &mut simulation.planner;
+    assert!(!planner.handle_reply(simulation.now, 1, &id, &action, Reply::Outdated));
+    assert_eq!(planner.fence(), Some(5));
+}
--- a/node/src/leadership.rs
+++ b/node/src/leadership.rs
@@ -427,7 +427,7 @@
             let Some(planner) = leadership.planners.get_mut(&service) else {
                 return;
             };
-            if planner.handle_reply(now, endpoint, action, reply) {
+            if planner.handle_reply(now, *fence, endpoint, action, reply) {
                 // Another planner may have taken over, so send no more orders until the store
                 // confirms the lease.
                 log::warn!("event=order_outdated id={endpoint} fence={fence}");
