planner, tests: orders, epochs and the world of beliefs in files of their own

Moves only: planner/orders.rs and planner/epochs.rs, node/src/endpoint_changes.rs, and the parts of lib/tests/belief_world. Entries of tests come from the stand-in's fixtures. No behaviour changes.

--- a/lib/src/node/endpoints.rs
+++ b/lib/src/node/endpoints.rs
@@ -179,7 +179,7 @@
     pub sequence: u64,
 }
 
-/// What the version of an entry says of its age, compared with what is known of the endpoint.
+/// Age of an entry by its version, compared with what is known of the endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EntryAge {
     /// The entry is newer, or as new.
@@ -190,7 +190,7 @@
     Unknown,
 }
 
-/// What is remembered of an endpoint that ended.
+/// An endpoint that ended.
 #[derive(Debug, Clone, Copy)]
 struct Ended {
     at: Time,
--- a/lib/src/node/planner.rs
+++ b/lib/src/node/planner.rs
@@ -11,8 +11,10 @@
 
 mod assign;
 mod convert;
+mod epochs;
 mod groups;
 mod idle;
+mod orders;
 mod prepare;
 mod weight_loads;
 
@@ -22,8 +24,11 @@
 
 use super::capacity::Demand;
 use super::config::Engine;
-use super::endpoints::{Endpoints, EntryVersion, Group, Membership};
+use super::endpoints::{Endpoints, Group, Membership};
+use epochs::{EPOCH_COUNTER_BITS, MAX_FENCE_LEAD, MAX_PREPARING};
+pub use epochs::{EpochIssuer, fencing_token};
 pub use idle::IdleCause;
+pub use orders::{Action, ExpectedGroup, Order, Output, Reply};
 
 use crate::time::Time;
 
@@ -45,196 +50,9 @@
 const LOST_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after an order for which the engine is polled for its state while the list is frozen.
 const POLL_DURATION: Duration = Duration::from_secs(4);
-/// Bits of an epoch below the fencing token: a counter, and the tag of the planner.
-const EPOCH_COUNTER_BITS: u32 = 20;
-/// Bits of an epoch that tell apart planners that work at the same time, whose fencing tokens are close together.
-const EPOCH_TAG_BITS: u32 = 6;
-/// Distance of two epochs that one planner issues.
-const EPOCH_STEP: u64 = 1 << EPOCH_TAG_BITS;
-/// Range of the epochs that are issued before the list shows the effect of the first of them.
-const MAX_PREPARING: u64 = EPOCH_STEP << 10;
-
-/// Fencing tokens by which the one of an epoch may exceed this planner's. Epochs beyond come from another
-/// writer, and there may be none that is higher.
-const MAX_FENCE_LEAD: u64 = GENERATIONS_PER_ERA << 10;
-/// Fencing tokens by which those of one era precede those of the next; more than the generations
-/// that the store may lose with its last seconds.
-const GENERATIONS_PER_ERA: u64 = 1 << 20;
-
 /// Time without a plan after which ages start anew. Plans are made every 150 ms or more often.
 const MAX_PLAN_GAP: Duration = Duration::from_secs(1);
 
-/// An order to an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Become a member of a group.
-    Join {
-        /// Name of the group.
-        group: Arc<str>,
-        /// Epoch of the member list.
-        epoch: u64,
-        /// Model to load.
-        model: Arc<str>,
-        /// Members by rank.
-        members: Vec<Arc<str>>,
-    },
-    /// Take requests, as the head of a group.
-    Open {
-        /// Name of the group.
-        group: Arc<str>,
-        /// Epoch of the member list.
-        epoch: u64,
-    },
-    /// Finish the requests of the group and take no new ones, as its head.
-    Close {
-        /// Name of the group.
-        group: Arc<str>,
-        /// Epoch of the member list.
-        epoch: u64,
-    },
-    /// Give up the membership in a group.
-    Leave {
-        /// Name of the group.
-        group: Arc<str>,
-        /// Epoch of the member list.
-        epoch: u64,
-    },
-    /// Load the weights of a model onto the host.
-    Stage {
-        /// Name of the model.
-        model: Arc<str>,
-    },
-}
-
-impl Action {
-    /// Returns the name of the order in logs.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Join { .. } => "join",
-            Self::Open { .. } => "open",
-            Self::Close { .. } => "close",
-            Self::Leave { .. } => "leave",
-            Self::Stage { .. } => "stage",
-        }
-    }
-
-    /// Returns the epoch of the order's group, if it is about one.
-    pub fn epoch(&self) -> Option<u64> {
-        match self {
-            Self::Join { epoch, .. }
-            | Self::Open { epoch, .. }
-            | Self::Close { epoch, .. }
-            | Self::Leave { epoch, .. } => Some(*epoch),
-            Self::Stage { .. } => None,
-        }
-    }
-
-    /// Returns the group of the order, or the model to stage.
-    pub fn subject(&self) -> &str {
-        match self {
-            Self::Join { group, .. }
-            | Self::Open { group, .. }
-            | Self::Close { group, .. }
-            | Self::Leave { group, .. } => group,
-            Self::Stage { model } => model,
-        }
-    }
-}
-
-/// An order, and what it was decided on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Order {
-    /// Identifier of the engine.
-    pub endpoint: Arc<str>,
-    /// Address of the engine as host and port.
-    pub address: String,
-    /// Fencing token of the planner's term.
-    pub fence: u64,
-    /// What the engine is to do.
-    pub action: Action,
-    /// The group that the engine may be in when it joins another one. Present for each join: the engine is
-    /// asked before, and the order names the answer as its precondition.
-    pub expected: Option<ExpectedGroup>,
-    /// The entry that the order was decided on, for the log.
-    pub entry: EntryVersion,
-}
-
-/// A request of the planner to its caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Output {
-    /// Send an order to an engine.
-    Order(Order),
-    /// Query an engine for its report, to see whether it is alive.
-    Probe {
-        /// Identifier of the engine.
-        endpoint: Arc<str>,
-        /// Address of the engine as host and port.
-        address: String,
-    },
-}
-
-/// What a planner knows of the groups that an engine may be in when it is ordered to join another one.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ExpectedGroup {
-    /// Name and epoch of the group that the engine may leave by joining; `None` if it must be in no group.
-    pub current: Option<(Arc<str>, u64)>,
-    /// The last group that the engine has left by its own answer to an order. Its report may still name that.
-    pub left: Option<(Arc<str>, u64)>,
-}
-
-impl ExpectedGroup {
-    /// Decides from an engine's own report whether a join of `group` may be sent to it, and returns the number
-    /// of orders that the engine must have begun until then.
-    ///
-    /// The endpoint list only says which engines are worth an order: it may be seconds old, and an entry of
-    /// it may be late. An engine leaves a group for another one on nothing but its own word, given for this
-    /// order. `orders` is the number of orders in its report. As the precondition of the join, it has the engine
-    /// refuse the join if another order came between.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reply to assume if the order must not be sent.
-    pub fn check(
-        &self,
-        membership: Option<&Membership>,
-        orders: u64,
-        group: &str,
-        epoch: u64,
-    ) -> Result<u64, Reply> {
-        let current = membership.map(|m| (&*m.group, m.epoch));
-        let is_in = |known: &Option<(Arc<str>, u64)>| {
-            let known = known.as_ref().map(|(group, epoch)| (&**group, *epoch));
-            known.is_some() && current == known
-        };
-        // The engine itself knows whether a join of its group names other members.
-        let is_same = current == Some((group, epoch));
-        match current {
-            None => Ok(orders),
-            Some(_) if is_same || is_in(&self.current) => Ok(orders),
-            // The report is older than the order to leave, which counts as one.
-            Some(_) if is_in(&self.left) => Ok(orders + 1),
-            Some(_) => Err(Reply::Conflict),
-        }
-    }
-}
-
-/// Result of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reply {
-    /// The engine has begun to carry out the order.
-    Begun,
-    /// The order is carried out, or its result held already.
-    Done,
-    /// The order does not fit the engine's state.
-    Conflict,
-    /// The engine knows a higher fencing token or a later epoch.
-    Outdated,
-    /// Another engine has the address.
-    Elsewhere,
-    /// No reply arrived; the order may still be carried out.
-    Lost,
-}
-
 /// The state that a plan is made from.
 #[derive(Debug, Clone, Copy)]
 pub struct PlannerInput<'a> {
@@ -313,39 +131,6 @@
     started_ms: u64,
 }
 
-/// Issues the epochs of groups, each of them once.
-///
-/// One issuer serves the planners of all services of a process, for as long as it runs. It must outlive terms: the
-/// list may not show yet which epochs were issued, and an epoch that stood for two member lists would let a
-/// group be opened whose members never formed it.
-#[derive(Debug, Default)]
-pub struct EpochIssuer {
-    /// Highest epoch that was seen or issued.
-    highest: u64,
-}
-
-impl EpochIssuer {
-    /// Returns an epoch that is higher than all that were seen or issued.
-    ///
-    /// A planner that goes on without the store may see the epochs of its successor, and goes beyond them
-    /// as well. The lowest bits tell whose an epoch is, so that the successor never issues the same.
-    pub fn issue(&mut self, fence: u64) -> u64 {
-        let base = self.highest.max(fence << EPOCH_COUNTER_BITS);
-        let era = fence / GENERATIONS_PER_ERA;
-        let tagged = base / EPOCH_STEP * EPOCH_STEP + (fence ^ era) % EPOCH_STEP;
-        self.highest = match tagged > base {
-            true => tagged,
-            false => tagged + EPOCH_STEP,
-        };
-        self.highest
-    }
-
-    /// Takes an epoch into account that another planner has issued.
-    pub fn note(&mut self, epoch: u64) {
-        self.highest = self.highest.max(epoch);
-    }
-}
-
 /// The planner of one service's engines.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -413,12 +198,6 @@
     pub idle: BTreeMap<IdleCause, usize>,
 }
 
-/// Returns the fencing token of a lease. The store counts the lease's generations, but goes back to
-/// an earlier count when it comes back from an older copy, at the start of an era.
-pub fn fencing_token(era: u64, generation: u64) -> u64 {
-    era * GENERATIONS_PER_ERA + generation
-}
-
 /// Returns the name of a group. Later planners read the group's size and model from it.
 pub fn group_name(epoch: u64, group_size: usize, model: &str) -> Arc<str> {
     Arc::from(format!("g{epoch}-{group_size}-{model}"))
@@ -662,7 +441,7 @@
         };
         self.retiring.retain(has_members);
         // The list shows an epoch some time after it was ordered.
-        let oldest = epochs.highest.saturating_sub(MAX_PREPARING);
+        let oldest = epochs.highest().saturating_sub(MAX_PREPARING);
         self.preparing
             .retain(|epoch| *epoch >= oldest || has_members(epoch));
     }
--- a/lib/tests/belief_world.rs
+++ b/lib/tests/belief_world.rs
@@ -5,22 +5,30 @@
 //! of its own may serve, and no request runs in a group that is incomplete or has a member that was never
 //! ready under its name, epoch and member list.
 
+mod engine;
+mod faults;
+mod orders;
+mod store;
+mod vm;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use hemlock_lib::node::config::Engine as EngineModel;
-use hemlock_lib::node::endpoints::{Endpoint, Endpoints, EngineReport, MemberState, Membership};
-use hemlock_lib::node::lease::{Grant, Lease};
-use hemlock_lib::node::planner::{
-    Action, EpochIssuer, Order, Output, Planner, PlannerInput, ProbeResult, Reply,
-};
+use hemlock_lib::node::endpoints::{Endpoint, EngineReport, MemberState};
+use hemlock_lib::node::lease::Grant;
+use hemlock_lib::node::planner::{Order, Output, PlannerInput, ProbeResult, Reply};
 use hemlock_lib::node::warm_up::ToldWarmUp;
 use hemlock_lib::time::Time;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::node_world::{engine, zone_of};
+use crate::node_world::{engine as engine_model, zone_of};
+use engine::{SimulatedEngine, show, staged};
+use faults::AtJoin;
+use store::{Record, Store};
+use vm::{Vm, may_order};
 
 const SERVICE: &str = "models";
 const MODEL: &str = "m";
@@ -53,7 +61,7 @@
 /// Reports that are asked for before a join is given up.
 const MAX_CHECKS: u32 = 3;
 
-/// What goes wrong in a run.
+/// Faults of a run.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
     /// Engines are cut from the store, which executes their writes late, out of order, or not at all.
@@ -70,63 +78,6 @@
     pub odd_entries: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
-enum Fault {
-    Added,
-    Cut,
-    Outage,
-    OutageAtJoin,
-    /// An engine is cut from the store as it takes a join, the planner freezes once it has missed the engine's
-    /// entry, and its successor stops shortly before it wakes.
-    FreezeAfterJoin,
-    Freeze,
-    Stop,
-    Crash,
-    Odd,
-}
-
-/// What happens as the next join is taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AtJoin {
-    Nothing,
-    Outage,
-    Freeze,
-}
-
-/// The state of an engine that its entry and its report show.
-#[derive(Debug, Clone, PartialEq)]
-struct Shown {
-    membership: Option<Membership>,
-    model: Option<Arc<str>>,
-    orders: u64,
-}
-
-#[derive(Debug)]
-struct SimulatedEngine {
-    id: Arc<str>,
-    domain: Arc<str>,
-    started_ms: u64,
-    sequence: u64,
-    shown: Shown,
-    /// Earlier states since the start, with the times at which they were replaced.
-    history: Vec<(u64, Shown)>,
-    /// Member list of the group.
-    members: Vec<Arc<str>>,
-    staged: bool,
-    has_served: bool,
-    highest_fence: u64,
-    highest_epoch: u64,
-    /// When the join, opening or closing in progress is done.
-    changes_at: Option<u64>,
-    is_opening: bool,
-    staged_at: Option<u64>,
-    missing_since: Option<u64>,
-    /// Until when the engine is down.
-    down_until: Option<u64>,
-    cut_until: u64,
-    next_write: u64,
-}
-
 /// An order on its way from a VM.
 #[derive(Debug, Clone)]
 struct SentOrder {
@@ -143,7 +94,7 @@
     attempt: u32,
 }
 
-/// What reaches an engine, the store or a VM at a time.
+/// A message or signal on its way to an engine, the store or a VM.
 #[derive(Debug, Clone)]
 enum Event {
     /// A write to the store.
@@ -154,7 +105,7 @@
     Ask(usize, JoinCheck),
     /// An engine's report of its state and number of orders, at the VM.
     Report(usize, JoinCheck, Option<(EngineReport, u64)>),
-    /// What a VM's planner has decided, at the VM.
+    /// An output of a VM's planner, at the VM.
     Planned(usize, Output),
     /// The reply to an order, at the VM.
     Reply(usize, Box<Order>, Reply),
@@ -186,139 +137,6 @@
     }
 }
 
-/// An entry VM. What it is sent while it is frozen reaches it as it wakes.
-#[derive(Debug)]
-struct Vm {
-    endpoints: Endpoints,
-    planner: Planner,
-    epochs: EpochIssuer,
-    lease: Lease,
-    is_planner: bool,
-    is_in_group: bool,
-    frozen_until: u64,
-    /// Until when the process is not running after a stop.
-    stopped_until: u64,
-    /// Next record of the store's log.
-    next_record: usize,
-    is_outage: bool,
-    next_renewal: u64,
-    next_plan: u64,
-    last_run: u64,
-}
-
-impl Vm {
-    fn new(now: u64) -> Self {
-        Self {
-            endpoints: Endpoints::new(Duration::from_secs(2)),
-            planner: Planner::default(),
-            epochs: EpochIssuer::default(),
-            lease: Lease::default(),
-            is_planner: false,
-            is_in_group: false,
-            frozen_until: 0,
-            stopped_until: 0,
-            next_record: 0,
-            is_outage: false,
-            next_renewal: now + 100,
-            next_plan: now + 100,
-            last_run: now,
-        }
-    }
-}
-
-/// A change of the list of engines.
-#[derive(Debug)]
-enum Record {
-    Entry(Box<Endpoint>),
-    Removed,
-    /// What another writer put in place of an entry can't be read.
-    Odd,
-}
-
-/// The platform's store: the list of engines with its log of changes, and the planner's lease.
-#[derive(Debug, Default)]
-struct Store {
-    entries: BTreeMap<Arc<str>, (Endpoint, u64)>,
-    log: Vec<(Arc<str>, Record)>,
-    down_since: u64,
-    down_until: u64,
-    generation: u64,
-    /// VMs that ask for the lease, with the times of their last requests.
-    candidates: BTreeMap<usize, u64>,
-    holder: Option<usize>,
-}
-
-impl Store {
-    fn fail(&mut self, now: u64, span: u64) {
-        if self.down_until <= now {
-            (self.down_since, self.down_until) = (now, now + span);
-        }
-    }
-
-    fn write(&mut self, now: u64, entry: Endpoint) {
-        let known = self.entries.get(&entry.id).map(|(e, _)| e);
-        let same = known.is_some_and(|known| {
-            let numbered = Endpoint {
-                sequence: known.sequence,
-                ..entry.clone()
-            };
-            numbered == *known
-        });
-        if !same {
-            self.log
-                .push((entry.id.clone(), Record::Entry(Box::new(entry.clone()))));
-        }
-        self.entries.insert(entry.id.clone(), (entry, now));
-    }
-
-    /// Has another writer replace an entry by something that can't be read. The next heartbeat of the engine
-    /// adds a record, since it differs from that.
-    fn spoil(&mut self, id: &Arc<str>) {
-        if self.entries.remove(id).is_some() {
-            self.log.push((id.clone(), Record::Odd));
-        }
-    }
-
-    fn remove_silent(&mut self, now: u64) {
-        let silent = |(_, at): &(Endpoint, u64)| now >= at + ENTRY_LIFETIME;
-        let entries = self.entries.iter().filter(|(_, held)| silent(held));
-        let ids: Vec<Arc<str>> = entries.map(|(id, _)| id.clone()).collect();
-        for id in ids {
-            self.entries.remove(&id);
-            self.log.push((id, Record::Removed));
-        }
-    }
-
-    /// Answers a request for the lease, after those who were silent for too long have lost it.
-    fn grant(&mut self, now: u64, vm: usize) -> Grant {
-        let before = self.candidates.len();
-        self.candidates.retain(|_, at| now - *at < LEASE);
-        let has_lost = self.candidates.len() < before;
-        let is_new = self.candidates.insert(vm, now).is_none();
-        self.generation += u64::from(has_lost) + u64::from(is_new);
-        self.deal();
-        Grant {
-            era: 0,
-            generation: self.generation,
-            is_held: self.holder == Some(vm),
-        }
-    }
-
-    fn leave(&mut self, vm: usize) {
-        if self.candidates.remove(&vm).is_some() {
-            self.generation += 1;
-        }
-        self.deal();
-    }
-
-    fn deal(&mut self) {
-        let candidates = &self.candidates;
-        if self.holder.is_none_or(|h| !candidates.contains_key(&h)) {
-            self.holder = candidates.keys().next().copied();
-        }
-    }
-}
-
 /// An engine that was ready, with the name, epoch and member list of its group.
 type Readiness = (Arc<str>, Arc<str>, u64, Vec<Arc<str>>);
 
@@ -353,7 +171,7 @@
 
 impl World {
     pub fn new(seed: u64, faults: Faults) -> Self {
-        let mut model = engine(&[(MODEL, GROUP_SIZE, 1.0)]);
+        let mut model = engine_model(&[(MODEL, GROUP_SIZE, 1.0)]);
         model.models[0].load_time = Duration::from_secs(2);
         model.models[0].warmup_time = Duration::from_millis(400);
         let mut world = Self {
@@ -385,30 +203,9 @@
     fn add(&mut self, number: usize, domain: &str) {
         let order = self.rng.random_range(0..1_000);
         let id: Arc<str> = Arc::from(format!("{domain}-{order:03}-{number}"));
-        let simulated = SimulatedEngine {
-            id: id.clone(),
-            domain: Arc::from(domain),
-            started_ms: self.now,
-            sequence: 0,
-            shown: Shown {
-                membership: None,
-                model: None,
-                orders: 0,
-            },
-            history: Vec::new(),
-            members: Vec::new(),
-            staged: false,
-            has_served: false,
-            highest_fence: 0,
-            highest_epoch: 0,
-            changes_at: None,
-            is_opening: false,
-            staged_at: None,
-            missing_since: None,
-            down_until: None,
-            cut_until: 0,
-            next_write: self.now + self.rng.random_range(0..HEARTBEAT),
-        };
+        let first_write = self.now + self.rng.random_range(0..HEARTBEAT);
+        let domain = Arc::from(domain);
+        let simulated = SimulatedEngine::new(&id, &domain, self.now, first_write);
         self.engines.insert(id, simulated);
     }
 
@@ -452,107 +249,6 @@
         self.check_requests();
     }
 
-    fn cause_fault(&mut self) {
-        let Faults {
-            late_entries,
-            outages,
-            freezes,
-            restarts,
-            odd_entries,
-            ..
-        } = self.faults;
-        let kinds = [
-            (true, Fault::Added),
-            (late_entries, Fault::Cut),
-            (late_entries, Fault::Cut),
-            (outages, Fault::Outage),
-            (outages, Fault::OutageAtJoin),
-            (outages, Fault::OutageAtJoin),
-            (freezes, Fault::Freeze),
-            (freezes, Fault::FreezeAfterJoin),
-            (freezes, Fault::FreezeAfterJoin),
-            (freezes, Fault::Stop),
-            (restarts, Fault::Crash),
-            (restarts, Fault::Crash),
-            (odd_entries, Fault::Odd),
-        ];
-        let kinds: Vec<Fault> = kinds.into_iter().filter(|k| k.0).map(|k| k.1).collect();
-        let ids: Vec<Arc<str>> = self.engines.keys().cloned().collect();
-        let id = ids[self.rng.random_range(0..ids.len())].clone();
-        let now = self.now;
-        match kinds[self.rng.random_range(0..kinds.len())] {
-            Fault::Added if self.engines.len() < 16 => {
-                let domain = DOMAINS[self.rng.random_range(0..DOMAINS.len())];
-                self.add(self.engines.len(), domain);
-            }
-            Fault::Added => {}
-            Fault::Cut => {
-                let span = self.rng.random_range(300..5_000);
-                self.engines.get_mut(&id).unwrap().cut_until = now + span;
-            }
-            Fault::Outage => {
-                let span = self.rng.random_range(1_000..6_000);
-                self.store.fail(now, span);
-            }
-            Fault::Odd => self.store.spoil(&id),
-            Fault::OutageAtJoin => self.at_join = AtJoin::Outage,
-            Fault::FreezeAfterJoin => self.at_join = AtJoin::Freeze,
-            Fault::Freeze => {
-                let span = self.rng.random_range(500..5_000);
-                self.freeze_planner(span);
-            }
-            Fault::Stop => {
-                let vm = self.rng.random_range(0..self.vms.len());
-                self.stop(vm);
-            }
-            Fault::Crash => {
-                let down = self.rng.random_range(100..4_500);
-                let e = self.engines.get_mut(&id).unwrap();
-                e.down_until.get_or_insert(now + down);
-            }
-        }
-    }
-
-    fn freeze_planner(&mut self, span: u64) {
-        if let Some(vm) = self.planning_vm() {
-            self.vms[vm].frozen_until = self.now + span;
-        }
-    }
-
-    /// Returns the VM that plans and is not frozen.
-    fn planning_vm(&self) -> Option<usize> {
-        let plans = |vm: &Vm| vm.is_planner && vm.frozen_until <= self.now;
-        (0..self.vms.len()).find(|i| plans(&self.vms[*i]))
-    }
-
-    /// Stops a VM as planned, and starts it again.
-    fn stop(&mut self, vm: usize) {
-        self.store.leave(vm);
-        self.events.retain(|(_, e)| e.vm() != Some(vm));
-        self.vms[vm] = Vm::new(self.now);
-        self.vms[vm].stopped_until = self.now + 1_500;
-    }
-
-    /// Causes the fault that waits for the next join.
-    fn disturb_join(&mut self, id: &str) {
-        let now = self.now;
-        match std::mem::replace(&mut self.at_join, AtJoin::Nothing) {
-            AtJoin::Nothing => {}
-            AtJoin::Outage => {
-                let span = self.rng.random_range(4_000..8_000);
-                self.store.fail(now, span);
-            }
-            AtJoin::Freeze => {
-                let e = self.engines.get_mut(id).unwrap();
-                e.cut_until = now + self.rng.random_range(3_700..5_500);
-                let freeze = self.rng.random_range(3_000..4_000);
-                self.send(freeze, Event::FreezePlanner(4_000));
-                let stop = freeze + self.rng.random_range(2_800..3_900);
-                self.send(stop, Event::StopPlanner);
-            }
-        }
-    }
-
     fn send(&mut self, after: u64, event: Event) {
         self.events.push((self.now + after, event));
     }
@@ -629,199 +325,6 @@
         Some((report, shown.orders))
     }
 
-    /// Sends a join if the engine's report and the lease allow it.
-    fn check_join(&mut self, vm: usize, check: JoinCheck, report: Option<(EngineReport, u64)>) {
-        let JoinCheck { order, attempt } = check;
-        let (Action::Join { group, epoch, .. }, Some(expected)) = (&order.action, &order.expected)
-        else {
-            return;
-        };
-        let not_sent = |order: Order, reply| Event::Reply(vm, Box::new(order), reply);
-        let Some((report, orders)) = report else {
-            return self.send(0, not_sent(order, Reply::Lost));
-        };
-        let state = &mut self.vms[vm];
-        state.endpoints.confirm(&order.endpoint, report.started_ms);
-        let membership = report.membership.as_ref();
-        let allowed = expected.check(membership, orders, group, *epoch);
-        if state.is_outage {
-            state.endpoints.observe(&report);
-        }
-        if !may_order(state, self.now, order.fence) {
-            return self.send(0, not_sent(order, Reply::Conflict));
-        }
-        match allowed {
-            Ok(orders) => self.send_order(vm, order, Some(orders)),
-            Err(Reply::Conflict) if attempt + 1 < MAX_CHECKS => {
-                self.asked += u64::from(self.has_traffic);
-                let attempt = attempt + 1;
-                self.send(250, Event::Ask(vm, JoinCheck { order, attempt }));
-            }
-            Err(reply) => self.send(0, not_sent(order, reply)),
-        }
-    }
-
-    fn send_order(&mut self, from: usize, order: Order, precondition: Option<u64>) {
-        let is_late = self.faults.late_orders && self.rng.random_bool(0.1);
-        let sent = SentOrder {
-            from,
-            order: order.clone(),
-            precondition,
-            wants_reply: !is_late,
-        };
-        if is_late {
-            let delay = self.rng.random_range(LATE);
-            self.send(delay, Event::Order(sent));
-            let lost = Event::Reply(from, Box::new(order), Reply::Lost);
-            self.send(REPLY_TIMEOUT, lost);
-        } else {
-            self.send(ROUND_TRIP / 2, Event::Order(sent));
-        }
-    }
-
-    fn receive_order(&mut self, sent: SentOrder) {
-        let reply = self.carry_out(&sent.order, sent.precondition);
-        if sent.wants_reply {
-            let after = match reply {
-                Reply::Lost => REPLY_TIMEOUT,
-                _ => ROUND_TRIP / 2,
-            };
-            let reply = Event::Reply(sent.from, Box::new(sent.order), reply);
-            self.send(after, reply);
-        }
-    }
-
-    fn carry_out(&mut self, order: &Order, precondition: Option<u64>) -> Reply {
-        let now = self.now;
-        let Some(e) = self.engines.get(&order.endpoint) else {
-            return Reply::Lost;
-        };
-        if e.down_until.is_some() {
-            return Reply::Lost;
-        }
-        if order.fence < e.highest_fence {
-            return Reply::Outdated;
-        }
-        if precondition.is_some_and(|n| n != e.shown.orders) {
-            return Reply::Conflict;
-        }
-        let held = e.shown.membership.clone();
-        let holds = |group: &Arc<str>, epoch: u64| {
-            held.as_ref()
-                .is_some_and(|m| m.group == *group && m.epoch == epoch)
-        };
-        if let Action::Join {
-            group,
-            epoch,
-            members,
-            ..
-        } = &order.action
-        {
-            let same = holds(group, *epoch);
-            if *epoch < e.highest_epoch || same && *members != e.members {
-                return Reply::Outdated;
-            }
-            if !same {
-                self.check_two(&order.endpoint, group);
-                self.disturb_join(&order.endpoint);
-                self.joins += u64::from(self.has_traffic);
-            }
-        }
-        let before_traffic = !self.has_traffic;
-        let e = self.engines.get_mut(&order.endpoint).unwrap();
-        e.highest_fence = order.fence;
-        let mut shown = e.shown.clone();
-        match &order.action {
-            Action::Join {
-                group,
-                epoch,
-                members,
-                ..
-            } => {
-                if holds(group, *epoch) {
-                    return Reply::Done;
-                }
-                let Some(rank) = members.iter().position(|m| *m == e.id) else {
-                    return Reply::Conflict;
-                };
-                let wait = match (e.has_served, e.staged, before_traffic) {
-                    (true, ..) => REJOIN_TIME,
-                    (false, true, _) => 400,
-                    (false, false, true) => 200,
-                    (false, false, false) => 2_000,
-                };
-                e.highest_epoch = *epoch;
-                e.members.clone_from(members);
-                e.changes_at = Some(now + wait);
-                (e.is_opening, e.has_served, e.staged) = (false, true, true);
-                e.missing_since = None;
-                shown.model = None;
-                shown.membership = Some(Membership {
-                    group: group.clone(),
-                    epoch: *epoch,
-                    rank,
-                    state: MemberState::Joining,
-                });
-            }
-            Action::Open { group, epoch } => {
-                let state = held.as_ref().map(|m| (m.rank, m.state));
-                if !holds(group, *epoch) || state != Some((0, MemberState::Ready)) {
-                    return Reply::Conflict;
-                }
-                if e.is_opening {
-                    return Reply::Done;
-                }
-                (e.is_opening, e.changes_at) = (true, Some(now + OPEN_TIME));
-            }
-            Action::Close { group, epoch } => match &mut shown.membership {
-                Some(m) if holds(group, *epoch) && m.state == MemberState::Open => {
-                    m.state = MemberState::Closing;
-                    e.changes_at = Some(now + CLOSE_TIME);
-                }
-                _ => return Reply::Conflict,
-            },
-            Action::Leave { group, epoch } => {
-                if !holds(group, *epoch) {
-                    return Reply::Done;
-                }
-                (e.changes_at, e.is_opening) = (None, false);
-                (shown.membership, shown.model) = (None, None);
-            }
-            Action::Stage { .. } => {
-                e.staged_at = Some(now + if before_traffic { 200 } else { 2_000 });
-            }
-        }
-        shown.orders += 1;
-        show(e, now, shown);
-        self.publish(&order.endpoint);
-        match order.action {
-            Action::Leave { .. } => Reply::Done,
-            _ => Reply::Begun,
-        }
-    }
-
-    /// Checks that the head of the group of an engine that takes a join doesn't serve.
-    fn check_two(&mut self, id: &Arc<str>, group: &str) {
-        let e = &self.engines[id];
-        let Some(own) = &e.shown.membership else {
-            return;
-        };
-        let Some(head) = e.members.first().and_then(|h| self.engines.get(h)) else {
-            return;
-        };
-        let of_head = head.shown.membership.as_ref();
-        let state = of_head.filter(|m| m.group == own.group && m.epoch == own.epoch);
-        let state = state.map(|m| m.state);
-        let may_serve = matches!(state, Some(MemberState::Open | MemberState::Closing));
-        if may_serve && head.down_until.is_none() {
-            let text = format!(
-                "{} ms: {id} of {} takes a join of {group}, its head {} is {state:?}",
-                self.now, own.group, head.id
-            );
-            self.broken.insert(Broken::Two(text));
-        }
-    }
-
     /// Checks the groups whose heads take requests.
     fn check_requests(&mut self) {
         for e in self.engines.values() {
@@ -890,28 +393,9 @@
                     continue;
                 }
                 *e = SimulatedEngine {
-                    id: e.id.clone(),
-                    domain: e.domain.clone(),
-                    started_ms: now - clock_back,
-                    sequence: 0,
-                    shown: Shown {
-                        membership: None,
-                        model: None,
-                        orders: 0,
-                    },
-                    history: Vec::new(),
-                    members: Vec::new(),
                     staged: e.staged,
-                    has_served: false,
-                    highest_fence: 0,
-                    highest_epoch: 0,
-                    changes_at: None,
-                    is_opening: false,
-                    staged_at: None,
-                    missing_since: None,
-                    down_until: None,
                     cut_until: e.cut_until,
-                    next_write: now,
+                    ..SimulatedEngine::new(&e.id, &e.domain, now - clock_back, now)
                 };
             }
             let mut shown = e.shown.clone();
@@ -1134,24 +618,3 @@
         (open * GROUP_SIZE, live.count())
     }
 }
-
-/// Returns whether a VM may send an order that it decided on under a fencing token.
-fn may_order(vm: &Vm, now: u64, fence: u64) -> bool {
-    vm.is_planner && vm.lease.may_order(Time::from_millis(now), fence)
-}
-
-fn staged(e: &SimulatedEngine) -> Vec<Arc<str>> {
-    match e.staged {
-        true => vec![Arc::from(MODEL)],
-        false => Vec::new(),
-    }
-}
-
-/// Replaces the state that an engine shows.
-fn show(e: &mut SimulatedEngine, now: u64, shown: Shown) {
-    if shown != e.shown {
-        let before = std::mem::replace(&mut e.shown, shown);
-        e.history.retain(|(until, _)| until + REPORT_LAG >= now);
-        e.history.push((now, before));
-    }
-}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod body;
 mod connections;
+mod endpoint_changes;
 mod evacuations;
 mod feed;
 mod front;
--- a/node/src/store_watch.rs
+++ b/node/src/store_watch.rs
@@ -425,12 +425,13 @@
     }
 }
 
-/// What a record says of an endpoint.
+/// A record of the list of endpoints.
+#[derive(Debug)]
 enum Told {
     Entry(Box<Endpoint>),
     /// The endpoint's entry has ended.
     Ended,
-    /// Nothing: the value is no entry, so that it comes from another writer.
+    /// The value is no entry, so that it comes from another writer.
     Odd,
 }
 
--- a/node/tests/test_late_entries.rs
+++ b/node/tests/test_late_entries.rs
@@ -12,13 +12,6 @@
 /// the entries of silent endpoints after 3.6 s.
 const RESTART_LIMIT: Duration = Duration::from_secs(7);
 
-fn entry_of(endpoint: &Endpoint, service: &str, born: u64, sequence: u64) -> Value {
-    json!({
-        "service": service, "address": endpoint.address().to_string(), "zone": "z1", "version": "v1",
-        "slots": 8, "state": "ready", "sequence": sequence, "coldLeftMs": 0, "born": born,
-    })
-}
-
 /// Guards against review case 8 with a real process: an entry of before its join makes no member of a group that
 /// serves join another one.
 #[test]
@@ -34,7 +27,7 @@
     };
     let before: Vec<usize> = engines.iter().map(count).collect();
     for engine in &engines {
-        let mut late = entry_of(engine, "models", 1_000, 0);
+        let mut late = fixtures::entry("models", engine.address(), 1_000, 0);
         late["domain"] = json!("d1");
         (late["staged"], late["models"]) = (json!(["m"]), json!([]));
         late["group"] = Value::Null;
@@ -56,7 +49,7 @@
         !n.log_lines("change=draining id=p1").is_empty()
     });
     let runs = plain[0].runs().len();
-    let late = entry_of(&plain[0], "plain", 1_000, 0);
+    let late = fixtures::entry("plain", plain[0].address(), 1_000, 0);
     fixtures::publish_entry(&node.store, "p1", &late.to_string());
     std::thread::sleep(Duration::from_millis(300));
     for i in 0..20 {
@@ -72,7 +65,7 @@
     node.wait_until("the endpoints are listed", |n| {
         !n.log_lines("change=listed id=p1").is_empty()
     });
-    let restarted = entry_of(&plain[0], "plain", 500, 0);
+    let restarted = fixtures::entry("plain", plain[0].address(), 500, 0);
     fixtures::publish_entry(&node.store, "p1", &restarted.to_string());
     let since = Instant::now();
     let is_listed = || {
--- a/node/tests/test_odd_entries.rs
+++ b/node/tests/test_odd_entries.rs
@@ -12,10 +12,7 @@
 
 /// Returns entries with this address that no endpoint writes, as text.
 fn odd_entries(address: SocketAddr) -> Vec<String> {
-    let entry = json!({
-        "service": "plain", "address": address.to_string(), "zone": "z1", "version": "v1", "slots": 8,
-        "state": "ready", "sequence": 1, "coldLeftMs": 0, "born": 1_000,
-    });
+    let entry = fixtures::entry("plain", address, 1_000, 1);
     let with = |name: &str, text: &str| {
         let mut entry = entry.clone();
         entry.as_object_mut().unwrap().remove(name);
@@ -59,14 +56,13 @@
     };
     let before: Vec<usize> = engines.iter().map(count).collect();
     for (odd, member) in members.iter().take(2).enumerate() {
-        let mut entry = json!({
-            "service": "models", "address": member.address().to_string(), "zone": "z1", "version": "v1",
-            "slots": 8, "state": "ready", "sequence": 1, "coldLeftMs": 0, "domain": "d1", "staged": [],
-            "models": [],
-        });
+        let mut entry = fixtures::entry("models", member.address(), 1_000, 1);
+        entry["domain"] = json!("d1");
+        (entry["staged"], entry["models"]) = (json!([]), json!([]));
         if odd == 0 {
-            entry["born"] = json!(1_000);
             entry["group"] = json!({"name": "g1", "epoch": 1, "rank": 0, "state": "resting"});
+        } else {
+            entry.as_object_mut().unwrap().remove("born");
         }
         fixtures::publish_entry(&node.store, member.id(), &entry.to_string());
     }
