--- a/lib/tests/test_node_endpoints.rs
+++ b/lib/tests/test_node_endpoints.rs
@@ -239,6 +239,16 @@
     }
 }
 
+/// Returns the membership of the head of an open group.
+fn open_head() -> Option<Membership> {
+    Some(Membership {
+        group: Arc::from("g"),
+        epoch: 1,
+        rank: 0,
+        state: MemberState::Open,
+    })
+}
+
 fn start_of(endpoints: &Endpoints) -> (u64, u64) {
     let e = endpoints.get("e1").unwrap();
     (e.started_ms, e.sequence)
@@ -250,12 +260,7 @@
 fn entry_that_the_store_executes_behind_newer_ones_is_ignored() {
     let mut endpoints = list_of(10);
     let joined = Endpoint {
-        membership: Some(Membership {
-            group: Arc::from("g"),
-            epoch: 1,
-            rank: 0,
-            state: MemberState::Open,
-        }),
+        membership: open_head(),
         ..of_start(5, 9)
     };
     endpoints.put(at(0), joined.clone());
@@ -336,12 +341,7 @@
     assert_eq!(endpoints.settle(at(5_020)).len(), 1);
     // The same of an endpoint whose newer entry was lost.
     let joined = Endpoint {
-        membership: Some(Membership {
-            group: Arc::from("g"),
-            epoch: 1,
-            rank: 0,
-            state: MemberState::Open,
-        }),
+        membership: open_head(),
         ..of_start(1, 9)
     };
     endpoints.put(at(6_000), joined);
