review: streams whose event ids increase by more than one are cut off

Workers number their events by 5, 10, 15, as PROTOCOL.md allows ("increasing ids"). The entry VM takes the second event for a sign of a missing one, tries another worker, and closes the caller's connection after the first event.

--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -1,6 +1,7 @@
 //! Scripts of the third review: each starts entry VMs as processes beside stand-ins, and checks one rule.
 
 mod early;
+mod gaps;
 mod harness;
 mod killer;
 mod worker;
@@ -23,6 +24,7 @@
         "killer-roll" => killer::run(&record, Trouble::Roll),
         "killer-dark" => killer::run(&record, Trouble::Dark),
         "killer-query" => killer::run(&record, Trouble::Query),
+        "gaps" => gaps::run(&record, has_trouble),
         "early" => early::run(&record, has_trouble),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -44,6 +44,18 @@
     Crash,
     /// Begins to run it and goes dark: nothing is sent or closed any more.
     GoDark,
+    /// Runs it and answers with a stream of events, from the one after the last that the caller has.
+    Stream(Events),
+}
+
+/// The events of a stream.
+#[derive(Debug, Clone, Copy)]
+pub struct Events {
+    pub count: u64,
+    /// Difference between the ids of two events in a row.
+    pub id_step: u64,
+    /// Time before each event.
+    pub interval: Duration,
 }
 
 /// How a full worker refuses requests.
@@ -228,6 +240,29 @@
         }
     }
 
+    /// Writes the events of a stream, in chunks. Returns whether the connection goes on.
+    fn stream(&self, io: &mut TcpStream, request: &Request, events: Events) -> bool {
+        let last: u64 = request.header("last-event-id").parse().unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: stamp\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            request.id()
+        );
+        if io.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        let ids = (1..=events.count).map(|number| number * events.id_step);
+        for id in ids.filter(|id| *id > last) {
+            thread::sleep(events.interval);
+            let event = format!("id: {id}\ndata: {} of {}\n\n", id, request.id());
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if !self.is_up() || io.write_all(chunk.as_bytes()).is_err() {
+                return false;
+            }
+        }
+        io.write_all(b"0\r\n\r\n").is_ok()
+    }
+
     fn serve(&self, mut io: TcpStream) {
         let mut buffer = Vec::new();
         while self.is_up() {
@@ -274,6 +309,11 @@
                         return;
                     }
                 }
+                Action::Stream(events) => {
+                    if !self.stream(&mut io, &request, events) {
+                        return;
+                    }
+                }
                 Action::Crash => return self.crash(),
                 Action::GoDark => {
                     self.go_dark();
